--- /dev/null
+++ b/src/ctl/main.cc
@@ -0,0 +1,2 @@
+// Entry point of comfreyflowctl.
+int main() { return 2; }
--- /dev/null
+++ b/src/daemon/main.cc
@@ -0,0 +1,2 @@
+// Entry point of comfreyflowd.
+int main() { return 2; }
