--- /dev/null
+++ b/include/comfreyflow/target.h
@@ -0,0 +1,60 @@
+/// What hosts know of a target: its description, its lagging load reports and
+/// what it says of the attempts it runs.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "comfreyflow/types.h"
+
+namespace comfreyflow {
+
+enum class TargetKind : std::uint8_t { kEngine, kPlain };
+
+/// A target as the configuration and the platform's list describe it.
+struct TargetInfo {
+  TargetName name;
+  std::string address;  ///< `ip:port`
+  TargetKind kind = TargetKind::kEngine;
+  ServiceName service;
+  FailureDomain failure_domain;
+  std::vector<ModelName> models;
+  std::uint64_t kv_capacity = 0;  ///< Tokens; 0 until the target reports it.
+  std::uint32_t max_running = 0;  ///< Requests; 0 until the target reports it.
+  bool checks_fence = false;
+};
+
+/// One load report of a target, as old as `age` when it arrived.
+struct TargetReport {
+  TargetName target;
+  std::uint64_t epoch = 0;  ///< Grows when the target restarts.
+  std::uint64_t sequence = 0;
+  Duration age{};
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint64_t kv_used = 0;
+  std::uint64_t kv_capacity = 0;
+  std::uint32_t max_running = 0;
+  std::uint64_t prefill_backlog_tokens = 0;
+  bool closing = false;
+  std::vector<ModelName> models;
+};
+
+/// One attempt as a target lists it.
+struct RunningAttempt {
+  AttemptId id;
+  std::uint64_t kv_tokens = 0;
+  Duration expires_in{};
+};
+
+/// A change in a target's prefix cache, or a whole list of it.
+struct PrefixEvent {
+  enum class Kind : std::uint8_t { kStored, kRemoved };
+  std::uint64_t sequence = 0;
+  Kind kind = Kind::kStored;
+  std::uint64_t salt = 0;
+  std::uint64_t block = 0;
+};
+
+}  // namespace comfreyflow
