--- /dev/null
+++ b/include/comfreyflow/router.h
@@ -0,0 +1,189 @@
+/// Where a request goes: orders the targets of a service by the estimated time
+/// to first token, keeps long prefills off the engines kept for short work,
+/// and names gangs for prompts longer than one engine's memory.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <vector>
+
+#include "comfreyflow/cost.h"
+#include "comfreyflow/prefix.h"
+#include "comfreyflow/target.h"
+#include "comfreyflow/types.h"
+
+namespace comfreyflow {
+
+struct RouterSettings {
+  FailureDomain home;
+  std::uint64_t seed = 0;
+  /// Uncached prompt tokens from which a request counts as long.
+  std::uint32_t long_tokens = 12'000;
+  /// Targets drawn at random for one placement.
+  std::uint32_t samples = 6;
+  /// Candidates returned at most.
+  std::uint32_t max_candidates = 4;
+  /// Refusals after which a request takes whatever wait there is.
+  std::uint32_t max_probes_short = 3;
+  std::uint32_t max_probes_long = 6;
+  /// Waits within which a steward grants before that.
+  Duration probe_wait_short = std::chrono::milliseconds(5);
+  Duration probe_wait_long = std::chrono::milliseconds(50);
+  /// Longest gang, in targets.
+  std::uint32_t max_gang = 4;
+  /// Share of an engine's memory that one request may take, in per cent.
+  std::uint32_t max_kv_percent = 90;
+  Duration hop_same = std::chrono::microseconds(200);
+  Duration hop_other = std::chrono::microseconds(1500);
+  Duration resize_period = std::chrono::seconds(5);
+};
+
+struct Candidate {
+  TargetName target;
+  Duration cost{};  ///< Estimated time to first token.
+  Duration wait{};  ///< The part of it spent waiting at the target.
+  std::uint32_t uncached_tokens = 0;
+  std::uint64_t kv_tokens = 0;  ///< Memory to ask of this target.
+  /// The longest wait at which its steward is to grant; past it, it refuses.
+  Duration max_wait{};
+};
+
+struct Placement {
+  enum class Kind : std::uint8_t {
+    kCandidates,  ///< Any one of `candidates`, best first.
+    kGang,        ///< All of `candidates`, reserved in the order given.
+    kWait,        ///< Targets exist, none can take it now.
+    kNoTarget,    ///< No target serves the request.
+    kTooLong,     ///< No gang of allowed size holds the prompt.
+  };
+  Kind kind = Kind::kNoTarget;
+  LengthClass length = LengthClass::kShort;
+  std::vector<Candidate> candidates;
+};
+
+class Router {
+ public:
+  explicit Router(RouterSettings settings);
+
+  void Seen(const TargetInfo& info);
+  void Gone(const TargetName& target);
+  void Closed(const TargetName& target);
+  void Reported(const TargetReport& report, Time now);
+  /// True when the target's whole list of blocks should be fetched.
+  bool Prefixes(const TargetName& target, bool whole_list,
+                const std::vector<PrefixEvent>& events, std::uint64_t next);
+
+  /// Orders targets for a request, without those of `excluded`. `refusals`
+  /// says how many stewards refused it so far: after `max_probes` of them the
+  /// candidates take any wait.
+  Placement Place(const RequestInfo& info,
+                  const std::vector<TargetName>& excluded,
+                  std::uint32_t refusals, Time now);
+  /// Length class of a request by the best cached part of its prefix.
+  LengthClass Classify(const RequestInfo& info);
+
+  /// The request goes to the target, which counts until `Ended`.
+  void Sent(const AttemptId& attempt, const RequestInfo& info,
+            const Candidate& candidate, Time now);
+  void FirstToken(const AttemptId& attempt, const TargetName& target);
+  /// The attempt is off the target; `whole` when it got its whole answer.
+  void Ended(const AttemptId& attempt, const TargetName& target,
+             const RequestInfo& info, bool whole);
+  /// The target's steward refused, as its engine starts nothing for `wait`.
+  void Refused(const TargetName& target, Duration wait, Time now);
+
+  /// Resizes the short and long parts when due.
+  void Tick(Time now);
+
+  RateModel& rates() { return rates_; }
+  std::size_t targets() const { return by_name_.size(); }
+  /// Engines kept for short work in the service's part.
+  std::size_t short_part(const ServiceName& service) const;
+
+ private:
+  struct InFlight {
+    Time sent;
+    std::uint32_t uncached_tokens = 0;
+    std::uint64_t kv_tokens = 0;
+    bool first_token = false;
+  };
+  /// What is known of a target. Invariant: `own` holds this host's attempts
+  /// on it; those sent after `as_of` are not in the report.
+  struct State {
+    TargetInfo info;
+    bool open = false;
+    std::uint64_t epoch = 0;
+    std::uint64_t sequence = 0;
+    std::uint32_t running = 0;
+    std::uint64_t kv_used = 0;
+    Time as_of;     ///< When the report was made, by this host's clock.
+    Time clear_at;  ///< When the prefills known of are estimated done.
+    std::map<AttemptId, InFlight> own;
+    std::uint32_t unreported_running = 0;
+    std::uint64_t unreported_kv = 0;
+  };
+  /// Where a prefix whose hash is at most `at` has its home.
+  struct RingPoint {
+    std::uint64_t at = 0;
+    TargetSlot slot = 0;
+    auto operator<=>(const RingPoint&) const = default;
+  };
+  /// The targets of one service. Invariant: `members` is sorted by hash of
+  /// the name; the first `short_count` of them are the short part; each part
+  /// has its ring.
+  struct Group {
+    std::vector<TargetSlot> members;
+    std::vector<RingPoint> short_ring;
+    std::vector<RingPoint> long_ring;
+    std::size_t short_count = 0;
+    double short_tokens = 0;  ///< Demand seen, decayed.
+    double long_tokens = 0;
+    Time resized;
+  };
+  /// One request while it is placed.
+  struct Search {
+    const RequestInfo& info;
+    const std::vector<TargetName>& excluded;
+    std::vector<PrefixHit> hits;
+    LengthClass length = LengthClass::kShort;
+    std::uint32_t refusals = 0;
+    Time now;
+  };
+
+  State* Find(const TargetName& target);
+  Group* GroupOf(const RequestInfo& info);
+  std::uint64_t Capacity(const Group& group) const;
+  LengthClass ClassOf(const RequestInfo& info, const Group& group,
+                      const std::vector<PrefixHit>& hits) const;
+  std::uint32_t Uncached(const Search& search, TargetSlot slot) const;
+  Candidate Cost(const Search& search, TargetSlot slot, std::uint64_t kv) const;
+  bool Usable(const Search& search, TargetSlot slot) const;
+  bool InPart(const Group& group, TargetSlot slot, LengthClass length) const;
+  std::vector<TargetSlot> Draw(const Group& group, const Search& search);
+  std::vector<Candidate> Best(const Group& group, const Search& search,
+                              std::uint64_t kv, std::size_t count);
+  Placement PlaceGang(const Group& group, const Search& search);
+  void Demand(Group& group, const Search& search);
+  void Resize(Group& group, Time now);
+  void Split(Group& group, std::size_t short_count);
+  void AddHomes(const std::vector<RingPoint>& ring, std::uint64_t root,
+                std::vector<TargetSlot>& out) const;
+  void Recount(State& state);
+
+  RouterSettings settings_;
+  std::mt19937_64 random_;
+  RateModel rates_;
+  PrefixIndex prefixes_;
+  std::vector<State> states_;
+  std::vector<std::size_t> position_;  ///< Of each slot inside its group.
+  std::map<TargetName, TargetSlot> by_name_;
+  std::map<ServiceName, Group> groups_;
+};
+
+/// Priority on the wire to an engine, 0..2: short work first, and of long work
+/// the urgent before the rest.
+std::uint8_t EnginePriority(Urgency urgency, LengthClass length);
+
+}  // namespace comfreyflow
--- /dev/null
+++ b/src/core/prefix/index.cc
@@ -0,0 +1,156 @@
+// Index of prefix blocks.
+#include <algorithm>
+#include <bit>
+
+#include "comfreyflow/prefix.h"
+
+namespace comfreyflow {
+namespace {
+
+/// Blocks of a chain kept each time its length doubles.
+constexpr std::size_t kRungs = 16;
+
+/// Position of the kept block after `index`.
+std::size_t NextKept(std::size_t index) {
+  const std::size_t count = index + 1;
+  const std::size_t step = std::bit_floor(count) / kRungs;
+  if (step <= 1) return index + 1;
+  return (count / step + 1) * step - 1;
+}
+
+bool Holds(const std::vector<TargetSlot>& holders, TargetSlot slot) {
+  return std::find(holders.begin(), holders.end(), slot) != holders.end();
+}
+
+}  // namespace
+
+PrefixIndex::PrefixIndex(PrefixIndexSettings settings) : settings_(settings) {}
+
+PrefixIndex::Stream& PrefixIndex::StreamOf(TargetSlot slot) {
+  if (slot >= streams_.size()) streams_.resize(slot + 1);
+  return streams_[slot];
+}
+
+bool PrefixIndex::Apply(TargetSlot slot, const std::vector<PrefixEvent>& events,
+                        std::uint64_t next) {
+  Stream& stream = StreamOf(slot);
+  std::vector<PrefixEvent> sorted = events;
+  std::sort(sorted.begin(), sorted.end(),
+            [](const PrefixEvent& a, const PrefixEvent& b) {
+              return a.sequence < b.sequence;
+            });
+  bool gap = false;
+  for (const PrefixEvent& event : sorted) {
+    if (stream.started && event.sequence < stream.next) continue;
+    gap = gap || (stream.started && event.sequence > stream.next);
+    if (event.kind == PrefixEvent::Kind::kStored) {
+      const auto known = blocks_.find(event.block);
+      if (known != blocks_.end()) AddHolder(known->second, slot);
+    } else {
+      Remove(slot, event.block);
+    }
+    stream.started = true;
+    stream.next = event.sequence + 1;
+  }
+  if (stream.started && next > stream.next) {
+    gap = true;
+    stream.next = next;
+  }
+  if (!gap || stream.resync_asked) return false;
+  stream.resync_asked = true;
+  return true;
+}
+
+void PrefixIndex::Resync(TargetSlot slot,
+                         const std::vector<PrefixEvent>& blocks,
+                         std::uint64_t next) {
+  Forget(slot);
+  for (const PrefixEvent& event : blocks) {
+    const auto known = blocks_.find(event.block);
+    if (known != blocks_.end()) AddHolder(known->second, slot);
+  }
+  StreamOf(slot) = {next, true, false};
+}
+
+void PrefixIndex::Forget(TargetSlot slot) {
+  for (const std::uint64_t block : recency_) Remove(slot, block);
+  StreamOf(slot) = {};
+}
+
+void PrefixIndex::Sent(TargetSlot slot, const PrefixChain& chain) {
+  for (std::size_t i = 0; i < chain.size(); i = NextKept(i)) {
+    Store(slot, chain[i]);
+  }
+}
+
+void PrefixIndex::Lacks(TargetSlot slot, const PrefixChain& chain,
+                        std::uint32_t tokens) {
+  for (std::size_t i = 0; i < chain.size(); i = NextKept(i)) {
+    if ((i + 1) * kPrefixBlockTokens > tokens) Remove(slot, chain[i]);
+  }
+}
+
+std::vector<PrefixHit> PrefixIndex::Longest(const PrefixChain& chain) {
+  std::vector<PrefixHit> hits;
+  std::vector<PrefixHit> alive;
+  for (std::size_t i = 0; i < chain.size(); i = NextKept(i)) {
+    const auto found = blocks_.find(chain[i]);
+    if (found == blocks_.end()) break;
+    Touch(found->second);
+    const auto& holders = found->second.holders;
+    if (i == 0) {
+      for (const TargetSlot slot : holders) alive.push_back({slot, 0});
+    }
+    for (PrefixHit& hit : alive) {
+      if (Holds(holders, hit.slot)) {
+        hit.tokens = static_cast<std::uint32_t>((i + 1) * kPrefixBlockTokens);
+      } else {
+        hits.push_back(hit);
+        hit.tokens = 0;
+      }
+    }
+    std::erase_if(alive, [](const PrefixHit& hit) { return hit.tokens == 0; });
+    if (alive.empty()) break;
+  }
+  hits.insert(hits.end(), alive.begin(), alive.end());
+  std::sort(
+      hits.begin(), hits.end(), [](const PrefixHit& a, const PrefixHit& b) {
+        return a.tokens != b.tokens ? a.tokens > b.tokens : a.slot < b.slot;
+      });
+  return hits;
+}
+
+void PrefixIndex::AddHolder(Block& block, TargetSlot slot) {
+  auto& holders = block.holders;
+  if (Holds(holders, slot)) return;
+  if (holders.size() >= settings_.max_holders) holders.erase(holders.begin());
+  holders.push_back(slot);
+}
+
+void PrefixIndex::Store(TargetSlot slot, std::uint64_t block) {
+  auto [found, added] = blocks_.try_emplace(block);
+  Block& entry = found->second;
+  if (added) {
+    recency_.push_front(block);
+    entry.recency = recency_.begin();
+  } else {
+    Touch(entry);
+  }
+  AddHolder(entry, slot);
+  if (blocks_.size() > settings_.max_blocks) {
+    blocks_.erase(recency_.back());
+    recency_.pop_back();
+  }
+}
+
+void PrefixIndex::Remove(TargetSlot slot, std::uint64_t block) {
+  const auto found = blocks_.find(block);
+  if (found == blocks_.end()) return;
+  std::erase(found->second.holders, slot);
+}
+
+void PrefixIndex::Touch(Block& block) {
+  recency_.splice(recency_.begin(), recency_, block.recency);
+}
+
+}  // namespace comfreyflow
--- /dev/null
+++ b/src/core/router/router.cc
@@ -0,0 +1,379 @@
+// What the router knows of targets, and how a request is placed.
+#include "comfreyflow/router.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace comfreyflow {
+namespace {
+
+/// Engines near the home of a prefix that are looked at.
+constexpr std::size_t kHomes = 2;
+/// Engines known to hold the prefix that are looked at.
+constexpr std::size_t kHits = 3;
+/// Engines of the long part that are looked at for short work.
+constexpr std::size_t kSpareSamples = 3;
+/// Wait assumed at a target whose slots or memory look full.
+constexpr Duration kFullWait = std::chrono::seconds(1);
+/// Wait taken as no limit.
+constexpr Duration kAnyWait = std::chrono::hours(1);
+
+std::uint64_t KvTokens(const RequestInfo& info) {
+  return std::uint64_t{info.prompt_tokens} + info.max_output_tokens;
+}
+
+std::uint64_t HashOf(const TargetName& name) {
+  return XXH3_64bits(name.value.data(), name.value.size());
+}
+
+bool Has(const std::vector<TargetName>& names, const TargetName& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+bool HasModel(const TargetInfo& target, const ModelName& model) {
+  if (target.kind == TargetKind::kPlain) return true;
+  const auto& models = target.models;
+  return std::find(models.begin(), models.end(), model) != models.end();
+}
+
+void Add(std::vector<TargetSlot>& slots, TargetSlot slot) {
+  if (std::find(slots.begin(), slots.end(), slot) == slots.end()) {
+    slots.push_back(slot);
+  }
+}
+
+}  // namespace
+
+std::uint8_t EnginePriority(Urgency urgency, LengthClass length) {
+  if (length == LengthClass::kShort) return 2;
+  return urgency == Urgency::kLow ? 0 : 1;
+}
+
+Router::Router(RouterSettings settings)
+    : settings_(std::move(settings)), random_(settings_.seed) {}
+
+void Router::Seen(const TargetInfo& info) {
+  const auto [found, added] =
+      by_name_.try_emplace(info.name, static_cast<TargetSlot>(states_.size()));
+  const TargetSlot slot = found->second;
+  if (added) {
+    states_.emplace_back();
+    position_.push_back(0);
+  }
+  State& state = states_[slot];
+  if (state.open && state.info.service == info.service) {
+    state.info = info;
+    return;
+  }
+  state.info = info;
+  state.open = true;
+  Group& group = groups_[info.service];
+  const std::uint64_t hash = HashOf(info.name);
+  const auto at = std::find_if(group.members.begin(), group.members.end(),
+                               [&](TargetSlot other) {
+                                 return HashOf(states_[other].info.name) > hash;
+                               });
+  group.members.insert(at, slot);
+  Split(group, group.short_count);
+}
+
+void Router::Gone(const TargetName& target) {
+  State* state = Find(target);
+  if (state == nullptr) return;
+  Closed(target);
+  prefixes_.Forget(by_name_.at(target));
+}
+
+void Router::Closed(const TargetName& target) {
+  State* state = Find(target);
+  if (state == nullptr || !state->open) return;
+  state->open = false;
+  Group& group = groups_[state->info.service];
+  std::erase(group.members, by_name_.at(target));
+  Split(group, group.short_count);
+}
+
+Router::State* Router::Find(const TargetName& target) {
+  const auto found = by_name_.find(target);
+  return found == by_name_.end() ? nullptr : &states_[found->second];
+}
+
+Router::Group* Router::GroupOf(const RequestInfo& info) {
+  const auto found = groups_.find(info.service);
+  if (found == groups_.end() || found->second.members.empty()) return nullptr;
+  return &found->second;
+}
+
+void Router::Reported(const TargetReport& report, Time now) {
+  State* state = Find(report.target);
+  if (state == nullptr) return;
+  if (report.epoch < state->epoch) return;
+  if (report.epoch == state->epoch && report.sequence <= state->sequence &&
+      state->sequence != 0) {
+    return;
+  }
+  if (report.epoch > state->epoch && state->epoch != 0) {
+    prefixes_.Forget(by_name_.at(report.target));
+  }
+  state->epoch = report.epoch;
+  state->sequence = report.sequence;
+  if (report.kv_capacity != 0) state->info.kv_capacity = report.kv_capacity;
+  if (report.max_running != 0) state->info.max_running = report.max_running;
+  if (!report.models.empty()) state->info.models = report.models;
+  state->running = report.running + report.waiting;
+  state->kv_used = report.kv_used;
+  state->as_of = now - report.age;
+  state->clear_at =
+      state->as_of + rates_.Prefill(report.prefill_backlog_tokens);
+  Recount(*state);
+  if (report.closing) Closed(report.target);
+}
+
+void Router::Recount(State& state) {
+  state.unreported_running = 0;
+  state.unreported_kv = 0;
+  for (const auto& [attempt, own] : state.own) {
+    if (own.sent < state.as_of) continue;
+    ++state.unreported_running;
+    state.unreported_kv += own.kv_tokens;
+    if (own.first_token) continue;
+    state.clear_at = std::max(state.clear_at, own.sent) +
+                     rates_.Prefill(own.uncached_tokens);
+  }
+}
+
+bool Router::Prefixes(const TargetName& target, bool whole_list,
+                      const std::vector<PrefixEvent>& events,
+                      std::uint64_t next) {
+  const auto found = by_name_.find(target);
+  if (found == by_name_.end()) return false;
+  if (!whole_list) return prefixes_.Apply(found->second, events, next);
+  prefixes_.Resync(found->second, events, next);
+  return false;
+}
+
+void Router::Sent(const AttemptId& attempt, const RequestInfo& info,
+                  const Candidate& candidate, Time now) {
+  State* state = Find(candidate.target);
+  if (state == nullptr) return;
+  state->own[attempt] = {now, candidate.uncached_tokens, candidate.kv_tokens,
+                         false};
+  ++state->unreported_running;
+  state->unreported_kv += candidate.kv_tokens;
+  state->clear_at = std::max(state->clear_at, now) +
+                    rates_.Prefill(candidate.uncached_tokens);
+  prefixes_.Sent(by_name_.at(candidate.target), info.prefix);
+}
+
+void Router::FirstToken(const AttemptId& attempt, const TargetName& target) {
+  State* state = Find(target);
+  if (state == nullptr) return;
+  const auto own = state->own.find(attempt);
+  if (own != state->own.end()) own->second.first_token = true;
+}
+
+void Router::Ended(const AttemptId& attempt, const TargetName& target,
+                   const RequestInfo& info, bool whole) {
+  State* state = Find(target);
+  if (state == nullptr) return;
+  const auto own = state->own.find(attempt);
+  if (own == state->own.end()) return;
+  if (own->second.sent >= state->as_of) {
+    --state->unreported_running;
+    state->unreported_kv -= own->second.kv_tokens;
+  }
+  const bool prefilled = own->second.first_token || whole;
+  state->own.erase(own);
+  if (!prefilled) prefixes_.Lacks(by_name_.at(target), info.prefix, 0);
+}
+
+void Router::Refused(const TargetName& target, Duration wait, Time now) {
+  State* state = Find(target);
+  if (state == nullptr) return;
+  state->clear_at = std::max(state->clear_at, now + wait);
+}
+
+std::uint64_t Router::Capacity(const Group& group) const {
+  std::uint64_t capacity = 0;
+  for (std::size_t i = 0; i < std::min<std::size_t>(4, group.members.size());
+       ++i) {
+    const TargetSlot slot = group.members[group.members.size() - 1 - i];
+    capacity = std::max(capacity, states_[slot].info.kv_capacity);
+  }
+  return capacity * settings_.max_kv_percent / 100;
+}
+
+LengthClass Router::ClassOf(const RequestInfo& info, const Group& group,
+                            const std::vector<PrefixHit>& hits) const {
+  const std::uint64_t capacity = Capacity(group);
+  if (capacity != 0 && KvTokens(info) > capacity) return LengthClass::kGang;
+  const std::uint32_t cached = hits.empty() ? 0 : hits.front().tokens;
+  const std::uint32_t uncached =
+      info.prompt_tokens - std::min(cached, info.prompt_tokens);
+  return uncached < settings_.long_tokens ? LengthClass::kShort
+                                          : LengthClass::kLong;
+}
+
+LengthClass Router::Classify(const RequestInfo& info) {
+  const Group* group = GroupOf(info);
+  if (group == nullptr) return LengthClass::kShort;
+  return ClassOf(info, *group, prefixes_.Longest(info.prefix));
+}
+
+std::uint32_t Router::Uncached(const Search& search, TargetSlot slot) const {
+  for (const PrefixHit& hit : search.hits) {
+    if (hit.slot != slot) continue;
+    return search.info.prompt_tokens -
+           std::min(hit.tokens, search.info.prompt_tokens);
+  }
+  return search.info.prompt_tokens;
+}
+
+Candidate Router::Cost(const Search& search, TargetSlot slot,
+                       std::uint64_t kv) const {
+  const State& state = states_[slot];
+  Candidate out;
+  out.target = state.info.name;
+  out.uncached_tokens = Uncached(search, slot);
+  out.kv_tokens = kv;
+  out.wait = std::max(Duration::zero(), state.clear_at - search.now);
+  const auto& info = state.info;
+  const bool slots_full =
+      info.max_running != 0 &&
+      state.running + state.unreported_running >= info.max_running;
+  const bool memory_full =
+      info.kv_capacity != 0 &&
+      state.kv_used + state.unreported_kv + kv > info.kv_capacity;
+  if (slots_full || memory_full) out.wait += kFullWait;
+  const Duration hop = info.failure_domain == settings_.home
+                           ? settings_.hop_same
+                           : settings_.hop_other;
+  out.cost = out.wait + rates_.Prefill(out.uncached_tokens) + hop;
+  return out;
+}
+
+bool Router::Usable(const Search& search, TargetSlot slot) const {
+  const State& state = states_[slot];
+  return state.open && HasModel(state.info, search.info.model) &&
+         !Has(search.excluded, state.info.name);
+}
+
+bool Router::InPart(const Group& group, TargetSlot slot,
+                    LengthClass length) const {
+  if (length == LengthClass::kShort) return true;
+  return group.members.size() < 2 || position_[slot] >= group.short_count;
+}
+
+void Router::AddHomes(const std::vector<RingPoint>& ring, std::uint64_t root,
+                      std::vector<TargetSlot>& out) const {
+  if (ring.empty()) return;
+  auto at = std::lower_bound(ring.begin(), ring.end(), RingPoint{root, 0});
+  for (std::size_t i = 0; i < kHomes; ++i, ++at) {
+    if (at == ring.end()) at = ring.begin();
+    Add(out, at->slot);
+  }
+}
+
+std::vector<TargetSlot> Router::Draw(const Group& group, const Search& search) {
+  std::vector<TargetSlot> out;
+  const bool is_short = search.length == LengthClass::kShort;
+  const std::size_t size = group.members.size();
+  const std::size_t split = group.short_count;
+  const auto draw = [&](std::size_t from, std::size_t to, std::size_t count) {
+    if (to - from <= count) {
+      for (std::size_t i = from; i < to; ++i) Add(out, group.members[i]);
+      return;
+    }
+    std::uniform_int_distribution<std::size_t> pick(from, to - 1);
+    for (std::size_t i = 0; i < count; ++i) {
+      Add(out, group.members[pick(random_)]);
+    }
+  };
+  for (std::size_t i = 0; i < std::min(kHits, search.hits.size()); ++i) {
+    if (states_[search.hits[i].slot].info.service == search.info.service) {
+      Add(out, search.hits[i].slot);
+    }
+  }
+  if (!search.info.prefix.empty()) {
+    AddHomes(is_short ? group.short_ring : group.long_ring,
+             search.info.prefix.front(), out);
+  }
+  if (is_short) {
+    draw(0, split, settings_.samples);
+    draw(split, size, kSpareSamples);
+  } else {
+    draw(split, size, settings_.samples);
+  }
+  return out;
+}
+
+std::vector<Candidate> Router::Best(const Group& group, const Search& search,
+                                    std::uint64_t kv, std::size_t count) {
+  std::vector<Candidate> found;
+  for (const TargetSlot slot : Draw(group, search)) {
+    if (!Usable(search, slot) || !InPart(group, slot, search.length)) continue;
+    found.push_back(Cost(search, slot, kv));
+    const bool spills = found.back().uncached_tokens >= settings_.long_tokens &&
+                        !InPart(group, slot, LengthClass::kLong);
+    if (spills) found.pop_back();
+  }
+  std::stable_sort(
+      found.begin(), found.end(),
+      [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
+  if (found.size() > count) found.resize(count);
+  const bool is_short = search.length == LengthClass::kShort;
+  const std::uint32_t probes =
+      is_short ? settings_.max_probes_short : settings_.max_probes_long;
+  const Duration wait =
+      is_short ? settings_.probe_wait_short : settings_.probe_wait_long;
+  for (Candidate& candidate : found) {
+    candidate.max_wait = search.refusals >= probes ? kAnyWait : wait;
+  }
+  return found;
+}
+
+Placement Router::PlaceGang(const Group& group, const Search& search) {
+  const std::uint64_t capacity = Capacity(group);
+  const std::uint64_t total = KvTokens(search.info);
+  const std::uint64_t members = (total + capacity - 1) / capacity;
+  Placement out;
+  out.length = LengthClass::kGang;
+  out.kind = Placement::Kind::kTooLong;
+  if (members > settings_.max_gang) return out;
+  const std::uint64_t share = (total + members - 1) / members;
+  out.candidates = Best(group, search, share, members);
+  if (out.candidates.size() < members) {
+    out.candidates.clear();
+    out.kind = Placement::Kind::kWait;
+    return out;
+  }
+  std::sort(out.candidates.begin(), out.candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.target < b.target;
+            });
+  out.kind = Placement::Kind::kGang;
+  return out;
+}
+
+Placement Router::Place(const RequestInfo& info,
+                        const std::vector<TargetName>& excluded,
+                        std::uint32_t refusals, Time now) {
+  Group* group = GroupOf(info);
+  if (group == nullptr) return {};
+  Search search{info, excluded, prefixes_.Longest(info.prefix)};
+  search.length = ClassOf(info, *group, search.hits);
+  search.refusals = refusals;
+  search.now = now;
+  if (refusals == 0) Demand(*group, search);
+  if (search.length == LengthClass::kGang) return PlaceGang(*group, search);
+  Placement out;
+  out.length = search.length;
+  out.candidates =
+      Best(*group, search, KvTokens(info), settings_.max_candidates);
+  out.kind = out.candidates.empty() ? Placement::Kind::kNoTarget
+                                    : Placement::Kind::kCandidates;
+  return out;
+}
+
+}  // namespace comfreyflow
--- /dev/null
+++ b/src/core/scheduler/scheduler.cc
@@ -0,0 +1,153 @@
+// Start-time fair queues by lane, urgency and client account.
+#include "comfreyflow/scheduler.h"
+
+#include <algorithm>
+
+namespace comfreyflow {
+namespace {
+
+/// Share of served tokens owed to each lower urgency that waits.
+constexpr double kFloorShare = 0.05;
+/// Most tokens that an urgency may be owed, so that a floor cannot pile up.
+constexpr double kMaxCredit = 2'000'000;
+
+std::size_t Index(LengthClass length) {
+  return static_cast<std::size_t>(length);
+}
+std::size_t Index(Urgency urgency) { return static_cast<std::size_t>(urgency); }
+
+}  // namespace
+
+std::size_t Scheduler::RequestIdHash::operator()(const RequestId& id) const {
+  const std::size_t host = std::hash<std::string>{}(id.host.value);
+  return host ^ (id.sequence * 0x9e3779b97f4a7c15ULL) ^ id.incarnation.value;
+}
+
+Scheduler::Lane& Scheduler::LaneOf(LengthClass length) {
+  return lanes_[Index(length)];
+}
+
+const Scheduler::Lane& Scheduler::LaneOf(LengthClass length) const {
+  return lanes_[Index(length)];
+}
+
+void Scheduler::SetWeight(const AccountName& account, double weight) {
+  weights_[account] = std::max(weight, 1e-3);
+}
+
+double Scheduler::WeightOf(const AccountName& account) const {
+  const auto found = weights_.find(account);
+  return found == weights_.end() ? 1 : found->second;
+}
+
+bool Scheduler::Add(const QueuedRequest& request) {
+  const Place place{request.length, request.urgency, request.account,
+                    next_sequence_, request.deadline};
+  if (!where_.try_emplace(request.id, place).second) return false;
+  Lane& lane = LaneOf(request.length);
+  Queue& queue = lane.queues[Index(request.urgency)];
+  Flow& flow = queue.flows[request.account];
+  if (flow.requests.empty()) {
+    flow.start = std::max(flow.start, queue.virtual_time);
+    queue.order.insert({flow.start, request.account});
+  }
+  flow.requests.emplace(next_sequence_++, request);
+  deadlines_.insert({request.deadline, request.id});
+  ++lane.waiting;
+  lane.backlog += request.cost_tokens;
+  return true;
+}
+
+bool Scheduler::Remove(const RequestId& id) {
+  const auto found = where_.find(id);
+  if (found == where_.end()) return false;
+  const Place place = found->second;
+  Lane& lane = LaneOf(place.length);
+  Queue& queue = lane.queues[Index(place.urgency)];
+  const auto flow = queue.flows.find(place.account);
+  const auto waiting = flow->second.requests.find(place.sequence);
+  const QueuedRequest request = waiting->second;
+  flow->second.requests.erase(waiting);
+  if (flow->second.requests.empty()) {
+    queue.order.erase({flow->second.start, place.account});
+  }
+  Forget(lane, request);
+  return true;
+}
+
+void Scheduler::Forget(Lane& lane, const QueuedRequest& request) {
+  where_.erase(request.id);
+  deadlines_.erase({request.deadline, request.id});
+  --lane.waiting;
+  lane.backlog -= request.cost_tokens;
+}
+
+Scheduler::Queue* Scheduler::Choose(Lane& lane) {
+  Queue* highest = nullptr;
+  for (Queue& queue : lane.queues) {
+    if (queue.order.empty()) continue;
+    const AccountName& account = queue.order.begin()->second;
+    const QueuedRequest& head =
+        queue.flows.find(account)->second.requests.begin()->second;
+    if (queue.credit >= static_cast<double>(head.cost_tokens)) return &queue;
+    highest = &queue;
+  }
+  return highest;
+}
+
+QueuedRequest Scheduler::Take(Lane& lane, Queue& queue) {
+  const auto first = *queue.order.begin();
+  queue.order.erase(queue.order.begin());
+  Flow& flow = queue.flows.find(first.second)->second;
+  QueuedRequest request = flow.requests.begin()->second;
+  flow.requests.erase(flow.requests.begin());
+  queue.virtual_time = std::max(queue.virtual_time, flow.start);
+  const double tokens = static_cast<double>(request.cost_tokens);
+  flow.start += tokens / WeightOf(first.second);
+  if (!flow.requests.empty()) queue.order.insert({flow.start, first.second});
+  queue.credit = std::max(0.0, queue.credit - tokens);
+  Owe(lane, queue, tokens);
+  Forget(lane, request);
+  return request;
+}
+
+void Scheduler::Owe(Lane& lane, const Queue& served, double tokens) {
+  for (Queue& queue : lane.queues) {
+    if (&queue == &served) break;
+    if (queue.order.empty()) {
+      queue.credit = 0;
+    } else {
+      queue.credit = std::min(kMaxCredit, queue.credit + kFloorShare * tokens);
+    }
+  }
+}
+
+std::optional<QueuedRequest> Scheduler::Next(const Placeable& placeable) {
+  for (std::size_t i = 0; i < lanes_.size(); ++i) {
+    const std::size_t lane_index = (next_lane_ + i) % lanes_.size();
+    Lane& lane = lanes_[lane_index];
+    if (!placeable.lanes[lane_index] || lane.waiting == 0) continue;
+    next_lane_ = (lane_index + 1) % lanes_.size();
+    return Take(lane, *Choose(lane));
+  }
+  return std::nullopt;
+}
+
+std::vector<RequestId> Scheduler::Expire(Time now) {
+  std::vector<RequestId> expired;
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    expired.push_back(deadlines_.begin()->second);
+    Remove(expired.back());
+  }
+  return expired;
+}
+
+std::size_t Scheduler::waiting(LengthClass length) const {
+  return LaneOf(length).waiting;
+}
+
+std::uint64_t Scheduler::backlog_tokens(LengthClass length) const {
+  return LaneOf(length).backlog;
+}
+
+}  // namespace comfreyflow
