--- a/include/comfreyflow/router.h
+++ b/include/comfreyflow/router.h
@@ -25,12 +25,6 @@
   std::uint32_t samples = 6;
   /// Candidates returned at most.
   std::uint32_t max_candidates = 4;
-  /// Refusals after which a request takes whatever wait there is.
-  std::uint32_t max_probes_short = 3;
-  std::uint32_t max_probes_long = 6;
-  /// Waits within which a steward grants before that.
-  Duration probe_wait_short = std::chrono::milliseconds(5);
-  Duration probe_wait_long = std::chrono::milliseconds(50);
   /// Longest gang, in targets.
   std::uint32_t max_gang = 4;
   /// Share of an engine's memory that one request may take, in per cent.
@@ -46,8 +40,6 @@
   Duration wait{};  ///< The part of it spent waiting at the target.
   std::uint32_t uncached_tokens = 0;
   std::uint64_t kv_tokens = 0;  ///< Memory to ask of this target.
-  /// The longest wait at which its steward is to grant; past it, it refuses.
-  Duration max_wait{};
 };
 
 struct Placement {
@@ -75,14 +67,15 @@
   bool Prefixes(const TargetName& target, bool whole_list,
                 const std::vector<PrefixEvent>& events, std::uint64_t next);
 
-  /// Orders targets for a request, without those of `excluded`. `refusals`
-  /// says how many stewards refused it so far: after `max_probes` of them the
-  /// candidates take any wait.
+  /// Orders targets for a request, without those of `excluded`. A request's
+  /// first placement, but not its later ones, counts as demand.
   Placement Place(const RequestInfo& info,
-                  const std::vector<TargetName>& excluded,
-                  std::uint32_t refusals, Time now);
+                  const std::vector<TargetName>& excluded, bool first,
+                  Time now);
   /// Length class of a request by the best cached part of its prefix.
   LengthClass Classify(const RequestInfo& info);
+  /// Prompt tokens left to prefill at the target that holds most of them.
+  std::uint32_t UncachedAtBest(const RequestInfo& info);
 
   /// The request goes to the target, which counts until `Ended`.
   void Sent(const AttemptId& attempt, const RequestInfo& info,
@@ -148,7 +141,6 @@
     const std::vector<TargetName>& excluded;
     std::vector<PrefixHit> hits;
     LengthClass length = LengthClass::kShort;
-    std::uint32_t refusals = 0;
     Time now;
   };
 
--- a/include/comfreyflow/scheduler.h
+++ b/include/comfreyflow/scheduler.h
@@ -23,6 +23,7 @@
   LengthClass length = LengthClass::kShort;
   std::uint64_t cost_tokens = 1;  ///< Uncached prefill and output tokens.
   Time deadline;
+  std::uint64_t ticket = 0;  ///< Set by the scheduler; its place in the order.
 };
 
 /// The lanes that something can be placed from now.
@@ -37,6 +38,9 @@
 
   /// Queues a request; false when it already waits.
   bool Add(const QueuedRequest& request);
+  /// Queues again, at its old place, a request that `Next` gave and that could
+  /// not be placed; what it cost its account is given back.
+  bool PutBack(const QueuedRequest& request);
   /// Takes a request out; false when it does not wait.
   bool Remove(const RequestId& id);
   /// Takes out and returns the request to place next, if any may be placed.
@@ -73,13 +77,13 @@
     LengthClass length;
     Urgency urgency;
     AccountName account;
-    std::uint64_t sequence;
-    Time deadline;
+    std::uint64_t ticket;
   };
   struct RequestIdHash {
     std::size_t operator()(const RequestId& id) const;
   };
 
+  bool Insert(const QueuedRequest& request, bool refund);
   Lane& LaneOf(LengthClass length);
   const Lane& LaneOf(LengthClass length) const;
   double WeightOf(const AccountName& account) const;
@@ -93,7 +97,7 @@
   /// Looked up only; its order reaches no decision.
   std::unordered_map<RequestId, Place, RequestIdHash> where_;
   std::set<std::pair<Time, RequestId>> deadlines_;
-  std::uint64_t next_sequence_ = 0;
+  std::uint64_t next_ticket_ = 1;
   std::size_t next_lane_ = 0;
 };
 
--- a/src/core/router/router.cc
+++ b/src/core/router/router.cc
@@ -16,8 +16,6 @@
 constexpr std::size_t kSpareSamples = 3;
 /// Wait assumed at a target whose slots or memory look full.
 constexpr Duration kFullWait = std::chrono::seconds(1);
-/// Wait taken as no limit.
-constexpr Duration kAnyWait = std::chrono::hours(1);
 
 std::uint64_t KvTokens(const RequestInfo& info) {
   return std::uint64_t{info.prompt_tokens} + info.max_output_tokens;
@@ -221,6 +219,12 @@
   return ClassOf(info, *group, prefixes_.Longest(info.prefix));
 }
 
+std::uint32_t Router::UncachedAtBest(const RequestInfo& info) {
+  const auto hits = prefixes_.Longest(info.prefix);
+  const std::uint32_t cached = hits.empty() ? 0 : hits.front().tokens;
+  return info.prompt_tokens - std::min(cached, info.prompt_tokens);
+}
+
 std::uint32_t Router::Uncached(const Search& search, TargetSlot slot) const {
   for (const PrefixHit& hit : search.hits) {
     if (hit.slot != slot) continue;
@@ -322,14 +326,6 @@
       found.begin(), found.end(),
       [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
   if (found.size() > count) found.resize(count);
-  const bool is_short = search.length == LengthClass::kShort;
-  const std::uint32_t probes =
-      is_short ? settings_.max_probes_short : settings_.max_probes_long;
-  const Duration wait =
-      is_short ? settings_.probe_wait_short : settings_.probe_wait_long;
-  for (Candidate& candidate : found) {
-    candidate.max_wait = search.refusals >= probes ? kAnyWait : wait;
-  }
   return found;
 }
 
@@ -357,15 +353,14 @@
 }
 
 Placement Router::Place(const RequestInfo& info,
-                        const std::vector<TargetName>& excluded,
-                        std::uint32_t refusals, Time now) {
+                        const std::vector<TargetName>& excluded, bool first,
+                        Time now) {
   Group* group = GroupOf(info);
   if (group == nullptr) return {};
   Search search{info, excluded, prefixes_.Longest(info.prefix)};
   search.length = ClassOf(info, *group, search.hits);
-  search.refusals = refusals;
   search.now = now;
-  if (refusals == 0) Demand(*group, search);
+  if (first) Demand(*group, search);
   if (search.length == LengthClass::kGang) return PlaceGang(*group, search);
   Placement out;
   out.length = search.length;
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -41,17 +41,32 @@
 }
 
 bool Scheduler::Add(const QueuedRequest& request) {
+  QueuedRequest added = request;
+  added.ticket = next_ticket_++;
+  return Insert(added, false);
+}
+
+bool Scheduler::PutBack(const QueuedRequest& request) {
+  return Insert(request, true);
+}
+
+bool Scheduler::Insert(const QueuedRequest& request, bool refund) {
   const Place place{request.length, request.urgency, request.account,
-                    next_sequence_, request.deadline};
+                    request.ticket};
   if (!where_.try_emplace(request.id, place).second) return false;
   Lane& lane = LaneOf(request.length);
   Queue& queue = lane.queues[Index(request.urgency)];
   Flow& flow = queue.flows[request.account];
+  if (!flow.requests.empty()) queue.order.erase({flow.start, request.account});
   if (flow.requests.empty()) {
     flow.start = std::max(flow.start, queue.virtual_time);
-    queue.order.insert({flow.start, request.account});
   }
-  flow.requests.emplace(next_sequence_++, request);
+  if (refund) {
+    flow.start -=
+        static_cast<double>(request.cost_tokens) / WeightOf(request.account);
+  }
+  queue.order.insert({flow.start, request.account});
+  flow.requests.emplace(request.ticket, request);
   deadlines_.insert({request.deadline, request.id});
   ++lane.waiting;
   lane.backlog += request.cost_tokens;
@@ -65,7 +80,7 @@
   Lane& lane = LaneOf(place.length);
   Queue& queue = lane.queues[Index(place.urgency)];
   const auto flow = queue.flows.find(place.account);
-  const auto waiting = flow->second.requests.find(place.sequence);
+  const auto waiting = flow->second.requests.find(place.ticket);
   const QueuedRequest request = waiting->second;
   flow->second.requests.erase(waiting);
   if (flow->second.requests.empty()) {
