--- a/include/comfreyflow/dispatcher.h
+++ b/include/comfreyflow/dispatcher.h
@@ -57,6 +57,12 @@
   AttemptId attempt;
 };
 
+/// Tell the target's steward that the attempt's prefill is done.
+struct SendPrefillDone {
+  TargetName target;
+  AttemptId attempt;
+};
+
 /// All grants are held: open the stream to `targets[0]`.
 struct Dispatched {
   AttemptId attempt;
@@ -72,7 +78,7 @@
 };
 
 using DispatchCommand =
-    std::variant<SendAsk, SendRelease, Dispatched, Unplaced>;
+    std::variant<SendAsk, SendRelease, SendPrefillDone, Dispatched, Unplaced>;
 using DispatchCommands = std::vector<DispatchCommand>;
 
 class Dispatcher {
@@ -90,7 +96,7 @@
   DispatchCommands Answered(const TargetName& target,
                             const ReserveAnswer& answer, Time now);
   /// The first token of the attempt arrived.
-  void FirstToken(const AttemptId& attempt, Time now);
+  DispatchCommands FirstToken(const AttemptId& attempt, Time now);
   /// The attempt is over, wherever it stands; gives back what it holds.
   /// `whole` when it got its whole answer.
   DispatchCommands Leave(const AttemptId& attempt, bool whole, Time now);
--- a/src/core/dispatch/dispatcher.cc
+++ b/src/core/dispatch/dispatcher.cc
@@ -262,16 +262,21 @@
   work_.erase(work.info.id);
 }
 
-void Dispatcher::FirstToken(const AttemptId& attempt, Time now) {
+DispatchCommands Dispatcher::FirstToken(const AttemptId& attempt, Time now) {
+  out_.clear();
   Work* work = Find(attempt);
-  if (work == nullptr || work->phase != Phase::kDispatched) return;
-  if (work->first_token != Time{}) return;
+  if (work == nullptr || work->phase != Phase::kDispatched ||
+      work->first_token != Time{}) {
+    return {};
+  }
   work->first_token = now;
   for (const Candidate& candidate : work->candidates) {
     router_.FirstToken(attempt, candidate.target);
   }
-  admission_.rates().ObservePrefill(work->candidates.front().uncached_tokens,
-                                    now - work->sent);
+  const Candidate& first = work->candidates.front();
+  admission_.rates().ObservePrefill(first.uncached_tokens, now - work->sent);
+  out_.push_back(SendPrefillDone{first.target, attempt});
+  return std::move(out_);
 }
 
 DispatchCommands Dispatcher::Leave(const AttemptId& attempt, bool whole,
