--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,313 @@
+// Calls over pooled connections.
+#include "http/client.h"
+
+#include <boost/asio.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+#include "http/address.h"
+
+namespace comfreyflow::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bh = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::size_t kIdlePerAddress = 64;
+constexpr std::chrono::seconds kIdleLife{20};
+
+/// Whether the other end has neither closed the connection nor sent anything.
+bool IsQuiet(tcp::socket& socket) {
+  error_code error;
+  char byte = 0;
+  socket.non_blocking(true, error);
+  if (error) return false;
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+}  // namespace
+
+class Client::Pool {
+ public:
+  explicit Pool(asio::io_context& io) : io_(io) {}
+
+  asio::io_context& io() { return io_; }
+
+  std::optional<tcp::socket> Take(const std::string& address) {
+    const auto oldest = Clock::now() - kIdleLife;
+    const std::lock_guard lock(mutex_);
+    auto& idle = idle_[address];
+    while (!idle.empty()) {
+      Idle last = std::move(idle.back());
+      idle.pop_back();
+      if (last.since >= oldest && IsQuiet(last.socket)) {
+        return std::move(last.socket);
+      }
+    }
+    return std::nullopt;
+  }
+
+  void Put(const std::string& address, tcp::socket socket) {
+    const std::lock_guard lock(mutex_);
+    auto& idle = idle_[address];
+    if (idle.size() >= kIdlePerAddress) return;
+    idle.push_back({std::move(socket), Clock::now()});
+  }
+
+  /// A connection to the address fell silent: the others may have as well.
+  void Forget(const std::string& address) {
+    const std::lock_guard lock(mutex_);
+    idle_.erase(address);
+  }
+
+  std::size_t size() const {
+    const std::lock_guard lock(mutex_);
+    std::size_t total = 0;
+    for (const auto& [address, idle] : idle_) total += idle.size();
+    return total;
+  }
+
+ private:
+  using Clock = std::chrono::steady_clock;
+  struct Idle {
+    tcp::socket socket;
+    Clock::time_point since;
+  };
+
+  asio::io_context& io_;
+  mutable std::mutex mutex_;
+  std::map<std::string, std::vector<Idle>> idle_;
+};
+
+/// One call: connect or reuse, send, read until the end.
+class Client::Operation : public Call,
+                          public std::enable_shared_from_this<Operation> {
+ public:
+  Operation(std::shared_ptr<Pool> pool, std::string address,
+            CallOptions options, CallHooks hooks)
+      : pool_(std::move(pool)),
+        address_(std::move(address)),
+        options_(options),
+        hooks_(std::move(hooks)),
+        strand_(asio::make_strand(pool_->io())),
+        socket_(strand_),
+        timer_(strand_) {}
+
+  void Start(Request request) {
+    Fill(std::move(request));
+    asio::dispatch(strand_, [self = shared_from_this()] { self->Connect(); });
+  }
+
+  void Cancel() override {
+    asio::post(strand_, [self = shared_from_this()] {
+      self->done_ = true;
+      self->Drop();
+    });
+  }
+
+ private:
+  void Fill(Request request) {
+    message_.method_string(request.method);
+    message_.target(request.query.empty() ? request.path
+                                          : request.path + "?" + request.query);
+    message_.version(11);
+    message_.set(bh::field::host, address_);
+    for (const auto& field : request.fields) {
+      message_.set(field.name, field.value);
+    }
+    message_.body() = std::move(request.body);
+    message_.prepare_payload();
+    lease_ = std::move(request.lease);
+  }
+
+  void Connect() {
+    if (!options_.fresh_connection) {
+      if (auto socket = pool_->Take(address_)) {
+        // The socket comes from another strand's executor.
+        const auto protocol = socket->local_endpoint().protocol();
+        socket_.assign(protocol, socket->release());
+        return Send();
+      }
+    }
+    tcp::endpoint endpoint;
+    if (ParseEndpoint(address_, endpoint)) {
+      return Finish(Errc::kTargetUnreachable);
+    }
+    Arm(options_.connect_timeout);
+    socket_.async_connect(
+        endpoint, [self = shared_from_this()](const error_code& error) {
+          if (self->done_) return;
+          if (error) return self->Finish(Errc::kTargetUnreachable);
+          error_code ignored;
+          self->socket_.set_option(tcp::no_delay(true), ignored);
+          self->Send();
+        });
+  }
+
+  void Send() {
+    sent_ = true;
+    if (hooks_.on_sent) hooks_.on_sent();
+    serializer_.emplace(message_);
+    SendSome();
+  }
+
+  void SendSome() {
+    Arm(options_.progress_timeout);
+    bh::async_write_some(
+        socket_, *serializer_,
+        [self = shared_from_this()](const error_code& error, std::size_t) {
+          if (self->done_) return;
+          if (error) return self->ReadEarlyAnswer();
+          if (!self->serializer_->is_done()) return self->SendSome();
+          self->BeginRead();
+        });
+  }
+
+  /// The other end may have answered and closed before it took all.
+  void ReadEarlyAnswer() {
+    broken_send_ = true;
+    BeginRead();
+  }
+
+  void BeginRead() {
+    serializer_.reset();
+    std::string().swap(message_.body());
+    lease_ = {};
+    parser_.emplace();
+    parser_->body_limit(options_.answer_bytes);
+    ReadSome();
+  }
+
+  void ReadSome() {
+    Arm(options_.progress_timeout);
+    bh::async_read_some(
+        socket_, buffer_, *parser_,
+        [self = shared_from_this()](const error_code& error, std::size_t) {
+          if (!self->done_) self->ReadDone(error);
+        });
+  }
+
+  void ReadDone(const error_code& error) {
+    if (parser_->is_header_done()) {
+      TellHead();
+      if (!done_) TellBody();
+    }
+    if (done_) return;
+    if (parser_->is_done()) return Whole();
+    if (error) return Finish(Errc::kTargetFailed);
+    ReadSome();
+  }
+
+  void TellHead() {
+    if (head_told_) return;
+    head_told_ = true;
+    if (!hooks_.on_head) return;
+    Response head;
+    head.status = static_cast<int>(parser_->get().result_int());
+    for (const auto& field : parser_->get()) {
+      std::string name(field.name_string());
+      for (char& c : name) {
+        if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+      }
+      head.fields.push_back({std::move(name), std::string(field.value())});
+    }
+    hooks_.on_head(head);
+  }
+
+  void TellBody() {
+    auto& body = parser_->get().body();
+    if (body.empty()) return;
+    if (hooks_.on_body) hooks_.on_body(body);
+    body.clear();
+  }
+
+  void Whole() {
+    const bool keep = parser_->get().keep_alive() && !broken_send_;
+    if (keep && buffer_.size() == 0) {
+      timer_.cancel();
+      pool_->Put(address_, std::move(socket_));
+    }
+    Finish(Errc::kOk);
+  }
+
+  void Finish(Errc code) {
+    if (done_) return;
+    done_ = true;
+    Drop();
+    if (hooks_.on_end) hooks_.on_end({code, sent_});
+    hooks_ = {};
+  }
+
+  void Drop() {
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+  }
+
+  void Arm(std::chrono::milliseconds time) {
+    timer_.expires_after(time);
+    timer_.async_wait([self = weak_from_this()](const error_code& error) {
+      const auto call = self.lock();
+      if (!error && call) call->Expired();
+    });
+  }
+
+  void Expired() {
+    if (timer_.expiry() > asio::steady_timer::clock_type::now()) return;
+    pool_->Forget(address_);
+    Finish(sent_ ? Errc::kTargetSilent : Errc::kTargetUnreachable);
+  }
+
+  std::shared_ptr<Pool> pool_;
+  const std::string address_;
+  const CallOptions options_;
+  CallHooks hooks_;
+  asio::strand<asio::io_context::executor_type> strand_;
+  tcp::socket socket_;
+  asio::steady_timer timer_;
+  bh::request<bh::string_body> message_;
+  BodyLease lease_;  ///< Memory counted for `message_`'s body.
+  std::optional<bh::request_serializer<bh::string_body>> serializer_;
+  std::optional<bh::response_parser<bh::string_body>> parser_;
+  beast::flat_buffer buffer_;
+  bool sent_ = false;
+  bool broken_send_ = false;
+  bool head_told_ = false;
+  bool done_ = false;  ///< No hook runs any more.
+};
+
+Client::Client(asio::io_context& io) : pool_(std::make_shared<Pool>(io)) {}
+Client::~Client() = default;
+
+std::shared_ptr<Call> Client::Open(const std::string& address, Request request,
+                                   CallOptions options, CallHooks hooks) {
+  auto operation = std::make_shared<Operation>(pool_, address, options,
+                                               std::move(hooks));
+  operation->Start(std::move(request));
+  return operation;
+}
+
+std::shared_ptr<Call> Client::Fetch(const std::string& address, Request request,
+                                    CallOptions options, ReplyHook hook) {
+  auto answer = std::make_shared<Response>();
+  CallHooks hooks;
+  hooks.on_head = [answer](const Response& head) { *answer = head; };
+  hooks.on_body = [answer](std::string_view bytes) { answer->body += bytes; };
+  hooks.on_end = [answer, hook = std::move(hook)](CallEnd end) {
+    hook(end, std::move(*answer));
+  };
+  return Open(address, std::move(request), options, std::move(hooks));
+}
+
+std::size_t Client::idle_connections() const { return pool_->size(); }
+
+}  // namespace comfreyflow::http
--- /dev/null
+++ b/src/http/client.h
@@ -0,0 +1,75 @@
+/// HTTP/1.1 client with pooled connections and a progress deadline on each
+/// call. Used towards targets, the platform and other hosts.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "comfreyflow/errors.h"
+#include "http/message.h"
+
+namespace comfreyflow::http {
+
+struct CallOptions {
+  std::chrono::milliseconds connect_timeout{1000};
+  /// Longest time without a byte from the other end once all is sent, and
+  /// without a byte taken by it before.
+  std::chrono::milliseconds progress_timeout{3000};
+  std::uint64_t answer_bytes = 64 * 1024 * 1024;
+  bool fresh_connection = false;  ///< Takes none from the pool.
+};
+
+/// How a call ended. `code` is `kOk` when the answer came whole, else
+/// `kTargetUnreachable`, `kTargetSilent` or `kTargetFailed`.
+struct CallEnd {
+  Errc code = Errc::kOk;
+  bool sent = false;  ///< A byte of the request was handed to a socket.
+};
+
+/// What a call tells. Hooks run on the I/O threads, one at a time for a call;
+/// none runs after `on_end`.
+struct CallHooks {
+  std::function<void()> on_sent;  ///< Just before the first byte goes out.
+  std::function<void(const Response& head)> on_head;
+  std::function<void(std::string_view bytes)> on_body;
+  std::function<void(CallEnd)> on_end;
+};
+
+/// A call under way; destroying it does not stop it.
+class Call {
+ public:
+  virtual ~Call() = default;
+  /// Closes the connection; `on_end` is not called any more.
+  virtual void Cancel() = 0;
+};
+
+class Client {
+ public:
+  explicit Client(boost::asio::io_context& io);
+  ~Client();
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  /// Sends `request` to `address` (`ip:port`) and tells what comes back.
+  std::shared_ptr<Call> Open(const std::string& address, Request request,
+                             CallOptions options, CallHooks hooks);
+
+  /// Sends `request` and gives the whole answer at once.
+  using ReplyHook = std::function<void(CallEnd, Response)>;
+  std::shared_ptr<Call> Fetch(const std::string& address, Request request,
+                              CallOptions options, ReplyHook hook);
+
+  /// Connections kept for later calls.
+  std::size_t idle_connections() const;
+
+ private:
+  class Pool;
+  class Operation;
+  std::shared_ptr<Pool> pool_;
+};
+
+}  // namespace comfreyflow::http
--- /dev/null
+++ b/src/http/message.cc
@@ -0,0 +1,55 @@
+// Look-ups in HTTP messages.
+#include "http/message.h"
+
+#include <charconv>
+
+namespace comfreyflow::http {
+namespace {
+
+std::string Decode(std::string_view text) {
+  std::string out;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    unsigned value = 0;
+    const char* digits = text.data() + i + 1;
+    if (text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(digits, digits + 2, value, 16).ptr == digits + 2) {
+      out.push_back(static_cast<char>(value));
+      i += 2;
+    } else {
+      out.push_back(text[i] == '+' ? ' ' : text[i]);
+    }
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string_view FieldValue(const Fields& fields, std::string_view name) {
+  for (const auto& field : fields) {
+    if (field.name == name) return field.value;
+  }
+  return {};
+}
+
+bool HasField(const Fields& fields, std::string_view name) {
+  for (const auto& field : fields) {
+    if (field.name == name) return true;
+  }
+  return false;
+}
+
+std::string QueryValue(std::string_view query, std::string_view name) {
+  while (!query.empty()) {
+    const auto end = query.find('&');
+    const auto pair = query.substr(0, end);
+    const auto equals = pair.find('=');
+    if (pair.substr(0, equals) == name && equals != std::string_view::npos) {
+      return Decode(pair.substr(equals + 1));
+    }
+    if (end == std::string_view::npos) break;
+    query.remove_prefix(end + 1);
+  }
+  return {};
+}
+
+}  // namespace comfreyflow::http
--- /dev/null
+++ b/src/http/message.h
@@ -0,0 +1,47 @@
+/// Plain HTTP messages between the server, the client and the rest of the
+/// shell, so that only src/http includes the HTTP library.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "http/body-budget.h"
+
+namespace comfreyflow::http {
+
+struct Field {
+  std::string name;  ///< Lower case.
+  std::string value;
+};
+
+using Fields = std::vector<Field>;
+
+/// Value of the first field called `name` (lower case), or empty.
+std::string_view FieldValue(const Fields& fields, std::string_view name);
+/// Whether there is a field called `name`.
+bool HasField(const Fields& fields, std::string_view name);
+
+struct Request {
+  std::string method;
+  std::string path;   ///< Without the query.
+  std::string query;  ///< Without the question mark.
+  Fields fields;
+  std::string body;
+  BodyLease lease;  ///< Memory counted for `body`.
+};
+
+struct Response {
+  int status = 200;
+  std::string content_type = "application/json";
+  Fields fields;
+  std::string body;
+};
+
+/// Decoded value of `name` in a query such as `a=1&b=2`, or empty.
+std::string QueryValue(std::string_view query, std::string_view name);
+
+}  // namespace comfreyflow::http
--- /dev/null
+++ b/src/http/session.cc
@@ -0,0 +1,507 @@
+// The state of one connection: read head, admit, read body, answer, again.
+#include "http/session.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/asio/ssl.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+#include <optional>
+#include <utility>
+
+namespace comfreyflow::http::detail {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bh = boost::beast::http;
+using boost::system::error_code;
+using asio::ip::tcp;
+using TlsStream = asio::ssl::stream<tcp::socket>;
+
+/// Bytes that a caller may send ahead while its request is being answered.
+constexpr std::size_t kAheadBytes = 4096;
+
+std::string LowerCase(std::string_view text) {
+  std::string out(text);
+  std::transform(out.begin(), out.end(), out.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return out;
+}
+
+template <class Message>
+Request HeadOf(const Message& message) {
+  Request out;
+  out.method = std::string(message.method_string());
+  const std::string_view target(message.target().data(),
+                                message.target().size());
+  const auto mark = target.find('?');
+  out.path = std::string(target.substr(0, mark));
+  if (mark != std::string_view::npos) out.query = target.substr(mark + 1);
+  for (const auto& field : message) {
+    out.fields.push_back(
+        {LowerCase({field.name_string().data(), field.name_string().size()}),
+         std::string(field.value())});
+  }
+  return out;
+}
+
+/// Failures of the parser as codes of the product.
+Errc CodeOf(const error_code& error) {
+  if (error == bh::error::header_limit) return Errc::kHeadersTooLarge;
+  if (error == bh::error::body_limit) return Errc::kBodyTooLarge;
+  return Errc::kMalformedHttp;
+}
+
+tcp::socket& Lowest(tcp::socket& socket) { return socket; }
+tcp::socket& Lowest(TlsStream& stream) { return stream.next_layer(); }
+
+template <class Stream>
+class Session : public std::enable_shared_from_this<Session<Stream>> {
+ public:
+  using Self = std::shared_ptr<Session>;
+
+  Session(Stream stream, std::shared_ptr<asio::ssl::context> tls,
+          std::shared_ptr<const SessionContext> context)
+      : tls_(std::move(tls)),
+        stream_(std::move(stream)),
+        timer_(stream_.get_executor()),
+        context_(std::move(context)) {}
+
+  void Start() {
+    asio::dispatch(stream_.get_executor(),
+                   [self = Shared()] { self->Begin(); });
+  }
+
+  /// The side of an exchange that handlers hold. Holds the session weakly
+  /// once the answer is complete.
+  class Handle : public Exchange {
+   public:
+    Handle(Self session, Request request)
+        : session_(std::move(session)), request_(std::move(request)) {}
+    /// A handler that lets go early leaves no caller waiting.
+    ~Handle() override {
+      if (!answered_) {
+        Respond(session_->context_->hooks.error_response(Errc::kInternal));
+      } else if (streaming_) {
+        Abort();
+      }
+    }
+
+    Request& request() override { return request_; }
+
+    void Respond(Response response) override {
+      answered_ = true;
+      Post([response = std::move(response)](Session& session) mutable {
+        session.WriteWhole(std::move(response));
+      });
+    }
+    void StartStream(Response head) override {
+      answered_ = true;
+      streaming_ = true;
+      Post([head = std::move(head)](Session& session) mutable {
+        session.WriteHead(std::move(head));
+      });
+    }
+    void Write(std::string bytes) override {
+      Post([bytes = std::move(bytes)](Session& session) {
+        session.Queue(bytes);
+      });
+    }
+    void End() override {
+      streaming_ = false;
+      Post([](Session& session) { session.EndStream(); });
+    }
+    void Abort() override {
+      answered_ = true;
+      streaming_ = false;
+      Post([](Session& session) { session.Close(); });
+    }
+    void OnGone(std::function<void()> hook) override {
+      Post([hook = std::move(hook)](Session& session) mutable {
+        session.SetGoneHook(std::move(hook));
+      });
+    }
+
+   private:
+    template <class Action>
+    void Post(Action action) {
+      asio::post(session_->stream_.get_executor(),
+                 [session = session_, number = number_,
+                  action = std::move(action)]() mutable {
+                   if (session->exchange_number_ == number) action(*session);
+                 });
+    }
+
+    Self session_;
+    Request request_;
+    const std::uint64_t number_ = session_->exchange_number_;
+    bool answered_ = false;
+    bool streaming_ = false;  ///< Started and not ended.
+  };
+
+ private:
+  enum class Phase { kIdle, kReceiving, kAnswering, kStreaming, kClosed };
+  using Parser = bh::request_parser<bh::string_body>;
+
+  Self Shared() { return this->shared_from_this(); }
+
+  // ---- Receiving ----
+
+  void Begin() {
+    if constexpr (std::is_same_v<Stream, TlsStream>) {
+      Arm(context_->limits.receive_timeout);
+      stream_.async_handshake(asio::ssl::stream_base::server,
+                              [self = Shared()](const error_code& error) {
+                                if (error) return self->Close();
+                                self->ReadRequest();
+                              });
+    } else {
+      ReadRequest();
+    }
+  }
+
+  void ReadRequest() {
+    phase_ = Phase::kIdle;
+    ++exchange_number_;
+    parser_.emplace();
+    parser_->header_limit(context_->limits.header_bytes);
+    parser_->body_limit(context_->limits.body_bytes);
+    lease_ = context_->budget->Lease();
+    Arm(buffer_.size() > 0 ? context_->limits.receive_timeout
+                           : context_->limits.idle_timeout);
+    ReadHeadSome();
+  }
+
+  void ReadHeadSome() {
+    bh::async_read_some(stream_, buffer_, *parser_,
+                        [self = Shared()](const error_code& error,
+                                          std::size_t) {
+                          self->HeadSome(error);
+                        });
+  }
+
+  void HeadSome(const error_code& error) {
+    if (Stopped(error)) return;
+    if (phase_ == Phase::kIdle) {
+      phase_ = Phase::kReceiving;
+      Arm(context_->limits.receive_timeout);
+    }
+    if (!parser_->is_header_done()) return ReadHeadSome();
+    HeadDone();
+  }
+
+  void HeadDone() {
+    request_ = HeadOf(parser_->get());
+    keep_alive_ = parser_->get().keep_alive();
+    const auto length = parser_->content_length();
+    if (length && *length > context_->limits.body_bytes) {
+      return Refuse(Errc::kBodyTooLarge);
+    }
+    const auto verdict = context_->hooks.admit_head(request_);
+    if (verdict != Errc::kOk) return Refuse(verdict);
+    if (length && !lease_.GrowTo(*length)) {
+      return Refuse(Errc::kBodyMemoryFull);
+    }
+    if (length) parser_->get().body().reserve(*length);
+    if (FieldValue(request_.fields, "expect") == "100-continue") {
+      return WriteContinue();
+    }
+    ReadBodySome();
+  }
+
+  void WriteContinue() {
+    static constexpr std::string_view kContinue =
+        "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(
+        stream_, asio::buffer(kContinue),
+        [self = Shared()](const error_code& error, std::size_t) {
+          if (!self->Stopped(error)) self->ReadBodySome();
+        });
+  }
+
+  void ReadBodySome() {
+    if (parser_->is_done()) return Deliver();
+    bh::async_read_some(
+        stream_, buffer_, *parser_,
+        [self = Shared()](const error_code& error, std::size_t) {
+          if (self->Stopped(error)) return;
+          if (!self->lease_.GrowTo(self->parser_->get().body().size())) {
+            return self->Refuse(Errc::kBodyMemoryFull);
+          }
+          self->ReadBodySome();
+        });
+  }
+
+  void Deliver() {
+    phase_ = Phase::kAnswering;
+    timer_.cancel();
+    request_.body = std::move(parser_->get().body());
+    request_.lease = std::move(lease_);
+    parser_.reset();
+    auto handle = std::make_shared<Handle>(Shared(), std::move(request_));
+    WatchCaller();
+    context_->hooks.handle(std::move(handle));
+  }
+
+  /// Whether reading is over; answers what can be answered.
+  bool Stopped(const error_code& error) {
+    if (phase_ == Phase::kClosed) return true;
+    if (timed_out_) {
+      timed_out_ = false;
+      if (phase_ == Phase::kIdle) {
+        Close();
+      } else {
+        Refuse(Errc::kRequestTimeout);
+      }
+      return true;
+    }
+    if (!error) return false;
+    const bool from_parser =
+        error.category() ==
+        make_error_code(bh::error::end_of_stream).category();
+    if (from_parser && error != bh::error::end_of_stream &&
+        error != bh::error::partial_message) {
+      Refuse(CodeOf(error));
+    } else {
+      Close();
+    }
+    return true;
+  }
+
+  /// Answers a failure met before the handler had the request, and closes, as
+  /// the rest of the request is not read.
+  void Refuse(Errc code) {
+    phase_ = Phase::kAnswering;
+    keep_alive_ = false;
+    parser_.reset();
+    lease_ = {};
+    WriteWhole(context_->hooks.error_response(code));
+  }
+
+  // ---- Answering ----
+
+  /// Reads ahead while the answer is made, to see the caller go.
+  void WatchCaller() {
+    if (watching_ || buffer_.size() >= kAheadBytes) return;
+    watching_ = true;
+    stream_.async_read_some(
+        buffer_.prepare(kAheadBytes),
+        [self = Shared()](const error_code& error, std::size_t size) {
+          self->Watched(error, size);
+        });
+  }
+
+  void Watched(const error_code& error, std::size_t size) {
+    watching_ = false;
+    if (phase_ == Phase::kClosed) return;
+    if (error && !(next_request_waits_ && error == asio::error::operation_aborted)) {
+      return Close();
+    }
+    buffer_.commit(size);
+    if (next_request_waits_) {
+      next_request_waits_ = false;
+      return ReadRequest();
+    }
+    WatchCaller();
+  }
+
+  void SetGoneHook(std::function<void()> hook) {
+    if (phase_ == Phase::kClosed) return hook();
+    gone_ = std::move(hook);
+  }
+
+  void WriteWhole(Response response) {
+    if (phase_ != Phase::kAnswering || writing_) return;
+    auto message = std::make_shared<bh::response<bh::string_body>>();
+    FillHead(*message, response);
+    message->body() = std::move(response.body);
+    message->prepare_payload();
+    ArmWrite();
+    writing_ = true;
+    bh::async_write(stream_, *message,
+                    [self = Shared(), message](const error_code& error,
+                                               std::size_t) {
+                      self->writing_ = false;
+                      self->AnswerWritten(error);
+                    });
+  }
+
+  void WriteHead(Response head) {
+    if (phase_ != Phase::kAnswering || writing_) return;
+    phase_ = Phase::kStreaming;
+    auto message = std::make_shared<bh::response<bh::empty_body>>();
+    FillHead(*message, head);
+    message->chunked(true);
+    auto serializer =
+        std::make_shared<bh::response_serializer<bh::empty_body>>(*message);
+    ArmWrite();
+    writing_ = true;
+    bh::async_write_header(
+        stream_, *serializer,
+        [self = Shared(), message, serializer](const error_code& error,
+                                               std::size_t) {
+          self->writing_ = false;
+          self->Flushed(error);
+        });
+  }
+
+  template <class Message>
+  void FillHead(Message& message, const Response& response) {
+    message.version(11);
+    message.result(static_cast<unsigned>(response.status));
+    message.set(bh::field::content_type, response.content_type);
+    for (const auto& field : response.fields) {
+      message.set(field.name, field.value);
+    }
+    message.keep_alive(keep_alive_);
+  }
+
+  void Queue(const std::string& bytes) {
+    if (phase_ != Phase::kStreaming || bytes.empty()) return;
+    pending_ += bytes;
+    if (pending_.size() > context_->limits.write_backlog_bytes) return Close();
+    Flush();
+  }
+
+  void EndStream() {
+    if (phase_ != Phase::kStreaming) return;
+    ending_ = true;
+    Flush();
+  }
+
+  /// Writes all that waits as one chunk; the last chunk follows the rest.
+  void Flush() {
+    if (writing_ || phase_ != Phase::kStreaming) return;
+    if (pending_.empty() && !ending_) return;
+    writing_ = true;
+    ArmWrite();
+    if (pending_.empty()) {
+      asio::async_write(stream_, bh::make_chunk_last(),
+                        [self = Shared()](const error_code& error,
+                                          std::size_t) {
+                          self->writing_ = false;
+                          self->AnswerWritten(error);
+                        });
+      return;
+    }
+    in_flight_.clear();
+    in_flight_.swap(pending_);
+    asio::async_write(stream_, bh::make_chunk(asio::buffer(in_flight_)),
+                      [self = Shared()](const error_code& error, std::size_t) {
+                        self->writing_ = false;
+                        self->Flushed(error);
+                      });
+  }
+
+  void Flushed(const error_code& error) {
+    if (phase_ == Phase::kClosed) return;
+    if (error) return Close();
+    timer_.cancel();
+    Flush();
+  }
+
+  void AnswerWritten(const error_code& error) {
+    if (phase_ == Phase::kClosed) return;
+    timer_.cancel();
+    gone_ = nullptr;
+    ending_ = false;
+    if (error) return Close();
+    if (!keep_alive_) return ShutDown();
+    if (!watching_) return ReadRequest();
+    next_request_waits_ = true;
+    Lowest(stream_).cancel();
+  }
+
+  /// Ends the sending side and lets the caller read the answer to its end.
+  void ShutDown() {
+    error_code ignored;
+    Lowest(stream_).shutdown(tcp::socket::shutdown_send, ignored);
+    Arm(kLingerTime);
+    phase_ = Phase::kIdle;
+    if (!watching_) Linger();
+  }
+
+  void Linger() {
+    buffer_.consume(buffer_.size());
+    Lowest(stream_).async_read_some(
+        buffer_.prepare(kAheadBytes),
+        [self = Shared()](const error_code& error, std::size_t) {
+          if (error || self->phase_ == Phase::kClosed) return self->Close();
+          self->Linger();
+        });
+  }
+
+  // ---- Time and end ----
+
+  static constexpr std::chrono::seconds kLingerTime{2};
+
+  void Arm(std::chrono::milliseconds time) {
+    timed_out_ = false;
+    timer_.expires_after(time);
+    timer_.async_wait([self = this->weak_from_this()](const error_code& error) {
+      const auto session = self.lock();
+      if (!error && session) session->Expired();
+    });
+  }
+
+  void ArmWrite() { Arm(context_->limits.write_timeout); }
+
+  void Expired() {
+    if (timer_.expiry() > asio::steady_timer::clock_type::now()) return;
+    if (phase_ != Phase::kIdle && phase_ != Phase::kReceiving) return Close();
+    timed_out_ = true;
+    Lowest(stream_).cancel();
+  }
+
+  void Close() {
+    if (phase_ == Phase::kClosed) return;
+    phase_ = Phase::kClosed;
+    timer_.cancel();
+    error_code ignored;
+    Lowest(stream_).close(ignored);
+    if (auto gone = std::exchange(gone_, nullptr)) gone();
+  }
+
+  std::shared_ptr<asio::ssl::context> tls_;  ///< Outlives `stream_`.
+  Stream stream_;
+  asio::steady_timer timer_;
+  std::shared_ptr<const SessionContext> context_;
+  beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;  ///< Set while a request is read.
+  BodyLease lease_;
+  Request request_;
+  std::function<void()> gone_;
+  std::string pending_;    ///< Not yet handed to the socket.
+  std::string in_flight_;  ///< Must not change while `writing_`.
+  std::uint64_t exchange_number_ = 0;  ///< Late calls of older handles drop.
+  Phase phase_ = Phase::kIdle;
+  bool keep_alive_ = true;
+  bool writing_ = false;
+  bool watching_ = false;
+  bool ending_ = false;
+  bool next_request_waits_ = false;
+  bool timed_out_ = false;
+};
+
+}  // namespace
+
+void StartSession(tcp::socket socket,
+                  std::shared_ptr<const SessionContext> context) {
+  std::make_shared<Session<tcp::socket>>(std::move(socket), nullptr,
+                                         std::move(context))
+      ->Start();
+}
+
+void StartTlsSession(tcp::socket socket,
+                     std::shared_ptr<asio::ssl::context> tls,
+                     std::shared_ptr<const SessionContext> context) {
+  TlsStream stream(std::move(socket), *tls);
+  std::make_shared<Session<TlsStream>>(std::move(stream), std::move(tls),
+                                       std::move(context))
+      ->Start();
+}
+
+}  // namespace comfreyflow::http::detail
--- /dev/null
+++ b/src/http/session.h
@@ -0,0 +1,24 @@
+/// One connection of the server: reads requests one after the other and writes
+/// their answers.
+#pragma once
+
+#include <memory>
+
+#include "http/server.h"
+
+namespace comfreyflow::http::detail {
+
+/// What all sessions of a server share.
+struct SessionContext {
+  ServerLimits limits;
+  ServerHooks hooks;
+  std::shared_ptr<BodyBudget> budget;
+};
+
+void StartSession(boost::asio::ip::tcp::socket socket,
+                  std::shared_ptr<const SessionContext> context);
+void StartTlsSession(boost::asio::ip::tcp::socket socket,
+                     std::shared_ptr<boost::asio::ssl::context> tls,
+                     std::shared_ptr<const SessionContext> context);
+
+}  // namespace comfreyflow::http::detail
