--- /dev/null
+++ b/include/comfreyflow/settings.h
@@ -0,0 +1,63 @@
+/// The settings of one host process, read from an INI file at its start and
+/// checked as a whole.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "comfreyflow/ini.h"
+#include "comfreyflow/types.h"
+
+namespace comfreyflow {
+
+struct HostSettings {
+  // [host]
+  HostName name;
+  FailureDomain failure_domain;
+  std::string environment;     ///< Name of the configuration document.
+  bool require_proof = false;  ///< Takes promoted documents only.
+  std::string fleet_key_file;
+  std::uint32_t io_threads = 2;
+
+  // [listen], each `ip:port`
+  std::string callers;
+  std::string peers;
+  std::string gossip;
+  std::string admin;
+
+  // [tls]; both or none
+  std::string certificate_file;
+  std::string key_file;
+
+  // [platform]
+  std::string platform;     ///< `ip:port`; empty when `config_file` is set.
+  std::string config_file;  ///< Document to use without a platform.
+  std::vector<std::string> seeds;  ///< Gossip addresses, `ip:port`.
+
+  // [admin]
+  std::string admin_key_sha256;
+
+  // [limits]
+  std::uint64_t body_bytes = 16 * 1024 * 1024;
+  std::uint64_t body_memory_bytes = 512 * 1024 * 1024;
+  std::uint32_t header_bytes = 16 * 1024;
+  Duration receive_timeout = std::chrono::seconds(30);
+  Duration idle_timeout = std::chrono::seconds(60);
+  Duration write_timeout = std::chrono::seconds(30);
+  Duration max_deadline = std::chrono::minutes(30);
+  Duration silence_limit = std::chrono::seconds(3);
+};
+
+struct HostSettingsResult {
+  HostSettings settings;
+  std::vector<Problem> problems;  ///< In the order of their lines.
+  bool ok() const { return problems.empty(); }
+};
+
+/// Reads the text and reports every fault in it; opens no file that it names.
+HostSettingsResult ParseHostSettings(std::string_view text);
+
+}  // namespace comfreyflow
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -290,8 +290,8 @@
 
 std::shared_ptr<Call> Client::Open(const std::string& address, Request request,
                                    CallOptions options, CallHooks hooks) {
-  auto operation = std::make_shared<Operation>(pool_, address, options,
-                                               std::move(hooks));
+  auto operation =
+      std::make_shared<Operation>(pool_, address, options, std::move(hooks));
   operation->Start(std::move(request));
   return operation;
 }
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -17,12 +17,14 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace bh = boost::beast::http;
-using boost::system::error_code;
 using asio::ip::tcp;
+using boost::system::error_code;
 using TlsStream = asio::ssl::stream<tcp::socket>;
 
 /// Bytes that a caller may send ahead while its request is being answered.
 constexpr std::size_t kAheadBytes = 4096;
+/// Copies of a body that exist at once while it is parsed or sent on.
+constexpr std::uint64_t kBodyCopies = 2;
 
 std::string LowerCase(std::string_view text) {
   std::string out(text);
@@ -176,11 +178,11 @@
   }
 
   void ReadHeadSome() {
-    bh::async_read_some(stream_, buffer_, *parser_,
-                        [self = Shared()](const error_code& error,
-                                          std::size_t) {
-                          self->HeadSome(error);
-                        });
+    bh::async_read_some(
+        stream_, buffer_, *parser_,
+        [self = Shared()](const error_code& error, std::size_t) {
+          self->HeadSome(error);
+        });
   }
 
   void HeadSome(const error_code& error) {
@@ -202,7 +204,7 @@
     }
     const auto verdict = context_->hooks.admit_head(request_);
     if (verdict != Errc::kOk) return Refuse(verdict);
-    if (length && !lease_.GrowTo(*length)) {
+    if (length && !lease_.GrowTo(kBodyCopies * *length)) {
       return Refuse(Errc::kBodyMemoryFull);
     }
     if (length) parser_->get().body().reserve(*length);
@@ -215,11 +217,10 @@
   void WriteContinue() {
     static constexpr std::string_view kContinue =
         "HTTP/1.1 100 Continue\r\n\r\n";
-    asio::async_write(
-        stream_, asio::buffer(kContinue),
-        [self = Shared()](const error_code& error, std::size_t) {
-          if (!self->Stopped(error)) self->ReadBodySome();
-        });
+    asio::async_write(stream_, asio::buffer(kContinue),
+                      [self = Shared()](const error_code& error, std::size_t) {
+                        if (!self->Stopped(error)) self->ReadBodySome();
+                      });
   }
 
   void ReadBodySome() {
@@ -228,7 +229,8 @@
         stream_, buffer_, *parser_,
         [self = Shared()](const error_code& error, std::size_t) {
           if (self->Stopped(error)) return;
-          if (!self->lease_.GrowTo(self->parser_->get().body().size())) {
+          const auto size = self->parser_->get().body().size();
+          if (!self->lease_.GrowTo(kBodyCopies * size)) {
             return self->Refuse(Errc::kBodyMemoryFull);
           }
           self->ReadBodySome();
@@ -297,7 +299,8 @@
   void Watched(const error_code& error, std::size_t size) {
     watching_ = false;
     if (phase_ == Phase::kClosed) return;
-    if (error && !(next_request_waits_ && error == asio::error::operation_aborted)) {
+    if (error &&
+        !(next_request_waits_ && error == asio::error::operation_aborted)) {
       return Close();
     }
     buffer_.commit(size);
@@ -321,12 +324,12 @@
     message->prepare_payload();
     ArmWrite();
     writing_ = true;
-    bh::async_write(stream_, *message,
-                    [self = Shared(), message](const error_code& error,
-                                               std::size_t) {
-                      self->writing_ = false;
-                      self->AnswerWritten(error);
-                    });
+    bh::async_write(
+        stream_, *message,
+        [self = Shared(), message](const error_code& error, std::size_t) {
+          self->writing_ = false;
+          self->AnswerWritten(error);
+        });
   }
 
   void WriteHead(Response head) {
@@ -339,13 +342,12 @@
         std::make_shared<bh::response_serializer<bh::empty_body>>(*message);
     ArmWrite();
     writing_ = true;
-    bh::async_write_header(
-        stream_, *serializer,
-        [self = Shared(), message, serializer](const error_code& error,
-                                               std::size_t) {
-          self->writing_ = false;
-          self->Flushed(error);
-        });
+    bh::async_write_header(stream_, *serializer,
+                           [self = Shared(), message, serializer](
+                               const error_code& error, std::size_t) {
+                             self->writing_ = false;
+                             self->Flushed(error);
+                           });
   }
 
   template <class Message>
@@ -379,12 +381,12 @@
     writing_ = true;
     ArmWrite();
     if (pending_.empty()) {
-      asio::async_write(stream_, bh::make_chunk_last(),
-                        [self = Shared()](const error_code& error,
-                                          std::size_t) {
-                          self->writing_ = false;
-                          self->AnswerWritten(error);
-                        });
+      asio::async_write(
+          stream_, bh::make_chunk_last(),
+          [self = Shared()](const error_code& error, std::size_t) {
+            self->writing_ = false;
+            self->AnswerWritten(error);
+          });
       return;
     }
     in_flight_.clear();
@@ -474,8 +476,8 @@
   BodyLease lease_;
   Request request_;
   std::function<void()> gone_;
-  std::string pending_;    ///< Not yet handed to the socket.
-  std::string in_flight_;  ///< Must not change while `writing_`.
+  std::string pending_;                ///< Not yet handed to the socket.
+  std::string in_flight_;              ///< Must not change while `writing_`.
   std::uint64_t exchange_number_ = 0;  ///< Late calls of older handles drop.
   Phase phase_ = Phase::kIdle;
   bool keep_alive_ = true;
--- /dev/null
+++ b/src/node/log.h
@@ -0,0 +1,50 @@
+/// The log: one JSON object a line on standard error, through glog. Lines name
+/// events and typed fields; prompts, answers and keys are never given to it.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "comfreyflow/errors.h"
+#include "comfreyflow/types.h"
+
+namespace comfreyflow::node {
+
+enum class Severity : std::uint8_t { kInfo, kWarning, kError };
+
+/// Sends glog's lines to the JSON sink; once, from main.
+void StartLog(const char* program);
+
+/// One line, written when it goes out of scope.
+class LogLine {
+ public:
+  LogLine(Severity severity, std::string_view event);
+  LogLine(const LogLine&) = delete;
+  LogLine& operator=(const LogLine&) = delete;
+  ~LogLine();
+
+  LogLine& With(const char* key, std::string_view value);
+  LogLine& With(const char* key, const char* value) {
+    return With(key, std::string_view(value));
+  }
+  LogLine& With(const char* key, std::uint64_t value);
+  LogLine& With(const char* key, bool value);
+  LogLine& With(const char* key, std::chrono::milliseconds value);
+  LogLine& With(const RequestId& request);
+  LogLine& With(const AttemptId& attempt);
+  LogLine& With(Errc code);
+
+  template <class Tag>
+  LogLine& With(const char* key, const Name<Tag>& name) {
+    return With(key, std::string_view(name.value));
+  }
+
+ private:
+  struct Fields;
+  std::unique_ptr<Fields> fields_;
+};
+
+}  // namespace comfreyflow::node
--- /dev/null
+++ b/src/node/metrics.cc
@@ -0,0 +1,164 @@
+// Histograms by Boost.Histogram and their text form.
+#include "node/metrics.h"
+
+#include <array>
+#include <boost/histogram.hpp>
+#include <mutex>
+#include <sstream>
+#include <vector>
+
+namespace comfreyflow::node {
+namespace {
+
+namespace bh = boost::histogram;
+
+/// Seconds from 1 ms to about 1000 s, four bins an octave of ten.
+using Axis = bh::axis::regular<double, bh::axis::transform::log>;
+using Histogram = decltype(bh::make_histogram(std::declval<Axis>()));
+constexpr unsigned kBins = 30;
+constexpr double kLeastSeconds = 0.0001;
+constexpr double kMostSeconds = 1000.0;
+
+struct Series {
+  Histogram bins = bh::make_histogram(Axis(kBins, kLeastSeconds, kMostSeconds));
+  double sum = 0;
+  std::uint64_t count = 0;
+
+  void Add(Duration value) {
+    const double seconds = std::chrono::duration<double>(value).count();
+    bins(seconds);
+    sum += seconds;
+    ++count;
+  }
+};
+
+void RenderSeries(std::ostringstream& out, const std::string& name,
+                  const std::string& label, const Series& series) {
+  const std::string comma = label.empty() ? "" : label + ",";
+  double total = series.bins.at(-1);
+  for (int i = 0; i < static_cast<int>(kBins); ++i) {
+    total += series.bins.at(i);
+    out << name << "_bucket{" << comma << "le=\""
+        << series.bins.axis().bin(i).upper() << "\"} " << total << '\n';
+  }
+  out << name << "_bucket{" << comma << "le=\"+Inf\"} " << series.count << '\n';
+  const std::string only = label.empty() ? "" : "{" + label + "}";
+  out << name << "_sum" << only << ' ' << series.sum << '\n';
+  out << name << "_count" << only << ' ' << series.count << '\n';
+}
+
+void Head(std::ostringstream& out, const std::string& name, const char* kind,
+          const char* help) {
+  out << "# HELP " << name << ' ' << help << "\n# TYPE " << name << ' ' << kind
+      << '\n';
+}
+
+void RenderByLength(std::ostringstream& out, const char* name,
+                    const std::array<Series, kLengthClasses>& all) {
+  for (int i = 0; i < kLengthClasses; ++i) {
+    const std::string label =
+        std::string("length=\"") + ToString(static_cast<LengthClass>(i)) + "\"";
+    RenderSeries(out, name, label, all.at(static_cast<std::size_t>(i)));
+  }
+}
+
+constexpr std::array kVerdicts = {"claimed",      "seen_done",  "seen_running",
+                                  "seen_unknown", "other_body", "unavailable"};
+constexpr const char* kFirstToken = "comfreyflow_first_token_seconds";
+constexpr const char* kBetween = "comfreyflow_between_tokens_seconds";
+constexpr const char* kQueueWait = "comfreyflow_queue_wait_seconds";
+
+}  // namespace
+
+LengthClass ClassOf(std::uint32_t prompt_tokens) {
+  constexpr std::uint32_t kThousand = 1024;
+  if (prompt_tokens <= 4 * kThousand) return LengthClass::kTo4k;
+  if (prompt_tokens <= 32 * kThousand) return LengthClass::kTo32k;
+  if (prompt_tokens <= 256 * kThousand) return LengthClass::kTo256k;
+  return LengthClass::kOver256k;
+}
+
+const char* ToString(LengthClass length) {
+  static constexpr std::array kNames = {"to_4k", "to_32k", "to_256k",
+                                        "over_256k"};
+  return kNames.at(static_cast<std::size_t>(length));
+}
+
+struct Metrics::State {
+  mutable std::mutex mutex;
+  std::array<Series, kLengthClasses> first_token;
+  std::array<Series, kLengthClasses> between;
+  Series queue_wait;
+  std::vector<std::uint64_t> finished =
+      std::vector<std::uint64_t>(static_cast<std::size_t>(ErrorCount()));
+  std::array<std::uint64_t, kVerdicts.size()> claims{};
+  std::uint64_t retries = 0;
+};
+
+Metrics::Metrics() : state_(std::make_unique<State>()) {}
+Metrics::~Metrics() = default;
+
+void Metrics::FirstToken(LengthClass length, Duration since_arrival) {
+  const std::lock_guard lock(state_->mutex);
+  state_->first_token.at(static_cast<std::size_t>(length)).Add(since_arrival);
+}
+
+void Metrics::BetweenTokens(LengthClass length, Duration gap) {
+  const std::lock_guard lock(state_->mutex);
+  state_->between.at(static_cast<std::size_t>(length)).Add(gap);
+}
+
+void Metrics::QueueWait(Duration wait) {
+  const std::lock_guard lock(state_->mutex);
+  state_->queue_wait.Add(wait);
+}
+
+void Metrics::Finished(Errc code) {
+  const std::lock_guard lock(state_->mutex);
+  ++state_->finished.at(static_cast<std::size_t>(code));
+}
+
+void Metrics::Retried() {
+  const std::lock_guard lock(state_->mutex);
+  ++state_->retries;
+}
+
+void Metrics::Claim(ClaimVerdict verdict) {
+  const std::lock_guard lock(state_->mutex);
+  ++state_->claims.at(static_cast<std::size_t>(verdict));
+}
+
+std::string Metrics::Render(const Gauges& gauges) const {
+  const std::lock_guard lock(state_->mutex);
+  std::ostringstream out;
+  Head(out, kFirstToken, "histogram", "Time to first token by prompt length.");
+  RenderByLength(out, kFirstToken, state_->first_token);
+  Head(out, kBetween, "histogram", "Time between chunks by prompt length.");
+  RenderByLength(out, kBetween, state_->between);
+  Head(out, kQueueWait, "histogram", "Time from arrival to dispatch.");
+  RenderSeries(out, kQueueWait, "", state_->queue_wait);
+  Head(out, "comfreyflow_requests_total", "counter",
+       "Final answers by code; all but ok are refusals or failures.");
+  for (int i = 0; i < ErrorCount(); ++i) {
+    const auto count = state_->finished.at(static_cast<std::size_t>(i));
+    if (count == 0 && i != 0) continue;
+    out << "comfreyflow_requests_total{code=\""
+        << Info(static_cast<Errc>(i)).name << "\"} " << count << '\n';
+  }
+  Head(out, "comfreyflow_claims_total", "counter", "Claims by verdict.");
+  for (std::size_t i = 0; i < kVerdicts.size(); ++i) {
+    out << "comfreyflow_claims_total{verdict=\"" << kVerdicts.at(i) << "\"} "
+        << state_->claims.at(i) << '\n';
+  }
+  Head(out, "comfreyflow_retries_total", "counter", "Attempts after a first.");
+  out << "comfreyflow_retries_total " << state_->retries << '\n';
+  Head(out, "comfreyflow_open_requests", "gauge", "Requests not answered.");
+  out << "comfreyflow_open_requests " << gauges.open_requests << '\n';
+  Head(out, "comfreyflow_open_attempts", "gauge", "Streams on targets.");
+  out << "comfreyflow_open_attempts " << gauges.open_attempts << '\n';
+  Head(out, "comfreyflow_body_memory_bytes", "gauge", "Memory for bodies.");
+  out << "comfreyflow_body_memory_bytes " << gauges.body_memory_bytes << '\n';
+  return out.str();
+}
+
+}  // namespace comfreyflow::node
--- /dev/null
+++ b/src/node/metrics.h
@@ -0,0 +1,50 @@
+/// Counters and histograms of one host, in Prometheus text.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "comfreyflow/entry.h"
+#include "comfreyflow/errors.h"
+#include "comfreyflow/types.h"
+
+namespace comfreyflow::node {
+
+/// Prompts by length, as reports group them.
+enum class LengthClass : std::uint8_t { kTo4k, kTo32k, kTo256k, kOver256k };
+inline constexpr int kLengthClasses = 4;
+LengthClass ClassOf(std::uint32_t prompt_tokens);
+const char* ToString(LengthClass length);
+
+/// Values that are read when the text is made.
+struct Gauges {
+  std::uint64_t open_requests = 0;
+  std::uint64_t open_attempts = 0;
+  std::uint64_t body_memory_bytes = 0;
+};
+
+/// Safe to use from any thread.
+class Metrics {
+ public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  void FirstToken(LengthClass length, Duration since_arrival);
+  void BetweenTokens(LengthClass length, Duration gap);
+  void QueueWait(Duration wait);
+  void Finished(Errc code);
+  void Retried();
+  void Claim(ClaimVerdict verdict);
+
+  std::string Render(const Gauges& gauges) const;
+
+ private:
+  struct State;
+  std::unique_ptr<State> state_;
+};
+
+}  // namespace comfreyflow::node
--- /dev/null
+++ b/src/node/supervisor.h
@@ -0,0 +1,74 @@
+/// The supervisor tree of a process: starts the actors, starts one again that
+/// failed, and gives up the process when one fails again and again.
+#pragma once
+
+#include <caf/all.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "comfreyflow/types.h"
+
+namespace comfreyflow::node {
+
+/// The present actor behind a name; changes when it is started again.
+class ActorRef {
+ public:
+  caf::actor handle() const {
+    const std::lock_guard lock(mutex_);
+    return actor_;
+  }
+  void Set(caf::actor actor) {
+    const std::lock_guard lock(mutex_);
+    actor_ = std::move(actor);
+  }
+  template <class Message>
+  void Send(Message message) const {
+    if (const auto actor = handle()) caf::anon_send(actor, std::move(message));
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  caf::actor actor_;
+};
+
+using ActorRefPtr = std::shared_ptr<ActorRef>;
+
+struct ChildSpec {
+  std::string name;
+  ActorRefPtr ref;
+  std::function<caf::actor(caf::actor_system&)> start;
+};
+
+/// More restarts of a child within the window than this end the process.
+inline constexpr std::size_t kMaxRestarts = 5;
+inline constexpr Duration kRestartWindow = std::chrono::seconds(60);
+
+class Supervisor : public caf::event_based_actor {
+ public:
+  /// Starts the children in order. `on_fatal` is called once, on the actor.
+  Supervisor(caf::actor_config& config, std::vector<ChildSpec> children,
+             std::function<void()> on_fatal);
+
+  caf::behavior make_behavior() override;
+
+ private:
+  struct Child {
+    ChildSpec spec;
+    std::deque<Time> restarts;  ///< Within the window, oldest first.
+  };
+
+  void Start(Child& child);
+  void ChildDown(const caf::down_msg& down);
+  void StopAll(const caf::error& reason);
+
+  std::vector<Child> children_;
+  std::function<void()> on_fatal_;
+  bool stopping_ = false;
+};
+
+}  // namespace comfreyflow::node
