--- /dev/null
+++ b/src/node/admin-api.cc
@@ -0,0 +1,139 @@
+// Answers operators.
+#include "node/admin-api.h"
+
+#include <array>
+#include <utility>
+
+#include "comfreyflow/config.h"
+#include "node/answer.h"
+#include "node/headers.h"
+
+namespace comfreyflow::node {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+struct AdminRoute {
+  std::string_view method;
+  std::string_view path;
+  bool open;  ///< Needs no key.
+};
+
+constexpr std::array kRoutes = {
+    AdminRoute{"GET", "/healthz", true},
+    AdminRoute{"GET", "/metrics", true},
+    AdminRoute{"GET", "/admin/status", false},
+    AdminRoute{"GET", "/admin/dump", false},
+    AdminRoute{"POST", "/admin/drain", false},
+    AdminRoute{"GET", "/admin/config", false},
+    AdminRoute{"PUT", "/admin/config", false},
+    AdminRoute{"POST", "/admin/config/check", false},
+};
+
+http::Response JsonResponse(const Json& json, int status = 200) {
+  http::Response response;
+  response.status = status;
+  response.body = json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return response;
+}
+
+Json ProblemsJson(const std::vector<Problem>& problems) {
+  Json out = Json::array();
+  for (const auto& problem : problems) {
+    out.push_back({{"line", problem.line},
+                   {"kind", ToString(problem.kind)},
+                   {"section", problem.section},
+                   {"key", problem.key},
+                   {"expected", problem.detail}});
+  }
+  return out;
+}
+
+http::Response ConfigInvalid(const std::vector<Problem>& problems) {
+  http::Response response = ErrorResponse(FailureOf(Errc::kConfigInvalid));
+  Json body = Json::parse(response.body);
+  body["error"]["problems"] = ProblemsJson(problems);
+  response.body = body.dump();
+  return response;
+}
+
+http::Response CheckDocument(const std::string& text) {
+  const ConfigResult result = ParseConfig(text);
+  if (!result.ok()) return ConfigInvalid(result.problems);
+  return JsonResponse({{"problems", Json::array()}});
+}
+
+}  // namespace
+
+Errc AdminApi::AdmitHead(const http::Request& head) const {
+  bool path_known = false;
+  for (const auto& route : kRoutes) {
+    if (route.path != head.path) continue;
+    path_known = true;
+    if (route.method != head.method) continue;
+    if (route.open) return Errc::kOk;
+    const auto key = BearerKey(head.fields);
+    if (key.empty()) return Errc::kMissingKey;
+    const bool same = Sha256(key).value == deps_.key_sha256;
+    return same ? Errc::kOk : Errc::kUnknownKey;
+  }
+  return path_known ? Errc::kMethodNotAllowed : Errc::kNotFound;
+}
+
+void AdminApi::Handle(const http::ExchangePtr& exchange) const {
+  const auto& request = exchange->request();
+  const auto& path = request.path;
+  if (path == "/healthz") {
+    exchange->Respond(JsonResponse({{"state", deps_.state()}}));
+  } else if (path == "/metrics") {
+    http::Response response;
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = deps_.metrics();
+    exchange->Respond(std::move(response));
+  } else if (path == "/admin/status") {
+    exchange->Respond(JsonResponse(deps_.status()));
+  } else if (path == "/admin/dump") {
+    deps_.dump(
+        [exchange](const Json& all) { exchange->Respond(JsonResponse(all)); });
+  } else if (path == "/admin/drain") {
+    deps_.drain();
+    exchange->Respond(JsonResponse({{"state", "draining"}}, 202));
+  } else if (path == "/admin/config/check") {
+    exchange->Respond(CheckDocument(request.body));
+  } else if (request.method == "PUT") {
+    Apply(exchange);
+  } else {
+    const Json config = deps_.config();
+    exchange->Respond(config.empty()
+                          ? ErrorResponse(FailureOf(Errc::kObjectNotFound))
+                          : JsonResponse(config));
+  }
+}
+
+void AdminApi::Apply(const http::ExchangePtr& exchange) const {
+  auto& request = exchange->request();
+  const auto against = NumberHeader(request.fields, "if-match");
+  if (!against.ok || !against.value) {
+    Failure failure = FailureOf(Errc::kMalformedRequest);
+    failure.field = "if-match";
+    return exchange->Respond(ErrorResponse(failure));
+  }
+  ApplyWanted wanted{
+      std::move(request.body), *against.value,
+      std::string(http::FieldValue(request.fields, "x-proven-hash"))};
+  const std::string environment = deps_.environment;
+  deps_.apply(
+      std::move(wanted), [exchange, environment](const ApplyResult& result) {
+        if (result.code == Errc::kConfigInvalid) {
+          return exchange->Respond(ConfigInvalid(result.problems));
+        }
+        if (result.code != Errc::kOk) {
+          return exchange->Respond(ErrorResponse(FailureOf(result.code)));
+        }
+        exchange->Respond(JsonResponse({{"environment", environment},
+                                        {"generation", result.generation},
+                                        {"hash", result.hash}}));
+      });
+}
+
+}  // namespace comfreyflow::node
--- /dev/null
+++ b/src/node/headers.cc
@@ -0,0 +1,50 @@
+// Reads headers.
+#include "node/headers.h"
+
+#include <charconv>
+
+namespace comfreyflow::node {
+
+std::string_view BearerKey(const http::Fields& fields) {
+  constexpr std::string_view kScheme = "bearer ";
+  std::string_view value = http::FieldValue(fields, "authorization");
+  if (value.size() <= kScheme.size()) return {};
+  for (std::size_t i = 0; i < kScheme.size(); ++i) {
+    const char c = value[i];
+    const char lower = c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c;
+    if (lower != kScheme[i]) return {};
+  }
+  return value.substr(kScheme.size());
+}
+
+HeaderValue<std::uint64_t> NumberHeader(const http::Fields& fields,
+                                        std::string_view name) {
+  if (!http::HasField(fields, name)) return {};
+  const auto text = http::FieldValue(fields, name);
+  std::uint64_t number = 0;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(text.data(), end, number);
+  if (read.ec != std::errc() || read.ptr != end) return {false, {}};
+  return {true, number};
+}
+
+HeaderValue<bool> FlagHeader(const http::Fields& fields,
+                             std::string_view name) {
+  if (!http::HasField(fields, name)) return {};
+  const auto text = http::FieldValue(fields, name);
+  if (text == "true") return {true, true};
+  if (text == "false") return {true, false};
+  return {false, {}};
+}
+
+HeaderValue<Urgency> UrgencyHeader(const http::Fields& fields,
+                                   std::string_view name) {
+  if (!http::HasField(fields, name)) return {};
+  const auto text = http::FieldValue(fields, name);
+  for (const auto urgency : {Urgency::kLow, Urgency::kNormal, Urgency::kHigh}) {
+    if (text == ToString(urgency)) return {true, urgency};
+  }
+  return {false, {}};
+}
+
+}  // namespace comfreyflow::node
