--- a/src/core/replay/fleet-setup.cc
+++ b/src/core/replay/fleet-setup.cc
@@ -18,6 +18,8 @@
 constexpr Duration kStewardSeesLoss = std::chrono::seconds(1);
 /// Lag of the platform's list.
 constexpr Duration kListLag = std::chrono::seconds(5);
+/// Mark of a failure by crash.
+constexpr std::uint32_t kCrashed = 1;
 /// Resolution of the lags drawn.
 using LagUnit = std::chrono::microseconds;
 
@@ -170,7 +172,6 @@
   for (const std::uint64_t work : seat.engine.keys()) {
     const std::uint64_t key = StreamOfWork(work);
     const std::uint32_t host = streams_.at(key).host;
-    constexpr std::uint32_t kCrashed = 1;
     Push(now_ + ToEngine(host, event.a), Kind::kFailed, event.a, host, key,
          kCrashed);
   }
