--- a/include/comfreyflow/router.h
+++ b/include/comfreyflow/router.h
@@ -111,8 +111,9 @@
     std::uint64_t sequence = 0;
     std::uint32_t running = 0;
     std::uint64_t kv_used = 0;
-    Time as_of;     ///< When the report was made, by this host's clock.
-    Time clear_at;  ///< When the prefills known of are estimated done.
+    Time as_of;          ///< When the report was made, by this host's clock.
+    Time clear_at;       ///< When the prefills known of are estimated done.
+    Time refused_until;  ///< By its steward's word.
     std::map<AttemptId, InFlight> own;
     std::uint32_t unreported_running = 0;
     std::uint64_t unreported_kv = 0;
--- a/src/core/router/parts.cc
+++ b/src/core/router/parts.cc
@@ -12,7 +12,7 @@
 /// Share of short engines before any demand is known.
 constexpr double kFirstShortShare = 0.3;
 /// Engines given to short work beyond its share of the tokens.
-constexpr double kShortHeadroom = 1.6;
+constexpr double kShortHeadroom = 3;
 /// Time over which demand is averaged.
 constexpr double kDemandSeconds = 60;
 /// Tokens of demand seen before parts are resized from it.
--- a/src/core/router/router.cc
+++ b/src/core/router/router.cc
@@ -189,7 +189,7 @@
 void Router::Refused(const TargetName& target, Duration wait, Time now) {
   State* state = Find(target);
   if (state == nullptr) return;
-  state->clear_at = std::max(state->clear_at, now + wait);
+  state->refused_until = now + wait;
 }
 
 std::uint64_t Router::Capacity(const Group& group) const {
@@ -241,7 +241,8 @@
   out.target = state.info.name;
   out.uncached_tokens = Uncached(search, slot);
   out.kv_tokens = kv;
-  out.wait = std::max(Duration::zero(), state.clear_at - search.now);
+  const Time free_at = std::max(state.clear_at, state.refused_until);
+  out.wait = std::max(Duration::zero(), free_at - search.now);
   const auto& info = state.info;
   const bool slots_full =
       info.max_running != 0 &&
--- a/src/core/steward/steward.cc
+++ b/src/core/steward/steward.cc
@@ -28,6 +28,7 @@
 
 /// Memory is held back for what has waited long, unless it waits too long.
 bool Steward::HeldBack(const ReserveAsk& ask, Time now) const {
+  if (ask.kv_tokens < settings_.small_kv_tokens) return false;
   for (const Waiting& waiting : queue_) {
     if (waiting.ask.attempt == ask.attempt) continue;
     const Duration age = now - waiting.since;
