Huge prompts in a lane of their own; holds in order; early refusals

Prompts above a quarter of an engine's memory queue and are refused apart, so that nothing waits behind them. Requests that a steward queued held memory back from each other and from what came before them: now only what waits longer holds, and three at most. The wait that admission refuses by is the mean age of what waits. A gang's cheapest member prefills.

--- a/include/comfreyflow/cost.h
+++ b/include/comfreyflow/cost.h
@@ -1,4 +1,4 @@
-/// What work costs on an engine: length classes, and the rates at which an
+/// What work costs on an engine: prompt classes, and the rates at which an
 /// engine prefills and decodes, learned from what requests took.
 #pragma once
 
@@ -9,10 +9,11 @@
 
 namespace comfreyflow {
 
-/// How long a request's uncached prompt is, as routing tells requests apart.
-enum class LengthClass : std::uint8_t { kShort, kLong, kGang };
+/// Classes of prompts as routing tells them apart: short and long by the tokens
+/// left to prefill, huge by the memory they take.
+enum class PromptClass : std::uint8_t { kShort, kLong, kHuge };
 
-inline constexpr int kLengthClasses = 3;
+inline constexpr int kPromptClasses = 3;
 inline constexpr int kUrgencies = 3;
 
 /// Rates of the engines of a service, as a running average of what was seen.
--- a/include/comfreyflow/dispatcher.h
+++ b/include/comfreyflow/dispatcher.h
@@ -42,7 +42,7 @@
   Duration gang_timeout = std::chrono::seconds(8);
   Duration gang_backoff = std::chrono::milliseconds(200);
   /// Requests of one length class that may be asking at once.
-  std::array<std::uint32_t, kLengthClasses> max_asking{64, 16, 2};
+  std::array<std::uint32_t, kPromptClasses> max_asking{64, 16, 2};
 };
 
 /// Ask the target's steward.
@@ -67,7 +67,7 @@
 struct Dispatched {
   AttemptId attempt;
   std::vector<TargetName> targets;
-  LengthClass length = LengthClass::kShort;
+  PromptClass length = PromptClass::kShort;
   std::uint8_t engine_priority = 0;
 };
 
@@ -129,6 +129,14 @@
     Time first_token;
   };
 
+  /// Time from the queue to the last grant, for one class. Invariant: `count`
+  /// and `since` are of the requests that are not dispatched.
+  struct Waits {
+    std::int64_t count = 0;
+    Duration since{};    ///< Sum of the times at which they were queued.
+    Duration average{};  ///< Of those dispatched lately.
+  };
+
   Work* Find(const AttemptId& attempt);
   std::uint32_t& asking(const Work& work);
   Placeable Room() const;
@@ -145,16 +153,16 @@
   void GiveBack(Work& work);
   void Fail(Work& work, Errc code);
   bool Holds(const Work* work, const TargetName& target) const;
-  Duration QueueWait(LengthClass length) const;
+  Duration QueueWait(PromptClass length, Time now) const;
+  void ForgetWait(const Work& work);
 
   DispatcherSettings settings_;
   Admission admission_;
   Scheduler scheduler_;
   Router router_;
   std::map<RequestId, Work> work_;
-  std::array<std::uint32_t, kLengthClasses> asking_{};
-  /// Running average of the time from the queue to the grant.
-  std::array<Duration, kLengthClasses> queue_wait_{};
+  std::array<std::uint32_t, kPromptClasses> asking_{};
+  std::array<Waits, kPromptClasses> waits_;
   /// Invariant: holds `wake` of each request that pauses or asks.
   std::set<std::pair<Time, RequestId>> wakes_;
   DispatchCommands out_;
--- a/include/comfreyflow/router.h
+++ b/include/comfreyflow/router.h
@@ -20,15 +20,20 @@
   FailureDomain home;
   std::uint64_t seed = 0;
   /// Uncached prompt tokens from which a request counts as long.
-  std::uint32_t long_tokens = 12'000;
+  std::uint32_t long_tokens = 16'000;
   /// Targets drawn at random for one placement.
   std::uint32_t samples = 6;
   /// Candidates returned at most.
   std::uint32_t max_candidates = 4;
   /// Longest gang, in targets.
   std::uint32_t max_gang = 4;
-  /// Share of an engine's memory that one request may take, in per cent.
+  /// Share of an engine's memory that one request may take, in per cent; what
+  /// takes more goes to a gang.
   std::uint32_t max_kv_percent = 90;
+  /// Share of an engine's memory that a gang takes of each member at most.
+  std::uint32_t gang_kv_percent = 90;
+  /// Share of it from which a request counts as huge.
+  std::uint32_t huge_kv_percent = 25;
   Duration hop_same = std::chrono::microseconds(200);
   Duration hop_other = std::chrono::microseconds(1500);
   Duration resize_period = std::chrono::seconds(5);
@@ -40,6 +45,7 @@
   Duration wait{};  ///< The part of it spent waiting at the target.
   std::uint32_t uncached_tokens = 0;
   std::uint64_t kv_tokens = 0;  ///< Memory to ask of this target.
+  bool prefills = true;         ///< Of a gang, only its leader does.
 };
 
 struct Placement {
@@ -51,7 +57,7 @@
     kTooLong,     ///< No gang of allowed size holds the prompt.
   };
   Kind kind = Kind::kNoTarget;
-  LengthClass length = LengthClass::kShort;
+  PromptClass length = PromptClass::kShort;
   std::vector<Candidate> candidates;
 };
 
@@ -73,7 +79,7 @@
                   const std::vector<TargetName>& excluded, bool first,
                   Time now);
   /// Length class of a request by the best cached part of its prefix.
-  LengthClass Classify(const RequestInfo& info);
+  PromptClass Classify(const RequestInfo& info);
   /// Prompt tokens left to prefill at the target that holds most of them.
   std::uint32_t UncachedAtBest(const RequestInfo& info);
 
@@ -141,19 +147,19 @@
     const RequestInfo& info;
     const std::vector<TargetName>& excluded;
     std::vector<PrefixHit> hits;
-    LengthClass length = LengthClass::kShort;
+    PromptClass length = PromptClass::kShort;
     Time now;
   };
 
   State* Find(const TargetName& target);
   Group* GroupOf(const RequestInfo& info);
   std::uint64_t Capacity(const Group& group) const;
-  LengthClass ClassOf(const RequestInfo& info, const Group& group,
+  PromptClass ClassOf(const RequestInfo& info, const Group& group,
                       const std::vector<PrefixHit>& hits) const;
   std::uint32_t Uncached(const Search& search, TargetSlot slot) const;
   Candidate Cost(const Search& search, TargetSlot slot, std::uint64_t kv) const;
   bool Usable(const Search& search, TargetSlot slot) const;
-  bool InPart(const Group& group, TargetSlot slot, LengthClass length) const;
+  bool InPart(const Group& group, TargetSlot slot, PromptClass length) const;
   std::vector<TargetSlot> Draw(const Group& group, const Search& search);
   std::vector<Candidate> Best(const Group& group, const Search& search,
                               std::uint64_t kv, std::size_t count);
@@ -177,6 +183,6 @@
 
 /// Priority on the wire to an engine, 0..2: short work first, and of long work
 /// the urgent before the rest.
-std::uint8_t EnginePriority(Urgency urgency, LengthClass length);
+std::uint8_t EnginePriority(Urgency urgency, PromptClass length);
 
 }  // namespace comfreyflow
--- a/include/comfreyflow/scheduler.h
+++ b/include/comfreyflow/scheduler.h
@@ -20,7 +20,7 @@
   RequestId id;
   AccountName account;
   Urgency urgency = Urgency::kNormal;
-  LengthClass length = LengthClass::kShort;
+  PromptClass length = PromptClass::kShort;
   std::uint64_t cost_tokens = 1;  ///< Uncached prefill and output tokens.
   Time deadline;
   std::uint64_t ticket = 0;  ///< Set by the scheduler; its place in the order.
@@ -28,7 +28,7 @@
 
 /// The lanes that something can be placed from now.
 struct Placeable {
-  std::array<bool, kLengthClasses> lanes{true, true, true};
+  std::array<bool, kPromptClasses> lanes{true, true, true};
 };
 
 class Scheduler {
@@ -49,9 +49,9 @@
   std::vector<RequestId> Expire(Time now);
 
   std::size_t waiting() const { return where_.size(); }
-  std::size_t waiting(LengthClass length) const;
+  std::size_t waiting(PromptClass length) const;
   /// Cost of all that waits in a lane.
-  std::uint64_t backlog_tokens(LengthClass length) const;
+  std::uint64_t backlog_tokens(PromptClass length) const;
 
  private:
   /// One client account inside one queue. Invariant: `start` is the virtual
@@ -74,7 +74,7 @@
     std::uint64_t backlog = 0;
   };
   struct Place {
-    LengthClass length;
+    PromptClass length;
     Urgency urgency;
     AccountName account;
     std::uint64_t ticket;
@@ -84,15 +84,15 @@
   };
 
   bool Insert(const QueuedRequest& request, bool refund);
-  Lane& LaneOf(LengthClass length);
-  const Lane& LaneOf(LengthClass length) const;
+  Lane& LaneOf(PromptClass length);
+  const Lane& LaneOf(PromptClass length) const;
   double WeightOf(const AccountName& account) const;
   Queue* Choose(Lane& lane);
   QueuedRequest Take(Lane& lane, Queue& queue);
   void Owe(Lane& lane, const Queue& served, double tokens);
   void Forget(Lane& lane, const QueuedRequest& request);
 
-  std::array<Lane, kLengthClasses> lanes_;
+  std::array<Lane, kPromptClasses> lanes_;
   std::map<AccountName, double> weights_;
   /// Looked up only; its order reaches no decision.
   std::unordered_map<RequestId, Place, RequestIdHash> where_;
--- a/include/comfreyflow/steward.h
+++ b/include/comfreyflow/steward.h
@@ -15,13 +15,13 @@
 namespace comfreyflow {
 
 struct StewardSettings {
-  std::uint32_t max_queued = 64;
+  std::uint32_t max_queued = 3;
   /// A grant that the target does not list after this long has lapsed.
   Duration unused_limit = std::chrono::seconds(5);
   /// Age from which a waiting gang holds memory back from smaller work.
   Duration gang_patience = std::chrono::milliseconds(500);
   /// Work of less memory is never held back for a gang.
-  std::uint64_t small_kv_tokens = 20'000;
+  std::uint64_t small_kv_tokens = 40'000;
   /// Longest that memory is held back for one gang.
   Duration gang_hold_limit = std::chrono::seconds(10);
   /// Attempts of a host that is gone are kept this long for a resume.
--- a/src/core/dispatch/dispatcher.cc
+++ b/src/core/dispatch/dispatcher.cc
@@ -6,7 +6,7 @@
 namespace comfreyflow {
 namespace {
 
-std::size_t Index(LengthClass length) {
+std::size_t Index(PromptClass length) {
   return static_cast<std::size_t>(length);
 }
 
@@ -14,6 +14,8 @@
 constexpr std::uint32_t kExpectedOutputPercent = 50;
 /// Requests over which the time in the queue is averaged.
 constexpr int kWaitWindow = 16;
+/// Fewer waiting requests than this say little of the wait.
+constexpr std::int64_t kFewWaiting = 4;
 
 }  // namespace
 
@@ -23,17 +25,20 @@
       router_(settings_.router) {}
 
 AdmissionVerdict Dispatcher::Arrived(const RequestInfo& info, Time now) {
-  const LengthClass length = router_.Classify(info);
+  const PromptClass length = router_.Classify(info);
   LoadView load;
   load.uncached_tokens = router_.UncachedAtBest(info);
-  load.queue_wait = QueueWait(length);
+  load.queue_wait = QueueWait(length, now);
   return admission_.Arrived(info, load, now);
 }
 
 void Dispatcher::Done(const RequestId& id) { admission_.Ended(id); }
 
-Duration Dispatcher::QueueWait(LengthClass length) const {
-  return queue_wait_[Index(length)];
+Duration Dispatcher::QueueWait(PromptClass length, Time now) const {
+  const Waits& waits = waits_[Index(length)];
+  if (waits.count == 0) return Duration::zero();
+  const Duration ages = now.time_since_epoch() * waits.count - waits.since;
+  return std::max(ages / std::max(waits.count, kFewWaiting), waits.average);
 }
 
 Dispatcher::Work* Dispatcher::Find(const AttemptId& attempt) {
@@ -67,6 +72,9 @@
   work.enqueued = now;
   const auto [at, added] = work_.insert_or_assign(info.id, std::move(work));
   scheduler_.Add(at->second.queued);
+  Waits& waits = waits_[Index(at->second.queued.length)];
+  ++waits.count;
+  waits.since += now.time_since_epoch();
   PlaceWaiting(now);
   return std::move(out_);
 }
@@ -111,15 +119,17 @@
 }
 
 Duration Dispatcher::MaxWait(const Work& work, Time now) const {
-  if (work.kind == Placement::Kind::kGang) return settings_.gang_timeout;
-  const bool is_short = work.queued.length == LengthClass::kShort;
+  const bool old = now - work.enqueued >= settings_.patience;
+  if (work.kind == Placement::Kind::kGang) {
+    return old ? settings_.gang_timeout : settings_.probe_wait_long;
+  }
+  const bool is_short = work.queued.length == PromptClass::kShort;
   const std::uint32_t probes =
       is_short ? settings_.probes_short : settings_.probes_long;
   if (work.refusals + 1 < probes) {
     return is_short ? settings_.probe_wait_short : settings_.probe_wait_long;
   }
   if (is_short) return settings_.last_wait_short;
-  const bool old = now - work.enqueued >= settings_.patience;
   return old ? settings_.memory_wait : settings_.last_wait_long;
 }
 
@@ -132,9 +142,7 @@
   send.ask.attempt = work.attempt;
   send.ask.account = work.info.account;
   send.ask.kv_tokens = candidate.kv_tokens;
-  // A gang's first member prefills; the others lend memory.
-  const bool prefills = work.held == 0;
-  send.ask.prefill_tokens = prefills ? candidate.uncached_tokens : 0;
+  send.ask.prefill_tokens = candidate.prefills ? candidate.uncached_tokens : 0;
   send.ask.urgency = work.info.urgency;
   send.ask.max_wait = MaxWait(work, now);
   send.ask.expires = work.info.deadline;
@@ -187,8 +195,9 @@
   if (work.held < work.candidates.size()) return Ask(work, now);
   SetPhase(work, Phase::kDispatched);
   SetWake(work, {});
+  ForgetWait(work);
   const Duration waited = now - work.enqueued;
-  Duration& average = queue_wait_[Index(work.queued.length)];
+  Duration& average = waits_[Index(work.queued.length)].average;
   average += (waited - average) / kWaitWindow;
   work.sent = now;
   Dispatched done;
@@ -197,7 +206,9 @@
   done.engine_priority = EnginePriority(work.info.urgency, done.length);
   for (const Candidate& candidate : work.candidates) {
     router_.Sent(work.attempt, work.info, candidate, now);
-    done.targets.push_back(candidate.target);
+    const auto at =
+        candidate.prefills ? done.targets.begin() : done.targets.end();
+    done.targets.insert(at, candidate.target);
   }
   out_.push_back(done);
 }
@@ -210,7 +221,7 @@
     GiveBack(work);
     return Pause(work, settings_.gang_backoff, now);
   }
-  const bool is_short = work.queued.length == LengthClass::kShort;
+  const bool is_short = work.queued.length == PromptClass::kShort;
   const std::uint32_t probes =
       is_short ? settings_.probes_short : settings_.probes_long;
   if (work.refusals < probes) return Place(work, now);
@@ -247,6 +258,12 @@
   if (wake != Time{}) wakes_.insert({wake, work.info.id});
 }
 
+void Dispatcher::ForgetWait(const Work& work) {
+  Waits& waits = waits_[Index(work.queued.length)];
+  --waits.count;
+  waits.since -= work.enqueued.time_since_epoch();
+}
+
 void Dispatcher::GiveBack(Work& work) {
   for (std::size_t i = 0; i < work.held; ++i) {
     out_.push_back(SendRelease{work.candidates[i].target, work.attempt});
@@ -256,6 +273,7 @@
 
 void Dispatcher::Fail(Work& work, Errc code) {
   out_.push_back(Unplaced{work.attempt, code});
+  ForgetWait(work);
   SetPhase(work, Phase::kQueued);
   SetWake(work, {});
   GiveBack(work);
@@ -273,7 +291,9 @@
   for (const Candidate& candidate : work->candidates) {
     router_.FirstToken(attempt, candidate.target);
   }
-  const Candidate& first = work->candidates.front();
+  const Candidate& first = *std::find_if(
+      work->candidates.begin(), work->candidates.end(),
+      [](const Candidate& candidate) { return candidate.prefills; });
   admission_.rates().ObservePrefill(first.uncached_tokens, now - work->sent);
   out_.push_back(SendPrefillDone{first.target, attempt});
   return std::move(out_);
@@ -295,6 +315,7 @@
     }
   }
   GiveBack(*work);
+  if (work->phase != Phase::kDispatched) ForgetWait(*work);
   SetPhase(*work, Phase::kQueued);
   SetWake(*work, {});
   work_.erase(attempt.request);
--- a/src/core/router/parts.cc
+++ b/src/core/router/parts.cc
@@ -46,7 +46,7 @@
       search.hits.empty() ? 0 : search.hits.front().tokens;
   const double tokens =
       search.info.prompt_tokens - std::min(cached, search.info.prompt_tokens);
-  const bool is_short = search.length == LengthClass::kShort;
+  const bool is_short = search.length == PromptClass::kShort;
   (is_short ? group.short_tokens : group.long_tokens) += tokens;
 }
 
--- a/src/core/router/router.cc
+++ b/src/core/router/router.cc
@@ -43,8 +43,8 @@
 
 }  // namespace
 
-std::uint8_t EnginePriority(Urgency urgency, LengthClass length) {
-  if (length == LengthClass::kShort) return 2;
+std::uint8_t EnginePriority(Urgency urgency, PromptClass length) {
+  if (length == PromptClass::kShort) return 2;
   return urgency == Urgency::kLow ? 0 : 1;
 }
 
@@ -199,23 +199,26 @@
     const TargetSlot slot = group.members[group.members.size() - 1 - i];
     capacity = std::max(capacity, states_[slot].info.kv_capacity);
   }
-  return capacity * settings_.max_kv_percent / 100;
+  return capacity;
 }
 
-LengthClass Router::ClassOf(const RequestInfo& info, const Group& group,
+PromptClass Router::ClassOf(const RequestInfo& info, const Group& group,
                             const std::vector<PrefixHit>& hits) const {
   const std::uint64_t capacity = Capacity(group);
-  if (capacity != 0 && KvTokens(info) > capacity) return LengthClass::kGang;
+  if (capacity != 0 &&
+      KvTokens(info) * 100 > capacity * settings_.huge_kv_percent) {
+    return PromptClass::kHuge;
+  }
   const std::uint32_t cached = hits.empty() ? 0 : hits.front().tokens;
   const std::uint32_t uncached =
       info.prompt_tokens - std::min(cached, info.prompt_tokens);
-  return uncached < settings_.long_tokens ? LengthClass::kShort
-                                          : LengthClass::kLong;
+  return uncached < settings_.long_tokens ? PromptClass::kShort
+                                          : PromptClass::kLong;
 }
 
-LengthClass Router::Classify(const RequestInfo& info) {
+PromptClass Router::Classify(const RequestInfo& info) {
   const Group* group = GroupOf(info);
-  if (group == nullptr) return LengthClass::kShort;
+  if (group == nullptr) return PromptClass::kShort;
   return ClassOf(info, *group, prefixes_.Longest(info.prefix));
 }
 
@@ -265,8 +268,8 @@
 }
 
 bool Router::InPart(const Group& group, TargetSlot slot,
-                    LengthClass length) const {
-  if (length == LengthClass::kShort) return true;
+                    PromptClass length) const {
+  if (length == PromptClass::kShort) return true;
   return group.members.size() < 2 || position_[slot] >= group.short_count;
 }
 
@@ -282,7 +285,7 @@
 
 std::vector<TargetSlot> Router::Draw(const Group& group, const Search& search) {
   std::vector<TargetSlot> out;
-  const bool is_short = search.length == LengthClass::kShort;
+  const bool is_short = search.length == PromptClass::kShort;
   const std::size_t size = group.members.size();
   const std::size_t split = group.short_count;
   const auto draw = [&](std::size_t from, std::size_t to, std::size_t count) {
@@ -320,7 +323,7 @@
     if (!Usable(search, slot) || !InPart(group, slot, search.length)) continue;
     found.push_back(Cost(search, slot, kv));
     const bool spills = found.back().uncached_tokens >= settings_.long_tokens &&
-                        !InPart(group, slot, LengthClass::kLong);
+                        !InPart(group, slot, PromptClass::kLong);
     if (spills) found.pop_back();
   }
   std::stable_sort(
@@ -331,11 +334,12 @@
 }
 
 Placement Router::PlaceGang(const Group& group, const Search& search) {
-  const std::uint64_t capacity = Capacity(group);
+  const std::uint64_t capacity =
+      Capacity(group) * settings_.gang_kv_percent / 100;
   const std::uint64_t total = KvTokens(search.info);
   const std::uint64_t members = (total + capacity - 1) / capacity;
   Placement out;
-  out.length = LengthClass::kGang;
+  out.length = PromptClass::kHuge;
   out.kind = Placement::Kind::kTooLong;
   if (members > settings_.max_gang) return out;
   const std::uint64_t share = (total + members - 1) / members;
@@ -345,6 +349,10 @@
     out.kind = Placement::Kind::kWait;
     return out;
   }
+  // The cheapest leads; grants are asked for in one order by all hosts.
+  for (std::size_t i = 1; i < out.candidates.size(); ++i) {
+    out.candidates[i].prefills = false;
+  }
   std::sort(out.candidates.begin(), out.candidates.end(),
             [](const Candidate& a, const Candidate& b) {
               return a.target < b.target;
@@ -362,7 +370,10 @@
   search.length = ClassOf(info, *group, search.hits);
   search.now = now;
   if (first) Demand(*group, search);
-  if (search.length == LengthClass::kGang) return PlaceGang(*group, search);
+  const std::uint64_t most = Capacity(*group) * settings_.max_kv_percent / 100;
+  if (most != 0 && KvTokens(info) > most) {
+    return PlaceGang(*group, search);
+  }
   Placement out;
   out.length = search.length;
   out.candidates =
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -11,7 +11,7 @@
 /// Most tokens that an urgency may be owed, so that a floor cannot pile up.
 constexpr double kMaxCredit = 2'000'000;
 
-std::size_t Index(LengthClass length) {
+std::size_t Index(PromptClass length) {
   return static_cast<std::size_t>(length);
 }
 std::size_t Index(Urgency urgency) { return static_cast<std::size_t>(urgency); }
@@ -23,11 +23,11 @@
   return host ^ (id.sequence * 0x9e3779b97f4a7c15ULL) ^ id.incarnation.value;
 }
 
-Scheduler::Lane& Scheduler::LaneOf(LengthClass length) {
+Scheduler::Lane& Scheduler::LaneOf(PromptClass length) {
   return lanes_[Index(length)];
 }
 
-const Scheduler::Lane& Scheduler::LaneOf(LengthClass length) const {
+const Scheduler::Lane& Scheduler::LaneOf(PromptClass length) const {
   return lanes_[Index(length)];
 }
 
@@ -157,11 +157,11 @@
   return expired;
 }
 
-std::size_t Scheduler::waiting(LengthClass length) const {
+std::size_t Scheduler::waiting(PromptClass length) const {
   return LaneOf(length).waiting;
 }
 
-std::uint64_t Scheduler::backlog_tokens(LengthClass length) const {
+std::uint64_t Scheduler::backlog_tokens(PromptClass length) const {
   return LaneOf(length).backlog;
 }
 
--- a/src/core/steward/steward.cc
+++ b/src/core/steward/steward.cc
@@ -30,7 +30,8 @@
 bool Steward::HeldBack(const ReserveAsk& ask, Time now) const {
   if (ask.kv_tokens < settings_.small_kv_tokens) return false;
   for (const Waiting& waiting : queue_) {
-    if (waiting.ask.attempt == ask.attempt) continue;
+    // What waits behind it, or is itself, takes nothing from the ask.
+    if (waiting.ask.attempt == ask.attempt) break;
     const Duration age = now - waiting.since;
     if (age < settings_.gang_patience || age > settings_.gang_hold_limit) {
       continue;
