--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -92,6 +92,8 @@
 
 std::uint16_t Server::port() const { return state_->port; }
 
+std::size_t Server::unanswered() const { return state_->shared->unanswered; }
+
 void Server::Close() {
   asio::post(state_->acceptor.get_executor(), [state = state_] {
     boost::system::error_code ignored;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -73,6 +73,8 @@
   std::error_code Listen(const std::string& address);
   /// Port in use after `Listen`.
   std::uint16_t port() const;
+  /// Requests handed to the handler whose answer is not yet written.
+  std::size_t unanswered() const;
   /// Takes no new connections; open ones go on.
   void Close();
 
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -172,8 +172,20 @@
     parser_->header_limit(context_->limits.header_bytes);
     parser_->body_limit(context_->limits.body_bytes);
     lease_ = context_->budget->Lease();
-    Arm(buffer_.size() > 0 ? context_->limits.receive_timeout
-                           : context_->limits.idle_timeout);
+    if (buffer_.size() > 0) return ReadHead();
+    Arm(context_->limits.idle_timeout);
+    stream_.async_read_some(
+        buffer_.prepare(kAheadBytes),
+        [self = Shared()](const error_code& error, std::size_t size) {
+          if (self->Stopped(error)) return;
+          self->buffer_.commit(size);
+          self->ReadHead();
+        });
+  }
+
+  void ReadHead() {
+    phase_ = Phase::kReceiving;
+    Arm(context_->limits.receive_timeout);
     ReadHeadSome();
   }
 
@@ -187,10 +199,6 @@
 
   void HeadSome(const error_code& error) {
     if (Stopped(error)) return;
-    if (phase_ == Phase::kIdle) {
-      phase_ = Phase::kReceiving;
-      Arm(context_->limits.receive_timeout);
-    }
     if (!parser_->is_header_done()) return ReadHeadSome();
     HeadDone();
   }
@@ -239,6 +247,8 @@
 
   void Deliver() {
     phase_ = Phase::kAnswering;
+    counted_ = true;
+    ++context_->unanswered;
     timer_.cancel();
     request_.body = std::move(parser_->get().body());
     request_.lease = std::move(lease_);
@@ -410,6 +420,7 @@
     timer_.cancel();
     gone_ = nullptr;
     ending_ = false;
+    Uncount();
     if (error) return Close();
     if (!keep_alive_) return ShutDown();
     if (!watching_) return ReadRequest();
@@ -438,6 +449,10 @@
 
   // ---- Time and end ----
 
+  void Uncount() {
+    if (std::exchange(counted_, false)) --context_->unanswered;
+  }
+
   static constexpr std::chrono::seconds kLingerTime{2};
 
   void Arm(std::chrono::milliseconds time) {
@@ -461,6 +476,7 @@
   void Close() {
     if (phase_ == Phase::kClosed) return;
     phase_ = Phase::kClosed;
+    Uncount();
     timer_.cancel();
     error_code ignored;
     Lowest(stream_).close(ignored);
@@ -481,6 +497,7 @@
   std::uint64_t exchange_number_ = 0;  ///< Late calls of older handles drop.
   Phase phase_ = Phase::kIdle;
   bool keep_alive_ = true;
+  bool counted_ = false;  ///< Among the context's `unanswered`.
   bool writing_ = false;
   bool watching_ = false;
   bool ending_ = false;
--- a/src/http/session.h
+++ b/src/http/session.h
@@ -2,6 +2,7 @@
 /// their answers.
 #pragma once
 
+#include <atomic>
 #include <memory>
 
 #include "http/server.h"
@@ -13,6 +14,8 @@
   ServerLimits limits;
   ServerHooks hooks;
   std::shared_ptr<BodyBudget> budget;
+  /// Requests whose answer is not yet written to the end.
+  mutable std::atomic<std::size_t> unanswered = 0;
 };
 
 void StartSession(boost::asio::ip::tcp::socket socket,
