--- /dev/null
+++ b/src/platform/client.h
@@ -0,0 +1,140 @@
+/// Client of the platform's object API (docs/PLATFORM-API.md). It carries out
+/// calls and tells how each ended; when calls may start is decided by
+/// `PlatformGate`, and nothing is sent twice but reads.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "comfreyflow/platform-gate.h"
+#include "comfreyflow/types.h"
+
+namespace comfreyflow {
+
+struct PlatformObject {
+  std::string name;
+  std::uint64_t version = 0;
+  std::string value;
+  bool deleted = false;  ///< Only in changes told by a watch.
+};
+
+enum class WriteState : std::uint8_t {
+  kApplied,     ///< The platform said so.
+  kRefused,     ///< It took no effect; `error` says why.
+  kAnswerLost,  ///< It may have taken effect: read back.
+};
+
+struct WriteAnswer {
+  WriteState state = WriteState::kRefused;
+  std::error_code error;      ///< `kVersionConflict`, `kObjectNotFound`,
+                              ///< `kPlatformUnavailable`,
+                              ///< `kPlatformRateLimited`, `kCodec`.
+  std::uint64_t version = 0;  ///< The object's, where the platform told it.
+};
+
+struct ReadAnswer {
+  std::error_code error;
+  PlatformObject object;
+};
+
+struct ListQuery {
+  std::string kind;
+  std::string prefix;
+  std::string from;  ///< First name that may be listed.
+  std::uint32_t limit = 500;
+};
+
+struct ListAnswer {
+  std::error_code error;
+  std::uint64_t version = 0;  ///< Of the kind.
+  std::vector<PlatformObject> items;
+};
+
+struct WatchAnswer {
+  std::error_code error;
+  std::uint64_t version = 0;  ///< Watch on from here.
+  bool forgotten = false;     ///< Changes are missing: list the kind anew.
+  std::vector<PlatformObject> changes;
+};
+
+/// A host or target as the platform's lagging list has it.
+struct PlatformMember {
+  std::string name;
+  std::string address;  ///< `ip:port`; of a host, where it takes gossip.
+  bool leaving = false;
+  std::string failure_domain;
+  std::string service;       ///< Of a target.
+  std::string target_class;  ///< Of a target.
+};
+
+struct HostsAnswer {
+  std::error_code error;
+  std::uint64_t version = 0;
+  std::vector<PlatformMember> hosts;
+  std::vector<PlatformMember> targets;
+};
+
+struct PlatformSettings {
+  std::string address;  ///< `ip:port`
+  PlatformLimits limits;
+  Duration call_timeout = std::chrono::milliseconds(1000);
+  /// A watch that is silent for so long past its time has failed.
+  Duration watch_grace = std::chrono::milliseconds(1000);
+};
+
+/// Calls by what became of them, since the start.
+struct PlatformCounts {
+  std::uint64_t reads = 0;
+  std::uint64_t writes = 0;
+  std::uint64_t refused_here = 0;  ///< By the budget or in an outage.
+  std::uint64_t failed = 0;
+  std::uint64_t answers_lost = 0;  ///< Of writes.
+};
+
+/// May be used from any thread. Each handler is called exactly once, on the
+/// executor, also when the client is gone before the call has ended.
+class PlatformClient {
+ public:
+  using WriteHandler = std::function<void(WriteAnswer)>;
+  using ReadHandler = std::function<void(ReadAnswer)>;
+  using ListHandler = std::function<void(ListAnswer)>;
+  using WatchHandler = std::function<void(WatchAnswer)>;
+  using HostsHandler = std::function<void(HostsAnswer)>;
+  /// Takes the wait until the next call of the kind can start, and whether
+  /// there is an outage.
+  using StateHandler =
+      std::function<void(Duration retry_after, bool outage, PlatformCounts)>;
+
+  /// Throws `std::system_error` with `kSettingsInvalid` when the address is
+  /// not `ip:port`.
+  PlatformClient(const boost::asio::any_io_executor& executor,
+                 PlatformSettings settings);
+
+  /// Values are UTF-8 text of up to a megabyte.
+  void Create(const std::string& kind, const std::string& name,
+              const std::string& value, WriteHandler handler);
+  void Update(const std::string& kind, const std::string& name,
+              std::uint64_t version, const std::string& value,
+              WriteHandler handler);
+  void Remove(const std::string& kind, const std::string& name,
+              std::uint64_t version, WriteHandler handler);
+  void Read(const std::string& kind, const std::string& name,
+            ReadHandler handler);
+  void List(const ListQuery& query, ListHandler handler);
+  /// Waits for changes behind version `since`, for at most `timeout`.
+  void Watch(const std::string& kind, std::uint64_t since, Duration timeout,
+             WatchHandler handler);
+  void Hosts(HostsHandler handler);
+  void State(PlatformCall call, StateHandler handler);
+
+ private:
+  struct Core;
+  std::shared_ptr<Core> core_;
+};
+
+}  // namespace comfreyflow
--- /dev/null
+++ b/test/shell/platform-client-test.cc
@@ -0,0 +1,196 @@
+// The platform's client against the stand-in and its faults.
+#include <doctest/doctest.h>
+
+#include <boost/asio.hpp>
+#include <optional>
+
+#include "fakes/fake-platform.h"
+#include "platform/client.h"
+
+using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A client whose calls are waited for.
+class Caller {
+ public:
+  explicit Caller(const std::string& address,
+                  Duration timeout = std::chrono::seconds(5))
+      : client_(context_.get_executor(), Settings(address, timeout)) {}
+
+  PlatformClient& client() { return client_; }
+
+  template <class Answer>
+  Answer Wait(const std::function<void(std::function<void(Answer)>)>& start) {
+    std::optional<Answer> out;
+    start([&](Answer answer) { out = std::move(answer); });
+    context_.restart();
+    context_.run();
+    return *out;
+  }
+  WriteAnswer Create(const std::string& name, const std::string& value) {
+    return Wait<WriteAnswer>(
+        [&](auto done) { client_.Create("config", name, value, done); });
+  }
+  WriteAnswer Update(const std::string& name, std::uint64_t version) {
+    return Wait<WriteAnswer>(
+        [&](auto done) { client_.Update("config", name, version, "u", done); });
+  }
+  ReadAnswer Read(const std::string& name) {
+    return Wait<ReadAnswer>(
+        [&](auto done) { client_.Read("config", name, done); });
+  }
+  WatchAnswer Watch(std::uint64_t since, Duration timeout) {
+    return Wait<WatchAnswer>(
+        [&](auto done) { client_.Watch("config", since, timeout, done); });
+  }
+
+ private:
+  static PlatformSettings Settings(const std::string& address,
+                                   Duration timeout) {
+    PlatformSettings settings;
+    settings.address = address;
+    settings.call_timeout = timeout;
+    settings.watch_grace = milliseconds(100);
+    return settings;
+  }
+  boost::asio::io_context context_;
+  PlatformClient client_;
+};
+
+}  // namespace
+
+TEST_CASE("objects are created, updated, read, listed and removed") {
+  fakes::FakePlatform platform;
+  Caller caller(platform.address());
+  const std::string name = "a/b c?\"&ü";
+  CHECK(caller.Create(name, "v\n\"1\"").state == WriteState::kApplied);
+  CHECK(caller.Read(name).object.value == "v\n\"1\"");
+  CHECK(caller.Update(name, 1).version == 2);
+  CHECK(caller.Create("other", "x").version == 3);
+  const auto list = caller.Wait<ListAnswer>([&](auto done) {
+    caller.client().List({"config", "a/", "a/b", 10}, done);
+  });
+  CHECK(list.version == 3);
+  REQUIRE(list.items.size() == 1);
+  CHECK(list.items[0].name == name);
+  const auto removed = caller.Wait<WriteAnswer>(
+      [&](auto done) { caller.client().Remove("config", name, 2, done); });
+  CHECK(removed.state == WriteState::kApplied);
+  CHECK(caller.Read(name).error == Errc::kObjectNotFound);
+}
+
+TEST_CASE("a conflict is refused and tells the version") {
+  fakes::FakePlatform platform;
+  Caller caller(platform.address());
+  caller.Create("a", "1");
+  const WriteAnswer taken = caller.Create("a", "2");
+  CHECK(taken.state == WriteState::kRefused);
+  CHECK(taken.error == Errc::kVersionConflict);
+  CHECK(taken.version == 1);
+  CHECK(caller.Update("a", 7).error == Errc::kVersionConflict);
+  CHECK(caller.Update("none", 1).error == Errc::kObjectNotFound);
+  const WriteAnswer binary = caller.Create("b", "\xff\xfe");
+  CHECK(binary.state == WriteState::kRefused);
+  CHECK(binary.error == Errc::kCodec);
+}
+
+TEST_CASE("a lost answer is told apart from a conflict, applied or not") {
+  fakes::FakePlatform platform;
+  Caller caller(platform.address());
+  for (const char* fault : {"lose_answers", "lose_requests"}) {
+    caller.Read("none");  // Leaves a connection in the pool.
+    platform.SetFaults({{fault, 1}});
+    const std::string name = fault;
+    CHECK(caller.Create(name, "mine").state == WriteState::kAnswerLost);
+    const bool applied = name == "lose_answers";
+    CHECK(ToErrc(caller.Read(name).error) ==
+          (applied ? Errc::kOk : Errc::kObjectNotFound));
+  }
+  CHECK(platform.Counts()["writes"] == 2);
+}
+
+TEST_CASE("a silent platform loses a write's answer and ends a read") {
+  fakes::FakePlatform platform;
+  Caller caller(platform.address(), milliseconds(50));
+  platform.SetFaults({{"silent", true}});
+  CHECK(caller.Create("a", "1").state == WriteState::kAnswerLost);
+  CHECK(caller.Read("a").error == Errc::kPlatformUnavailable);
+}
+
+TEST_CASE("an outage is refused, then known without asking, then over") {
+  fakes::FakePlatform platform;
+  Caller caller(platform.address());
+  platform.SetFaults({{"outage", true}});
+  const auto write = caller.Create("a", "1");
+  CHECK(write.state == WriteState::kRefused);
+  CHECK(write.error == Errc::kPlatformUnavailable);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(caller.Read("a").error == Errc::kPlatformUnavailable);
+  }
+  CHECK(platform.Counts()["refused"].get<int>() < 10);
+  platform.SetFaults({{"outage", false}});
+  std::error_code error = Errc::kPlatformUnavailable;
+  while (error == Errc::kPlatformUnavailable) error = caller.Read("a").error;
+  CHECK(error == Errc::kObjectNotFound);
+}
+
+TEST_CASE("the platform's own limit is typed") {
+  fakes::FakePlatformSettings settings;
+  settings.writes_per_second = 1;
+  fakes::FakePlatform platform(settings);
+  Caller caller(platform.address());
+  CHECK(caller.Create("a", "1").state == WriteState::kApplied);
+  const WriteAnswer second = caller.Create("b", "1");
+  CHECK(second.state == WriteState::kRefused);
+  CHECK(second.error == Errc::kPlatformRateLimited);
+}
+
+TEST_CASE("a watch wakes on a change, ends in time, and tells what it missed") {
+  fakes::FakePlatformSettings settings;
+  settings.changes_kept = 2;
+  fakes::FakePlatform platform(settings);
+  Caller caller(platform.address());
+  Caller other(platform.address());
+  CHECK(caller.Watch(0, milliseconds(1)).changes.empty());
+  other.Create("a", "1");
+  const WatchAnswer woken = caller.Watch(0, std::chrono::seconds(5));
+  REQUIRE(woken.changes.size() == 1);
+  CHECK(woken.changes[0].value == "1");
+  CHECK(woken.version == 1);
+  for (const char* name : {"b", "c", "d"}) other.Create(name, "1");
+  const WatchAnswer missed = caller.Watch(1, std::chrono::seconds(5));
+  CHECK(missed.forgotten);
+  CHECK_FALSE(missed.error);
+}
+
+TEST_CASE("a watch that went silent fails, and a new one works") {
+  fakes::FakePlatform platform;
+  Caller caller(platform.address());
+  platform.SetFaults({{"silent", true}});
+  CHECK(caller.Watch(0, milliseconds(10)).error == Errc::kPlatformUnavailable);
+  platform.SetFaults({{"silent", false}});
+  CHECK_FALSE(caller.Watch(0, milliseconds(10)).error);
+}
+
+TEST_CASE("the list of hosts is read, and a bad address is a typed error") {
+  fakes::FakePlatform platform;
+  const fakes::Json list = {{"version", 3},
+                            {"hosts",
+                             {{{"name", "h1"},
+                               {"gossip", "127.0.0.1:7946"},
+                               {"state", "leaving"},
+                               {"failure_domain", "kokura"}}}},
+                            {"targets", fakes::Json::array()}};
+  fakes::Fetch(platform.address(), "PUT", "/hosts", list.dump());
+  Caller caller(platform.address());
+  const auto hosts =
+      caller.Wait<HostsAnswer>([&](auto done) { caller.client().Hosts(done); });
+  REQUIRE(hosts.hosts.size() == 1);
+  CHECK(hosts.hosts[0].leaving);
+  CHECK(hosts.hosts[0].address == "127.0.0.1:7946");
+  for (const char* bad : {"", "127.0.0.1", "h:80", "127.0.0.1:x", "1.2.3.4:"}) {
+    CHECK_THROWS_AS(Caller{bad}, std::system_error);
+  }
+}
