Platform client on the host's HTTP client, with a pure gate for budget and outages

Reads, lists, watches and conditional writes of docs/PLATFORM-API.md. A write whose answer is lost is told apart from one that was refused, and is never sent twice.

--- a/include/comfreyflow/platform-gate.h
+++ b/include/comfreyflow/platform-gate.h
@@ -73,8 +73,9 @@
   Time next_probe_;
 };
 
-/// Whether a failed call is sent again at once on a new connection: only a read
-/// whose pooled connection had died while idle.
-bool RetryOnNewConnection(PlatformCall call, bool connection_was_pooled);
+/// Whether a call that was sent and got no answer is sent again at once on a
+/// new connection: only a read, as its connection may have died while idle, and
+/// not in an outage. A write is never sent twice.
+bool RetryOnNewConnection(PlatformCall call, bool outage);
 
 }  // namespace comfreyflow
--- a/src/core/platform/platform-gate.cc
+++ b/src/core/platform/platform-gate.cc
@@ -93,8 +93,8 @@
   return wait;
 }
 
-bool RetryOnNewConnection(PlatformCall call, bool connection_was_pooled) {
-  return call == PlatformCall::kRead && connection_was_pooled;
+bool RetryOnNewConnection(PlatformCall call, bool outage) {
+  return call == PlatformCall::kRead && !outage;
 }
 
 }  // namespace comfreyflow
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -1,19 +1,16 @@
 // Client of the platform's object API.
 #include "platform/client.h"
 
-#include <charconv>
+#include <boost/asio.hpp>
 #include <nlohmann/json.hpp>
 
+#include "http/address.h"
 #include "node/clock.h"
-#include "platform/exchange.h"
 
 namespace comfreyflow {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 using Json = nlohmann::json;
-using detail::ExchangeRequest;
-using detail::ExchangeResult;
 using detail::Now;
 
 namespace {
@@ -27,23 +24,12 @@
 constexpr int kServerErrors = 500;
 constexpr std::string_view kHexDigits = "0123456789ABCDEF";
 
-asio::ip::tcp::endpoint ParseEndpoint(const std::string& address) {
-  const auto colon = address.rfind(':');
-  std::string host = address.substr(0, colon);
-  if (host.starts_with('[') && host.ends_with(']')) {
-    host = host.substr(1, host.size() - 2);
-  }
-  boost::system::error_code error;
-  const auto ip = asio::ip::make_address(host, error);
-  std::uint16_t port = 0;
-  const char* end = address.data() + address.size();
-  const char* start = colon == std::string::npos ? end : &address[colon] + 1;
-  const auto read = std::from_chars(start, end, port);
-  if (error || read.ec != std::errc() || read.ptr != end || port == 0) {
-    throw std::system_error(Errc::kSettingsInvalid, address);
-  }
-  return {ip, port};
-}
+/// What came back. `status` 0: no whole answer.
+struct Result {
+  int status = 0;
+  bool sent = false;  ///< A byte of the request may have reached the platform.
+  std::string body;
+};
 
 std::string Escape(const std::string& text) {
   const std::string plain = "-_.~";
@@ -120,7 +106,7 @@
 
 /// Fills an answer from a result; a body of a wrong shape is `kCodec`.
 template <class Answer>
-Answer Decode(const ExchangeResult& result,
+Answer Decode(const Result& result,
               const std::function<void(const Json&, Answer&)>& fill) {
   Answer answer;
   answer.error = StatusError(result.status);
@@ -142,7 +128,7 @@
   return known ? version->get<std::uint64_t>() : 0;
 }
 
-WriteAnswer DecodeWrite(const ExchangeResult& result) {
+WriteAnswer DecodeWrite(const Result& result) {
   WriteAnswer answer;
   answer.error = StatusError(result.status);
   answer.version = VersionIn(result.body);
@@ -160,192 +146,220 @@
 }  // namespace
 
 struct PlatformClient::Core : std::enable_shared_from_this<Core> {
-  using Handler = detail::ExchangeHandler;
+  using Handler = std::function<void(const Result&)>;
   using Refused = std::function<void(std::error_code)>;
-  using Probe = std::function<void(ExchangeRequest&)>;
 
-  Core(const asio::any_io_executor& executor, PlatformSettings given)
+  /// A call that waits for its permit, or was permitted.
+  struct Job {
+    PlatformCall call = PlatformCall::kRead;
+    http::Request request;
+    std::string probe_query;  ///< Replaces the query of a probe; empty: keep.
+    Duration timeout{};
+    PlatformPermit permit;
+    Handler done;
+    Refused refused;
+  };
+  using JobPtr = std::shared_ptr<Job>;
+
+  Core(asio::io_context& io, http::Client& client, PlatformSettings given)
       : settings(std::move(given)),
-        strand(asio::make_strand(executor)),
-        gate(settings.limits),
-        pool(strand, ParseEndpoint(settings.address)) {}
-
-  /// Makes the call if the gate permits it; `probe` may change it first.
-  void Run(PlatformCall call, ExchangeRequest request, Handler done,
-           const Refused& refused,
-           const Probe& probe = nullptr) {
-    asio::post(strand, [=, this, self = shared_from_this()]() mutable {
-      const PlatformPermit permit = gate.Start(call, Now());
-      if (permit.code != Errc::kOk) {
-        ++counts.refused_here;
-        return refused(permit.code);
-      }
-      ++(call == PlatformCall::kRead ? counts.reads : counts.writes);
-      if (permit.probe && probe) probe(request);
-      Send(call, permit, std::move(request), false, std::move(done));
-    });
+        http(client),
+        strand(asio::make_strand(io)),
+        gate(settings.limits) {}
+
+  void Run(const JobPtr& job) {
+    asio::post(strand, [self = shared_from_this(), job] { self->Start(job); });
   }
 
-  void Send(PlatformCall call, PlatformPermit permit, ExchangeRequest request,
-            bool fresh, Handler done) {
-    pool.Call(request, fresh,
-              [=, this, self = shared_from_this()](ExchangeResult result) {
-                const bool again = result.status == 0 && !fresh &&
-                                   RetryOnNewConnection(call, result.pooled);
-                if (again) return Send(call, permit, request, true, done);
-                End(call, permit, result);
-                done(std::move(result));
-              });
+  void Start(const JobPtr& job) {
+    job->permit = gate.Start(job->call, Now());
+    if (job->permit.code != Errc::kOk) {
+      ++counts.refused_here;
+      return job->refused(job->permit.code);
+    }
+    ++(job->call == PlatformCall::kRead ? counts.reads : counts.writes);
+    if (job->permit.probe && !job->probe_query.empty()) {
+      job->request.query = job->probe_query;
+      job->timeout = settings.call_timeout;
+    }
+    Send(job, false);
   }
 
-  void End(PlatformCall call, const PlatformPermit& permit,
-           const ExchangeResult& result) {
-    gate.Ended(call, permit, EndOf(result.status), Now());
-    if (result.status != 0) return;
-    ++counts.failed;
-    if (call == PlatformCall::kWrite && result.sent) ++counts.answers_lost;
+  void Send(const JobPtr& job, bool again) {
+    http::Request request{job->request.method, job->request.path,
+                          job->request.query,  job->request.fields,
+                          job->request.body,   {}};
+    http::CallOptions options;
+    const auto timeout =
+        std::chrono::ceil<std::chrono::milliseconds>(job->timeout);
+    options.connect_timeout = std::min(options.connect_timeout, timeout);
+    options.progress_timeout = timeout;
+    options.fresh_connection = again;
+    http.Fetch(settings.address, std::move(request), options,
+               [self = shared_from_this(), job, again](
+                   http::CallEnd end, const http::Response& response) {
+                 Result result{end.code == Errc::kOk ? response.status : 0,
+                               end.sent, response.body};
+                 asio::post(self->strand, [self, job, again, result] {
+                   self->End(job, again, result);
+                 });
+               });
   }
 
-  void Write(ExchangeRequest request, WriteHandler handler) {
-    request.timeout = settings.call_timeout;
-    if (request.method == http::verb::put && request.body.empty()) {
-      return asio::post(strand, [handler = std::move(handler)] {
-        handler({WriteState::kRefused, Errc::kCodec, 0});
-      });
+  void End(const JobPtr& job, bool again, const Result& result) {
+    const bool lost = result.status == 0 && result.sent;
+    if (lost && !again && RetryOnNewConnection(job->call, gate.outage())) {
+      return Send(job, true);
+    }
+    gate.Ended(job->call, job->permit, EndOf(result.status), Now());
+    if (result.status == 0) ++counts.failed;
+    if (lost && job->call == PlatformCall::kWrite) ++counts.answers_lost;
+    job->done(result);
+  }
+
+  void Write(const char* method, const std::string& path,
+             const http::Field& condition, const std::string& body,
+             const WriteHandler& handler) {
+    auto job = std::make_shared<Job>();
+    job->call = PlatformCall::kWrite;
+    job->request.method = method;
+    job->request.path = path;
+    job->request.fields = {condition};
+    job->request.body = body;
+    job->timeout = settings.call_timeout;
+    job->refused = [handler](std::error_code error) {
+      handler({WriteState::kRefused, error, 0});
+    };
+    job->done = [handler](const Result& result) {
+      handler(DecodeWrite(result));
+    };
+    Run(job);
+  }
+
+  void Put(const std::string& path, const http::Field& condition,
+           const std::string& value, const WriteHandler& handler) {
+    const std::string body = ValueBody(value);
+    if (!body.empty()) {
+      return Write("PUT", path, condition, body, handler);
     }
-    Run(
-        PlatformCall::kWrite, std::move(request),
-        [handler](const ExchangeResult& result) {
-          handler(DecodeWrite(result));
-        },
-        [handler](std::error_code error) {
-          handler({WriteState::kRefused, error, 0});
-        });
+    asio::post(strand, [handler] {
+      handler({WriteState::kRefused, Errc::kCodec, 0});
+    });
   }
 
   template <class Answer>
-  void Get(std::string target, std::function<void(Answer)> handler,
-           std::function<void(const Json&, Answer&)> fill) {
-    ExchangeRequest request;
-    request.target = std::move(target);
-    request.timeout = settings.call_timeout;
-    Run(
-        PlatformCall::kRead, std::move(request),
-        [handler, fill](const ExchangeResult& result) {
-          handler(Decode<Answer>(result, fill));
-        },
-        [handler](std::error_code error) {
-          Answer answer;
-          answer.error = error;
-          handler(std::move(answer));
-        });
+  JobPtr ReadJob(const std::string& path, const std::string& query,
+                 const std::function<void(Answer)>& handler,
+                 const std::function<void(const Json&, Answer&)>& fill) {
+    auto job = std::make_shared<Job>();
+    job->request.method = "GET";
+    job->request.path = path;
+    job->request.query = query;
+    job->timeout = settings.call_timeout;
+    job->refused = [handler](std::error_code error) {
+      Answer answer;
+      answer.error = error;
+      handler(std::move(answer));
+    };
+    job->done = [handler, fill](const Result& result) {
+      handler(Decode<Answer>(result, fill));
+    };
+    return job;
   }
 
   PlatformSettings settings;
-  asio::strand<asio::any_io_executor> strand;
+  http::Client& http;
+  asio::strand<asio::io_context::executor_type> strand;
   PlatformGate gate;
   PlatformCounts counts;
-  detail::ConnectionPool pool;
 };
 
-PlatformClient::PlatformClient(const asio::any_io_executor& executor,
-                               PlatformSettings settings)
-    : core_(std::make_shared<Core>(executor, std::move(settings))) {}
+PlatformClient::PlatformClient(asio::io_context& io, http::Client& http,
+                               PlatformSettings settings) {
+  asio::ip::tcp::endpoint endpoint;
+  const std::error_code error = http::ParseEndpoint(settings.address, endpoint);
+  if (error || endpoint.port() == 0) {
+    throw std::system_error(Errc::kSettingsInvalid, settings.address);
+  }
+  core_ = std::make_shared<Core>(io, http, std::move(settings));
+}
 
 void PlatformClient::Create(const std::string& kind, const std::string& name,
-                            const std::string& value, WriteHandler handler) {
-  ExchangeRequest request;
-  request.method = http::verb::put;
-  request.target = ObjectPath(kind, name);
-  request.body = ValueBody(value);
-  request.if_none_match = true;
-  core_->Write(std::move(request), std::move(handler));
+                            const std::string& value,
+                            const WriteHandler& handler) {
+  core_->Put(ObjectPath(kind, name), {"if-none-match", "*"}, value, handler);
 }
 
 void PlatformClient::Update(const std::string& kind, const std::string& name,
                             std::uint64_t version, const std::string& value,
-                            WriteHandler handler) {
-  ExchangeRequest request;
-  request.method = http::verb::put;
-  request.target = ObjectPath(kind, name);
-  request.body = ValueBody(value);
-  request.if_match = std::to_string(version);
-  core_->Write(std::move(request), std::move(handler));
+                            const WriteHandler& handler) {
+  core_->Put(ObjectPath(kind, name), {"if-match", std::to_string(version)},
+             value, handler);
 }
 
 void PlatformClient::Remove(const std::string& kind, const std::string& name,
-                            std::uint64_t version, WriteHandler handler) {
-  ExchangeRequest request;
-  request.method = http::verb::delete_;
-  request.target = ObjectPath(kind, name);
-  request.if_match = std::to_string(version);
-  core_->Write(std::move(request), std::move(handler));
+                            std::uint64_t version,
+                            const WriteHandler& handler) {
+  core_->Write("DELETE", ObjectPath(kind, name),
+               {"if-match", std::to_string(version)}, "", handler);
 }
 
 void PlatformClient::Read(const std::string& kind, const std::string& name,
-                          ReadHandler handler) {
-  core_->Get<ReadAnswer>(
-      ObjectPath(kind, name), std::move(handler),
+                          const ReadHandler& handler) {
+  core_->Run(core_->ReadJob<ReadAnswer>(
+      ObjectPath(kind, name), "", handler,
       [name](const Json& body, ReadAnswer& answer) {
         answer.object = {name, body.at("version"), body.at("value")};
-      });
+      }));
 }
 
-void PlatformClient::List(const ListQuery& query, ListHandler handler) {
-  const std::string target =
-      "/objects/" + Escape(query.kind) + "?prefix=" + Escape(query.prefix) +
-      "&from=" + Escape(query.from) + "&limit=" + std::to_string(query.limit);
-  core_->Get<ListAnswer>(target, std::move(handler),
-                         [](const Json& body, ListAnswer& answer) {
-                           answer.version = body.at("version");
-                           answer.items = ParseObjects(body.at("items"));
-                         });
+void PlatformClient::List(const ListQuery& query, const ListHandler& handler) {
+  const std::string text = "prefix=" + Escape(query.prefix) +
+                           "&from=" + Escape(query.from) +
+                           "&limit=" + std::to_string(query.limit);
+  core_->Run(core_->ReadJob<ListAnswer>(
+      "/objects/" + Escape(query.kind), text, handler,
+      [](const Json& body, ListAnswer& answer) {
+        answer.version = body.at("version");
+        answer.items = ParseObjects(body.at("items"));
+      }));
 }
 
 void PlatformClient::Watch(const std::string& kind, std::uint64_t since,
-                           Duration timeout, WatchHandler handler) {
-  const auto target = [kind, since](Duration wait) {
+                           Duration timeout, const WatchHandler& handler) {
+  const auto query = [since](Duration wait) {
     const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
-    return "/watch/" + Escape(kind) + "?since=" + std::to_string(since) +
+    return "since=" + std::to_string(since) +
            "&timeout_ms=" + std::to_string(ms.count());
   };
-  ExchangeRequest request;
-  request.target = target(timeout);
-  request.timeout = timeout + core_->settings.watch_grace;
-  core_->Run(
-      PlatformCall::kRead, std::move(request),
-      [handler](const ExchangeResult& result) {
-        WatchAnswer answer =
-            Decode<WatchAnswer>(result, [](const Json& body, WatchAnswer& out) {
-              out.version = body.at("version");
-              out.changes = ParseObjects(body.at("changes"));
-            });
-        answer.forgotten = result.status == kGone;
-        if (answer.forgotten) answer.error = {};
-        if (answer.forgotten) answer.version = VersionIn(result.body);
-        handler(std::move(answer));
-      },
-      [handler](std::error_code error) {
-        WatchAnswer answer;
-        answer.error = error;
-        handler(std::move(answer));
-      },
-      [target, core = core_](ExchangeRequest& probe) {
-        probe.target = target(Duration::zero());
-        probe.timeout = core->settings.call_timeout;
+  const auto job = core_->ReadJob<WatchAnswer>(
+      "/watch/" + Escape(kind), query(timeout), handler,
+      [](const Json& body, WatchAnswer& answer) {
+        answer.version = body.at("version");
+        answer.changes = ParseObjects(body.at("changes"));
       });
+  job->timeout = timeout + core_->settings.watch_grace;
+  job->probe_query = query(Duration::zero());
+  job->done = [handler, done = job->done](const Result& result) {
+    if (result.status != kGone) return done(result);
+    WatchAnswer answer;
+    answer.forgotten = true;
+    answer.version = VersionIn(result.body);
+    handler(std::move(answer));
+  };
+  core_->Run(job);
 }
 
-void PlatformClient::Hosts(HostsHandler handler) {
-  core_->Get<HostsAnswer>(
-      "/hosts", std::move(handler), [](const Json& body, HostsAnswer& answer) {
+void PlatformClient::Hosts(const HostsHandler& handler) {
+  core_->Run(core_->ReadJob<HostsAnswer>(
+      "/hosts", "", handler, [](const Json& body, HostsAnswer& answer) {
         answer.version = body.at("version");
         answer.hosts = ParseMembers(body.at("hosts"), "gossip");
         answer.targets = ParseMembers(body.at("targets"), "address");
-      });
+      }));
 }
 
-void PlatformClient::State(PlatformCall call, StateHandler handler) {
+void PlatformClient::State(PlatformCall call, const StateHandler& handler) {
   asio::post(core_->strand, [core = core_, call, handler] {
     handler(core->gate.RetryAfter(call, Now()), core->gate.outage(),
             core->counts);
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -3,7 +3,7 @@
 /// `PlatformGate`, and nothing is sent twice but reads.
 #pragma once
 
-#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -13,6 +13,7 @@
 
 #include "comfreyflow/platform-gate.h"
 #include "comfreyflow/types.h"
+#include "http/client.h"
 
 namespace comfreyflow {
 
@@ -96,8 +97,9 @@
   std::uint64_t answers_lost = 0;  ///< Of writes.
 };
 
-/// May be used from any thread. Each handler is called exactly once, on the
-/// executor, also when the client is gone before the call has ended.
+/// May be used from any thread. Each handler is called exactly once, on an I/O
+/// thread, also when this object is gone before the call has ended; `http` has
+/// to outlive the calls.
 class PlatformClient {
  public:
   using WriteHandler = std::function<void(WriteAnswer)>;
@@ -112,25 +114,25 @@
 
   /// Throws `std::system_error` with `kSettingsInvalid` when the address is
   /// not `ip:port`.
-  PlatformClient(const boost::asio::any_io_executor& executor,
+  PlatformClient(boost::asio::io_context& io, http::Client& http,
                  PlatformSettings settings);
 
   /// Values are UTF-8 text of up to a megabyte.
   void Create(const std::string& kind, const std::string& name,
-              const std::string& value, WriteHandler handler);
+              const std::string& value, const WriteHandler& handler);
   void Update(const std::string& kind, const std::string& name,
               std::uint64_t version, const std::string& value,
-              WriteHandler handler);
+              const WriteHandler& handler);
   void Remove(const std::string& kind, const std::string& name,
-              std::uint64_t version, WriteHandler handler);
+              std::uint64_t version, const WriteHandler& handler);
   void Read(const std::string& kind, const std::string& name,
-            ReadHandler handler);
-  void List(const ListQuery& query, ListHandler handler);
+            const ReadHandler& handler);
+  void List(const ListQuery& query, const ListHandler& handler);
   /// Waits for changes behind version `since`, for at most `timeout`.
   void Watch(const std::string& kind, std::uint64_t since, Duration timeout,
-             WatchHandler handler);
-  void Hosts(HostsHandler handler);
-  void State(PlatformCall call, StateHandler handler);
+             const WatchHandler& handler);
+  void Hosts(const HostsHandler& handler);
+  void State(PlatformCall call, const StateHandler& handler);
 
  private:
   struct Core;
--- a/test/platform-gate-test.cc
+++ b/test/platform-gate-test.cc
@@ -103,7 +103,7 @@
 }
 
 TEST_CASE("a write is never sent twice") {
-  CHECK(RetryOnNewConnection(kRead, true));
-  CHECK_FALSE(RetryOnNewConnection(kRead, false));
-  CHECK_FALSE(RetryOnNewConnection(kWrite, true));
+  CHECK(RetryOnNewConnection(kRead, false));
+  CHECK_FALSE(RetryOnNewConnection(kRead, true));
+  CHECK_FALSE(RetryOnNewConnection(kWrite, false));
 }
--- a/test/shell/platform-client-test.cc
+++ b/test/shell/platform-client-test.cc
@@ -17,7 +17,7 @@
  public:
   explicit Caller(const std::string& address,
                   Duration timeout = std::chrono::seconds(5))
-      : client_(context_.get_executor(), Settings(address, timeout)) {}
+      : http_(context_), client_(context_, http_, Settings(address, timeout)) {}
 
   PlatformClient& client() { return client_; }
 
@@ -56,6 +56,7 @@
     return settings;
   }
   boost::asio::io_context context_;
+  http::Client http_;
   PlatformClient client_;
 };
 
