--- a/src/node/entry-actor.cc
+++ b/src/node/entry-actor.cc
@@ -90,7 +90,7 @@
 }
 
 void EntryActor::Run(const EntryEvent& event) {
-  WatchTargets(event);
+  Watch(event);
   pending_.push_back(event);
   if (running_) return;
   running_ = true;
@@ -108,10 +108,17 @@
   }
 }
 
-void EntryActor::WatchTargets(const EntryEvent& event) {
+void EntryActor::Watch(const EntryEvent& event) {
   if (const auto* seen = std::get_if<TargetSeen>(&event)) {
     targets_[seen->info.name] = seen->info;
   }
+  if (const auto* failed = std::get_if<StreamFailed>(&event)) {
+    LogLine(Severity::kWarning, "attempt_failed")
+        .With(failed->attempt)
+        .With(failed->code)
+        .With("not_run", failed->not_run)
+        .With("crashed", failed->crashed);
+  }
 }
 
 void EntryActor::Do(const WantClaim& command) {
--- a/src/node/entry-actor.h
+++ b/src/node/entry-actor.h
@@ -59,7 +59,8 @@
   void TakePlain(const PlainAnswered& answer);
   void TakeTick(Time now);
   void Run(const EntryEvent& event);
-  void WatchTargets(const EntryEvent& event);
+  /// Notes what this actor itself has to know of an event.
+  void Watch(const EntryEvent& event);
   void Subscribe();
   Call* Find(const RequestId& id);
 
--- a/test/shell/bad-input-test.cc
+++ b/test/shell/bad-input-test.cc
@@ -184,6 +184,7 @@
 
 void CheckServes(const std::string& address) {
   const RawAnswer answer = Ask(address, Text(kGood));
+  CAPTURE(answer.body);
   CHECK(answer.status == 200);
   const auto json = nlohmann::json::parse(answer.body, nullptr, false);
   REQUIRE(json.is_object());
--- a/test/shell/host-fixture.h
+++ b/test/shell/host-fixture.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <memory>
@@ -16,6 +17,7 @@
 #include "comfreyflow/errors.h"
 #include "fakes/fake-engine.h"
 #include "fakes/fake-service.h"
+#include "node/log.h"
 #include "node/node.h"
 
 namespace comfreyflow::test {
@@ -93,6 +95,13 @@
                  exit_code_ = code;
                  exit_code_.notify_all();
                }}) {
+    static const bool kLogs = [] {
+      if (std::getenv("COMFREYFLOW_TEST_LOG") != nullptr) {
+        node::StartLog("test");
+      }
+      return true;
+    }();
+    REQUIRE(kLogs);
     REQUIRE_FALSE(node_.Start());
   }
 
