--- a/include/comfreyflow/steward.h
+++ b/include/comfreyflow/steward.h
@@ -64,8 +64,11 @@
   StewardTurn Listed(std::uint64_t epoch,
                      const std::vector<RunningAttempt>& running, Time now);
   void Reported(const TargetReport& report, Time now);
-  /// The host's process with this or a lower incarnation is gone.
+  /// The host's process with this or a lower incarnation is gone for certain,
+  /// as a later one was seen. A death by gossip goes to `Sweep` alone, which
+  /// asks the owner.
   void HostGone(const HostName& host, Incarnation incarnation, Time now);
+
   /// Nothing more is granted; what waits is answered `kClosed`.
   StewardTurn Close();
   StewardTurn Tick(Time now);
--- a/src/core/entry/entry.cc
+++ b/src/core/entry/entry.cc
@@ -152,6 +152,7 @@
       request.excluded.push_back(name);
     }
     LeaveAttempt(request, request.may_have_run);
+    request.ran_before = request.may_have_run;
     request.phase = Phase::kQueued;
     Place(request);
   }
@@ -174,7 +175,14 @@
 
   void On(const ClaimAnswered& event) {
     Request* request = Find(event.request);
-    if (request == nullptr || request->phase != Phase::kClaiming) return;
+    if (request == nullptr) {
+      // Given up before the answer came: nothing was or will be dispatched.
+      if (event.verdict == ClaimVerdict::kClaimed) {
+        out.push_back(RecordOutcome{event.request, Outcome::kNotRun});
+      }
+      return;
+    }
+    if (request->phase != Phase::kClaiming) return;
     switch (event.verdict) {
       case ClaimVerdict::kClaimed:
         request->claimed = true;
@@ -210,7 +218,11 @@
     if (event.reply != GrantReply::kGranted) {
       return Retry(*request, Errc::kOverloaded);
     }
+    if (now >= request->info.deadline) {
+      return SettleError(*request, Errc::kDeadlineExceeded);
+    }
     request->phase = Phase::kOpening;
+    request->may_have_run = true;  // The shell may send before it tells.
     request->last_sign = now;
     out.push_back(OpenStream{.attempt = request->attempt,
                              .targets = request->targets,
@@ -263,7 +275,7 @@
   void On(const StreamFailed& event) {
     Request* request = Current(event.attempt);
     if (request == nullptr) return;
-    if (event.not_run && request->attempts == 1) request->may_have_run = false;
+    if (event.not_run) request->may_have_run = request->ran_before;
     Retry(*request, event.code);
   }
 
--- a/src/core/entry/request.h
+++ b/src/core/entry/request.h
@@ -30,6 +30,7 @@
   bool claimed = false;
   bool may_have_run = false;  ///< Set before a byte is sent, never cleared but
                               ///< by the target's word that it did not run.
+  bool ran_before = false;    ///< The same, of earlier attempts.
   std::uint32_t attempts = 0;
 };
 
--- a/test/explore/sabotage.h
+++ b/test/explore/sabotage.h
@@ -22,7 +22,7 @@
   bool store_overwrites = false;
   /// The shell gives each chunk to the caller, asked to or not.
   bool forward_unasked = false;
-  /// The shell sends after cancel or expiry.
+  /// The shell sends on a connection that it has given up.
   bool send_late = false;
   /// The caller hears each final answer twice.
   bool answer_twice = false;
