--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -59,6 +59,16 @@
 
 http::Response PlainError(Errc code) { return ErrorResponse(FailureOf(code)); }
 
+std::vector<TargetInfo> AllTargets(const Config& config) {
+  std::vector<TargetInfo> all;
+  for (const auto& [name, service] : config.services) {
+    for (auto& target : TargetsOf(config, name)) {
+      all.push_back(std::move(target));
+    }
+  }
+  return all;
+}
+
 caf::actor_system_config ActorConfig() {
   caf::actor_system_config config;
   config.set("scheduler.max-threads", kActorThreads);
@@ -222,10 +232,8 @@
   LogLine(Severity::kInfo, "config_applied")
       .With("generation", next->generation)
       .With("hash", next->hash);
-  for (const auto& [name, service] : next->config.services) {
-    for (const auto& target : TargetsOf(next->config, name)) {
-      entry->Send(EntryPosted{TargetSeen{target}});
-    }
+  for (const auto& target : AllTargets(next->config)) {
+    entry->Send(EntryPosted{TargetSeen{target}});
   }
   if (!before) return;
   for (const auto& [name, target] : before->config.targets) {
@@ -310,6 +318,10 @@
   deps.metrics = &metrics;
   deps.self = entry;
   deps.timer = timer;
+  deps.hooks.targets = [this] {
+    const auto now = config->current();
+    return now ? AllTargets(now->config) : std::vector<TargetInfo>();
+  };
   deps.hooks.sign_resume = [this](const Call& call, const AttemptId& attempt,
                                   const TargetName& target) {
     return SignResume(call, attempt, target);
--- a/src/node/supervisor.h
+++ b/src/node/supervisor.h
@@ -50,7 +50,8 @@
 
 class Supervisor : public caf::event_based_actor {
  public:
-  /// Starts the children in order. `on_fatal` is called once, on the actor.
+  /// Starts the children in order, before it returns. `on_fatal` is called
+  /// once, on the actor.
   Supervisor(caf::actor_config& config, std::vector<ChildSpec> children,
              std::function<void()> on_fatal);
 
