Decisions of the tool: differences, lost updates, proofs, callers that lose their host

The event stream parser tells the text of comment lines (src/http, src/node/engine-stream.cc: the hook's parameter), as resume tokens come in them. operator-test: 7 cases.

--- a/src/http/sse.cc
+++ b/src/http/sse.cc
@@ -32,7 +32,7 @@
     if (!data_.empty() && hooks_.on_data) hooks_.on_data(data_);
     data_.clear();
   } else if (line.front() == ':') {
-    if (hooks_.on_comment) hooks_.on_comment();
+    if (hooks_.on_comment) hooks_.on_comment(line.substr(1));
   } else if (line.substr(0, kData.size()) == kData) {
     line.remove_prefix(kData.size());
     if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
--- a/src/http/sse.h
+++ b/src/http/sse.h
@@ -10,7 +10,7 @@
 
 struct SseHooks {
   std::function<void(std::string_view data)> on_data;
-  std::function<void()> on_comment;
+  std::function<void(std::string_view text)> on_comment;  ///< Behind its colon.
 };
 
 class SseParser {
--- a/src/node/engine-stream.cc
+++ b/src/node/engine-stream.cc
@@ -39,7 +39,8 @@
       streams_(streams),
       sink_(std::move(sink)),
       parser_({[this](std::string_view data) { Data(data); },
-               [this] { Post(StreamHeartbeat{attempt_}); }}) {}
+               [this](std::string_view) { Post(StreamHeartbeat{attempt_}); }}) {
+}
 
 http::CallHooks EngineStream::Hooks() {
   const auto self = shared_from_this();
--- /dev/null
+++ b/test/operator-test.cc
@@ -0,0 +1,141 @@
+// Differences of configurations, lost updates, proofs; and callers that lose
+// their host.
+#include <doctest/doctest.h>
+
+#include "comfreyflow/caller-session.h"
+#include "comfreyflow/config-change.h"
+
+using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Time kStart{std::chrono::hours(1)};
+using Kind = CallerStreamEnd::Kind;
+
+Config Document(const std::string& accounts) {
+  const std::string text =
+      "[environment trial]\n[service assistant]\ntarget_class = c\n"
+      "models = m@1\n" +
+      accounts;
+  const ConfigResult result = ParseConfig(text);
+  REQUIRE(result.ok());
+  return result.config;
+}
+
+std::string AccountText(const std::string& name, int weight) {
+  return "[account " + name + "]\nkeys = " + Sha256(name).value +
+         "\ntokens_per_second = 10\nconcurrent_tokens = 10\nweight = " +
+         std::to_string(weight) + "\nservices = assistant\n";
+}
+
+CallerSession Session(bool may_resend = true) {
+  CallerSessionSettings settings;
+  settings.hosts = {"a", "b"};
+  settings.may_resend = may_resend;
+  settings.deadline = kStart + seconds(10);
+  return CallerSession(settings);
+}
+
+}  // namespace
+
+TEST_CASE("differences name sections and keys, not layout") {
+  const Config before = Document(AccountText("a", 1) + AccountText("b", 1));
+  const Config after =
+      Document("# moved\n" + AccountText("c", 1) + AccountText("a", 2));
+  CHECK(Differences(before,
+                    Document(AccountText("b", 1) + "\n" + AccountText("a", 1)))
+            .empty());
+  std::vector<std::string> lines;
+  for (const auto& difference : Differences(before, after)) {
+    if (difference.section != "account c" || difference.key.empty()) {
+      lines.push_back(ToString(difference));
+    }
+  }
+  const std::vector<std::string> expected = {"~ [account a] weight: 1 -> 2",
+                                             "- [account b]", "+ [account c]"};
+  CHECK(lines == expected);
+}
+
+TEST_CASE("an update whose answer was lost is settled by what is in force") {
+  CHECK(SettleApply(4, "h", {4, "old"}) == ApplyEnd::kNotSeen);
+  CHECK(SettleApply(4, "h", {3, "older"}) == ApplyEnd::kNotSeen);
+  CHECK(SettleApply(4, "h", {4, "h"}) == ApplyEnd::kNotSeen);
+  CHECK(SettleApply(4, "h", {5, "h"}) == ApplyEnd::kApplied);
+  CHECK(SettleApply(4, "h", {5, "theirs"}) == ApplyEnd::kConflict);
+  CHECK(SettleApply(4, "h", {6, "theirs"}) == ApplyEnd::kOvertaken);
+  CHECK(SettleApply(0, "h", {1, "h"}) == ApplyEnd::kApplied);
+}
+
+TEST_CASE("only what was in force everywhere, throughout, is proven") {
+  const ConfigReach whole{{3, "h"}, 6, 6};
+  CHECK(CheckProven(whole, whole) == Errc::kOk);
+  for (const ConfigReach& other :
+       {ConfigReach{{3, "h"}, 5, 6}, ConfigReach{{4, "h"}, 6, 6},
+        ConfigReach{{3, "x"}, 6, 6}, ConfigReach{{3, "h"}, 0, 0}}) {
+    CHECK(CheckProven(whole, other) == Errc::kPromoteUnproven);
+    CHECK(CheckProven(other, whole) == Errc::kPromoteUnproven);
+  }
+  CHECK(CheckProven({{0, ""}, 6, 6}, {{0, ""}, 6, 6}) ==
+        Errc::kPromoteUnproven);
+}
+
+TEST_CASE("a caller goes on at another host from its last byte") {
+  CallerSession session = Session(false);
+  CHECK(session.Start()->host == "a");
+  session.TokenSeen("t1");
+  session.TextSeen(40);
+  session.TokenSeen("t2");
+  const auto next = session.Ended({Kind::kBroken}, kStart);
+  REQUIRE(next.has_value());
+  CHECK(next->host == "b");
+  CHECK(next->resume_token == "t2");
+  CHECK(next->offset == 40);
+  session.TextSeen(2);
+  CHECK_FALSE(session.Ended({Kind::kWhole}, kStart).has_value());
+  CHECK(session.offset() == 42);
+  CHECK(session.resumes() == 1);
+}
+
+TEST_CASE(
+    "a request whose outcome is unknown is sent again only if it may be") {
+  for (const bool may_resend : {false, true}) {
+    CallerSession session = Session(may_resend);
+    session.Start();
+    CHECK(session.Ended({Kind::kBroken}, kStart).has_value() == may_resend);
+    CallerSession untouched = Session(may_resend);
+    untouched.Start();
+    CHECK(untouched.Ended({Kind::kUnreachable}, kStart).has_value());
+  }
+  CallerSession begun = Session(true);
+  begun.Start();
+  begun.TextSeen(1);
+  CHECK_FALSE(begun.Ended({Kind::kBroken}, kStart).has_value());
+}
+
+TEST_CASE("only what was not run and may succeed later is asked again") {
+  for (const Outcome outcome :
+       {Outcome::kNotRun, Outcome::kFailed, Outcome::kUnknown}) {
+    for (const bool retry : {false, true}) {
+      CallerSession session = Session();
+      session.Start();
+      const auto next =
+          session.Ended({Kind::kError, outcome, retry, seconds(2)}, kStart);
+      CHECK(next.has_value() == (retry && outcome == Outcome::kNotRun));
+      if (next) CHECK(next->wait == seconds(2));
+    }
+  }
+}
+
+TEST_CASE("a caller gives up at its deadline and after enough hosts") {
+  CallerSession late = Session();
+  late.Start();
+  CHECK_FALSE(
+      late.Ended({Kind::kUnreachable}, kStart + seconds(10)).has_value());
+  CallerSession session = Session();
+  session.Start();
+  int opens = 1;
+  while (session.Ended({Kind::kUnreachable}, kStart)) ++opens;
+  CHECK(opens == 8);
+  CHECK_FALSE(CallerSession({}).Start().has_value());
+}
