--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -268,7 +268,7 @@
   if (addresses.empty()) return;
   Datagram datagram = Base(DatagramKind::kPing);
   datagram.records.push_back(settings.self);
-  Fill(datagram, MemberId{}, kDatagramBytes, now);
+  Fill(datagram, MemberId{}, kMeetingBytes, now);
   Send(std::move(datagram), addresses[Pick(addresses.size())], out);
 }
 
--- a/src/core/membership/table.cc
+++ b/src/core/membership/table.cc
@@ -12,6 +12,7 @@
 constexpr Duration kForgetAfter = minutes(10);
 // A relayed record proves little of the present.
 constexpr Duration kRelayedAge = std::chrono::seconds(5);
+constexpr Duration kScanPeriod = std::chrono::seconds(5);
 constexpr int kNewsFactor = 3;
 
 bool IsLive(MemberState state) {
@@ -58,6 +59,7 @@
   }
   const bool was_live = known != members_.end() && IsLive(known->second.state);
   if (!was_live) ++live_;
+  if (was_live && known->second.state == MemberState::kSuspect) --suspects_;
   members_[record.name] = {
       record, MemberState::kAlive, now - kRelayedAge, now, {}, id};
   MarkNews(id);
@@ -106,6 +108,8 @@
 }
 
 void MemberTable::Expire(Time now, std::vector<MembershipEvent>& events) {
+  if (suspects_ == 0 && now < next_scan_) return;
+  next_scan_ = now + kScanPeriod;
   const Duration limit = SuspicionTime(live_);
   std::vector<HostName> old;
   for (auto& [name, member] : members_) {
@@ -130,6 +134,8 @@
   const bool was_live = IsLive(member.state);
   if (was_live && !IsLive(state)) --live_;
   if (!was_live && IsLive(state)) ++live_;
+  if (member.state == MemberState::kSuspect) --suspects_;
+  if (state == MemberState::kSuspect) ++suspects_;
   member.state = state;
   member.since = since;
   MarkNews(member.id);
--- a/src/core/membership/table.h
+++ b/src/core/membership/table.h
@@ -63,7 +63,9 @@
   std::map<MemberId, int> news_;   // Sends left of what has changed.
   std::set<std::pair<int, MemberId>> news_order_;  // The same, negated.
   HostName cursor_;       // Where the next filler claims begin.
-  std::size_t live_ = 1;  // Alive and suspect members.
+  std::size_t live_ = 1;      // Alive and suspect members.
+  std::size_t suspects_ = 0;  // Suspect members.
+  Time next_scan_;            // When to look for members to forget.
 };
 
 }  // namespace comfreyflow::detail
