--- a/src/core/membership/table.cc
+++ b/src/core/membership/table.cc
@@ -13,6 +13,7 @@
 // A relayed record proves little of the present.
 constexpr Duration kRelayedAge = std::chrono::seconds(5);
 constexpr Duration kScanPeriod = std::chrono::seconds(5);
+constexpr std::size_t kDeadClaims = 8;  // In one datagram.
 constexpr int kNewsFactor = 3;
 
 bool IsLive(MemberState state) {
@@ -93,7 +94,8 @@
     return;
   }
   if (member->evidence > at) {
-    MarkNews(member->id);
+    if (claim.state == MemberState::kSuspect) MarkNews(member->id);
+    contested_.push_back(member->id);
     return;
   }
   if (claim.state > member->state) Change(*member, claim.state, at, events);
@@ -168,32 +170,65 @@
   return claim;
 }
 
-std::vector<MemberClaim> MemberTable::Claims(MemberId receiver,
-                                             std::size_t most,
-                                             std::size_t most_filler,
-                                             Time now) {
+void MemberTable::AddContested(std::vector<MemberClaim>& claims,
+                               std::size_t most, Time now) {
+  for (const MemberId id : contested_) {
+    if (claims.size() >= most) break;
+    const Member* member = Find(id);
+    if (member != nullptr) claims.push_back(ClaimOf(*member, now));
+  }
+  contested_.clear();
+}
+
+void MemberTable::AddNews(std::vector<MemberClaim>& claims, std::size_t most,
+                          Time now) {
   std::vector<std::pair<int, MemberId>> changed;
   for (const auto& entry : news_order_) {
-    if (changed.size() >= most) break;
+    if (claims.size() + changed.size() >= most) break;
     changed.push_back(entry);
   }
-  std::vector<MemberClaim> claims;
   for (const auto& [left, id] : changed) {
     const Member* member = Find(id);
     if (member != nullptr) claims.push_back(ClaimOf(*member, now));
     SetNews(id, member == nullptr ? 0 : -left - 1);
   }
+}
+
+void MemberTable::AddDead(std::vector<MemberClaim>& claims, std::size_t most,
+                          Time now) {
+  if (live_ == members_.size()) return;
+  auto at = members_.upper_bound(dead_cursor_);
+  for (std::size_t seen = 0; seen < members_.size(); ++seen, ++at) {
+    if (at == members_.end()) at = members_.begin();
+    if (claims.size() >= most) break;
+    dead_cursor_ = at->first;
+    if (at->second.state != MemberState::kDead) continue;
+    claims.push_back(ClaimOf(at->second, now));
+  }
+}
+
+void MemberTable::AddLive(std::vector<MemberClaim>& claims, std::size_t most,
+                          MemberId receiver, Time now) {
   auto at = members_.upper_bound(cursor_);
   for (std::size_t seen = 0; seen < members_.size(); ++seen, ++at) {
     if (at == members_.end()) at = members_.begin();
-    if (claims.size() >= most || most_filler == 0) break;
+    if (claims.size() >= most) break;
     cursor_ = at->first;
     if (at->first == self_ || news_.contains(at->second.id)) continue;
-    if (!IsLive(at->second.state)) continue;
-    if (at->second.id == receiver) continue;
+    if (!IsLive(at->second.state) || at->second.id == receiver) continue;
     claims.push_back(ClaimOf(at->second, now));
-    --most_filler;
   }
+}
+
+std::vector<MemberClaim> MemberTable::Claims(MemberId receiver,
+                                             std::size_t most,
+                                             std::size_t most_filler,
+                                             Time now) {
+  std::vector<MemberClaim> claims;
+  AddContested(claims, most, now);
+  AddDead(claims, std::min(most, claims.size() + kDeadClaims), now);
+  AddNews(claims, most, now);
+  AddLive(claims, std::min(most, claims.size() + most_filler), receiver, now);
   return claims;
 }
 
--- a/src/core/membership/table.h
+++ b/src/core/membership/table.h
@@ -32,7 +32,9 @@
   /// Gives every suspect its full time again.
   void RestartSuspicions(Time now);
 
-  /// Claims to send: changed ones first, then others in turn.
+  /// Claims to send: first those that a peer has wrong, then some that this
+  /// host has as dead, so that a peer can say otherwise, then changed ones and
+  /// others in turn.
   std::vector<MemberClaim> Claims(MemberId receiver, std::size_t most,
                                   std::size_t most_filler, Time now);
   /// The member with this identifier, null when unknown or replaced.
@@ -54,6 +56,12 @@
               std::vector<MembershipEvent>& events);
   void MarkNews(MemberId id);
   void SetNews(MemberId id, int sends);
+  void AddContested(std::vector<MemberClaim>& claims, std::size_t most,
+                    Time now);
+  void AddNews(std::vector<MemberClaim>& claims, std::size_t most, Time now);
+  void AddDead(std::vector<MemberClaim>& claims, std::size_t most, Time now);
+  void AddLive(std::vector<MemberClaim>& claims, std::size_t most,
+               MemberId receiver, Time now);
   MemberClaim ClaimOf(const Member& member, Time now) const;
   void Forget(const HostName& name);
 
@@ -62,10 +70,12 @@
   std::map<MemberId, Known> ids_;  // Of replaced incarnations too.
   std::map<MemberId, int> news_;   // Sends left of what has changed.
   std::set<std::pair<int, MemberId>> news_order_;  // The same, negated.
-  HostName cursor_;       // Where the next filler claims begin.
-  std::size_t live_ = 1;      // Alive and suspect members.
-  std::size_t suspects_ = 0;  // Suspect members.
-  Time next_scan_;            // When to look for members to forget.
+  std::vector<MemberId> contested_;  // Wrong in a claim just received.
+  HostName dead_cursor_;             // Where the next dead claims begin.
+  HostName cursor_;                  // Where the next filler claims begin.
+  std::size_t live_ = 1;             // Alive and suspect members.
+  std::size_t suspects_ = 0;         // Suspect members.
+  Time next_scan_;                   // When to look for members to forget.
 };
 
 }  // namespace comfreyflow::detail
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -20,7 +20,8 @@
 template <class Event>
 int Count(const std::vector<MembershipEvent>& events) {
   int count = 0;
-  for (const auto& event : events) count += std::holds_alternative<Event>(event);
+  for (const auto& event : events)
+    count += std::holds_alternative<Event>(event);
   return count;
 }
 
