--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,2 +1,9 @@
 // Entry point of comfreyflowctl.
-int main() { return 2; }
+#include <iostream>
+
+#include "ctl/report.h"
+
+int main(int argc, char** argv) {
+  const comfreyflow::ctl::Args args(argv + 1, argv + argc);
+  return comfreyflow::ctl::Run(args, std::cout, std::cerr);
+}
