--- a/include/comfreyflow/settings.h
+++ b/include/comfreyflow/settings.h
@@ -49,6 +49,8 @@
   Duration write_timeout = std::chrono::seconds(30);
   Duration max_deadline = std::chrono::minutes(30);
   Duration silence_limit = std::chrono::seconds(3);
+  /// How long callers may keep an answer of `GET /v1/addresses`.
+  Duration address_life = std::chrono::seconds(10);
 };
 
 struct HostSettingsResult {
--- a/src/core/settings/settings.cc
+++ b/src/core/settings/settings.cc
@@ -102,6 +102,8 @@
       reader.Span("max_deadline", out.max_deadline, seconds(1), hours(24));
   out.silence_limit = reader.Span("silence_limit", out.silence_limit,
                                   milliseconds(1500), seconds(60));
+  out.address_life = reader.Span("address_life", out.address_life,
+                                 milliseconds(100), std::chrono::minutes(10));
   if (out.body_memory_bytes < 2 * out.body_bytes) {
     reader.Report("body_memory_bytes", ProblemKind::kConflictingValue,
                   "expected at least twice body_bytes");
--- a/src/node/entry-actor.cc
+++ b/src/node/entry-actor.cc
@@ -44,6 +44,7 @@
       [this](const PlainAnswered& message) { TakePlain(message); },
       [this](const EntryPosted& message) { Run(message.event); },
       [this](const TimerTick& message) { TakeTick(message.now); },
+      [this](const OwnersAsked& message) { TakeOwners(message); },
       [this](const DumpWanted& message) { message.done(Dump()); },
       [this](const PeerRestarted& message) {
         if (message.name == kTimerName) Subscribe();
@@ -92,6 +93,17 @@
   }
 }
 
+void EntryActor::TakeOwners(const OwnersAsked& asked) const {
+  std::vector<AttemptId> unknown;
+  for (const auto& attempt : asked.attempts) {
+    const auto at = attempts_.find(attempt.request);
+    if (at == attempts_.end() || at->second != attempt) {
+      unknown.push_back(attempt);
+    }
+  }
+  asked.done(std::move(unknown));
+}
+
 void EntryActor::Run(const EntryEvent& event) {
   Watch(event);
   pending_.push_back(event);
@@ -157,6 +169,7 @@
         deps_.hooks.sign_resume(call, command.attempt, command.targets.front());
     call.token_sent = false;
   }
+  attempts_[command.attempt.request] = command.attempt;
   links_.Open(command, addresses, at->second);
 }
 
@@ -190,6 +203,7 @@
   if (at == calls_.end()) return;
   const CallPtr call = at->second;
   calls_.erase(at);
+  attempts_.erase(command.request);
   for (std::uint32_t i = 1; i <= command.attempts; ++i) {
     links_.Close({command.request, i});
   }
--- a/src/node/entry-actor.h
+++ b/src/node/entry-actor.h
@@ -60,6 +60,7 @@
   void TakeText(const TextArrived& text);
   void TakePlain(const PlainAnswered& answer);
   void TakeTick(Time now);
+  void TakeOwners(const OwnersAsked& asked) const;
   void Run(const EntryEvent& event);
   /// Notes what this actor itself has to know of an event.
   void Watch(const EntryEvent& event);
@@ -85,6 +86,8 @@
   Entry entry_;
   TargetLinks links_;
   std::map<RequestId, CallPtr> calls_;
+  /// Attempts opened and not ended, by request; only the last one runs.
+  std::map<RequestId, AttemptId> attempts_;
   /// Addresses of all targets seen, those gone included, for late cancels.
   std::map<TargetName, TargetInfo> targets_;
   std::deque<EntryEvent> pending_;  ///< Events made while commands ran.
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -5,9 +5,13 @@
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <variant>
+#include <vector>
 
 #include "comfreyflow/config.h"
 #include "comfreyflow/entry.h"
+#include "comfreyflow/steward.h"
+#include "comfreyflow/sweep.h"
 #include "node/call.h"
 
 namespace comfreyflow::node {
@@ -36,12 +40,54 @@
   EntryEvent event;
 };
 
-/// A steward's wish for load and lists, or an entry's for a grant.
-struct GrantWanted {
-  AskGrant ask;
+// ---- To the steward actor ----
+
+/// Room on a target, for an attempt of any host.
+struct ReserveWanted {
+  TargetName target;
+  ReserveAsk ask;
+};
+struct ReserveReleased {
+  TargetName target;
+  AttemptId attempt;
+};
+struct ReservePrefilled {
+  TargetName target;
+  AttemptId attempt;
+};
+
+/// The targets whose steward this host is now.
+struct StewardshipsChanged {
+  std::vector<TargetInfo> targets;
 };
-struct GrantReturned {
-  ReleaseGrant release;
+
+/// What a target said when it was polled.
+struct LoadRead {
+  TargetReport report;
+};
+struct AttemptsRead {
+  TargetName target;
+  AttemptsListed list;
+};
+struct CacheRead {
+  PrefixReported events;
+};
+/// A poll of the target has ended, whatever it gave.
+struct PollEnded {
+  TargetName target;
+  int poll = 0;
+};
+
+/// Life and death of hosts, for the sweeps and grants of all targets.
+struct OwnerNews {
+  std::variant<OwnerAlive, OwnerLost, OwnerAnswered> news;
+};
+
+/// To the entry actor: which of these attempts it does not own. `done` runs on
+/// the actor.
+struct OwnersAsked {
+  std::vector<AttemptId> attempts;
+  std::function<void(std::vector<AttemptId> unknown)> done;
 };
 
 /// A new generation of the configuration is in force.
@@ -75,8 +121,16 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::TextArrived)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::PlainAnswered)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::EntryPosted)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::GrantWanted)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::GrantReturned)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::ReserveWanted)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::ReserveReleased)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::ReservePrefilled)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::StewardshipsChanged)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::LoadRead)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::AttemptsRead)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::CacheRead)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::PollEnded)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::OwnerNews)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::OwnersAsked)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::ConfigApplied)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::DumpWanted)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::TimerSubscribe)
--- /dev/null
+++ b/src/node/node-deps.cc
@@ -0,0 +1,320 @@
+// Connects the parts of a host.
+#include <utility>
+
+#include "comfreyflow/resume.h"
+#include "node/log.h"
+#include "node/node-state.h"
+
+namespace comfreyflow::node {
+namespace {
+
+using Json = nlohmann::ordered_json;
+using std::chrono::milliseconds;
+
+/// A caller may continue its stream for this long after the deadline.
+constexpr milliseconds kResumeWindow{15'000};
+
+/// Time in which all peers leave a draining host out of their answers.
+constexpr Duration kPeersStop = std::chrono::seconds(3);
+constexpr Duration kDrainTick = milliseconds(50);
+
+milliseconds Milliseconds(Duration time) {
+  return std::chrono::duration_cast<milliseconds>(time);
+}
+
+ReserveAsk AskOf(const AskGrant& grant) {
+  ReserveAsk ask;
+  ask.attempt = grant.attempt;
+  ask.account = grant.account;
+  ask.kv_tokens = grant.kv_tokens;
+  ask.urgency = grant.urgency;
+  ask.expires = grant.expires;
+  return ask;
+}
+
+/// Collects the parts of a dump, which come from several actors.
+struct DumpParts {
+  std::mutex mutex;
+  Json all;
+  std::size_t missing = 0;
+  std::function<void(Json)> done;
+
+  void Add(const Json& part) {
+    const std::lock_guard lock(mutex);
+    all.update(part);
+    if (--missing == 0) done(std::move(all));
+  }
+};
+
+}  // namespace
+
+std::vector<TargetInfo> Node::State::Targets() const {
+  std::vector<TargetInfo> all;
+  const auto now = config->current();
+  if (!now) return all;
+  for (const auto& [name, service] : now->config.services) {
+    for (auto& target : TargetsOf(now->config, name)) {
+      all.push_back(std::move(target));
+    }
+  }
+  return all;
+}
+
+CallerApiDeps Node::State::MakeCallerDeps() {
+  CallerApiDeps deps;
+  deps.host = settings().name;
+  deps.incarnation = incarnation;
+  deps.fleet_key = options.fleet_key;
+  deps.max_deadline = settings().max_deadline;
+  deps.config = config;
+  deps.metrics = &metrics;
+  deps.arrive = [this](CallPtr call) {
+    entry->Send(CallArrived{std::move(call)});
+  };
+  deps.addresses = [this](const FailureDomain& caller) {
+    return AddressesAnswer(caller);
+  };
+  return deps;
+}
+
+AdminDeps Node::State::MakeAdminDeps() {
+  AdminDeps deps;
+  deps.key_sha256 = settings().admin_key_sha256;
+  deps.environment = settings().environment;
+  deps.state = [this] { return StateName(); };
+  deps.metrics = [this] {
+    return metrics.Render({open_requests, open_attempts, bodies->used()});
+  };
+  deps.status = [this] { return Status(); };
+  deps.dump = [this](std::function<void(Json)> done) { Dump(std::move(done)); };
+  deps.drain = [this] { StartDrain(); };
+  deps.config = [this] {
+    const auto now = config->current();
+    if (!now) return Json::object();
+    return Json{{"environment", settings().environment},
+                {"generation", now->generation},
+                {"hash", now->hash},
+                {"document", now->text}};
+  };
+  deps.apply = [this](ApplyWanted wanted,
+                      std::function<void(ApplyResult)> done) {
+    if (platform) {
+      return config_actor->Send(
+          ConfigWanted{std::move(wanted), std::move(done)});
+    }
+    ApplyResult result;
+    const auto parsed = ParseConfig(wanted.document);
+    result.problems = parsed.problems;
+    result.code =
+        parsed.ok() ? Errc::kPlatformUnavailable : Errc::kConfigInvalid;
+    done(std::move(result));
+  };
+  return deps;
+}
+
+EntryDeps Node::State::MakeEntryDeps() {
+  EntryDeps deps;
+  deps.settings.failure_domain = settings().failure_domain;
+  deps.settings.seed = incarnation.value;
+  deps.settings.silence_limit = settings().silence_limit;
+  deps.io = &io;
+  deps.client = &client;
+  deps.metrics = &metrics;
+  deps.self = entry;
+  deps.timer = timer;
+  deps.hooks.targets = [this] { return Targets(); };
+  deps.hooks.ask_grant = [this](const AskGrant& ask) {
+    steward->Send(ReserveWanted{ask.target, AskOf(ask)});
+  };
+  deps.hooks.release_grant = [this](const ReleaseGrant& release) {
+    steward->Send(ReserveReleased{release.target, release.attempt});
+  };
+  if (platform) {
+    deps.hooks.want_claim = [this](const WantClaim& want) {
+      claims->Send(ClaimPosted{want});
+    };
+    deps.hooks.record_outcome = [this](const RecordOutcome& record) {
+      claims->Send(ClaimPosted{record});
+    };
+  }
+  deps.hooks.sign_resume = [this](const Call& call, const AttemptId& attempt,
+                                  const TargetName& target) {
+    return SignResume(call, attempt, target);
+  };
+  deps.hooks.open_changed = [this](std::size_t requests, std::size_t attempts) {
+    open_requests = requests;
+    open_attempts = attempts;
+  };
+  return deps;
+}
+
+StewardDeps Node::State::MakeStewardDeps() {
+  StewardDeps deps;
+  deps.client = &client;
+  deps.self = steward;
+  deps.timer = timer;
+  deps.hooks.targets = [this] { return Targets(); };
+  deps.hooks.answer = [this](const TargetName& target,
+                             const ReserveAnswer& answer) {
+    entry->Send(EntryPosted{GrantAnswered{answer.attempt, target, answer.reply,
+                                          answer.retry_after}});
+  };
+  deps.hooks.report = [this](const TargetReport& report) {
+    entry->Send(EntryPosted{LoadReported{report}});
+  };
+  deps.hooks.cache_events = [this](const PrefixReported& events) {
+    entry->Send(EntryPosted{events});
+  };
+  deps.hooks.ask_owner = [this](const AskOwner& ask) {
+    if (ask.host != settings().name) return;
+    entry->Send(
+        OwnersAsked{ask.attempts, [this](std::vector<AttemptId> unknown) {
+                      steward->Send(OwnerNews{OwnerAnswered{
+                          settings().name, incarnation, std::move(unknown)}});
+                    }});
+  };
+  return deps;
+}
+
+ClaimDeps Node::State::MakeClaimDeps() {
+  ClaimDeps deps;
+  deps.settings.host = settings().name;
+  // Another one for each start of the actor, as its numbers begin anew.
+  deps.settings.incarnation = comfreyflow::detail::IncarnationFromClock();
+  deps.platform = platform.get();
+  deps.metrics = &metrics;
+  deps.self = claims;
+  deps.timer = timer;
+  deps.hooks.answered = [this](const ClaimAnswered& answer) {
+    entry->Send(EntryPosted{answer});
+  };
+  return deps;
+}
+
+ConfigDeps Node::State::MakeConfigDeps() {
+  ConfigDeps deps;
+  deps.environment = settings().environment;
+  deps.require_proof = settings().require_proof;
+  deps.view = config;
+  deps.platform = platform.get();
+  deps.self = config_actor;
+  deps.timer = timer;
+  deps.hooks.apply = [this](const ConfigPtr& next) { ApplyConfig(next); };
+  deps.hooks.fetch_from_peer = [](const HostName&) {};
+  deps.hooks.reachable = [this](bool now) {
+    reachable = now;
+    LogLine(Severity::kWarning, now ? "config_reached" : "config_cut_off");
+    if (now) {
+      entry->Send(EntryPosted{ResumeAdmitting{}});
+    } else {
+      entry->Send(EntryPosted{StopAdmitting{Errc::kCutOff}});
+    }
+  };
+  return deps;
+}
+
+std::string Node::State::SignResume(const Call& call, const AttemptId& attempt,
+                                    const TargetName& target) const {
+  if (!call.info.repeatable) return {};
+  const auto wall = std::chrono::time_point_cast<milliseconds>(
+      std::chrono::system_clock::now());
+  const auto left =
+      Milliseconds(call.info.deadline - comfreyflow::detail::Now());
+  ResumeToken token;
+  token.attempt = attempt;
+  token.account = call.info.account;
+  token.target = target;
+  token.fingerprint = call.info.fingerprint;
+  token.offset = call.offset;
+  token.expires = wall + left + kResumeWindow;
+  return SignResumeToken(token, options.fleet_key);
+}
+
+const char* Node::State::StateName() const {
+  if (drain_phase() != DrainPhase::kServing) return "draining";
+  if (!reachable) return "cut_off";
+  return config->current() ? "running" : "no_configuration";
+}
+
+std::string Node::State::AddressesAnswer(const FailureDomain&) {
+  Json hosts = Json::array();
+  {
+    const std::lock_guard lock(drain_mutex);
+    if (drain.in_answers()) {
+      drain.AnswerHandedOut(comfreyflow::detail::Now() +
+                            settings().address_life);
+      hosts.push_back({{"address", settings().callers},
+                       {"failure_domain", settings().failure_domain.value}});
+    }
+  }
+  return Json{{"hosts", std::move(hosts)},
+              {"expires_ms", Milliseconds(settings().address_life).count()}}
+      .dump();
+}
+
+DrainPhase Node::State::drain_phase() const {
+  const std::lock_guard lock(drain_mutex);
+  return drain.phase();
+}
+
+void Node::State::StartDrain() {
+  {
+    const std::lock_guard lock(drain_mutex);
+    if (drain.phase() != DrainPhase::kServing) return;
+    drain.Stop(comfreyflow::detail::Now(), kPeersStop, settings().address_life);
+  }
+  LogLine(Severity::kInfo, "drain_began");
+  WaitDrain();
+}
+
+void Node::State::WaitDrain() {
+  drain_timer.expires_after(kDrainTick);
+  drain_timer.async_wait([this](const boost::system::error_code& error) {
+    if (!error) AdvanceDrain();
+  });
+}
+
+void Node::State::AdvanceDrain() {
+  DrainPhase phase;
+  {
+    const std::lock_guard lock(drain_mutex);
+    const std::size_t open = open_requests + callers->unanswered();
+    phase = drain.Advance(open, comfreyflow::detail::Now());
+  }
+  if (phase >= DrainPhase::kRefusing && !refusing.exchange(true)) {
+    LogLine(Severity::kInfo, "drain_refuses");
+    entry->Send(EntryPosted{StopAdmitting{Errc::kDraining}});
+  }
+  if (phase != DrainPhase::kDone) return WaitDrain();
+  if (!exit_told.exchange(true)) options.on_exit(0);
+}
+
+void Node::State::Dump(std::function<void(Json)> done) {
+  auto parts = std::make_shared<DumpParts>();
+  parts->all["status"] = Status();
+  parts->all["limits"] = {{"body_memory_bytes", bodies->limit()},
+                          {"body_memory_used", bodies->used()}};
+  parts->done = std::move(done);
+  std::vector<ActorRefPtr> actors = {entry, steward};
+  if (platform) actors.push_back(claims);
+  parts->missing = actors.size();
+  for (const auto& actor : actors) {
+    actor->Send(DumpWanted{[parts](const Json& part) { parts->Add(part); }});
+  }
+}
+
+Json Node::State::Status() const {
+  const auto now = config->current();
+  Json status{{"host", settings().name.value},
+              {"failure_domain", settings().failure_domain.value},
+              {"incarnation", incarnation.value},
+              {"state", StateName()},
+              {"open_requests", open_requests.load()},
+              {"open_attempts", open_attempts.load()}};
+  status["config"] = {{"environment", settings().environment},
+                      {"generation", now ? now->generation : 0},
+                      {"hash", now ? now->hash : ""}};
+  return status;
+}
+
+}  // namespace comfreyflow::node
--- /dev/null
+++ b/src/node/node-state.h
@@ -0,0 +1,112 @@
+/// The parts of a running host and what connects them. Used by node.cc, which
+/// starts and stops them, and by node-deps.cc, which connects them.
+#pragma once
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <caf/all.hpp>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "comfreyflow/drain.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "http/tls.h"
+#include "node/admin-api.h"
+#include "node/caller-api.h"
+#include "node/claim-actor.h"
+#include "node/clock.h"
+#include "node/config-actor.h"
+#include "node/config-view.h"
+#include "node/entry-actor.h"
+#include "node/metrics.h"
+#include "node/node.h"
+#include "node/steward-actor.h"
+#include "node/supervisor.h"
+#include "platform/client.h"
+
+namespace comfreyflow::node {
+
+/// Settings of the actor library.
+caf::actor_system_config ActorConfig();
+
+struct Node::State {
+  explicit State(NodeOptions all)
+      : options(std::move(all)),
+        incarnation(comfreyflow::detail::IncarnationFromClock()),
+        config(std::make_shared<ConfigView>()),
+        bodies(std::make_shared<http::BodyBudget>(
+            options.settings.body_memory_bytes)),
+        client(io),
+        system_config(ActorConfig()),
+        system(system_config) {}
+
+  const HostSettings& settings() const { return options.settings; }
+
+  std::error_code StartTls();
+  std::error_code StartServers();
+  void StartActors();
+  void StartPlatform(std::vector<ChildSpec>& children);
+  void StartThreads();
+  std::error_code LoadConfigFile();
+  void ApplyConfig(const ConfigPtr& next);
+  void Stop();
+  CallerApiDeps MakeCallerDeps();
+  AdminDeps MakeAdminDeps();
+  EntryDeps MakeEntryDeps();
+  StewardDeps MakeStewardDeps();
+  ClaimDeps MakeClaimDeps();
+  ConfigDeps MakeConfigDeps();
+  std::vector<TargetInfo> Targets() const;
+  void Dump(std::function<void(nlohmann::ordered_json)> done);
+  std::string SignResume(const Call& call, const AttemptId& attempt,
+                         const TargetName& target) const;
+  nlohmann::ordered_json Status() const;
+  const char* StateName() const;
+  std::string AddressesAnswer(const FailureDomain& caller);
+  DrainPhase drain_phase() const;
+  void StartDrain();
+  void WaitDrain();
+  void AdvanceDrain();
+
+  const NodeOptions options;
+  const Incarnation incarnation;
+  boost::asio::io_context io;
+  std::optional<
+      boost::asio::executor_work_guard<boost::asio::io_context::executor_type>>
+      work;
+  std::shared_ptr<ConfigView> config;
+  std::shared_ptr<http::BodyBudget> bodies;
+  Metrics metrics;
+  http::Client client;
+  std::unique_ptr<PlatformClient> platform;
+  std::unique_ptr<http::TlsFiles> tls;
+  std::unique_ptr<CallerApi> caller_api;
+  std::unique_ptr<AdminApi> admin_api;
+  std::unique_ptr<http::Server> callers;
+  std::unique_ptr<http::Server> admin;
+  caf::actor_system_config system_config;
+  caf::actor_system system;
+  ActorRefPtr entry = std::make_shared<ActorRef>();
+  ActorRefPtr timer = std::make_shared<ActorRef>();
+  ActorRefPtr steward = std::make_shared<ActorRef>();
+  ActorRefPtr claims = std::make_shared<ActorRef>();
+  ActorRefPtr config_actor = std::make_shared<ActorRef>();
+  caf::actor supervisor;
+  std::vector<std::thread> threads;
+  std::atomic<std::size_t> open_requests = 0;
+  std::atomic<std::size_t> open_attempts = 0;
+  std::atomic<bool> exit_told = false;
+  mutable std::mutex drain_mutex;
+  comfreyflow::Drain drain;  ///< Guarded by `drain_mutex`.
+  boost::asio::steady_timer drain_timer{io};
+  std::atomic<bool> refusing = false;
+  std::atomic<bool> reachable = true;
+};
+
+}  // namespace comfreyflow::node
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -1,40 +1,22 @@
 // Puts a host process together.
 #include "node/node.h"
 
-#include <atomic>
-#include <boost/asio.hpp>
-#include <caf/all.hpp>
 #include <fstream>
 #include <sstream>
-#include <thread>
 #include <utility>
 
-#include "comfreyflow/resume.h"
-#include "http/address.h"
-#include "http/client.h"
-#include "http/server.h"
-#include "http/tls.h"
-#include "node/admin-api.h"
-#include "node/caller-api.h"
-#include "node/clock.h"
-#include "node/config-view.h"
-#include "node/entry-actor.h"
 #include "node/log.h"
-#include "node/metrics.h"
-#include "node/supervisor.h"
+#include "node/node-state.h"
 #include "node/timer-service.h"
 
 namespace comfreyflow::node {
 namespace {
 
 namespace asio = boost::asio;
-using Json = nlohmann::ordered_json;
 using std::chrono::milliseconds;
 
 constexpr std::uint64_t kAdminBodyBytes = 2 * 1024 * 1024;
 constexpr std::uint64_t kAdminMemoryBytes = 16 * 1024 * 1024;
-/// A caller may continue its stream this long after the deadline's start.
-constexpr milliseconds kResumeWindow{15'000};
 constexpr std::size_t kActorThreads = 2;
 
 milliseconds Milliseconds(Duration time) {
@@ -59,15 +41,7 @@
 
 http::Response PlainError(Errc code) { return ErrorResponse(FailureOf(code)); }
 
-std::vector<TargetInfo> AllTargets(const Config& config) {
-  std::vector<TargetInfo> all;
-  for (const auto& [name, service] : config.services) {
-    for (auto& target : TargetsOf(config, name)) {
-      all.push_back(std::move(target));
-    }
-  }
-  return all;
-}
+}  // namespace
 
 caf::actor_system_config ActorConfig() {
   caf::actor_system_config config;
@@ -76,8 +50,6 @@
   return config;
 }
 
-}  // namespace
-
 std::error_code ReadSecret(const std::string& file, std::string& out) {
   std::ifstream stream(file);
   std::ostringstream text;
@@ -94,60 +66,6 @@
   return {};
 }
 
-struct Node::State {
-  explicit State(NodeOptions all)
-      : options(std::move(all)),
-        incarnation(comfreyflow::detail::IncarnationFromClock()),
-        config(std::make_shared<ConfigView>()),
-        bodies(std::make_shared<http::BodyBudget>(
-            options.settings.body_memory_bytes)),
-        client(io),
-        system_config(ActorConfig()),
-        system(system_config) {}
-
-  const HostSettings& settings() const { return options.settings; }
-
-  std::error_code StartTls();
-  std::error_code StartServers();
-  void StartActors();
-  void StartThreads();
-  std::error_code LoadConfigFile();
-  void ApplyConfig(const ConfigPtr& next);
-  void Stop();
-  CallerApiDeps CallerDeps();
-  AdminDeps MakeAdminDeps();
-  EntryDeps MakeEntryDeps();
-  std::string SignResume(const Call& call, const AttemptId& attempt,
-                         const TargetName& target) const;
-  Json Status() const;
-  const char* StateName() const;
-
-  const NodeOptions options;
-  const Incarnation incarnation;
-  asio::io_context io;
-  std::optional<asio::executor_work_guard<asio::io_context::executor_type>>
-      work;
-  std::shared_ptr<ConfigView> config;
-  std::shared_ptr<http::BodyBudget> bodies;
-  Metrics metrics;
-  http::Client client;
-  std::unique_ptr<http::TlsFiles> tls;
-  std::unique_ptr<CallerApi> caller_api;
-  std::unique_ptr<AdminApi> admin_api;
-  std::unique_ptr<http::Server> callers;
-  std::unique_ptr<http::Server> admin;
-  caf::actor_system_config system_config;
-  caf::actor_system system;
-  ActorRefPtr entry = std::make_shared<ActorRef>();
-  ActorRefPtr timer = std::make_shared<ActorRef>();
-  caf::actor supervisor;
-  std::vector<std::thread> threads;
-  std::atomic<std::size_t> open_requests = 0;
-  std::atomic<std::size_t> open_attempts = 0;
-  std::atomic<bool> draining = false;
-  std::atomic<bool> exit_told = false;
-};
-
 std::error_code Node::State::StartTls() {
   if (settings().certificate_file.empty()) return {};
   tls = std::make_unique<http::TlsFiles>(settings().certificate_file,
@@ -157,7 +75,7 @@
 }
 
 std::error_code Node::State::StartServers() {
-  caller_api = std::make_unique<CallerApi>(CallerDeps());
+  caller_api = std::make_unique<CallerApi>(MakeCallerDeps());
   http::ServerHooks hooks;
   hooks.admit_head = [this](const auto& head) {
     return caller_api->AdmitHead(head);
@@ -192,11 +110,27 @@
   children.push_back({"entry", entry, [this](caf::actor_system& all) {
                         return all.spawn<EntryActor>(MakeEntryDeps());
                       }});
+  children.push_back({"steward", steward, [this](caf::actor_system& all) {
+                        return all.spawn<StewardActor>(MakeStewardDeps());
+                      }});
+  if (!settings().platform.empty()) StartPlatform(children);
   supervisor = system.spawn<Supervisor>(std::move(children), [this] {
     if (!exit_told.exchange(true)) options.on_exit(1);
   });
 }
 
+void Node::State::StartPlatform(std::vector<ChildSpec>& children) {
+  PlatformSettings platform_settings;
+  platform_settings.address = settings().platform;
+  platform = std::make_unique<PlatformClient>(io, client, platform_settings);
+  children.push_back({"claims", claims, [this](caf::actor_system& all) {
+                        return all.spawn<ClaimActor>(MakeClaimDeps());
+                      }});
+  children.push_back({"config", config_actor, [this](caf::actor_system& all) {
+                        return all.spawn<ConfigActor>(MakeConfigDeps());
+                      }});
+}
+
 void Node::State::StartThreads() {
   work.emplace(asio::make_work_guard(io));
   for (std::uint32_t i = 0; i < settings().io_threads; ++i) {
@@ -232,9 +166,10 @@
   LogLine(Severity::kInfo, "config_applied")
       .With("generation", next->generation)
       .With("hash", next->hash);
-  for (const auto& target : AllTargets(next->config)) {
+  for (const auto& target : Targets()) {
     entry->Send(EntryPosted{TargetSeen{target}});
   }
+  steward->Send(StewardshipsChanged{Targets()});
   if (!before) return;
   for (const auto& [name, target] : before->config.targets) {
     if (next->config.targets.count(name) == 0) {
@@ -243,135 +178,6 @@
   }
 }
 
-CallerApiDeps Node::State::CallerDeps() {
-  CallerApiDeps deps;
-  deps.host = settings().name;
-  deps.incarnation = incarnation;
-  deps.fleet_key = options.fleet_key;
-  deps.max_deadline = settings().max_deadline;
-  deps.config = config;
-  deps.metrics = &metrics;
-  deps.arrive = [this](CallPtr call) {
-    entry->Send(CallArrived{std::move(call)});
-  };
-  deps.addresses = [this](const FailureDomain&) {
-    constexpr int kAnswerLifeMs = 30'000;
-    return Json{
-        {"hosts",
-         Json::array({{{"address", settings().callers},
-                       {"failure_domain", settings().failure_domain.value}}})},
-        {"expires_ms", kAnswerLifeMs}}
-        .dump();
-  };
-  return deps;
-}
-
-AdminDeps Node::State::MakeAdminDeps() {
-  AdminDeps deps;
-  deps.key_sha256 = settings().admin_key_sha256;
-  deps.environment = settings().environment;
-  deps.state = [this] { return StateName(); };
-  deps.metrics = [this] {
-    return metrics.Render({open_requests, open_attempts, bodies->used()});
-  };
-  deps.status = [this] { return Status(); };
-  deps.dump = [this](std::function<void(Json)> done) {
-    entry->Send(DumpWanted{[this, done = std::move(done)](const Json& state) {
-      Json all{{"status", Status()}};
-      all.update(state);
-      all["limits"] = {{"body_memory_bytes", bodies->limit()},
-                       {"body_memory_used", bodies->used()}};
-      done(std::move(all));
-    }});
-  };
-  deps.drain = [this] {
-    draining = true;
-    entry->Send(EntryPosted{StopAdmitting{Errc::kDraining}});
-  };
-  deps.config = [this] {
-    const auto now = config->current();
-    if (!now) return Json::object();
-    return Json{{"environment", settings().environment},
-                {"generation", now->generation},
-                {"hash", now->hash},
-                {"document", now->text}};
-  };
-  deps.apply = [](const ApplyWanted& wanted,
-                  const std::function<void(ApplyResult)>& done) {
-    ApplyResult result;
-    const auto parsed = ParseConfig(wanted.document);
-    result.problems = parsed.problems;
-    result.code =
-        parsed.ok() ? Errc::kPlatformUnavailable : Errc::kConfigInvalid;
-    done(std::move(result));
-  };
-  return deps;
-}
-
-EntryDeps Node::State::MakeEntryDeps() {
-  EntryDeps deps;
-  deps.settings.failure_domain = settings().failure_domain;
-  deps.settings.seed = incarnation.value;
-  deps.settings.silence_limit = settings().silence_limit;
-  deps.io = &io;
-  deps.client = &client;
-  deps.metrics = &metrics;
-  deps.self = entry;
-  deps.timer = timer;
-  deps.hooks.targets = [this] {
-    const auto now = config->current();
-    return now ? AllTargets(now->config) : std::vector<TargetInfo>();
-  };
-  deps.hooks.sign_resume = [this](const Call& call, const AttemptId& attempt,
-                                  const TargetName& target) {
-    return SignResume(call, attempt, target);
-  };
-  deps.hooks.open_changed = [this](std::size_t requests, std::size_t attempts) {
-    open_requests = requests;
-    open_attempts = attempts;
-    if (draining && requests == 0 && !exit_told.exchange(true)) {
-      options.on_exit(0);
-    }
-  };
-  return deps;
-}
-
-std::string Node::State::SignResume(const Call& call, const AttemptId& attempt,
-                                    const TargetName& target) const {
-  if (!call.info.repeatable) return {};
-  const auto wall = std::chrono::time_point_cast<milliseconds>(
-      std::chrono::system_clock::now());
-  const auto left =
-      Milliseconds(call.info.deadline - comfreyflow::detail::Now());
-  ResumeToken token;
-  token.attempt = attempt;
-  token.account = call.info.account;
-  token.target = target;
-  token.fingerprint = call.info.fingerprint;
-  token.offset = call.offset;
-  token.expires = wall + left + kResumeWindow;
-  return SignResumeToken(token, options.fleet_key);
-}
-
-const char* Node::State::StateName() const {
-  if (draining) return "draining";
-  return config->current() ? "running" : "no_configuration";
-}
-
-Json Node::State::Status() const {
-  const auto now = config->current();
-  Json status{{"host", settings().name.value},
-              {"failure_domain", settings().failure_domain.value},
-              {"incarnation", incarnation.value},
-              {"state", StateName()},
-              {"open_requests", open_requests.load()},
-              {"open_attempts", open_attempts.load()}};
-  status["config"] = {{"environment", settings().environment},
-                      {"generation", now ? now->generation : 0},
-                      {"hash", now ? now->hash : ""}};
-  return status;
-}
-
 void Node::State::Stop() {
   if (callers) callers->Close();
   if (admin) admin->Close();
@@ -403,10 +209,7 @@
   return {};
 }
 
-void Node::Drain() {
-  state_->draining = true;
-  state_->entry->Send(EntryPosted{StopAdmitting{Errc::kDraining}});
-}
+void Node::Drain() { state_->StartDrain(); }
 
 void Node::ReloadTls() {
   if (!state_->tls) return;
