--- a/src/node/answer.cc
+++ b/src/node/answer.cc
@@ -29,7 +29,7 @@
   Json error{{"code", info.name},
              {"message", info.message},
              {"outcome", ToString(failure.outcome)},
-             {"retry", info.retry && failure.outcome == Outcome::kNotRun},
+             {"retry", info.retry},
              {"retry_after_ms",
               std::chrono::ceil<milliseconds>(failure.retry_after).count()}};
   if (!failure.field.empty()) error["field"] = failure.field;
