--- a/src/core/operator/config-change.cc
+++ b/src/core/operator/config-change.cc
@@ -1,4 +1,4 @@
-// Differences of two configurations, and how an update ended.
+// Differences of two configurations, and proofs.
 #include "comfreyflow/config-change.h"
 
 #include <map>
@@ -38,7 +38,7 @@
 }
 
 bool Everywhere(const ConfigReach& reach) {
-  return reach.seen.generation > 0 && reach.of > 0 && reach.hosts == reach.of;
+  return reach.generation > 0 && reach.of > 0 && reach.hosts == reach.of;
 }
 
 }  // namespace
@@ -75,17 +75,9 @@
   return out;
 }
 
-ApplyEnd SettleApply(std::uint64_t against, const std::string& hash,
-                     const ConfigSeen& seen) {
-  if (seen.generation <= against) return ApplyEnd::kNotSeen;
-  if (seen.hash == hash) return ApplyEnd::kApplied;
-  const bool next = seen.generation == against + 1;
-  return next ? ApplyEnd::kConflict : ApplyEnd::kOvertaken;
-}
-
 Errc CheckProven(const ConfigReach& before, const ConfigReach& after) {
-  const bool same = before.seen.generation == after.seen.generation &&
-                    before.seen.hash == after.seen.hash;
+  const bool same =
+      before.generation == after.generation && before.hash == after.hash;
   const bool proven = same && Everywhere(before) && Everywhere(after);
   return proven ? Errc::kOk : Errc::kPromoteUnproven;
 }
--- a/src/ctl/config-commands.cc
+++ b/src/ctl/config-commands.cc
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "comfreyflow/config-change.h"
+#include "comfreyflow/config-state.h"
 #include "ctl/arguments.h"
 #include "ctl/commands.h"
 #include "ctl/host-call.h"
@@ -16,13 +17,13 @@
 
 constexpr const char* kAdminWhat = "A host's address for operators";
 constexpr std::chrono::milliseconds kLookPeriod(100);
-constexpr std::chrono::seconds kSettleTime(8);
+/// A document that the store has accepted is on each host by then.
+constexpr std::chrono::seconds kLookTime(3);
 
 /// A document in force, as one host has it.
 struct InForce {
   Errc code = Errc::kOk;
-  ConfigSeen seen;
-  std::string environment;
+  StoredConfig stored;
   std::optional<Config> config;  ///< Empty before the first.
 };
 
@@ -40,10 +41,9 @@
   out.code = reply.code;
   if (reply.code == Errc::kObjectNotFound) out.code = Errc::kOk;
   if (reply.code != Errc::kOk) return out;
-  out.seen.generation = reply.body.value("generation", std::uint64_t{0});
-  out.seen.hash = reply.body.value("hash", "");
-  out.environment = reply.body.value("environment", "");
-  ConfigResult parsed = ParseConfig(reply.body.value("document", ""));
+  out.stored.generation = reply.body.value("generation", std::uint64_t{0});
+  out.stored.text = reply.body.value("document", "");
+  ConfigResult parsed = ParseConfig(out.stored.text);
   if (!parsed.ok()) out.code = Errc::kConfigInvalid;
   out.config = std::move(parsed.config);
   return out;
@@ -55,8 +55,8 @@
   if (reply.code != Errc::kOk) return out;
   const Json config = reply.body.value("config", Json::object());
   const Json reach = reply.body.value("in_force", Json::object());
-  out.seen.generation = config.value("generation", std::uint64_t{0});
-  out.seen.hash = config.value("hash", "");
+  out.generation = config.value("generation", std::uint64_t{0});
+  out.hash = config.value("hash", "");
   out.hosts = reach.value("hosts", 0U);
   out.of = reach.value("of", 0U);
   return out;
@@ -93,52 +93,41 @@
   return false;
 }
 
-/// Looks until the update shows or time is over.
-ApplyEnd Settle(const HostCaller& caller, const Update& update) {
-  const std::string hash = Sha256(update.text).value;
-  const auto end = steady_clock::now() + kSettleTime;
-  ApplyEnd found = ApplyEnd::kNotSeen;
-  while (found == ApplyEnd::kNotSeen && steady_clock::now() < end) {
-    const InForce now = ReadConfig(caller);
-    if (now.code == Errc::kOk) {
-      found = SettleApply(update.against, hash, now.seen);
-    }
-    if (found == ApplyEnd::kNotSeen) std::this_thread::sleep_for(kLookPeriod);
+/// Looks until a later generation than `base` shows or time is over.
+InForce LookBehind(const HostCaller& caller, std::uint64_t base) {
+  const auto end = steady_clock::now() + kLookTime;
+  InForce now = ReadConfig(caller);
+  while ((now.code != Errc::kOk || now.stored.generation <= base) &&
+         steady_clock::now() < end) {
+    std::this_thread::sleep_for(kLookPeriod);
+    now = ReadConfig(caller);
   }
-  return found;
+  return now;
 }
 
-/// Shows what either side changed; the other's document may take a moment to
-/// reach the host that is asked.
-void ReportConflict(Report& report, const HostCaller& caller,
-                    const Update& update, const InForce& base) {
-  Settle(caller, update);
-  const InForce theirs = ReadConfig(caller);
-  const bool base_known = base.seen.generation == update.against;
-  const Config before = base.config && base_known ? *base.config : Config();
-  if (base_known) AddDifferences(report, "yours", before, update.config);
-  if (theirs.config && base_known) {
-    AddDifferences(report, "theirs", before, *theirs.config);
-  } else if (theirs.config) {
-    AddDifferences(report, "theirs to yours", *theirs.config, update.config);
+/// Shows what either side changed since the document that both started from.
+void ReportConflict(Report& report, const Update& update, const InForce& base,
+                    const UpdateEnded& end) {
+  const ConfigResult theirs = ParseConfig(end.current.text);
+  const bool base_known = base.stored.generation == update.against;
+  if (base_known) {
+    const Config before = base.config.value_or(Config());
+    AddDifferences(report, "yours", before, update.config);
+    AddDifferences(report, "theirs", before, theirs.config);
+  } else {
+    AddDifferences(report, "theirs to yours", theirs.config, update.config);
   }
-  report.json["generation"] = theirs.seen.generation;
-  SetError(report, Errc::kConfigConflict,
+  report.json["generation"] = end.current.generation;
+  report.json["replaced"] = end.replaced;
+  SetError(report, end.code,
            "made against generation " + std::to_string(update.against) +
-               ", in force is " + std::to_string(theirs.seen.generation));
-}
-
-void ReportApplied(Report& report, const Update& update, bool settled) {
-  const std::uint64_t generation = update.against + 1;
-  report.json["generation"] = generation;
-  report.json["hash"] = Sha256(update.text).value;
-  report.json["settled_by_reading_back"] = settled;
-  report.text += "accepted as generation " + std::to_string(generation) +
-                 (settled ? ", as reading back shows\n" : "\n");
+               ", in force is " + std::to_string(end.current.generation) +
+               (end.replaced ? "; yours may have been between" : ""));
 }
 
-void Send(Report& report, const HostCaller& caller, const Update& update,
-          const InForce& base) {
+/// Asks a host to make the update; keeps its error body in the report.
+UpdateStep Put(Report& report, const HostCaller& caller, const Update& update,
+               ConfigUpdate& course) {
   http::Fields fields = {{"if-match", std::to_string(update.against)},
                          {"content-type", "text/plain"}};
   if (!update.proven_hash.empty()) {
@@ -146,27 +135,47 @@
   }
   const HostReply reply =
       caller.Call("PUT", "/admin/config", update.text, fields);
-  if (reply.code == Errc::kOk) return ReportApplied(report, update, false);
+  if (reply.code == Errc::kOk) {
+    return course.OnPut(PutReply::kDone,
+                        reply.body.value("generation", std::uint64_t{0}));
+  }
   if (reply.code == Errc::kConfigConflict) {
-    return ReportConflict(report, caller, update, base);
+    return course.OnPut(PutReply::kConflict, 0);
   }
-  const bool unclear = reply.lost || reply.code == Errc::kPlatformUnavailable;
-  const ApplyEnd end = unclear ? Settle(caller, update) : ApplyEnd::kNotSeen;
-  switch (end) {
-    case ApplyEnd::kApplied:
-      return ReportApplied(report, update, true);
-    case ApplyEnd::kConflict:
-      return ReportConflict(report, caller, update, base);
-    case ApplyEnd::kOvertaken:
-      return SetError(report, Errc::kOutcomeUnknown, "a later one is in force");
-    case ApplyEnd::kNotSeen:
-      break;
+  if (reply.lost || reply.code == Errc::kPlatformUnavailable) {
+    return course.OnPut(PutReply::kNoAnswer, 0);
   }
-  if (reply.body.is_object() && reply.body.contains("error")) {
-    report.json["host_error"] = reply.body["error"];
+  report.json["host_error"] =
+      reply.body.is_object() ? reply.body.value("error", Json()) : Json();
+  return UpdateEnded{reply.code, {}, false};
+}
+
+void Send(Report& report, const HostCaller& caller, const Update& update,
+          const InForce& base) {
+  ConfigUpdate course(update.against, update.text);
+  UpdateStep step = course.Start();
+  bool read_back = false;
+  while (!std::holds_alternative<UpdateEnded>(step)) {
+    if (std::holds_alternative<PutConfig>(step)) {
+      step = Put(report, caller, update, course);
+      continue;
+    }
+    read_back = true;
+    const InForce now = LookBehind(caller, update.against);
+    step = now.code == Errc::kOk ? course.OnRead(now.stored)
+                                 : course.OnReadFailed();
+  }
+  const auto& end = std::get<UpdateEnded>(step);
+  if (end.code == Errc::kConfigConflict) {
+    return ReportConflict(report, update, base, end);
   }
-  SetError(report, reply.lost ? Errc::kOutcomeUnknown : reply.code,
-           reply.address);
+  if (end.code != Errc::kOk) return SetError(report, end.code);
+  report.json["generation"] = end.current.generation;
+  report.json["hash"] = Sha256(update.text).value;
+  report.json["settled_by_reading_back"] = read_back;
+  report.text += "accepted as generation " +
+                 std::to_string(end.current.generation) +
+                 (read_back ? ", as reading back shows\n" : "\n");
 }
 
 /// Waits until all hosts that one of them knows have the generation.
@@ -177,7 +186,7 @@
   bool everywhere = false;
   do {
     reach = ReadReach(caller);
-    everywhere = reach.seen.generation >= generation && reach.of > 0 &&
+    everywhere = reach.generation >= generation && reach.of > 0 &&
                  reach.hosts == reach.of;
     if (!everywhere) std::this_thread::sleep_for(kLookPeriod);
   } while (!everywhere && steady_clock::now() < end);
@@ -222,7 +231,7 @@
     SetError(report, now.code);
     return report;
   }
-  const std::uint64_t generation = now.seen.generation;
+  const std::uint64_t generation = now.stored.generation;
   report.text = "in force: generation " + std::to_string(generation) + '\n';
   report.json["generation"] = generation;
   AddDifferences(report, "differences", now.config.value_or(Config()), config);
@@ -253,10 +262,11 @@
     SetError(report, base.code);
     return report;
   }
-  update.against = against.isSet() ? against.getValue() : base.seen.generation;
+  update.against =
+      against.isSet() ? against.getValue() : base.stored.generation;
   Send(report, caller, update, base);
   if (report.code == Errc::kOk && wait.isSet()) {
-    WaitEverywhere(report, caller, update.against + 1,
+    WaitEverywhere(report, caller, report.json["generation"],
                    std::chrono::seconds(wait.getValue()));
   }
   return report;
@@ -279,7 +289,7 @@
   const InForce proven = ReadConfig(trial);
   const Errc verdict = CheckProven(before, ReadReach(trial));
   if (verdict != Errc::kOk || !proven.config ||
-      proven.seen.hash != before.seen.hash) {
+      Sha256(proven.stored.text).value != before.hash) {
     SetError(report, Errc::kPromoteUnproven,
              "in force on " + std::to_string(before.hosts) + " of " +
                  std::to_string(before.of));
@@ -299,7 +309,7 @@
   Update update;
   update.config = Promoted(*proven.config, production);
   update.text = ToText(update.config);
-  update.against = base.seen.generation;
+  update.against = base.stored.generation;
   update.proven_hash = PolicyHashOf(*proven.config).value;
   Send(report, caller, update, base);
   return report;
--- a/test/shell/ctl-test.cc
+++ b/test/shell/ctl-test.cc
@@ -258,6 +258,7 @@
   const TempFile document(ConfigText({engine.address()}, service.address()));
   HostSettings settings = Settings("h1");
   settings.config_file = document.path();
+  settings.address_life = std::chrono::milliseconds(100);
   TestHost host(settings);
   const TempFile key(kAccountKey);
   const TempFile admin_key(kAdminKey);
