--- a/include/comfreyflow/limits.h
+++ b/include/comfreyflow/limits.h
@@ -53,8 +53,9 @@
 /// of the shares of hosts that were told the same host count is at most the
 /// limit. A lender takes a loan off its share before it sends it and keeps it
 /// off for `kLoanTime` plus `kLoanMargin`; a borrower uses it for `kLoanTime`
-/// from when it *asked*. While hosts know counts n and m > n, the sum is at
-/// most m/n of the limit.
+/// from when it *asked*. Of several loans between two hosts the largest counts
+/// on both sides, so a loan is renewed before it ends without a gap. While
+/// hosts know counts n and m > n, the sum is at most m/n of the limit.
 class LimitShares {
  public:
   LimitShares(HostName self, std::uint64_t seed);
@@ -100,9 +101,11 @@
 
   LimitAmount Own(const Book& book) const;
   LimitAmount Share(const Book& book, Time now) const;
-  LimitAmount Spare(const Book& book, Time now) const;
+  LimitAmount Spare(const Book& book, const HostName& to, Time now) const;
   void Expire(Time now);
-  HostName PickPeer();
+  std::vector<HostName> PeersToAsk(Time now);
+  static LimitAmount Sum(const std::vector<Loan>& loans, const HostName& but,
+                         Time now);
 
   HostName self_;
   std::mt19937_64 random_;
--- a/src/core/limits/limits.cc
+++ b/src/core/limits/limits.cc
@@ -81,16 +81,23 @@
           book.limit.concurrent_tokens / hosts_};
 }
 
-LimitAmount LimitShares::Share(const Book& book, Time now) const {
-  LimitAmount lent;
-  LimitAmount borrowed;
-  for (const Loan& loan : book.lent) {
-    if (now < loan.ends) lent = lent + loan.amount;
-  }
-  for (const Loan& loan : book.borrowed) {
-    if (now < loan.ends) borrowed = borrowed + loan.amount;
+/// The largest live loan of each peer, `but` left out.
+LimitAmount LimitShares::Sum(const std::vector<Loan>& loans,
+                             const HostName& but, Time now) {
+  std::map<HostName, LimitAmount> largest;
+  for (const Loan& loan : loans) {
+    if (now >= loan.ends || loan.peer == but) continue;
+    LimitAmount& amount = largest[loan.peer];
+    amount = Most(amount, loan.amount);
   }
-  return Minus(Own(book) + borrowed, lent);
+  LimitAmount sum;
+  for (const auto& [peer, amount] : largest) sum = sum + amount;
+  return sum;
+}
+
+LimitAmount LimitShares::Share(const Book& book, Time now) const {
+  const LimitAmount borrowed = Sum(book.borrowed, {}, now);
+  return Minus(Own(book) + borrowed, Sum(book.lent, {}, now));
 }
 
 LimitAmount LimitShares::Share(const AccountName& account, Time now) const {
@@ -98,17 +105,14 @@
   return found == books_.end() ? LimitAmount{} : Share(found->second, now);
 }
 
-/// What may be lent: of the own part only, never of what was borrowed, whose
-/// end another host decides.
-LimitAmount LimitShares::Spare(const Book& book, Time now) const {
-  LimitAmount lent;
-  for (const Loan& loan : book.lent) {
-    if (now < loan.ends) lent = lent + loan.amount;
-  }
+/// What may be lent to `to`: of the own part only, never of what was borrowed,
+/// whose end another host decides.
+LimitAmount LimitShares::Spare(const Book& book, const HostName& to,
+                               Time now) const {
   const LimitAmount own = Own(book);
   const LimitAmount keep =
       Most(Part(book.demand, kKeepDemandPercent), Part(own, kKeepOwnPercent));
-  return Minus(Minus(own, lent), keep);
+  return Minus(Minus(own, Sum(book.lent, to, now)), keep);
 }
 
 void LimitShares::Expire(Time now) {
@@ -122,9 +126,28 @@
   });
 }
 
-HostName LimitShares::PickPeer() {
-  std::uniform_int_distribution<std::size_t> draw(0, peers_.size() - 1);
-  return peers_[draw(random_)];
+/// Lenders whose loans end soon go first, then any.
+std::vector<HostName> LimitShares::PeersToAsk(Time now) {
+  std::vector<HostName> rest = peers_;
+  std::shuffle(rest.begin(), rest.end(), random_);
+  std::vector<std::pair<Time, HostName>> ending;
+  for (const auto& [account, book] : books_) {
+    for (const Loan& loan : book.borrowed) {
+      if (loan.ends <= now + kRenewBefore)
+        ending.emplace_back(loan.ends, loan.peer);
+    }
+  }
+  std::sort(ending.begin(), ending.end());
+  std::vector<HostName> chosen;
+  const auto add = [&](const HostName& peer) {
+    if (chosen.size() >= kAsksPerPeriod || std::erase(rest, peer) == 0) return;
+    chosen.push_back(peer);
+  };
+  for (const auto& [ends, peer] : ending) add(peer);
+  while (chosen.size() < kAsksPerPeriod && !rest.empty()) {
+    add(HostName(rest.back()));
+  }
+  return chosen;
 }
 
 std::vector<AskShares> LimitShares::Tick(Time now) {
@@ -144,9 +167,8 @@
   if (wanted.empty() || peers_.empty()) return asks;
   std::shuffle(wanted.begin(), wanted.end(), random_);
   if (wanted.size() > kAccountsPerAsk) wanted.resize(kAccountsPerAsk);
-  for (std::size_t i = 0; i < std::min(kAsksPerPeriod, peers_.size()); ++i) {
+  for (const HostName& peer : PeersToAsk(now)) {
     const LoanId loan{++next_loan_};
-    const HostName peer = PickPeer();
     asked_[loan] = {peer, now};
     asks.push_back({peer, loan, wanted});
   }
@@ -162,7 +184,7 @@
     if (found == books_.end()) continue;
     Book& book = found->second;
     if (book.lent.size() >= kMostLoans) continue;
-    const LimitAmount amount = Least(want.amount, Spare(book, now));
+    const LimitAmount amount = Least(want.amount, Spare(book, from, now));
     if (amount == LimitAmount{}) continue;
     book.lent.push_back({from, amount, now + kLoanTime + kLoanMargin});
     answer.lent.push_back({want.account, amount});
--- /dev/null
+++ b/test/addresses-test.cc
@@ -0,0 +1,108 @@
+// Answers to callers: who is in them, in what order, how they spread.
+#include "comfreyflow/addresses.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
+using std::chrono::seconds;
+
+namespace {
+
+const Time kStart{std::chrono::hours(1)};
+
+std::map<HostName, Member> View(int hosts, int domains = 3) {
+  std::map<HostName, Member> view;
+  for (int i = 0; i < hosts; ++i) {
+    Member member;
+    member.record.name = {"h" + std::to_string(i)};
+    member.record.failure_domain = {"d" + std::to_string(i % domains)};
+    member.record.callers = "10.0.0." + std::to_string(i) + ":80";
+    view[member.record.name] = member;
+  }
+  return view;
+}
+
+bool Has(const AddressAnswer& answer, int host) {
+  const std::string address = "10.0.0." + std::to_string(host) + ":80";
+  return std::count(answer.hosts.begin(), answer.hosts.end(), address) == 1;
+}
+
+}  // namespace
+
+TEST_CASE("near hosts first, a far one always, an expiry that varies") {
+  Addresses addresses(1);
+  addresses.SetView(View(9));
+  std::vector<Duration> kept;
+  for (int i = 0; i < 20; ++i) {
+    const AddressAnswer answer = addresses.Answer({"d1"}, kStart);
+    REQUIRE(answer.hosts.size() == kAddressesPerAnswer);
+    for (int near = 0; near < 3; ++near) {
+      const bool in_d1 = answer.hosts[near] == "10.0.0.1:80" ||
+                         answer.hosts[near] == "10.0.0.4:80" ||
+                         answer.hosts[near] == "10.0.0.7:80";
+      CHECK(in_d1);
+    }
+    CHECK(answer.keep_for <= kKeepAddresses);
+    CHECK(answer.keep_for >= kKeepAddresses / 2);
+    kept.push_back(answer.keep_for);
+  }
+  CHECK(*std::min_element(kept.begin(), kept.end()) !=
+        *std::max_element(kept.begin(), kept.end()));
+}
+
+TEST_CASE("leaving, suspect and dead hosts are in no answer") {
+  Addresses addresses(2);
+  auto view = View(6);
+  view[{"h1"}].facts.draining = true;
+  view[{"h2"}].state = MemberState::kSuspect;
+  view[{"h3"}].state = MemberState::kDead;
+  view[{"h4"}].state = MemberState::kLeft;
+  addresses.SetView(view);
+  for (int i = 0; i < 20; ++i) {
+    const AddressAnswer answer = addresses.Answer({}, kStart);
+    CHECK(answer.hosts.size() == 2);
+    for (int gone = 1; gone <= 4; ++gone) CHECK_FALSE(Has(answer, gone));
+  }
+}
+
+TEST_CASE("a caller whose failure domain is down gets hosts of the others") {
+  Addresses addresses(3);
+  auto view = View(9);
+  for (const int i : {1, 4, 7}) {
+    view[{"h" + std::to_string(i)}].state = MemberState::kDead;
+  }
+  addresses.SetView(view);
+  const AddressAnswer answer = addresses.Answer({"d1"}, kStart);
+  CHECK(answer.hosts.size() == kAddressesPerAnswer);
+  addresses.SetView({});
+  CHECK(addresses.Answer({"d1"}, kStart).hosts.empty());
+}
+
+TEST_CASE("callers spread over the hosts, also after a restart") {
+  Addresses addresses(4);
+  auto view = View(8, 1);
+  for (auto& [name, member] : view) member.facts.load = 16;
+  view[{"h5"}].facts.load = 0;
+  addresses.SetView(view);
+  std::map<std::string, int> first;
+  for (int i = 0; i < 80; ++i) {
+    ++first[addresses.Answer({"d0"}, kStart).hosts.at(0)];
+  }
+  for (const auto& [host, count] : first) {
+    CAPTURE(host);
+    CHECK(count >= 5);
+    CHECK(count <= 16);
+  }
+  CHECK(first.size() == 8);
+}
+
+TEST_CASE("a fully loaded host comes last") {
+  Addresses addresses(5);
+  auto view = View(4, 1);
+  view[{"h2"}].facts.load = kLoadSteps - 1;
+  addresses.SetView(view);
+  const AddressAnswer answer = addresses.Answer({"d0"}, kStart);
+  CHECK(answer.hosts.back() == "10.0.0.2:80");
+}
