--- a/bench/replay.cc
+++ b/bench/replay.cc
@@ -103,9 +103,9 @@
     if (band.requests == 0) return;
     std::printf(
         "  %-9s n %6zu refused %5zu missed %4zu  ttft p50 %7.3f p95 %7.3f "
-        "p99 %7.3f  floor p95 %7.3f\n",
+        "p99 %7.3f  floor p95 %7.3f  placed p95 %6.3f  cached %.2f\n",
         name, band.requests, band.refused, band.missed, band.p50, band.p95,
-        band.p99, band.floor_p95);
+        band.p99, band.floor_p95, band.placed_p95, band.cached_share);
   }
 
   Trace trace_;
--- a/include/comfreyflow/cost.h
+++ b/include/comfreyflow/cost.h
@@ -32,6 +32,7 @@
 
  private:
   double prefill_ns_per_token_ = 13'500;
+  double prefill_start_ns_ = 8'000'000;  ///< Until the first chunk begins.
   double decode_ns_per_token_ = 20'000'000;
 };
 
--- a/include/comfreyflow/dispatcher.h
+++ b/include/comfreyflow/dispatcher.h
@@ -22,10 +22,10 @@
   RouterSettings router;
   AdmissionSettings admission;
   /// Stewards asked one after the other before a request waits again.
-  std::uint32_t probes_short = 4;
+  std::uint32_t probes_short = 6;
   std::uint32_t probes_long = 6;
   /// Longest wait at a target that all but the last of them may grant.
-  Duration probe_wait_short = std::chrono::milliseconds(5);
+  Duration probe_wait_short = std::chrono::milliseconds(8);
   Duration probe_wait_long = std::chrono::milliseconds(50);
   /// Longest wait at a target that the last of them may grant.
   Duration last_wait_short = std::chrono::milliseconds(150);
@@ -42,7 +42,7 @@
   Duration gang_timeout = std::chrono::seconds(8);
   Duration gang_backoff = std::chrono::milliseconds(200);
   /// Requests of one length class that may be asking at once.
-  std::array<std::uint32_t, kPromptClasses> max_asking{64, 16, 2};
+  std::array<std::uint32_t, kPromptClasses> max_asking{64, 16, 1};
 };
 
 /// Ask the target's steward.
--- a/include/comfreyflow/router.h
+++ b/include/comfreyflow/router.h
@@ -147,6 +147,7 @@
     const RequestInfo& info;
     const std::vector<TargetName>& excluded;
     std::vector<PrefixHit> hits;
+    std::vector<TargetSlot> homes;  ///< Of its prefix, the first one first.
     PromptClass length = PromptClass::kShort;
     Time now;
   };
@@ -157,13 +158,15 @@
   PromptClass ClassOf(const RequestInfo& info, const Group& group,
                       const std::vector<PrefixHit>& hits) const;
   std::uint32_t Uncached(const Search& search, TargetSlot slot) const;
+  Duration HomeCredit(const Search& search, TargetSlot slot) const;
   Candidate Cost(const Search& search, TargetSlot slot, std::uint64_t kv) const;
   bool Usable(const Search& search, TargetSlot slot) const;
   bool InPart(const Group& group, TargetSlot slot, PromptClass length) const;
+  void FindHomes(const Group& group, Search& search) const;
   std::vector<TargetSlot> Draw(const Group& group, const Search& search);
-  std::vector<Candidate> Best(const Group& group, const Search& search,
+  std::vector<Candidate> Best(const Group& group, Search& search,
                               std::uint64_t kv, std::size_t count);
-  Placement PlaceGang(const Group& group, const Search& search);
+  Placement PlaceGang(const Group& group, Search& search);
   void Demand(Group& group, const Search& search);
   void Resize(Group& group, Time now);
   void Split(Group& group, std::size_t short_count);
--- a/src/core/cost/rates.cc
+++ b/src/core/cost/rates.cc
@@ -1,4 +1,6 @@
 // Learned rates of prefill and decode.
+#include <algorithm>
+
 #include "comfreyflow/cost.h"
 
 namespace comfreyflow {
@@ -7,7 +9,7 @@
 /// Weight of one observation in the running averages.
 constexpr double kGain = 0.02;
 /// Prompts shorter than this say little of the rate of prefill.
-constexpr std::uint64_t kMinObservedTokens = 2'000;
+constexpr std::uint64_t kMinObservedTokens = 8'000;
 /// One observation moves a rate by no more than this factor.
 constexpr double kMaxStep = 4;
 
@@ -34,8 +36,16 @@
 }  // namespace
 
 void RateModel::ObservePrefill(std::uint64_t tokens, Duration elapsed) {
-  if (tokens < kMinObservedTokens || elapsed <= Duration::zero()) return;
-  Observe(prefill_ns_per_token_, tokens, elapsed);
+  if (elapsed <= Duration::zero()) return;
+  if (tokens >= kMinObservedTokens) {
+    Observe(prefill_ns_per_token_, tokens, elapsed);
+    return;
+  }
+  const double start =
+      std::max(0.0, Nanoseconds(elapsed) -
+                        prefill_ns_per_token_ * static_cast<double>(tokens));
+  prefill_start_ns_ +=
+      kGain * (Clamp(start, prefill_start_ns_) - prefill_start_ns_);
 }
 
 void RateModel::ObserveDecode(std::uint64_t tokens, Duration elapsed) {
@@ -44,7 +54,9 @@
 }
 
 Duration RateModel::Prefill(std::uint64_t tokens) const {
-  return FromNanoseconds(prefill_ns_per_token_ * static_cast<double>(tokens));
+  if (tokens == 0) return Duration::zero();
+  return FromNanoseconds(prefill_start_ns_ +
+                         prefill_ns_per_token_ * static_cast<double>(tokens));
 }
 
 Duration RateModel::Decode(std::uint64_t tokens) const {
--- a/src/core/replay/fleet.cc
+++ b/src/core/replay/fleet.cc
@@ -250,6 +250,10 @@
   const std::uint64_t index = action.attempt.request.sequence;
   const TraceRequest& request = trace_.requests[index];
   const std::uint64_t key = StreamKey(action.attempt);
+  Record& record = result_.records[index];
+  if (record.placed < Duration::zero()) {
+    record.placed = now_ - (Time{} + request.at);
+  }
   Stream& stream = streams_[key];
   stream.host = host;
   const std::size_t members = action.targets.size();
@@ -342,7 +346,10 @@
   for (const EngineStep::Admitted& admitted : step.admitted) {
     const std::uint64_t key = StreamOfWork(admitted.key);
     Stream& stream = streams_.at(key);
-    if (RankOfWork(admitted.key) == 0) stream.cached = admitted.cached_tokens;
+    if (RankOfWork(admitted.key) == 0) {
+      stream.cached = admitted.cached_tokens;
+      result_.records[RequestOfStream(key)].cached_tokens = stream.cached;
+    }
     if (++stream.admitted < stream.engines.size()) continue;
     if (stream.engines.size() == 1) continue;
     const std::uint32_t first = stream.engines.front();
--- a/src/core/replay/result.cc
+++ b/src/core/replay/result.cc
@@ -40,6 +40,9 @@
 struct Samples {
   std::vector<double> ttft;
   std::vector<double> floor;
+  std::vector<double> placed;
+  double prompt_tokens = 0;
+  double cached_tokens = 0;
 };
 
 void Fill(Summary::Band& band, Samples& samples) {
@@ -47,10 +50,14 @@
   band.p95 = Percentile(samples.ttft, 0.95);
   band.p99 = Percentile(samples.ttft, 0.99);
   band.floor_p95 = Percentile(samples.floor, 0.95);
+  band.placed_p95 = Percentile(samples.placed, 0.95);
+  if (samples.prompt_tokens > 0) {
+    band.cached_share = samples.cached_tokens / samples.prompt_tokens;
+  }
 }
 
 void Count(Summary::Band& band, Samples& samples, const Record& record,
-           Duration floor) {
+           Duration floor, std::uint32_t prompt_tokens) {
   ++band.requests;
   if (record.refused) {
     ++band.refused;
@@ -60,6 +67,9 @@
   if (record.ttft < Duration::zero()) return;
   samples.ttft.push_back(Seconds(record.ttft));
   samples.floor.push_back(Seconds(floor));
+  samples.placed.push_back(Seconds(record.placed));
+  samples.prompt_tokens += prompt_tokens;
+  samples.cached_tokens += record.cached_tokens;
 }
 
 }  // namespace
@@ -110,10 +120,10 @@
     last = request.at;
     const Duration floor = Floor(trace.fleet, request);
     const std::size_t band = BandOf(request.prompt_tokens);
-    Count(out.bands[band], bands[band], record, floor);
-    Count(out.all, all, record, floor);
+    Count(out.bands[band], bands[band], record, floor, request.prompt_tokens);
+    Count(out.all, all, record, floor, request.prompt_tokens);
     if (request.prompt_tokens < kShortBelow) {
-      Count(out.all_short, all_short, record, floor);
+      Count(out.all_short, all_short, record, floor, request.prompt_tokens);
     }
     const bool has_first = record.ttft >= Duration::zero();
     if (has_first && record.ttft <= kFirstTokenTarget) ++within;
--- a/src/core/replay/result.h
+++ b/src/core/replay/result.h
@@ -25,7 +25,9 @@
   bool refused = false;  ///< At the door.
   bool late = false;     ///< Ended after its deadline.
   Errc code = Errc::kOk;
-  Duration ttft{-1};  ///< Negative without a first token.
+  Duration ttft{-1};    ///< Negative without a first token.
+  Duration placed{-1};  ///< From the caller's call to the stream's start.
+  std::uint32_t cached_tokens = 0;
   std::uint32_t attempts = 0;
   bool on_lost_engine = false;  ///< Was in flight on an engine that was lost.
 };
@@ -58,6 +60,8 @@
     std::size_t missed = 0;  ///< Admitted, ended without a whole answer.
     double p50 = 0, p95 = 0, p99 = 0;  ///< Time to first token, seconds.
     double floor_p95 = 0;              ///< Prefill time alone.
+    double placed_p95 = 0;             ///< The part before the stream.
+    double cached_share = 0;           ///< Of the prompts' tokens.
   };
   Band bands[kLengthBands];
   Band all;
--- a/src/core/router/router.cc
+++ b/src/core/router/router.cc
@@ -10,6 +10,9 @@
 
 /// Engines near the home of a prefix that are looked at.
 constexpr std::size_t kHomes = 2;
+/// Part of a prompt's prefill that its homes are given credit for.
+constexpr int kFirstHomeCredit = 4;
+constexpr int kOtherHomeCredit = 8;
 /// Engines known to hold the prefix that are looked at.
 constexpr std::size_t kHits = 3;
 /// Engines of the long part that are looked at for short work.
@@ -237,6 +240,15 @@
   return search.info.prompt_tokens;
 }
 
+/// Requests of one prefix that meet at its home find it cached there.
+Duration Router::HomeCredit(const Search& search, TargetSlot slot) const {
+  const auto at = std::find(search.homes.begin(), search.homes.end(), slot);
+  if (at == search.homes.end()) return Duration::zero();
+  const Duration prefill = rates_.Prefill(search.info.prompt_tokens);
+  return at == search.homes.begin() ? prefill / kFirstHomeCredit
+                                    : prefill / kOtherHomeCredit;
+}
+
 Candidate Router::Cost(const Search& search, TargetSlot slot,
                        std::uint64_t kv) const {
   const State& state = states_[slot];
@@ -257,7 +269,8 @@
   const Duration hop = info.failure_domain == settings_.home
                            ? settings_.hop_same
                            : settings_.hop_other;
-  out.cost = out.wait + rates_.Prefill(out.uncached_tokens) + hop;
+  out.cost = out.wait + rates_.Prefill(out.uncached_tokens) + hop -
+             HomeCredit(search, slot);
   return out;
 }
 
@@ -283,6 +296,14 @@
   }
 }
 
+void Router::FindHomes(const Group& group, Search& search) const {
+  search.homes.clear();
+  if (search.info.prefix.empty()) return;
+  const bool is_short = search.length == PromptClass::kShort;
+  AddHomes(is_short ? group.short_ring : group.long_ring,
+           search.info.prefix.front(), search.homes);
+}
+
 std::vector<TargetSlot> Router::Draw(const Group& group, const Search& search) {
   std::vector<TargetSlot> out;
   const bool is_short = search.length == PromptClass::kShort;
@@ -303,10 +324,7 @@
       Add(out, search.hits[i].slot);
     }
   }
-  if (!search.info.prefix.empty()) {
-    AddHomes(is_short ? group.short_ring : group.long_ring,
-             search.info.prefix.front(), out);
-  }
+  for (const TargetSlot slot : search.homes) Add(out, slot);
   if (is_short) {
     draw(0, split, settings_.samples);
     draw(split, size, kSpareSamples);
@@ -316,8 +334,9 @@
   return out;
 }
 
-std::vector<Candidate> Router::Best(const Group& group, const Search& search,
+std::vector<Candidate> Router::Best(const Group& group, Search& search,
                                     std::uint64_t kv, std::size_t count) {
+  FindHomes(group, search);
   std::vector<Candidate> found;
   for (const TargetSlot slot : Draw(group, search)) {
     if (!Usable(search, slot) || !InPart(group, slot, search.length)) continue;
@@ -333,7 +352,7 @@
   return found;
 }
 
-Placement Router::PlaceGang(const Group& group, const Search& search) {
+Placement Router::PlaceGang(const Group& group, Search& search) {
   const std::uint64_t capacity =
       Capacity(group) * settings_.gang_kv_percent / 100;
   const std::uint64_t total = KvTokens(search.info);
--- a/src/core/steward/steward.cc
+++ b/src/core/steward/steward.cc
@@ -8,6 +8,8 @@
 
 /// Retry advice when memory or slots lack.
 constexpr Duration kFullRetry = std::chrono::milliseconds(500);
+/// Wait at a target whose prefill takes longer than estimated.
+constexpr Duration kOverdueWait = std::chrono::milliseconds(5);
 
 }  // namespace
 
@@ -15,7 +17,9 @@
     : target_(std::move(target)), settings_(settings) {}
 
 Duration Steward::wait(Time now) const {
-  return std::max(Duration::zero(), clear_at_ - now);
+  // An estimate that has passed does not make a busy engine free.
+  const Duration least = prefilling_ > 0 ? kOverdueWait : Duration::zero();
+  return std::max(least, clear_at_ - now);
 }
 
 bool Steward::Fits(const ReserveAsk& ask) const {
