--- a/src/ctl/completion-run.cc
+++ b/src/ctl/completion-run.cc
@@ -13,6 +13,7 @@
 using Kind = CallerStreamEnd::Kind;
 
 constexpr int kStatusOk = 200;
+constexpr std::string_view kResume = " resume ";
 /// Hosts send a heartbeat at least once a second.
 constexpr milliseconds kSilence(5000);
 
@@ -109,7 +110,6 @@
   }
 
   void Comment(std::string_view text) {
-    constexpr std::string_view kResume = " resume ";
     if (text.substr(0, kResume.size()) != kResume) return;
     text.remove_prefix(kResume.size());
     TakeToken(text);
--- a/test/shell/ctl-test.cc
+++ b/test/shell/ctl-test.cc
@@ -118,9 +118,9 @@
 
 ToolRun ApplyTool(const AdminHost& host, const std::string& file,
                   ctl::Args more = {}) {
-  static const TempFile kKey(kAdminKey);
-  ctl::Args args = {"apply",     "--admin", host.address(), "--admin-key-file",
-                    kKey.path(), file};
+  static const TempFile key(kAdminKey);
+  ctl::Args args = {"apply",    "--admin", host.address(), "--admin-key-file",
+                    key.path(), file};
   args.insert(args.end(), more.begin(), more.end());
   return Tool(args);
 }
