--- a/bench/membership.cc
+++ b/bench/membership.cc
@@ -7,6 +7,7 @@
 #include <cstdio>
 
 #include "../test/gossip-net-impl.h"
+#include "comfreyflow/config-state.h"
 
 namespace {
 
@@ -80,6 +81,57 @@
   std::fflush(stdout);
 }
 
+/// Store calls a second of the whole fleet for the configuration.
+void StoreRow(int hosts, bool store_up) {
+  constexpr int kSpan = 120;
+  const std::size_t domains = hosts > 100 ? 7 : 3;
+  std::vector<ConfigState> states;
+  std::vector<Time> watch_ends(static_cast<std::size_t>(hosts));
+  Time now{std::chrono::hours(1)};
+  const std::string text =
+      "[environment trial]\n[service s]\nkind = plain\ntarget_class = c\n";
+  double reads = 0;
+  double watches = 0;
+  for (int i = 0; i < hosts; ++i) {
+    states.emplace_back(static_cast<std::uint64_t>(i), now);
+  }
+  const Time measured = now + seconds(30);
+  for (const Time end = measured + seconds(kSpan); now < end;
+       now += kConfigTick) {
+    for (std::size_t i = 0; i < states.size(); ++i) {
+      states[i].Handle(ViewSeen{true, i / domains}, now);
+      const bool ended = watch_ends[i] != Time{} && now >= watch_ends[i];
+      if (ended) {
+        watch_ends[i] = {};
+        states[i].Handle(StoreUnchanged{}, now);
+        states[i].Handle(WatchEnded{}, now);
+      }
+      for (const auto& command : states[i].Handle(ConfigTick{}, now)) {
+        const bool counted = now >= measured;
+        if (std::holds_alternative<ReadStoredConfig>(command)) {
+          reads += counted ? 1 : 0;
+          if (store_up || !counted) {
+            states[i].Handle(StoreGave{{10, text}}, now);
+          } else {
+            states[i].Handle(StoreFailed{}, now);
+          }
+        }
+        if (std::holds_alternative<WatchStoredConfig>(command)) {
+          watches += counted ? 1 : 0;
+          if (store_up || !counted) {
+            watch_ends[i] = now + kWatchTime;
+          } else {
+            states[i].Handle(StoreFailed{}, now);
+            states[i].Handle(WatchEnded{}, now);
+          }
+        }
+      }
+    }
+  }
+  std::printf("%5d %8zu %6s %8.2f %9.2f\n", hosts, domains,
+              store_up ? "up" : "down", reads / kSpan, watches / kSpan);
+}
+
 }  // namespace
 
 int main() {
@@ -87,5 +139,9 @@
       "hosts   bytes/s   msgs/s     cpu_%%    mem_KB  join_s spread_s death_s"
       "  heal_s join_peak heal_peak\n");
   for (const int hosts : {8, 32, 128, 350}) Row(hosts);
+  std::printf("\nhosts  domains  store  reads/s watches/s  (whole fleet)\n");
+  for (const bool up : {true, false}) {
+    for (const int hosts : {8, 32, 128, 350}) StoreRow(hosts, up);
+  }
   return 0;
 }
--- a/include/comfreyflow/config-state.h
+++ b/include/comfreyflow/config-state.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <system_error>
 #include <variant>
 #include <vector>
 
@@ -211,17 +210,4 @@
   int tries_ = 0;
 };
 
-/// The configuration that a host of an environment says it has in force.
-struct HostConfig {
-  HostName host;
-  std::uint64_t generation = 0;
-  Digest hash;
-};
-
-/// `kOk` when each of the trial's hosts has the document in force, otherwise
-/// `kPromoteUnproven`; `lagging` gets those that have not.
-Errc CheckPromotion(const Digest& document,
-                    const std::vector<HostConfig>& hosts,
-                    std::vector<HostName>& lagging);
-
 }  // namespace comfreyflow
--- a/src/core/config/state.cc
+++ b/src/core/config/state.cc
@@ -308,14 +308,4 @@
   return UpdateEnded{code, {}, in_doubt_};
 }
 
-Errc CheckPromotion(const Digest& document,
-                    const std::vector<HostConfig>& hosts,
-                    std::vector<HostName>& lagging) {
-  for (const HostConfig& host : hosts) {
-    if (host.hash != document) lagging.push_back(host.host);
-  }
-  const bool proven = !hosts.empty() && lagging.empty();
-  return proven ? Errc::kOk : Errc::kPromoteUnproven;
-}
-
 }  // namespace comfreyflow
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -30,6 +30,7 @@
 constexpr std::size_t kClaimBytes = 10;
 constexpr std::size_t kMostFillers = 24;
 constexpr std::size_t kMostWanted = 14;
+constexpr int kAnnounceTo = 4;
 constexpr std::size_t kMostRelays = 64;
 constexpr std::size_t kMostSenders = 4096;
 constexpr int kRumourFactor = 3;
@@ -107,6 +108,7 @@
   std::set<MemberId> wanted;                 // Claimed alive, record unknown.
   ConfigMark config;
   std::uint64_t sequence = 0;
+  int announce = 0;  // Pings to send soon, as the facts have changed.
   Time started;
   Time last_tick;
   Time next_ring;
@@ -387,6 +389,10 @@
   }
   if (now >= state.next_contact) state.Contact(now, out);
   state.AskRecords(now, out);
+  for (; state.announce > 0; --state.announce) {
+    const Member* next = state.NextRandom();
+    if (next != nullptr) state.SendTo(*next, DatagramKind::kPing, now, out);
+  }
   return out;
 }
 
@@ -425,10 +431,13 @@
 }
 
 void Membership::SetFacts(const HostFacts& facts) {
-  state_->table.self().facts = facts;
+  HostFacts& own = state_->table.self().facts;
+  if (facts.draining != own.draining) state_->announce = kAnnounceTo;
+  own = facts;
 }
 
 void Membership::SetConfig(const ConfigMark& config) {
+  if (config != state_->config) state_->announce = kAnnounceTo;
   state_->config = config;
   state_->table.self().facts.generation = config.generation;
 }
--- a/test/config-state-test.cc
+++ b/test/config-state-test.cc
@@ -321,18 +321,6 @@
   CHECK(std::get<UpdateEnded>(step).code == Errc::kOutcomeUnknown);
 }
 
-TEST_CASE("only what is in force on every trial host may be promoted") {
-  const Digest good{"good"};
-  std::vector<HostName> lagging;
-  CHECK(CheckPromotion(good, {}, lagging) == Errc::kPromoteUnproven);
-  CHECK(CheckPromotion(good, {{{"a"}, 1, good}, {{"b"}, 1, good}}, lagging) ==
-        Errc::kOk);
-  CHECK(CheckPromotion(good, {{{"a"}, 1, good}, {{"b"}, 0, {}}}, lagging) ==
-        Errc::kPromoteUnproven);
-  REQUIRE(lagging.size() == 1);
-  CHECK(lagging[0].value == "b");
-}
-
 TEST_CASE("of two parts of a fleet at most one hears a majority") {
   std::map<HostName, Member> all;
   for (int i = 0; i < 8; ++i) {
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -2,6 +2,9 @@
 // time over a network that loses and delays.
 #include <doctest/doctest.h>
 
+#include <set>
+
+#include "comfreyflow/stewardship.h"
 #include "gossip-net-impl.h"
 
 using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
@@ -136,18 +139,43 @@
   CHECK(net.node(0).members().at(net.name(3)).state == MemberState::kLeft);
 }
 
-TEST_CASE("draining shows in every view and takes duties away") {
-  GossipNet net({.hosts = 8, .seed = 8});
+TEST_CASE("draining shows in every view within two seconds") {
+  for (const int hosts : {8, 128}) {
+    CAPTURE(hosts);
+    GossipNet net({.hosts = hosts, .loss = 0.02, .seed = 8});
+    StartAll(net, seconds(60));
+    net.Run(seconds(20));
+    net.node(2).SetFacts({0, 5, true});
+    const auto seen = [&] {
+      for (int i = 0; i < hosts; ++i) {
+        if (net.node(i).Serving().size() + 1 != net.node(i).Live().size()) {
+          return false;
+        }
+      }
+      return true;
+    };
+    CHECK(net.RunUntil(seen, seconds(10)) <= seconds(2));
+    CHECK(net.node(0).Live().size() == static_cast<std::size_t>(hosts));
+  }
+}
+
+TEST_CASE("two stewards of one target are one again after a split") {
+  GossipNet net({.hosts = 8, .seed = 31});
   StartAll(net, seconds(10));
-  net.node(2).SetFacts({0, 5, true});
-  const auto seen = [&] {
+  const auto stewards = [&] {
+    std::set<HostName> names;
     for (int i = 0; i < 8; ++i) {
-      if (net.node(i).Serving().size() != 7) return false;
+      names.insert(StewardOf(net.node(i).Serving(), {"engine-1"}));
     }
-    return true;
+    return names.size();
   };
-  CHECK(net.RunUntil(seen, seconds(10)) <= seconds(4));
-  CHECK(net.node(0).Live().size() == 8);
+  CHECK(stewards() == 1);
+  net.Split([](int host) { return host % 2; });
+  net.Run(seconds(30));
+  CHECK(stewards() == 2);
+  net.Join();
+  CHECK(net.RunUntil([&] { return stewards() == 1; }, seconds(20)) <=
+        seconds(10));
 }
 
 TEST_CASE("marks reach all once, and an older one changes nothing") {
