--- a/src/node/config-actor.cc
+++ b/src/node/config-actor.cc
@@ -1,7 +1,6 @@
-// Keeps the configuration current.
+// Carries out the commands of the configuration's state.
 #include "node/config-actor.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "node/clock.h"
@@ -14,77 +13,104 @@
 using comfreyflow::detail::Now;
 
 constexpr const char* kKind = "config";
-constexpr Duration kConfigTick = std::chrono::milliseconds(200);
-constexpr Duration kWatchTime = std::chrono::seconds(20);
-constexpr Duration kRetryRead = std::chrono::milliseconds(500);
-/// Hosts without watch duty learn from peers; this is for those without any.
-constexpr Duration kIdleRead = std::chrono::seconds(30);
 
-ConfigSeen SeenOf(const PlatformObject& object) {
+StoredConfig StoredOf(const PlatformObject& object) {
   return {object.version, object.value};
 }
 
-/// What answers of the store need, beyond the actor's life.
-struct Writer {
-  PlatformClient* platform;
-  std::string environment;
-  ActorRefPtr self;
-};
-
-/// The update may have taken effect: it has if the store holds the document at
-/// a later version than the one it was made against.
-void ReadBack(const Writer& writer, const ConfigWanted& message) {
-  writer.platform->Read(
-      kKind, writer.environment,
-      [message, self = writer.self](const ReadAnswer& answer) {
-        ApplyResult result;
-        result.hash = Sha256(message.wanted.document).value;
-        if (answer.error) {
-          result.code = Errc::kPlatformUnavailable;
-        } else if (answer.object.value == message.wanted.document &&
-                   answer.object.version > message.wanted.generation) {
-          result.generation = answer.object.version;
-          self->Send(SeenOf(answer.object));
-        } else {
-          result.code = Errc::kConfigConflict;
-        }
-        message.done(std::move(result));
-      });
+void Post(const ActorRefPtr& self, ConfigEvent event) {
+  self->Send(ConfigPosted{std::move(event)});
 }
 
-void Written(const Writer& writer, const ConfigWanted& message,
-             const WriteAnswer& answer) {
-  if (answer.state == WriteState::kAnswerLost) return ReadBack(writer, message);
-  ApplyResult result;
-  result.hash = Sha256(message.wanted.document).value;
-  if (answer.state == WriteState::kApplied) {
-    result.generation = answer.version;
-    writer.self->Send(ConfigSeen{answer.version, message.wanted.document});
-  } else if (answer.error == Errc::kVersionConflict ||
-             answer.error == Errc::kObjectNotFound) {
-    result.code = Errc::kConfigConflict;
-  } else {
-    result.code = Errc::kPlatformUnavailable;
+/// One operator's update on its way to the store. Lives in the handlers of its
+/// calls.
+class UpdateRun : public std::enable_shared_from_this<UpdateRun> {
+ public:
+  UpdateRun(ConfigWanted message, const ConfigDeps& deps)
+      : message_(std::move(message)),
+        update_(message_.wanted.generation, message_.wanted.document),
+        platform_(deps.platform),
+        environment_(deps.environment),
+        self_(deps.self) {}
+
+  void Start() { Take(update_.Start()); }
+
+ private:
+  void Take(const UpdateStep& step) {
+    std::visit([this](const auto& typed) { Do(typed); }, step);
+  }
+
+  void Do(const PutConfig& put) {
+    const auto handler = [run = shared_from_this()](const WriteAnswer& answer) {
+      run->Wrote(answer);
+    };
+    if (put.if_version == 0) {
+      platform_->Create(kKind, environment_, put.text, handler);
+    } else {
+      platform_->Update(kKind, environment_, put.if_version, put.text, handler);
+    }
+  }
+
+  void Wrote(const WriteAnswer& answer) {
+    if (answer.state == WriteState::kApplied) {
+      return Take(update_.OnPut(PutReply::kDone, answer.version));
+    }
+    const bool conflict = answer.error == Errc::kVersionConflict ||
+                          answer.error == Errc::kObjectNotFound;
+    const bool refused = answer.state == WriteState::kRefused;
+    if (refused && !conflict) return End(ToErrc(answer.error), 0);
+    Take(update_.OnPut(refused ? PutReply::kConflict : PutReply::kNoAnswer,
+                       answer.version));
+  }
+
+  void Do(const ReadBack&) {
+    platform_->Read(kKind, environment_,
+                    [run = shared_from_this()](const ReadAnswer& answer) {
+                      run->HasRead(answer);
+                    });
+  }
+
+  void HasRead(const ReadAnswer& answer) {
+    if (answer.error == Errc::kObjectNotFound) {
+      return Take(update_.OnRead({}));
+    }
+    Take(answer.error ? update_.OnReadFailed()
+                      : update_.OnRead(StoredOf(answer.object)));
+  }
+
+  void Do(const UpdateEnded& end) { End(end.code, end.current.generation); }
+
+  void End(Errc code, std::uint64_t generation) {
+    ApplyResult result;
+    result.code = code;
+    result.generation = generation;
+    if (code == Errc::kOk) {
+      result.hash = Sha256(message_.wanted.document).value;
+      Post(self_, ConfigOffered{{generation, message_.wanted.document}});
+    }
+    message_.done(std::move(result));
   }
-  message.done(std::move(result));
-}
+
+  const ConfigWanted message_;
+  ConfigUpdate update_;
+  PlatformClient* const platform_;
+  const std::string environment_;
+  const ActorRefPtr self_;
+};
 
 }  // namespace
 
 ConfigActor::ConfigActor(caf::actor_config& config, ConfigDeps deps)
     : caf::event_based_actor(config),
       deps_(std::move(deps)),
-      last_contact_(Now()) {}
+      state_(deps_.seed, Now()) {}
 
 caf::behavior ConfigActor::make_behavior() {
   Subscribe();
   return {
-      [this](const ConfigWanted& message) { Apply(message); },
-      [this](const ConfigSeen& message) { TakeDocument(message); },
-      [this](const StoreRead& message) { TakeRead(message); },
-      [this](const PeerGeneration& message) { TakePeer(message); },
-      [this](const WatchDuty& message) { watch_duty_ = message.on; },
-      [this](const TimerTick& message) { Tick(message.now); },
+      [this](const ConfigWanted& message) { Update(message); },
+      [this](const ConfigPosted& message) { Run(message.event); },
+      [this](const TimerTick&) { Run(ConfigTick{}); },
       [this](const PeerRestarted& message) {
         if (message.name == kTimerName) Subscribe();
       },
@@ -95,106 +121,85 @@
   deps_.timer->Send(TimerSubscribe{caf::actor(this), kConfigTick});
 }
 
-std::uint64_t ConfigActor::generation() const {
-  const auto now = deps_.view->current();
-  return now ? now->generation : 0;
+void ConfigActor::Run(const ConfigEvent& event) {
+  for (const auto& command : state_.Handle(event, Now())) {
+    std::visit([this](const auto& typed) { Do(typed); }, command);
+  }
 }
 
-void ConfigActor::Tick(Time now) {
-  const bool reachable = now - last_contact_ < kConfigReach;
-  if (reachable != reachable_) {
-    reachable_ = reachable;
-    deps_.hooks.reachable(reachable);
-  }
-  if (call_under_way_ || now < next_read_) return;
-  call_under_way_ = true;
-  if (read_once_ && watch_duty_) {
-    Watch();
-  } else {
-    Read();
-  }
+void ConfigActor::Do(const ApplyConfig& command) {
+  auto next = std::make_shared<ConfigGeneration>();
+  next->generation = command.generation;
+  next->text = state_.text();
+  next->hash = Sha256(next->text).value;
+  next->digest = command.hash;
+  next->config = *command.config;
+  deps_.hooks.apply(next);
 }
 
-void ConfigActor::Read() {
+void ConfigActor::Do(const ReadStoredConfig&) {
   deps_.platform->Read(kKind, deps_.environment,
                        [self = deps_.self](const ReadAnswer& answer) {
-                         if (!answer.error) self->Send(SeenOf(answer.object));
-                         self->Send(StoreRead{answer.error, 0});
+                         if (answer.error == Errc::kObjectNotFound) {
+                           Post(self, StoreUnchanged{});
+                         } else if (answer.error) {
+                           Post(self, StoreFailed{});
+                         } else {
+                           Post(self, StoreGave{StoredOf(answer.object)});
+                         }
                        });
 }
 
-void ConfigActor::Watch() {
-  deps_.platform->Watch(kKind, watched_, kWatchTime,
+void ConfigActor::Do(const WatchStoredConfig& command) {
+  deps_.platform->Watch(kKind, command.since, kWatchTime,
                         [self = deps_.self, environment = deps_.environment](
                             const WatchAnswer& answer) {
+                          if (answer.error) {
+                            Post(self, StoreFailed{});
+                          } else {
+                            Post(self, StoreUnchanged{});
+                          }
                           for (const auto& change : answer.changes) {
-                            if (change.name == environment && !change.deleted) {
-                              self->Send(SeenOf(change));
-                            }
+                            if (change.name != environment || change.deleted)
+                              continue;
+                            Post(self, StoreGave{StoredOf(change)});
                           }
-                          self->Send(StoreRead{answer.error, answer.version});
+                          Post(self, WatchEnded{});
                         });
 }
 
-void ConfigActor::TakeRead(const StoreRead& read) {
-  call_under_way_ = false;
-  const Time now = Now();
-  const bool absent = read.error == Errc::kObjectNotFound;
-  if (read.error && !absent) {
-    next_read_ = now + kRetryRead;
-    return;
-  }
-  last_contact_ = now;
-  watched_ = std::max({watched_, read.version, generation()});
-  read_once_ = true;
-  next_read_ = watch_duty_ ? now : now + kIdleRead;
+void ConfigActor::Do(const FetchConfig& command) { deps_.hooks.fetch(command); }
+
+void ConfigActor::Do(const ConfigRejected& command) {
+  LogLine(Severity::kError, "config_rejected")
+      .With("generation", command.generation)
+      .With("problems", std::uint64_t{command.problems.size()});
 }
 
-void ConfigActor::TakeDocument(const ConfigSeen& seen) {
-  if (seen.generation <= generation()) return;
-  auto parsed = ParseConfig(seen.text);
-  if (!parsed.ok()) {
-    LogLine(Severity::kError, "config_rejected")
-        .With("generation", seen.generation)
-        .With("problems", std::uint64_t{parsed.problems.size()});
-    return;
-  }
-  auto next = std::make_shared<ConfigGeneration>();
-  next->generation = seen.generation;
-  next->text = seen.text;
-  next->hash = Sha256(seen.text).value;
-  next->config = std::move(parsed.config);
-  deps_.hooks.apply(next);
+void ConfigActor::Do(const StopAdmitting& command) {
+  deps_.hooks.admitting(command.reason);
 }
 
-void ConfigActor::TakePeer(const PeerGeneration& peer) {
-  last_contact_ = Now();
-  if (peer.generation > generation()) deps_.hooks.fetch_from_peer(peer.host);
+void ConfigActor::Do(const ResumeAdmitting&) {
+  deps_.hooks.admitting(Errc::kOk);
 }
 
-void ConfigActor::Apply(const ConfigWanted& message) {
+void ConfigActor::Update(const ConfigWanted& message) {
   const auto& wanted = message.wanted;
-  ApplyResult result;
   const auto parsed = ParseConfig(wanted.document);
+  ApplyResult result;
   result.problems = parsed.problems;
   result.hash = Sha256(wanted.document).value;
   if (!parsed.ok()) {
     result.code = Errc::kConfigInvalid;
-  } else if (deps_.require_proof && wanted.proven_hash != result.hash) {
+    return message.done(std::move(result));
+  }
+  const bool proven = wanted.proven_hash == PolicyHashOf(parsed.config).value;
+  if (deps_.require_proof && !proven) {
     result.code = Errc::kPromoteUnproven;
-  } else {
-    const Writer writer{deps_.platform, deps_.environment, deps_.self};
-    const auto written = [writer, message](const WriteAnswer& answer) {
-      Written(writer, message, answer);
-    };
-    if (wanted.generation == 0) {
-      return deps_.platform->Create(kKind, deps_.environment, wanted.document,
-                                    written);
-    }
-    return deps_.platform->Update(kKind, deps_.environment, wanted.generation,
-                                  wanted.document, written);
+    return message.done(std::move(result));
   }
-  message.done(std::move(result));
+  std::make_shared<UpdateRun>(message, deps_)->Start();
 }
 
 }  // namespace comfreyflow::node
--- a/src/node/config-actor.h
+++ b/src/node/config-actor.h
@@ -1,6 +1,6 @@
-/// The actor that keeps this host's configuration current: reads and watches
-/// the document in the platform's store, fetches newer generations from peers,
-/// and takes operators' documents.
+/// The actor that keeps this host's configuration current: carries the
+/// commands of `ConfigState` to the store and to peers, and takes operators'
+/// documents.
 #pragma once
 
 #include <caf/all.hpp>
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "comfreyflow/config-state.h"
 #include "node/admin-api.h"
 #include "node/config-view.h"
 #include "node/messages.h"
@@ -22,50 +23,28 @@
   std::function<void(ApplyResult)> done;
 };
 
-/// A document as the store or a peer has it.
-struct ConfigSeen {
-  std::uint64_t generation = 0;
-  std::string text;
-};
-
-/// The store answered a read or watch; the next one may start.
-struct StoreRead {
-  std::error_code error;
-  std::uint64_t version = 0;  ///< Of the kind, from a watch; else 0.
-};
-
-/// A peer has this generation in force.
-struct PeerGeneration {
-  HostName host;
-  std::uint64_t generation = 0;
-};
-
-/// Whether this host is one of the few that watch the store.
-struct WatchDuty {
-  bool on = true;
+/// Something for the configuration's state.
+struct ConfigPosted {
+  ConfigEvent event;
 };
 
 struct ConfigHooks {
   std::function<void(const ConfigPtr&)> apply;
-  std::function<void(const HostName&)> fetch_from_peer;
-  /// Whether this host can still learn of newer generations.
-  std::function<void(bool reachable)> reachable;
+  std::function<void(const FetchConfig&)> fetch;
+  /// `kOk` when requests may be admitted, else why not.
+  std::function<void(Errc reason)> admitting;
 };
 
 struct ConfigDeps {
   std::string environment;
   bool require_proof = false;
-  std::shared_ptr<ConfigView> view;
+  std::uint64_t seed = 0;
   PlatformClient* platform = nullptr;
   ActorRefPtr self;
   ActorRefPtr timer;
   ConfigHooks hooks;
 };
 
-/// A host that reached neither the store nor a peer for this long cannot know
-/// whether its configuration is current.
-inline constexpr Duration kConfigReach = std::chrono::seconds(15);
-
 class ConfigActor : public caf::event_based_actor {
  public:
   ConfigActor(caf::actor_config& config, ConfigDeps deps);
@@ -74,29 +53,21 @@
 
  private:
   void Subscribe();
-  void Tick(Time now);
-  void Read();
-  void Watch();
-  void TakeRead(const StoreRead& read);
-  void TakeDocument(const ConfigSeen& seen);
-  void TakePeer(const PeerGeneration& peer);
-  void Apply(const ConfigWanted& message);
-  std::uint64_t generation() const;
+  void Run(const ConfigEvent& event);
+  void Do(const ApplyConfig& command);
+  void Do(const ReadStoredConfig& command);
+  void Do(const WatchStoredConfig& command);
+  void Do(const FetchConfig& command);
+  void Do(const ConfigRejected& command);
+  void Do(const StopAdmitting& command);
+  void Do(const ResumeAdmitting& command);
+  void Update(const ConfigWanted& message);
 
   ConfigDeps deps_;
-  bool watch_duty_ = true;
-  bool call_under_way_ = false;
-  bool read_once_ = false;
-  std::uint64_t watched_ = 0;  ///< Version of the kind behind the last answer.
-  Time next_read_;
-  Time last_contact_;
-  bool reachable_ = true;
+  ConfigState state_;
 };
 
 }  // namespace comfreyflow::node
 
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::ConfigWanted)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::ConfigSeen)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::StoreRead)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::PeerGeneration)
-CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::WatchDuty)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::ConfigPosted)
--- a/src/node/config-view.h
+++ b/src/node/config-view.h
@@ -15,7 +15,8 @@
 struct ConfigGeneration {
   std::uint64_t generation = 0;
   std::string text;
-  std::string hash;
+  std::string hash;  ///< SHA-256 of `text`, as operators see it.
+  Digest digest;     ///< Of the canonical text, as peers compare it.
   Config config;
 };
 
--- a/src/node/node-deps.cc
+++ b/src/node/node-deps.cc
@@ -4,6 +4,7 @@
 #include "comfreyflow/resume.h"
 #include "node/log.h"
 #include "node/node-state.h"
+#include "node/peer-wire.h"
 
 namespace comfreyflow::node {
 namespace {
@@ -32,6 +33,11 @@
   return ask;
 }
 
+/// Later marks of a target win over earlier ones, whichever host made them.
+std::uint64_t CloseVersion() {
+  return comfreyflow::detail::IncarnationFromClock().value;
+}
+
 /// Collects the parts of a dump, which come from several actors.
 struct DumpParts {
   std::mutex mutex;
@@ -124,10 +130,22 @@
   deps.timer = timer;
   deps.hooks.targets = [this] { return Targets(); };
   deps.hooks.ask_grant = [this](const AskGrant& ask) {
-    steward->Send(ReserveWanted{ask.target, AskOf(ask)});
+    const HostName to = StewardFor(ask.target);
+    if (to == settings().name) {
+      return steward->Send(ReserveWanted{ask.target, AskOf(ask)});
+    }
+    peer_links->Send(
+        to, ReserveBody(ask.target, AskOf(ask), comfreyflow::detail::Now()));
   };
   deps.hooks.release_grant = [this](const ReleaseGrant& release) {
-    steward->Send(ReserveReleased{release.target, release.attempt});
+    const HostName to = StewardFor(release.target);
+    if (to == settings().name) {
+      return steward->Send(ReserveReleased{release.target, release.attempt});
+    }
+    peer_links->Send(to, ReleaseBody(release.target, release.attempt));
+  };
+  deps.hooks.share_closed = [this](const ShareClosed& share) {
+    membership->Send(TargetShared{{share.target, CloseVersion(), true}});
   };
   if (platform) {
     deps.hooks.want_claim = [this](const WantClaim& want) {
@@ -148,71 +166,6 @@
   return deps;
 }
 
-StewardDeps Node::State::MakeStewardDeps() {
-  StewardDeps deps;
-  deps.client = &client;
-  deps.self = steward;
-  deps.timer = timer;
-  deps.hooks.targets = [this] { return Targets(); };
-  deps.hooks.answer = [this](const TargetName& target,
-                             const ReserveAnswer& answer) {
-    entry->Send(EntryPosted{GrantAnswered{answer.attempt, target, answer.reply,
-                                          answer.retry_after}});
-  };
-  deps.hooks.report = [this](const TargetReport& report) {
-    entry->Send(EntryPosted{LoadReported{report}});
-  };
-  deps.hooks.cache_events = [this](const PrefixReported& events) {
-    entry->Send(EntryPosted{events});
-  };
-  deps.hooks.ask_owner = [this](const AskOwner& ask) {
-    if (ask.host != settings().name) return;
-    entry->Send(
-        OwnersAsked{ask.attempts, [this](std::vector<AttemptId> unknown) {
-                      steward->Send(OwnerNews{OwnerAnswered{
-                          settings().name, incarnation, std::move(unknown)}});
-                    }});
-  };
-  return deps;
-}
-
-ClaimDeps Node::State::MakeClaimDeps() {
-  ClaimDeps deps;
-  deps.settings.host = settings().name;
-  // Another one for each start of the actor, as its numbers begin anew.
-  deps.settings.incarnation = comfreyflow::detail::IncarnationFromClock();
-  deps.platform = platform.get();
-  deps.metrics = &metrics;
-  deps.self = claims;
-  deps.timer = timer;
-  deps.hooks.answered = [this](const ClaimAnswered& answer) {
-    entry->Send(EntryPosted{answer});
-  };
-  return deps;
-}
-
-ConfigDeps Node::State::MakeConfigDeps() {
-  ConfigDeps deps;
-  deps.environment = settings().environment;
-  deps.require_proof = settings().require_proof;
-  deps.view = config;
-  deps.platform = platform.get();
-  deps.self = config_actor;
-  deps.timer = timer;
-  deps.hooks.apply = [this](const ConfigPtr& next) { ApplyConfig(next); };
-  deps.hooks.fetch_from_peer = [](const HostName&) {};
-  deps.hooks.reachable = [this](bool now) {
-    reachable = now;
-    LogLine(Severity::kWarning, now ? "config_reached" : "config_cut_off");
-    if (now) {
-      entry->Send(EntryPosted{ResumeAdmitting{}});
-    } else {
-      entry->Send(EntryPosted{StopAdmitting{Errc::kCutOff}});
-    }
-  };
-  return deps;
-}
-
 std::string Node::State::SignResume(const Call& call, const AttemptId& attempt,
                                     const TargetName& target) const {
   if (!call.info.repeatable) return {};
@@ -232,23 +185,33 @@
 
 const char* Node::State::StateName() const {
   if (drain_phase() != DrainPhase::kServing) return "draining";
-  if (!reachable) return "cut_off";
+  if (stopped == Errc::kCutOff) return "cut_off";
   return config->current() ? "running" : "no_configuration";
 }
 
-std::string Node::State::AddressesAnswer(const FailureDomain&) {
+std::string Node::State::AddressesAnswer(const FailureDomain& caller) {
+  const Time now = comfreyflow::detail::Now();
+  AddressAnswer answer;
   Json hosts = Json::array();
   {
-    const std::lock_guard lock(drain_mutex);
-    if (drain.in_answers()) {
-      drain.AnswerHandedOut(comfreyflow::detail::Now() +
-                            settings().address_life);
-      hosts.push_back({{"address", settings().callers},
-                       {"failure_domain", settings().failure_domain.value}});
+    const std::lock_guard lock(view_mutex);
+    answer = addresses.Answer(caller, now);
+    for (const auto& address : answer.hosts) {
+      std::string domain;
+      for (const auto& [name, member] : members) {
+        if (member.record.callers == address) {
+          domain = member.record.failure_domain.value;
+        }
+      }
+      hosts.push_back({{"address", address}, {"failure_domain", domain}});
     }
   }
+  {
+    const std::lock_guard lock(drain_mutex);
+    drain.AnswerHandedOut(now + answer.keep_for);
+  }
   return Json{{"hosts", std::move(hosts)},
-              {"expires_ms", Milliseconds(settings().address_life).count()}}
+              {"expires_ms", Milliseconds(answer.keep_for).count()}}
       .dump();
 }
 
@@ -286,6 +249,7 @@
     entry->Send(EntryPosted{StopAdmitting{Errc::kDraining}});
   }
   if (phase != DrainPhase::kDone) return WaitDrain();
+  membership->Send(LeaveWanted{});
   if (!exit_told.exchange(true)) options.on_exit(0);
 }
 
@@ -295,7 +259,7 @@
   parts->all["limits"] = {{"body_memory_bytes", bodies->limit()},
                           {"body_memory_used", bodies->used()}};
   parts->done = std::move(done);
-  std::vector<ActorRefPtr> actors = {entry, steward};
+  std::vector<ActorRefPtr> actors = {entry, steward, membership};
   if (platform) actors.push_back(claims);
   parts->missing = actors.size();
   for (const auto& actor : actors) {
@@ -314,6 +278,22 @@
   status["config"] = {{"environment", settings().environment},
                       {"generation", now ? now->generation : 0},
                       {"hash", now ? now->hash : ""}};
+  std::size_t alive = 0;
+  std::size_t suspect = 0;
+  std::size_t left = 0;
+  std::size_t in_force = 0;
+  const std::lock_guard lock(view_mutex);
+  for (const auto& [name, member] : members) {
+    const bool lives = member.state == MemberState::kAlive;
+    alive += lives ? 1 : 0;
+    suspect += member.state == MemberState::kSuspect ? 1 : 0;
+    left += member.state >= MemberState::kDead ? 1 : 0;
+    const bool self = name == settings().name;
+    const bool has = now && member.facts.generation >= now->generation;
+    if (member.state < MemberState::kDead && now && (self || has)) ++in_force;
+  }
+  status["in_force"] = {{"hosts", in_force}, {"of", alive + suspect}};
+  status["members"] = {{"alive", alive}, {"suspect", suspect}, {"left", left}};
   return status;
 }
 
--- /dev/null
+++ b/src/node/node-peers.cc
@@ -0,0 +1,369 @@
+// Connects a host with its peers: membership, stewardships, claims and the
+// configuration.
+#include <algorithm>
+#include <utility>
+
+#include "comfreyflow/stewardship.h"
+#include "node/log.h"
+#include "node/node-state.h"
+#include "node/peer-wire.h"
+
+namespace comfreyflow::node {
+namespace {
+
+using comfreyflow::detail::IncarnationFromClock;
+using comfreyflow::detail::Now;
+using std::chrono::milliseconds;
+
+/// Between two exchanges of load reports with a random peer.
+constexpr Duration kLoadsPeriod = milliseconds(250);
+/// Reports older than this are not passed on.
+constexpr Duration kLoadLife = std::chrono::seconds(3);
+/// Open requests for one step of the load that peers see.
+constexpr std::size_t kRequestsPerLoadStep = 16;
+
+std::string WithPort(const std::string& address, std::uint16_t port) {
+  return address.substr(0, address.rfind(':') + 1) + std::to_string(port);
+}
+
+/// Whether a report tells more than the one that is known.
+bool IsNewer(const TargetReport& report, const TargetReport& known) {
+  if (report.epoch != known.epoch) return report.epoch > known.epoch;
+  return report.sequence > known.sequence;
+}
+
+}  // namespace
+
+HostRecord Node::State::SelfRecord() const {
+  HostRecord record;
+  record.name = settings().name;
+  record.incarnation = incarnation;
+  record.failure_domain = settings().failure_domain;
+  record.gossip = WithPort(settings().gossip, gossip->port());
+  record.peers = WithPort(settings().peers, peers->port());
+  record.callers = WithPort(settings().callers, callers->port());
+  return record;
+}
+
+MembershipDeps Node::State::MakeMembershipDeps() {
+  MembershipDeps deps;
+  deps.settings.self = SelfRecord();
+  deps.settings.seeds = settings().seeds;
+  deps.settings.seed = incarnation.value;
+  deps.socket = gossip;
+  deps.platform = platform.get();
+  deps.self = membership;
+  deps.timer = timer;
+  deps.hooks.facts = [this] {
+    HostFacts facts;
+    const auto now = config->current();
+    facts.generation = now ? now->generation : 0;
+    const std::size_t step = open_requests / kRequestsPerLoadStep;
+    facts.load =
+        static_cast<std::uint8_t>(std::min<std::size_t>(step, kLoadSteps - 1));
+    facts.draining = drain_phase() != DrainPhase::kServing;
+    return facts;
+  };
+  deps.hooks.config_mark = [this] {
+    const auto now = config->current();
+    return now ? MarkOf(now->generation, now->digest) : ConfigMark{};
+  };
+  deps.hooks.changed = [this](const MemberChanged& event) {
+    TakeMember(event);
+  };
+  deps.hooks.config_announced = [this](const ConfigAnnounced& event) {
+    config_actor->Send(ConfigPosted{PeerHas{event.host, event.config}});
+  };
+  deps.hooks.target_marked = [this](const TargetMark& mark) {
+    if (mark.closed) entry->Send(EntryPosted{TargetClosed{mark.target}});
+  };
+  deps.hooks.view = [this](const auto& all, const auto& hosts) {
+    TakeView(all, hosts);
+  };
+  deps.hooks.targets_listed = [this](const std::vector<PlatformMember>& all) {
+    for (const auto& target : all) {
+      if (!target.leaving) continue;
+      entry->Send(EntryPosted{TargetClosed{{target.name}}});
+      membership->Send(
+          TargetShared{{{target.name}, IncarnationFromClock().value, true}});
+    }
+  };
+  return deps;
+}
+
+void Node::State::TakeMember(const MemberChanged& event) {
+  const auto& record = event.record;
+  if (event.state == MemberState::kAlive) {
+    steward->Send(OwnerNews{OwnerAlive{record.name, record.incarnation}});
+  } else if (event.state != MemberState::kSuspect) {
+    steward->Send(OwnerNews{OwnerLost{record.name, record.incarnation}});
+    config_actor->Send(ConfigPosted{PeerGone{record.name}});
+  }
+}
+
+void Node::State::TakeView(const std::map<HostName, Member>& all,
+                           const std::vector<HostName>& hosts) {
+  bool changed = false;
+  {
+    const std::lock_guard lock(view_mutex);
+    members = all;
+    serving = hosts;
+    addresses.SetView(all);
+    changed = duty_hosts != hosts;
+    duty_hosts = hosts;
+  }
+  config_actor->Send(ConfigPosted{
+      ViewSeen{HearsMajority(all), RankInDomain(all, settings().name)}});
+  if (changed) ShareDuties();
+}
+
+void Node::State::ShareDuties() {
+  steward->Send(StewardshipsChanged{OwnDuties()});
+  ClaimStewards stewards;
+  {
+    const std::lock_guard lock(view_mutex);
+    stewards.by_shard = AssignClaimStewards(serving, ClaimSettings().shards);
+  }
+  if (platform) claims->Send(ClaimPosted{std::move(stewards)});
+}
+
+HostName Node::State::StewardFor(const TargetName& target) const {
+  const std::lock_guard lock(view_mutex);
+  HostName steward_host = StewardOf(serving, target);
+  return steward_host.value.empty() ? settings().name : steward_host;
+}
+
+std::vector<TargetInfo> Node::State::OwnDuties() const {
+  std::vector<TargetInfo> own;
+  for (auto& target : Targets()) {
+    if (StewardFor(target.name) == settings().name) {
+      own.push_back(std::move(target));
+    }
+  }
+  return own;
+}
+
+PeerDeps Node::State::MakePeerDeps() {
+  PeerDeps deps;
+  deps.self = settings().name;
+  deps.incarnation = incarnation;
+  deps.key = {options.fleet_key};
+  deps.client = &client;
+  deps.address = [this](const HostName& host) {
+    const std::lock_guard lock(view_mutex);
+    const auto at = members.find(host);
+    return at == members.end() ? std::string() : at->second.record.peers;
+  };
+  deps.received = [this](const HostName& from, Incarnation peer,
+                         const wire::Body& body) {
+    TakePeer(from, peer, body);
+  };
+  return deps;
+}
+
+void Node::State::TakePeer(const HostName& from, Incarnation peer,
+                           const wire::Body& body) {
+  if (body.__isset.reserve) {
+    steward->Send(
+        ReserveWanted{{body.reserve.target}, AskFromWire(body.reserve, Now())});
+  } else if (body.__isset.grant) {
+    entry->Send(EntryPosted{GrantFromWire(body.grant)});
+  } else if (body.__isset.release) {
+    steward->Send(
+        ReserveReleased{{body.release.target}, FromWire(body.release.attempt)});
+  } else if (body.__isset.prefilled) {
+    steward->Send(ReservePrefilled{{body.prefilled.target},
+                                   FromWire(body.prefilled.attempt)});
+  } else if (body.__isset.loads) {
+    TakeLoads(from, body.loads);
+  } else if (body.__isset.owners) {
+    AnswerOwners(from, FromWire(body.owners.attempts));
+  } else if (body.__isset.owners_answer) {
+    steward->Send(OwnerNews{
+        OwnerAnswered{from, peer, FromWire(body.owners_answer.unknown)}});
+  } else if (body.__isset.config) {
+    const auto now = config->current();
+    if (!now) return;
+    wire::ConfigAnswer answer;
+    answer.generation = static_cast<std::int64_t>(now->generation);
+    answer.text = now->text;
+    wire::Body out;
+    out.__set_config_answer(answer);
+    peer_links->Send(from, std::move(out));
+  } else if (body.__isset.config_answer) {
+    const auto& answer = body.config_answer;
+    config_actor->Send(ConfigPosted{PeerGave{
+        from, {static_cast<std::uint64_t>(answer.generation), answer.text}}});
+  } else if (body.__isset.claims) {
+    claims->Send(ClaimPosted{PeerClaims{from, FromWire(body.claims)}});
+  } else if (body.__isset.claims_answer) {
+    claims->Send(ClaimPosted{PeerVerdicts{from, FromWire(body.claims_answer)}});
+  }
+}
+
+void Node::State::AnswerOwners(const HostName& to,
+                               std::vector<AttemptId> attempts) {
+  entry->Send(OwnersAsked{std::move(attempts),
+                          [this, to](const std::vector<AttemptId>& unknown) {
+                            peer_links->Send(to, OwnersAnswerBody(unknown));
+                          }});
+}
+
+void Node::State::WaitLoads() {
+  loads_timer.expires_after(kLoadsPeriod);
+  loads_timer.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    ShareLoads();
+    WaitLoads();
+  });
+}
+
+void Node::State::ShareLoads() {
+  HostName to;
+  {
+    const std::lock_guard lock(view_mutex);
+    std::vector<HostName> others;
+    for (const auto& host : serving) {
+      if (host != settings().name) others.push_back(host);
+    }
+    if (others.empty()) return;
+    to = others[random() % others.size()];
+  }
+  peer_links->Send(to, LoadsBody(true));
+}
+
+wire::Body Node::State::LoadsBody(bool answer_wanted) {
+  wire::LoadsCall call;
+  call.answer_wanted = answer_wanted;
+  const Time now = Now();
+  {
+    const std::lock_guard lock(view_mutex);
+    for (const auto& [name, report] : loads) {
+      const Duration held = now - load_times[name];
+      if (held > kLoadLife) continue;
+      TargetReport aged = report;
+      aged.age += held;
+      call.reports.push_back(ToWire(aged));
+    }
+  }
+  wire::Body body;
+  body.__set_loads(call);
+  return body;
+}
+
+void Node::State::TakeLoads(const HostName& from, const wire::LoadsCall& call) {
+  std::vector<TargetReport> news;
+  {
+    const std::lock_guard lock(view_mutex);
+    for (const auto& item : call.reports) {
+      TargetReport report = FromWire(item);
+      const auto known = loads.find(report.target);
+      if (known != loads.end() && !IsNewer(report, known->second)) continue;
+      loads[report.target] = report;
+      load_times[report.target] = Now();
+      news.push_back(std::move(report));
+    }
+  }
+  for (auto& report : news) {
+    entry->Send(EntryPosted{LoadReported{std::move(report)}});
+  }
+  if (call.answer_wanted) peer_links->Send(from, LoadsBody(false));
+}
+
+StewardDeps Node::State::MakeStewardDeps() {
+  StewardDeps deps;
+  deps.client = &client;
+  deps.self = steward;
+  deps.timer = timer;
+  deps.hooks.targets = [this] { return OwnDuties(); };
+  deps.hooks.answer = [this](const TargetName& target,
+                             const ReserveAnswer& answer) {
+    const HostName& owner = answer.attempt.request.host;
+    if (owner != settings().name) {
+      return peer_links->Send(owner, GrantBody(target, answer));
+    }
+    entry->Send(EntryPosted{GrantAnswered{answer.attempt, target, answer.reply,
+                                          answer.retry_after}});
+  };
+  deps.hooks.report = [this](const TargetReport& report) {
+    {
+      const std::lock_guard lock(view_mutex);
+      loads[report.target] = report;
+      load_times[report.target] = Now();
+    }
+    if (report.closing) {
+      membership->Send(
+          TargetShared{{report.target, IncarnationFromClock().value, true}});
+    }
+    entry->Send(EntryPosted{LoadReported{report}});
+  };
+  deps.hooks.cache_events = [this](const PrefixReported& events) {
+    entry->Send(EntryPosted{events});
+  };
+  deps.hooks.ask_owner = [this](const AskOwner& ask) {
+    if (ask.host != settings().name) {
+      return peer_links->Send(ask.host, OwnersBody(ask.attempts));
+    }
+    entry->Send(
+        OwnersAsked{ask.attempts, [this](std::vector<AttemptId> unknown) {
+                      steward->Send(OwnerNews{OwnerAnswered{
+                          settings().name, incarnation, std::move(unknown)}});
+                    }});
+  };
+  return deps;
+}
+
+ClaimDeps Node::State::MakeClaimDeps() {
+  ClaimDeps deps;
+  deps.settings.host = settings().name;
+  // Another one for each start of the actor, as its numbers begin anew.
+  deps.settings.incarnation = IncarnationFromClock();
+  deps.platform = platform.get();
+  deps.metrics = &metrics;
+  deps.self = claims;
+  deps.timer = timer;
+  deps.hooks.answered = [this](const ClaimAnswered& answer) {
+    entry->Send(EntryPosted{answer});
+  };
+  deps.hooks.ask_steward = [this](const AskClaimSteward& ask) {
+    peer_links->Send(ask.steward, ClaimsBody(ask.records));
+  };
+  deps.hooks.answer_peer = [this](const AnswerPeer& answer) {
+    peer_links->Send(answer.to, VerdictsBody(answer.verdicts));
+  };
+  deps.hooks.stewards = [this] {
+    const std::lock_guard lock(view_mutex);
+    return ClaimStewards{AssignClaimStewards(serving, ClaimSettings().shards)};
+  };
+  return deps;
+}
+
+ConfigDeps Node::State::MakeConfigDeps() {
+  ConfigDeps deps;
+  deps.environment = settings().environment;
+  deps.require_proof = settings().require_proof;
+  deps.seed = incarnation.value;
+  deps.platform = platform.get();
+  deps.self = config_actor;
+  deps.timer = timer;
+  deps.hooks.apply = [this](const ConfigPtr& next) { ApplyConfig(next); };
+  deps.hooks.fetch = [this](const FetchConfig& fetch) {
+    wire::ConfigCall call;
+    call.generation = static_cast<std::int64_t>(fetch.generation);
+    wire::Body body;
+    body.__set_config(call);
+    peer_links->Send(fetch.from, std::move(body));
+  };
+  deps.hooks.admitting = [this](Errc reason) {
+    stopped = reason;
+    LogLine(Severity::kWarning, "admitting").With(reason);
+    if (reason != Errc::kOk) {
+      entry->Send(EntryPosted{StopAdmitting{reason}});
+    } else if (!refusing) {
+      entry->Send(EntryPosted{ResumeAdmitting{}});
+    }
+  };
+  return deps;
+}
+
+}  // namespace comfreyflow::node
--- a/src/node/node-state.h
+++ b/src/node/node-state.h
@@ -9,11 +9,14 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <random>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "comfreyflow/addresses.h"
 #include "comfreyflow/drain.h"
+#include "comfreyflow/membership.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "http/tls.h"
@@ -24,8 +27,10 @@
 #include "node/config-actor.h"
 #include "node/config-view.h"
 #include "node/entry-actor.h"
+#include "node/membership-actor.h"
 #include "node/metrics.h"
 #include "node/node.h"
+#include "node/peer-links.h"
 #include "node/steward-actor.h"
 #include "node/supervisor.h"
 #include "platform/client.h"
@@ -50,6 +55,7 @@
 
   std::error_code StartTls();
   std::error_code StartServers();
+  std::error_code StartPeers();
   void StartActors();
   void StartPlatform(std::vector<ChildSpec>& children);
   void StartThreads();
@@ -60,6 +66,23 @@
   AdminDeps MakeAdminDeps();
   EntryDeps MakeEntryDeps();
   StewardDeps MakeStewardDeps();
+  MembershipDeps MakeMembershipDeps();
+  PeerDeps MakePeerDeps();
+  HostRecord SelfRecord() const;
+  void TakePeer(const HostName& from, Incarnation peer_incarnation,
+                const wire::Body& body);
+  void AnswerOwners(const HostName& to, std::vector<AttemptId> attempts);
+  void TakeLoads(const HostName& from, const wire::LoadsCall& call);
+  void ShareLoads();
+  void WaitLoads();
+  wire::Body LoadsBody(bool answer_wanted);
+  void TakeMember(const MemberChanged& event);
+  void TakeView(const std::map<HostName, Member>& members,
+                const std::vector<HostName>& serving);
+  void ShareDuties();
+  HostName StewardFor(const TargetName& target) const;
+  std::vector<TargetInfo> OwnDuties() const;
+  void SendToSteward(const TargetName& target, wire::Body body);
   ClaimDeps MakeClaimDeps();
   ConfigDeps MakeConfigDeps();
   std::vector<TargetInfo> Targets() const;
@@ -90,10 +113,14 @@
   std::unique_ptr<AdminApi> admin_api;
   std::unique_ptr<http::Server> callers;
   std::unique_ptr<http::Server> admin;
+  std::unique_ptr<http::Server> peers;
+  std::unique_ptr<PeerLinks> peer_links;
+  std::shared_ptr<GossipSocket> gossip;
   caf::actor_system_config system_config;
   caf::actor_system system;
   ActorRefPtr entry = std::make_shared<ActorRef>();
   ActorRefPtr timer = std::make_shared<ActorRef>();
+  ActorRefPtr membership = std::make_shared<ActorRef>();
   ActorRefPtr steward = std::make_shared<ActorRef>();
   ActorRefPtr claims = std::make_shared<ActorRef>();
   ActorRefPtr config_actor = std::make_shared<ActorRef>();
@@ -106,7 +133,17 @@
   comfreyflow::Drain drain;  ///< Guarded by `drain_mutex`.
   boost::asio::steady_timer drain_timer{io};
   std::atomic<bool> refusing = false;
-  std::atomic<bool> reachable = true;
+  std::atomic<Errc> stopped = Errc::kOk;  ///< Why nothing is admitted.
+  mutable std::mutex view_mutex;
+  // Guarded by `view_mutex`:
+  std::map<HostName, Member> members;
+  std::vector<HostName> serving;
+  std::vector<HostName> duty_hosts;  ///< `serving` as duties were last shared.
+  Addresses addresses{incarnation.value};
+  std::map<TargetName, TargetReport> loads;
+  std::map<TargetName, Time> load_times;  ///< When `loads` were read.
+  std::mt19937_64 random{incarnation.value};
+  boost::asio::steady_timer loads_timer{io};
 };
 
 }  // namespace comfreyflow::node
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -16,6 +16,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint64_t kAdminBodyBytes = 2 * 1024 * 1024;
+constexpr std::uint64_t kPeerMemoryBytes = 64 * 1024 * 1024;
 constexpr std::uint64_t kAdminMemoryBytes = 16 * 1024 * 1024;
 constexpr std::size_t kActorThreads = 2;
 
@@ -99,7 +100,32 @@
       io, AdminLimits(), std::move(admin_hooks),
       std::make_shared<http::BodyBudget>(kAdminMemoryBytes));
   if (const auto error = callers->Listen(settings().callers)) return error;
-  return admin->Listen(settings().admin);
+  if (const auto error = admin->Listen(settings().admin)) return error;
+  return StartPeers();
+}
+
+std::error_code Node::State::StartPeers() {
+  peer_links = std::make_unique<PeerLinks>(MakePeerDeps());
+  http::ServerHooks hooks;
+  hooks.admit_head = [this](const auto& head) {
+    return peer_links->AdmitHead(head);
+  };
+  hooks.handle = [this](const auto& exchange) { peer_links->Handle(exchange); };
+  hooks.error_response = PlainError;
+  http::ServerLimits limits;
+  limits.body_bytes = wire::kMaxMessageBytes;
+  peers = std::make_unique<http::Server>(
+      io, limits, std::move(hooks),
+      std::make_shared<http::BodyBudget>(kPeerMemoryBytes));
+  gossip = std::make_shared<GossipSocket>(
+      io, wire::FleetKey{options.fleet_key},
+      [this](const Datagram& datagram, const std::string& from) {
+        membership->Send(DatagramArrived{datagram, from});
+      });
+  if (const auto error = peers->Listen(settings().peers)) return error;
+  if (const auto error = gossip->Open(settings().gossip)) return error;
+  gossip->Start();
+  return {};
 }
 
 void Node::State::StartActors() {
@@ -110,6 +136,9 @@
   children.push_back({"entry", entry, [this](caf::actor_system& all) {
                         return all.spawn<EntryActor>(MakeEntryDeps());
                       }});
+  children.push_back({"membership", membership, [this](caf::actor_system& all) {
+                        return all.spawn<MembershipActor>(MakeMembershipDeps());
+                      }});
   children.push_back({"steward", steward, [this](caf::actor_system& all) {
                         return all.spawn<StewardActor>(MakeStewardDeps());
                       }});
@@ -155,6 +184,7 @@
   next->generation = 1;
   next->text = text.str();
   next->hash = Sha256(next->text).value;
+  next->digest = HashOf(parsed.config);
   next->config = std::move(parsed.config);
   ApplyConfig(next);
   return {};
@@ -169,7 +199,7 @@
   for (const auto& target : Targets()) {
     entry->Send(EntryPosted{TargetSeen{target}});
   }
-  steward->Send(StewardshipsChanged{Targets()});
+  ShareDuties();
   if (!before) return;
   for (const auto& [name, target] : before->config.targets) {
     if (next->config.targets.count(name) == 0) {
@@ -181,6 +211,8 @@
 void Node::State::Stop() {
   if (callers) callers->Close();
   if (admin) admin->Close();
+  if (peers) peers->Close();
+  if (gossip) gossip->Close();
   if (supervisor)
     caf::anon_send_exit(supervisor, caf::exit_reason::user_shutdown);
   supervisor = {};
@@ -198,9 +230,10 @@
 
 std::error_code Node::Start() {
   if (const auto error = state_->StartTls()) return error;
+  if (const auto error = state_->StartServers()) return error;
   state_->StartActors();
   if (const auto error = state_->LoadConfigFile()) return error;
-  if (const auto error = state_->StartServers()) return error;
+  state_->WaitLoads();
   state_->StartThreads();
   LogLine(Severity::kInfo, "host_started")
       .With("host", state_->settings().name)
@@ -225,6 +258,8 @@
 NodePorts Node::ports() const {
   NodePorts ports;
   ports.callers = state_->callers->port();
+  ports.peers = state_->peers->port();
+  ports.gossip = state_->gossip->port();
   ports.admin = state_->admin->port();
   return ports;
 }
--- /dev/null
+++ b/src/node/peer-links.cc
@@ -0,0 +1,101 @@
+// Sends and receives envelopes.
+#include "node/peer-links.h"
+
+#include <utility>
+
+#include "node/answer.h"
+#include "node/log.h"
+
+namespace comfreyflow::node {
+namespace {
+
+constexpr const char* kPath = "/peer";
+constexpr std::chrono::milliseconds kPeerTimeout{1000};
+
+}  // namespace
+
+void PeerLinks::Send(const HostName& to, wire::Body body) {
+  std::vector<wire::Body> bodies;
+  {
+    const std::lock_guard lock(mutex_);
+    Link& link = links_[to];
+    if (link.waiting.size() >= kPeerBacklog) {
+      ++dropped_;
+      return;
+    }
+    link.waiting.push_back(std::move(body));
+    if (link.under_way) return;
+    link.under_way = true;
+    bodies.swap(link.waiting);
+  }
+  SendWaiting(to, std::move(bodies));
+}
+
+void PeerLinks::SendWaiting(const HostName& to,
+                            std::vector<wire::Body> bodies) {
+  const std::size_t messages = bodies.size();
+  const std::string address = deps_.address(to);
+  if (address.empty()) return Ended(to, false, messages);
+  wire::Envelope envelope;
+  envelope.host = deps_.self.value;
+  envelope.incarnation = static_cast<std::int64_t>(deps_.incarnation.value);
+  envelope.to = to.value;
+  envelope.bodies = std::move(bodies);
+  http::Request request;
+  request.method = "POST";
+  request.path = kPath;
+  request.body = wire::EncodeEnvelope(envelope, deps_.key);
+  http::CallOptions options;
+  options.connect_timeout = kPeerTimeout;
+  options.progress_timeout = kPeerTimeout;
+  deps_.client->Fetch(
+      address, std::move(request), options,
+      [this, to, messages](http::CallEnd end, const http::Response& answer) {
+        Ended(to, end.code == Errc::kOk && answer.status == 200, messages);
+      });
+}
+
+void PeerLinks::Ended(const HostName& to, bool arrived, std::size_t messages) {
+  std::vector<wire::Body> bodies;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!arrived) dropped_ += messages;
+    Link& link = links_[to];
+    if (link.waiting.empty()) {
+      link.under_way = false;
+      return;
+    }
+    bodies.swap(link.waiting);
+  }
+  SendWaiting(to, std::move(bodies));
+}
+
+Errc PeerLinks::AdmitHead(const http::Request& head) const {
+  if (head.path != kPath) return Errc::kNotFound;
+  return head.method == "POST" ? Errc::kOk : Errc::kMethodNotAllowed;
+}
+
+void PeerLinks::Handle(const http::ExchangePtr& exchange) const {
+  wire::Envelope envelope;
+  const auto error =
+      wire::DecodeEnvelope(exchange->request().body, deps_.key, envelope);
+  if (error || envelope.to != deps_.self.value) {
+    const Errc code = error ? ToErrc(error) : Errc::kPeerRefused;
+    LogLine(Severity::kWarning, "peer_refused").With(code);
+    return exchange->Respond(ErrorResponse(FailureOf(code)));
+  }
+  exchange->Respond({});
+  const HostName from{envelope.host};
+  const Incarnation incarnation{
+      static_cast<std::uint64_t>(envelope.incarnation)};
+  for (const auto& body : envelope.bodies) {
+    deps_.received(from, incarnation, body);
+  }
+}
+
+std::uint64_t PeerLinks::dropped() const {
+  const std::lock_guard lock(mutex_);
+  return dropped_;
+}
+
+}  // namespace comfreyflow::node
--- /dev/null
+++ b/src/node/peer-wire.h
@@ -0,0 +1,42 @@
+/// Messages between hosts in their Thrift form and in that of the decisions.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "comfreyflow/claims.h"
+#include "comfreyflow/poison.h"
+#include "comfreyflow/steward.h"
+#include "comfreyflow/target.h"
+#include "comfreyflow_types.h"
+
+namespace comfreyflow::node {
+
+wire::AttemptId ToWire(const AttemptId& id);
+AttemptId FromWire(const wire::AttemptId& id);
+std::vector<wire::AttemptId> ToWire(const std::vector<AttemptId>& ids);
+std::vector<AttemptId> FromWire(const std::vector<wire::AttemptId>& ids);
+
+/// Times travel as what remains of them, since clocks differ.
+wire::Body ReserveBody(const TargetName& target, const ReserveAsk& ask,
+                       Time now);
+ReserveAsk AskFromWire(const wire::ReserveCall& call, Time now);
+
+wire::Body GrantBody(const TargetName& target, const ReserveAnswer& answer);
+GrantAnswered GrantFromWire(const wire::GrantCall& call);
+
+wire::Body ReleaseBody(const TargetName& target, const AttemptId& attempt);
+wire::Body PrefilledBody(const TargetName& target, const AttemptId& attempt);
+
+wire::LoadReport ToWire(const TargetReport& report);
+TargetReport FromWire(const wire::LoadReport& report);
+
+wire::Body OwnersBody(const std::vector<AttemptId>& attempts);
+wire::Body OwnersAnswerBody(const std::vector<AttemptId>& unknown);
+
+wire::Body ClaimsBody(const std::vector<ClaimRecord>& records);
+std::vector<ClaimRecord> FromWire(const wire::ClaimsCall& call);
+wire::Body VerdictsBody(const std::vector<PeerVerdict>& verdicts);
+std::vector<PeerVerdict> FromWire(const wire::ClaimsAnswer& answer);
+
+}  // namespace comfreyflow::node
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -53,15 +53,17 @@
   4: i32 number
 }
 
-// An entry asks a steward for room on a target.
+// An entry asks a steward for room on a target. Times are what remains.
 struct ReserveCall {
   1: AttemptId attempt
   2: string target
   3: string account
   4: i64 kv_tokens
   5: i32 urgency
-  6: bool long_prefill
   7: i64 expires_ms
+  8: i32 prefill_tokens
+  9: i64 max_wait_us
+  10: bool suspect
 }
 
 // The steward's answer, at once or later for what was queued.
@@ -69,7 +71,7 @@
   1: AttemptId attempt
   2: string target
   3: i32 reply
-  4: i64 retry_after_ms
+  4: i64 retry_after_us
 }
 
 struct ReleaseCall {
@@ -77,12 +79,14 @@
   2: string target
 }
 
-// A target's load report as its steward read it last.
-struct ReportCall {
-  1: string target
+// The attempt's prefill is done, its memory still in use.
+struct PrefilledCall {
+  1: AttemptId attempt
+  2: string target
 }
 
-struct ReportAnswer {
+// A target's load report as its steward read it last.
+struct LoadReport {
   1: string target
   2: i64 epoch
   3: i64 sequence
@@ -97,17 +101,26 @@
   12: list<string> models
 }
 
-struct ConfigCall {
-  1: i64 generation
+// What the sender knows of targets' loads; an answer is the same, back.
+struct LoadsCall {
+  1: list<LoadReport> reports
+  2: bool answer_wanted
 }
 
-struct ConfigAnswer {
+// A steward asks a host which of these attempts it still owns.
+struct OwnersCall {
+  1: list<AttemptId> attempts
+}
+
+struct OwnersAnswer {
+  1: list<AttemptId> unknown
+}
+
+struct ConfigCall {
   1: i64 generation
-  2: string text
 }
 
-// A document that the store has accepted, from the operator's side.
-struct ConfigOffer {
+struct ConfigAnswer {
   1: i64 generation
   2: string text
 }
@@ -125,70 +138,58 @@
   3: list<ShareAsk> shares
 }
 
-struct ClaimItem {
-  1: string account
+// A claim or an outcome of the claim log.
+struct ClaimRecord {
+  1: i32 kind
   2: string key
-  3: i64 fingerprint
-  4: AttemptId writer
-  5: i64 expires_ms
-}
-
-// Claims to append in one slot, from an entry to the shard's appender.
-struct ClaimBatchCall {
-  1: i32 shard
-  2: list<ClaimItem> claims
-}
-
-struct ClaimBatchAnswer {
-  1: i32 shard
-  2: list<i32> verdicts
+  3: i64 claimant
+  4: i64 fingerprint
+  5: i64 remaining_s
+  6: i32 outcome
 }
 
-// A target crashed while it ran these requests.
-struct PoisonCall {
-  1: string target
-  2: list<SuspectMark> suspects
+// Records to append, from an entry to the shard's steward.
+struct ClaimsCall {
+  1: list<ClaimRecord> records
 }
 
-struct StatusCall {
-  1: bool whole_dump
+struct ClaimVerdict {
+  1: string key
+  2: i64 claimant
+  3: i32 verdict
 }
 
-struct StatusAnswer {
-  1: HostRecord host
-  2: i64 generation
-  3: string hash
-  4: string dump
+struct ClaimsAnswer {
+  1: list<ClaimVerdict> verdicts
 }
 
-struct ErrorAnswer {
-  1: i32 code
+// A fingerprint was running on the target when that crashed.
+struct CrashCall {
+  1: string target
+  2: i64 fingerprint
 }
 
 union Body {
   1: ReserveCall reserve
   2: GrantCall grant
   3: ReleaseCall release
-  4: ReportCall report
-  5: ReportAnswer report_answer
-  6: ConfigCall config
-  7: ConfigAnswer config_answer
-  8: ConfigOffer config_offer
-  9: SharesCall shares
-  10: ClaimBatchCall claims
-  11: ClaimBatchAnswer claims_answer
-  12: PoisonCall poison
-  13: StatusCall status
-  14: StatusAnswer status_answer
-  15: ErrorAnswer error
-}
-
-// One message on a connection between hosts; `answers` is the sequence of the
-// call that it answers, 0 for a call.
+  4: PrefilledCall prefilled
+  5: LoadsCall loads
+  6: OwnersCall owners
+  7: OwnersAnswer owners_answer
+  8: ConfigCall config
+  9: ConfigAnswer config_answer
+  10: SharesCall shares
+  11: ClaimsCall claims
+  12: ClaimsAnswer claims_answer
+  13: CrashCall crash
+}
+
+// Messages from one host to another, in order. Each is complete in itself; one
+// that wants an answer gets it as a message of its own.
 struct Envelope {
   1: string host
   2: i64 incarnation
-  3: i64 sequence
-  4: i64 answers
-  5: Body body
+  3: string to
+  4: list<Body> bodies
 }
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -1170,13 +1170,21 @@
   this->urgency = val;
 }
 
-void ReserveCall::__set_long_prefill(const bool val) {
-  this->long_prefill = val;
-}
-
 void ReserveCall::__set_expires_ms(const int64_t val) {
   this->expires_ms = val;
 }
+
+void ReserveCall::__set_prefill_tokens(const int32_t val) {
+  this->prefill_tokens = val;
+}
+
+void ReserveCall::__set_max_wait_us(const int64_t val) {
+  this->max_wait_us = val;
+}
+
+void ReserveCall::__set_suspect(const bool val) {
+  this->suspect = val;
+}
 std::ostream& operator<<(std::ostream& out, const ReserveCall& obj)
 {
   obj.printTo(out);
@@ -1245,18 +1253,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 6:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->long_prefill);
-          this->__isset.long_prefill = true;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expires_ms);
+          this->__isset.expires_ms = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 7:
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->prefill_tokens);
+          this->__isset.prefill_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->expires_ms);
-          this->__isset.expires_ms = true;
+          xfer += iprot->readI64(this->max_wait_us);
+          this->__isset.max_wait_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->suspect);
+          this->__isset.suspect = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1298,14 +1322,22 @@
   xfer += oprot->writeI32(this->urgency);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("long_prefill", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->long_prefill);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldBegin("expires_ms", ::apache::thrift::protocol::T_I64, 7);
   xfer += oprot->writeI64(this->expires_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("prefill_tokens", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->prefill_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_wait_us", ::apache::thrift::protocol::T_I64, 9);
+  xfer += oprot->writeI64(this->max_wait_us);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("suspect", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->suspect);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1318,8 +1350,10 @@
   swap(a.account, b.account);
   swap(a.kv_tokens, b.kv_tokens);
   swap(a.urgency, b.urgency);
-  swap(a.long_prefill, b.long_prefill);
   swap(a.expires_ms, b.expires_ms);
+  swap(a.prefill_tokens, b.prefill_tokens);
+  swap(a.max_wait_us, b.max_wait_us);
+  swap(a.suspect, b.suspect);
   swap(a.__isset, b.__isset);
 }
 
@@ -1329,8 +1363,10 @@
   account = other52.account;
   kv_tokens = other52.kv_tokens;
   urgency = other52.urgency;
-  long_prefill = other52.long_prefill;
   expires_ms = other52.expires_ms;
+  prefill_tokens = other52.prefill_tokens;
+  max_wait_us = other52.max_wait_us;
+  suspect = other52.suspect;
   __isset = other52.__isset;
 }
 ReserveCall& ReserveCall::operator=(const ReserveCall& other53) {
@@ -1339,8 +1375,10 @@
   account = other53.account;
   kv_tokens = other53.kv_tokens;
   urgency = other53.urgency;
-  long_prefill = other53.long_prefill;
   expires_ms = other53.expires_ms;
+  prefill_tokens = other53.prefill_tokens;
+  max_wait_us = other53.max_wait_us;
+  suspect = other53.suspect;
   __isset = other53.__isset;
   return *this;
 }
@@ -1352,8 +1390,10 @@
   out << ", " << "account=" << to_string(account);
   out << ", " << "kv_tokens=" << to_string(kv_tokens);
   out << ", " << "urgency=" << to_string(urgency);
-  out << ", " << "long_prefill=" << to_string(long_prefill);
   out << ", " << "expires_ms=" << to_string(expires_ms);
+  out << ", " << "prefill_tokens=" << to_string(prefill_tokens);
+  out << ", " << "max_wait_us=" << to_string(max_wait_us);
+  out << ", " << "suspect=" << to_string(suspect);
   out << ")";
 }
 
@@ -1374,8 +1414,8 @@
   this->reply = val;
 }
 
-void GrantCall::__set_retry_after_ms(const int64_t val) {
-  this->retry_after_ms = val;
+void GrantCall::__set_retry_after_us(const int64_t val) {
+  this->retry_after_us = val;
 }
 std::ostream& operator<<(std::ostream& out, const GrantCall& obj)
 {
@@ -1431,8 +1471,8 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->retry_after_ms);
-          this->__isset.retry_after_ms = true;
+          xfer += iprot->readI64(this->retry_after_us);
+          this->__isset.retry_after_us = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1466,8 +1506,8 @@
   xfer += oprot->writeI32(this->reply);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->retry_after_ms);
+  xfer += oprot->writeFieldBegin("retry_after_us", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->retry_after_us);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1480,7 +1520,7 @@
   swap(a.attempt, b.attempt);
   swap(a.target, b.target);
   swap(a.reply, b.reply);
-  swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.retry_after_us, b.retry_after_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -1488,14 +1528,14 @@
   attempt = other54.attempt;
   target = other54.target;
   reply = other54.reply;
-  retry_after_ms = other54.retry_after_ms;
+  retry_after_us = other54.retry_after_us;
   __isset = other54.__isset;
 }
 GrantCall& GrantCall::operator=(const GrantCall& other55) {
   attempt = other55.attempt;
   target = other55.target;
   reply = other55.reply;
-  retry_after_ms = other55.retry_after_ms;
+  retry_after_us = other55.retry_after_us;
   __isset = other55.__isset;
   return *this;
 }
@@ -1505,7 +1545,7 @@
   out << "attempt=" << to_string(attempt);
   out << ", " << "target=" << to_string(target);
   out << ", " << "reply=" << to_string(reply);
-  out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ", " << "retry_after_us=" << to_string(retry_after_us);
   out << ")";
 }
 
@@ -1622,21 +1662,25 @@
 }
 
 
-ReportCall::~ReportCall() noexcept {
+PrefilledCall::~PrefilledCall() noexcept {
 }
 
 
-void ReportCall::__set_target(const std::string& val) {
+void PrefilledCall::__set_attempt(const AttemptId& val) {
+  this->attempt = val;
+}
+
+void PrefilledCall::__set_target(const std::string& val) {
   this->target = val;
 }
-std::ostream& operator<<(std::ostream& out, const ReportCall& obj)
+std::ostream& operator<<(std::ostream& out, const PrefilledCall& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ReportCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t PrefilledCall::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1658,6 +1702,14 @@
     switch (fid)
     {
       case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->attempt.read(iprot);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
           xfer += iprot->readString(this->target);
           this->__isset.target = true;
@@ -1677,12 +1729,16 @@
   return xfer;
 }
 
-uint32_t ReportCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t PrefilledCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReportCall");
+  xfer += oprot->writeStructBegin("PrefilledCall");
 
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->attempt.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
   xfer += oprot->writeString(this->target);
   xfer += oprot->writeFieldEnd();
 
@@ -1691,88 +1747,92 @@
   return xfer;
 }
 
-void swap(ReportCall &a, ReportCall &b) {
+void swap(PrefilledCall &a, PrefilledCall &b) {
   using ::std::swap;
+  swap(a.attempt, b.attempt);
   swap(a.target, b.target);
   swap(a.__isset, b.__isset);
 }
 
-ReportCall::ReportCall(const ReportCall& other58) {
+PrefilledCall::PrefilledCall(const PrefilledCall& other58) {
+  attempt = other58.attempt;
   target = other58.target;
   __isset = other58.__isset;
 }
-ReportCall& ReportCall::operator=(const ReportCall& other59) {
+PrefilledCall& PrefilledCall::operator=(const PrefilledCall& other59) {
+  attempt = other59.attempt;
   target = other59.target;
   __isset = other59.__isset;
   return *this;
 }
-void ReportCall::printTo(std::ostream& out) const {
+void PrefilledCall::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ReportCall(";
-  out << "target=" << to_string(target);
+  out << "PrefilledCall(";
+  out << "attempt=" << to_string(attempt);
+  out << ", " << "target=" << to_string(target);
   out << ")";
 }
 
 
-ReportAnswer::~ReportAnswer() noexcept {
+LoadReport::~LoadReport() noexcept {
 }
 
 
-void ReportAnswer::__set_target(const std::string& val) {
+void LoadReport::__set_target(const std::string& val) {
   this->target = val;
 }
 
-void ReportAnswer::__set_epoch(const int64_t val) {
+void LoadReport::__set_epoch(const int64_t val) {
   this->epoch = val;
 }
 
-void ReportAnswer::__set_sequence(const int64_t val) {
+void LoadReport::__set_sequence(const int64_t val) {
   this->sequence = val;
 }
 
-void ReportAnswer::__set_age_ms(const int64_t val) {
+void LoadReport::__set_age_ms(const int64_t val) {
   this->age_ms = val;
 }
 
-void ReportAnswer::__set_running(const int32_t val) {
+void LoadReport::__set_running(const int32_t val) {
   this->running = val;
 }
 
-void ReportAnswer::__set_waiting(const int32_t val) {
+void LoadReport::__set_waiting(const int32_t val) {
   this->waiting = val;
 }
 
-void ReportAnswer::__set_kv_used(const int64_t val) {
+void LoadReport::__set_kv_used(const int64_t val) {
   this->kv_used = val;
 }
 
-void ReportAnswer::__set_kv_capacity(const int64_t val) {
+void LoadReport::__set_kv_capacity(const int64_t val) {
   this->kv_capacity = val;
 }
 
-void ReportAnswer::__set_max_running(const int32_t val) {
+void LoadReport::__set_max_running(const int32_t val) {
   this->max_running = val;
 }
 
-void ReportAnswer::__set_prefill_backlog_tokens(const int64_t val) {
+void LoadReport::__set_prefill_backlog_tokens(const int64_t val) {
   this->prefill_backlog_tokens = val;
 }
 
-void ReportAnswer::__set_closing(const bool val) {
+void LoadReport::__set_closing(const bool val) {
   this->closing = val;
 }
 
-void ReportAnswer::__set_models(const std::vector<std::string> & val) {
+void LoadReport::__set_models(const std::vector<std::string> & val) {
   this->models = val;
 }
-std::ostream& operator<<(std::ostream& out, const ReportAnswer& obj)
+std::ostream& operator<<(std::ostream& out, const LoadReport& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ReportAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LoadReport::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1913,10 +1973,10 @@
   return xfer;
 }
 
-uint32_t ReportAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LoadReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReportAnswer");
+  xfer += oprot->writeStructBegin("LoadReport");
 
   xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->target);
@@ -1979,7 +2039,7 @@
   return xfer;
 }
 
-void swap(ReportAnswer &a, ReportAnswer &b) {
+void swap(LoadReport &a, LoadReport &b) {
   using ::std::swap;
   swap(a.target, b.target);
   swap(a.epoch, b.epoch);
@@ -1996,7 +2056,7 @@
   swap(a.__isset, b.__isset);
 }
 
-ReportAnswer::ReportAnswer(const ReportAnswer& other66) {
+LoadReport::LoadReport(const LoadReport& other66) {
   target = other66.target;
   epoch = other66.epoch;
   sequence = other66.sequence;
@@ -2011,7 +2071,7 @@
   models = other66.models;
   __isset = other66.__isset;
 }
-ReportAnswer& ReportAnswer::operator=(const ReportAnswer& other67) {
+LoadReport& LoadReport::operator=(const LoadReport& other67) {
   target = other67.target;
   epoch = other67.epoch;
   sequence = other67.sequence;
@@ -2027,9 +2087,9 @@
   __isset = other67.__isset;
   return *this;
 }
-void ReportAnswer::printTo(std::ostream& out) const {
+void LoadReport::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ReportAnswer(";
+  out << "LoadReport(";
   out << "target=" << to_string(target);
   out << ", " << "epoch=" << to_string(epoch);
   out << ", " << "sequence=" << to_string(sequence);
@@ -2046,21 +2106,25 @@
 }
 
 
-ConfigCall::~ConfigCall() noexcept {
+LoadsCall::~LoadsCall() noexcept {
 }
 
 
-void ConfigCall::__set_generation(const int64_t val) {
-  this->generation = val;
+void LoadsCall::__set_reports(const std::vector<LoadReport> & val) {
+  this->reports = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigCall& obj)
+
+void LoadsCall::__set_answer_wanted(const bool val) {
+  this->answer_wanted = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadsCall& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t LoadsCall::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2082,9 +2146,29 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->generation);
-          this->__isset.generation = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->reports.clear();
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->reports.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
+            {
+              xfer += this->reports[_i72].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.reports = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->answer_wanted);
+          this->__isset.answer_wanted = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2101,13 +2185,25 @@
   return xfer;
 }
 
-uint32_t ConfigCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t LoadsCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigCall");
+  xfer += oprot->writeStructBegin("LoadsCall");
 
-  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->generation);
+  xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
+    std::vector<LoadReport> ::const_iterator _iter73;
+    for (_iter73 = this->reports.begin(); _iter73 != this->reports.end(); ++_iter73)
+    {
+      xfer += (*_iter73).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answer_wanted", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->answer_wanted);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2115,48 +2211,48 @@
   return xfer;
 }
 
-void swap(ConfigCall &a, ConfigCall &b) {
+void swap(LoadsCall &a, LoadsCall &b) {
   using ::std::swap;
-  swap(a.generation, b.generation);
+  swap(a.reports, b.reports);
+  swap(a.answer_wanted, b.answer_wanted);
   swap(a.__isset, b.__isset);
 }
 
-ConfigCall::ConfigCall(const ConfigCall& other68) noexcept {
-  generation = other68.generation;
-  __isset = other68.__isset;
+LoadsCall::LoadsCall(const LoadsCall& other74) {
+  reports = other74.reports;
+  answer_wanted = other74.answer_wanted;
+  __isset = other74.__isset;
 }
-ConfigCall& ConfigCall::operator=(const ConfigCall& other69) noexcept {
-  generation = other69.generation;
-  __isset = other69.__isset;
+LoadsCall& LoadsCall::operator=(const LoadsCall& other75) {
+  reports = other75.reports;
+  answer_wanted = other75.answer_wanted;
+  __isset = other75.__isset;
   return *this;
 }
-void ConfigCall::printTo(std::ostream& out) const {
+void LoadsCall::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigCall(";
-  out << "generation=" << to_string(generation);
+  out << "LoadsCall(";
+  out << "reports=" << to_string(reports);
+  out << ", " << "answer_wanted=" << to_string(answer_wanted);
   out << ")";
 }
 
 
-ConfigAnswer::~ConfigAnswer() noexcept {
+OwnersCall::~OwnersCall() noexcept {
 }
 
 
-void ConfigAnswer::__set_generation(const int64_t val) {
-  this->generation = val;
-}
-
-void ConfigAnswer::__set_text(const std::string& val) {
-  this->text = val;
+void OwnersCall::__set_attempts(const std::vector<AttemptId> & val) {
+  this->attempts = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigAnswer& obj)
+std::ostream& operator<<(std::ostream& out, const OwnersCall& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t OwnersCall::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2178,17 +2274,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->generation);
-          this->__isset.generation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->text);
-          this->__isset.text = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->attempts.clear();
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->attempts.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
+            {
+              xfer += this->attempts[_i80].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.attempts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2205,17 +2305,21 @@
   return xfer;
 }
 
-uint32_t ConfigAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t OwnersCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigAnswer");
-
-  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->generation);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("OwnersCall");
 
-  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldBegin("attempts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->attempts.size()));
+    std::vector<AttemptId> ::const_iterator _iter81;
+    for (_iter81 = this->attempts.begin(); _iter81 != this->attempts.end(); ++_iter81)
+    {
+      xfer += (*_iter81).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2223,52 +2327,44 @@
   return xfer;
 }
 
-void swap(ConfigAnswer &a, ConfigAnswer &b) {
+void swap(OwnersCall &a, OwnersCall &b) {
   using ::std::swap;
-  swap(a.generation, b.generation);
-  swap(a.text, b.text);
+  swap(a.attempts, b.attempts);
   swap(a.__isset, b.__isset);
 }
 
-ConfigAnswer::ConfigAnswer(const ConfigAnswer& other70) {
-  generation = other70.generation;
-  text = other70.text;
-  __isset = other70.__isset;
+OwnersCall::OwnersCall(const OwnersCall& other82) {
+  attempts = other82.attempts;
+  __isset = other82.__isset;
 }
-ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other71) {
-  generation = other71.generation;
-  text = other71.text;
-  __isset = other71.__isset;
+OwnersCall& OwnersCall::operator=(const OwnersCall& other83) {
+  attempts = other83.attempts;
+  __isset = other83.__isset;
   return *this;
 }
-void ConfigAnswer::printTo(std::ostream& out) const {
+void OwnersCall::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigAnswer(";
-  out << "generation=" << to_string(generation);
-  out << ", " << "text=" << to_string(text);
+  out << "OwnersCall(";
+  out << "attempts=" << to_string(attempts);
   out << ")";
 }
 
 
-ConfigOffer::~ConfigOffer() noexcept {
+OwnersAnswer::~OwnersAnswer() noexcept {
 }
 
 
-void ConfigOffer::__set_generation(const int64_t val) {
-  this->generation = val;
-}
-
-void ConfigOffer::__set_text(const std::string& val) {
-  this->text = val;
+void OwnersAnswer::__set_unknown(const std::vector<AttemptId> & val) {
+  this->unknown = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfigOffer& obj)
+std::ostream& operator<<(std::ostream& out, const OwnersAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfigOffer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t OwnersAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2290,17 +2386,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->generation);
-          this->__isset.generation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->text);
-          this->__isset.text = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unknown.clear();
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->unknown.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
+            {
+              xfer += this->unknown[_i88].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unknown = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2317,17 +2417,21 @@
   return xfer;
 }
 
-uint32_t ConfigOffer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t OwnersAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfigOffer");
-
-  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->generation);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("OwnersAnswer");
 
-  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->text);
+  xfer += oprot->writeFieldBegin("unknown", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unknown.size()));
+    std::vector<AttemptId> ::const_iterator _iter89;
+    for (_iter89 = this->unknown.begin(); _iter89 != this->unknown.end(); ++_iter89)
+    {
+      xfer += (*_iter89).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2335,56 +2439,44 @@
   return xfer;
 }
 
-void swap(ConfigOffer &a, ConfigOffer &b) {
+void swap(OwnersAnswer &a, OwnersAnswer &b) {
   using ::std::swap;
-  swap(a.generation, b.generation);
-  swap(a.text, b.text);
+  swap(a.unknown, b.unknown);
   swap(a.__isset, b.__isset);
 }
 
-ConfigOffer::ConfigOffer(const ConfigOffer& other72) {
-  generation = other72.generation;
-  text = other72.text;
-  __isset = other72.__isset;
+OwnersAnswer::OwnersAnswer(const OwnersAnswer& other90) {
+  unknown = other90.unknown;
+  __isset = other90.__isset;
 }
-ConfigOffer& ConfigOffer::operator=(const ConfigOffer& other73) {
-  generation = other73.generation;
-  text = other73.text;
-  __isset = other73.__isset;
+OwnersAnswer& OwnersAnswer::operator=(const OwnersAnswer& other91) {
+  unknown = other91.unknown;
+  __isset = other91.__isset;
   return *this;
 }
-void ConfigOffer::printTo(std::ostream& out) const {
+void OwnersAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfigOffer(";
-  out << "generation=" << to_string(generation);
-  out << ", " << "text=" << to_string(text);
+  out << "OwnersAnswer(";
+  out << "unknown=" << to_string(unknown);
   out << ")";
 }
 
 
-ShareAsk::~ShareAsk() noexcept {
-}
-
-
-void ShareAsk::__set_account(const std::string& val) {
-  this->account = val;
+ConfigCall::~ConfigCall() noexcept {
 }
 
-void ShareAsk::__set_tokens_per_second(const int64_t val) {
-  this->tokens_per_second = val;
-}
 
-void ShareAsk::__set_concurrent_tokens(const int64_t val) {
-  this->concurrent_tokens = val;
+void ConfigCall::__set_generation(const int64_t val) {
+  this->generation = val;
 }
-std::ostream& operator<<(std::ostream& out, const ShareAsk& obj)
+std::ostream& operator<<(std::ostream& out, const ConfigCall& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ShareAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigCall::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2406,25 +2498,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->account);
-          this->__isset.account = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->tokens_per_second);
-          this->__isset.tokens_per_second = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->concurrent_tokens);
-          this->__isset.concurrent_tokens = true;
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2441,21 +2517,13 @@
   return xfer;
 }
 
-uint32_t ShareAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ShareAsk");
-
-  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->account);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("tokens_per_second", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->tokens_per_second);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ConfigCall");
 
-  xfer += oprot->writeFieldBegin("concurrent_tokens", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->concurrent_tokens);
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->generation);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2463,60 +2531,48 @@
   return xfer;
 }
 
-void swap(ShareAsk &a, ShareAsk &b) {
+void swap(ConfigCall &a, ConfigCall &b) {
   using ::std::swap;
-  swap(a.account, b.account);
-  swap(a.tokens_per_second, b.tokens_per_second);
-  swap(a.concurrent_tokens, b.concurrent_tokens);
+  swap(a.generation, b.generation);
   swap(a.__isset, b.__isset);
 }
 
-ShareAsk::ShareAsk(const ShareAsk& other74) {
-  account = other74.account;
-  tokens_per_second = other74.tokens_per_second;
-  concurrent_tokens = other74.concurrent_tokens;
-  __isset = other74.__isset;
+ConfigCall::ConfigCall(const ConfigCall& other92) noexcept {
+  generation = other92.generation;
+  __isset = other92.__isset;
 }
-ShareAsk& ShareAsk::operator=(const ShareAsk& other75) {
-  account = other75.account;
-  tokens_per_second = other75.tokens_per_second;
-  concurrent_tokens = other75.concurrent_tokens;
-  __isset = other75.__isset;
+ConfigCall& ConfigCall::operator=(const ConfigCall& other93) noexcept {
+  generation = other93.generation;
+  __isset = other93.__isset;
   return *this;
 }
-void ShareAsk::printTo(std::ostream& out) const {
+void ConfigCall::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ShareAsk(";
-  out << "account=" << to_string(account);
-  out << ", " << "tokens_per_second=" << to_string(tokens_per_second);
-  out << ", " << "concurrent_tokens=" << to_string(concurrent_tokens);
+  out << "ConfigCall(";
+  out << "generation=" << to_string(generation);
   out << ")";
 }
 
 
-SharesCall::~SharesCall() noexcept {
+ConfigAnswer::~ConfigAnswer() noexcept {
 }
 
 
-void SharesCall::__set_loan(const int64_t val) {
-  this->loan = val;
-}
-
-void SharesCall::__set_period_ms(const int64_t val) {
-  this->period_ms = val;
+void ConfigAnswer::__set_generation(const int64_t val) {
+  this->generation = val;
 }
 
-void SharesCall::__set_shares(const std::vector<ShareAsk> & val) {
-  this->shares = val;
+void ConfigAnswer::__set_text(const std::string& val) {
+  this->text = val;
 }
-std::ostream& operator<<(std::ostream& out, const SharesCall& obj)
+std::ostream& operator<<(std::ostream& out, const ConfigAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SharesCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ConfigAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2539,36 +2595,16 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->loan);
-          this->__isset.loan = true;
+          xfer += iprot->readI64(this->generation);
+          this->__isset.generation = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->period_ms);
-          this->__isset.period_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->shares.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->shares.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
-            {
-              xfer += this->shares[_i80].read(iprot);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.shares = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->text);
+          this->__isset.text = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2585,29 +2621,17 @@
   return xfer;
 }
 
-uint32_t SharesCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ConfigAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SharesCall");
-
-  xfer += oprot->writeFieldBegin("loan", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->loan);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ConfigAnswer");
 
-  xfer += oprot->writeFieldBegin("period_ms", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->period_ms);
+  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->generation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 3);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ShareAsk> ::const_iterator _iter81;
-    for (_iter81 = this->shares.begin(); _iter81 != this->shares.end(); ++_iter81)
-    {
-      xfer += (*_iter81).write(oprot);
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("text", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->text);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2615,68 +2639,56 @@
   return xfer;
 }
 
-void swap(SharesCall &a, SharesCall &b) {
+void swap(ConfigAnswer &a, ConfigAnswer &b) {
   using ::std::swap;
-  swap(a.loan, b.loan);
-  swap(a.period_ms, b.period_ms);
-  swap(a.shares, b.shares);
+  swap(a.generation, b.generation);
+  swap(a.text, b.text);
   swap(a.__isset, b.__isset);
 }
 
-SharesCall::SharesCall(const SharesCall& other82) {
-  loan = other82.loan;
-  period_ms = other82.period_ms;
-  shares = other82.shares;
-  __isset = other82.__isset;
+ConfigAnswer::ConfigAnswer(const ConfigAnswer& other94) {
+  generation = other94.generation;
+  text = other94.text;
+  __isset = other94.__isset;
 }
-SharesCall& SharesCall::operator=(const SharesCall& other83) {
-  loan = other83.loan;
-  period_ms = other83.period_ms;
-  shares = other83.shares;
-  __isset = other83.__isset;
+ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other95) {
+  generation = other95.generation;
+  text = other95.text;
+  __isset = other95.__isset;
   return *this;
 }
-void SharesCall::printTo(std::ostream& out) const {
+void ConfigAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SharesCall(";
-  out << "loan=" << to_string(loan);
-  out << ", " << "period_ms=" << to_string(period_ms);
-  out << ", " << "shares=" << to_string(shares);
+  out << "ConfigAnswer(";
+  out << "generation=" << to_string(generation);
+  out << ", " << "text=" << to_string(text);
   out << ")";
 }
 
 
-ClaimItem::~ClaimItem() noexcept {
+ShareAsk::~ShareAsk() noexcept {
 }
 
 
-void ClaimItem::__set_account(const std::string& val) {
+void ShareAsk::__set_account(const std::string& val) {
   this->account = val;
 }
 
-void ClaimItem::__set_key(const std::string& val) {
-  this->key = val;
-}
-
-void ClaimItem::__set_fingerprint(const int64_t val) {
-  this->fingerprint = val;
-}
-
-void ClaimItem::__set_writer(const AttemptId& val) {
-  this->writer = val;
+void ShareAsk::__set_tokens_per_second(const int64_t val) {
+  this->tokens_per_second = val;
 }
 
-void ClaimItem::__set_expires_ms(const int64_t val) {
-  this->expires_ms = val;
+void ShareAsk::__set_concurrent_tokens(const int64_t val) {
+  this->concurrent_tokens = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimItem& obj)
+std::ostream& operator<<(std::ostream& out, const ShareAsk& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimItem::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ShareAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2706,33 +2718,17 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->key);
-          this->__isset.key = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->fingerprint);
-          this->__isset.fingerprint = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->writer.read(iprot);
-          this->__isset.writer = true;
+          xfer += iprot->readI64(this->tokens_per_second);
+          this->__isset.tokens_per_second = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
-      case 5:
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->expires_ms);
-          this->__isset.expires_ms = true;
+          xfer += iprot->readI64(this->concurrent_tokens);
+          this->__isset.concurrent_tokens = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2749,29 +2745,21 @@
   return xfer;
 }
 
-uint32_t ClaimItem::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ShareAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimItem");
+  xfer += oprot->writeStructBegin("ShareAsk");
 
   xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->account);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->key);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->fingerprint);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("writer", ::apache::thrift::protocol::T_STRUCT, 4);
-  xfer += this->writer.write(oprot);
+  xfer += oprot->writeFieldBegin("tokens_per_second", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->tokens_per_second);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("expires_ms", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->expires_ms);
+  xfer += oprot->writeFieldBegin("concurrent_tokens", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->concurrent_tokens);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2779,64 +2767,60 @@
   return xfer;
 }
 
-void swap(ClaimItem &a, ClaimItem &b) {
+void swap(ShareAsk &a, ShareAsk &b) {
   using ::std::swap;
   swap(a.account, b.account);
-  swap(a.key, b.key);
-  swap(a.fingerprint, b.fingerprint);
-  swap(a.writer, b.writer);
-  swap(a.expires_ms, b.expires_ms);
+  swap(a.tokens_per_second, b.tokens_per_second);
+  swap(a.concurrent_tokens, b.concurrent_tokens);
   swap(a.__isset, b.__isset);
 }
 
-ClaimItem::ClaimItem(const ClaimItem& other84) {
-  account = other84.account;
-  key = other84.key;
-  fingerprint = other84.fingerprint;
-  writer = other84.writer;
-  expires_ms = other84.expires_ms;
-  __isset = other84.__isset;
-}
-ClaimItem& ClaimItem::operator=(const ClaimItem& other85) {
-  account = other85.account;
-  key = other85.key;
-  fingerprint = other85.fingerprint;
-  writer = other85.writer;
-  expires_ms = other85.expires_ms;
-  __isset = other85.__isset;
+ShareAsk::ShareAsk(const ShareAsk& other96) {
+  account = other96.account;
+  tokens_per_second = other96.tokens_per_second;
+  concurrent_tokens = other96.concurrent_tokens;
+  __isset = other96.__isset;
+}
+ShareAsk& ShareAsk::operator=(const ShareAsk& other97) {
+  account = other97.account;
+  tokens_per_second = other97.tokens_per_second;
+  concurrent_tokens = other97.concurrent_tokens;
+  __isset = other97.__isset;
   return *this;
 }
-void ClaimItem::printTo(std::ostream& out) const {
+void ShareAsk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimItem(";
+  out << "ShareAsk(";
   out << "account=" << to_string(account);
-  out << ", " << "key=" << to_string(key);
-  out << ", " << "fingerprint=" << to_string(fingerprint);
-  out << ", " << "writer=" << to_string(writer);
-  out << ", " << "expires_ms=" << to_string(expires_ms);
+  out << ", " << "tokens_per_second=" << to_string(tokens_per_second);
+  out << ", " << "concurrent_tokens=" << to_string(concurrent_tokens);
   out << ")";
 }
 
 
-ClaimBatchCall::~ClaimBatchCall() noexcept {
+SharesCall::~SharesCall() noexcept {
 }
 
 
-void ClaimBatchCall::__set_shard(const int32_t val) {
-  this->shard = val;
+void SharesCall::__set_loan(const int64_t val) {
+  this->loan = val;
 }
 
-void ClaimBatchCall::__set_claims(const std::vector<ClaimItem> & val) {
-  this->claims = val;
+void SharesCall::__set_period_ms(const int64_t val) {
+  this->period_ms = val;
+}
+
+void SharesCall::__set_shares(const std::vector<ShareAsk> & val) {
+  this->shares = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimBatchCall& obj)
+std::ostream& operator<<(std::ostream& out, const SharesCall& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimBatchCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SharesCall::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2858,29 +2842,37 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->shard);
-          this->__isset.shard = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->loan);
+          this->__isset.loan = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->period_ms);
+          this->__isset.period_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->claims.clear();
-            uint32_t _size86;
-            ::apache::thrift::protocol::TType _etype89;
-            xfer += iprot->readListBegin(_etype89, _size86);
-            this->claims.resize(_size86);
-            uint32_t _i90;
-            for (_i90 = 0; _i90 < _size86; ++_i90)
+            this->shares.clear();
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->shares.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->claims[_i90].read(iprot);
+              xfer += this->shares[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.claims = true;
+          this->__isset.shares = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2897,22 +2889,26 @@
   return xfer;
 }
 
-uint32_t ClaimBatchCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SharesCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimBatchCall");
+  xfer += oprot->writeStructBegin("SharesCall");
+
+  xfer += oprot->writeFieldBegin("loan", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->loan);
+  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("shard", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->shard);
+  xfer += oprot->writeFieldBegin("period_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->period_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 3);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->claims.size()));
-    std::vector<ClaimItem> ::const_iterator _iter91;
-    for (_iter91 = this->claims.begin(); _iter91 != this->claims.end(); ++_iter91)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
+    std::vector<ShareAsk> ::const_iterator _iter103;
+    for (_iter103 = this->shares.begin(); _iter103 != this->shares.end(); ++_iter103)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2923,52 +2919,72 @@
   return xfer;
 }
 
-void swap(ClaimBatchCall &a, ClaimBatchCall &b) {
+void swap(SharesCall &a, SharesCall &b) {
   using ::std::swap;
-  swap(a.shard, b.shard);
-  swap(a.claims, b.claims);
+  swap(a.loan, b.loan);
+  swap(a.period_ms, b.period_ms);
+  swap(a.shares, b.shares);
   swap(a.__isset, b.__isset);
 }
 
-ClaimBatchCall::ClaimBatchCall(const ClaimBatchCall& other92) {
-  shard = other92.shard;
-  claims = other92.claims;
-  __isset = other92.__isset;
+SharesCall::SharesCall(const SharesCall& other104) {
+  loan = other104.loan;
+  period_ms = other104.period_ms;
+  shares = other104.shares;
+  __isset = other104.__isset;
 }
-ClaimBatchCall& ClaimBatchCall::operator=(const ClaimBatchCall& other93) {
-  shard = other93.shard;
-  claims = other93.claims;
-  __isset = other93.__isset;
+SharesCall& SharesCall::operator=(const SharesCall& other105) {
+  loan = other105.loan;
+  period_ms = other105.period_ms;
+  shares = other105.shares;
+  __isset = other105.__isset;
   return *this;
 }
-void ClaimBatchCall::printTo(std::ostream& out) const {
+void SharesCall::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimBatchCall(";
-  out << "shard=" << to_string(shard);
-  out << ", " << "claims=" << to_string(claims);
+  out << "SharesCall(";
+  out << "loan=" << to_string(loan);
+  out << ", " << "period_ms=" << to_string(period_ms);
+  out << ", " << "shares=" << to_string(shares);
   out << ")";
 }
 
 
-ClaimBatchAnswer::~ClaimBatchAnswer() noexcept {
+ClaimRecord::~ClaimRecord() noexcept {
 }
 
 
-void ClaimBatchAnswer::__set_shard(const int32_t val) {
-  this->shard = val;
+void ClaimRecord::__set_kind(const int32_t val) {
+  this->kind = val;
 }
 
-void ClaimBatchAnswer::__set_verdicts(const std::vector<int32_t> & val) {
-  this->verdicts = val;
+void ClaimRecord::__set_key(const std::string& val) {
+  this->key = val;
 }
-std::ostream& operator<<(std::ostream& out, const ClaimBatchAnswer& obj)
+
+void ClaimRecord::__set_claimant(const int64_t val) {
+  this->claimant = val;
+}
+
+void ClaimRecord::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
+}
+
+void ClaimRecord::__set_remaining_s(const int64_t val) {
+  this->remaining_s = val;
+}
+
+void ClaimRecord::__set_outcome(const int32_t val) {
+  this->outcome = val;
+}
+std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ClaimBatchAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -2991,28 +3007,48 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->shard);
-          this->__isset.shard = true;
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->verdicts.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->verdicts.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
-            {
-              xfer += iprot->readI32(this->verdicts[_i98]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.verdicts = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->claimant);
+          this->__isset.claimant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->remaining_s);
+          this->__isset.remaining_s = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3029,25 +3065,33 @@
   return xfer;
 }
 
-uint32_t ClaimBatchAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ClaimBatchAnswer");
+  xfer += oprot->writeStructBegin("ClaimRecord");
 
-  xfer += oprot->writeFieldBegin("shard", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->shard);
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->kind);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 2);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<int32_t> ::const_iterator _iter99;
-    for (_iter99 = this->verdicts.begin(); _iter99 != this->verdicts.end(); ++_iter99)
-    {
-      xfer += oprot->writeI32((*_iter99));
-    }
-    xfer += oprot->writeListEnd();
-  }
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("claimant", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->claimant);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->fingerprint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remaining_s", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->remaining_s);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->outcome);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3055,52 +3099,64 @@
   return xfer;
 }
 
-void swap(ClaimBatchAnswer &a, ClaimBatchAnswer &b) {
+void swap(ClaimRecord &a, ClaimRecord &b) {
   using ::std::swap;
-  swap(a.shard, b.shard);
-  swap(a.verdicts, b.verdicts);
+  swap(a.kind, b.kind);
+  swap(a.key, b.key);
+  swap(a.claimant, b.claimant);
+  swap(a.fingerprint, b.fingerprint);
+  swap(a.remaining_s, b.remaining_s);
+  swap(a.outcome, b.outcome);
   swap(a.__isset, b.__isset);
 }
 
-ClaimBatchAnswer::ClaimBatchAnswer(const ClaimBatchAnswer& other100) {
-  shard = other100.shard;
-  verdicts = other100.verdicts;
-  __isset = other100.__isset;
-}
-ClaimBatchAnswer& ClaimBatchAnswer::operator=(const ClaimBatchAnswer& other101) {
-  shard = other101.shard;
-  verdicts = other101.verdicts;
-  __isset = other101.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other106) {
+  kind = other106.kind;
+  key = other106.key;
+  claimant = other106.claimant;
+  fingerprint = other106.fingerprint;
+  remaining_s = other106.remaining_s;
+  outcome = other106.outcome;
+  __isset = other106.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other107) {
+  kind = other107.kind;
+  key = other107.key;
+  claimant = other107.claimant;
+  fingerprint = other107.fingerprint;
+  remaining_s = other107.remaining_s;
+  outcome = other107.outcome;
+  __isset = other107.__isset;
   return *this;
 }
-void ClaimBatchAnswer::printTo(std::ostream& out) const {
+void ClaimRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ClaimBatchAnswer(";
-  out << "shard=" << to_string(shard);
-  out << ", " << "verdicts=" << to_string(verdicts);
+  out << "ClaimRecord(";
+  out << "kind=" << to_string(kind);
+  out << ", " << "key=" << to_string(key);
+  out << ", " << "claimant=" << to_string(claimant);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
+  out << ", " << "remaining_s=" << to_string(remaining_s);
+  out << ", " << "outcome=" << to_string(outcome);
   out << ")";
 }
 
 
-PoisonCall::~PoisonCall() noexcept {
+ClaimsCall::~ClaimsCall() noexcept {
 }
 
 
-void PoisonCall::__set_target(const std::string& val) {
-  this->target = val;
-}
-
-void PoisonCall::__set_suspects(const std::vector<SuspectMark> & val) {
-  this->suspects = val;
+void ClaimsCall::__set_records(const std::vector<ClaimRecord> & val) {
+  this->records = val;
 }
-std::ostream& operator<<(std::ostream& out, const PoisonCall& obj)
+std::ostream& operator<<(std::ostream& out, const ClaimsCall& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t PoisonCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimsCall::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3122,29 +3178,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->target);
-          this->__isset.target = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
-            this->suspects.clear();
-            uint32_t _size102;
-            ::apache::thrift::protocol::TType _etype105;
-            xfer += iprot->readListBegin(_etype105, _size102);
-            this->suspects.resize(_size102);
-            uint32_t _i106;
-            for (_i106 = 0; _i106 < _size102; ++_i106)
+            this->records.clear();
+            uint32_t _size108;
+            ::apache::thrift::protocol::TType _etype111;
+            xfer += iprot->readListBegin(_etype111, _size108);
+            this->records.resize(_size108);
+            uint32_t _i112;
+            for (_i112 = 0; _i112 < _size108; ++_i112)
             {
-              xfer += this->suspects[_i106].read(iprot);
+              xfer += this->records[_i112].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
-          this->__isset.suspects = true;
+          this->__isset.records = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3161,22 +3209,18 @@
   return xfer;
 }
 
-uint32_t PoisonCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimsCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("PoisonCall");
-
-  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->target);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ClaimsCall");
 
-  xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 2);
+  xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<SuspectMark> ::const_iterator _iter107;
-    for (_iter107 = this->suspects.begin(); _iter107 != this->suspects.end(); ++_iter107)
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
+    std::vector<ClaimRecord> ::const_iterator _iter113;
+    for (_iter113 = this->records.begin(); _iter113 != this->records.end(); ++_iter113)
     {
-      xfer += (*_iter107).write(oprot);
+      xfer += (*_iter113).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3187,48 +3231,52 @@
   return xfer;
 }
 
-void swap(PoisonCall &a, PoisonCall &b) {
+void swap(ClaimsCall &a, ClaimsCall &b) {
   using ::std::swap;
-  swap(a.target, b.target);
-  swap(a.suspects, b.suspects);
+  swap(a.records, b.records);
   swap(a.__isset, b.__isset);
 }
 
-PoisonCall::PoisonCall(const PoisonCall& other108) {
-  target = other108.target;
-  suspects = other108.suspects;
-  __isset = other108.__isset;
+ClaimsCall::ClaimsCall(const ClaimsCall& other114) {
+  records = other114.records;
+  __isset = other114.__isset;
 }
-PoisonCall& PoisonCall::operator=(const PoisonCall& other109) {
-  target = other109.target;
-  suspects = other109.suspects;
-  __isset = other109.__isset;
+ClaimsCall& ClaimsCall::operator=(const ClaimsCall& other115) {
+  records = other115.records;
+  __isset = other115.__isset;
   return *this;
 }
-void PoisonCall::printTo(std::ostream& out) const {
+void ClaimsCall::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "PoisonCall(";
-  out << "target=" << to_string(target);
-  out << ", " << "suspects=" << to_string(suspects);
+  out << "ClaimsCall(";
+  out << "records=" << to_string(records);
   out << ")";
 }
 
 
-StatusCall::~StatusCall() noexcept {
+ClaimVerdict::~ClaimVerdict() noexcept {
+}
+
+
+void ClaimVerdict::__set_key(const std::string& val) {
+  this->key = val;
 }
 
+void ClaimVerdict::__set_claimant(const int64_t val) {
+  this->claimant = val;
+}
 
-void StatusCall::__set_whole_dump(const bool val) {
-  this->whole_dump = val;
+void ClaimVerdict::__set_verdict(const int32_t val) {
+  this->verdict = val;
 }
-std::ostream& operator<<(std::ostream& out, const StatusCall& obj)
+std::ostream& operator<<(std::ostream& out, const ClaimVerdict& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t StatusCall::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimVerdict::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3250,9 +3298,25 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->whole_dump);
-          this->__isset.whole_dump = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->key);
+          this->__isset.key = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->claimant);
+          this->__isset.claimant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->verdict);
+          this->__isset.verdict = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3269,13 +3333,21 @@
   return xfer;
 }
 
-uint32_t StatusCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimVerdict::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("StatusCall");
+  xfer += oprot->writeStructBegin("ClaimVerdict");
+
+  xfer += oprot->writeFieldBegin("key", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->key);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("claimant", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->claimant);
+  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("whole_dump", ::apache::thrift::protocol::T_BOOL, 1);
-  xfer += oprot->writeBool(this->whole_dump);
+  xfer += oprot->writeFieldBegin("verdict", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->verdict);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3283,56 +3355,52 @@
   return xfer;
 }
 
-void swap(StatusCall &a, StatusCall &b) {
+void swap(ClaimVerdict &a, ClaimVerdict &b) {
   using ::std::swap;
-  swap(a.whole_dump, b.whole_dump);
+  swap(a.key, b.key);
+  swap(a.claimant, b.claimant);
+  swap(a.verdict, b.verdict);
   swap(a.__isset, b.__isset);
 }
 
-StatusCall::StatusCall(const StatusCall& other110) noexcept {
-  whole_dump = other110.whole_dump;
-  __isset = other110.__isset;
+ClaimVerdict::ClaimVerdict(const ClaimVerdict& other116) {
+  key = other116.key;
+  claimant = other116.claimant;
+  verdict = other116.verdict;
+  __isset = other116.__isset;
 }
-StatusCall& StatusCall::operator=(const StatusCall& other111) noexcept {
-  whole_dump = other111.whole_dump;
-  __isset = other111.__isset;
+ClaimVerdict& ClaimVerdict::operator=(const ClaimVerdict& other117) {
+  key = other117.key;
+  claimant = other117.claimant;
+  verdict = other117.verdict;
+  __isset = other117.__isset;
   return *this;
 }
-void StatusCall::printTo(std::ostream& out) const {
+void ClaimVerdict::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "StatusCall(";
-  out << "whole_dump=" << to_string(whole_dump);
+  out << "ClaimVerdict(";
+  out << "key=" << to_string(key);
+  out << ", " << "claimant=" << to_string(claimant);
+  out << ", " << "verdict=" << to_string(verdict);
   out << ")";
 }
 
 
-StatusAnswer::~StatusAnswer() noexcept {
-}
-
-
-void StatusAnswer::__set_host(const HostRecord& val) {
-  this->host = val;
-}
-
-void StatusAnswer::__set_generation(const int64_t val) {
-  this->generation = val;
+ClaimsAnswer::~ClaimsAnswer() noexcept {
 }
 
-void StatusAnswer::__set_hash(const std::string& val) {
-  this->hash = val;
-}
 
-void StatusAnswer::__set_dump(const std::string& val) {
-  this->dump = val;
+void ClaimsAnswer::__set_verdicts(const std::vector<ClaimVerdict> & val) {
+  this->verdicts = val;
 }
-std::ostream& operator<<(std::ostream& out, const StatusAnswer& obj)
+std::ostream& operator<<(std::ostream& out, const ClaimsAnswer& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t StatusAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ClaimsAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3354,33 +3422,21 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->host.read(iprot);
-          this->__isset.host = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->generation);
-          this->__isset.generation = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->hash);
-          this->__isset.hash = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->dump);
-          this->__isset.dump = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->verdicts.clear();
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->verdicts.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
+            {
+              xfer += this->verdicts[_i122].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.verdicts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3397,25 +3453,21 @@
   return xfer;
 }
 
-uint32_t StatusAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ClaimsAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("StatusAnswer");
-
-  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRUCT, 1);
-  xfer += this->host.write(oprot);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("generation", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->generation);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("hash", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->hash);
-  xfer += oprot->writeFieldEnd();
+  xfer += oprot->writeStructBegin("ClaimsAnswer");
 
-  xfer += oprot->writeFieldBegin("dump", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->dump);
+  xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
+    std::vector<ClaimVerdict> ::const_iterator _iter123;
+    for (_iter123 = this->verdicts.begin(); _iter123 != this->verdicts.end(); ++_iter123)
+    {
+      xfer += (*_iter123).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3423,56 +3475,48 @@
   return xfer;
 }
 
-void swap(StatusAnswer &a, StatusAnswer &b) {
+void swap(ClaimsAnswer &a, ClaimsAnswer &b) {
   using ::std::swap;
-  swap(a.host, b.host);
-  swap(a.generation, b.generation);
-  swap(a.hash, b.hash);
-  swap(a.dump, b.dump);
+  swap(a.verdicts, b.verdicts);
   swap(a.__isset, b.__isset);
 }
 
-StatusAnswer::StatusAnswer(const StatusAnswer& other112) {
-  host = other112.host;
-  generation = other112.generation;
-  hash = other112.hash;
-  dump = other112.dump;
-  __isset = other112.__isset;
+ClaimsAnswer::ClaimsAnswer(const ClaimsAnswer& other124) {
+  verdicts = other124.verdicts;
+  __isset = other124.__isset;
 }
-StatusAnswer& StatusAnswer::operator=(const StatusAnswer& other113) {
-  host = other113.host;
-  generation = other113.generation;
-  hash = other113.hash;
-  dump = other113.dump;
-  __isset = other113.__isset;
+ClaimsAnswer& ClaimsAnswer::operator=(const ClaimsAnswer& other125) {
+  verdicts = other125.verdicts;
+  __isset = other125.__isset;
   return *this;
 }
-void StatusAnswer::printTo(std::ostream& out) const {
+void ClaimsAnswer::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "StatusAnswer(";
-  out << "host=" << to_string(host);
-  out << ", " << "generation=" << to_string(generation);
-  out << ", " << "hash=" << to_string(hash);
-  out << ", " << "dump=" << to_string(dump);
+  out << "ClaimsAnswer(";
+  out << "verdicts=" << to_string(verdicts);
   out << ")";
 }
 
 
-ErrorAnswer::~ErrorAnswer() noexcept {
+CrashCall::~CrashCall() noexcept {
 }
 
 
-void ErrorAnswer::__set_code(const int32_t val) {
-  this->code = val;
+void CrashCall::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void CrashCall::__set_fingerprint(const int64_t val) {
+  this->fingerprint = val;
 }
-std::ostream& operator<<(std::ostream& out, const ErrorAnswer& obj)
+std::ostream& operator<<(std::ostream& out, const CrashCall& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ErrorAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t CrashCall::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -3494,9 +3538,17 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->code);
-          this->__isset.code = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fingerprint);
+          this->__isset.fingerprint = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3513,13 +3565,17 @@
   return xfer;
 }
 
-uint32_t ErrorAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t CrashCall::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ErrorAnswer");
+  xfer += oprot->writeStructBegin("CrashCall");
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(this->code);
+  xfer += oprot->writeFieldBegin("fingerprint", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->fingerprint);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -3527,25 +3583,29 @@
   return xfer;
 }
 
-void swap(ErrorAnswer &a, ErrorAnswer &b) {
+void swap(CrashCall &a, CrashCall &b) {
   using ::std::swap;
-  swap(a.code, b.code);
+  swap(a.target, b.target);
+  swap(a.fingerprint, b.fingerprint);
   swap(a.__isset, b.__isset);
 }
 
-ErrorAnswer::ErrorAnswer(const ErrorAnswer& other114) noexcept {
-  code = other114.code;
-  __isset = other114.__isset;
+CrashCall::CrashCall(const CrashCall& other126) {
+  target = other126.target;
+  fingerprint = other126.fingerprint;
+  __isset = other126.__isset;
 }
-ErrorAnswer& ErrorAnswer::operator=(const ErrorAnswer& other115) noexcept {
-  code = other115.code;
-  __isset = other115.__isset;
+CrashCall& CrashCall::operator=(const CrashCall& other127) {
+  target = other127.target;
+  fingerprint = other127.fingerprint;
+  __isset = other127.__isset;
   return *this;
 }
-void ErrorAnswer::printTo(std::ostream& out) const {
+void CrashCall::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ErrorAnswer(";
-  out << "code=" << to_string(code);
+  out << "CrashCall(";
+  out << "target=" << to_string(target);
+  out << ", " << "fingerprint=" << to_string(fingerprint);
   out << ")";
 }
 
@@ -3569,14 +3629,24 @@
 __isset.release = true;
 }
 
-void Body::__set_report(const ReportCall& val) {
-  this->report = val;
-__isset.report = true;
+void Body::__set_prefilled(const PrefilledCall& val) {
+  this->prefilled = val;
+__isset.prefilled = true;
+}
+
+void Body::__set_loads(const LoadsCall& val) {
+  this->loads = val;
+__isset.loads = true;
+}
+
+void Body::__set_owners(const OwnersCall& val) {
+  this->owners = val;
+__isset.owners = true;
 }
 
-void Body::__set_report_answer(const ReportAnswer& val) {
-  this->report_answer = val;
-__isset.report_answer = true;
+void Body::__set_owners_answer(const OwnersAnswer& val) {
+  this->owners_answer = val;
+__isset.owners_answer = true;
 }
 
 void Body::__set_config(const ConfigCall& val) {
@@ -3589,44 +3659,24 @@
 __isset.config_answer = true;
 }
 
-void Body::__set_config_offer(const ConfigOffer& val) {
-  this->config_offer = val;
-__isset.config_offer = true;
-}
-
 void Body::__set_shares(const SharesCall& val) {
   this->shares = val;
 __isset.shares = true;
 }
 
-void Body::__set_claims(const ClaimBatchCall& val) {
+void Body::__set_claims(const ClaimsCall& val) {
   this->claims = val;
 __isset.claims = true;
 }
 
-void Body::__set_claims_answer(const ClaimBatchAnswer& val) {
+void Body::__set_claims_answer(const ClaimsAnswer& val) {
   this->claims_answer = val;
 __isset.claims_answer = true;
 }
 
-void Body::__set_poison(const PoisonCall& val) {
-  this->poison = val;
-__isset.poison = true;
-}
-
-void Body::__set_status(const StatusCall& val) {
-  this->status = val;
-__isset.status = true;
-}
-
-void Body::__set_status_answer(const StatusAnswer& val) {
-  this->status_answer = val;
-__isset.status_answer = true;
-}
-
-void Body::__set_error(const ErrorAnswer& val) {
-  this->error = val;
-__isset.error = true;
+void Body::__set_crash(const CrashCall& val) {
+  this->crash = val;
+__isset.crash = true;
 }
 std::ostream& operator<<(std::ostream& out, const Body& obj)
 {
@@ -3682,96 +3732,80 @@
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->report.read(iprot);
-          this->__isset.report = true;
+          xfer += this->prefilled.read(iprot);
+          this->__isset.prefilled = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->report_answer.read(iprot);
-          this->__isset.report_answer = true;
+          xfer += this->loads.read(iprot);
+          this->__isset.loads = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 6:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->config.read(iprot);
-          this->__isset.config = true;
+          xfer += this->owners.read(iprot);
+          this->__isset.owners = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 7:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->config_answer.read(iprot);
-          this->__isset.config_answer = true;
+          xfer += this->owners_answer.read(iprot);
+          this->__isset.owners_answer = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 8:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->config_offer.read(iprot);
-          this->__isset.config_offer = true;
+          xfer += this->config.read(iprot);
+          this->__isset.config = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 9:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->shares.read(iprot);
-          this->__isset.shares = true;
+          xfer += this->config_answer.read(iprot);
+          this->__isset.config_answer = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->claims.read(iprot);
-          this->__isset.claims = true;
+          xfer += this->shares.read(iprot);
+          this->__isset.shares = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 11:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->claims_answer.read(iprot);
-          this->__isset.claims_answer = true;
+          xfer += this->claims.read(iprot);
+          this->__isset.claims = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 12:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->poison.read(iprot);
-          this->__isset.poison = true;
+          xfer += this->claims_answer.read(iprot);
+          this->__isset.claims_answer = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 13:
         if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->status.read(iprot);
-          this->__isset.status = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 14:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->status_answer.read(iprot);
-          this->__isset.status_answer = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 15:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->error.read(iprot);
-          this->__isset.error = true;
+          xfer += this->crash.read(iprot);
+          this->__isset.crash = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3808,64 +3842,54 @@
     xfer += this->release.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.report) {
-    xfer += oprot->writeFieldBegin("report", ::apache::thrift::protocol::T_STRUCT, 4);
-    xfer += this->report.write(oprot);
+  if (this->__isset.prefilled) {
+    xfer += oprot->writeFieldBegin("prefilled", ::apache::thrift::protocol::T_STRUCT, 4);
+    xfer += this->prefilled.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.loads) {
+    xfer += oprot->writeFieldBegin("loads", ::apache::thrift::protocol::T_STRUCT, 5);
+    xfer += this->loads.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.owners) {
+    xfer += oprot->writeFieldBegin("owners", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->owners.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.report_answer) {
-    xfer += oprot->writeFieldBegin("report_answer", ::apache::thrift::protocol::T_STRUCT, 5);
-    xfer += this->report_answer.write(oprot);
+  if (this->__isset.owners_answer) {
+    xfer += oprot->writeFieldBegin("owners_answer", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += this->owners_answer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.config) {
-    xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRUCT, 8);
     xfer += this->config.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.config_answer) {
-    xfer += oprot->writeFieldBegin("config_answer", ::apache::thrift::protocol::T_STRUCT, 7);
+    xfer += oprot->writeFieldBegin("config_answer", ::apache::thrift::protocol::T_STRUCT, 9);
     xfer += this->config_answer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.config_offer) {
-    xfer += oprot->writeFieldBegin("config_offer", ::apache::thrift::protocol::T_STRUCT, 8);
-    xfer += this->config_offer.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
   if (this->__isset.shares) {
-    xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_STRUCT, 9);
+    xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_STRUCT, 10);
     xfer += this->shares.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.claims) {
-    xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += oprot->writeFieldBegin("claims", ::apache::thrift::protocol::T_STRUCT, 11);
     xfer += this->claims.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   if (this->__isset.claims_answer) {
-    xfer += oprot->writeFieldBegin("claims_answer", ::apache::thrift::protocol::T_STRUCT, 11);
+    xfer += oprot->writeFieldBegin("claims_answer", ::apache::thrift::protocol::T_STRUCT, 12);
     xfer += this->claims_answer.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
-  if (this->__isset.poison) {
-    xfer += oprot->writeFieldBegin("poison", ::apache::thrift::protocol::T_STRUCT, 12);
-    xfer += this->poison.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.status) {
-    xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_STRUCT, 13);
-    xfer += this->status.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.status_answer) {
-    xfer += oprot->writeFieldBegin("status_answer", ::apache::thrift::protocol::T_STRUCT, 14);
-    xfer += this->status_answer.write(oprot);
-    xfer += oprot->writeFieldEnd();
-  }
-  if (this->__isset.error) {
-    xfer += oprot->writeFieldBegin("error", ::apache::thrift::protocol::T_STRUCT, 15);
-    xfer += this->error.write(oprot);
+  if (this->__isset.crash) {
+    xfer += oprot->writeFieldBegin("crash", ::apache::thrift::protocol::T_STRUCT, 13);
+    xfer += this->crash.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
@@ -3878,56 +3902,50 @@
   swap(a.reserve, b.reserve);
   swap(a.grant, b.grant);
   swap(a.release, b.release);
-  swap(a.report, b.report);
-  swap(a.report_answer, b.report_answer);
+  swap(a.prefilled, b.prefilled);
+  swap(a.loads, b.loads);
+  swap(a.owners, b.owners);
+  swap(a.owners_answer, b.owners_answer);
   swap(a.config, b.config);
   swap(a.config_answer, b.config_answer);
-  swap(a.config_offer, b.config_offer);
   swap(a.shares, b.shares);
   swap(a.claims, b.claims);
   swap(a.claims_answer, b.claims_answer);
-  swap(a.poison, b.poison);
-  swap(a.status, b.status);
-  swap(a.status_answer, b.status_answer);
-  swap(a.error, b.error);
+  swap(a.crash, b.crash);
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other116) {
-  reserve = other116.reserve;
-  grant = other116.grant;
-  release = other116.release;
-  report = other116.report;
-  report_answer = other116.report_answer;
-  config = other116.config;
-  config_answer = other116.config_answer;
-  config_offer = other116.config_offer;
-  shares = other116.shares;
-  claims = other116.claims;
-  claims_answer = other116.claims_answer;
-  poison = other116.poison;
-  status = other116.status;
-  status_answer = other116.status_answer;
-  error = other116.error;
-  __isset = other116.__isset;
-}
-Body& Body::operator=(const Body& other117) {
-  reserve = other117.reserve;
-  grant = other117.grant;
-  release = other117.release;
-  report = other117.report;
-  report_answer = other117.report_answer;
-  config = other117.config;
-  config_answer = other117.config_answer;
-  config_offer = other117.config_offer;
-  shares = other117.shares;
-  claims = other117.claims;
-  claims_answer = other117.claims_answer;
-  poison = other117.poison;
-  status = other117.status;
-  status_answer = other117.status_answer;
-  error = other117.error;
-  __isset = other117.__isset;
+Body::Body(const Body& other128) {
+  reserve = other128.reserve;
+  grant = other128.grant;
+  release = other128.release;
+  prefilled = other128.prefilled;
+  loads = other128.loads;
+  owners = other128.owners;
+  owners_answer = other128.owners_answer;
+  config = other128.config;
+  config_answer = other128.config_answer;
+  shares = other128.shares;
+  claims = other128.claims;
+  claims_answer = other128.claims_answer;
+  crash = other128.crash;
+  __isset = other128.__isset;
+}
+Body& Body::operator=(const Body& other129) {
+  reserve = other129.reserve;
+  grant = other129.grant;
+  release = other129.release;
+  prefilled = other129.prefilled;
+  loads = other129.loads;
+  owners = other129.owners;
+  owners_answer = other129.owners_answer;
+  config = other129.config;
+  config_answer = other129.config_answer;
+  shares = other129.shares;
+  claims = other129.claims;
+  claims_answer = other129.claims_answer;
+  crash = other129.crash;
+  __isset = other129.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -3936,18 +3954,16 @@
   out << "reserve="; (__isset.reserve ? (out << to_string(reserve)) : (out << "<null>"));
   out << ", " << "grant="; (__isset.grant ? (out << to_string(grant)) : (out << "<null>"));
   out << ", " << "release="; (__isset.release ? (out << to_string(release)) : (out << "<null>"));
-  out << ", " << "report="; (__isset.report ? (out << to_string(report)) : (out << "<null>"));
-  out << ", " << "report_answer="; (__isset.report_answer ? (out << to_string(report_answer)) : (out << "<null>"));
+  out << ", " << "prefilled="; (__isset.prefilled ? (out << to_string(prefilled)) : (out << "<null>"));
+  out << ", " << "loads="; (__isset.loads ? (out << to_string(loads)) : (out << "<null>"));
+  out << ", " << "owners="; (__isset.owners ? (out << to_string(owners)) : (out << "<null>"));
+  out << ", " << "owners_answer="; (__isset.owners_answer ? (out << to_string(owners_answer)) : (out << "<null>"));
   out << ", " << "config="; (__isset.config ? (out << to_string(config)) : (out << "<null>"));
   out << ", " << "config_answer="; (__isset.config_answer ? (out << to_string(config_answer)) : (out << "<null>"));
-  out << ", " << "config_offer="; (__isset.config_offer ? (out << to_string(config_offer)) : (out << "<null>"));
   out << ", " << "shares="; (__isset.shares ? (out << to_string(shares)) : (out << "<null>"));
   out << ", " << "claims="; (__isset.claims ? (out << to_string(claims)) : (out << "<null>"));
   out << ", " << "claims_answer="; (__isset.claims_answer ? (out << to_string(claims_answer)) : (out << "<null>"));
-  out << ", " << "poison="; (__isset.poison ? (out << to_string(poison)) : (out << "<null>"));
-  out << ", " << "status="; (__isset.status ? (out << to_string(status)) : (out << "<null>"));
-  out << ", " << "status_answer="; (__isset.status_answer ? (out << to_string(status_answer)) : (out << "<null>"));
-  out << ", " << "error="; (__isset.error ? (out << to_string(error)) : (out << "<null>"));
+  out << ", " << "crash="; (__isset.crash ? (out << to_string(crash)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3964,16 +3980,12 @@
   this->incarnation = val;
 }
 
-void Envelope::__set_sequence(const int64_t val) {
-  this->sequence = val;
-}
-
-void Envelope::__set_answers(const int64_t val) {
-  this->answers = val;
+void Envelope::__set_to(const std::string& val) {
+  this->to = val;
 }
 
-void Envelope::__set_body(const Body& val) {
-  this->body = val;
+void Envelope::__set_bodies(const std::vector<Body> & val) {
+  this->bodies = val;
 }
 std::ostream& operator<<(std::ostream& out, const Envelope& obj)
 {
@@ -4020,25 +4032,29 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->sequence);
-          this->__isset.sequence = true;
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->to);
+          this->__isset.to = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->answers);
-          this->__isset.answers = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 5:
-        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
-          xfer += this->body.read(iprot);
-          this->__isset.body = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->bodies.clear();
+            uint32_t _size130;
+            ::apache::thrift::protocol::TType _etype133;
+            xfer += iprot->readListBegin(_etype133, _size130);
+            this->bodies.resize(_size130);
+            uint32_t _i134;
+            for (_i134 = 0; _i134 < _size130; ++_i134)
+            {
+              xfer += this->bodies[_i134].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.bodies = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -4068,16 +4084,20 @@
   xfer += oprot->writeI64(this->incarnation);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->sequence);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->answers);
+  xfer += oprot->writeFieldBegin("to", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->to);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("body", ::apache::thrift::protocol::T_STRUCT, 5);
-  xfer += this->body.write(oprot);
+  xfer += oprot->writeFieldBegin("bodies", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->bodies.size()));
+    std::vector<Body> ::const_iterator _iter135;
+    for (_iter135 = this->bodies.begin(); _iter135 != this->bodies.end(); ++_iter135)
+    {
+      xfer += (*_iter135).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -4089,27 +4109,24 @@
   using ::std::swap;
   swap(a.host, b.host);
   swap(a.incarnation, b.incarnation);
-  swap(a.sequence, b.sequence);
-  swap(a.answers, b.answers);
-  swap(a.body, b.body);
+  swap(a.to, b.to);
+  swap(a.bodies, b.bodies);
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other118) {
-  host = other118.host;
-  incarnation = other118.incarnation;
-  sequence = other118.sequence;
-  answers = other118.answers;
-  body = other118.body;
-  __isset = other118.__isset;
-}
-Envelope& Envelope::operator=(const Envelope& other119) {
-  host = other119.host;
-  incarnation = other119.incarnation;
-  sequence = other119.sequence;
-  answers = other119.answers;
-  body = other119.body;
-  __isset = other119.__isset;
+Envelope::Envelope(const Envelope& other136) {
+  host = other136.host;
+  incarnation = other136.incarnation;
+  to = other136.to;
+  bodies = other136.bodies;
+  __isset = other136.__isset;
+}
+Envelope& Envelope::operator=(const Envelope& other137) {
+  host = other137.host;
+  incarnation = other137.incarnation;
+  to = other137.to;
+  bodies = other137.bodies;
+  __isset = other137.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -4117,9 +4134,8 @@
   out << "Envelope(";
   out << "host=" << to_string(host);
   out << ", " << "incarnation=" << to_string(incarnation);
-  out << ", " << "sequence=" << to_string(sequence);
-  out << ", " << "answers=" << to_string(answers);
-  out << ", " << "body=" << to_string(body);
+  out << ", " << "to=" << to_string(to);
+  out << ", " << "bodies=" << to_string(bodies);
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -37,33 +37,33 @@
 
 class ReleaseCall;
 
-class ReportCall;
+class PrefilledCall;
 
-class ReportAnswer;
+class LoadReport;
+
+class LoadsCall;
+
+class OwnersCall;
+
+class OwnersAnswer;
 
 class ConfigCall;
 
 class ConfigAnswer;
 
-class ConfigOffer;
-
 class ShareAsk;
 
 class SharesCall;
 
-class ClaimItem;
-
-class ClaimBatchCall;
+class ClaimRecord;
 
-class ClaimBatchAnswer;
+class ClaimsCall;
 
-class PoisonCall;
+class ClaimVerdict;
 
-class StatusCall;
+class ClaimsAnswer;
 
-class StatusAnswer;
-
-class ErrorAnswer;
+class CrashCall;
 
 class Body;
 
@@ -472,14 +472,16 @@
 std::ostream& operator<<(std::ostream& out, const AttemptId& obj);
 
 typedef struct _ReserveCall__isset {
-  _ReserveCall__isset() : attempt(false), target(false), account(false), kv_tokens(false), urgency(false), long_prefill(false), expires_ms(false) {}
+  _ReserveCall__isset() : attempt(false), target(false), account(false), kv_tokens(false), urgency(false), expires_ms(false), prefill_tokens(false), max_wait_us(false), suspect(false) {}
   bool attempt :1;
   bool target :1;
   bool account :1;
   bool kv_tokens :1;
   bool urgency :1;
-  bool long_prefill :1;
   bool expires_ms :1;
+  bool prefill_tokens :1;
+  bool max_wait_us :1;
+  bool suspect :1;
 } _ReserveCall__isset;
 
 class ReserveCall : public virtual ::apache::thrift::TBase {
@@ -492,8 +494,10 @@
                 account(),
                 kv_tokens(0),
                 urgency(0),
-                long_prefill(0),
-                expires_ms(0) {
+                expires_ms(0),
+                prefill_tokens(0),
+                max_wait_us(0),
+                suspect(0) {
   }
 
   virtual ~ReserveCall() noexcept;
@@ -502,8 +506,10 @@
   std::string account;
   int64_t kv_tokens;
   int32_t urgency;
-  bool long_prefill;
   int64_t expires_ms;
+  int32_t prefill_tokens;
+  int64_t max_wait_us;
+  bool suspect;
 
   _ReserveCall__isset __isset;
 
@@ -517,10 +523,14 @@
 
   void __set_urgency(const int32_t val);
 
-  void __set_long_prefill(const bool val);
-
   void __set_expires_ms(const int64_t val);
 
+  void __set_prefill_tokens(const int32_t val);
+
+  void __set_max_wait_us(const int64_t val);
+
+  void __set_suspect(const bool val);
+
   bool operator == (const ReserveCall & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -533,10 +543,14 @@
       return false;
     if (!(urgency == rhs.urgency))
       return false;
-    if (!(long_prefill == rhs.long_prefill))
-      return false;
     if (!(expires_ms == rhs.expires_ms))
       return false;
+    if (!(prefill_tokens == rhs.prefill_tokens))
+      return false;
+    if (!(max_wait_us == rhs.max_wait_us))
+      return false;
+    if (!(suspect == rhs.suspect))
+      return false;
     return true;
   }
   bool operator != (const ReserveCall &rhs) const {
@@ -556,11 +570,11 @@
 std::ostream& operator<<(std::ostream& out, const ReserveCall& obj);
 
 typedef struct _GrantCall__isset {
-  _GrantCall__isset() : attempt(false), target(false), reply(false), retry_after_ms(false) {}
+  _GrantCall__isset() : attempt(false), target(false), reply(false), retry_after_us(false) {}
   bool attempt :1;
   bool target :1;
   bool reply :1;
-  bool retry_after_ms :1;
+  bool retry_after_us :1;
 } _GrantCall__isset;
 
 class GrantCall : public virtual ::apache::thrift::TBase {
@@ -571,14 +585,14 @@
   GrantCall() noexcept
             : target(),
               reply(0),
-              retry_after_ms(0) {
+              retry_after_us(0) {
   }
 
   virtual ~GrantCall() noexcept;
   AttemptId attempt;
   std::string target;
   int32_t reply;
-  int64_t retry_after_ms;
+  int64_t retry_after_us;
 
   _GrantCall__isset __isset;
 
@@ -588,7 +602,7 @@
 
   void __set_reply(const int32_t val);
 
-  void __set_retry_after_ms(const int64_t val);
+  void __set_retry_after_us(const int64_t val);
 
   bool operator == (const GrantCall & rhs) const
   {
@@ -598,7 +612,7 @@
       return false;
     if (!(reply == rhs.reply))
       return false;
-    if (!(retry_after_ms == rhs.retry_after_ms))
+    if (!(retry_after_us == rhs.retry_after_us))
       return false;
     return true;
   }
@@ -667,38 +681,44 @@
 
 std::ostream& operator<<(std::ostream& out, const ReleaseCall& obj);
 
-typedef struct _ReportCall__isset {
-  _ReportCall__isset() : target(false) {}
+typedef struct _PrefilledCall__isset {
+  _PrefilledCall__isset() : attempt(false), target(false) {}
+  bool attempt :1;
   bool target :1;
-} _ReportCall__isset;
+} _PrefilledCall__isset;
 
-class ReportCall : public virtual ::apache::thrift::TBase {
+class PrefilledCall : public virtual ::apache::thrift::TBase {
  public:
 
-  ReportCall(const ReportCall&);
-  ReportCall& operator=(const ReportCall&);
-  ReportCall() noexcept
-             : target() {
+  PrefilledCall(const PrefilledCall&);
+  PrefilledCall& operator=(const PrefilledCall&);
+  PrefilledCall() noexcept
+                : target() {
   }
 
-  virtual ~ReportCall() noexcept;
+  virtual ~PrefilledCall() noexcept;
+  AttemptId attempt;
   std::string target;
 
-  _ReportCall__isset __isset;
+  _PrefilledCall__isset __isset;
+
+  void __set_attempt(const AttemptId& val);
 
   void __set_target(const std::string& val);
 
-  bool operator == (const ReportCall & rhs) const
+  bool operator == (const PrefilledCall & rhs) const
   {
+    if (!(attempt == rhs.attempt))
+      return false;
     if (!(target == rhs.target))
       return false;
     return true;
   }
-  bool operator != (const ReportCall &rhs) const {
+  bool operator != (const PrefilledCall &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ReportCall & ) const;
+  bool operator < (const PrefilledCall & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -706,12 +726,12 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ReportCall &a, ReportCall &b);
+void swap(PrefilledCall &a, PrefilledCall &b);
 
-std::ostream& operator<<(std::ostream& out, const ReportCall& obj);
+std::ostream& operator<<(std::ostream& out, const PrefilledCall& obj);
 
-typedef struct _ReportAnswer__isset {
-  _ReportAnswer__isset() : target(false), epoch(false), sequence(false), age_ms(false), running(false), waiting(false), kv_used(false), kv_capacity(false), max_running(false), prefill_backlog_tokens(false), closing(false), models(false) {}
+typedef struct _LoadReport__isset {
+  _LoadReport__isset() : target(false), epoch(false), sequence(false), age_ms(false), running(false), waiting(false), kv_used(false), kv_capacity(false), max_running(false), prefill_backlog_tokens(false), closing(false), models(false) {}
   bool target :1;
   bool epoch :1;
   bool sequence :1;
@@ -724,28 +744,28 @@
   bool prefill_backlog_tokens :1;
   bool closing :1;
   bool models :1;
-} _ReportAnswer__isset;
+} _LoadReport__isset;
 
-class ReportAnswer : public virtual ::apache::thrift::TBase {
+class LoadReport : public virtual ::apache::thrift::TBase {
  public:
 
-  ReportAnswer(const ReportAnswer&);
-  ReportAnswer& operator=(const ReportAnswer&);
-  ReportAnswer() noexcept
-               : target(),
-                 epoch(0),
-                 sequence(0),
-                 age_ms(0),
-                 running(0),
-                 waiting(0),
-                 kv_used(0),
-                 kv_capacity(0),
-                 max_running(0),
-                 prefill_backlog_tokens(0),
-                 closing(0) {
-  }
-
-  virtual ~ReportAnswer() noexcept;
+  LoadReport(const LoadReport&);
+  LoadReport& operator=(const LoadReport&);
+  LoadReport() noexcept
+             : target(),
+               epoch(0),
+               sequence(0),
+               age_ms(0),
+               running(0),
+               waiting(0),
+               kv_used(0),
+               kv_capacity(0),
+               max_running(0),
+               prefill_backlog_tokens(0),
+               closing(0) {
+  }
+
+  virtual ~LoadReport() noexcept;
   std::string target;
   int64_t epoch;
   int64_t sequence;
@@ -759,7 +779,7 @@
   bool closing;
   std::vector<std::string>  models;
 
-  _ReportAnswer__isset __isset;
+  _LoadReport__isset __isset;
 
   void __set_target(const std::string& val);
 
@@ -785,7 +805,7 @@
 
   void __set_models(const std::vector<std::string> & val);
 
-  bool operator == (const ReportAnswer & rhs) const
+  bool operator == (const LoadReport & rhs) const
   {
     if (!(target == rhs.target))
       return false;
@@ -813,11 +833,11 @@
       return false;
     return true;
   }
-  bool operator != (const ReportAnswer &rhs) const {
+  bool operator != (const LoadReport &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ReportAnswer & ) const;
+  bool operator < (const LoadReport & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -825,9 +845,142 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ReportAnswer &a, ReportAnswer &b);
+void swap(LoadReport &a, LoadReport &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadReport& obj);
+
+typedef struct _LoadsCall__isset {
+  _LoadsCall__isset() : reports(false), answer_wanted(false) {}
+  bool reports :1;
+  bool answer_wanted :1;
+} _LoadsCall__isset;
+
+class LoadsCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadsCall(const LoadsCall&);
+  LoadsCall& operator=(const LoadsCall&);
+  LoadsCall() noexcept
+            : answer_wanted(0) {
+  }
+
+  virtual ~LoadsCall() noexcept;
+  std::vector<LoadReport>  reports;
+  bool answer_wanted;
+
+  _LoadsCall__isset __isset;
 
-std::ostream& operator<<(std::ostream& out, const ReportAnswer& obj);
+  void __set_reports(const std::vector<LoadReport> & val);
+
+  void __set_answer_wanted(const bool val);
+
+  bool operator == (const LoadsCall & rhs) const
+  {
+    if (!(reports == rhs.reports))
+      return false;
+    if (!(answer_wanted == rhs.answer_wanted))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadsCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadsCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadsCall &a, LoadsCall &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadsCall& obj);
+
+typedef struct _OwnersCall__isset {
+  _OwnersCall__isset() : attempts(false) {}
+  bool attempts :1;
+} _OwnersCall__isset;
+
+class OwnersCall : public virtual ::apache::thrift::TBase {
+ public:
+
+  OwnersCall(const OwnersCall&);
+  OwnersCall& operator=(const OwnersCall&);
+  OwnersCall() noexcept {
+  }
+
+  virtual ~OwnersCall() noexcept;
+  std::vector<AttemptId>  attempts;
+
+  _OwnersCall__isset __isset;
+
+  void __set_attempts(const std::vector<AttemptId> & val);
+
+  bool operator == (const OwnersCall & rhs) const
+  {
+    if (!(attempts == rhs.attempts))
+      return false;
+    return true;
+  }
+  bool operator != (const OwnersCall &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OwnersCall & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OwnersCall &a, OwnersCall &b);
+
+std::ostream& operator<<(std::ostream& out, const OwnersCall& obj);
+
+typedef struct _OwnersAnswer__isset {
+  _OwnersAnswer__isset() : unknown(false) {}
+  bool unknown :1;
+} _OwnersAnswer__isset;
+
+class OwnersAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  OwnersAnswer(const OwnersAnswer&);
+  OwnersAnswer& operator=(const OwnersAnswer&);
+  OwnersAnswer() noexcept {
+  }
+
+  virtual ~OwnersAnswer() noexcept;
+  std::vector<AttemptId>  unknown;
+
+  _OwnersAnswer__isset __isset;
+
+  void __set_unknown(const std::vector<AttemptId> & val);
+
+  bool operator == (const OwnersAnswer & rhs) const
+  {
+    if (!(unknown == rhs.unknown))
+      return false;
+    return true;
+  }
+  bool operator != (const OwnersAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const OwnersAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(OwnersAnswer &a, OwnersAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const OwnersAnswer& obj);
 
 typedef struct _ConfigCall__isset {
   _ConfigCall__isset() : generation(false) {}
@@ -922,56 +1075,6 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfigAnswer& obj);
 
-typedef struct _ConfigOffer__isset {
-  _ConfigOffer__isset() : generation(false), text(false) {}
-  bool generation :1;
-  bool text :1;
-} _ConfigOffer__isset;
-
-class ConfigOffer : public virtual ::apache::thrift::TBase {
- public:
-
-  ConfigOffer(const ConfigOffer&);
-  ConfigOffer& operator=(const ConfigOffer&);
-  ConfigOffer() noexcept
-              : generation(0),
-                text() {
-  }
-
-  virtual ~ConfigOffer() noexcept;
-  int64_t generation;
-  std::string text;
-
-  _ConfigOffer__isset __isset;
-
-  void __set_generation(const int64_t val);
-
-  void __set_text(const std::string& val);
-
-  bool operator == (const ConfigOffer & rhs) const
-  {
-    if (!(generation == rhs.generation))
-      return false;
-    if (!(text == rhs.text))
-      return false;
-    return true;
-  }
-  bool operator != (const ConfigOffer &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const ConfigOffer & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(ConfigOffer &a, ConfigOffer &b);
-
-std::ostream& operator<<(std::ostream& out, const ConfigOffer& obj);
-
 typedef struct _ShareAsk__isset {
   _ShareAsk__isset() : account(false), tokens_per_second(false), concurrent_tokens(false) {}
   bool account :1;
@@ -1085,65 +1188,73 @@
 
 std::ostream& operator<<(std::ostream& out, const SharesCall& obj);
 
-typedef struct _ClaimItem__isset {
-  _ClaimItem__isset() : account(false), key(false), fingerprint(false), writer(false), expires_ms(false) {}
-  bool account :1;
+typedef struct _ClaimRecord__isset {
+  _ClaimRecord__isset() : kind(false), key(false), claimant(false), fingerprint(false), remaining_s(false), outcome(false) {}
+  bool kind :1;
   bool key :1;
+  bool claimant :1;
   bool fingerprint :1;
-  bool writer :1;
-  bool expires_ms :1;
-} _ClaimItem__isset;
+  bool remaining_s :1;
+  bool outcome :1;
+} _ClaimRecord__isset;
 
-class ClaimItem : public virtual ::apache::thrift::TBase {
+class ClaimRecord : public virtual ::apache::thrift::TBase {
  public:
 
-  ClaimItem(const ClaimItem&);
-  ClaimItem& operator=(const ClaimItem&);
-  ClaimItem() noexcept
-            : account(),
-              key(),
-              fingerprint(0),
-              expires_ms(0) {
+  ClaimRecord(const ClaimRecord&);
+  ClaimRecord& operator=(const ClaimRecord&);
+  ClaimRecord() noexcept
+              : kind(0),
+                key(),
+                claimant(0),
+                fingerprint(0),
+                remaining_s(0),
+                outcome(0) {
   }
 
-  virtual ~ClaimItem() noexcept;
-  std::string account;
+  virtual ~ClaimRecord() noexcept;
+  int32_t kind;
   std::string key;
+  int64_t claimant;
   int64_t fingerprint;
-  AttemptId writer;
-  int64_t expires_ms;
+  int64_t remaining_s;
+  int32_t outcome;
 
-  _ClaimItem__isset __isset;
+  _ClaimRecord__isset __isset;
 
-  void __set_account(const std::string& val);
+  void __set_kind(const int32_t val);
 
   void __set_key(const std::string& val);
 
+  void __set_claimant(const int64_t val);
+
   void __set_fingerprint(const int64_t val);
 
-  void __set_writer(const AttemptId& val);
+  void __set_remaining_s(const int64_t val);
 
-  void __set_expires_ms(const int64_t val);
+  void __set_outcome(const int32_t val);
 
-  bool operator == (const ClaimItem & rhs) const
+  bool operator == (const ClaimRecord & rhs) const
   {
-    if (!(account == rhs.account))
+    if (!(kind == rhs.kind))
       return false;
     if (!(key == rhs.key))
       return false;
+    if (!(claimant == rhs.claimant))
+      return false;
     if (!(fingerprint == rhs.fingerprint))
       return false;
-    if (!(writer == rhs.writer))
+    if (!(remaining_s == rhs.remaining_s))
       return false;
-    if (!(expires_ms == rhs.expires_ms))
+    if (!(outcome == rhs.outcome))
       return false;
     return true;
   }
-  bool operator != (const ClaimItem &rhs) const {
+  bool operator != (const ClaimRecord &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ClaimItem & ) const;
+  bool operator < (const ClaimRecord & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1151,48 +1262,41 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ClaimItem &a, ClaimItem &b);
+void swap(ClaimRecord &a, ClaimRecord &b);
 
-std::ostream& operator<<(std::ostream& out, const ClaimItem& obj);
+std::ostream& operator<<(std::ostream& out, const ClaimRecord& obj);
 
-typedef struct _ClaimBatchCall__isset {
-  _ClaimBatchCall__isset() : shard(false), claims(false) {}
-  bool shard :1;
-  bool claims :1;
-} _ClaimBatchCall__isset;
+typedef struct _ClaimsCall__isset {
+  _ClaimsCall__isset() : records(false) {}
+  bool records :1;
+} _ClaimsCall__isset;
 
-class ClaimBatchCall : public virtual ::apache::thrift::TBase {
+class ClaimsCall : public virtual ::apache::thrift::TBase {
  public:
 
-  ClaimBatchCall(const ClaimBatchCall&);
-  ClaimBatchCall& operator=(const ClaimBatchCall&);
-  ClaimBatchCall() noexcept
-                 : shard(0) {
+  ClaimsCall(const ClaimsCall&);
+  ClaimsCall& operator=(const ClaimsCall&);
+  ClaimsCall() noexcept {
   }
 
-  virtual ~ClaimBatchCall() noexcept;
-  int32_t shard;
-  std::vector<ClaimItem>  claims;
+  virtual ~ClaimsCall() noexcept;
+  std::vector<ClaimRecord>  records;
 
-  _ClaimBatchCall__isset __isset;
+  _ClaimsCall__isset __isset;
 
-  void __set_shard(const int32_t val);
+  void __set_records(const std::vector<ClaimRecord> & val);
 
-  void __set_claims(const std::vector<ClaimItem> & val);
-
-  bool operator == (const ClaimBatchCall & rhs) const
+  bool operator == (const ClaimsCall & rhs) const
   {
-    if (!(shard == rhs.shard))
-      return false;
-    if (!(claims == rhs.claims))
+    if (!(records == rhs.records))
       return false;
     return true;
   }
-  bool operator != (const ClaimBatchCall &rhs) const {
+  bool operator != (const ClaimsCall &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ClaimBatchCall & ) const;
+  bool operator < (const ClaimsCall & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1200,97 +1304,56 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ClaimBatchCall &a, ClaimBatchCall &b);
+void swap(ClaimsCall &a, ClaimsCall &b);
 
-std::ostream& operator<<(std::ostream& out, const ClaimBatchCall& obj);
+std::ostream& operator<<(std::ostream& out, const ClaimsCall& obj);
 
-typedef struct _ClaimBatchAnswer__isset {
-  _ClaimBatchAnswer__isset() : shard(false), verdicts(false) {}
-  bool shard :1;
-  bool verdicts :1;
-} _ClaimBatchAnswer__isset;
+typedef struct _ClaimVerdict__isset {
+  _ClaimVerdict__isset() : key(false), claimant(false), verdict(false) {}
+  bool key :1;
+  bool claimant :1;
+  bool verdict :1;
+} _ClaimVerdict__isset;
 
-class ClaimBatchAnswer : public virtual ::apache::thrift::TBase {
+class ClaimVerdict : public virtual ::apache::thrift::TBase {
  public:
 
-  ClaimBatchAnswer(const ClaimBatchAnswer&);
-  ClaimBatchAnswer& operator=(const ClaimBatchAnswer&);
-  ClaimBatchAnswer() noexcept
-                   : shard(0) {
-  }
-
-  virtual ~ClaimBatchAnswer() noexcept;
-  int32_t shard;
-  std::vector<int32_t>  verdicts;
-
-  _ClaimBatchAnswer__isset __isset;
-
-  void __set_shard(const int32_t val);
-
-  void __set_verdicts(const std::vector<int32_t> & val);
-
-  bool operator == (const ClaimBatchAnswer & rhs) const
-  {
-    if (!(shard == rhs.shard))
-      return false;
-    if (!(verdicts == rhs.verdicts))
-      return false;
-    return true;
-  }
-  bool operator != (const ClaimBatchAnswer &rhs) const {
-    return !(*this == rhs);
+  ClaimVerdict(const ClaimVerdict&);
+  ClaimVerdict& operator=(const ClaimVerdict&);
+  ClaimVerdict() noexcept
+               : key(),
+                 claimant(0),
+                 verdict(0) {
   }
 
-  bool operator < (const ClaimBatchAnswer & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(ClaimBatchAnswer &a, ClaimBatchAnswer &b);
-
-std::ostream& operator<<(std::ostream& out, const ClaimBatchAnswer& obj);
-
-typedef struct _PoisonCall__isset {
-  _PoisonCall__isset() : target(false), suspects(false) {}
-  bool target :1;
-  bool suspects :1;
-} _PoisonCall__isset;
-
-class PoisonCall : public virtual ::apache::thrift::TBase {
- public:
-
-  PoisonCall(const PoisonCall&);
-  PoisonCall& operator=(const PoisonCall&);
-  PoisonCall() noexcept
-             : target() {
-  }
+  virtual ~ClaimVerdict() noexcept;
+  std::string key;
+  int64_t claimant;
+  int32_t verdict;
 
-  virtual ~PoisonCall() noexcept;
-  std::string target;
-  std::vector<SuspectMark>  suspects;
+  _ClaimVerdict__isset __isset;
 
-  _PoisonCall__isset __isset;
+  void __set_key(const std::string& val);
 
-  void __set_target(const std::string& val);
+  void __set_claimant(const int64_t val);
 
-  void __set_suspects(const std::vector<SuspectMark> & val);
+  void __set_verdict(const int32_t val);
 
-  bool operator == (const PoisonCall & rhs) const
+  bool operator == (const ClaimVerdict & rhs) const
   {
-    if (!(target == rhs.target))
+    if (!(key == rhs.key))
       return false;
-    if (!(suspects == rhs.suspects))
+    if (!(claimant == rhs.claimant))
+      return false;
+    if (!(verdict == rhs.verdict))
       return false;
     return true;
   }
-  bool operator != (const PoisonCall &rhs) const {
+  bool operator != (const ClaimVerdict &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const PoisonCall & ) const;
+  bool operator < (const ClaimVerdict & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1298,42 +1361,41 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(PoisonCall &a, PoisonCall &b);
+void swap(ClaimVerdict &a, ClaimVerdict &b);
 
-std::ostream& operator<<(std::ostream& out, const PoisonCall& obj);
+std::ostream& operator<<(std::ostream& out, const ClaimVerdict& obj);
 
-typedef struct _StatusCall__isset {
-  _StatusCall__isset() : whole_dump(false) {}
-  bool whole_dump :1;
-} _StatusCall__isset;
+typedef struct _ClaimsAnswer__isset {
+  _ClaimsAnswer__isset() : verdicts(false) {}
+  bool verdicts :1;
+} _ClaimsAnswer__isset;
 
-class StatusCall : public virtual ::apache::thrift::TBase {
+class ClaimsAnswer : public virtual ::apache::thrift::TBase {
  public:
 
-  StatusCall(const StatusCall&) noexcept;
-  StatusCall& operator=(const StatusCall&) noexcept;
-  StatusCall() noexcept
-             : whole_dump(0) {
+  ClaimsAnswer(const ClaimsAnswer&);
+  ClaimsAnswer& operator=(const ClaimsAnswer&);
+  ClaimsAnswer() noexcept {
   }
 
-  virtual ~StatusCall() noexcept;
-  bool whole_dump;
+  virtual ~ClaimsAnswer() noexcept;
+  std::vector<ClaimVerdict>  verdicts;
 
-  _StatusCall__isset __isset;
+  _ClaimsAnswer__isset __isset;
 
-  void __set_whole_dump(const bool val);
+  void __set_verdicts(const std::vector<ClaimVerdict> & val);
 
-  bool operator == (const StatusCall & rhs) const
+  bool operator == (const ClaimsAnswer & rhs) const
   {
-    if (!(whole_dump == rhs.whole_dump))
+    if (!(verdicts == rhs.verdicts))
       return false;
     return true;
   }
-  bool operator != (const StatusCall &rhs) const {
+  bool operator != (const ClaimsAnswer &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const StatusCall & ) const;
+  bool operator < (const ClaimsAnswer & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1341,105 +1403,49 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(StatusCall &a, StatusCall &b);
+void swap(ClaimsAnswer &a, ClaimsAnswer &b);
 
-std::ostream& operator<<(std::ostream& out, const StatusCall& obj);
+std::ostream& operator<<(std::ostream& out, const ClaimsAnswer& obj);
 
-typedef struct _StatusAnswer__isset {
-  _StatusAnswer__isset() : host(false), generation(false), hash(false), dump(false) {}
-  bool host :1;
-  bool generation :1;
-  bool hash :1;
-  bool dump :1;
-} _StatusAnswer__isset;
+typedef struct _CrashCall__isset {
+  _CrashCall__isset() : target(false), fingerprint(false) {}
+  bool target :1;
+  bool fingerprint :1;
+} _CrashCall__isset;
 
-class StatusAnswer : public virtual ::apache::thrift::TBase {
+class CrashCall : public virtual ::apache::thrift::TBase {
  public:
 
-  StatusAnswer(const StatusAnswer&);
-  StatusAnswer& operator=(const StatusAnswer&);
-  StatusAnswer() noexcept
-               : generation(0),
-                 hash(),
-                 dump() {
+  CrashCall(const CrashCall&);
+  CrashCall& operator=(const CrashCall&);
+  CrashCall() noexcept
+            : target(),
+              fingerprint(0) {
   }
 
-  virtual ~StatusAnswer() noexcept;
-  HostRecord host;
-  int64_t generation;
-  std::string hash;
-  std::string dump;
-
-  _StatusAnswer__isset __isset;
-
-  void __set_host(const HostRecord& val);
+  virtual ~CrashCall() noexcept;
+  std::string target;
+  int64_t fingerprint;
 
-  void __set_generation(const int64_t val);
+  _CrashCall__isset __isset;
 
-  void __set_hash(const std::string& val);
+  void __set_target(const std::string& val);
 
-  void __set_dump(const std::string& val);
+  void __set_fingerprint(const int64_t val);
 
-  bool operator == (const StatusAnswer & rhs) const
+  bool operator == (const CrashCall & rhs) const
   {
-    if (!(host == rhs.host))
-      return false;
-    if (!(generation == rhs.generation))
-      return false;
-    if (!(hash == rhs.hash))
-      return false;
-    if (!(dump == rhs.dump))
+    if (!(target == rhs.target))
       return false;
-    return true;
-  }
-  bool operator != (const StatusAnswer &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const StatusAnswer & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(StatusAnswer &a, StatusAnswer &b);
-
-std::ostream& operator<<(std::ostream& out, const StatusAnswer& obj);
-
-typedef struct _ErrorAnswer__isset {
-  _ErrorAnswer__isset() : code(false) {}
-  bool code :1;
-} _ErrorAnswer__isset;
-
-class ErrorAnswer : public virtual ::apache::thrift::TBase {
- public:
-
-  ErrorAnswer(const ErrorAnswer&) noexcept;
-  ErrorAnswer& operator=(const ErrorAnswer&) noexcept;
-  ErrorAnswer() noexcept
-              : code(0) {
-  }
-
-  virtual ~ErrorAnswer() noexcept;
-  int32_t code;
-
-  _ErrorAnswer__isset __isset;
-
-  void __set_code(const int32_t val);
-
-  bool operator == (const ErrorAnswer & rhs) const
-  {
-    if (!(code == rhs.code))
+    if (!(fingerprint == rhs.fingerprint))
       return false;
     return true;
   }
-  bool operator != (const ErrorAnswer &rhs) const {
+  bool operator != (const CrashCall &rhs) const {
     return !(*this == rhs);
   }
 
-  bool operator < (const ErrorAnswer & ) const;
+  bool operator < (const CrashCall & ) const;
 
   uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
   uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
@@ -1447,27 +1453,25 @@
   virtual void printTo(std::ostream& out) const;
 };
 
-void swap(ErrorAnswer &a, ErrorAnswer &b);
+void swap(CrashCall &a, CrashCall &b);
 
-std::ostream& operator<<(std::ostream& out, const ErrorAnswer& obj);
+std::ostream& operator<<(std::ostream& out, const CrashCall& obj);
 
 typedef struct _Body__isset {
-  _Body__isset() : reserve(false), grant(false), release(false), report(false), report_answer(false), config(false), config_answer(false), config_offer(false), shares(false), claims(false), claims_answer(false), poison(false), status(false), status_answer(false), error(false) {}
+  _Body__isset() : reserve(false), grant(false), release(false), prefilled(false), loads(false), owners(false), owners_answer(false), config(false), config_answer(false), shares(false), claims(false), claims_answer(false), crash(false) {}
   bool reserve :1;
   bool grant :1;
   bool release :1;
-  bool report :1;
-  bool report_answer :1;
+  bool prefilled :1;
+  bool loads :1;
+  bool owners :1;
+  bool owners_answer :1;
   bool config :1;
   bool config_answer :1;
-  bool config_offer :1;
   bool shares :1;
   bool claims :1;
   bool claims_answer :1;
-  bool poison :1;
-  bool status :1;
-  bool status_answer :1;
-  bool error :1;
+  bool crash :1;
 } _Body__isset;
 
 class Body : public virtual ::apache::thrift::TBase {
@@ -1482,18 +1486,16 @@
   ReserveCall reserve;
   GrantCall grant;
   ReleaseCall release;
-  ReportCall report;
-  ReportAnswer report_answer;
+  PrefilledCall prefilled;
+  LoadsCall loads;
+  OwnersCall owners;
+  OwnersAnswer owners_answer;
   ConfigCall config;
   ConfigAnswer config_answer;
-  ConfigOffer config_offer;
   SharesCall shares;
-  ClaimBatchCall claims;
-  ClaimBatchAnswer claims_answer;
-  PoisonCall poison;
-  StatusCall status;
-  StatusAnswer status_answer;
-  ErrorAnswer error;
+  ClaimsCall claims;
+  ClaimsAnswer claims_answer;
+  CrashCall crash;
 
   _Body__isset __isset;
 
@@ -1503,29 +1505,25 @@
 
   void __set_release(const ReleaseCall& val);
 
-  void __set_report(const ReportCall& val);
+  void __set_prefilled(const PrefilledCall& val);
+
+  void __set_loads(const LoadsCall& val);
 
-  void __set_report_answer(const ReportAnswer& val);
+  void __set_owners(const OwnersCall& val);
+
+  void __set_owners_answer(const OwnersAnswer& val);
 
   void __set_config(const ConfigCall& val);
 
   void __set_config_answer(const ConfigAnswer& val);
 
-  void __set_config_offer(const ConfigOffer& val);
-
   void __set_shares(const SharesCall& val);
 
-  void __set_claims(const ClaimBatchCall& val);
-
-  void __set_claims_answer(const ClaimBatchAnswer& val);
-
-  void __set_poison(const PoisonCall& val);
+  void __set_claims(const ClaimsCall& val);
 
-  void __set_status(const StatusCall& val);
+  void __set_claims_answer(const ClaimsAnswer& val);
 
-  void __set_status_answer(const StatusAnswer& val);
-
-  void __set_error(const ErrorAnswer& val);
+  void __set_crash(const CrashCall& val);
 
   bool operator == (const Body & rhs) const
   {
@@ -1541,13 +1539,21 @@
       return false;
     else if (__isset.release && !(release == rhs.release))
       return false;
-    if (__isset.report != rhs.__isset.report)
+    if (__isset.prefilled != rhs.__isset.prefilled)
+      return false;
+    else if (__isset.prefilled && !(prefilled == rhs.prefilled))
+      return false;
+    if (__isset.loads != rhs.__isset.loads)
+      return false;
+    else if (__isset.loads && !(loads == rhs.loads))
       return false;
-    else if (__isset.report && !(report == rhs.report))
+    if (__isset.owners != rhs.__isset.owners)
       return false;
-    if (__isset.report_answer != rhs.__isset.report_answer)
+    else if (__isset.owners && !(owners == rhs.owners))
       return false;
-    else if (__isset.report_answer && !(report_answer == rhs.report_answer))
+    if (__isset.owners_answer != rhs.__isset.owners_answer)
+      return false;
+    else if (__isset.owners_answer && !(owners_answer == rhs.owners_answer))
       return false;
     if (__isset.config != rhs.__isset.config)
       return false;
@@ -1557,10 +1563,6 @@
       return false;
     else if (__isset.config_answer && !(config_answer == rhs.config_answer))
       return false;
-    if (__isset.config_offer != rhs.__isset.config_offer)
-      return false;
-    else if (__isset.config_offer && !(config_offer == rhs.config_offer))
-      return false;
     if (__isset.shares != rhs.__isset.shares)
       return false;
     else if (__isset.shares && !(shares == rhs.shares))
@@ -1573,21 +1575,9 @@
       return false;
     else if (__isset.claims_answer && !(claims_answer == rhs.claims_answer))
       return false;
-    if (__isset.poison != rhs.__isset.poison)
-      return false;
-    else if (__isset.poison && !(poison == rhs.poison))
-      return false;
-    if (__isset.status != rhs.__isset.status)
-      return false;
-    else if (__isset.status && !(status == rhs.status))
-      return false;
-    if (__isset.status_answer != rhs.__isset.status_answer)
-      return false;
-    else if (__isset.status_answer && !(status_answer == rhs.status_answer))
+    if (__isset.crash != rhs.__isset.crash)
       return false;
-    if (__isset.error != rhs.__isset.error)
-      return false;
-    else if (__isset.error && !(error == rhs.error))
+    else if (__isset.crash && !(crash == rhs.crash))
       return false;
     return true;
   }
@@ -1608,12 +1598,11 @@
 std::ostream& operator<<(std::ostream& out, const Body& obj);
 
 typedef struct _Envelope__isset {
-  _Envelope__isset() : host(false), incarnation(false), sequence(false), answers(false), body(false) {}
+  _Envelope__isset() : host(false), incarnation(false), to(false), bodies(false) {}
   bool host :1;
   bool incarnation :1;
-  bool sequence :1;
-  bool answers :1;
-  bool body :1;
+  bool to :1;
+  bool bodies :1;
 } _Envelope__isset;
 
 class Envelope : public virtual ::apache::thrift::TBase {
@@ -1624,16 +1613,14 @@
   Envelope() noexcept
            : host(),
              incarnation(0),
-             sequence(0),
-             answers(0) {
+             to() {
   }
 
   virtual ~Envelope() noexcept;
   std::string host;
   int64_t incarnation;
-  int64_t sequence;
-  int64_t answers;
-  Body body;
+  std::string to;
+  std::vector<Body>  bodies;
 
   _Envelope__isset __isset;
 
@@ -1641,11 +1628,9 @@
 
   void __set_incarnation(const int64_t val);
 
-  void __set_sequence(const int64_t val);
-
-  void __set_answers(const int64_t val);
+  void __set_to(const std::string& val);
 
-  void __set_body(const Body& val);
+  void __set_bodies(const std::vector<Body> & val);
 
   bool operator == (const Envelope & rhs) const
   {
@@ -1653,11 +1638,9 @@
       return false;
     if (!(incarnation == rhs.incarnation))
       return false;
-    if (!(sequence == rhs.sequence))
-      return false;
-    if (!(answers == rhs.answers))
+    if (!(to == rhs.to))
       return false;
-    if (!(body == rhs.body))
+    if (!(bodies == rhs.bodies))
       return false;
     return true;
   }
--- a/test/shell/wire-test.cc
+++ b/test/shell/wire-test.cc
@@ -113,7 +113,7 @@
   envelope.host = "a";
   wire::ReserveCall call;
   call.target = "t";
-  envelope.body.__set_reserve(call);
+  envelope.bodies.emplace_back().__set_reserve(call);
   const std::string bytes = EncodeEnvelope(envelope, kKey);
   wire::Envelope read;
   REQUIRE_FALSE(DecodeEnvelope(bytes, kKey, read));
