--- a/test/shell/ctl-test.cc
+++ b/test/shell/ctl-test.cc
@@ -4,7 +4,7 @@
 
 #include "comfreyflow/config-change.h"
 #include "ctl/commands.h"
-#include "fakes/fake-server.h"
+#include "fakes/fake-platform.h"
 #include "shell/host-fixture.h"
 
 using namespace comfreyflow;        // NOLINT(google-build-using-namespace)
@@ -299,6 +299,48 @@
   CHECK(host.WaitForExit() == 0);
 }
 
+TEST_CASE("real hosts: lost answers, races, outages and promotion") {
+  fakes::FakePlatform platform;
+  const auto settings = [&](const char* name, const char* environment) {
+    HostSettings out = Settings(name);
+    out.environment = environment;
+    out.platform = platform.address();
+    out.require_proof = std::string(environment) == "production";
+    return out;
+  };
+  TestHost trial(settings("t1", "test"));
+  TestHost production(settings("p1", "production"));
+  const TempFile key(kAdminKey);
+  const TempFile first(Document("first"));
+  const TempFile second(ConfigText({kEngine, "127.0.0.1:10"}, kService));
+  const TempFile targets(
+      "[environment production]\n[target p]\naddress = " + kEngine +
+      "\nclass = bento-llm\nfailure_domain = regina\n");
+  const auto apply = [&](const std::string& admin, const TempFile& file,
+                         const ctl::Args& more = {}) {
+    ctl::Args args = {"apply",    "--admin",  admin, "--admin-key-file",
+                      key.path(), file.path()};
+    args.insert(args.end(), more.begin(), more.end());
+    return Tool(args);
+  };
+  platform.SetFaults({{"lose_answers", 1}});
+  CHECK(apply(trial.admin(), first, {"--wait", "10"}).exit_code ==
+        ctl::kExitDone);
+  const ToolRun late = apply(trial.admin(), second, {"--against", "0"});
+  CHECK(late.code() == Info(Errc::kConfigConflict).name);
+  CHECK(apply(production.admin(), first).code() ==
+        Info(Errc::kPromoteUnproven).name);
+  const ToolRun promoted =
+      Tool({"promote", "--from", trial.admin(), "--from-key-file", key.path(),
+            "--admin", production.admin(), "--admin-key-file", key.path(),
+            "--targets", targets.path()});
+  CHECK(promoted.exit_code == ctl::kExitDone);
+  CHECK(promoted["generation"] == 2);
+  platform.SetFaults({{"outage", true}});
+  const ToolRun refused = apply(trial.admin(), second);
+  CHECK(refused.code() == Info(Errc::kPlatformUnavailable).name);
+}
+
 TEST_CASE("arguments that are wrong end with the exit code for usage") {
   for (const ctl::Args& args :
        {ctl::Args{"nothing"}, ctl::Args{"apply"}, ctl::Args{"status", "--x"},
