--- a/include/comfreyflow/attempt.h
+++ b/include/comfreyflow/attempt.h
@@ -4,8 +4,8 @@
 
 #include <cstdint>
 
-#include "comfreyflow/entry.h"
 #include "comfreyflow/errors.h"
+#include "comfreyflow/stream.h"
 #include "comfreyflow/types.h"
 
 namespace comfreyflow {
--- a/include/comfreyflow/dispatcher.h
+++ b/include/comfreyflow/dispatcher.h
@@ -90,9 +90,11 @@
   void Done(const RequestId& id);
 
   /// Queues an admitted request for its next attempt. Exactly one `Dispatched`
-  /// or `Unplaced` follows, unless `Leave` comes first.
+  /// or `Unplaced` follows, unless `Leave` comes first. A suspect is granted
+  /// no target that has another one.
   DispatchCommands Enqueue(const AttemptId& attempt, const RequestInfo& info,
-                           const std::vector<TargetName>& excluded, Time now);
+                           const std::vector<TargetName>& excluded, Time now,
+                           bool suspect = false);
   DispatchCommands Answered(const TargetName& target,
                             const ReserveAnswer& answer, Time now);
   /// The first token of the attempt arrived.
@@ -122,6 +124,7 @@
     std::size_t held = 0;
     std::uint32_t refusals = 0;  ///< In this round.
     bool placed_before = false;
+    bool suspect = false;
     bool steward_queues = false;
     Time enqueued;
     Time wake;  ///< End of the pause, or of the wait for the steward.
--- a/include/comfreyflow/entry.h
+++ b/include/comfreyflow/entry.h
@@ -11,7 +11,13 @@
 #include <variant>
 #include <vector>
 
+#include "comfreyflow/admission.h"
+#include "comfreyflow/attempt.h"
+#include "comfreyflow/dispatcher.h"
 #include "comfreyflow/errors.h"
+#include "comfreyflow/poison.h"
+#include "comfreyflow/retry.h"
+#include "comfreyflow/stream.h"
 #include "comfreyflow/target.h"
 #include "comfreyflow/types.h"
 
@@ -35,7 +41,7 @@
 /// What the claim log says of an idempotency key.
 enum class ClaimVerdict : std::uint8_t {
   kClaimed,      ///< Ours; run it now or never.
-  kSeenDone,     ///< Another request with the key ended and its answer is kept.
+  kSeenDone,     ///< Another request with the key ran to its whole answer.
   kSeenRunning,  ///< Another request with the key has not ended.
   kSeenUnknown,  ///< Another request had the key; its end is not known.
   kOtherBody,    ///< The key was used with another body.
@@ -47,8 +53,6 @@
   ClaimVerdict verdict = ClaimVerdict::kUnavailable;
 };
 
-enum class GrantReply : std::uint8_t { kGranted, kQueued, kRefused, kClosed };
-
 /// The steward's answer to `AskGrant`.
 struct GrantAnswered {
   AttemptId attempt;
@@ -57,41 +61,6 @@
   Duration retry_after{};
 };
 
-/// The connection to the target is up and the request's first byte was handed
-/// to its socket.
-struct StreamOpened {
-  AttemptId attempt;
-};
-
-/// Bytes `[offset, offset + length)` of the answer arrived.
-struct ChunkArrived {
-  AttemptId attempt;
-  std::uint64_t offset = 0;
-  std::uint32_t length = 0;
-  std::uint32_t tokens = 0;
-};
-
-/// A sign of life without content.
-struct StreamHeartbeat {
-  AttemptId attempt;
-};
-
-struct StreamEnded {
-  AttemptId attempt;
-  std::uint64_t total_bytes = 0;
-  std::uint32_t prompt_tokens = 0;
-  std::uint32_t cached_tokens = 0;
-  std::uint32_t output_tokens = 0;
-};
-
-/// The attempt ended without a whole answer.
-struct StreamFailed {
-  AttemptId attempt;
-  Errc code = Errc::kTargetFailed;
-  bool not_run = false;  ///< Nothing was sent, or the target said so.
-  bool crashed = false;  ///< The connection broke as if the target had died.
-};
-
 struct CallerGone {
   RequestId request;
 };
@@ -120,10 +89,21 @@
   std::vector<PrefixEvent> events;
 };
 
-/// A peer saw this fingerprint in a crash.
+/// A peer saw a fingerprint in a crash.
 struct PeerSuspects {
+  CrashEvidence evidence;
+};
+
+/// An operator ends the suspicion or quarantine of a fingerprint.
+struct SuspectCleared {
   std::uint64_t fingerprint = 0;
-  std::uint32_t crashes = 0;
+};
+
+/// This host's share of a client account's limits, and the account's weight.
+struct LimitChanged {
+  AccountName account;
+  AccountLimit limit;
+  double weight = 1;
 };
 
 struct StopAdmitting {
@@ -138,8 +118,8 @@
     std::variant<RequestArrived, ClaimAnswered, GrantAnswered, StreamOpened,
                  ChunkArrived, StreamHeartbeat, StreamEnded, StreamFailed,
                  CallerGone, TargetSeen, TargetGone, TargetClosed, LoadReported,
-                 PrefixReported, PeerSuspects, StopAdmitting, ResumeAdmitting,
-                 Tick>;
+                 PrefixReported, PeerSuspects, SuspectCleared, LimitChanged,
+                 StopAdmitting, ResumeAdmitting, Tick>;
 
 // ---- Commands -------------------------------------------------------------
 
@@ -165,7 +145,9 @@
   AccountName account;
   std::uint64_t kv_tokens = 0;
   Urgency urgency = Urgency::kNormal;
-  bool long_prefill = false;
+  std::uint32_t prefill_tokens = 0;  ///< Estimated uncached prompt tokens.
+  Duration max_wait{};   ///< Refuse when prefill would begin later than this.
+  bool suspect = false;  ///< Must not share the target with another suspect.
   Time expires;
 };
 
@@ -175,12 +157,18 @@
   TargetName target;
 };
 
+/// Tell the target's steward that the attempt's prefill is done.
+struct PrefillDone {
+  AttemptId attempt;
+  TargetName target;
+};
+
 /// Send the request to `targets[0]`; the others are the rest of a gang.
 struct OpenStream {
   AttemptId attempt;
   std::vector<TargetName> targets;
   std::uint64_t offset = 0;
-  Urgency urgency = Urgency::kNormal;
+  std::uint8_t engine_priority = 1;  ///< 0..2, 2 the most urgent.
   Time expires;
 };
 
@@ -210,8 +198,7 @@
 
 /// Tell peers of a fingerprint seen in a crash.
 struct ShareSuspect {
-  std::uint64_t fingerprint = 0;
-  std::uint32_t crashes = 0;
+  CrashEvidence evidence;
 };
 
 /// Tell peers that a target takes no more work.
@@ -225,16 +212,18 @@
 };
 
 using EntryCommand =
-    std::variant<WantClaim, RecordOutcome, AskGrant, ReleaseGrant, OpenStream,
-                 CancelAttempt, Forward, Finish, ShareSuspect, ShareClosed,
-                 FetchPrefixList>;
+    std::variant<WantClaim, RecordOutcome, AskGrant, ReleaseGrant, PrefillDone,
+                 OpenStream, CancelAttempt, Forward, Finish, ShareSuspect,
+                 ShareClosed, FetchPrefixList>;
 using EntryCommands = std::vector<EntryCommand>;
 
 /// What a host's entry role needs to know before it starts.
 struct EntrySettings {
-  FailureDomain failure_domain;
   std::uint64_t seed = 0;
-  Duration silence_limit = std::chrono::seconds(3);  ///< Without any sign.
+  DispatcherSettings dispatcher;
+  AttemptSettings attempt;
+  RetrySettings retry;
+  PoisonSettings poison;
 };
 
 class Entry {
--- a/include/comfreyflow/errors.h
+++ b/include/comfreyflow/errors.h
@@ -56,6 +56,7 @@
   kCancelled,
   kOutcomeUnknown,
   kAlreadyRunning,
+  kAlreadyDone,
   // Operators, peers and the platform.
   kSettingsInvalid,
   kConfigInvalid,
--- a/include/comfreyflow/poison.h
+++ b/include/comfreyflow/poison.h
@@ -48,6 +48,8 @@
   void Clear(std::uint64_t fingerprint);
 
   PoisonVerdict Judge(std::uint64_t fingerprint, Time now) const;
+  /// Targets that crashed with the fingerprint; a suspect must not run there.
+  std::vector<TargetName> CrashedTargets(std::uint64_t fingerprint) const;
   /// How long the fingerprint stays quarantined; zero when it is not.
   Duration Remaining(std::uint64_t fingerprint, Time now) const;
   void Tick(Time now);
--- a/include/comfreyflow/steward.h
+++ b/include/comfreyflow/steward.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "comfreyflow/cost.h"
-#include "comfreyflow/entry.h"
 #include "comfreyflow/target.h"
 #include "comfreyflow/types.h"
 
@@ -33,7 +32,8 @@
   std::uint64_t kv_tokens = 0;
   std::uint32_t prefill_tokens = 0;  ///< Estimated uncached prompt tokens.
   Urgency urgency = Urgency::kNormal;
-  Duration max_wait{};  ///< Refuse when prefill would begin later than this.
+  Duration max_wait{};   ///< Refuse when prefill would begin later than this.
+  bool suspect = false;  ///< Must not share the target with another suspect.
   Time expires;
 };
 
@@ -83,6 +83,7 @@
     bool prefilling = false;
     bool listed = false;  ///< The target listed it at some time.
     bool seen = false;    ///< The target's last list has it.
+    bool suspect = false;
     Time granted;
     Time expires;
   };
@@ -112,6 +113,7 @@
   std::map<AttemptId, Grant> grants_;
   std::uint64_t kv_granted_ = 0;
   std::uint64_t prefilling_ = 0;  ///< Tokens whose prefill is not done.
+  std::uint32_t suspects_ = 0;    ///< Grants to suspects; at most one by asks.
   std::vector<Waiting> queue_;    ///< In order of urgency, then arrival.
   Time clear_at_;  ///< When the prefills granted are estimated done.
   std::map<HostName, GoneHost> gone_;
--- a/include/comfreyflow/target.h
+++ b/include/comfreyflow/target.h
@@ -10,6 +10,9 @@
 
 namespace comfreyflow {
 
+/// A steward's answer to an ask for memory and a slot.
+enum class GrantReply : std::uint8_t { kGranted, kQueued, kRefused, kClosed };
+
 enum class TargetKind : std::uint8_t { kEngine, kPlain };
 
 /// A target as the configuration and the platform's list describe it.
--- a/src/core/dispatch/dispatcher.cc
+++ b/src/core/dispatch/dispatcher.cc
@@ -49,12 +49,13 @@
 DispatchCommands Dispatcher::Enqueue(const AttemptId& attempt,
                                      const RequestInfo& info,
                                      const std::vector<TargetName>& excluded,
-                                     Time now) {
+                                     Time now, bool suspect) {
   out_.clear();
   Work work;
   work.info = info;
   work.attempt = attempt;
   work.excluded = excluded;
+  work.suspect = suspect;
   work.placed_before = attempt.number > 1;
   work.queued.id = info.id;
   work.queued.account = info.account;
@@ -138,6 +139,7 @@
   send.ask.urgency = work.info.urgency;
   send.ask.max_wait = MaxWait(work, now);
   send.ask.expires = work.info.deadline;
+  send.ask.suspect = work.suspect;
   out_.push_back(send);
 }
 
--- /dev/null
+++ b/src/core/entry/attempts.cc
@@ -0,0 +1,199 @@
+// From a request's first attempt to its final answer: grants, streams,
+// retries, crashes.
+#include <algorithm>
+
+#include "core/entry/state.h"
+
+namespace comfreyflow {
+namespace {
+
+using detail::Phase;
+using detail::Request;
+
+constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
+
+}  // namespace
+
+void Entry::State::StartAttempt(Request& request) {
+  const PoisonVerdict verdict = poison.Judge(request.info.fingerprint, now);
+  if (verdict == PoisonVerdict::kQuarantined) {
+    return GiveUp(request, Errc::kQuarantined,
+                  poison.Remaining(request.info.fingerprint, now));
+  }
+  std::vector<TargetName> excluded = request.tried;
+  for (const auto& name : poison.CrashedTargets(request.info.fingerprint)) {
+    excluded.push_back(name);
+  }
+  request.phase = Phase::kDispatching;
+  request.first_token = false;
+  const AttemptId id = request.attempt.Begin(now);
+  Carry(dispatcher.Enqueue(id, request.info, excluded, now,
+                           verdict == PoisonVerdict::kApart));
+}
+
+void Entry::State::Carry(DispatchCommands commands) {
+  for (const DispatchCommand& command : commands) {
+    std::visit([this](const auto& typed) { Carry(typed); }, command);
+  }
+}
+
+void Entry::State::Carry(const SendAsk& command) {
+  const ReserveAsk& ask = command.ask;
+  out.push_back(AskGrant{.attempt = ask.attempt,
+                         .target = command.target,
+                         .account = ask.account,
+                         .kv_tokens = ask.kv_tokens,
+                         .urgency = ask.urgency,
+                         .prefill_tokens = ask.prefill_tokens,
+                         .max_wait = ask.max_wait,
+                         .suspect = ask.suspect,
+                         .expires = ask.expires});
+}
+
+void Entry::State::Carry(const SendRelease& command) {
+  out.push_back(ReleaseGrant{command.attempt, command.target});
+}
+
+void Entry::State::Carry(const SendPrefillDone& command) {
+  out.push_back(PrefillDone{command.attempt, command.target});
+}
+
+void Entry::State::Carry(const Dispatched& command) {
+  Request* request = Current(command.attempt);
+  if (request == nullptr) return;
+  if (poison.Judge(request->info.fingerprint, now) ==
+      PoisonVerdict::kQuarantined) {
+    return GiveUp(*request, Errc::kQuarantined,
+                  poison.Remaining(request->info.fingerprint, now));
+  }
+  const AttemptStep step = request->attempt.Dispatch(now);
+  if (step.action != AttemptAction::kNone) return Follow(*request, step);
+  request->phase = Phase::kStreaming;
+  request->targets = command.targets;
+  streaming.insert(request->info.id.sequence);
+  out.push_back(OpenStream{.attempt = command.attempt,
+                           .targets = command.targets,
+                           .offset = request->attempt.delivered(),
+                           .engine_priority = command.engine_priority,
+                           .expires = request->info.deadline});
+}
+
+void Entry::State::Carry(const Unplaced& command) {
+  Request* request = Current(command.attempt);
+  if (request == nullptr) return;
+  const bool all_tried = command.code == Errc::kNoTarget &&
+                         !request->tried.empty() &&
+                         request->attempt.current().number > 1;
+  if (!all_tried) return GiveUp(*request, command.code);
+  // Each target was tried; the least bad is to try them again.
+  request->tried.clear();
+  AttemptStep step{.action = AttemptAction::kRetry};
+  step.code = command.code;
+  Retry(*request, step);
+}
+
+void Entry::State::Follow(Request& request, const AttemptStep& step) {
+  switch (step.action) {
+    case AttemptAction::kNone:
+      return;
+    case AttemptAction::kForward:
+      out.push_back(Forward{request.info.id, step.skip});
+      return;
+    case AttemptAction::kRetry:
+      return Retry(request, step);
+    case AttemptAction::kSettle: {
+      Finish finish{.request = request.info.id};
+      finish.code = step.code;
+      finish.outcome = step.outcome;
+      if (Info(step.code).retry) finish.retry_after = kDefaultRetryAfter;
+      return Settle(request, step.cancel, finish);
+    }
+  }
+}
+
+void Entry::State::Retry(Request& request, const AttemptStep& step) {
+  const std::uint32_t number = request.attempt.current().number;
+  if (number >= settings.attempt.max_attempts || !budget.Take()) {
+    return GiveUp(request, step.code);
+  }
+  for (const TargetName& name : request.targets) {
+    request.tried.push_back(name);
+  }
+  LeaveAttempt(request, step.cancel, false);
+  request.phase = Phase::kBackoff;
+  request.wake = now + Backoff(number, random);
+  wakes.insert({request.wake, request.info.id.sequence});
+}
+
+void Entry::State::LeaveAttempt(Request& request, bool cancel, bool whole) {
+  const AttemptId id = request.attempt.current();
+  if (cancel) {
+    for (const TargetName& name : request.targets) {
+      out.push_back(CancelAttempt{id, name});
+    }
+  }
+  request.targets.clear();
+  streaming.erase(request.info.id.sequence);
+  Carry(dispatcher.Leave(id, whole, now));
+}
+
+/// Every request of this host on the target is a suspect.
+void Entry::State::SawCrash(const TargetName& target) {
+  std::vector<std::uint64_t> running;
+  for (const std::uint64_t sequence : streaming) {
+    const Request& request = requests.at(sequence);
+    if (std::find(request.targets.begin(), request.targets.end(), target) !=
+        request.targets.end()) {
+      running.push_back(request.info.fingerprint);
+    }
+  }
+  for (const auto& evidence : poison.Crashed(target, running, now)) {
+    out.push_back(ShareSuspect{evidence});
+  }
+}
+
+void Entry::State::EndQuarantined(std::uint64_t fingerprint) {
+  const Duration remaining = poison.Remaining(fingerprint, now);
+  if (remaining <= Duration::zero()) return;
+  std::vector<std::uint64_t> found;
+  for (const auto& [sequence, request] : requests) {
+    if (request.info.fingerprint == fingerprint) found.push_back(sequence);
+  }
+  std::sort(found.begin(), found.end());
+  for (const std::uint64_t sequence : found) {
+    GiveUp(requests.at(sequence), Errc::kQuarantined, remaining);
+  }
+}
+
+void Entry::State::GiveUp(Request& request, Errc code, Duration retry_after) {
+  const AttemptStep step = request.attempt.GiveUp(code);
+  Finish finish{.request = request.info.id};
+  finish.code = step.code;
+  finish.outcome = step.outcome;
+  if (Info(code).retry) {
+    finish.retry_after =
+        retry_after > Duration::zero() ? retry_after : kDefaultRetryAfter;
+  }
+  Settle(request, step.cancel, finish);
+}
+
+void Entry::State::Settle(Request& request, bool cancel, Finish finish) {
+  const RequestId id = request.info.id;
+  const bool whole = finish.code == Errc::kOk;
+  finish.attempts = request.attempt.current().number;
+  if (request.claimed) out.push_back(RecordOutcome{id, finish.outcome});
+  if (whole) {
+    budget.Succeeded();
+    poison.Finished(request.info.fingerprint);
+  }
+  // Erased first: what the dispatcher places next must not find it.
+  Request ended = std::move(request);
+  requests.erase(id.sequence);
+  deadlines.erase({ended.info.deadline, id.sequence});
+  wakes.erase({ended.wake, id.sequence});
+  out.push_back(finish);
+  LeaveAttempt(ended, cancel, whole);
+  dispatcher.Done(id);
+}
+
+}  // namespace comfreyflow
--- a/src/core/entry/request.h
+++ b/src/core/entry/request.h
@@ -3,34 +3,36 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
+#include <utility>
 #include <vector>
 
-#include "comfreyflow/entry.h"
+#include "comfreyflow/attempt.h"
+#include "comfreyflow/target.h"
+#include "comfreyflow/types.h"
 
 namespace comfreyflow::detail {
 
 enum class Phase : std::uint8_t {
-  kClaiming,  ///< Waits for the claim log.
-  kQueued,    ///< Waits for a target that can take it.
-  kAsking,    ///< Waits for the steward's grant.
-  kOpening,   ///< `OpenStream` was given; no byte was handed to a socket yet.
-  kStreaming  ///< Bytes of the request may have reached the target.
+  kClaiming,     ///< Waits for the claim log.
+  kBackoff,      ///< Waits for `wake` before the next attempt.
+  kDispatching,  ///< With the dispatcher: queued, or asking stewards.
+  kStreaming,    ///< `OpenStream` was given for the current attempt.
 };
 
 struct Request {
+  Request(const RequestInfo& about, std::uint64_t offset,
+          const AttemptSettings& settings)
+      : info(about), attempt(about, offset, settings) {}
+
   RequestInfo info;
-  std::string idempotency_key;
-  Phase phase = Phase::kQueued;
-  AttemptId attempt;  ///< Number 0 before the first attempt.
-  std::vector<TargetName>
-      targets;  ///< Of the current attempt; more for a gang.
-  std::vector<TargetName> excluded;  ///< Targets that failed this request.
-  std::uint64_t delivered = 0;       ///< Bytes the caller has; never shrinks.
-  Time last_sign;                    ///< Last sign of life of the attempt.
+  Attempt attempt;
+  Phase phase = Phase::kDispatching;
+  std::vector<TargetName> targets;  ///< Of the current attempt's stream.
+  std::vector<TargetName> tried;    ///< Targets that failed this request.
+  Time wake;                        ///< Of `kBackoff`.
   bool claimed = false;
-  bool may_have_run = false;  ///< Set before a byte is sent, never cleared but
-                              ///< by the target's word that it did not run.
-  std::uint32_t attempts = 0;
+  bool first_token = false;  ///< Of the current attempt.
 };
 
 }  // namespace comfreyflow::detail
--- a/src/core/errors.cc
+++ b/src/core/errors.cc
@@ -59,6 +59,7 @@
     {Errc::kCancelled, {"cancelled", 499, kFail, false, "The caller gave the request up."}},
     {Errc::kOutcomeUnknown, {"outcome_unknown", 409, kMaybe, false, "The request may have run; it is not run again."}},
     {Errc::kAlreadyRunning, {"already_running", 409, kMaybe, true, "A request with this idempotency key is still running."}},
+    {Errc::kAlreadyDone, {"already_done", 409, Outcome::kDone, false, "A request with this idempotency key ran to its end; it is not run again."}},
     {Errc::kSettingsInvalid, {"settings_invalid", 500, kNot, false, "The host's settings are not valid."}},
     {Errc::kConfigInvalid, {"config_invalid", 422, kNot, false, "The configuration document is not valid."}},
     {Errc::kConfigConflict, {"config_conflict", 409, kNot, false, "The configuration was changed by another operator."}},
--- a/src/core/poison/poison.cc
+++ b/src/core/poison/poison.cc
@@ -48,6 +48,13 @@
              : PoisonVerdict::kApart;
 }
 
+std::vector<TargetName> Poison::CrashedTargets(
+    std::uint64_t fingerprint) const {
+  const auto at = entries_.find(fingerprint);
+  if (at == entries_.end()) return {};
+  return {at->second.crashed.begin(), at->second.crashed.end()};
+}
+
 Duration Poison::Remaining(std::uint64_t fingerprint, Time now) const {
   if (Judge(fingerprint, now) != PoisonVerdict::kQuarantined) return {};
   return entries_.at(fingerprint).until - now;
--- a/src/core/replay/base-host.cc
+++ b/src/core/replay/base-host.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "comfreyflow/entry.h"
+
 namespace comfreyflow::replay {
 namespace {
 
--- a/src/core/replay/fleet-setup.cc
+++ b/src/core/replay/fleet-setup.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <cstdio>
 
+#include "comfreyflow/entry.h"
 #include "core/replay/fleet.h"
 
 namespace comfreyflow::replay {
--- a/src/core/steward/steward.cc
+++ b/src/core/steward/steward.cc
@@ -23,7 +23,8 @@
       target_.max_running == 0 || grants_.size() < target_.max_running;
   const bool memory = target_.kv_capacity == 0 ||
                       kv_granted_ + ask.kv_tokens <= target_.kv_capacity;
-  return slot && memory;
+  const bool apart = !ask.suspect || suspects_ == 0;
+  return slot && memory && apart;
 }
 
 /// Memory is held back for what has waited long, unless it waits too long.
@@ -87,6 +88,8 @@
   grant.prefilling = ask.prefill_tokens > 0;
   grant.granted = now;
   grant.expires = ask.expires;
+  grant.suspect = ask.suspect;
+  suspects_ += ask.suspect ? 1 : 0;
   grants_[ask.attempt] = grant;
   kv_granted_ += grant.kv_tokens;
   prefilling_ += grant.prefilling ? grant.prefill_tokens : 0;
@@ -103,6 +106,7 @@
 void Steward::Drop(std::map<AttemptId, Grant>::iterator grant, Time now) {
   EndPrefill(grant->second, now);
   kv_granted_ -= grant->second.kv_tokens;
+  suspects_ -= grant->second.suspect ? 1 : 0;
   grants_.erase(grant);
 }
 
--- a/src/node/engine-stream.cc
+++ b/src/node/engine-stream.cc
@@ -123,7 +123,7 @@
   Json body{{"model", call.info.model.value},
             {"max_tokens", call.completion.max_tokens},
             {"stream", true},
-            {"priority", static_cast<int>(open.urgency)},
+            {"priority", static_cast<int>(open.engine_priority)},
             {"cache_salt", HashText(call.cache_salt)},
             {chat ? "messages" : "prompt", call.completion.input}};
   if (open.offset > 0) body["offset"] = open.offset;
--- a/src/node/entry-actor.cc
+++ b/src/node/entry-actor.cc
@@ -30,7 +30,7 @@
     : caf::event_based_actor(config),
       deps_(std::move(deps)),
       entry_(deps_.settings),
-      links_(*deps_.io, *deps_.client, deps_.settings.silence_limit,
+      links_(*deps_.io, *deps_.client, deps_.settings.attempt.silence_limit,
              SinkTo(deps_.self)) {}
 
 caf::behavior EntryActor::make_behavior() {
@@ -132,6 +132,10 @@
   if (deps_.hooks.release_grant) deps_.hooks.release_grant(command);
 }
 
+void EntryActor::Do(const PrefillDone& command) {
+  if (deps_.hooks.prefill_done) deps_.hooks.prefill_done(command);
+}
+
 void EntryActor::Do(const OpenStream& command) {
   const auto at = calls_.find(command.attempt.request);
   if (at == calls_.end()) return;
--- a/src/node/entry-actor.h
+++ b/src/node/entry-actor.h
@@ -25,6 +25,7 @@
   std::function<void(const RecordOutcome&)> record_outcome;
   std::function<void(const AskGrant&)> ask_grant;
   std::function<void(const ReleaseGrant&)> release_grant;
+  std::function<void(const PrefillDone&)> prefill_done;
   std::function<void(const ShareSuspect&)> share_suspect;
   std::function<void(const ShareClosed&)> share_closed;
   std::function<void(const TargetName&, const std::string& address)>
@@ -67,6 +68,7 @@
   void Do(const RecordOutcome& command);
   void Do(const AskGrant& command);
   void Do(const ReleaseGrant& command);
+  void Do(const PrefillDone& command);
   void Do(const OpenStream& command);
   void Do(const CancelAttempt& command);
   void Do(const Forward& command);
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -302,9 +302,10 @@
 
 EntryDeps Node::State::MakeEntryDeps() {
   EntryDeps deps;
-  deps.settings.failure_domain = settings().failure_domain;
   deps.settings.seed = incarnation.value;
-  deps.settings.silence_limit = settings().silence_limit;
+  deps.settings.dispatcher.router.home = settings().failure_domain;
+  deps.settings.dispatcher.router.seed = incarnation.value;
+  deps.settings.attempt.silence_limit = settings().silence_limit;
   deps.io = &io;
   deps.client = &client;
   deps.metrics = &metrics;
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -102,7 +102,9 @@
   f.Grant(f.entry.Handle(Arrival(1), kStart));
   const AttemptId first = f.attempt;
   const TargetName first_target = f.target;
-  f.Grant(f.entry.Handle(StreamFailed{first, Errc::kTargetFailed}, kStart));
+  f.entry.Handle(StreamFailed{first, Errc::kTargetFailed}, kStart);
+  CHECK(f.entry.Handle(ChunkArrived{first, 0, 4, 1}, kStart).empty());
+  f.Grant(f.entry.Handle(Tick{}, kStart + kBackoffMax));
   CHECK(f.target != first_target);
   CHECK(f.entry.Handle(ChunkArrived{first, 0, 4, 1}, kStart).empty());
   CHECK(f.entry.Handle(StreamEnded{first, 0}, kStart).empty());
@@ -122,15 +124,118 @@
 
 TEST_CASE(
     "a request whose key may have run elsewhere is never called not run") {
-  for (const ClaimVerdict verdict :
-       {ClaimVerdict::kSeenDone, ClaimVerdict::kSeenRunning,
-        ClaimVerdict::kSeenUnknown}) {
+  struct Case {
+    ClaimVerdict verdict;
+    Errc code;
+    Outcome outcome;
+  };
+  for (const Case& seen :
+       {Case{ClaimVerdict::kSeenDone, Errc::kAlreadyDone, Outcome::kDone},
+        Case{ClaimVerdict::kSeenRunning, Errc::kAlreadyRunning,
+             Outcome::kUnknown},
+        Case{ClaimVerdict::kSeenUnknown, Errc::kOutcomeUnknown,
+             Outcome::kUnknown}}) {
     Fixture f;
     const auto claim =
         One<WantClaim>(f.entry.Handle(Arrival(1, false), kStart));
     const auto end =
-        f.entry.Handle(ClaimAnswered{claim.request, verdict}, kStart);
-    CHECK(One<Finish>(end).outcome == Outcome::kUnknown);
+        f.entry.Handle(ClaimAnswered{claim.request, seen.verdict}, kStart);
+    CHECK(One<Finish>(end).code == seen.code);
+    CHECK(One<Finish>(end).outcome == seen.outcome);
+    CHECK(Only<RecordOutcome>(end).empty());
+  }
+}
+
+TEST_CASE("a claim that comes after the request's end is given back") {
+  Fixture f;
+  const auto claim = One<WantClaim>(f.entry.Handle(Arrival(1, false), kStart));
+  f.entry.Handle(Tick{}, kStart + seconds(30));
+  const auto late = f.entry.Handle(
+      ClaimAnswered{claim.request, ClaimVerdict::kClaimed}, kStart);
+  CHECK(One<RecordOutcome>(late).outcome == Outcome::kNotRun);
+  CHECK(Only<AskGrant>(late).empty());
+}
+
+TEST_CASE("two crashes put a request in quarantine, a bystander finishes") {
+  Fixture f;
+  RequestArrived poison = Arrival(1);
+  poison.info.fingerprint = 666;
+  f.Grant(f.entry.Handle(poison, kStart));
+  const TargetName first = f.target;
+  const auto crash = f.entry.Handle(
+      StreamFailed{f.attempt, Errc::kTargetFailed, false, true}, kStart);
+  CHECK(One<ShareSuspect>(crash).evidence == CrashEvidence{666, first});
+  f.Grant(f.entry.Handle(Tick{}, kStart + kBackoffMax));
+  CHECK(f.target != first);
+  const auto end =
+      f.entry.Handle(StreamFailed{f.attempt, Errc::kTargetFailed, false, true},
+                     kStart + kBackoffMax);
+  CHECK(One<ShareSuspect>(end).evidence.target == f.target);
+  const Time later = kStart + 3 * kBackoffMax;
+  f.entry.Handle(Tick{}, later);
+  CHECK(f.entry.open_requests() == 0);
+
+  RequestArrived again = poison;
+  again.info.id.sequence = 2;
+  const auto refused = f.entry.Handle(again, later);
+  CHECK(One<Finish>(refused).code == Errc::kQuarantined);
+  CHECK(One<Finish>(refused).retry_after > Duration::zero());
+  f.Grant(f.entry.Handle(Arrival(3), later));
+
+  f.entry.Handle(SuspectCleared{666}, later);
+  again.info.id.sequence = 4;
+  CHECK(Only<AskGrant>(f.entry.Handle(again, later)).size() == 1);
+}
+
+TEST_CASE("a peer's word ends a running request that is now in quarantine") {
+  Fixture f;
+  RequestArrived poison = Arrival(1);
+  poison.info.fingerprint = 666;
+  f.Grant(f.entry.Handle(poison, kStart));
+  f.entry.Handle(PeerSuspects{{666, {"x"}}}, kStart);
+  const auto end = f.entry.Handle(PeerSuspects{{666, {"y"}}}, kStart);
+  CHECK(One<Finish>(end).code == Errc::kQuarantined);
+  CHECK(One<Finish>(end).outcome != Outcome::kNotRun);
+  CHECK(One<CancelAttempt>(end).attempt == f.attempt);
+}
+
+TEST_CASE("a resumed request continues at its offset and cancels the old try") {
+  Fixture f;
+  RequestArrived resumed = Arrival(1);
+  const AttemptId old{{{"dead"}, {1}, 9}, 1};
+  resumed.resume = ResumePoint{old, {"e1"}, 100};
+  const auto start = f.entry.Handle(resumed, kStart);
+  CHECK(One<CancelAttempt>(start).attempt == old);
+  f.Grant(start);
+  const auto chunk = f.entry.Handle(ChunkArrived{f.attempt, 90, 20, 1}, kStart);
+  CHECK(One<Forward>(chunk).skip == 10);
+}
+
+TEST_CASE("a request that is not repeatable is not resumed by running it") {
+  Fixture f;
+  RequestArrived resumed = Arrival(1, false);
+  resumed.resume = ResumePoint{{{{"dead"}, {1}, 9}, 1}, {"e1"}, 100};
+  const auto end = f.entry.Handle(resumed, kStart);
+  CHECK(One<Finish>(end).outcome == Outcome::kUnknown);
+  CHECK(Only<WantClaim>(end).empty());
+}
+
+TEST_CASE("nothing new is dispatched after a stop, what runs goes on") {
+  Fixture f;
+  f.Grant(f.entry.Handle(Arrival(1), kStart));
+  f.entry.Handle(StopAdmitting{Errc::kDraining}, kStart);
+  CHECK(One<Finish>(f.entry.Handle(Arrival(2), kStart)).code ==
+        Errc::kDraining);
+  CHECK(Only<Forward>(f.entry.Handle(ChunkArrived{f.attempt, 0, 4, 1}, kStart))
+            .size() == 1);
+}
+
+TEST_CASE("a closed target gets no new work") {
+  Fixture f;
+  f.entry.Handle(TargetClosed{{"e1"}}, kStart);
+  for (std::uint64_t i = 1; i <= 8; ++i) {
+    CHECK(One<AskGrant>(f.entry.Handle(Arrival(i), kStart)).target.value ==
+          "e2");
   }
 }
 
