--- a/src/core/entry/arrival.cc
+++ b/src/core/entry/arrival.cc
@@ -65,13 +65,14 @@
 
 void Entry::State::On(const ClaimAnswered& event) {
   Request* request = Find(event.request);
-  if (request == nullptr || request->phase != Phase::kClaiming) {
-    // Claimed for a request that has ended, so it never runs under this claim.
+  if (request == nullptr) {
+    // Given up before the answer came: nothing was or will be dispatched.
     if (event.verdict == ClaimVerdict::kClaimed) {
       out.push_back(RecordOutcome{event.request, Outcome::kNotRun});
     }
     return;
   }
+  if (request->phase != Phase::kClaiming) return;
   switch (event.verdict) {
     case ClaimVerdict::kClaimed:
       request->claimed = true;
