--- a/src/node/entry-actor.h
+++ b/src/node/entry-actor.h
@@ -21,6 +21,8 @@
 /// Where commands go that this actor does not carry out itself. An empty hook
 /// answers as an absent part would.
 struct EntryHooks {
+  /// Targets known so far, for an actor that starts.
+  std::function<std::vector<TargetInfo>()> targets;
   std::function<void(const WantClaim&)> want_claim;
   std::function<void(const RecordOutcome&)> record_outcome;
   std::function<void(const AskGrant&)> ask_grant;
@@ -60,7 +62,8 @@
   void TakePlain(const PlainAnswered& answer);
   void TakeTick(Time now);
   void Run(const EntryEvent& event);
-  void WatchTargets(const EntryEvent& event);
+  /// Notes what this actor itself has to know of an event.
+  void Watch(const EntryEvent& event);
   void Subscribe();
   Call* Find(const RequestId& id);
 
