--- a/include/comfreyflow/router.h
+++ b/include/comfreyflow/router.h
@@ -161,6 +161,10 @@
   bool Usable(const Search& search, TargetSlot slot) const;
   bool InPart(const Group& group, TargetSlot slot, PromptClass length) const;
   std::vector<TargetSlot> Draw(const Group& group, const Search& search);
+  /// Usable targets of `slots`, cheapest first.
+  std::vector<Candidate> Rank(const Group& group, const Search& search,
+                              const std::vector<TargetSlot>& slots,
+                              std::uint64_t kv, bool any_part) const;
   std::vector<Candidate> Best(const Group& group, const Search& search,
                               std::uint64_t kv, std::size_t count);
   Placement PlaceGang(const Group& group, const Search& search);
--- a/src/core/router/router.cc
+++ b/src/core/router/router.cc
@@ -316,19 +316,30 @@
   return out;
 }
 
-std::vector<Candidate> Router::Best(const Group& group, const Search& search,
-                                    std::uint64_t kv, std::size_t count) {
+std::vector<Candidate> Router::Rank(const Group& group, const Search& search,
+                                    const std::vector<TargetSlot>& slots,
+                                    std::uint64_t kv, bool any_part) const {
   std::vector<Candidate> found;
-  for (const TargetSlot slot : Draw(group, search)) {
-    if (!Usable(search, slot) || !InPart(group, slot, search.length)) continue;
-    found.push_back(Cost(search, slot, kv));
-    const bool spills = found.back().uncached_tokens >= settings_.long_tokens &&
+  for (const TargetSlot slot : slots) {
+    if (!Usable(search, slot)) continue;
+    if (!any_part && !InPart(group, slot, search.length)) continue;
+    const Candidate candidate = Cost(search, slot, kv);
+    const bool spills = candidate.uncached_tokens >= settings_.long_tokens &&
                         !InPart(group, slot, PromptClass::kLong);
-    if (spills) found.pop_back();
+    if (any_part || !spills) found.push_back(candidate);
   }
   std::stable_sort(
       found.begin(), found.end(),
       [](const Candidate& a, const Candidate& b) { return a.cost < b.cost; });
+  return found;
+}
+
+/// When the draw holds no usable target all are looked at, whatever their part:
+/// the engines of one part may all be closed, excluded or of another model.
+std::vector<Candidate> Router::Best(const Group& group, const Search& search,
+                                    std::uint64_t kv, std::size_t count) {
+  auto found = Rank(group, search, Draw(group, search), kv, false);
+  if (found.empty()) found = Rank(group, search, group.members, kv, true);
   if (found.size() > count) found.resize(count);
   return found;
 }
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -262,3 +262,11 @@
     CHECK(One<CancelAttempt>(end).attempt == f.attempt);
   }
 }
+
+TEST_CASE("a long prompt is served though the service has one engine only") {
+  Entry entry{EntrySettings{}};
+  entry.Handle(TargetSeen{Engine("only")}, kStart);
+  RequestArrived event = Arrival(1);
+  event.info.prompt_tokens = 225'000;
+  CHECK(One<AskGrant>(entry.Handle(event, kStart)).target.value == "only");
+}
