--- a/src/node/node-deps.cc
+++ b/src/node/node-deps.cc
@@ -116,6 +116,7 @@
   EntryDeps deps;
   deps.settings.dispatcher.router.home = settings().failure_domain;
   deps.settings.seed = incarnation.value;
+  deps.settings.dispatcher.router.seed = incarnation.value;
   deps.settings.attempt.silence_limit = settings().silence_limit;
   deps.io = &io;
   deps.client = &client;
