--- a/include/comfreyflow/platform-gate.h
+++ b/include/comfreyflow/platform-gate.h
@@ -10,8 +10,9 @@
 
 namespace comfreyflow {
 
-/// The platform counts a list, a read and a waiting watch alike.
-enum class PlatformCall : std::uint8_t { kRead, kWrite };
+/// Reads (lists too) and watches share a budget: the platform counts them
+/// alike.
+enum class PlatformCall : std::uint8_t { kRead, kWrite, kWatch };
 
 struct PlatformLimits {
   double reads_per_second = 50;
@@ -59,6 +60,8 @@
     Time paused_until;
     std::uint32_t throttled = 0;  ///< Refusals in a row.
   };
+  Budget& BudgetOf(PlatformCall call);
+  const Budget& BudgetOf(PlatformCall call) const;
   Budget& Fill(PlatformCall call, Time now);
   double Saved(const Budget& budget, Time now) const;
   Duration Jittered(std::uint32_t doublings);
--- a/src/core/platform/platform-gate.cc
+++ b/src/core/platform/platform-gate.cc
@@ -27,8 +27,16 @@
   return std::min(most, budget.saved + std::max(0.0, earned));
 }
 
+PlatformGate::Budget& PlatformGate::BudgetOf(PlatformCall call) {
+  return call == PlatformCall::kWrite ? writes_ : reads_;
+}
+
+const PlatformGate::Budget& PlatformGate::BudgetOf(PlatformCall call) const {
+  return call == PlatformCall::kWrite ? writes_ : reads_;
+}
+
 PlatformGate::Budget& PlatformGate::Fill(PlatformCall call, Time now) {
-  Budget& budget = call == PlatformCall::kRead ? reads_ : writes_;
+  Budget& budget = BudgetOf(call);
   budget.saved = Saved(budget, now);
   budget.filled = std::max(budget.filled, now);
   return budget;
@@ -50,7 +58,7 @@
 
 void PlatformGate::Ended(PlatformCall call, const PlatformPermit& permit,
                          PlatformEnd end, Time now) {
-  Budget& budget = call == PlatformCall::kRead ? reads_ : writes_;
+  Budget& budget = BudgetOf(call);
   if (permit.probe) probing_ = false;
   if (end != PlatformEnd::kFailed) {
     failures_ = 0;
@@ -82,7 +90,7 @@
 }
 
 Duration PlatformGate::RetryAfter(PlatformCall call, Time now) const {
-  const Budget& budget = call == PlatformCall::kRead ? reads_ : writes_;
+  const Budget& budget = BudgetOf(call);
   Duration wait{};
   const double missing = 1 - Saved(budget, now);
   if (missing > 0) {
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -177,7 +177,7 @@
       ++counts.refused_here;
       return job->refused(job->permit.code);
     }
-    ++(job->call == PlatformCall::kRead ? counts.reads : counts.writes);
+    ++(job->call == PlatformCall::kWrite ? counts.writes : counts.reads);
     if (job->permit.probe && !job->probe_query.empty()) {
       job->request.query = job->probe_query;
       job->timeout = settings.call_timeout;
@@ -338,6 +338,7 @@
         answer.version = body.at("version");
         answer.changes = ParseObjects(body.at("changes"));
       });
+  job->call = PlatformCall::kWatch;
   job->timeout = timeout + core_->settings.watch_grace;
   job->probe_query = query(Duration::zero());
   job->done = [handler, done = job->done](const Result& result) {
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -84,7 +84,8 @@
   std::string address;  ///< `ip:port`
   PlatformLimits limits;
   Duration call_timeout = std::chrono::milliseconds(1000);
-  /// A watch that is silent for so long past its time has failed.
+  /// A watch that is silent for so long past its time has failed; it is not
+  /// sent again by itself.
   Duration watch_grace = std::chrono::milliseconds(1000);
 };
 
--- a/test/platform-gate-test.cc
+++ b/test/platform-gate-test.cc
@@ -102,8 +102,9 @@
   CHECK(gate.RetryAfter(kWrite, kStart + seconds(40)) >= milliseconds(800));
 }
 
-TEST_CASE("a write is never sent twice") {
+TEST_CASE("a write is never sent twice, nor a watch by itself") {
   CHECK(RetryOnNewConnection(kRead, false));
   CHECK_FALSE(RetryOnNewConnection(kRead, true));
   CHECK_FALSE(RetryOnNewConnection(kWrite, false));
+  CHECK_FALSE(RetryOnNewConnection(PlatformCall::kWatch, false));
 }
--- a/test/shell/platform-client-test.cc
+++ b/test/shell/platform-client-test.cc
@@ -2,7 +2,9 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio.hpp>
+#include <future>
 #include <optional>
+#include <thread>
 
 #include "fakes/fake-platform.h"
 #include "platform/client.h"
@@ -175,6 +177,19 @@
   CHECK_FALSE(caller.Watch(0, milliseconds(10)).error);
 }
 
+TEST_CASE("an open watch that lost its platform fails after its time") {
+  fakes::FakePlatform platform;
+  Caller caller(platform.address());
+  auto broken = std::async(std::launch::async, [&] {
+    return caller.Watch(0, milliseconds(300)).error;
+  });
+  while (platform.Counts()["watches"] == 0) std::this_thread::yield();
+  platform.SetFaults({{"break_watches", true}});
+  CHECK(broken.get() == Errc::kPlatformUnavailable);
+  CHECK(platform.Counts()["watches"] == 1);
+  CHECK_FALSE(caller.Watch(0, milliseconds(10)).error);
+}
+
 TEST_CASE("the list of hosts is read, and a bad address is a typed error") {
   fakes::FakePlatform platform;
   const fakes::Json list = {{"version", 3},
