An account's share of a target; trials one at a time; hosts' word of a crash

A flood of one account took every idle moment of the short engines. Each steward now counts what accounts use of its engine for small work, and where it is in much use refuses an account that has more than an equal part, than its usual part and than the others leave. The host then tries that account's requests one at a time until one is granted. Waits that admission refuses short work by are the account's own. A steward told of broken connections grants nothing until the engine lists its work again.

--- a/bench/replay.cc
+++ b/bench/replay.cc
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iostream>
 #include <optional>
+#include <set>
 
 #include "core/replay/fleet.h"
 #include "trace-json.h"
@@ -48,10 +49,14 @@
                is_short);
   }
 
-  /// Requests that are no part of the flood, beside it or without it.
+  /// Requests of accounts that do not flood, beside the flood or without it.
   const Summary& Others(const std::string& policy, bool with_flood) {
-    const Selection others = [](const TraceRequest& request) {
-      return !request.flood;
+    std::set<comfreyflow::AccountName> flooding;
+    for (const TraceRequest& request : trace_.requests) {
+      if (request.flood) flooding.insert(request.account);
+    }
+    const Selection others = [flooding](const TraceRequest& request) {
+      return !flooding.contains(request.account);
     };
     if (with_flood) return Run(policy + "/others", policy, trace_, others);
     return Run(policy + "/no-flood", policy,
--- a/include/comfreyflow/dispatcher.h
+++ b/include/comfreyflow/dispatcher.h
@@ -36,6 +36,9 @@
   /// Pause of a request after a round of refusals.
   Duration backoff_short = std::chrono::milliseconds(10);
   Duration backoff_long = std::chrono::milliseconds(60);
+  /// Pause of an account's short work after a steward said that the account
+  /// has its share.
+  Duration share_pause = std::chrono::milliseconds(25);
   /// A steward that does not answer within this counts as refusing.
   Duration ask_timeout = std::chrono::milliseconds(250);
   /// A gang that is not whole by then gives all back and starts again.
@@ -120,7 +123,10 @@
     Placement::Kind kind = Placement::Kind::kCandidates;
     std::vector<Candidate> candidates;
     std::size_t held = 0;
-    std::uint32_t refusals = 0;  ///< In this round.
+    std::uint32_t refusals = 0;        ///< In this round.
+    std::uint32_t share_refusals = 0;  ///< Those for the account's share.
+    /// Not asked in this round: the excluded, and where the share is used up.
+    std::vector<TargetName> skipped;
     bool placed_before = false;
     bool steward_queues = false;
     Time enqueued;
@@ -129,8 +135,9 @@
     Time first_token;
   };
 
-  /// Time from the queue to the last grant, for one class. Invariant: `count`
-  /// and `since` are of the requests that are not dispatched.
+  /// Time from the queue to the last grant, for one class and account.
+  /// Invariant: `count` and `since` are of the requests that are not
+  /// dispatched.
   struct Waits {
     std::int64_t count = 0;
     Duration since{};    ///< Sum of the times at which they were queued.
@@ -153,7 +160,12 @@
   void GiveBack(Work& work);
   void Fail(Work& work, Errc code);
   bool Holds(const Work* work, const TargetName& target) const;
-  Duration QueueWait(PromptClass length, Time now) const;
+  Duration QueueWait(const AccountName& account, PromptClass length,
+                     Time now) const;
+  Waits& WaitsOf(const Work& work);
+  void HoldAccount(const AccountName& account, Time now);
+  void ResumeAccounts(Time now);
+  void EndTrial(const AccountName& account);
   void ForgetWait(const Work& work);
 
   DispatcherSettings settings_;
@@ -162,7 +174,9 @@
   Router router_;
   std::map<RequestId, Work> work_;
   std::array<std::uint32_t, kPromptClasses> asking_{};
-  std::array<Waits, kPromptClasses> waits_;
+  std::array<std::map<AccountName, Waits>, kPromptClasses> waits_;
+  std::map<AccountName, Time> held_until_;
+  std::set<AccountName> on_trial_;  ///< Since the last refusal by share.
   /// Invariant: holds `wake` of each request that pauses or asks.
   std::set<std::pair<Time, RequestId>> wakes_;
   DispatchCommands out_;
--- a/include/comfreyflow/scheduler.h
+++ b/include/comfreyflow/scheduler.h
@@ -41,6 +41,9 @@
   /// Queues again, at its old place, a request that `Next` gave and that could
   /// not be placed; what it cost its account is given back.
   bool PutBack(const QueuedRequest& request);
+  /// Passes over an account's requests until `Resume`.
+  void Hold(const AccountName& account);
+  void Resume(const AccountName& account);
   /// Takes a request out; false when it does not wait.
   bool Remove(const RequestId& id);
   /// Takes out and returns the request to place next, if any may be placed.
@@ -61,7 +64,8 @@
     double start = 0;
   };
   /// The queue of one urgency in one lane. Invariant: `order` holds each
-  /// account with a waiting request once, under its flow's `start`.
+  /// account with a waiting request once, under its flow's `start`, but for
+  /// those in `held_`.
   struct Queue {
     std::map<AccountName, Flow> flows;
     std::set<std::pair<double, AccountName>> order;
@@ -86,6 +90,7 @@
   bool Insert(const QueuedRequest& request, bool refund);
   Lane& LaneOf(PromptClass length);
   const Lane& LaneOf(PromptClass length) const;
+  void Order(Queue& queue, const Flow& flow, const AccountName& account);
   double WeightOf(const AccountName& account) const;
   Queue* Choose(Lane& lane);
   QueuedRequest Take(Lane& lane, Queue& queue);
@@ -94,6 +99,7 @@
 
   std::array<Lane, kPromptClasses> lanes_;
   std::map<AccountName, double> weights_;
+  std::set<AccountName> held_;
   /// Looked up only; its order reaches no decision.
   std::unordered_map<RequestId, Place, RequestIdHash> where_;
   std::set<std::pair<Time, RequestId>> deadlines_;
--- a/include/comfreyflow/steward.h
+++ b/include/comfreyflow/steward.h
@@ -9,6 +9,7 @@
 
 #include "comfreyflow/cost.h"
 #include "comfreyflow/entry.h"
+#include "comfreyflow/shares.h"
 #include "comfreyflow/target.h"
 #include "comfreyflow/types.h"
 
@@ -24,6 +25,7 @@
   std::uint64_t small_kv_tokens = 40'000;
   /// Longest that memory is held back for one gang.
   Duration gang_hold_limit = std::chrono::seconds(10);
+  Duration suspect_limit = std::chrono::seconds(2);
   /// Attempts of a host that is gone are kept this long for a resume.
   Duration resume_window = std::chrono::seconds(30);
 };
@@ -43,7 +45,9 @@
 struct ReserveAnswer {
   AttemptId attempt;
   GrantReply reply = GrantReply::kRefused;
-  Duration retry_after{};  ///< Estimated wait when refused.
+  /// Estimated wait when refused; 0 when the target has room, but the account
+  /// has its share of it.
+  Duration retry_after{};
 };
 
 struct StewardTurn {
@@ -71,6 +75,9 @@
   /// asks the owner.
   void HostGone(const HostName& host, Incarnation incarnation, Time now);
 
+  /// A host saw the target's connections break: nothing is granted until the
+  /// target lists its work again, or for `suspect_limit`.
+  void Suspect(Time now);
   /// Nothing more is granted; what waits is answered `kClosed`.
   StewardTurn Close();
   StewardTurn Tick(Time now);
@@ -85,6 +92,8 @@
   struct Grant {
     std::uint64_t kv_tokens = 0;
     std::uint32_t prefill_tokens = 0;
+    AccountName account;
+    bool shared = false;  ///< Counted in `shares_`.
     bool prefilling = false;
     bool listed = false;  ///< The target listed it at some time.
     bool seen = false;    ///< The target's last list has it.
@@ -112,12 +121,14 @@
   StewardSettings settings_;
   RateModel rates_;
   bool closed_ = false;
+  Time suspect_until_;
   std::uint64_t epoch_ = 0;
   /// Invariant: `kv_granted_` and `prefilling_` are sums over `grants_`.
   std::map<AttemptId, Grant> grants_;
   std::uint64_t kv_granted_ = 0;
   std::uint64_t prefilling_ = 0;  ///< Tokens whose prefill is not done.
   std::vector<Waiting> queue_;    ///< In order of urgency, then arrival.
+  AccountShares shares_;          ///< Of work below `small_kv_tokens`.
   Time clear_at_;  ///< When the prefills granted are estimated done.
   std::map<HostName, GoneHost> gone_;
 };
--- a/src/core/dispatch/dispatcher.cc
+++ b/src/core/dispatch/dispatcher.cc
@@ -28,19 +28,32 @@
   const PromptClass length = router_.Classify(info);
   LoadView load;
   load.uncached_tokens = router_.UncachedAtBest(info);
-  load.queue_wait = QueueWait(length, now);
+  load.queue_wait = QueueWait(info.account, length, now);
   return admission_.Arrived(info, load, now);
 }
 
 void Dispatcher::Done(const RequestId& id) { admission_.Ended(id); }
 
-Duration Dispatcher::QueueWait(PromptClass length, Time now) const {
-  const Waits& waits = waits_[Index(length)];
+Duration Dispatcher::QueueWait(const AccountName& account, PromptClass length,
+                               Time now) const {
+  const auto& by_account = waits_[Index(length)];
+  // Short work of an account is judged by the account's own waits; long work
+  // waits for what all accounts share.
+  const bool is_short = length == PromptClass::kShort;
+  const auto found = by_account.find(is_short ? account : AccountName{});
+  if (found == by_account.end()) return Duration::zero();
+  const Waits& waits = found->second;
   if (waits.count == 0) return Duration::zero();
   const Duration ages = now.time_since_epoch() * waits.count - waits.since;
   return std::max(ages / std::max(waits.count, kFewWaiting), waits.average);
 }
 
+Dispatcher::Waits& Dispatcher::WaitsOf(const Work& work) {
+  const bool is_short = work.queued.length == PromptClass::kShort;
+  return waits_[Index(work.queued.length)]
+               [is_short ? work.queued.account : AccountName{}];
+}
+
 Dispatcher::Work* Dispatcher::Find(const AttemptId& attempt) {
   const auto found = work_.find(attempt.request);
   if (found == work_.end() || found->second.attempt != attempt) return nullptr;
@@ -72,7 +85,7 @@
   work.enqueued = now;
   const auto [at, added] = work_.insert_or_assign(info.id, std::move(work));
   scheduler_.Add(at->second.queued);
-  Waits& waits = waits_[Index(at->second.queued.length)];
+  Waits& waits = WaitsOf(at->second);
   ++waits.count;
   waits.since += now.time_since_epoch();
   PlaceWaiting(now);
@@ -91,14 +104,18 @@
   while (const auto next = scheduler_.Next(Room())) {
     Work& work = work_.at(next->id);
     work.queued = *next;
+    // An account that had its share tries with one request at a time.
+    if (on_trial_.contains(next->account)) HoldAccount(next->account, now);
     work.refusals = 0;
+    work.share_refusals = 0;
+    work.skipped = work.excluded;
     Place(work, now);
   }
 }
 
 void Dispatcher::Place(Work& work, Time now) {
   const Placement placement =
-      router_.Place(work.info, work.excluded, !work.placed_before, now);
+      router_.Place(work.info, work.skipped, !work.placed_before, now);
   work.placed_before = true;
   work.kind = placement.kind;
   work.candidates = placement.candidates;
@@ -112,6 +129,9 @@
     case Placement::Kind::kWait:
       return Pause(work, settings_.backoff_long, now);
     case Placement::Kind::kNoTarget:
+      if (work.skipped.size() > work.excluded.size()) {
+        return Pause(work, settings_.backoff_short, now);
+      }
       return Fail(work, Errc::kNoTarget);
     case Placement::Kind::kTooLong:
       return Fail(work, Errc::kPromptTooLong);
@@ -196,8 +216,9 @@
   SetPhase(work, Phase::kDispatched);
   SetWake(work, {});
   ForgetWait(work);
+  EndTrial(work.info.account);
   const Duration waited = now - work.enqueued;
-  Duration& average = waits_[Index(work.queued.length)].average;
+  Duration& average = WaitsOf(work).average;
   average += (waited - average) / kWaitWindow;
   work.sent = now;
   Dispatched done;
@@ -214,9 +235,16 @@
 }
 
 void Dispatcher::Refused(Work& work, Duration wait, Time now) {
-  router_.Refused(work.candidates[work.held].target, wait, now);
   work.steward_queues = false;
   ++work.refusals;
+  const TargetName& target = work.candidates[work.held].target;
+  if (wait == Duration::zero()) {
+    // The target has room for others: the router is to go on thinking so.
+    ++work.share_refusals;
+    work.skipped.push_back(target);
+  } else {
+    router_.Refused(target, wait, now);
+  }
   if (work.kind == Placement::Kind::kGang) {
     GiveBack(work);
     return Pause(work, settings_.gang_backoff, now);
@@ -225,9 +253,33 @@
   const std::uint32_t probes =
       is_short ? settings_.probes_short : settings_.probes_long;
   if (work.refusals < probes) return Place(work, now);
+  if (work.share_refusals * 2 >= work.refusals) {
+    HoldAccount(work.info.account, now);
+    return Pause(work, settings_.share_pause, now);
+  }
   Pause(work, is_short ? settings_.backoff_short : settings_.backoff_long, now);
 }
 
+void Dispatcher::HoldAccount(const AccountName& account, Time now) {
+  scheduler_.Hold(account);
+  on_trial_.insert(account);
+  held_until_[account] = now + settings_.share_pause;
+}
+
+void Dispatcher::EndTrial(const AccountName& account) {
+  if (on_trial_.erase(account) == 0) return;
+  held_until_.erase(account);
+  scheduler_.Resume(account);
+}
+
+void Dispatcher::ResumeAccounts(Time now) {
+  std::erase_if(held_until_, [&](const auto& held) {
+    if (held.second > now) return false;
+    scheduler_.Resume(held.first);
+    return true;
+  });
+}
+
 void Dispatcher::Pause(Work& work, Duration length, Time now) {
   SetPhase(work, Phase::kPaused);
   SetWake(work, now + length);
@@ -259,7 +311,7 @@
 }
 
 void Dispatcher::ForgetWait(const Work& work) {
-  Waits& waits = waits_[Index(work.queued.length)];
+  Waits& waits = WaitsOf(work);
   --waits.count;
   waits.since -= work.enqueued.time_since_epoch();
 }
@@ -326,6 +378,7 @@
 DispatchCommands Dispatcher::Tick(Time now) {
   out_.clear();
   router_.Tick(now);
+  ResumeAccounts(now);
   while (!wakes_.empty() && wakes_.begin()->first <= now) {
     Wake(work_.at(wakes_.begin()->second), now);
   }
--- a/src/core/replay/fleet-setup.cc
+++ b/src/core/replay/fleet-setup.cc
@@ -169,6 +169,7 @@
 void Fleet::OnLoss(const Event& event) {
   EngineSeat& seat = engines_[event.a];
   seat.alive = false;
+  seat.lost_at = now_;
   for (const std::uint64_t work : seat.engine.keys()) {
     const std::uint64_t key = StreamOfWork(work);
     const std::uint32_t host = streams_.at(key).host;
--- a/src/core/replay/fleet.cc
+++ b/src/core/replay/fleet.cc
@@ -160,6 +160,8 @@
       return OnStream(event);
     case Kind::kLoss:
       return OnLoss(event);
+    case Kind::kSuspect:
+      return engines_[event.a].steward->Suspect(now_);
     case Kind::kStewardClose:
       return Answers(event.a, engines_[event.a].steward->Close());
     case Kind::kLossSeen:
@@ -308,10 +310,19 @@
        Keep(std::move(payload)));
 }
 
+void Fleet::Do(std::uint32_t host, const SuspectTarget& action) {
+  const std::uint32_t engine = EngineOf(action.target);
+  Push(now_ + ToSteward(host, engine), Kind::kSuspect, engine, host);
+}
+
 void Fleet::OnSubmit(const Event& event) {
   Payload payload = Take(event.slot);
   if (!engines_[event.a].alive) {
-    // The connection can't be made: nothing of it ran.
+    // The connection can't be made: nothing of it ran. What was sent before
+    // its host could hear of the loss counts as in flight.
+    if (now_ - 2 * ToEngine(event.b, event.a) <= engines_[event.a].lost_at) {
+      result_.records[RequestOfStream(event.key)].on_lost_engine = true;
+    }
     Push(now_ + ToEngine(event.b, event.a), Kind::kFailed, event.a, event.b,
          event.key);
     return;
--- a/src/core/replay/fleet.h
+++ b/src/core/replay/fleet.h
@@ -70,6 +70,7 @@
     kLoss,
     kLossSeen,
     kStewardClose,
+    kSuspect,
   };
   /// `a`, `b` and `key` mean what the kind says; `slot` is of `payloads_`.
   struct Event {
@@ -106,6 +107,7 @@
     std::unique_ptr<Steward> steward;
     std::uint64_t sequence = 0;
     bool alive = true;
+    Time lost_at;
   };
   /// One attempt that engines were told of.
   struct Stream {
@@ -147,6 +149,7 @@
   void Do(std::uint32_t host, const CancelStream& action);
   void Do(std::uint32_t host, const EndRequest& action);
   void Do(std::uint32_t host, const FetchList& action);
+  void Do(std::uint32_t host, const SuspectTarget& action);
 
   std::uint32_t EngineOf(const TargetName& target) const;
   RunningAttempt ListedOf(std::uint64_t work) const;
--- a/src/core/replay/ours.cc
+++ b/src/core/replay/ours.cc
@@ -64,6 +64,7 @@
 
 void OursHost::OnSuspect(const TargetName& target, Time now) {
   dispatcher_.router().Refused(target, kSuspectPause, now);
+  out_.push_back(SuspectTarget{target});
 }
 
 void OursHost::OnTick(Time now) { Carry(dispatcher_.Tick(now), now); }
--- a/src/core/replay/ours.h
+++ b/src/core/replay/ours.h
@@ -31,7 +31,7 @@
 
  private:
   /// A target whose connection broke is passed over this long.
-  static constexpr Duration kSuspectPause = std::chrono::seconds(3);
+  static constexpr Duration kSuspectPause = std::chrono::seconds(6);
 
   void Carry(const DispatchCommands& commands, Time now);
   void On(const SendAsk& ask, Time) { out_.push_back(ask); }
--- a/src/core/replay/policy.h
+++ b/src/core/replay/policy.h
@@ -34,9 +34,14 @@
   TargetName target;
 };
 
+/// Tell the target's steward that its connections broke.
+struct SuspectTarget {
+  TargetName target;
+};
+
 using HostAction =
     std::variant<SendAsk, SendRelease, SendPrefillDone, StartStream,
-                 CancelStream, EndRequest, FetchList>;
+                 CancelStream, EndRequest, FetchList, SuspectTarget>;
 using HostActions = std::vector<HostAction>;
 
 /// One host. `EndRequest` among the answers of `Arrived` is a refusal at the
--- a/src/core/scheduler/scheduler.cc
+++ b/src/core/scheduler/scheduler.cc
@@ -65,7 +65,7 @@
     flow.start -=
         static_cast<double>(request.cost_tokens) / WeightOf(request.account);
   }
-  queue.order.insert({flow.start, request.account});
+  Order(queue, flow, request.account);
   flow.requests.emplace(request.ticket, request);
   deadlines_.insert({request.deadline, request.id});
   ++lane.waiting;
@@ -73,6 +73,33 @@
   return true;
 }
 
+void Scheduler::Order(Queue& queue, const Flow& flow,
+                      const AccountName& account) {
+  if (!held_.contains(account)) queue.order.insert({flow.start, account});
+}
+
+void Scheduler::Hold(const AccountName& account) {
+  if (!held_.insert(account).second) return;
+  for (Lane& lane : lanes_) {
+    for (Queue& queue : lane.queues) {
+      const auto flow = queue.flows.find(account);
+      if (flow == queue.flows.end()) continue;
+      queue.order.erase({flow->second.start, account});
+    }
+  }
+}
+
+void Scheduler::Resume(const AccountName& account) {
+  if (held_.erase(account) == 0) return;
+  for (Lane& lane : lanes_) {
+    for (Queue& queue : lane.queues) {
+      const auto flow = queue.flows.find(account);
+      if (flow == queue.flows.end() || flow->second.requests.empty()) continue;
+      Order(queue, flow->second, account);
+    }
+  }
+}
+
 bool Scheduler::Remove(const RequestId& id) {
   const auto found = where_.find(id);
   if (found == where_.end()) return false;
@@ -119,7 +146,7 @@
   queue.virtual_time = std::max(queue.virtual_time, flow.start);
   const double tokens = static_cast<double>(request.cost_tokens);
   flow.start += tokens / WeightOf(first.second);
-  if (!flow.requests.empty()) queue.order.insert({flow.start, first.second});
+  if (!flow.requests.empty()) Order(queue, flow, first.second);
   queue.credit = std::max(0.0, queue.credit - tokens);
   Owe(lane, queue, tokens);
   Forget(lane, request);
@@ -142,8 +169,10 @@
     const std::size_t lane_index = (next_lane_ + i) % lanes_.size();
     Lane& lane = lanes_[lane_index];
     if (!placeable.lanes[lane_index] || lane.waiting == 0) continue;
+    Queue* queue = Choose(lane);
+    if (queue == nullptr) continue;
     next_lane_ = (lane_index + 1) % lanes_.size();
-    return Take(lane, *Choose(lane));
+    return Take(lane, *queue);
   }
   return std::nullopt;
 }
--- a/src/core/steward/steward.cc
+++ b/src/core/steward/steward.cc
@@ -62,10 +62,15 @@
   }
   const bool too_big =
       target_.kv_capacity != 0 && ask.kv_tokens > target_.kv_capacity;
-  if (too_big || ask.expires <= now) {
+  if (too_big || ask.expires <= now || now < suspect_until_) {
     answer(GrantReply::kRefused, kFullRetry);
     return turn;
   }
+  const bool is_small = ask.kv_tokens < settings_.small_kv_tokens;
+  if (is_small && shares_.Over(ask.account, target_.max_running, now)) {
+    answer(GrantReply::kRefused, {});
+    return turn;
+  }
   const bool room = Fits(ask) && !HeldBack(ask, now);
   if (room && wait(now) <= ask.max_wait) {
     Admit(ask, now);
@@ -93,6 +98,11 @@
   grant.prefilling = ask.prefill_tokens > 0;
   grant.granted = now;
   grant.expires = ask.expires;
+  grant.account = ask.account;
+  grant.shared = ask.kv_tokens < settings_.small_kv_tokens;
+  if (grant.shared) {
+    shares_.Granted(ask.account, rates_.Prefill(ask.prefill_tokens), now);
+  }
   grants_[ask.attempt] = grant;
   kv_granted_ += grant.kv_tokens;
   prefilling_ += grant.prefilling ? grant.prefill_tokens : 0;
@@ -108,6 +118,7 @@
 
 void Steward::Drop(std::map<AttemptId, Grant>::iterator grant, Time now) {
   EndPrefill(grant->second, now);
+  if (grant->second.shared) shares_.Ended(grant->second.account);
   kv_granted_ -= grant->second.kv_tokens;
   grants_.erase(grant);
 }
@@ -152,6 +163,7 @@
   StewardTurn turn;
   if (epoch < epoch_) return turn;
   epoch_ = epoch;
+  suspect_until_ = {};
   for (auto& [attempt, grant] : grants_) grant.seen = false;
   for (const RunningAttempt& listed : running) {
     if (listed.expires_in <= Duration::zero() || HostLapsed(listed.id, now)) {
@@ -202,6 +214,10 @@
          now - gone->second.since >= settings_.resume_window;
 }
 
+void Steward::Suspect(Time now) {
+  suspect_until_ = now + settings_.suspect_limit;
+}
+
 StewardTurn Steward::Close() {
   StewardTurn turn;
   closed_ = true;
