--- a/src/core/steward/steward.cc
+++ b/src/core/steward/steward.cc
@@ -27,7 +27,8 @@
       target_.max_running == 0 || grants_.size() < target_.max_running;
   const bool memory = target_.kv_capacity == 0 ||
                       kv_granted_ + ask.kv_tokens <= target_.kv_capacity;
-  return slot && memory;
+  const bool apart = !ask.suspect || suspects_ == 0;
+  return slot && memory && apart;
 }
 
 /// Memory is held back for what has waited long, unless it waits too long.
@@ -103,6 +104,8 @@
   if (grant.shared) {
     shares_.Granted(ask.account, rates_.Prefill(ask.prefill_tokens), now);
   }
+  grant.suspect = ask.suspect;
+  suspects_ += ask.suspect ? 1 : 0;
   grants_[ask.attempt] = grant;
   kv_granted_ += grant.kv_tokens;
   prefilling_ += grant.prefilling ? grant.prefill_tokens : 0;
@@ -120,6 +123,7 @@
   EndPrefill(grant->second, now);
   if (grant->second.shared) shares_.Ended(grant->second.account);
   kv_granted_ -= grant->second.kv_tokens;
+  suspects_ -= grant->second.suspect ? 1 : 0;
   grants_.erase(grant);
 }
 
