--- a/bench/generate.cc
+++ b/bench/generate.cc
@@ -51,6 +51,8 @@
 /// The flood's rate as a share of what the engines can take.
 constexpr double kFloodLoad = 1.0;
 constexpr std::uint32_t kFloodAccount = 3;
+/// One that runs many short requests.
+constexpr std::uint32_t kLostEngine = 4;
 constexpr int kBurstPrompts = 24;
 constexpr Duration kBurstLength = 10s;
 
@@ -193,7 +195,7 @@
     if (name_ == "flood") AddFlood();
     if (name_ == "burst") AddBurst();
     if (name_ == "loss") {
-      trace_.fleet.losses.push_back({At(seconds_ / 2), 2});
+      trace_.fleet.losses.push_back({At(seconds_ / 2), kLostEngine});
     }
     std::stable_sort(trace_.requests.begin(), trace_.requests.end(),
                      [](const TraceRequest& a, const TraceRequest& b) {
--- a/src/core/replay/fleet.cc
+++ b/src/core/replay/fleet.cc
@@ -69,6 +69,7 @@
   info.prompt_tokens = request.prompt_tokens;
   info.max_output_tokens = request.max_output_tokens;
   info.prefix = ChainOf(request, index);
+  info.fingerprint = index + 1;
   info.arrival = now_;
   info.deadline = now_ + request.deadline;
   info.repeatable = request.repeatable;
