--- a/include/comfreyflow/config-state.h
+++ b/include/comfreyflow/config-state.h
@@ -112,6 +112,12 @@
   bool watching() const { return watching_; }
 
  private:
+  /// A document that was found valid.
+  struct Held {
+    StoredConfig document;
+    std::shared_ptr<const Config> config;
+  };
+
   void On(const StoreGave& event, Time now, ConfigCommands& out);
   void On(const StoreUnchanged& event, Time now, ConfigCommands& out);
   void On(const StoreFailed& event, Time now, ConfigCommands& out);
@@ -125,7 +131,7 @@
   void On(const ConfigTick& event, Time now, ConfigCommands& out);
   bool Offer(const StoredConfig& document, bool of_store, Time now,
              ConfigCommands& out);
-  void Apply(StoredConfig document, ConfigCommands& out);
+  void Apply(Held next, ConfigCommands& out);
   void Fetch(Time now, ConfigCommands& out);
   void ReadAndWatch(Time now, ConfigCommands& out);
   void Judge(Time now, ConfigCommands& out);
@@ -137,7 +143,7 @@
   std::uint64_t generation_ = 0;
   Digest hash_;
   std::string text_;
-  std::optional<StoredConfig> held_;  // First document, while others may come.
+  std::optional<Held> held_;  // First document, while others may come.
   std::map<HostName, ConfigMark> ahead_;  // Peers with a later generation.
   std::uint64_t rejected_ = 0;            // Highest generation not valid.
   std::optional<HostName> fetching_;
--- a/include/comfreyflow/ini.h
+++ b/include/comfreyflow/ini.h
@@ -75,7 +75,7 @@
   bool Has(std::string_view key) const;
   /// A key that has to be there and not be empty.
   std::string Required(std::string_view key);
-  std::string Text(std::string_view key, std::string fallback);
+  std::string Text(std::string_view key, const std::string& fallback);
   /// Comma-separated, trimmed, without empty or repeated items.
   std::vector<std::string> List(std::string_view key);
   std::uint64_t Number(std::string_view key, std::uint64_t fallback,
--- a/src/core/addresses/addresses.cc
+++ b/src/core/addresses/addresses.cc
@@ -10,6 +10,8 @@
 
 // A host's load weighs as much as this many answers handed out in a period.
 constexpr double kFullLoadInAnswers = 4;
+// Hosts compared for one answer, near and far each.
+constexpr std::size_t kSampled = 16;
 constexpr std::size_t kFarHosts = 2;
 constexpr double kRandomPart = 1;
 
@@ -51,11 +53,15 @@
 std::vector<Addresses::Host*> Addresses::Ordered(bool near,
                                                  const FailureDomain& caller,
                                                  Time now) {
-  std::vector<std::pair<double, Host*>> costs;
+  std::vector<Host*> all;
   for (auto& [name, host] : hosts_) {
-    if ((host.domain == caller) != near) continue;
-    costs.emplace_back(Cost(host, now), &host);
+    if ((host.domain == caller) == near) all.push_back(&host);
   }
+  std::vector<Host*> sample;
+  std::sample(all.begin(), all.end(), std::back_inserter(sample), kSampled,
+              random_);
+  std::vector<std::pair<double, Host*>> costs;
+  for (Host* host : sample) costs.emplace_back(Cost(*host, now), host);
   std::stable_sort(
       costs.begin(), costs.end(),
       [](const auto& a, const auto& b) { return a.first < b.first; });
--- a/src/core/config/config.cc
+++ b/src/core/config/config.cc
@@ -105,11 +105,11 @@
   unsigned int length = 0;
   EVP_Digest(bytes.data(), bytes.size(), raw.data(), &length, EVP_sha256(),
              nullptr);
-  constexpr char kDigits[] = "0123456789abcdef";
+  constexpr char digits[] = "0123456789abcdef";
   std::string text;
   for (unsigned int i = 0; i < length; ++i) {
-    text += kDigits[raw[i] >> 4];
-    text += kDigits[raw[i] & 15];
+    text += digits[raw[i] >> 4];
+    text += digits[raw[i] & 15];
   }
   return {text};
 }
--- a/src/core/config/state.cc
+++ b/src/core/config/state.cc
@@ -111,7 +111,7 @@
 void ConfigState::On(const ConfigTick&, Time now, ConfigCommands& out) {
   if (majority_) confirmed_ = now;
   if (held_ && first_peer_ && now >= *first_peer_ + kSettleTime &&
-      held_->generation >= Announced()) {
+      held_->document.generation >= Announced()) {
     Apply(*held_, out);
   }
   if (fetching_ && now >= fetch_until_) {
@@ -129,33 +129,34 @@
                         ConfigCommands& out) {
   if (document.generation <= generation_) return false;
   if (document.generation <= rejected_) return false;
-  const ConfigResult parsed = ParseConfig(document.text);
+  ConfigResult parsed = ParseConfig(document.text);
   if (!parsed.ok()) {
     rejected_ = document.generation;
     out.emplace_back(ConfigRejected{document.generation, parsed.problems});
     return false;
   }
+  auto config = std::make_shared<const Config>(std::move(parsed.config));
   const bool settled =
       of_store || (first_peer_ && now >= *first_peer_ + kSettleTime);
   if (generation_ == 0 && (!settled || document.generation < Announced())) {
-    if (!held_ || held_->generation < document.generation) held_ = document;
+    if (!held_ || held_->document.generation < document.generation) {
+      held_ = Held{document, std::move(config)};
+    }
     return true;
   }
-  Apply(document, out);
+  Apply({document, std::move(config)}, out);
   return true;
 }
 
-void ConfigState::Apply(StoredConfig document, ConfigCommands& out) {
-  auto config =
-      std::make_shared<const Config>(ParseConfig(document.text).config);
-  generation_ = document.generation;
-  hash_ = HashOf(*config);
-  text_ = std::move(document.text);
+void ConfigState::Apply(Held next, ConfigCommands& out) {
+  generation_ = next.document.generation;
+  hash_ = HashOf(*next.config);
+  text_ = std::move(next.document.text);
   held_.reset();
   std::erase_if(ahead_, [&](const auto& peer) {
     return peer.second.generation <= generation_;
   });
-  out.emplace_back(ApplyConfig{generation_, hash_, std::move(config)});
+  out.emplace_back(ApplyConfig{generation_, hash_, std::move(next.config)});
 }
 
 std::uint64_t ConfigState::Announced() const {
@@ -170,7 +171,8 @@
 void ConfigState::Fetch(Time now, ConfigCommands& out) {
   if (fetching_) return;
   const std::uint64_t most = Announced();
-  if (most <= generation_ || (held_ && held_->generation >= most)) return;
+  if (most <= generation_ || (held_ && held_->document.generation >= most))
+    return;
   std::vector<HostName> hosts;
   for (const auto& [host, mark] : ahead_) {
     if (mark.generation == most) hosts.push_back(host);
--- a/src/core/ini/ini.cc
+++ b/src/core/ini/ini.cc
@@ -37,9 +37,10 @@
     const bool opens_section = IsSectionLine(text);
     Tree tree;
     // The library drops a section without keys, so it gets one.
-    std::istringstream stream(opens_section ? text + kProbeLine : text);
+    stream_.clear();
+    stream_.str(opens_section ? text + kProbeLine : text);
     try {
-      boost::property_tree::read_ini(stream, tree);
+      boost::property_tree::read_ini(stream_, tree);
     } catch (const boost::property_tree::ini_parser_error& error) {
       Report(line, ProblemKind::kSyntax, "", error.message());
       return;
@@ -89,6 +90,7 @@
         {line, kind, std::move(section), std::move(key), std::move(detail)});
   }
 
+  std::istringstream stream_;  // Of one line; its locale is costly to make.
   IniDocument document_;
   std::set<std::pair<std::string, std::string>> titles_;
   std::set<std::string> keys_;  // Of the section that is open.
--- a/src/core/ini/section-reader.cc
+++ b/src/core/ini/section-reader.cc
@@ -109,9 +109,10 @@
   return entry->value;
 }
 
-std::string SectionReader::Text(std::string_view key, std::string fallback) {
+std::string SectionReader::Text(std::string_view key,
+                                const std::string& fallback) {
   const IniEntry* entry = Take(key);
-  return entry == nullptr ? std::move(fallback) : entry->value;
+  return entry == nullptr ? fallback : entry->value;
 }
 
 std::vector<std::string> SectionReader::List(std::string_view key) {
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -30,6 +30,7 @@
 constexpr std::size_t kClaimBytes = 10;
 constexpr std::size_t kMostFillers = 24;
 constexpr std::size_t kMostWanted = 14;
+constexpr std::size_t kLeaveTold = 8;
 constexpr int kAnnounceTo = 4;
 constexpr std::size_t kMostRelays = 64;
 constexpr std::size_t kMostSenders = 4096;
@@ -419,10 +420,9 @@
 }
 
 MembershipOutput Membership::Leave(Time now) {
-  constexpr std::size_t kTold = 8;
   State& state = *state_;
   MembershipOutput out;
-  for (std::size_t i = 0; i < kTold; ++i) {
+  for (std::size_t i = 0; i < kLeaveTold; ++i) {
     const Member* member = state.NextRandom();
     if (member == nullptr) break;
     state.SendTo(*member, DatagramKind::kLeave, now, out);
--- a/src/core/membership/size.cc
+++ b/src/core/membership/size.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::size_t kFrameBytes = 24;  // Tag, kind, list heads, stops.
+constexpr Duration kLeastSuspicion = std::chrono::milliseconds(1200);
+constexpr Duration kSuspicionPerDoubling = std::chrono::milliseconds(400);
 constexpr std::size_t kIdBytes = 5;
 constexpr std::size_t kHashBytes = 10;
 constexpr std::size_t kFieldBytes = 3;  // Field head and length of a text.
@@ -61,9 +63,7 @@
 }
 
 Duration SuspicionTime(std::size_t hosts) {
-  constexpr Duration kLeast = std::chrono::milliseconds(1200);
-  constexpr Duration kPerDoubling = std::chrono::milliseconds(400);
-  return kLeast + kPerDoubling * std::bit_width(hosts);
+  return kLeastSuspicion + kSuspicionPerDoubling * std::bit_width(hosts);
 }
 
 std::size_t SizeBound(const Datagram& datagram) {
--- a/src/core/stewardship/stewardship.cc
+++ b/src/core/stewardship/stewardship.cc
@@ -8,6 +8,11 @@
 namespace comfreyflow {
 namespace {
 
+struct Hashed {
+  std::uint64_t hash = 0;
+  const HostName* name = nullptr;
+};
+
 struct Scored {
   std::uint64_t score = 0;
   const HostName* host = nullptr;
@@ -22,8 +27,17 @@
   return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
-Scored Score(const HostName& host, std::uint64_t duty) {
-  return {Hash(host.value, duty), &host};
+std::vector<Hashed> HashAll(const std::vector<HostName>& hosts) {
+  std::vector<Hashed> hashed;
+  hashed.reserve(hosts.size());
+  for (const HostName& host : hosts) {
+    hashed.push_back({Hash(host.value, 0), &host});
+  }
+  return hashed;
+}
+
+Scored Score(const Hashed& host, std::uint64_t duty) {
+  return {XXH3_64bits_withSeed(&host.hash, sizeof(host.hash), duty), host.name};
 }
 
 /// Kinds of duty do not share scores, so that one host's load is not doubled.
@@ -31,9 +45,9 @@
   return Hash(name, Hash(kind, 0));
 }
 
-HostName Best(const std::vector<HostName>& hosts, std::uint64_t duty) {
+HostName Best(const std::vector<Hashed>& hosts, std::uint64_t duty) {
   Scored best;
-  for (const HostName& host : hosts) {
+  for (const Hashed& host : hosts) {
     const Scored scored = Score(host, duty);
     if (best.host == nullptr || Higher(scored, best)) best = scored;
   }
@@ -46,7 +60,9 @@
                                 std::string_view duty, std::size_t count) {
   const std::uint64_t hash = DutyHash("", duty);
   std::vector<Scored> scored;
-  for (const HostName& host : hosts) scored.push_back(Score(host, hash));
+  for (const Hashed& host : HashAll(hosts)) {
+    scored.push_back(Score(host, hash));
+  }
   count = std::min(count, scored.size());
   std::partial_sort(scored.begin(),
                     scored.begin() + static_cast<std::ptrdiff_t>(count),
@@ -58,24 +74,26 @@
 
 HostName StewardOf(const std::vector<HostName>& hosts,
                    const TargetName& target) {
-  return Best(hosts, DutyHash("target", target.value));
+  return Best(HashAll(hosts), DutyHash("target", target.value));
 }
 
 HostName OrderIssuerOf(const std::vector<HostName>& hosts,
                        const ServiceName& service) {
-  return Best(hosts, DutyHash("orders", service.value));
+  return Best(HashAll(hosts), DutyHash("orders", service.value));
 }
 
 HostName AppenderOf(const std::vector<HostName>& hosts, std::uint32_t shard) {
-  return Best(hosts, DutyHash("claims", std::to_string(shard)));
+  return Best(HashAll(hosts), DutyHash("claims", std::to_string(shard)));
 }
 
 std::vector<TargetName> DutiesOf(const HostName& self,
                                  const std::vector<HostName>& hosts,
                                  const std::vector<TargetName>& targets) {
+  const std::vector<Hashed> hashed = HashAll(hosts);
   std::vector<TargetName> duties;
   for (const TargetName& target : targets) {
-    if (StewardOf(hosts, target) == self) duties.push_back(target);
+    const std::uint64_t duty = DutyHash("target", target.value);
+    if (Best(hashed, duty) == self) duties.push_back(target);
   }
   return duties;
 }
