--- a/bench/relay-shell.cc
+++ b/bench/relay-shell.cc
@@ -334,6 +334,7 @@
 }
 
 void MeasureMemory(Callers& callers, const Sides& sides, int streams) {
+  std::this_thread::sleep_for(std::chrono::seconds(1));
   const double direct = HeapOfStreams(callers, sides.direct, streams);
   const double host = HeapOfStreams(callers, sides.host, streams);
   std::printf(
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "http/address.h"
+#include "http/lazy-timer.h"
 
 namespace comfreyflow::http {
 
@@ -233,7 +234,7 @@
   void Whole() {
     const bool keep = parser_->get().keep_alive() && !broken_send_;
     if (keep && buffer_.size() == 0) {
-      timer_.cancel();
+      timer_.Cancel();
       pool_->Put(address_, std::move(socket_));
     }
     Finish(Errc::kOk);
@@ -248,21 +249,16 @@
   }
 
   void Drop() {
-    timer_.cancel();
+    timer_.Cancel();
     error_code ignored;
     socket_.close(ignored);
   }
 
   void Arm(std::chrono::milliseconds time) {
-    timer_.expires_after(time);
-    timer_.async_wait([self = weak_from_this()](const error_code& error) {
-      const auto call = self.lock();
-      if (!error && call) call->Expired();
-    });
+    timer_.Arm(time, weak_from_this(), &Operation::Expired);
   }
 
   void Expired() {
-    if (timer_.expiry() > asio::steady_timer::clock_type::now()) return;
     pool_->Forget(address_);
     Finish(sent_ ? Errc::kTargetSilent : Errc::kTargetUnreachable);
   }
@@ -273,7 +269,7 @@
   CallHooks hooks_;
   asio::strand<asio::io_context::executor_type> strand_;
   tcp::socket socket_;
-  asio::steady_timer timer_;
+  detail::LazyTimer timer_;
   bh::request<bh::string_body> message_;
   BodyLease lease_;  ///< Memory counted for `message_`'s body.
   std::optional<bh::request_serializer<bh::string_body>> serializer_;
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -11,6 +11,8 @@
 #include <optional>
 #include <utility>
 
+#include "http/lazy-timer.h"
+
 namespace comfreyflow::http::detail {
 namespace {
 
@@ -22,7 +24,7 @@
 using TlsStream = asio::ssl::stream<tcp::socket>;
 
 /// Bytes that a caller may send ahead while its request is being answered.
-constexpr std::size_t kAheadBytes = 4096;
+constexpr std::size_t kAheadBytes = 1024;
 /// Copies of a body that exist at once while it is parsed or sent on.
 constexpr std::uint64_t kBodyCopies = 2;
 
@@ -249,7 +251,7 @@
     phase_ = Phase::kAnswering;
     counted_ = true;
     ++context_->unanswered;
-    timer_.cancel();
+    timer_.Disarm();
     request_.body = std::move(parser_->get().body());
     request_.lease = std::move(lease_);
     parser_.reset();
@@ -411,13 +413,13 @@
   void Flushed(const error_code& error) {
     if (phase_ == Phase::kClosed) return;
     if (error) return Close();
-    timer_.cancel();
+    timer_.Disarm();
     Flush();
   }
 
   void AnswerWritten(const error_code& error) {
     if (phase_ == Phase::kClosed) return;
-    timer_.cancel();
+    timer_.Disarm();
     gone_ = nullptr;
     ending_ = false;
     Uncount();
@@ -457,17 +459,12 @@
 
   void Arm(std::chrono::milliseconds time) {
     timed_out_ = false;
-    timer_.expires_after(time);
-    timer_.async_wait([self = this->weak_from_this()](const error_code& error) {
-      const auto session = self.lock();
-      if (!error && session) session->Expired();
-    });
+    timer_.Arm(time, this->weak_from_this(), &Session::Expired);
   }
 
   void ArmWrite() { Arm(context_->limits.write_timeout); }
 
   void Expired() {
-    if (timer_.expiry() > asio::steady_timer::clock_type::now()) return;
     if (phase_ != Phase::kIdle && phase_ != Phase::kReceiving) return Close();
     timed_out_ = true;
     Lowest(stream_).cancel();
@@ -477,7 +474,7 @@
     if (phase_ == Phase::kClosed) return;
     phase_ = Phase::kClosed;
     Uncount();
-    timer_.cancel();
+    timer_.Cancel();
     error_code ignored;
     Lowest(stream_).close(ignored);
     if (auto gone = std::exchange(gone_, nullptr)) gone();
@@ -485,7 +482,7 @@
 
   std::shared_ptr<asio::ssl::context> tls_;  ///< Outlives `stream_`.
   Stream stream_;
-  asio::steady_timer timer_;
+  LazyTimer timer_;
   std::shared_ptr<const SessionContext> context_;
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;  ///< Set while a request is read.
--- a/src/node/answer.cc
+++ b/src/node/answer.cc
@@ -114,6 +114,19 @@
   call.exchange->StartStream(std::move(head));
 }
 
+/// The JSON of an event with `text`. All but the text is the same in each.
+std::string ChunkText(Call& call, std::string_view text) {
+  if (call.chunk_begin.empty()) {
+    // No name that is part of the frame can hold this character unescaped.
+    constexpr std::string_view kMark = "\"\\u0001\"";
+    const std::string frame = Dump(ChunkJson(call, "\x01"));
+    const auto at = frame.rfind(kMark);
+    call.chunk_begin = frame.substr(0, at);
+    call.chunk_end = frame.substr(at + kMark.size());
+  }
+  return call.chunk_begin + Dump(Json(text)) + call.chunk_end;
+}
+
 /// A comment line with the token, when it is new since the head.
 std::string TokenLine(Call& call) {
   if (call.token_sent || call.resume_token.empty()) return {};
@@ -167,7 +180,7 @@
   StartStream(call);
   std::string event = TokenLine(call);
   event += "id: " + std::to_string(call.offset) + "\ndata: ";
-  event += Dump(ChunkJson(call, text));
+  event += ChunkText(call, text);
   event += "\n\n";
   call.exchange->Write(std::move(event));
 }
--- a/src/node/call.h
+++ b/src/node/call.h
@@ -28,6 +28,8 @@
 
   // Changed by the entry actor only.
   bool head_sent = false;
+  std::string chunk_begin;   ///< Of each event's JSON, up to its text.
+  std::string chunk_end;     ///< From behind the text.
   std::string text;          ///< The answer so far, unless streamed.
   std::uint64_t offset = 0;  ///< Bytes of the answer given to the caller.
   std::string resume_token;  ///< Of the attempt under way.
