--- a/bench/relay-shell.cc
+++ b/bench/relay-shell.cc
@@ -292,7 +292,7 @@
   std::vector<std::shared_ptr<http::Call>> calls;
   for (int i = 0; i < streams; ++i) {
     calls.push_back(
-        callers.Open(sides.host, "flow", 1'000'000, nullptr, nullptr));
+        callers.Open(sides.host, "flow", kFlowTokens, nullptr, nullptr));
   }
   std::this_thread::sleep_for(std::chrono::seconds(1));
   const auto cpu = [&] {
@@ -324,9 +324,10 @@
   std::vector<std::shared_ptr<http::Call>> calls;
   for (int i = 0; i < streams; ++i) {
     calls.push_back(callers.Open(
-        address, "flow", 1'000'000, [&begun] { ++begun; }, nullptr));
+        address, "flow", kFlowTokens, [&begun] { ++begun; }, nullptr));
   }
-  while (begun < streams) std::this_thread::sleep_for(milliseconds(5));
+  while (begun < streams && callers.failed() == 0)
+    std::this_thread::sleep_for(milliseconds(5));
   const auto after = HeapInUse();
   for (const auto& call : calls) call->Cancel();
   std::this_thread::sleep_for(std::chrono::seconds(1));
--- a/src/node/entry-actor.cc
+++ b/src/node/entry-actor.cc
@@ -35,6 +35,9 @@
 
 caf::behavior EntryActor::make_behavior() {
   Subscribe();
+  if (deps_.hooks.limits) {
+    for (const auto& limit : deps_.hooks.limits()) Run(limit);
+  }
   if (deps_.hooks.targets) {
     for (const auto& target : deps_.hooks.targets()) Run(TargetSeen{target});
   }
--- a/src/node/entry-actor.h
+++ b/src/node/entry-actor.h
@@ -21,6 +21,8 @@
 /// Where commands go that this actor does not carry out itself. An empty hook
 /// answers as an absent part would.
 struct EntryHooks {
+  /// This host's part of the accounts' limits, for an actor that starts.
+  std::function<std::vector<LimitChanged>()> limits;
   /// Targets known so far, for an actor that starts.
   std::function<std::vector<TargetInfo>()> targets;
   std::function<void(const WantClaim&)> want_claim;
--- a/src/node/node-deps.cc
+++ b/src/node/node-deps.cc
@@ -1,10 +1,12 @@
 // Connects the parts of a host.
+#include <algorithm>
 #include <utility>
 
 #include "comfreyflow/resume.h"
 #include "node/log.h"
 #include "node/node-state.h"
 #include "node/peer-wire.h"
+#include "node/target-poll.h"
 
 namespace comfreyflow::node {
 namespace {
@@ -28,7 +30,10 @@
   ask.attempt = grant.attempt;
   ask.account = grant.account;
   ask.kv_tokens = grant.kv_tokens;
+  ask.prefill_tokens = grant.prefill_tokens;
   ask.urgency = grant.urgency;
+  ask.max_wait = grant.max_wait;
+  ask.suspect = grant.suspect;
   ask.expires = grant.expires;
   return ask;
 }
@@ -54,6 +59,29 @@
 
 }  // namespace
 
+/// The fleet's limits in equal parts, so that their sum holds in a partition.
+std::vector<LimitChanged> Node::State::Limits() const {
+  std::vector<LimitChanged> limits;
+  const auto now = config->current();
+  if (!now) return limits;
+  std::size_t hosts = 1;
+  {
+    const std::lock_guard lock(view_mutex);
+    hosts = std::max(hosts, serving.size());
+  }
+  for (const auto& [name, account] : now->config.accounts) {
+    LimitChanged change;
+    change.account = name;
+    change.limit.tokens_per_second =
+        static_cast<double>(account.tokens_per_second) /
+        static_cast<double>(hosts);
+    change.limit.concurrent_tokens = account.concurrent_tokens / hosts;
+    change.weight = account.weight;
+    limits.push_back(std::move(change));
+  }
+  return limits;
+}
+
 std::vector<TargetInfo> Node::State::Targets() const {
   std::vector<TargetInfo> all;
   const auto now = config->current();
@@ -130,6 +158,7 @@
   deps.self = entry;
   deps.timer = timer;
   deps.hooks.targets = [this] { return Targets(); };
+  deps.hooks.limits = [this] { return Limits(); };
   deps.hooks.ask_grant = [this](const AskGrant& ask) {
     const HostName to = StewardFor(ask.target);
     if (to == settings().name) {
@@ -145,6 +174,25 @@
     }
     peer_links->Send(to, ReleaseBody(release.target, release.attempt));
   };
+  deps.hooks.prefill_done = [this](const PrefillDone& done) {
+    const HostName to = StewardFor(done.target);
+    if (to == settings().name) {
+      return steward->Send(ReservePrefilled{done.target, done.attempt});
+    }
+    peer_links->Send(to, PrefilledBody(done.target, done.attempt));
+  };
+  deps.hooks.share_suspect = [this](const ShareSuspect& share) {
+    SendToAll(CrashBody(share.evidence));
+  };
+  deps.hooks.fetch_prefix_list = [this](const TargetName& name,
+                                        const std::string& address) {
+    TargetInfo target;
+    target.name = name;
+    target.address = address;
+    ReadCache(client, target, nullptr, [this](const PrefixReported* list) {
+      if (list != nullptr) entry->Send(EntryPosted{*list});
+    });
+  };
   deps.hooks.share_closed = [this](const ShareClosed& share) {
     membership->Send(TargetShared{{share.target, CloseVersion(), true}});
   };
--- a/src/node/node-peers.cc
+++ b/src/node/node-peers.cc
@@ -117,7 +117,20 @@
   if (changed) ShareDuties();
 }
 
+void Node::State::SendToAll(const wire::Body& body) {
+  std::vector<HostName> others;
+  {
+    const std::lock_guard lock(view_mutex);
+    for (const auto& [name, member] : members) {
+      const bool lives = member.state < MemberState::kDead;
+      if (lives && name != settings().name) others.push_back(name);
+    }
+  }
+  for (const auto& host : others) peer_links->Send(host, body);
+}
+
 void Node::State::ShareDuties() {
+  for (auto& limit : Limits()) entry->Send(EntryPosted{std::move(limit)});
   steward->Send(StewardshipsChanged{OwnDuties()});
   ClaimStewards stewards;
   {
@@ -194,6 +207,8 @@
     const auto& answer = body.config_answer;
     config_actor->Send(ConfigPosted{PeerGave{
         from, {static_cast<std::uint64_t>(answer.generation), answer.text}}});
+  } else if (body.__isset.crash) {
+    entry->Send(EntryPosted{PeerSuspects{CrashFromWire(body.crash)}});
   } else if (body.__isset.claims) {
     claims->Send(ClaimPosted{PeerClaims{from, FromWire(body.claims)}});
   } else if (body.__isset.claims_answer) {
--- a/src/node/node-state.h
+++ b/src/node/node-state.h
@@ -82,10 +82,11 @@
   void ShareDuties();
   HostName StewardFor(const TargetName& target) const;
   std::vector<TargetInfo> OwnDuties() const;
-  void SendToSteward(const TargetName& target, wire::Body body);
+  void SendToAll(const wire::Body& body);
   ClaimDeps MakeClaimDeps();
   ConfigDeps MakeConfigDeps();
   std::vector<TargetInfo> Targets() const;
+  std::vector<LimitChanged> Limits() const;
   void Dump(std::function<void(nlohmann::ordered_json)> done);
   std::string SignResume(const Call& call, const AttemptId& attempt,
                          const TargetName& target) const;
--- a/src/node/peer-wire.cc
+++ b/src/node/peer-wire.cc
@@ -58,6 +58,7 @@
   call.account = ask.account.value;
   call.kv_tokens = static_cast<std::int64_t>(ask.kv_tokens);
   call.prefill_tokens = static_cast<std::int32_t>(ask.prefill_tokens);
+  call.suspect = ask.suspect;
   call.urgency = static_cast<std::int32_t>(ask.urgency);
   call.max_wait_us = duration_cast<microseconds>(ask.max_wait).count();
   call.expires_ms = duration_cast<milliseconds>(ask.expires - now).count();
@@ -72,6 +73,7 @@
   ask.account.value = call.account;
   ask.kv_tokens = static_cast<std::uint64_t>(call.kv_tokens);
   ask.prefill_tokens = static_cast<std::uint32_t>(call.prefill_tokens);
+  ask.suspect = call.suspect;
   ask.urgency = EnumOf(call.urgency, Urgency::kHigh, Urgency::kNormal);
   ask.max_wait = microseconds(call.max_wait_us);
   ask.expires = now + milliseconds(call.expires_ms);
@@ -116,6 +118,19 @@
   return body;
 }
 
+wire::Body CrashBody(const CrashEvidence& evidence) {
+  wire::CrashCall call;
+  call.target = evidence.target.value;
+  call.fingerprint = static_cast<std::int64_t>(evidence.fingerprint);
+  wire::Body body;
+  body.__set_crash(call);
+  return body;
+}
+
+CrashEvidence CrashFromWire(const wire::CrashCall& call) {
+  return {static_cast<std::uint64_t>(call.fingerprint), {call.target}};
+}
+
 wire::LoadReport ToWire(const TargetReport& report) {
   wire::LoadReport out;
   out.target = report.target.value;
--- a/src/node/peer-wire.h
+++ b/src/node/peer-wire.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "comfreyflow/claims.h"
+#include "comfreyflow/entry.h"
 #include "comfreyflow/poison.h"
 #include "comfreyflow/steward.h"
 #include "comfreyflow/target.h"
@@ -28,6 +29,9 @@
 wire::Body ReleaseBody(const TargetName& target, const AttemptId& attempt);
 wire::Body PrefilledBody(const TargetName& target, const AttemptId& attempt);
 
+wire::Body CrashBody(const CrashEvidence& evidence);
+CrashEvidence CrashFromWire(const wire::CrashCall& call);
+
 wire::LoadReport ToWire(const TargetReport& report);
 TargetReport FromWire(const wire::LoadReport& report);
 
