--- a/bench/relay-shell.cc
+++ b/bench/relay-shell.cc
@@ -31,6 +31,8 @@
 using std::chrono::milliseconds;
 
 const std::string kKey = "key-of-the-bench";
+/// Length of a stream that does not end while it is measured.
+constexpr std::uint64_t kFlowTokens = 20'000;
 constexpr milliseconds kIteration{
     8};  // Of the engine: a token for each stream.
 
