--- a/include/comfreyflow/router.h
+++ b/include/comfreyflow/router.h
@@ -164,6 +164,10 @@
   bool InPart(const Group& group, TargetSlot slot, PromptClass length) const;
   void FindHomes(const Group& group, Search& search) const;
   std::vector<TargetSlot> Draw(const Group& group, const Search& search);
+  /// Usable targets of `slots`, cheapest first.
+  std::vector<Candidate> Rank(const Group& group, const Search& search,
+                              const std::vector<TargetSlot>& slots,
+                              std::uint64_t kv, bool any_part) const;
   std::vector<Candidate> Best(const Group& group, Search& search,
                               std::uint64_t kv, std::size_t count);
   Placement PlaceGang(const Group& group, Search& search);
--- a/src/core/replay/policies.cc
+++ b/src/core/replay/policies.cc
@@ -1,5 +1,6 @@
 // Policies of the replay by name.
 #include "core/replay/baselines.h"
+#include "core/replay/entry-host.h"
 #include "core/replay/ours.h"
 #include "core/replay/policy.h"
 
@@ -10,6 +11,8 @@
 constexpr char kLeastLoaded[] = "least-loaded";
 constexpr char kTwoChoices[] = "two-choices";
 constexpr char kOurs[] = "ours";
+/// Our dispatcher without the rest of the entry role.
+constexpr char kDispatcher[] = "ours-dispatcher";
 
 }  // namespace
 
@@ -46,7 +49,13 @@
   settings.router.seed = seed;
   settings.router.hop_same = fleet.hop_same;
   settings.router.hop_other = fleet.hop_other;
-  if (name == kOurs) return std::make_unique<OursHost>(settings);
+  if (name == kDispatcher) return std::make_unique<OursHost>(settings);
+  if (name == kOurs) {
+    EntrySettings entry;
+    entry.seed = seed;
+    entry.dispatcher = settings;
+    return std::make_unique<EntryHost>(entry);
+  }
   return nullptr;
 }
 
