--- a/test/explore/shell.cc
+++ b/test/explore/shell.cc
@@ -25,7 +25,9 @@
   ask.account = command.account;
   ask.kv_tokens = command.kv_tokens;
   ask.urgency = command.urgency;
-  ask.max_wait = std::chrono::seconds(1);
+  ask.prefill_tokens = command.prefill_tokens;
+  ask.max_wait = command.max_wait;
+  ask.suspect = command.suspect;
   ask.expires = command.expires;
   Host* steward = stewards.front();
   world_.network.Send(Link::kHostToHost, [this, steward, target, ask,
@@ -192,7 +194,7 @@
 void Host::Carry(const ShareSuspect& command) {
   for (const auto& other : world_.hosts) {
     if (other.get() == this) continue;
-    const PeerSuspects event{command.fingerprint, command.crashes};
+    const PeerSuspects event{command.evidence};
     world_.network.Send(Link::kHostToHost, [peer = other.get(), event,
                                             life = other->incarnation()] {
       peer->To(life, [peer, event] { peer->Give(event); });
