--- a/test/explore/host.cc
+++ b/test/explore/host.cc
@@ -51,9 +51,9 @@
   ++incarnation_.value;
   next_request_ = 1;
   EntrySettings entry;
-  entry.failure_domain = {"d" + std::to_string(number_ % 2)};
+  entry.dispatcher.router.home = {"d" + std::to_string(number_ % 2)};
   entry.seed = number_ * 1000 + incarnation_.value;
-  entry.silence_limit = milliseconds(400);
+  entry.attempt.silence_limit = milliseconds(400);
   cores_ = std::make_unique<Cores>(
       Cores{Entry(entry), Claims(SettingsOfClaims()), {}, {}});
   SweepSettings sweep;
