--- a/include/comfreyflow/claims.h
+++ b/include/comfreyflow/claims.h
@@ -191,6 +191,8 @@
   std::size_t keys() const;
   /// Claims without verdict.
   std::size_t waiting() const;
+  /// Outcomes of this host that the log does not have yet.
+  std::size_t unrecorded() const;
   bool store_up() const;
 
  private:
--- a/src/core/claims/claims.cc
+++ b/src/core/claims/claims.cc
@@ -300,6 +300,9 @@
 
 std::size_t Claims::keys() const { return state_->appender.keys(); }
 std::size_t Claims::waiting() const { return state_->claims_waiting; }
+std::size_t Claims::unrecorded() const {
+  return state_->waiters.size() - state_->claims_waiting;
+}
 bool Claims::store_up() const { return state_->appender.store_up(); }
 
 std::vector<HostName> AssignClaimStewards(const std::vector<HostName>& hosts,
--- a/src/core/entry/entry.cc
+++ b/src/core/entry/entry.cc
@@ -2,6 +2,7 @@
 // decides.
 #include "comfreyflow/entry.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -92,25 +93,47 @@
 }
 
 void Entry::State::On(const TargetSeen& event) {
-  closed.erase(event.info.name);
-  dispatcher.router().Seen(event.info);
+  seen[event.info.name] = event.info;
+  // A lagging list does not reopen a target that is leaving.
+  if (!closed.contains(event.info.name)) dispatcher.router().Seen(event.info);
 }
 
 void Entry::State::On(const TargetGone& event) {
+  closed.erase(event.target);
+  epochs.erase(event.target);
+  seen.erase(event.target);
   dispatcher.router().Gone(event.target);
 }
 
-void Entry::State::On(const TargetClosed& event) {
-  closed.insert(event.target);
-  dispatcher.router().Closed(event.target);
-}
+void Entry::State::On(const TargetClosed& event) { Close(event.target); }
 
 void Entry::State::On(const LoadReported& event) {
   const TargetName& name = event.report.target;
+  std::uint64_t& epoch = epochs[name];
+  epoch = std::max(epoch, event.report.epoch);
+  if (event.report.closing) {
+    if (Close(name)) out.push_back(ShareClosed{name});
+  } else {
+    Reopen(name, event.report.epoch);
+  }
   dispatcher.router().Reported(event.report, now);
-  if (!event.report.closing) return;
-  dispatcher.router().Closed(name);
-  if (closed.insert(name).second) out.push_back(ShareClosed{name});
+}
+
+/// True when the target was open.
+bool Entry::State::Close(const TargetName& target) {
+  dispatcher.router().Closed(target);
+  return closed.try_emplace(target, epochs[target]).second;
+}
+
+/// A target that closed takes work again when it has started anew.
+void Entry::State::Reopen(const TargetName& target, std::uint64_t epoch) {
+  const auto at = closed.find(target);
+  if (at == closed.end()) return;
+  if (at->second == 0) at->second = epoch;
+  if (epoch <= at->second) return;
+  closed.erase(at);
+  const auto info = seen.find(target);
+  if (info != seen.end()) dispatcher.router().Seen(info->second);
 }
 
 void Entry::State::On(const PrefixReported& event) {
--- a/src/core/entry/state.h
+++ b/src/core/entry/state.h
@@ -40,6 +40,9 @@
   void On(const ResumeAdmitting& event);
   void On(const Tick& event);
 
+  bool Close(const TargetName& target);
+  void Reopen(const TargetName& target, std::uint64_t epoch);
+
   detail::Request* Find(const RequestId& id);
   /// The request whose current attempt this is; earlier attempts find none.
   detail::Request* Current(const AttemptId& id);
@@ -83,7 +86,10 @@
   std::set<std::pair<Time, std::uint64_t>> deadlines;
   std::set<std::pair<Time, std::uint64_t>> wakes;  ///< Ends of backoffs.
   std::set<std::uint64_t> streaming;
-  std::set<TargetName> closed;
+  std::map<TargetName, TargetInfo> seen;
+  /// Targets that take no new work, with the epoch that closed; 0 if unknown.
+  std::map<TargetName, std::uint64_t> closed;
+  std::map<TargetName, std::uint64_t> epochs;  ///< Highest that each reported.
   bool admitting = true;
   Errc stop_reason = Errc::kDraining;
   EntryCommands out;
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -262,3 +262,26 @@
     CHECK(One<CancelAttempt>(end).attempt == f.attempt);
   }
 }
+
+TEST_CASE("a lagging list does not reopen a target, its restart does") {
+  Entry entry{EntrySettings()};
+  entry.Handle(TargetSeen{Engine("e1")}, kStart);
+  entry.Handle(LoadReported{{.target = {"e1"}, .epoch = 5, .sequence = 1}},
+               kStart);
+  const auto closing = entry.Handle(
+      LoadReported{
+          {.target = {"e1"}, .epoch = 5, .sequence = 2, .closing = true}},
+      kStart);
+  CHECK(Only<ShareClosed>(closing).size() == 1);
+  entry.Handle(TargetSeen{Engine("e1")}, kStart);
+  entry.Handle(LoadReported{{.target = {"e1"}, .epoch = 5, .sequence = 3}},
+               kStart);
+  auto commands = entry.Handle(Arrival(1), kStart);
+  CHECK(Only<AskGrant>(commands).empty());
+  entry.Handle(LoadReported{{.target = {"e1"}, .epoch = 6, .sequence = 1}},
+               kStart);
+  commands = entry.Handle(Arrival(2), kStart);
+  const auto later = entry.Handle(Tick{}, kStart + milliseconds(10));
+  commands.insert(commands.end(), later.begin(), later.end());
+  CHECK_FALSE(Only<AskGrant>(commands).empty());
+}
--- a/test/explore/checks.cc
+++ b/test/explore/checks.cc
@@ -27,6 +27,12 @@
       return "no leaked memory";
     case Promise::kLiveStreamKept:
       return "live stream kept";
+    case Promise::kLeavingTarget:
+      return "no new work for a leaving target";
+    case Promise::kPlannedStop:
+      return "planned stop cuts nothing";
+    case Promise::kPoison:
+      return "poison costs two engines";
   }
   return "";
 }
@@ -71,6 +77,9 @@
   submission->final_at = now;
   const Time limit = std::max(submission->deadline, excused_until) + kLateLimit;
   if (now > limit) Fail(Promise::kInTime, "late answer " + name);
+  if (finish.code == Errc::kDraining) {
+    Fail(Promise::kPlannedStop, "refused by a stopping host " + name);
+  }
   const bool whole = submission->got == submission->total;
   if (finish.code == Errc::kOk && !whole) {
     Fail(Promise::kOwnAnswer, "answer cut short " + name);
--- a/test/explore/checks.h
+++ b/test/explore/checks.h
@@ -20,6 +20,9 @@
   kOwnAnswer,
   kNoLeak,
   kLiveStreamKept,
+  kLeavingTarget,
+  kPlannedStop,
+  kPoison,
 };
 
 const char* ToString(Promise promise);
--- a/test/explore/fake-target.cc
+++ b/test/explore/fake-target.cc
@@ -12,6 +12,9 @@
 constexpr std::uint32_t kChunkBytes = 10;
 constexpr Duration kChunkPeriod = std::chrono::milliseconds(60);
 constexpr std::uint64_t kKvTokens = 1000;
+constexpr Duration kPoisonTime = std::chrono::milliseconds(30);
+constexpr Duration kRestartTime = std::chrono::milliseconds(500);
+constexpr Duration kLeaveLimit = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -43,6 +46,13 @@
   const std::uint64_t epoch = epoch_;
   network_.After(kChunkPeriod,
                  [this, id = call.attempt, epoch] { Step(id, epoch); });
+  if (call.answer < kPoisonBody) return;
+  network_.After(kPoisonTime, [this, id = call.attempt] {
+    if (!running_.contains(id)) return;
+    ++poison_crashes_;
+    Crash();
+    network_.After(kRestartTime, [this] { Restart(); });
+  });
 }
 
 void FakeTarget::Step(const AttemptId& attempt, std::uint64_t epoch) {
@@ -85,6 +95,27 @@
 
 void FakeTarget::Restart() { up_ = true; }
 
+void FakeTarget::Leave() { closing_ = true; }
+
+TargetReport FakeTarget::Report() {
+  TargetReport report;
+  report.target = info_.name;
+  report.epoch = epoch_;
+  report.sequence = ++reports_;
+  report.running = static_cast<std::uint32_t>(running_.size());
+  report.kv_used = kKvTokens * running_.size();
+  report.kv_capacity = info_.kv_capacity;
+  report.max_running = info_.max_running;
+  report.closing = closing_;
+  report.models = info_.models;
+  if (closing_ && !told_) told_ = network_.now();
+  return report;
+}
+
+bool FakeTarget::SentTooLate() const {
+  return told_ && network_.now() - *told_ > kLeaveLimit;
+}
+
 void FakeTarget::Disconnect(const HostName& host, Incarnation incarnation) {
   for (auto& [id, run] : running_) {
     if (id.request.host == host && id.request.incarnation == incarnation) {
--- a/test/explore/fake-target.h
+++ b/test/explore/fake-target.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -47,6 +48,7 @@
   bool up() const { return up_; }
   std::uint64_t epoch() const { return epoch_; }
   std::size_t running() const { return running_.size(); }
+  std::uint32_t poison_crashes() const { return poison_crashes_; }
   std::vector<RunningAttempt> List() const;
 
   /// `reply` carries messages back on the stream; `ran` is told when the
@@ -58,6 +60,12 @@
   bool Cancel(const AttemptId& attempt);
   void Crash();
   void Restart();
+  /// From now on the target says that it takes no new work.
+  void Leave();
+  /// Its load report as of now.
+  TargetReport Report();
+  /// A host has decided to send it a request.
+  bool SentTooLate() const;
   /// The connections of a host broke; its attempts keep their memory.
   void Disconnect(const HostName& host, Incarnation incarnation);
   /// The open streams say nothing any more and end nowhere.
@@ -74,6 +82,7 @@
   };
 
   void Step(const AttemptId& attempt, std::uint64_t epoch);
+
   void Say(const Run& run, TargetMessage::Kind kind, std::uint64_t offset,
            std::uint32_t length) const;
 
@@ -82,6 +91,10 @@
   std::uint32_t number_;
   bool up_ = true;
   std::uint64_t epoch_ = 1;
+  std::uint64_t reports_ = 0;
+  bool closing_ = false;
+  std::optional<Time> told_;  ///< When it first said that it is leaving.
+  std::uint32_t poison_crashes_ = 0;
   std::map<AttemptId, Run> running_;
   std::set<AttemptId> started_;  ///< A stream carries its call once.
 };
--- a/test/explore/host.cc
+++ b/test/explore/host.cc
@@ -10,6 +10,8 @@
 
 constexpr Duration kGossipLag = milliseconds(500);
 constexpr std::uint32_t kShards = 2;
+constexpr Duration kAnswerLife = milliseconds(500);
+constexpr Duration kStopTime = std::chrono::seconds(2);
 
 }  // namespace
 
@@ -43,6 +45,7 @@
   settings.retention = std::chrono::seconds(7);
   settings.trim_period = milliseconds(500);
   settings.delete_period = milliseconds(20);
+  if (world_.sabotage.claim_settings) world_.sabotage.claim_settings(settings);
   return settings;
 }
 
@@ -50,6 +53,9 @@
   if (alive()) return;
   ++incarnation_.value;
   next_request_ = 1;
+  drain_ = Drain();
+  stopped_ = false;
+
   EntrySettings entry;
   entry.dispatcher.router.home = {"d" + std::to_string(number_ % 2)};
   entry.seed = number_ * 1000 + incarnation_.value;
@@ -78,6 +84,8 @@
   }
   streams_.clear();
   backlog_.clear();
+  closed_.clear();
+
   paused_until_ = {};
 }
 
@@ -146,6 +154,31 @@
   return id;
 }
 
+void Host::Stop() {
+  if (alive()) drain_.Stop(world_.network.now(), kGossipLag, kAnswerLife);
+}
+
+/// Goes on with a planned stop; the process exits at its end.
+void Host::AdvanceStop() {
+  if (drain_.phase() == DrainPhase::kServing) return;
+  const bool accepted = drain_.accepts();
+  const std::size_t outcomes =
+      cores_->claims.store_up() ? cores_->claims.unrecorded() : 0;
+  const std::size_t left = cores_->entry.open_requests() + outcomes;
+  DrainPhase phase = drain_.Advance(left, world_.network.now());
+  if (world_.sabotage.stop_at_once) phase = DrainPhase::kDone;
+  if (accepted && !drain_.accepts()) Give(StopAdmitting{Errc::kDraining});
+  if (phase != DrainPhase::kDone) return;
+  stopped_ = true;
+  for (const auto& [id, submission] : world_.checks.submissions()) {
+    const bool mine = id.host == name_ && id.incarnation == incarnation_;
+    if (!mine || submission.final) continue;
+    world_.checks.Fail(Promise::kPlannedStop, "cut " + ToString(id));
+  }
+  Crash();
+  world_.network.After(kStopTime, [this] { Start(); });
+}
+
 void Host::Tick() {
   Give(comfreyflow::Tick{});
   GiveClaims(comfreyflow::Tick{});
@@ -153,6 +186,7 @@
   for (std::uint32_t i = 0; i < kTargets; ++i) {
     CarrySteward(i, cores_->stewards[i].Tick(now));
   }
+  AdvanceStop();
 }
 
 void Host::PollTarget(std::uint32_t target) {
@@ -161,14 +195,21 @@
       Link::kHostToTarget, [this, target, &polled, life = incarnation_] {
         if (!polled.up()) return;
         const AttemptsListed listed{polled.epoch(), polled.List()};
-        world_.network.Send(Link::kTargetToHost, [this, target, listed, life] {
-          To(life, [this, target, listed] {
-            const Time now = world_.network.now();
-            CarrySteward(target, cores_->stewards[target].Listed(
-                                     listed.epoch, listed.attempts, now));
-            GiveSweep(target, listed);
-          });
-        });
+        TargetReport report = polled.Report();
+        if (world_.sabotage.ignore_leaving) report.closing = false;
+        world_.network.Send(
+            Link::kTargetToHost, [this, target, listed, report, life] {
+              To(life, [this, target, listed, report] {
+                const Time now = world_.network.now();
+                Give(LoadReported{report});
+                Steward& steward = cores_->stewards[target];
+                steward.Reported(report, now);
+                if (report.closing) CarrySteward(target, steward.Close());
+                CarrySteward(target, cores_->stewards[target].Listed(
+                                         listed.epoch, listed.attempts, now));
+                GiveSweep(target, listed);
+              });
+            });
       });
 }
 
@@ -190,6 +231,12 @@
       }
     }
   }
+  for (const auto& other : world_.hosts) {
+    if (!other->Serving()) continue;
+    for (const TargetName& name : closed_) other->HearClosed(name);
+  }
+  // The platform's list lags: it still calls each target live.
+  for (const auto& target : world_.targets) Give(TargetSeen{target->info()});
   std::vector<HostName> live;
   for (const auto& other : world_.hosts) {
     if (other->alive()) live.push_back(other->name());
@@ -197,6 +244,11 @@
   GiveClaims(ClaimStewards{AssignClaimStewards(live, kShards)});
 }
 
+void Host::HearClosed(const TargetName& target) {
+  if (!closed_.insert(target).second) return;
+  To([this, target] { Give(TargetClosed{target}); });
+}
+
 void Host::CallerHangsUp(const RequestId& request) {
   To([this, request] { Give(CallerGone{request}); });
 }
--- a/test/explore/host.h
+++ b/test/explore/host.h
@@ -8,9 +8,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "comfreyflow/claims.h"
+#include "comfreyflow/drain.h"
 #include "comfreyflow/entry.h"
 #include "comfreyflow/steward.h"
 #include "comfreyflow/sweep.h"
@@ -35,6 +37,10 @@
   void Start();
   void Crash();
   void Pause(Duration length);
+  /// Begins a planned stop.
+  void Stop();
+  bool in_answers() const { return Serving() && drain_.in_answers(); }
+  bool stopped() const { return stopped_; }
 
   /// Runs `action` in this incarnation: later when paused, never when dead.
   void To(Incarnation incarnation, std::function<void()> action);
@@ -49,6 +55,7 @@
   void Tick();
   void PollTarget(std::uint32_t target);
   void Gossip();
+  void HearClosed(const TargetName& target);
   void CallerHangsUp(const RequestId& request);
 
  private:
@@ -74,6 +81,9 @@
   void Carry(const Forward& command);
   void Carry(const Finish& command);
   void Carry(const ShareSuspect& command);
+  void Carry(const ShareClosed& command) { closed_.insert(command.target); }
+  void Carry(const PrefillDone& command);
+  void AdvanceStop();
 
   void CarryClaim(const ClaimCommand& command);
   void CallStore(const ClaimCommand& command);
@@ -98,6 +108,9 @@
   Time last_resume_{};
   std::deque<std::function<void()>> backlog_;
   std::map<Incarnation, Time> died_;
+  Drain drain_;
+  bool stopped_ = false;         ///< By a planned stop.
+  std::set<TargetName> closed_;  ///< Targets that others are to close.
 };
 
 }  // namespace comfreyflow::explore
--- a/test/explore/plan.cc
+++ b/test/explore/plan.cc
@@ -11,15 +11,17 @@
 using std::chrono::milliseconds;
 
 constexpr std::array<const char*, static_cast<std::size_t>(FaultKind::kCount)>
-    kNames = {"crash-host",   "pause-host",       "crash-target",
-              "store-down",   "store-deaf",       "store-slow",
-              "lose-answer",  "delay-store-call", "cut-link",
-              "drop-message", "delay-message",    "double-message",
-              "silence",      "caller-gone",      "target-refuses",
-              "truncate",     "false-death",      "two-stewards"};
+    kNames = {"crash-host",    "pause-host",       "crash-target",
+              "store-down",    "store-deaf",       "store-slow",
+              "lose-answer",   "delay-store-call", "cut-link",
+              "drop-message",  "delay-message",    "double-message",
+              "silence",       "caller-gone",      "target-refuses",
+              "truncate",      "false-death",      "two-stewards",
+              "target-leaves", "stop-host",        "poison"};
 
 constexpr std::uint32_t kMaxFaults = 14;
 constexpr int kLastFaultMs = 10'000;
+constexpr Duration kLongLength = milliseconds(9000);  ///< Over the retention.
 constexpr std::array<int, 5> kLengthsMs = {20, 150, 600, 1500, 2500};
 
 }  // namespace
@@ -44,6 +46,9 @@
         random() % static_cast<std::uint64_t>(FaultKind::kCount));
     fault.at = milliseconds(random() % kLastFaultMs);
     fault.length = milliseconds(kLengthsMs.at(random() % kLengthsMs.size()));
+    const bool can_be_long = fault.kind == FaultKind::kPauseHost ||
+                             fault.kind == FaultKind::kDelayStoreCall;
+    if (can_be_long && random() % 4 == 0) fault.length = kLongLength;
     fault.which = static_cast<std::uint32_t>(random() % 64);
     plan.faults.push_back(fault);
   }
@@ -52,6 +57,13 @@
   return plan;
 }
 
+bool Has(const Plan& plan, std::initializer_list<FaultKind> kinds) {
+  return std::any_of(
+      plan.faults.begin(), plan.faults.end(), [&](const Fault& fault) {
+        return std::find(kinds.begin(), kinds.end(), fault.kind) != kinds.end();
+      });
+}
+
 Plan Shrink(Plan plan, const std::function<bool(const Plan&)>& fails) {
   std::size_t chunk = std::max<std::size_t>(1, plan.faults.size() / 2);
   while (chunk > 0) {
--- a/test/explore/plan.h
+++ b/test/explore/plan.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,9 @@
   kTruncate,       ///< A target ends answers early.
   kFalseDeath,     ///< A live host is reported dead.
   kTwoStewards,    ///< A second host acts as steward of a target.
+  kTargetLeaves,   ///< A target says that it takes no more work.
+  kStopHost,       ///< Planned stop; restarts later.
+  kPoison,         ///< A request that crashes engines, sent again and again.
   kCount
 };
 
@@ -50,6 +54,9 @@
 /// The faults of a seed; a seed's workload depends on the seed alone.
 Plan MakePlan(std::uint64_t seed);
 
+/// Whether the plan has a fault of one of these kinds.
+bool Has(const Plan& plan, std::initializer_list<FaultKind> kinds);
+
 /// Removes faults as long as `fails` holds, by halves and then one by one.
 Plan Shrink(Plan plan, const std::function<bool(const Plan&)>& fails);
 
--- a/test/explore/sabotage.h
+++ b/test/explore/sabotage.h
@@ -18,6 +18,11 @@
   std::function<bool(ClaimCommand&)> claim_command;
   std::function<bool(SweepEvent&)> sweep_event;
   std::function<bool(SweepCommand&)> sweep_command;
+  std::function<void(ClaimSettings&)> claim_settings;
+  /// Hosts take no notice of a target's word that it is leaving.
+  bool ignore_leaving = false;
+  /// A planned stop ends the process at once.
+  bool stop_at_once = false;
   /// The store overwrites where it should create.
   bool store_overwrites = false;
   /// The shell gives each chunk to the caller, asked to or not.
--- a/test/explore/shell.cc
+++ b/test/explore/shell.cc
@@ -55,6 +55,21 @@
   }
 }
 
+void Host::Carry(const PrefillDone& command) {
+  const std::uint32_t target = world_.TargetNumber(command.target);
+  for (Host* steward : world_.StewardsOf(target)) {
+    world_.network.Send(
+        Link::kHostToHost, [this, steward, target, id = command.attempt,
+                            life = steward->incarnation()] {
+          steward->To(life, [this, steward, target, id] {
+            const Time now = world_.network.now();
+            steward->CarrySteward(
+                target, steward->cores_->stewards[target].PrefillDone(id, now));
+          });
+        });
+  }
+}
+
 void Host::CarrySteward(std::uint32_t target, const StewardTurn& turn) {
   for (const ReserveAnswer& answer : turn.answers) {
     Host* owner = world_.Named(answer.attempt.request.host);
@@ -111,6 +126,9 @@
 
 void Host::SendCall(const Stream& stream) {
   const AttemptId id = stream.open.attempt;
+  if (world_.targets[stream.target]->SentTooLate()) {
+    world_.checks.Fail(Promise::kLeavingTarget, "sent " + ToString(id));
+  }
   const Submission* submission = world_.checks.Find(id.request);
   TargetCall call;
   call.attempt = id;
--- a/test/explore/world.cc
+++ b/test/explore/world.cc
@@ -14,9 +14,15 @@
 
 constexpr std::uint32_t kRequests = 24;
 constexpr int kLastRequestMs = 10'000;
-constexpr Duration kHorizon = seconds(21);
+constexpr Duration kHorizon = seconds(28);
 constexpr Duration kPollPeriod = milliseconds(250);
 constexpr Duration kGossipPeriod = milliseconds(500);
+constexpr std::uint32_t kPoisonTimes = 4;
+constexpr unsigned kAgeShift = 16;
+constexpr std::int64_t kPoisonCrashes = 2;
+constexpr Duration kPoisonGap = milliseconds(1500);
+constexpr Duration kAnswerPeriod = milliseconds(100);
+constexpr std::size_t kAnswersKept = 10;  ///< A second's worth.
 constexpr Duration kResumeDelay = milliseconds(300);
 constexpr std::uint64_t kPlainBytes = 10;
 constexpr std::uint64_t kLongAnswer = 100'000;  ///< Bodies from here on.
@@ -71,6 +77,17 @@
     }
   }
 
+  /// One body that crashes engines, through one host after the other.
+  void SendPoison(std::uint32_t which) {
+    Wish wish;
+    wish.account = {"a"};
+    wish.body = kPoisonBody + which;
+    wish.patience = seconds(3);
+    for (std::uint32_t i = 0; i < kPoisonTimes; ++i) {
+      SendAt(kPoisonGap * i, wish, which + i);
+    }
+  }
+
   void HangUp(std::uint32_t which) {
     const auto& all = world_.checks.submissions();
     if (all.empty()) return;
@@ -150,13 +167,7 @@
     return arrival;
   }
 
-  Host* Pick(std::uint64_t choice) {
-    for (std::uint32_t i = 0; i < kHosts; ++i) {
-      Host* host = world_.hosts[(choice + i) % kHosts].get();
-      if (host->alive()) return host;
-    }
-    return nullptr;
-  }
+  Host* Pick(std::uint64_t choice) { return world_.AnswerFor(choice); }
 
   World& world_;
   std::mt19937_64 random_;
@@ -181,6 +192,14 @@
         target->Crash();
         world.network.After(fault.length, [target] { target->Restart(); });
         return;
+      case FaultKind::kTargetLeaves:
+        // One engine and one service may go; the others take the work.
+        if (target == world.targets[0].get()) target->Leave();
+        return;
+      case FaultKind::kStopHost:
+        return host->Stop();
+      case FaultKind::kPoison:
+        return callers.SendPoison(fault.which);
       case FaultKind::kSilence:
         return target->Silence();
       case FaultKind::kCallerGone:
@@ -199,6 +218,8 @@
 }
 
 void StartClocks(World& world) {
+  world.RefreshAnswers();
+  Every(world, kAnswerPeriod, [&world] { world.RefreshAnswers(); });
   Every(world, kEntryTickPeriod, [&world] {
     for (const auto& host : world.hosts) {
       if (host->Serving()) host->Tick();
@@ -217,7 +238,20 @@
 }
 
 /// What must hold once all work has ended and all faults are over.
-void CheckEnd(World& world) {
+void CheckEnd(World& world, const Plan& plan) {
+  std::uint32_t crashes = 0;
+  for (const auto& target : world.targets) crashes += target->poison_crashes();
+  // A host that did not hear of the first crashes can't know better.
+  const bool heard =
+      !Has(plan, {FaultKind::kCrashHost, FaultKind::kPauseHost,
+                  FaultKind::kCutLink, FaultKind::kDropMessage,
+                  FaultKind::kDelayMessage, FaultKind::kStopHost});
+  const auto poisons = std::count_if(
+      plan.faults.begin(), plan.faults.end(),
+      [](const Fault& fault) { return fault.kind == FaultKind::kPoison; });
+  if (heard && crashes > kPoisonCrashes * poisons) {
+    world.checks.Fail(Promise::kPoison, std::to_string(crashes) + " crashes");
+  }
   for (const auto& target : world.targets) {
     if (target->running() == 0) continue;
     world.checks.Fail(Promise::kNoLeak,
@@ -249,6 +283,26 @@
   return hosts.at(name.value.back() - '0').get();
 }
 
+void World::RefreshAnswers() {
+  std::vector<Host*> named;
+  for (const auto& host : hosts) {
+    if (host->in_answers()) named.push_back(host.get());
+  }
+  answers.push_front(std::move(named));
+  if (answers.size() > kAnswersKept) answers.pop_back();
+}
+
+Host* World::AnswerFor(std::uint64_t choice) {
+  const auto& named = answers[(choice >> kAgeShift) % answers.size()];
+  for (std::size_t i = 0; i < named.size(); ++i) {
+    Host* host = named[(choice + i) % named.size()];
+    if (host->alive()) return host;
+    if (!host->stopped()) continue;
+    checks.Fail(Promise::kPlannedStop, "an answer outlived its host");
+  }
+  return nullptr;
+}
+
 std::uint32_t World::TargetNumber(const TargetName& name) const {
   return static_cast<std::uint32_t>(name.value.back() - '0');
 }
@@ -289,7 +343,7 @@
   for (const Fault& fault : plan.faults) Schedule(world, callers, fault);
   StartClocks(world);
   world.network.RunUntil(kStart + kHorizon);
-  CheckEnd(world);
+  CheckEnd(world, plan);
   RunReport report;
   report.violations = world.checks.violations();
   report.faults = world.network.injected();
--- a/test/explore/world.h
+++ b/test/explore/world.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,6 +22,7 @@
 inline constexpr std::uint32_t kHosts = 3;
 inline constexpr std::uint32_t kTargets = 4;
 inline constexpr std::uint32_t kEngines = 3;  ///< The rest are plain services.
+inline constexpr std::uint64_t kPoisonBody = 1'000'000;  ///< Bodies from here.
 inline constexpr Duration kResumeWindow = std::chrono::seconds(3);
 
 struct RunReport {
@@ -49,6 +51,9 @@
   /// The host that acts as steward of a target now, and the second one while a
   /// fault makes two.
   std::vector<Host*> StewardsOf(std::uint32_t target);
+  /// A host that a caller's address answer names; the answer may be old.
+  Host* AnswerFor(std::uint64_t choice);
+  void RefreshAnswers();
   std::uint32_t TargetNumber(const TargetName& name) const;
   /// A cancel that the owner did not ask for reaches the target.
   void SweepCancel(std::uint32_t target, const AttemptId& attempt);
@@ -59,6 +64,8 @@
   testing::ClaimStore store;
   std::vector<std::unique_ptr<FakeTarget>> targets;
   std::vector<std::unique_ptr<Host>> hosts;
+  /// Address answers of the last second, latest first.
+  std::deque<std::vector<Host*>> answers;
 };
 
 }  // namespace comfreyflow::explore
