--- /dev/null
+++ b/src/node/config-actor.cc
@@ -0,0 +1,205 @@
+// Carries out the commands of the configuration's state.
+#include "node/config-actor.h"
+
+#include <utility>
+
+#include "node/clock.h"
+#include "node/log.h"
+#include "node/timer-service.h"
+
+namespace comfreyflow::node {
+namespace {
+
+using comfreyflow::detail::Now;
+
+constexpr const char* kKind = "config";
+
+StoredConfig StoredOf(const PlatformObject& object) {
+  return {object.version, object.value};
+}
+
+void Post(const ActorRefPtr& self, ConfigEvent event) {
+  self->Send(ConfigPosted{std::move(event)});
+}
+
+/// One operator's update on its way to the store. Lives in the handlers of its
+/// calls.
+class UpdateRun : public std::enable_shared_from_this<UpdateRun> {
+ public:
+  UpdateRun(ConfigWanted message, const ConfigDeps& deps)
+      : message_(std::move(message)),
+        update_(message_.wanted.generation, message_.wanted.document),
+        platform_(deps.platform),
+        environment_(deps.environment),
+        self_(deps.self) {}
+
+  void Start() { Take(update_.Start()); }
+
+ private:
+  void Take(const UpdateStep& step) {
+    std::visit([this](const auto& typed) { Do(typed); }, step);
+  }
+
+  void Do(const PutConfig& put) {
+    const auto handler = [run = shared_from_this()](const WriteAnswer& answer) {
+      run->Wrote(answer);
+    };
+    if (put.if_version == 0) {
+      platform_->Create(kKind, environment_, put.text, handler);
+    } else {
+      platform_->Update(kKind, environment_, put.if_version, put.text, handler);
+    }
+  }
+
+  void Wrote(const WriteAnswer& answer) {
+    if (answer.state == WriteState::kApplied) {
+      return Take(update_.OnPut(PutReply::kDone, answer.version));
+    }
+    const bool conflict = answer.error == Errc::kVersionConflict ||
+                          answer.error == Errc::kObjectNotFound;
+    const bool refused = answer.state == WriteState::kRefused;
+    if (refused && !conflict) return End(ToErrc(answer.error), 0);
+    Take(update_.OnPut(refused ? PutReply::kConflict : PutReply::kNoAnswer,
+                       answer.version));
+  }
+
+  void Do(const ReadBack&) {
+    platform_->Read(kKind, environment_,
+                    [run = shared_from_this()](const ReadAnswer& answer) {
+                      run->HasRead(answer);
+                    });
+  }
+
+  void HasRead(const ReadAnswer& answer) {
+    if (answer.error == Errc::kObjectNotFound) {
+      return Take(update_.OnRead({}));
+    }
+    Take(answer.error ? update_.OnReadFailed()
+                      : update_.OnRead(StoredOf(answer.object)));
+  }
+
+  void Do(const UpdateEnded& end) { End(end.code, end.current.generation); }
+
+  void End(Errc code, std::uint64_t generation) {
+    ApplyResult result;
+    result.code = code;
+    result.generation = generation;
+    if (code == Errc::kOk) {
+      result.hash = Sha256(message_.wanted.document).value;
+      Post(self_, ConfigOffered{{generation, message_.wanted.document}});
+    }
+    message_.done(std::move(result));
+  }
+
+  const ConfigWanted message_;
+  ConfigUpdate update_;
+  PlatformClient* const platform_;
+  const std::string environment_;
+  const ActorRefPtr self_;
+};
+
+}  // namespace
+
+ConfigActor::ConfigActor(caf::actor_config& config, ConfigDeps deps)
+    : caf::event_based_actor(config),
+      deps_(std::move(deps)),
+      state_(deps_.seed, Now()) {}
+
+caf::behavior ConfigActor::make_behavior() {
+  Subscribe();
+  return {
+      [this](const ConfigWanted& message) { Update(message); },
+      [this](const ConfigPosted& message) { Run(message.event); },
+      [this](const TimerTick&) { Run(ConfigTick{}); },
+      [this](const PeerRestarted& message) {
+        if (message.name == kTimerName) Subscribe();
+      },
+  };
+}
+
+void ConfigActor::Subscribe() {
+  deps_.timer->Send(TimerSubscribe{caf::actor(this), kConfigTick});
+}
+
+void ConfigActor::Run(const ConfigEvent& event) {
+  for (const auto& command : state_.Handle(event, Now())) {
+    std::visit([this](const auto& typed) { Do(typed); }, command);
+  }
+}
+
+void ConfigActor::Do(const ApplyConfig& command) {
+  auto next = std::make_shared<ConfigGeneration>();
+  next->generation = command.generation;
+  next->text = state_.text();
+  next->hash = Sha256(next->text).value;
+  next->digest = command.hash;
+  next->config = *command.config;
+  deps_.hooks.apply(next);
+}
+
+void ConfigActor::Do(const ReadStoredConfig&) {
+  deps_.platform->Read(kKind, deps_.environment,
+                       [self = deps_.self](const ReadAnswer& answer) {
+                         if (answer.error == Errc::kObjectNotFound) {
+                           Post(self, StoreUnchanged{});
+                         } else if (answer.error) {
+                           Post(self, StoreFailed{});
+                         } else {
+                           Post(self, StoreGave{StoredOf(answer.object)});
+                         }
+                       });
+}
+
+void ConfigActor::Do(const WatchStoredConfig& command) {
+  deps_.platform->Watch(kKind, command.since, kWatchTime,
+                        [self = deps_.self, environment = deps_.environment](
+                            const WatchAnswer& answer) {
+                          if (answer.error) {
+                            Post(self, StoreFailed{});
+                          } else {
+                            Post(self, StoreUnchanged{});
+                          }
+                          for (const auto& change : answer.changes) {
+                            if (change.name != environment || change.deleted)
+                              continue;
+                            Post(self, StoreGave{StoredOf(change)});
+                          }
+                          Post(self, WatchEnded{});
+                        });
+}
+
+void ConfigActor::Do(const FetchConfig& command) { deps_.hooks.fetch(command); }
+
+void ConfigActor::Do(const ConfigRejected& command) {
+  LogLine(Severity::kError, "config_rejected")
+      .With("generation", command.generation)
+      .With("problems", std::uint64_t{command.problems.size()});
+}
+
+void ConfigActor::Do(const StopAdmitting& command) {
+  deps_.hooks.admitting(command.reason);
+}
+
+void ConfigActor::Do(const ResumeAdmitting&) {
+  deps_.hooks.admitting(Errc::kOk);
+}
+
+void ConfigActor::Update(const ConfigWanted& message) {
+  const auto& wanted = message.wanted;
+  const auto parsed = ParseConfig(wanted.document);
+  ApplyResult result;
+  result.problems = parsed.problems;
+  result.hash = Sha256(wanted.document).value;
+  if (!parsed.ok()) {
+    result.code = Errc::kConfigInvalid;
+    return message.done(std::move(result));
+  }
+  const bool proven = wanted.proven_hash == PolicyHashOf(parsed.config).value;
+  if (deps_.require_proof && !proven) {
+    result.code = Errc::kPromoteUnproven;
+    return message.done(std::move(result));
+  }
+  std::make_shared<UpdateRun>(message, deps_)->Start();
+}
+
+}  // namespace comfreyflow::node
