--- a/src/core/entry/attempts.cc
+++ b/src/core/entry/attempts.cc
@@ -1,6 +1,10 @@
 // From a request's first attempt to its final answer: grants, streams,
 // retries, crashes.
+#include <xxhash.h>
+
 #include <algorithm>
+#include <cstdint>
+#include <vector>
 
 #include "core/entry/state.h"
 
@@ -24,6 +28,7 @@
   for (const auto& name : poison.CrashedTargets(request.info.fingerprint)) {
     excluded.push_back(name);
   }
+  if (verdict == PoisonVerdict::kApart) KeepToOne(request.info, excluded);
   request.phase = Phase::kDispatching;
   request.first_token = false;
   const AttemptId id = request.attempt.Begin(now);
@@ -31,7 +36,35 @@
                            verdict == PoisonVerdict::kApart));
 }
 
-void Entry::State::Carry(DispatchCommands commands) {
+/// Leaves a suspect the one target that every host picks for it, so that two
+/// of its resends do not crash two more targets at the same time.
+void Entry::State::KeepToOne(const RequestInfo& info,
+                             std::vector<TargetName>& excluded) const {
+  const TargetName* chosen = nullptr;
+  std::uint64_t highest = 0;
+  std::vector<TargetName> others;
+  for (const auto& [name, target] : seen) {
+    const bool fits =
+        target.kv_capacity == 0 ||
+        info.prompt_tokens + std::uint64_t{info.max_output_tokens} <=
+            target.kv_capacity;
+    const bool out =
+        std::find(excluded.begin(), excluded.end(), name) != excluded.end();
+    if (target.service != info.service || closed.contains(name)) continue;
+    others.push_back(name);
+    if (!fits || out) continue;
+    const std::uint64_t weight = XXH3_64bits_withSeed(
+        name.value.data(), name.value.size(), info.fingerprint);
+    if (chosen != nullptr && weight <= highest) continue;
+    chosen = &name;
+    highest = weight;
+  }
+  if (chosen == nullptr) return;
+  std::erase(others, *chosen);
+  excluded.insert(excluded.end(), others.begin(), others.end());
+}
+
+void Entry::State::Carry(const DispatchCommands& commands) {
   for (const DispatchCommand& command : commands) {
     std::visit([this](const auto& typed) { Carry(typed); }, command);
   }
--- a/src/core/entry/state.h
+++ b/src/core/entry/state.h
@@ -57,7 +57,9 @@
 
   // Attempts (attempts.cc).
   void StartAttempt(detail::Request& request);
-  void Carry(DispatchCommands commands);
+  void KeepToOne(const RequestInfo& info,
+                 std::vector<TargetName>& excluded) const;
+  void Carry(const DispatchCommands& commands);
   void Carry(const SendAsk& command);
   void Carry(const SendRelease& command);
   void Carry(const SendPrefillDone& command);
--- a/src/node/steward-actor.cc
+++ b/src/node/steward-actor.cc
@@ -14,6 +14,8 @@
 using comfreyflow::detail::Now;
 using std::chrono::milliseconds;
 
+/// Retry advice until a new steward has read the target's load.
+constexpr Duration kNotReportedYet = milliseconds(100);
 constexpr Duration kStewardTick = milliseconds(20);
 /// Time between two polls of a target, by what is asked.
 constexpr std::array<Duration, 3> kPollPeriods = {
@@ -90,7 +92,7 @@
   });
   for (const auto& [name, info] : wanted) {
     const auto [at, added] = wards_.try_emplace(
-        name, Ward{info, Steward(info), Sweep(), 0, 0, {}, {}});
+        name, Ward{info, Steward(info), Sweep(), 0, 0, false, {}, {}});
     if (!added) continue;
     LogLine(Severity::kInfo, "stewardship_began").With("target", name);
     for (const auto& [host, news] : owners_) {
@@ -128,6 +130,12 @@
     return deps_.hooks.answer(wanted.target,
                               {wanted.ask.attempt, GrantReply::kGranted, {}});
   }
+  // A new steward does not know yet whether the target is leaving.
+  if (!ward->reported) {
+    return deps_.hooks.answer(
+        wanted.target,
+        {wanted.ask.attempt, GrantReply::kRefused, kNotReportedYet});
+  }
   CarryOut(*ward, ward->steward.Reserve(wanted.ask, Now()));
 }
 
@@ -179,6 +187,7 @@
   if (ward == nullptr) return;
   if (report.epoch != ward->epoch) ward->cache_next = 0;
   ward->epoch = report.epoch;
+  ward->reported = true;
   ward->steward.Reported(report, Now());
   if (report.closing) CarryOut(*ward, ward->steward.Close());
   deps_.hooks.report(report);
--- a/src/node/steward-actor.h
+++ b/src/node/steward-actor.h
@@ -50,6 +50,7 @@
     Sweep sweep;
     std::uint64_t cache_next = 0;
     std::uint64_t epoch = 0;
+    bool reported = false;  ///< Nothing is granted before the first report.
     std::array<Time, kPolls> due{};
     std::array<bool, kPolls> under_way{};
   };
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -284,11 +284,12 @@
   const auto later = entry.Handle(Tick{}, kStart + milliseconds(10));
   commands.insert(commands.end(), later.begin(), later.end());
   CHECK_FALSE(Only<AskGrant>(commands).empty());
+}
 
-  TEST_CASE("a long prompt is served though the service has one engine only") {
-    Entry entry{EntrySettings{}};
-    entry.Handle(TargetSeen{Engine("only")}, kStart);
-    RequestArrived event = Arrival(1);
-    event.info.prompt_tokens = 225'000;
-    CHECK(One<AskGrant>(entry.Handle(event, kStart)).target.value == "only");
-  }
+TEST_CASE("a long prompt is served though the service has one engine only") {
+  Entry entry{EntrySettings{}};
+  entry.Handle(TargetSeen{Engine("only")}, kStart);
+  RequestArrived event = Arrival(1);
+  event.info.prompt_tokens = 225'000;
+  CHECK(One<AskGrant>(entry.Handle(event, kStart)).target.value == "only");
+}
--- a/test/explore/host.h
+++ b/test/explore/host.h
@@ -68,6 +68,7 @@
     Claims claims;
     std::vector<Sweep> sweeps;
     std::vector<Steward> stewards;
+    std::vector<bool> reported;  ///< By target; nothing is granted before.
   };
 
   template <class Command>
@@ -89,6 +90,7 @@
   void CallStore(const ClaimCommand& command);
   void AnswerStore(StoreAnswered answer, Duration delay);
   void CarrySweep(std::uint32_t target, const SweepCommand& command);
+  void Reserve(std::uint32_t target, const ReserveAsk& ask);
   void CarrySteward(std::uint32_t target, const StewardTurn& turn);
 
   void Connected(const AttemptId& attempt);
