--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -125,7 +125,8 @@
     WaitSignal();
     WaitTls();
     io_.run();
-    LogLine(Severity::kInfo, "host_stopped");
+    LogLine(Severity::kInfo, "host_stopped")
+        .With("exit_code", static_cast<std::uint64_t>(exit_code_));
     return exit_code_;
   }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -9,6 +9,12 @@
 
 namespace comfreyflow::http {
 
+namespace {
+
+constexpr std::chrono::milliseconds kAcceptRetry{50};
+
+}  // namespace
+
 namespace asio = boost::asio;
 using asio::ip::tcp;
 
@@ -48,7 +54,6 @@
 
   /// Out of descriptors: lets open sessions end before the next try.
   void WaitAndAccept() {
-    constexpr std::chrono::milliseconds kAcceptRetry{50};
     retry.expires_after(kAcceptRetry);
     retry.async_wait(
         [self = shared_from_this()](const boost::system::error_code&) {
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -1,16 +1,15 @@
 // The state of one connection: read head, admit, read body, answer, again.
 #include "http/session.h"
 
-#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/asio/ssl.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cctype>
 #include <optional>
 #include <utility>
 
+#include "http/head.h"
 #include "http/lazy-timer.h"
 
 namespace comfreyflow::http::detail {
@@ -27,37 +26,7 @@
 constexpr std::size_t kAheadBytes = 1024;
 /// Copies of a body that exist at once while it is parsed or sent on.
 constexpr std::uint64_t kBodyCopies = 2;
-
-std::string LowerCase(std::string_view text) {
-  std::string out(text);
-  std::transform(out.begin(), out.end(), out.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return out;
-}
-
-template <class Message>
-Request HeadOf(const Message& message) {
-  Request out;
-  out.method = std::string(message.method_string());
-  const std::string_view target(message.target().data(),
-                                message.target().size());
-  const auto mark = target.find('?');
-  out.path = std::string(target.substr(0, mark));
-  if (mark != std::string_view::npos) out.query = target.substr(mark + 1);
-  for (const auto& field : message) {
-    out.fields.push_back(
-        {LowerCase({field.name_string().data(), field.name_string().size()}),
-         std::string(field.value())});
-  }
-  return out;
-}
-
-/// Failures of the parser as codes of the product.
-Errc CodeOf(const error_code& error) {
-  if (error == bh::error::header_limit) return Errc::kHeadersTooLarge;
-  if (error == bh::error::body_limit) return Errc::kBodyTooLarge;
-  return Errc::kMalformedHttp;
-}
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 tcp::socket& Lowest(tcp::socket& socket) { return socket; }
 tcp::socket& Lowest(TlsStream& stream) { return stream.next_layer(); }
@@ -225,8 +194,6 @@
   }
 
   void WriteContinue() {
-    static constexpr std::string_view kContinue =
-        "HTTP/1.1 100 Continue\r\n\r\n";
     asio::async_write(stream_, asio::buffer(kContinue),
                       [self = Shared()](const error_code& error, std::size_t) {
                         if (!self->Stopped(error)) self->ReadBodySome();
--- a/src/http/session.h
+++ b/src/http/session.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <atomic>
+#include <boost/asio/ip/tcp.hpp>
 #include <memory>
 
 #include "http/server.h"
--- a/src/http/sse.cc
+++ b/src/http/sse.cc
@@ -4,6 +4,11 @@
 #include <utility>
 
 namespace comfreyflow::http {
+namespace {
+
+constexpr std::string_view kData = "data:";
+
+}  // namespace
 
 bool SseParser::Feed(std::string_view bytes) {
   while (!bytes.empty()) {
@@ -26,7 +31,6 @@
 }
 
 void SseParser::TakeLine(std::string_view line) {
-  constexpr std::string_view kData = "data:";
   if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
   if (line.empty()) {
     if (!data_.empty() && hooks_.on_data) hooks_.on_data(data_);
--- a/src/node/answer.cc
+++ b/src/node/answer.cc
@@ -10,6 +10,9 @@
 using Json = nlohmann::ordered_json;
 using std::chrono::milliseconds;
 
+constexpr milliseconds kDefaultRetryAfter{1000};
+/// Stands for an event's text; no name in the frame can hold it unescaped.
+constexpr std::string_view kMark = "\"\\u0001\"";
 constexpr const char* kEventStream = "text/event-stream";
 
 bool IsChat(const Call& call) {
@@ -117,8 +120,6 @@
 /// The JSON of an event with `text`. All but the text is the same in each.
 std::string ChunkText(Call& call, std::string_view text) {
   if (call.chunk_begin.empty()) {
-    // No name that is part of the frame can hold this character unescaped.
-    constexpr std::string_view kMark = "\"\\u0001\"";
     const std::string frame = Dump(ChunkJson(call, "\x01"));
     const auto at = frame.rfind(kMark);
     call.chunk_begin = frame.substr(0, at);
@@ -148,7 +149,6 @@
 }  // namespace
 
 Failure FailureOf(Errc code) {
-  constexpr milliseconds kDefaultRetryAfter{1000};
   const ErrorInfo& info = Info(code);
   const Duration after = info.retry ? kDefaultRetryAfter : milliseconds{0};
   return {code, info.outcome, after, {}};
--- a/test/shell/bad-input-test.cc
+++ b/test/shell/bad-input-test.cc
@@ -44,6 +44,13 @@
   return Post("/v1/chat/completions", kKey, body);
 }
 
+/// A stream that outlasts what a test does beside it.
+std::string LongStream(const std::string& key) {
+  return Post("/v1/completions",
+              {{"authorization", Bearer(key)}, {"x-deadline-ms", "1800000"}},
+              Prompt("a long plan", 50'000, true));
+}
+
 std::string Resume(const std::string& token) {
   Fields fields = With("x-resume-token", token);
   fields.emplace_back("x-resume-offset", "0");
@@ -141,6 +148,10 @@
       {"old token", Errc::kResumeTokenExpired, Resume(ExpiredToken())},
       {"no target", Errc::kNoTarget,
        Text(R"({"model":"nowhere","prompt":"x"})")},
+      {"no time for its tokens", Errc::kDeadlineInfeasible,
+       Post(path, With("x-deadline-ms", "50"), Prompt("a book", 100'000))},
+      {"longer than all engines together", Errc::kPromptTooLong,
+       Text(Prompt(std::string(7 * 1024 * 1024, 'a'), 3))},
       {"no store for the key", Errc::kStoreUnavailable,
        Post("/services/rounds/x", With("idempotency-key", "k1"), "")},
   };
@@ -241,6 +252,47 @@
   CheckServes(fixture.host->callers());
 }
 
+TEST_CASE("an account over its limits is refused, and others are not") {
+  Fixture fixture;
+  const std::string address = fixture.host->callers();
+  const auto send = [&address](const std::string& key) {
+    return Ask(address, Post("/v1/completions",
+                             {{"authorization", Bearer(key)}}, kGood));
+  };
+  RawAnswer answer;
+  do {
+    answer = send(kSlowKey);
+  } while (answer.status == 200);
+  CheckError(answer, Errc::kRateLimited);
+  RawCaller holder(address);
+  holder.Send(LongStream(kNarrowKey));
+  REQUIRE(holder.ReadUntil("data: {").find("data: {") != std::string::npos);
+  CheckError(send(kNarrowKey), Errc::kConcurrencyLimited);
+  CheckServes(address);
+  holder.Close();
+}
+
+TEST_CASE("a host that stops refuses new work and says where to go") {
+  Fixture fixture([](HostSettings& settings) {
+    settings.address_life = std::chrono::milliseconds(100);
+  });
+  const std::string address = fixture.host->callers();
+  RawCaller holder(address);
+  holder.Send(LongStream(kAccountKey));
+  REQUIRE(holder.ReadUntil("data: {").find("data: {") != std::string::npos);
+  fixture.host->node().Drain();
+  RawAnswer answer;
+  do {
+    answer = Ask(address, Text(kGood));
+  } while (answer.status == 200);
+  CheckError(answer, Errc::kDraining);
+  const auto hosts = nlohmann::json::parse(
+      Ask(address, RequestText("GET", "/v1/addresses", {}, "")).body);
+  CHECK(hosts.at("hosts").empty());
+  holder.Close();
+  CHECK(fixture.host->WaitForExit() == 0);
+}
+
 TEST_CASE("a host without configuration says so") {
   HostSettings settings = Settings("h1");
   TestHost host(settings);
--- a/test/shell/host-fixture.h
+++ b/test/shell/host-fixture.h
@@ -25,6 +25,8 @@
 inline const std::string kFleetKey = "fleet-key-of-the-tests-0123456789abcdef";
 inline const std::string kAccountKey = "key-of-account-orders";
 inline const std::string kOtherKey = "key-of-account-guests";
+inline const std::string kSlowKey = "key-of-account-slow";
+inline const std::string kNarrowKey = "key-of-account-narrow";
 inline const std::string kAdminKey = "key-of-the-operators";
 
 /// A file that is gone at the end of the test.
@@ -60,6 +62,14 @@
       Sha256(kOtherKey).value +
       "\ntokens_per_second = 1000000\nconcurrent_tokens = 1000000\n"
       "services = empty\n"
+      "[account slow]\nkeys = " +
+      Sha256(kSlowKey).value +
+      "\ntokens_per_second = 1\nconcurrent_tokens = 1000000\n"
+      "services = assistant\n"
+      "[account narrow]\nkeys = " +
+      Sha256(kNarrowKey).value +
+      "\ntokens_per_second = 1000000\nconcurrent_tokens = 1\n"
+      "services = assistant\n"
       "[service assistant]\ntarget_class = bento-llm\nmodels = bento-llm@1\n"
       "[service empty]\ntarget_class = none\nmodels = nowhere@1\n"
       "[service rounds]\nkind = plain\ntarget_class = rounds-app\n";
