--- a/src/node/headers.cc
+++ b/src/node/headers.cc
@@ -4,9 +4,13 @@
 #include <charconv>
 
 namespace comfreyflow::node {
+namespace {
+
+constexpr std::string_view kScheme = "bearer ";
+
+}  // namespace
 
 std::string_view BearerKey(const http::Fields& fields) {
-  constexpr std::string_view kScheme = "bearer ";
   std::string_view value = http::FieldValue(fields, "authorization");
   if (value.size() <= kScheme.size()) return {};
   for (std::size_t i = 0; i < kScheme.size(); ++i) {
--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -100,6 +100,10 @@
   }
 }
 
+void LogEvent(Severity severity, std::string_view event) {
+  const LogLine line(severity, event);
+}
+
 LogLine& LogLine::With(const char* key, std::string_view value) {
   fields_->json[key] = value;
   return *this;
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -18,6 +18,9 @@
 /// Sends glog's lines to the JSON sink; once, from main.
 void StartLog(const char* program);
 
+/// A line without fields.
+void LogEvent(Severity severity, std::string_view event);
+
 /// One line, written when it goes out of scope.
 class LogLine {
  public:
@@ -39,7 +42,8 @@
 
   template <class Tag>
   LogLine& With(const char* key, const Name<Tag>& name) {
-    return With(key, std::string_view(name.value));
+    const std::string_view text = name.value;
+    return With(key, text);
   }
 
  private:
--- a/src/node/metrics.cc
+++ b/src/node/metrics.cc
@@ -64,6 +64,8 @@
 
 constexpr std::array kVerdicts = {"claimed",      "seen_done",  "seen_running",
                                   "seen_unknown", "other_body", "unavailable"};
+constexpr std::array kLengthNames = {"to_4k", "to_32k", "to_256k", "over_256k"};
+constexpr std::uint32_t kThousand = 1024;
 constexpr const char* kFirstToken = "comfreyflow_first_token_seconds";
 constexpr const char* kBetween = "comfreyflow_between_tokens_seconds";
 constexpr const char* kQueueWait = "comfreyflow_queue_wait_seconds";
@@ -71,7 +73,6 @@
 }  // namespace
 
 LengthClass ClassOf(std::uint32_t prompt_tokens) {
-  constexpr std::uint32_t kThousand = 1024;
   if (prompt_tokens <= 4 * kThousand) return LengthClass::kTo4k;
   if (prompt_tokens <= 32 * kThousand) return LengthClass::kTo32k;
   if (prompt_tokens <= 256 * kThousand) return LengthClass::kTo256k;
@@ -79,9 +80,7 @@
 }
 
 const char* ToString(LengthClass length) {
-  static constexpr std::array kNames = {"to_4k", "to_32k", "to_256k",
-                                        "over_256k"};
-  return kNames.at(static_cast<std::size_t>(length));
+  return kLengthNames.at(static_cast<std::size_t>(length));
 }
 
 struct Metrics::State {
--- a/src/node/node-deps.cc
+++ b/src/node/node-deps.cc
@@ -275,7 +275,7 @@
     if (drain.phase() != DrainPhase::kServing) return;
     drain.Stop(comfreyflow::detail::Now(), kPeersStop, settings().address_life);
   }
-  LogLine(Severity::kInfo, "drain_began");
+  LogEvent(Severity::kInfo, "drain_began");
   WaitDrain();
 }
 
@@ -294,7 +294,7 @@
     phase = drain.Advance(open, comfreyflow::detail::Now());
   }
   if (phase >= DrainPhase::kRefusing && !refusing.exchange(true)) {
-    LogLine(Severity::kInfo, "drain_refuses");
+    LogEvent(Severity::kInfo, "drain_refuses");
     entry->Send(EntryPosted{StopAdmitting{Errc::kDraining}});
   }
   if (phase != DrainPhase::kDone) return WaitDrain();
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -251,7 +251,7 @@
     LogLine(Severity::kError, "tls_reload_failed")
         .With("reason", error.message());
   } else if (changed) {
-    LogLine(Severity::kInfo, "tls_reloaded");
+    LogEvent(Severity::kInfo, "tls_reloaded");
   }
 }
 
--- a/src/node/peer-links.cc
+++ b/src/node/peer-links.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-void PeerLinks::Send(const HostName& to, wire::Body body) {
+void PeerLinks::Send(const HostName& to, const wire::Body& body) {
   std::vector<wire::Body> bodies;
   {
     const std::lock_guard lock(mutex_);
@@ -23,7 +23,7 @@
       ++dropped_;
       return;
     }
-    link.waiting.push_back(std::move(body));
+    link.waiting.push_back(body);
     if (link.under_way) return;
     link.under_way = true;
     bodies.swap(link.waiting);
--- a/src/node/peer-links.h
+++ b/src/node/peer-links.h
@@ -35,7 +35,7 @@
  public:
   explicit PeerLinks(PeerDeps deps) : deps_(std::move(deps)) {}
 
-  void Send(const HostName& to, wire::Body body);
+  void Send(const HostName& to, const wire::Body& body);
 
   /// The server's side.
   Errc AdmitHead(const http::Request& head) const;
--- a/src/node/prompt.cc
+++ b/src/node/prompt.cc
@@ -10,6 +10,11 @@
 #include <cstring>
 
 namespace comfreyflow::node {
+namespace {
+
+constexpr std::size_t kBlockBytes = kPrefixBlockTokens * kBytesPerToken;
+
+}  // namespace
 
 std::uint32_t EstimateTokens(std::size_t prompt_bytes) {
   return static_cast<std::uint32_t>((prompt_bytes + kBytesPerToken - 1) /
@@ -31,7 +36,6 @@
 
 PrefixChain ChainOf(std::string_view prompt, const ModelName& model,
                     std::uint64_t salt) {
-  constexpr std::size_t kBlockBytes = kPrefixBlockTokens * kBytesPerToken;
   PrefixChain chain;
   chain.reserve(prompt.size() / kBlockBytes);
   std::uint64_t hash =
