A host cut off for long stays cut off, and is known again when it comes back

New test, failing before: after ten minutes a lone host forgot the members it could not hear, counted itself as the whole fleet and would have admitted again. Dead members are now forgotten only while a majority is live. The test met a second fault: hosts that had forgotten the lone one never asked it for its record. membership-test: 14 cases pass.

--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -330,7 +330,11 @@
   }
   if (!ping && answer.records.empty()) return;
   // A sender that this host does not know does not know this host either.
-  if (!table.Knows(datagram.sender)) answer.records.push_back(settings.self);
+  if (!table.Knows(datagram.sender)) {
+    answer.records.push_back(settings.self);
+    // Only the sender may have its record, if all others forgot it.
+    answer.wanted.push_back(datagram.sender);
+  }
   Fill(answer, datagram.sender, meeting ? kMeetingBytes : kDatagramBytes, now);
   Send(std::move(answer), from, out);
 }
--- a/src/core/membership/table.cc
+++ b/src/core/membership/table.cc
@@ -114,13 +114,17 @@
   if (suspects_ == 0 && now < next_scan_) return;
   next_scan_ = now + kScanPeriod;
   const Duration limit = SuspicionTime(live_);
+  // A host cut off must not take those it cannot hear for gone: without them
+  // it would count itself as the whole fleet.
+  const bool majority = 2 * live_ > members_.size();
   std::vector<HostName> old;
   for (auto& [name, member] : members_) {
     if (member.state == MemberState::kSuspect && now >= member.since + limit) {
       // The claim keeps the time of the suspicion, which evidence must beat.
       Change(member, MemberState::kDead, member.since, events);
     }
-    const bool gone = !IsLive(member.state);
+    const bool gone = member.state == MemberState::kLeft ||
+                      (member.state == MemberState::kDead && majority);
     if (gone && now >= member.since + kForgetAfter) old.push_back(name);
   }
   for (const HostName& name : old) Forget(name);
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -4,6 +4,7 @@
 
 #include <set>
 
+#include "comfreyflow/config-state.h"
 #include "comfreyflow/stewardship.h"
 #include "gossip-net-impl.h"
 
@@ -108,6 +109,18 @@
   }
 }
 
+TEST_CASE("a host cut off for long does not take itself for the whole fleet") {
+  GossipNet net({.hosts = 8, .seed = 17});
+  StartAll(net, seconds(10));
+  net.Split([](int host) { return host == 2 ? 1 : 0; });
+  net.Run(std::chrono::minutes(15));
+  CHECK_FALSE(HearsMajority(net.node(2).members()));
+  CHECK(HearsMajority(net.node(0).members()));
+  CHECK(net.node(0).members().size() == 7);
+  net.Join();
+  CHECK(net.RunUntil([&] { return net.Agreed(); }, seconds(20)) <= seconds(10));
+}
+
 TEST_CASE("a restarted host replaces its former incarnation") {
   GossipNet net({.hosts = 8, .seed = 4});
   StartAll(net, seconds(10));
