--- a/include/comfreyflow/prefix.h
+++ b/include/comfreyflow/prefix.h
@@ -70,6 +70,8 @@
     bool resync_asked = false;
   };
 
+  std::size_t Known(const PrefixChain& chain,
+                    const std::vector<std::size_t>& kept) const;
   void Store(TargetSlot slot, std::uint64_t block);
   void AddHolder(Block& block, TargetSlot slot);
   void Remove(TargetSlot slot, std::uint64_t block);
--- a/src/core/prefix/index.cc
+++ b/src/core/prefix/index.cc
@@ -10,6 +10,9 @@
 /// Blocks of a chain kept each time its length doubles.
 constexpr std::size_t kRungs = 16;
 
+/// Longest chain, in kept blocks, that is walked block by block.
+constexpr std::size_t kWalked = 32;
+
 /// Position of the kept block after `index`.
 std::size_t NextKept(std::size_t index) {
   const std::size_t count = index + 1;
@@ -90,33 +93,51 @@
   }
 }
 
+/// A target that holds a block of a chain holds what comes before it, as
+/// engines evict from the end: so the depth is searched, not walked.
+std::size_t PrefixIndex::Known(const PrefixChain& chain,
+                               const std::vector<std::size_t>& kept) const {
+  std::size_t from = 0;
+  std::size_t to = kept.size();
+  while (from < to) {
+    const std::size_t middle = (from + to) / 2;
+    const auto found = blocks_.find(chain[kept[middle]]);
+    if (found != blocks_.end() && !found->second.holders.empty()) {
+      from = middle + 1;
+    } else {
+      to = middle;
+    }
+  }
+  return from;
+}
+
 std::vector<PrefixHit> PrefixIndex::Longest(const PrefixChain& chain) {
+  std::vector<std::size_t> kept;
+  for (std::size_t i = 0; i < chain.size(); i = NextKept(i)) kept.push_back(i);
   std::vector<PrefixHit> hits;
-  std::vector<PrefixHit> alive;
-  for (std::size_t i = 0; i < chain.size(); i = NextKept(i)) {
-    const auto found = blocks_.find(chain[i]);
-    if (found == blocks_.end()) break;
-    Touch(found->second);
-    const auto& holders = found->second.holders;
-    if (i == 0) {
-      for (const TargetSlot slot : holders) alive.push_back({slot, 0});
-    }
-    for (PrefixHit& hit : alive) {
-      if (Holds(holders, hit.slot)) {
-        hit.tokens = static_cast<std::uint32_t>((i + 1) * kPrefixBlockTokens);
-      } else {
-        hits.push_back(hit);
-        hit.tokens = 0;
-      }
+  std::size_t step = 1;
+  for (std::size_t known = Known(chain, kept); known > 0;) {
+    const std::size_t index = kept[known - 1];
+    Block& block = blocks_.at(chain[index]);
+    Touch(block);
+    for (const TargetSlot slot : block.holders) {
+      const bool seen = std::any_of(
+          hits.begin(), hits.end(),
+          [slot](const PrefixHit& hit) { return hit.slot == slot; });
+      if (seen) continue;
+      hits.push_back(
+          {slot, static_cast<std::uint32_t>((index + 1) * kPrefixBlockTokens)});
     }
-    std::erase_if(alive, [](const PrefixHit& hit) { return hit.tokens == 0; });
-    if (alive.empty()) break;
+    if (hits.size() >= settings_.max_holders) break;
+    known -= std::min(known, step);
+    if (kept.size() > kWalked) step *= 2;
+    while (known > 0 && !blocks_.contains(chain[kept[known - 1]])) --known;
   }
-  hits.insert(hits.end(), alive.begin(), alive.end());
   std::sort(
       hits.begin(), hits.end(), [](const PrefixHit& a, const PrefixHit& b) {
         return a.tokens != b.tokens ? a.tokens > b.tokens : a.slot < b.slot;
       });
+  if (hits.size() > settings_.max_holders) hits.resize(settings_.max_holders);
   return hits;
 }
 
--- a/src/core/steward/shares.cc
+++ b/src/core/steward/shares.cc
@@ -10,6 +10,8 @@
 /// Times over which prefill is counted: of late, and as usual.
 constexpr double kFastSeconds = 3;
 constexpr double kSlowSeconds = 300;
+/// What is usual is judged over this long at least.
+constexpr double kUsualSeconds = 60;
 /// Prefill below this does not make an account active, in seconds.
 constexpr double kActiveSeconds = 0.005;
 /// An account may have this much more than an equal part.
@@ -19,7 +21,7 @@
 /// Growth of the others that room is kept for.
 constexpr double kGrowth = 3;
 /// Use of the target's time or slots from which shares count.
-constexpr double kContendedTime = 0.45;
+constexpr double kContendedTime = 0.6;
 constexpr double kContendedSlots = 0.75;
 /// Accounts kept before idle ones are dropped.
 constexpr std::size_t kMaxAccounts = 256;
@@ -38,8 +40,8 @@
 double AccountShares::Usual(const Use& use, Time now) {
   const double slow =
       use.slow * std::exp(-Seconds(now - use.at) / kSlowSeconds);
-  const double seen = 1 - std::exp(-Seconds(now - use.first) / kSlowSeconds);
-  return seen > 0 ? slow / (kSlowSeconds * seen) : 0;
+  const double age = std::max(kUsualSeconds, Seconds(now - use.first));
+  return slow / (kSlowSeconds * (1 - std::exp(-age / kSlowSeconds)));
 }
 
 void AccountShares::Granted(const AccountName& account, Duration prefill,
--- /dev/null
+++ b/test/router-test.cc
@@ -0,0 +1,181 @@
+// Placement: parts, prefixes, lagging reports, gangs.
+#include "comfreyflow/router.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace comfreyflow {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kEngines = 20;
+
+TargetName Engine(int index) { return {"e" + std::to_string(100 + index)}; }
+
+Router MakeRouter(std::uint64_t seed = 1) {
+  RouterSettings settings;
+  settings.seed = seed;
+  Router router(settings);
+  for (int i = 0; i < kEngines; ++i) {
+    TargetInfo info;
+    info.name = Engine(i);
+    info.service = {"s"};
+    info.models = {{"m"}};
+    info.kv_capacity = 450'000;
+    info.max_running = 64;
+    router.Seen(info);
+  }
+  router.Tick(Time{} + milliseconds(1));
+  return router;
+}
+
+RequestInfo Make(std::uint64_t sequence, std::uint32_t tokens) {
+  RequestInfo info;
+  info.id = {{"h1"}, {1}, sequence};
+  info.service = {"s"};
+  info.model = {"m"};
+  info.prompt_tokens = tokens;
+  info.max_output_tokens = 256;
+  for (std::uint32_t i = 0; i < tokens / kPrefixBlockTokens; ++i) {
+    info.prefix.push_back((sequence * 1'000'003 + i) * 0x9e3779b97f4a7c15ULL);
+  }
+  return info;
+}
+
+std::set<TargetName> Candidates(Router& router, std::uint32_t tokens) {
+  std::set<TargetName> out;
+  for (std::uint64_t i = 0; i < 200; ++i) {
+    const auto placement = router.Place(Make(i, tokens), {}, true, Time{});
+    for (const auto& candidate : placement.candidates) {
+      out.insert(candidate.target);
+    }
+  }
+  return out;
+}
+
+TEST_CASE("long work keeps off the engines kept for short work") {
+  Router router = MakeRouter();
+  const auto long_targets = Candidates(router, 60'000);
+  const auto short_targets = Candidates(router, 2'000);
+  CHECK(long_targets.size() == kEngines - router.short_part({"s"}));
+  for (const TargetName& target : short_targets) {
+    CHECK_FALSE(long_targets.contains(target));
+  }
+  // When its own part is busy, short work uses the spare of the other.
+  for (const TargetName& target : short_targets) {
+    router.Refused(target, seconds(5), Time{});
+  }
+  const auto spare = router.Place(Make(1, 2'000), {}, true, Time{});
+  CHECK(long_targets.contains(spare.candidates[0].target));
+}
+
+TEST_CASE("parts follow demand, a step at a time") {
+  Router router = MakeRouter();
+  const std::size_t before = router.short_part({"s"});
+  Candidates(router, 4'000);
+  router.Tick(Time{} + seconds(6));
+  CHECK(router.short_part({"s"}) == before + 1);
+  for (int i = 2; i < 40; ++i) {
+    Candidates(router, 4'000);
+    router.Tick(Time{} + seconds(6 * i));
+  }
+  CHECK(router.short_part({"s"}) == kEngines - 4);
+}
+
+TEST_CASE("an engine that holds the prefix is cheaper unless it is busy") {
+  Router router = MakeRouter();
+  RequestInfo info = Make(1, 8'000);
+  const Candidate first = router.Place(info, {}, true, Time{}).candidates[0];
+  router.Sent({info.id, 1}, info, first, Time{});
+  router.FirstToken({info.id, 1}, first.target);
+  router.Ended({info.id, 1}, first.target, info, true);
+  RequestInfo again = Make(1, 8'000);
+  again.id.sequence = 2;
+  const Time later = Time{} + seconds(1);
+  const Candidate second = router.Place(again, {}, true, later).candidates[0];
+  CHECK(second.target == first.target);
+  CHECK(second.uncached_tokens < 500);
+  router.Refused(first.target, seconds(5), later);
+  CHECK(router.Place(again, {}, true, later).candidates[0].target !=
+        first.target);
+}
+
+TEST_CASE("a report that lags does not hide what was sent since") {
+  Router router = MakeRouter();
+  RequestInfo info = Make(1, 60'000);
+  const Candidate chosen = router.Place(info, {}, true, Time{}).candidates[0];
+  const Time sent = Time{} + seconds(10);
+  router.Sent({info.id, 1}, info, chosen, sent);
+  TargetReport report;
+  report.target = chosen.target;
+  report.sequence = 1;
+  report.age = seconds(2);
+  router.Reported(report, sent + seconds(1));
+  for (int i = 0; i < 20; ++i) {
+    const auto placement =
+        router.Place(Make(50 + i, 60'000), {}, true, sent + milliseconds(10));
+    CHECK(placement.candidates[0].target != chosen.target);
+  }
+}
+
+TEST_CASE("closed, excluded and gone targets are not placed on") {
+  Router router = MakeRouter();
+  for (int i = 1; i < kEngines; ++i) {
+    if (i % 2 == 0) {
+      router.Closed(Engine(i));
+    } else {
+      router.Gone(Engine(i));
+    }
+  }
+  const auto placement = router.Place(Make(1, 2'000), {}, true, Time{});
+  REQUIRE(placement.candidates.size() == 1);
+  CHECK(placement.candidates[0].target == Engine(0));
+  CHECK(router.Place(Make(1, 2'000), {Engine(0)}, true, Time{}).kind ==
+        Placement::Kind::kNoTarget);
+}
+
+TEST_CASE("a gang has the engines it needs, in one order, one of which leads") {
+  Router router = MakeRouter();
+  const auto placement = router.Place(Make(1, 1'000'000), {}, true, Time{});
+  REQUIRE(placement.kind == Placement::Kind::kGang);
+  CHECK(placement.length == PromptClass::kHuge);
+  const auto& members = placement.candidates;
+  REQUIRE(members.size() == 3);
+  CHECK(std::is_sorted(members.begin(), members.end(),
+                       [](const Candidate& a, const Candidate& b) {
+                         return a.target < b.target;
+                       }));
+  std::uint64_t memory = 0;
+  int leaders = 0;
+  for (const Candidate& member : members) {
+    memory += member.kv_tokens;
+    leaders += member.prefills ? 1 : 0;
+    CHECK(member.kv_tokens <= 450'000);
+  }
+  CHECK(memory >= 1'000'256);
+  CHECK(leaders == 1);
+  CHECK(router.Place(Make(2, 3'000'000), {}, true, Time{}).kind ==
+        Placement::Kind::kTooLong);
+}
+
+TEST_CASE("hosts with equal views do not herd") {
+  std::map<TargetName, int> chosen;
+  for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+    Router router = MakeRouter(seed);
+    RequestInfo info = Make(seed, 60'000);
+    info.prefix.clear();
+    const auto placement = router.Place(info, {}, true, Time{});
+    ++chosen[placement.candidates[0].target];
+  }
+  int most = 0;
+  for (const auto& [target, count] : chosen) most = std::max(most, count);
+  CHECK(chosen.size() >= 10);
+  CHECK(most <= 25);
+}
+
+}  // namespace
+}  // namespace comfreyflow
