--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -1,16 +1,17 @@
 // The state of one connection: read head, admit, read body, answer, again.
 #include "http/session.h"
 
-#include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
 #include <boost/asio/ssl.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cctype>
 #include <optional>
 #include <utility>
 
+#include "http/head.h"
+#include "http/lazy-timer.h"
+
 namespace comfreyflow::http::detail {
 namespace {
 
@@ -22,40 +23,10 @@
 using TlsStream = asio::ssl::stream<tcp::socket>;
 
 /// Bytes that a caller may send ahead while its request is being answered.
-constexpr std::size_t kAheadBytes = 4096;
+constexpr std::size_t kAheadBytes = 1024;
 /// Copies of a body that exist at once while it is parsed or sent on.
 constexpr std::uint64_t kBodyCopies = 2;
-
-std::string LowerCase(std::string_view text) {
-  std::string out(text);
-  std::transform(out.begin(), out.end(), out.begin(),
-                 [](unsigned char c) { return std::tolower(c); });
-  return out;
-}
-
-template <class Message>
-Request HeadOf(const Message& message) {
-  Request out;
-  out.method = std::string(message.method_string());
-  const std::string_view target(message.target().data(),
-                                message.target().size());
-  const auto mark = target.find('?');
-  out.path = std::string(target.substr(0, mark));
-  if (mark != std::string_view::npos) out.query = target.substr(mark + 1);
-  for (const auto& field : message) {
-    out.fields.push_back(
-        {LowerCase({field.name_string().data(), field.name_string().size()}),
-         std::string(field.value())});
-  }
-  return out;
-}
-
-/// Failures of the parser as codes of the product.
-Errc CodeOf(const error_code& error) {
-  if (error == bh::error::header_limit) return Errc::kHeadersTooLarge;
-  if (error == bh::error::body_limit) return Errc::kBodyTooLarge;
-  return Errc::kMalformedHttp;
-}
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 tcp::socket& Lowest(tcp::socket& socket) { return socket; }
 tcp::socket& Lowest(TlsStream& stream) { return stream.next_layer(); }
@@ -223,8 +194,6 @@
   }
 
   void WriteContinue() {
-    static constexpr std::string_view kContinue =
-        "HTTP/1.1 100 Continue\r\n\r\n";
     asio::async_write(stream_, asio::buffer(kContinue),
                       [self = Shared()](const error_code& error, std::size_t) {
                         if (!self->Stopped(error)) self->ReadBodySome();
@@ -249,7 +218,7 @@
     phase_ = Phase::kAnswering;
     counted_ = true;
     ++context_->unanswered;
-    timer_.cancel();
+    timer_.Disarm();
     request_.body = std::move(parser_->get().body());
     request_.lease = std::move(lease_);
     parser_.reset();
@@ -411,13 +380,13 @@
   void Flushed(const error_code& error) {
     if (phase_ == Phase::kClosed) return;
     if (error) return Close();
-    timer_.cancel();
+    timer_.Disarm();
     Flush();
   }
 
   void AnswerWritten(const error_code& error) {
     if (phase_ == Phase::kClosed) return;
-    timer_.cancel();
+    timer_.Disarm();
     gone_ = nullptr;
     ending_ = false;
     Uncount();
@@ -457,17 +426,12 @@
 
   void Arm(std::chrono::milliseconds time) {
     timed_out_ = false;
-    timer_.expires_after(time);
-    timer_.async_wait([self = this->weak_from_this()](const error_code& error) {
-      const auto session = self.lock();
-      if (!error && session) session->Expired();
-    });
+    timer_.Arm(time, this->weak_from_this(), &Session::Expired);
   }
 
   void ArmWrite() { Arm(context_->limits.write_timeout); }
 
   void Expired() {
-    if (timer_.expiry() > asio::steady_timer::clock_type::now()) return;
     if (phase_ != Phase::kIdle && phase_ != Phase::kReceiving) return Close();
     timed_out_ = true;
     Lowest(stream_).cancel();
@@ -477,7 +441,7 @@
     if (phase_ == Phase::kClosed) return;
     phase_ = Phase::kClosed;
     Uncount();
-    timer_.cancel();
+    timer_.Cancel();
     error_code ignored;
     Lowest(stream_).close(ignored);
     if (auto gone = std::exchange(gone_, nullptr)) gone();
@@ -485,7 +449,7 @@
 
   std::shared_ptr<asio::ssl::context> tls_;  ///< Outlives `stream_`.
   Stream stream_;
-  asio::steady_timer timer_;
+  LazyTimer timer_;
   std::shared_ptr<const SessionContext> context_;
   beast::flat_buffer buffer_;
   std::optional<Parser> parser_;  ///< Set while a request is read.
--- a/src/node/answer.cc
+++ b/src/node/answer.cc
@@ -10,6 +10,9 @@
 using Json = nlohmann::ordered_json;
 using std::chrono::milliseconds;
 
+constexpr milliseconds kDefaultRetryAfter{1000};
+/// Stands for an event's text; no name in the frame can hold it unescaped.
+constexpr std::string_view kMark = "\"\\u0001\"";
 constexpr const char* kEventStream = "text/event-stream";
 
 bool IsChat(const Call& call) {
@@ -114,6 +117,17 @@
   call.exchange->StartStream(std::move(head));
 }
 
+/// The JSON of an event with `text`. All but the text is the same in each.
+std::string ChunkText(Call& call, std::string_view text) {
+  if (call.chunk_begin.empty()) {
+    const std::string frame = Dump(ChunkJson(call, "\x01"));
+    const auto at = frame.rfind(kMark);
+    call.chunk_begin = frame.substr(0, at);
+    call.chunk_end = frame.substr(at + kMark.size());
+  }
+  return call.chunk_begin + Dump(Json(text)) + call.chunk_end;
+}
+
 /// A comment line with the token, when it is new since the head.
 std::string TokenLine(Call& call) {
   if (call.token_sent || call.resume_token.empty()) return {};
@@ -135,7 +149,6 @@
 }  // namespace
 
 Failure FailureOf(Errc code) {
-  constexpr milliseconds kDefaultRetryAfter{1000};
   const ErrorInfo& info = Info(code);
   const Duration after = info.retry ? kDefaultRetryAfter : milliseconds{0};
   return {code, info.outcome, after, {}};
@@ -167,7 +180,7 @@
   StartStream(call);
   std::string event = TokenLine(call);
   event += "id: " + std::to_string(call.offset) + "\ndata: ";
-  event += Dump(ChunkJson(call, text));
+  event += ChunkText(call, text);
   event += "\n\n";
   call.exchange->Write(std::move(event));
 }
--- a/src/node/node-peers.cc
+++ b/src/node/node-peers.cc
@@ -117,7 +117,20 @@
   if (changed) ShareDuties();
 }
 
+void Node::State::SendToAll(const wire::Body& body) {
+  std::vector<HostName> others;
+  {
+    const std::lock_guard lock(view_mutex);
+    for (const auto& [name, member] : members) {
+      const bool lives = member.state < MemberState::kDead;
+      if (lives && name != settings().name) others.push_back(name);
+    }
+  }
+  for (const auto& host : others) peer_links->Send(host, body);
+}
+
 void Node::State::ShareDuties() {
+  for (auto& limit : Limits()) entry->Send(EntryPosted{std::move(limit)});
   steward->Send(StewardshipsChanged{OwnDuties()});
   ClaimStewards stewards;
   {
@@ -189,11 +202,13 @@
     answer.text = now->text;
     wire::Body out;
     out.__set_config_answer(answer);
-    peer_links->Send(from, std::move(out));
+    peer_links->Send(from, out);
   } else if (body.__isset.config_answer) {
     const auto& answer = body.config_answer;
     config_actor->Send(ConfigPosted{PeerGave{
         from, {static_cast<std::uint64_t>(answer.generation), answer.text}}});
+  } else if (body.__isset.crash) {
+    entry->Send(EntryPosted{PeerSuspects{CrashFromWire(body.crash)}});
   } else if (body.__isset.claims) {
     claims->Send(ClaimPosted{PeerClaims{from, FromWire(body.claims)}});
   } else if (body.__isset.claims_answer) {
@@ -352,7 +367,7 @@
     call.generation = static_cast<std::int64_t>(fetch.generation);
     wire::Body body;
     body.__set_config(call);
-    peer_links->Send(fetch.from, std::move(body));
+    peer_links->Send(fetch.from, body);
   };
   deps.hooks.admitting = [this](Errc reason) {
     stopped = reason;
