--- a/src/core/entry/attempts.cc
+++ b/src/core/entry/attempts.cc
@@ -31,7 +31,7 @@
                            verdict == PoisonVerdict::kApart));
 }
 
-void Entry::State::Carry(DispatchCommands commands) {
+void Entry::State::Carry(const DispatchCommands& commands) {
   for (const DispatchCommand& command : commands) {
     std::visit([this](const auto& typed) { Carry(typed); }, command);
   }
--- a/src/core/entry/state.h
+++ b/src/core/entry/state.h
@@ -54,7 +54,7 @@
 
   // Attempts (attempts.cc).
   void StartAttempt(detail::Request& request);
-  void Carry(DispatchCommands commands);
+  void Carry(const DispatchCommands& commands);
   void Carry(const SendAsk& command);
   void Carry(const SendRelease& command);
   void Carry(const SendPrefillDone& command);
--- a/src/http/session.h
+++ b/src/http/session.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <atomic>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/context.hpp>
 #include <memory>
 
 #include "http/server.h"
--- a/src/node/node-peers.cc
+++ b/src/node/node-peers.cc
@@ -189,7 +189,7 @@
     answer.text = now->text;
     wire::Body out;
     out.__set_config_answer(answer);
-    peer_links->Send(from, std::move(out));
+    peer_links->Send(from, out);
   } else if (body.__isset.config_answer) {
     const auto& answer = body.config_answer;
     config_actor->Send(ConfigPosted{PeerGave{
@@ -352,7 +352,7 @@
     call.generation = static_cast<std::int64_t>(fetch.generation);
     wire::Body body;
     body.__set_config(call);
-    peer_links->Send(fetch.from, std::move(body));
+    peer_links->Send(fetch.from, body);
   };
   deps.hooks.admitting = [this](Errc reason) {
     stopped = reason;
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -250,7 +250,7 @@
   if (!Verify(kEnvelopeContext, bytes, key)) return Errc::kBadSignature;
   Envelope envelope;
   if (auto error = Read(bytes, kMaxMessageBytes, envelope)) return error;
-  out = std::move(envelope);
+  out = envelope;
   return {};
 }
 
--- a/test/addresses-test.cc
+++ b/test/addresses-test.cc
@@ -90,10 +90,10 @@
   for (int i = 0; i < 80; ++i) {
     ++first[addresses.Answer({"d0"}, kStart).hosts.at(0)];
   }
-  for (const auto& [host, count] : first) {
-    CAPTURE(host);
-    CHECK(count >= 5);
-    CHECK(count <= 16);
+  for (const auto& answered : first) {
+    CAPTURE(answered.first);
+    CHECK(answered.second >= 5);
+    CHECK(answered.second <= 16);
   }
   CHECK(first.size() == 8);
 }
