--- a/src/http/session.h
+++ b/src/http/session.h
@@ -4,7 +4,6 @@
 
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/ssl/context.hpp>
 #include <memory>
 
 #include "http/server.h"
--- a/test/explore/host.h
+++ b/test/explore/host.h
@@ -8,9 +8,11 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "comfreyflow/claims.h"
+#include "comfreyflow/drain.h"
 #include "comfreyflow/entry.h"
 #include "comfreyflow/steward.h"
 #include "comfreyflow/sweep.h"
@@ -35,6 +37,10 @@
   void Start();
   void Crash();
   void Pause(Duration length);
+  /// Begins a planned stop.
+  void Stop();
+  bool in_answers() const { return Serving() && drain_.in_answers(); }
+  bool stopped() const { return stopped_; }
 
   /// Runs `action` in this incarnation: later when paused, never when dead.
   void To(Incarnation incarnation, std::function<void()> action);
@@ -49,6 +55,7 @@
   void Tick();
   void PollTarget(std::uint32_t target);
   void Gossip();
+  void HearClosed(const TargetName& target);
   void CallerHangsUp(const RequestId& request);
 
  private:
@@ -61,6 +68,7 @@
     Claims claims;
     std::vector<Sweep> sweeps;
     std::vector<Steward> stewards;
+    std::vector<bool> reported;  ///< By target; nothing is granted before.
   };
 
   template <class Command>
@@ -74,11 +82,15 @@
   void Carry(const Forward& command);
   void Carry(const Finish& command);
   void Carry(const ShareSuspect& command);
+  void Carry(const ShareClosed& command) { closed_.insert(command.target); }
+  void Carry(const PrefillDone& command);
+  void AdvanceStop();
 
   void CarryClaim(const ClaimCommand& command);
   void CallStore(const ClaimCommand& command);
   void AnswerStore(StoreAnswered answer, Duration delay);
   void CarrySweep(std::uint32_t target, const SweepCommand& command);
+  void Reserve(std::uint32_t target, const ReserveAsk& ask);
   void CarrySteward(std::uint32_t target, const StewardTurn& turn);
 
   void Connected(const AttemptId& attempt);
@@ -98,6 +110,9 @@
   Time last_resume_{};
   std::deque<std::function<void()>> backlog_;
   std::map<Incarnation, Time> died_;
+  Drain drain_;
+  bool stopped_ = false;         ///< By a planned stop.
+  std::set<TargetName> closed_;  ///< Targets that others are to close.
 };
 
 }  // namespace comfreyflow::explore
