--- a/test/explore-test.cc
+++ b/test/explore-test.cc
@@ -172,6 +172,15 @@
   CheckFound(make, Promise::kAtMostOnce);
 }
 
+TEST_CASE("found: a call is sent again after its first byte") {
+  const auto make = [] {
+    Sabotage sabotage;
+    sabotage.resend_broken = true;
+    return sabotage;
+  };
+  CheckFound(make, Promise::kAtMostOnce);
+}
+
 TEST_CASE("found: a broken connection counts as not run") {
   const auto make = [] {
     Sabotage sabotage;
--- a/test/explore/host.h
+++ b/test/explore/host.h
@@ -96,6 +96,7 @@
   void Connected(const AttemptId& attempt);
   void SendCall(const Stream& stream);
   void OnMessage(const TargetMessage& message);
+  void ResendBroken(const AttemptId& attempt);
   ClaimSettings SettingsOfClaims() const;
 
   World& world_;
--- a/test/explore/sabotage.h
+++ b/test/explore/sabotage.h
@@ -29,6 +29,8 @@
   bool forward_unasked = false;
   /// The shell sends on a connection that it has given up.
   bool send_late = false;
+  /// The shell sends a call again when its connection broke.
+  bool resend_broken = false;
   /// The caller hears each final answer twice.
   bool answer_twice = false;
 };
--- a/test/explore/shell.cc
+++ b/test/explore/shell.cc
@@ -13,6 +13,8 @@
 constexpr Duration kConnectTimeout = milliseconds(300);
 constexpr Duration kPostDelay = microseconds(200);
 constexpr Duration kStoreTime = milliseconds(3);
+constexpr Duration kResendDelay = milliseconds(200);
+constexpr std::uint32_t kResendNumber = 1000;
 
 }  // namespace
 
@@ -185,12 +187,24 @@
       return Give(
           StreamFailed{message.attempt, Errc::kTargetRefused, true, false});
     case TargetMessage::Kind::kBroken:
+      if (world_.sabotage.resend_broken) ResendBroken(message.attempt);
+
       streams_.erase(message.attempt);
       return Give(
           StreamFailed{message.attempt, Errc::kTargetFailed, false, true});
   }
 }
 
+void Host::ResendBroken(const AttemptId& attempt) {
+  const auto at = streams_.find(attempt);
+  if (at == streams_.end()) return;
+  Stream again = at->second;
+  again.open.attempt.number += kResendNumber;
+  world_.network.After(kResendDelay, [this, again, life = incarnation_] {
+    To(life, [this, again] { SendCall(again); });
+  });
+}
+
 void Host::Carry(const CancelAttempt& command) {
   streams_.erase(command.attempt);
   FakeTarget& target = *world_.targets[world_.TargetNumber(command.target)];
