--- a/src/core/claims/claims.cc
+++ b/src/core/claims/claims.cc
@@ -194,7 +194,7 @@
       if (age >= limit) {
         late.push_back(id);
       } else if (!waiter.steward.value.empty() &&
-                 now - waiter.asked >= settings.peer_timeout) {
+                 now - waiter.asked >= Patience(waiter)) {
         unanswered.push_back(id);
       }
     }
@@ -204,6 +204,12 @@
     for (const RecordId& id : unanswered) PassOver(id);
   }
 
+  /// How long a steward may take: it keeps outcomes for the next claim.
+  Duration Patience(const Waiter& waiter) const {
+    if (IsClaim(waiter.record)) return settings.peer_timeout;
+    return settings.peer_timeout + settings.outcome_wait;
+  }
+
   /// The steward did not answer: this host appends the record itself.
   void PassOver(const RecordId& id) {
     Waiter& waiter = waiters.at(id);
@@ -294,6 +300,9 @@
 
 std::size_t Claims::keys() const { return state_->appender.keys(); }
 std::size_t Claims::waiting() const { return state_->claims_waiting; }
+std::size_t Claims::unrecorded() const {
+  return state_->waiters.size() - state_->claims_waiting;
+}
 bool Claims::store_up() const { return state_->appender.store_up(); }
 
 std::vector<HostName> AssignClaimStewards(const std::vector<HostName>& hosts,
