--- a/src/node/steward-actor.cc
+++ b/src/node/steward-actor.cc
@@ -17,6 +17,8 @@
 /// Retry advice until a new steward has read the target's load.
 constexpr Duration kNotReportedYet = milliseconds(100);
 constexpr Duration kStewardTick = milliseconds(20);
+/// Wait of an asker whose view of the stewards is older or newer than ours.
+constexpr Duration kViewsDiffer = milliseconds(200);
 /// Time between two polls of a target, by what is asked.
 constexpr std::array<Duration, 3> kPollPeriods = {
     milliseconds(200), milliseconds(1000), milliseconds(500)};
@@ -120,8 +122,6 @@
 void StewardActor::Reserve(const ReserveWanted& wanted) {
   Ward* ward = Find(wanted.target);
   if (ward == nullptr) {
-    // The asker's view of the stewards is older or newer than this host's.
-    constexpr Duration kViewsDiffer = milliseconds(200);
     return deps_.hooks.answer(
         wanted.target,
         {wanted.ask.attempt, GrantReply::kRefused, kViewsDiffer});
