--- a/src/core/entry/entry.cc
+++ b/src/core/entry/entry.cc
@@ -164,7 +164,8 @@
 void Entry::State::On(const ResumeAdmitting&) { admitting = true; }
 
 void Entry::State::On(const Tick&) {
-  while (!deadlines.empty() && deadlines.begin()->first <= now) {
+  while (!deadlines.empty() &&
+         deadlines.begin()->first <= now + kEntryTickPeriod) {
     Request& request = requests.at(deadlines.begin()->second);
     GiveUp(request, Errc::kDeadlineExceeded);
   }
