--- a/bench/relay-shell.cc
+++ b/bench/relay-shell.cc
@@ -31,6 +31,7 @@
 using std::chrono::milliseconds;
 
 const std::string kKey = "key-of-the-bench";
+constexpr int kRounds = 400;
 /// Length of a stream that does not end while it is measured.
 constexpr std::uint64_t kFlowTokens = 20'000;
 constexpr milliseconds kIteration{
@@ -275,7 +276,6 @@
 }
 
 void MeasureFirstToken(Callers& callers, const Sides& sides, const char* what) {
-  constexpr int kRounds = 400;
   std::vector<double> direct;
   std::vector<double> host;
   for (int i = 0; i < kRounds; ++i) {
--- a/src/node/target-links.cc
+++ b/src/node/target-links.cc
@@ -94,13 +94,15 @@
   std::atomic<bool> stopped_ = false;
 };
 
+constexpr std::array kOwnFields = {
+    "authorization", "connection",      "content-length", "expect",
+    "host",          "idempotency-key", "keep-alive",     "transfer-encoding",
+    "x-deadline-ms", "x-repeatable",    "x-attempt-id",   "content-type"};
+
 /// Fields that belong to one connection or to this host, not to the service.
 bool StaysHere(const std::string& name) {
-  static constexpr std::array kNames = {
-      "authorization", "connection",      "content-length", "expect",
-      "host",          "idempotency-key", "keep-alive",     "transfer-encoding",
-      "x-deadline-ms", "x-repeatable",    "x-attempt-id",   "content-type"};
-  return std::find(kNames.begin(), kNames.end(), name) != kNames.end();
+  return std::find(kOwnFields.begin(), kOwnFields.end(), name) !=
+         kOwnFields.end();
 }
 
 void PostPlainEnd(const LinkSink& sink, const AttemptId& attempt,
--- a/src/node/target-poll.cc
+++ b/src/node/target-poll.cc
@@ -43,9 +43,9 @@
 
 /// Elements of a list field; empty when it is absent or of another kind.
 const Json& List(const Json& json, const char* key) {
-  static const Json kNone = Json::array();
+  static const Json none = Json::array();
   const auto at = json.find(key);
-  return at != json.end() && at->is_array() ? *at : kNone;
+  return at != json.end() && at->is_array() ? *at : none;
 }
 
 /// Fetches `path` and gives the answer's object, or null.
--- a/test/shell/host-fixture.h
+++ b/test/shell/host-fixture.h
@@ -105,13 +105,13 @@
                  exit_code_ = code;
                  exit_code_.notify_all();
                }}) {
-    static const bool kLogs = [] {
+    static const bool logs = [] {
       if (std::getenv("COMFREYFLOW_TEST_LOG") != nullptr) {
         node::StartLog("test");
       }
       return true;
     }();
-    REQUIRE(kLogs);
+    REQUIRE(logs);
     REQUIRE_FALSE(node_.Start());
   }
 
