Gangs use every engine of a service that has too few long ones

Targets beyond the draw and beyond the long part are now looked at when the gang lacks members; a gang larger than the service is refused at once. entry-test asserts both.

--- a/include/comfreyflow/router.h
+++ b/include/comfreyflow/router.h
@@ -169,7 +169,8 @@
                               const std::vector<TargetSlot>& slots,
                               std::uint64_t kv, bool any_part) const;
   std::vector<Candidate> Best(const Group& group, Search& search,
-                              std::uint64_t kv, std::size_t count);
+                              std::uint64_t kv, std::size_t least,
+                              std::size_t most);
   Placement PlaceGang(const Group& group, Search& search);
   void Demand(Group& group, const Search& search);
   void Resize(Group& group, Time now);
--- a/src/core/router/router.cc
+++ b/src/core/router/router.cc
@@ -352,14 +352,21 @@
   return found;
 }
 
-/// When the draw holds no usable target all are looked at, whatever their part:
-/// the engines of one part may all be closed, excluded or of another model.
+/// When the draw holds fewer usable targets than `least` all of the part are
+/// looked at, and then all, whatever their part: those of one part may be too
+/// few, closed, excluded or of another model.
 std::vector<Candidate> Router::Best(const Group& group, Search& search,
-                                    std::uint64_t kv, std::size_t count) {
+                                    std::uint64_t kv, std::size_t least,
+                                    std::size_t most) {
   FindHomes(group, search);
   auto found = Rank(group, search, Draw(group, search), kv, false);
-  if (found.empty()) found = Rank(group, search, group.members, kv, true);
-  if (found.size() > count) found.resize(count);
+  if (found.size() < least) {
+    found = Rank(group, search, group.members, kv, false);
+  }
+  if (found.size() < least) {
+    found = Rank(group, search, group.members, kv, true);
+  }
+  if (found.size() > most) found.resize(most);
   return found;
 }
 
@@ -371,9 +378,11 @@
   Placement out;
   out.length = PromptClass::kHuge;
   out.kind = Placement::Kind::kTooLong;
-  if (members > settings_.max_gang) return out;
+  if (members > settings_.max_gang || members > group.members.size()) {
+    return out;
+  }
   const std::uint64_t share = (total + members - 1) / members;
-  out.candidates = Best(group, search, share, members);
+  out.candidates = Best(group, search, share, members, members);
   if (out.candidates.size() < members) {
     out.candidates.clear();
     out.kind = Placement::Kind::kWait;
@@ -407,7 +416,7 @@
   Placement out;
   out.length = search.length;
   out.candidates =
-      Best(*group, search, KvTokens(info), settings_.max_candidates);
+      Best(*group, search, KvTokens(info), 1, settings_.max_candidates);
   out.kind = out.candidates.empty() ? Placement::Kind::kNoTarget
                                     : Placement::Kind::kCandidates;
   return out;
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -293,3 +293,29 @@
   event.info.prompt_tokens = 225'000;
   CHECK(One<AskGrant>(entry.Handle(event, kStart)).target.value == "only");
 }
+
+TEST_CASE("a prompt that needs all engines of a service gets them as a gang") {
+  Fixture f;
+  RequestArrived event = Arrival(1);
+  event.info.prompt_tokens = 800'000;
+  auto commands = f.entry.Handle(event, kStart);
+  std::vector<TargetName> asked;
+  for (int i = 0; i < 2; ++i) {
+    const auto ask = One<AskGrant>(commands);
+    asked.push_back(ask.target);
+    CHECK(ask.kv_tokens * 2 >= 800'000);
+    commands = f.entry.Handle(
+        GrantAnswered{ask.attempt, ask.target, GrantReply::kGranted}, kStart);
+  }
+  CHECK(asked == std::vector<TargetName>{{"e1"}, {"e2"}});
+  CHECK(One<OpenStream>(commands).targets.size() == 2);
+}
+
+TEST_CASE("a prompt that no gang of the service holds is refused at once") {
+  Fixture f;
+  RequestArrived event = Arrival(1);
+  event.info.prompt_tokens = 1'300'000;
+  const auto end = f.entry.Handle(event, kStart);
+  CHECK(One<Finish>(end).code == Errc::kPromptTooLong);
+  CHECK(One<Finish>(end).outcome == Outcome::kNotRun);
+}
