A crash told by any host reaches the target's steward; a restarted target is granted again

Cause: Steward::Suspect had no caller in the daemon, and a steward that saw a target closing refused it for good, restarted or not. The retention key of a service did nothing (the claim log keeps keys for one hour) and is gone.

--- a/bench/control.cc
+++ b/bench/control.cc
@@ -44,7 +44,6 @@
     service.target_class = {Number("class-", i)};
     service.models = {{{Number("model-", i)}, "1"}};
     service.deadline = seconds(60);
-    service.retention = std::chrono::hours(24);
     config.services[service.name] = service;
   }
   for (int i = 0; i < size.accounts; ++i) {
@@ -77,10 +76,10 @@
     shares.SetLimit(account, {700'000, 7'000'000});
     shares.SetDemand(account, {static_cast<std::uint64_t>(i % 2 * 9'000), 0});
   }
-  constexpr int ticks = 200;
+  constexpr int kTicks = 200;
   Time now{std::chrono::hours(1)};
   double asks = 0;
-  const double spent = Microseconds(ticks, [&] {
+  const double spent = Microseconds(kTicks, [&] {
     now += kSharePeriod;
     for (const AskShares& ask : shares.Tick(now)) {
       asks += 1;
@@ -90,7 +89,7 @@
     }
     shares.Changes(now);
   });
-  asks_per_second = asks / ticks;
+  asks_per_second = asks / kTicks;
   return spent;
 }
 
--- a/bench/membership.cc
+++ b/bench/membership.cc
@@ -32,10 +32,10 @@
 
   net.ResetCounters();
   const auto cpu = std::clock();
-  constexpr int steady_seconds = 60;
-  net.Run(seconds(steady_seconds));
+  constexpr int kSteadySeconds = 60;
+  net.Run(seconds(kSteadySeconds));
   const double cpu_s = static_cast<double>(std::clock() - cpu) / CLOCKS_PER_SEC;
-  const double steady = static_cast<double>(hosts) * steady_seconds;
+  const double steady = static_cast<double>(hosts) * kSteadySeconds;
   const double bytes = 2.0 * static_cast<double>(net.bytes_sent()) / steady;
   const double messages =
       2.0 * static_cast<double>(net.datagrams_sent()) / steady;
@@ -83,7 +83,7 @@
 
 /// Store calls a second of the whole fleet for the configuration.
 void StoreRow(int hosts, bool store_up) {
-  constexpr int span = 120;
+  constexpr int kSpan = 120;
   const std::size_t domains = hosts > 100 ? 7 : 3;
   std::vector<ConfigState> states;
   std::vector<Time> watch_ends(static_cast<std::size_t>(hosts));
@@ -96,7 +96,7 @@
     states.emplace_back(static_cast<std::uint64_t>(i), now);
   }
   const Time measured = now + seconds(30);
-  for (const Time end = measured + seconds(span); now < end;
+  for (const Time end = measured + seconds(kSpan); now < end;
        now += kConfigTick) {
     for (std::size_t i = 0; i < states.size(); ++i) {
       states[i].Handle(ViewSeen{true, i / domains}, now);
@@ -129,7 +129,7 @@
     }
   }
   std::printf("%5d %8zu %6s %8.2f %9.2f\n", hosts, domains,
-              store_up ? "up" : "down", reads / span, watches / span);
+              store_up ? "up" : "down", reads / kSpan, watches / kSpan);
 }
 
 }  // namespace
--- a/bench/relay-shell.cc
+++ b/bench/relay-shell.cc
@@ -180,8 +180,8 @@
   std::shared_ptr<http::Call> Open(const std::string& address,
                                    const std::string& prompt,
                                    std::uint64_t tokens,
-                                   std::function<void()> first,
-                                   std::function<void()> end) {
+                                   const std::function<void()>& first,
+                                   const std::function<void()>& end) {
     http::Request request;
     request.method = "POST";
     request.path = "/v1/completions";
--- a/include/comfreyflow/config.h
+++ b/include/comfreyflow/config.h
@@ -47,7 +47,6 @@
   std::vector<ModelVersion> models;
   std::vector<ModelVersion> adapters;
   Duration deadline{};      ///< For requests that name none.
-  Duration retention{};     ///< How long an idempotency key is remembered.
   bool repeatable = false;  ///< For plain calls that do not say.
   bool operator==(const Service&) const = default;
 };
--- a/include/comfreyflow/steward.h
+++ b/include/comfreyflow/steward.h
@@ -123,7 +123,8 @@
   RateModel rates_;
   bool closed_ = false;
   Time suspect_until_;
-  std::uint64_t epoch_ = 0;
+  std::uint64_t epoch_ = 0;         ///< Of the last list.
+  std::uint64_t report_epoch_ = 0;  ///< Of the last report.
   /// Invariant: `kv_granted_` and `prefilling_` are sums over `grants_`.
   std::map<AttemptId, Grant> grants_;
   std::uint64_t kv_granted_ = 0;
--- a/src/core/config/config.cc
+++ b/src/core/config/config.cc
@@ -56,7 +56,6 @@
     Put(out, "adapters", Join(service.adapters, kModel));
   }
   Put(out, "deadline", Milliseconds(service.deadline));
-  Put(out, "retention", Milliseconds(service.retention));
   Put(out, "repeatable", service.repeatable ? "yes" : "no");
 }
 
@@ -105,11 +104,11 @@
   unsigned int length = 0;
   EVP_Digest(bytes.data(), bytes.size(), raw.data(), &length, EVP_sha256(),
              nullptr);
-  constexpr char digits[] = "0123456789abcdef";
+  constexpr char kDigits[] = "0123456789abcdef";
   std::string text;
   for (unsigned int i = 0; i < length; ++i) {
-    text += digits[raw[i] >> 4];
-    text += digits[raw[i] & 15];
+    text += kDigits[raw[i] >> 4];
+    text += kDigits[raw[i] & 15];
   }
   return {text};
 }
--- a/src/core/config/parse.cc
+++ b/src/core/config/parse.cc
@@ -16,7 +16,6 @@
 constexpr std::uint64_t kMaxWeight = 10'000;
 constexpr std::uint64_t kMaxWeightLoads = 1'000;
 constexpr Duration kDefaultDeadline = minutes(2);
-constexpr Duration kDefaultRetention = hours(24);
 constexpr std::size_t kMaxNameLength = 64;
 
 bool IsName(std::string_view text) {
@@ -174,8 +173,6 @@
     }
     service.deadline =
         reader.Span("deadline", kDefaultDeadline, seconds(1), hours(24));
-    service.retention =
-        reader.Span("retention", kDefaultRetention, minutes(1), hours(24 * 31));
     service.repeatable = reader.Flag("repeatable", engine);
     result_.config.services[service.name] = std::move(service);
   }
--- a/src/core/steward/steward.cc
+++ b/src/core/steward/steward.cc
@@ -193,6 +193,10 @@
 }
 
 void Steward::Reported(const TargetReport& report, Time now) {
+  if (report.epoch < report_epoch_) return;
+  // A restarted target that is not closing takes work again.
+  if (report.epoch > report_epoch_) closed_ = false;
+  report_epoch_ = report.epoch;
   if (report.kv_capacity != 0) target_.kv_capacity = report.kv_capacity;
   if (report.max_running != 0) target_.max_running = report.max_running;
   if (report.closing) closed_ = true;
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -78,6 +78,11 @@
   int poll = 0;
 };
 
+/// To the steward actor: some host saw the target crash.
+struct CrashSeen {
+  TargetName target;
+};
+
 /// Life and death of hosts, for the sweeps and grants of all targets.
 struct OwnerNews {
   std::variant<OwnerAlive, OwnerLost, OwnerAnswered> news;
@@ -130,6 +135,7 @@
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::CacheRead)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::PollEnded)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::OwnerNews)
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::CrashSeen)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::OwnersAsked)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::ConfigApplied)
 CAF_ALLOW_UNSAFE_MESSAGE_TYPE(comfreyflow::node::DumpWanted)
--- a/src/node/node-deps.cc
+++ b/src/node/node-deps.cc
@@ -182,6 +182,7 @@
     peer_links->Send(to, PrefilledBody(done.target, done.attempt));
   };
   deps.hooks.share_suspect = [this](const ShareSuspect& share) {
+    steward->Send(CrashSeen{share.evidence.target});
     SendToAll(CrashBody(share.evidence));
   };
   deps.hooks.fetch_prefix_list = [this](const TargetName& name,
--- a/src/node/node-peers.cc
+++ b/src/node/node-peers.cc
@@ -208,7 +208,9 @@
     config_actor->Send(ConfigPosted{PeerGave{
         from, {static_cast<std::uint64_t>(answer.generation), answer.text}}});
   } else if (body.__isset.crash) {
-    entry->Send(EntryPosted{PeerSuspects{CrashFromWire(body.crash)}});
+    const CrashEvidence evidence = CrashFromWire(body.crash);
+    entry->Send(EntryPosted{PeerSuspects{evidence}});
+    steward->Send(CrashSeen{evidence.target});
   } else if (body.__isset.claims) {
     claims->Send(ClaimPosted{PeerClaims{from, FromWire(body.claims)}});
   } else if (body.__isset.claims_answer) {
--- a/src/node/steward-actor.cc
+++ b/src/node/steward-actor.cc
@@ -68,6 +68,9 @@
         ward->due.at(poll) = Now() + kPollPeriods.at(poll);
       },
       [this](const OwnerNews& message) { TakeOwnerNews(message); },
+      [this](const CrashSeen& message) {
+        if (Ward* ward = Find(message.target)) ward->steward.Suspect(Now());
+      },
       [this](const TimerTick& message) { Tick(message.now); },
       [this](const DumpWanted& message) { message.done(Dump()); },
       [this](const PeerRestarted& message) {
--- a/test/steward-test.cc
+++ b/test/steward-test.cc
@@ -126,6 +126,22 @@
   CHECK(Reply(steward.Reserve(Ask(3, 1'000), Time{})) == GrantReply::kClosed);
 }
 
+TEST_CASE("a target that restarted and is not closing is granted again") {
+  Steward steward(Engine());
+  TargetReport report{.target = {"e1"}, .epoch = 1, .sequence = 5};
+  report.closing = true;
+  steward.Reported(report, Time{});
+  CHECK(Reply(steward.Reserve(Ask(1, 1'000), Time{})) == GrantReply::kClosed);
+  report.closing = false;
+  steward.Reported(report, Time{});
+  CHECK(Reply(steward.Reserve(Ask(2, 1'000), Time{})) == GrantReply::kClosed);
+  TargetReport restarted{.target = {"e1"}, .epoch = 2, .sequence = 1};
+  steward.Reported(restarted, Time{});
+  report.closing = true;
+  steward.Reported(report, Time{});
+  CHECK(Reply(steward.Reserve(Ask(3, 1'000), Time{})) == GrantReply::kGranted);
+}
+
 TEST_CASE("an account that floods leaves room for the others") {
   TargetInfo info = Engine();
   info.kv_capacity = 0;
