The daemon issues orders to targets

Cause: the orders' decisions had no actor, so a document's models were loaded by hand. An actor on each host now feeds them the duties of the document, what the targets report, and the lease in the store.

--- a/src/node/node-deps.cc
+++ b/src/node/node-deps.cc
@@ -310,7 +310,7 @@
                           {"body_memory_used", bodies->used()}};
   parts->done = std::move(done);
   std::vector<ActorRefPtr> actors = {entry, steward, membership};
-  if (platform) actors.push_back(claims);
+  if (platform) actors.insert(actors.end(), {claims, orders});
   parts->missing = actors.size();
   for (const auto& actor : actors) {
     actor->Send(DumpWanted{[parts](const Json& part) { parts->Add(part); }});
--- a/src/node/node-peers.cc
+++ b/src/node/node-peers.cc
@@ -355,6 +355,23 @@
   return deps;
 }
 
+OrdersDeps Node::State::MakeOrdersDeps() {
+  OrdersDeps deps;
+  deps.self_name = settings().name;
+  deps.incarnation = IncarnationFromClock();
+  deps.client = &client;
+  deps.platform = platform.get();
+  deps.self = orders;
+  deps.timer = timer;
+  deps.duties = [this]() -> std::vector<OrderDuty> {
+    const auto now = config->current();
+    if (!now) return {};
+    const std::lock_guard lock(view_mutex);
+    return OrderDutiesOf(now->config, serving, settings().name);
+  };
+  return deps;
+}
+
 ConfigDeps Node::State::MakeConfigDeps() {
   ConfigDeps deps;
   deps.environment = settings().environment;
--- a/src/node/node-state.h
+++ b/src/node/node-state.h
@@ -30,6 +30,7 @@
 #include "node/membership-actor.h"
 #include "node/metrics.h"
 #include "node/node.h"
+#include "node/orders-actor.h"
 #include "node/peer-links.h"
 #include "node/steward-actor.h"
 #include "node/supervisor.h"
@@ -85,6 +86,7 @@
   void SendToAll(const wire::Body& body);
   ClaimDeps MakeClaimDeps();
   ConfigDeps MakeConfigDeps();
+  OrdersDeps MakeOrdersDeps();
   std::vector<TargetInfo> Targets() const;
   std::vector<LimitChanged> Limits() const;
   void Dump(std::function<void(nlohmann::ordered_json)> done);
@@ -125,6 +127,7 @@
   ActorRefPtr steward = std::make_shared<ActorRef>();
   ActorRefPtr claims = std::make_shared<ActorRef>();
   ActorRefPtr config_actor = std::make_shared<ActorRef>();
+  ActorRefPtr orders = std::make_shared<ActorRef>();
   caf::actor supervisor;
   std::vector<std::thread> threads;
   std::atomic<std::size_t> open_requests = 0;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -158,6 +158,9 @@
   children.push_back({"config", config_actor, [this](caf::actor_system& all) {
                         return all.spawn<ConfigActor>(MakeConfigDeps());
                       }});
+  children.push_back({"orders", orders, [this](caf::actor_system& all) {
+                        return all.spawn<OrdersActor>(MakeOrdersDeps());
+                      }});
 }
 
 void Node::State::StartThreads() {
--- a/src/node/target-poll.cc
+++ b/src/node/target-poll.cc
@@ -88,6 +88,25 @@
   return report;
 }
 
+ObservedTarget LoadedOf(const Json& json, const TargetInfo& target) {
+  ObservedTarget out;
+  out.target = target.name;
+  out.failure_domain = target.failure_domain;
+  out.role = Text(json, "role");
+  for (const auto& model : List(json, "models")) {
+    out.models.insert({{Text(model, "model")}, Text(model, "version")});
+  }
+  for (const auto& adapter : List(json, "adapters")) {
+    if (!adapter.is_string()) continue;
+    const auto text = adapter.get<std::string>();
+    const auto at = text.rfind('@');
+    const bool versioned = at != std::string::npos;
+    out.adapters.insert(
+        {{text.substr(0, at)}, versioned ? text.substr(at + 1) : ""});
+  }
+  return out;
+}
+
 AttemptsListed ListOf(const Json& json) {
   AttemptsListed list;
   list.epoch = Number(json, "epoch");
@@ -131,6 +150,16 @@
             });
 }
 
+void ReadLoaded(http::Client& client, const TargetInfo& target,
+                std::function<void(const ObservedTarget*)> done) {
+  FetchJson(client, target.address, "/v1/load", "",
+            [target, done = std::move(done)](const Json* json) {
+              if (json == nullptr) return done(nullptr);
+              const ObservedTarget seen = LoadedOf(*json, target);
+              done(&seen);
+            });
+}
+
 void ReadAttempts(http::Client& client, const TargetInfo& target,
                   std::function<void(const AttemptsListed*)> done) {
   FetchJson(client, target.address, "/v1/attempts", "",
--- a/src/node/target-poll.h
+++ b/src/node/target-poll.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 
+#include "comfreyflow/orders.h"
 #include "comfreyflow/target.h"
 #include "http/client.h"
 #include "node/messages.h"
@@ -13,6 +14,9 @@
 /// Reads `GET /v1/load`; `done` gets null when the target gave no answer.
 void ReadLoad(http::Client& client, const TargetInfo& target,
               std::function<void(const TargetReport*)> done);
+/// Reads from `GET /v1/load` what the target has loaded.
+void ReadLoaded(http::Client& client, const TargetInfo& target,
+                std::function<void(const ObservedTarget*)> done);
 /// Reads `GET /v1/attempts`.
 void ReadAttempts(http::Client& client, const TargetInfo& target,
                   std::function<void(const AttemptsListed*)> done);
--- a/test/fakes/fake-engine.cc
+++ b/test/fakes/fake-engine.cc
@@ -61,6 +61,12 @@
   return out;
 }
 
+Json FakeEngine::Orders() {
+  Json out;
+  server_.RunAndWait([&] { out = orders_; });
+  return out;
+}
+
 void FakeEngine::Handle(const CallPtr& call) {
   const FakeRequest& request = call->request();
   const std::string& path = request.path;
--- a/test/fakes/fake-engine.h
+++ b/test/fakes/fake-engine.h
@@ -51,6 +51,8 @@
   std::vector<std::string> Attempts();
   /// The answer of `GET /counts`.
   Json Counts();
+  /// The orders taken, as `GET /orders` lists them.
+  Json Orders();
 
  private:
   using Clock = std::chrono::steady_clock;
