A connection that broke before any answer leaves the outcome unknown

Cause: a call whose answer was lost with its connection was told failed, which says that it ran; nobody knows. Only the target's own error says so now. The check in failures-test, loosened when it was written, asks for unknown again; entry-test has both cases.

--- a/include/comfreyflow/attempt.h
+++ b/include/comfreyflow/attempt.h
@@ -86,6 +86,7 @@
   Time last_event_{};
   bool ran_before_ = false;  ///< An earlier attempt may have run.
   bool answered_ = false;    ///< Some attempt sent content.
+  bool broken_ = false;      ///< Some connection broke without a word.
   bool settled_ = false;     ///< Never cleared; nothing is forwarded after.
 };
 
--- a/src/core/attempts/attempt.cc
+++ b/src/core/attempts/attempt.cc
@@ -77,6 +77,7 @@
 AttemptStep Attempt::On(const StreamFailed& event, Time now) {
   if (!IsCurrent(event.attempt)) return {};
   const bool sent = stage_ >= Stage::kOpened;
+  broken_ = broken_ || event.crashed;
   // Content is stronger evidence than a later word that nothing ran.
   if (event.not_run && stage_ != Stage::kAnswering) stage_ = Stage::kIdle;
   if (now >= deadline_) return Expire();
@@ -147,8 +148,10 @@
 
 Outcome Attempt::OutcomeOf(Errc code) const {
   if (!may_have_run()) return Outcome::kNotRun;
-  if (answered_ || code == Errc::kTargetFailed) return Outcome::kFailed;
-  return Outcome::kUnknown;
+  if (answered_) return Outcome::kFailed;
+  // Only the target's own word says that it ran; a broken connection does not.
+  const bool told = code == Errc::kTargetFailed && !broken_;
+  return told ? Outcome::kFailed : Outcome::kUnknown;
 }
 
 }  // namespace comfreyflow
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -319,3 +319,20 @@
   CHECK(One<Finish>(end).code == Errc::kPromptTooLong);
   CHECK(One<Finish>(end).outcome == Outcome::kNotRun);
 }
+
+TEST_CASE("a connection that broke before any answer leaves the end unknown") {
+  Fixture f;
+  const auto claim = One<WantClaim>(f.entry.Handle(Arrival(1, false), kStart));
+  f.Grant(f.entry.Handle(ClaimAnswered{claim.request, ClaimVerdict::kClaimed},
+                         kStart));
+  SUBCASE("broken") {
+    const auto end = f.entry.Handle(
+        StreamFailed{f.attempt, Errc::kTargetFailed, false, true}, kStart);
+    CHECK(One<Finish>(end).outcome == Outcome::kUnknown);
+  }
+  SUBCASE("the target's own error") {
+    const auto end = f.entry.Handle(
+        StreamFailed{f.attempt, Errc::kTargetFailed, false, false}, kStart);
+    CHECK(One<Finish>(end).outcome == Outcome::kFailed);
+  }
+}
--- a/test/shell/failures-test.cc
+++ b/test/shell/failures-test.cc
@@ -193,7 +193,7 @@
   fleet.service.SetFaults({{"lose_answers", 1}});
   const RawAnswer lost = send("k2", "order 9");
   CHECK(lost.status >= 500);
-  CHECK(lost.body.find("not_run") == std::string::npos);
+  CHECK(lost.body.find("\"outcome\":\"unknown\"") != std::string::npos);
   CHECK(send("k2", "order 9").status == 409);
   platform.SetFaults({{"lose_answers", 1}});
   CHECK(send("k3", "order 10").status == 200);
