--- a/src/ctl/config-commands.cc
+++ b/src/ctl/config-commands.cc
@@ -9,6 +9,7 @@
 #include "ctl/arguments.h"
 #include "ctl/commands.h"
 #include "ctl/host-call.h"
+#include "http/problems.h"
 
 namespace comfreyflow::ctl {
 namespace {
@@ -88,7 +89,7 @@
   for (const Problem& problem : result.problems) {
     report.text += path + ": " + ToString(problem) + '\n';
   }
-  report.json["problems"] = ProblemsJson(result.problems);
+  report.json["problems"] = http::ProblemsJson(result.problems);
   SetError(report, Errc::kConfigInvalid, path);
   return false;
 }
--- a/src/ctl/report.h
+++ b/src/ctl/report.h
@@ -34,8 +34,6 @@
 /// The code's row as callers are told it, with `detail` behind its message.
 void SetError(Report& report, Errc code, const std::string& detail = "");
 
-Json ProblemsJson(const std::vector<Problem>& problems);
-
 /// The whole file; false when it cannot be read.
 bool ReadFile(const std::string& path, std::string& out);
 
--- a/src/ctl/run.cc
+++ b/src/ctl/run.cc
@@ -98,18 +98,6 @@
   report.text += detail.empty() ? "\n" : " (" + detail + ")\n";
 }
 
-Json ProblemsJson(const std::vector<Problem>& problems) {
-  Json out = Json::array();
-  for (const Problem& problem : problems) {
-    out.push_back({{"line", problem.line},
-                   {"kind", ToString(problem.kind)},
-                   {"section", problem.section},
-                   {"key", problem.key},
-                   {"expected", problem.detail}});
-  }
-  return out;
-}
-
 bool ReadFile(const std::string& path, std::string& out) {
   std::ifstream file(path, std::ios::binary);
   std::ostringstream text;
--- a/src/node/admin-api.cc
+++ b/src/node/admin-api.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "comfreyflow/config.h"
+#include "http/problems.h"
 #include "node/answer.h"
 #include "node/headers.h"
 
@@ -37,22 +38,10 @@
   return response;
 }
 
-Json ProblemsJson(const std::vector<Problem>& problems) {
-  Json out = Json::array();
-  for (const auto& problem : problems) {
-    out.push_back({{"line", problem.line},
-                   {"kind", ToString(problem.kind)},
-                   {"section", problem.section},
-                   {"key", problem.key},
-                   {"expected", problem.detail}});
-  }
-  return out;
-}
-
 http::Response ConfigInvalid(const std::vector<Problem>& problems) {
   http::Response response = ErrorResponse(FailureOf(Errc::kConfigInvalid));
   Json body = Json::parse(response.body);
-  body["error"]["problems"] = ProblemsJson(problems);
+  body["error"]["problems"] = http::ProblemsJson(problems);
   response.body = body.dump();
   return response;
 }
