One way to make a final answer; one version constant

The default retry advice was built in three places of the entry role from two copies of its constant, and daemon and tool each had the version.

--- a/src/core/entry/arrival.cc
+++ b/src/core/entry/arrival.cc
@@ -4,15 +4,10 @@
 #include "core/entry/state.h"
 
 namespace comfreyflow {
-namespace {
 
 using detail::Phase;
 using detail::Request;
 
-constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(500);
-
-}  // namespace
-
 Errc Entry::State::Judge(const RequestArrived& event) const {
   const RequestInfo& info = event.info;
   if (!admitting) return stop_reason;
@@ -30,13 +25,7 @@
 
 void Entry::State::Refuse(const RequestId& id, Errc code,
                           Duration retry_after) {
-  if (retry_after <= Duration::zero() && Info(code).retry) {
-    retry_after = kDefaultRetryAfter;
-  }
-  out.push_back(Finish{.request = id,
-                       .code = code,
-                       .outcome = Info(code).outcome,
-                       .retry_after = retry_after});
+  out.push_back(MakeFinish(id, code, Info(code).outcome, retry_after));
 }
 
 void Entry::State::On(const RequestArrived& event) {
@@ -93,11 +82,7 @@
   Errc code = Errc::kOutcomeUnknown;
   if (verdict == ClaimVerdict::kSeenDone) code = Errc::kAlreadyDone;
   if (verdict == ClaimVerdict::kSeenRunning) code = Errc::kAlreadyRunning;
-  Finish finish{.request = request.info.id};
-  finish.code = code;
-  finish.outcome = Info(code).outcome;
-  if (Info(code).retry) finish.retry_after = kDefaultRetryAfter;
-  Settle(request, false, finish);
+  Settle(request, false, MakeFinish(request.info.id, code, Info(code).outcome));
 }
 
 }  // namespace comfreyflow
--- a/src/core/entry/attempts.cc
+++ b/src/core/entry/attempts.cc
@@ -134,13 +134,9 @@
       return;
     case AttemptAction::kRetry:
       return Retry(request, step);
-    case AttemptAction::kSettle: {
-      Finish finish{.request = request.info.id};
-      finish.code = step.code;
-      finish.outcome = step.outcome;
-      if (Info(step.code).retry) finish.retry_after = kDefaultRetryAfter;
-      return Settle(request, step.cancel, finish);
-    }
+    case AttemptAction::kSettle:
+      return Settle(request, step.cancel,
+                    MakeFinish(request.info.id, step.code, step.outcome));
   }
 }
 
@@ -198,16 +194,21 @@
   }
 }
 
+Finish Entry::State::MakeFinish(const RequestId& id, Errc code, Outcome outcome,
+                                Duration retry_after) {
+  if (retry_after <= Duration::zero() && Info(code).retry) {
+    retry_after = kDefaultRetryAfter;
+  }
+  return {.request = id,
+          .code = code,
+          .outcome = outcome,
+          .retry_after = retry_after};
+}
+
 void Entry::State::GiveUp(Request& request, Errc code, Duration retry_after) {
   const AttemptStep step = request.attempt.GiveUp(code);
-  Finish finish{.request = request.info.id};
-  finish.code = step.code;
-  finish.outcome = step.outcome;
-  if (Info(code).retry) {
-    finish.retry_after =
-        retry_after > Duration::zero() ? retry_after : kDefaultRetryAfter;
-  }
-  Settle(request, step.cancel, finish);
+  Settle(request, step.cancel,
+         MakeFinish(request.info.id, step.code, step.outcome, retry_after));
 }
 
 void Entry::State::Settle(Request& request, bool cancel, Finish finish) {
--- a/src/core/entry/state.h
+++ b/src/core/entry/state.h
@@ -65,7 +65,7 @@
   void Carry(const SendPrefillDone& command);
   void Carry(const Dispatched& command);
   void Carry(const Unplaced& command);
-  /// Does what the attempt decided; `code` may end or restart the request.
+  /// Does what the attempt decided, which may end or restart the request.
   void Follow(detail::Request& request, const AttemptStep& step);
   void Retry(detail::Request& request, const AttemptStep& step);
   void LeaveAttempt(detail::Request& request, bool cancel, bool whole);
@@ -74,6 +74,10 @@
   void EndQuarantined(std::uint64_t fingerprint);
 
   // Ends (attempts.cc).
+  /// The final answer without usage; a default stands in for no retry advice
+  /// where the code may succeed later.
+  static Finish MakeFinish(const RequestId& id, Errc code, Outcome outcome,
+                           Duration retry_after = Duration::zero());
   void GiveUp(detail::Request& request, Errc code,
               Duration retry_after = Duration::zero());
   void Settle(detail::Request& request, bool cancel, Finish finish);
--- a/src/ctl/report.h
+++ b/src/ctl/report.h
@@ -9,6 +9,7 @@
 
 #include "comfreyflow/errors.h"
 #include "comfreyflow/ini.h"
+#include "comfreyflow/version.h"
 
 namespace comfreyflow::ctl {
 
@@ -18,7 +19,6 @@
 inline constexpr int kExitDone = 0;
 inline constexpr int kExitFailed = 1;  ///< Refused or failed.
 inline constexpr int kExitUsage = 2;
-inline constexpr const char* kVersion = "0.1.0";
 
 struct Report {
   Errc code = Errc::kOk;
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -9,6 +9,7 @@
 #include <sstream>
 
 #include "comfreyflow/settings.h"
+#include "comfreyflow/version.h"
 #include "http/tls.h"
 #include "node/log.h"
 #include "node/node.h"
@@ -16,13 +17,13 @@
 namespace {
 
 using comfreyflow::HostSettings;
+using comfreyflow::kVersion;
 using comfreyflow::node::LogLine;
 using comfreyflow::node::Severity;
 
 constexpr int kDone = 0;
 constexpr int kFailed = 1;
 constexpr int kUsage = 2;
-constexpr const char* kVersion = "0.1.0";
 constexpr std::chrono::seconds kTlsCheckPeriod{5};
 
 struct Options {
