--- /dev/null
+++ b/include/comfreyflow/placer.h
@@ -0,0 +1,214 @@
+/// Places the requests of one service on its targets. One host holds the
+/// placer of a service and knows all its running work, so that slots, memory
+/// and reading time are counted exactly; other hosts ask it.
+///
+/// Load it answers: short streams next to prompts whose reading takes seconds.
+/// Short work is packed on few engines, which keeps whole engines free for long
+/// prompts; a long prompt is read by as many free engines as its objective
+/// needs. The two never share an engine while a long prompt is being read.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "comfreyflow/errors.h"
+#include "comfreyflow/routes.h"
+#include "comfreyflow/types.h"
+
+namespace comfreyflow {
+
+/// A target as the list of targets has it.
+struct PoolTarget {
+  TargetName name;
+  std::string address;  ///< `ip:port`
+  FailureDomain domain;
+  std::uint32_t slots = 1;
+  std::uint64_t born = 0;  ///< Changes when it starts again under its name.
+  bool leaving = false;    ///< Takes no new work.
+  bool operator==(const PoolTarget&) const = default;
+};
+
+/// A request that wants a target.
+struct PlaceJob {
+  RequestId id;
+  AccountName account;
+  FailureDomain domain;  ///< Of the host that sends it.
+  bool stream = false;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t output_tokens = 0;
+  std::uint32_t priority = 1;
+  Time arrival;
+  Time deadline;
+  Duration objective{};  ///< From arrival to the first event or answer.
+  Duration max_gap{};    ///< Longest pause between its events that is in time.
+  std::uint32_t number = 1;          ///< Of this try; a later one is a repeat.
+  std::vector<TargetName> excluded;  ///< Not to be tried again.
+};
+
+struct PlacedTarget {
+  TargetName name;
+  std::string address;
+  bool operator==(const PlacedTarget&) const = default;
+};
+
+/// Send the request to `targets[0]`; the others help to read its prompt.
+struct PlaceGrant {
+  RequestId id;
+  std::uint32_t number = 1;
+  std::vector<PlacedTarget> targets;
+  Duration estimate{};  ///< Expected time to the first event or answer.
+};
+
+struct PlaceRefusal {
+  RequestId id;
+  std::uint32_t number = 1;
+  Errc code = Errc::kNoTarget;
+  Duration retry_after{};
+};
+
+using PlaceVerdict = std::variant<PlaceGrant, PlaceRefusal>;
+
+/// How work left a target.
+enum class WorkEnd : std::uint8_t {
+  kDone,         ///< Its whole answer came.
+  kTargetError,  ///< The target answered with a failure of its own.
+  kRefused,      ///< The target said that it did not run it.
+  kWrongTarget,  ///< Another target has the address.
+  kBroken,       ///< The connection ended before the whole answer.
+  kSilent,       ///< The target said nothing for too long.
+  kUnreachable,  ///< No connection.
+  kGarbled,      ///< The answer was not the target's own or not whole.
+  kGone,         ///< The caller left, or the deadline passed.
+};
+
+const char* ToString(WorkEnd end);
+
+/// Placed work as its host tells it.
+struct RunningWork {
+  RequestId id;
+  std::vector<TargetName> targets;
+  bool stream = false;
+  bool begun = false;  ///< Its first event came.
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t output_tokens = 0;
+};
+
+struct PlacerSettings {
+  /// Repeats in a window at most: ratio * requests of the window + slack.
+  double repeat_ratio = 0.2;
+  double repeat_slack = 50;
+  Duration repeat_window = std::chrono::seconds(10);
+};
+
+class Placer {
+ public:
+  explicit Placer(PlacerSettings settings) : settings_(settings) {}
+
+  /// Absent: the targets are plain servers.
+  void SetEngine(const std::optional<EngineModel>& engine) { engine_ = engine; }
+  /// The whole list; targets that are missing from it take no new work.
+  void SetTargets(const std::vector<PoolTarget>& targets, Time now);
+
+  /// Asks for a target, or asks again for one that waits or was granted: the
+  /// same try of a request is placed once, however often it is asked for.
+  void Ask(const PlaceJob& job, Time now);
+  /// The first event or the answer's head came.
+  void Begun(const RequestId& id, Time now);
+  /// The work is off its targets, or wants none any more.
+  void Ended(const RequestId& id, WorkEnd end, Time now);
+  /// All placed work of a host, as of now; what it does not name has ended.
+  void Adopt(const HostName& host, const std::vector<RunningWork>& running,
+             Time now);
+  /// The host is gone and its work with it.
+  void Forget(const HostName& host);
+  /// Places what waits; at least every 20 ms.
+  void Tick(Time now);
+  std::vector<PlaceVerdict> TakeVerdicts();
+
+  std::size_t waiting() const { return waiting_.size(); }
+  std::size_t running() const { return works_.size() - waiting_.size(); }
+
+  struct TargetLoad {
+    TargetName name;
+    std::uint32_t running = 0;
+    std::uint32_t shorts = 0;      ///< Short streams among them.
+    std::uint32_t long_reads = 0;  ///< Long prompts being read.
+    Duration reading{};            ///< Of short prompts not yet begun.
+    std::uint64_t memory = 0;      ///< Tokens held at the end of all work.
+    std::uint32_t failures = 0;    ///< In a row.
+    double pace = 1;               ///< Time to the first event over estimate.
+    bool leaving = false;
+  };
+  std::vector<TargetLoad> Loads() const;
+
+ private:
+  struct Target {
+    PoolTarget info;
+    bool listed = true;
+    std::uint32_t running = 0;
+    std::uint32_t shorts = 0;
+    std::uint32_t long_reads = 0;
+    Duration reading{};
+    std::uint64_t memory = 0;
+    std::uint32_t failures = 0;
+    Time closed_until;
+    double pace = 1;
+    double error_share = 0;
+    Time paced;
+  };
+  /// Invariant: a placed work is counted at each of its targets.
+  struct Work {
+    PlaceJob job;
+    bool placed = false;
+    bool begun = false;
+    bool is_long = false;
+    Duration read{};  ///< Reading time of the whole prompt on one target.
+    Duration estimate{};
+    Time placed_at;
+    Time asked;
+    PlaceGrant grant;
+  };
+  struct Bucket {
+    Time begin;
+    std::uint32_t requests = 0;
+    std::uint32_t repeats = 0;
+  };
+
+  Duration ReadTime(std::uint64_t tokens) const;
+  Duration EventTime(const Target& target, std::uint64_t context) const;
+  bool Usable(const Target& target, const Work& work, Time now) const;
+  bool HasRoom(const Target& target, const Work& work) const;
+  bool Excluded(const Work& work, const TargetName& name) const;
+  std::vector<Target*> Candidates(const Work& work, Time now);
+  bool TryPlace(Work& work, Time now);
+  Target* ChoosePlain(const Work& work, const std::vector<Target*>& targets);
+  Target* ChooseShort(const Work& work, const std::vector<Target*>& targets);
+  std::vector<Target*> ChooseLong(const Work& work,
+                                  const std::vector<Target*>& targets,
+                                  Time now);
+  void Grant(Work& work, const std::vector<Target*>& targets, Time now);
+  void Refuse(const Work& work, Errc code, Duration retry_after);
+  bool Hopeless(const Work& work, Time now) const;
+  void PlaceWaiting(Time now);
+  void Count(Work& work, int sign);
+  void NoteHealth(const TargetName& name, WorkEnd end, Time now);
+  bool MayRepeat(Time now);
+  Bucket& CurrentBucket(Time now);
+  Target* Find(const TargetName& name);
+
+  PlacerSettings settings_;
+  std::optional<EngineModel> engine_;
+  std::map<TargetName, Target> targets_;
+  std::map<RequestId, Work> works_;
+  std::vector<RequestId> waiting_;  ///< Of `works_`, those not placed.
+  std::deque<Bucket> buckets_;
+  std::vector<PlaceVerdict> verdicts_;
+  bool long_waits_ = false;  ///< A long prompt waits for free engines.
+};
+
+}  // namespace comfreyflow
--- /dev/null
+++ b/include/comfreyflow/target-book.h
@@ -0,0 +1,55 @@
+/// The targets that may get work, out of a list that lags, loses entries while
+/// its keeper is away, and may hold entries of other writers.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "comfreyflow/placer.h"
+#include "comfreyflow/types.h"
+
+namespace comfreyflow {
+
+struct TargetEntry {
+  ServiceName service;
+  PoolTarget target;
+  bool operator==(const TargetEntry&) const = default;
+};
+
+class TargetBook {
+ public:
+  /// `return_time`: how long after the list's keeper is back entries may still
+  /// be missing whose targets are alive.
+  explicit TargetBook(Duration return_time) : return_time_(return_time) {}
+
+  /// The whole list.
+  void Listed(const std::vector<TargetEntry>& entries, Time now);
+  void Put(const TargetEntry& entry);
+  void Removed(const TargetName& name, Time now);
+  /// The list's keeper does not answer, or answers again.
+  void KeeperLost(Time now);
+  void KeeperBack(Time now);
+  /// Drops entries that are still missing; when to call it again, if ever.
+  void Tick(Time now);
+  /// True once after each change.
+  bool TakeChanged();
+
+  std::map<ServiceName, std::vector<PoolTarget>> Pool() const;
+  std::size_t size() const { return entries_.size(); }
+  /// Entries that are missing from the list and still in use.
+  std::size_t missing() const { return missing_.size(); }
+
+ private:
+  bool Settling(Time now) const;
+
+  const Duration return_time_;
+  std::map<TargetName, TargetEntry> entries_;
+  std::map<TargetName, Time> missing_;  ///< Since when.
+  bool lost_ = false;
+  bool ever_lost_ = false;
+  Time back_;
+  bool changed_ = false;
+};
+
+}  // namespace comfreyflow
--- /dev/null
+++ b/src/core/placer/choose.cc
@@ -0,0 +1,234 @@
+// Which targets take a request.
+#include <algorithm>
+#include <cmath>
+
+#include "comfreyflow/placer.h"
+
+namespace comfreyflow {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+/// Prompts that take longer to read alone count as long: other streams on the
+/// engine would pause for about this time.
+constexpr Duration kLongRead = milliseconds(200);
+/// Unread short prompts on one engine at most, in reading time.
+constexpr Duration kReadBacklog = milliseconds(110);
+/// Streams packed on an engine before another one is opened.
+constexpr std::uint32_t kPackedStreams = 11;
+/// Share of an engine's memory that is planned for.
+constexpr double kMemoryShare = 0.95;
+/// Engines that read one prompt at most, the first one included.
+constexpr std::size_t kMaxReaders = 17;
+/// Shares of the time left to the objective that reading may take: what is
+/// aimed at, and what is still accepted.
+constexpr double kAimedReadShare = 0.6;
+constexpr double kAcceptedReadShare = 0.92;
+/// From the end of reading to the caller: the first event's steps and the way.
+constexpr Duration kFirstEventMargin = milliseconds(120);
+/// Short streams that a long prompt in need may slow down.
+constexpr std::uint32_t kSacrificedStreams = 1;
+/// A target whose pace is beyond this is used only if no other is free.
+constexpr double kSlowPace = 1.9;
+constexpr Duration kPaceMemory = std::chrono::seconds(3);
+constexpr double kTolerableErrors = 0.3;
+
+}  // namespace
+
+Duration Placer::ReadTime(std::uint64_t tokens) const {
+  const double n = static_cast<double>(tokens);
+  const double pairs = n * n / 2 / 1e6;
+  const Seconds linear(n / std::max(1.0, engine_->prefill_per_second));
+  return duration_cast<Duration>(
+      linear + pairs * Seconds(engine_->prefill_per_1m_pairs));
+}
+
+Duration Placer::EventTime(const Target& target, std::uint64_t context) const {
+  const double held = static_cast<double>(target.memory + context) / 1000;
+  const Duration step =
+      engine_->step + engine_->step_per_sequence * (target.running + 1) +
+      duration_cast<Duration>(engine_->step_per_1k_context * held);
+  return step * engine_->event_tokens;
+}
+
+bool Placer::Excluded(const Work& work, const TargetName& name) const {
+  const auto& excluded = work.job.excluded;
+  return std::find(excluded.begin(), excluded.end(), name) != excluded.end();
+}
+
+bool Placer::Usable(const Target& target, const Work& work, Time now) const {
+  if (!target.listed || target.info.leaving) return false;
+  if (now < target.closed_until) return false;
+  if (target.failures > 0 && target.running > 0) return false;
+  return !Excluded(work, target.info.name);
+}
+
+bool Placer::HasRoom(const Target& target, const Work& work) const {
+  if (target.running >= target.info.slots) return false;
+  if (!engine_ || engine_->memory_tokens == 0) return true;
+  const double limit = kMemoryShare * engine_->memory_tokens;
+  const double wanted =
+      double{0} + work.job.prompt_tokens + work.job.output_tokens;
+  if (target.running == 0) return true;
+  return target.memory + wanted <= limit;
+}
+
+std::vector<Placer::Target*> Placer::Candidates(const Work& work, Time now) {
+  std::vector<Target*> good;
+  std::vector<Target*> poor;
+  for (auto& [name, target] : targets_) {
+    if (!Usable(target, work, now)) continue;
+    const bool slow =
+        target.pace > kSlowPace && now - target.paced < kPaceMemory;
+    const bool failing = target.error_share > kTolerableErrors;
+    (slow || failing ? poor : good).push_back(&target);
+  }
+  const bool free = std::any_of(good.begin(), good.end(), [&](Target* target) {
+    return HasRoom(*target, work);
+  });
+  if (!free) good.insert(good.end(), poor.begin(), poor.end());
+  return good;
+}
+
+bool Placer::TryPlace(Work& work, Time now) {
+  const auto candidates = Candidates(work, now);
+  if (candidates.empty()) return false;
+  if (!engine_ || !work.job.stream) {
+    Target* target = ChoosePlain(work, candidates);
+    if (target == nullptr) return false;
+    Grant(work, {target}, now);
+    return true;
+  }
+  work.is_long = work.read > kLongRead;
+  if (!work.is_long) {
+    Target* target = ChooseShort(work, candidates);
+    if (target == nullptr) return false;
+    Grant(work, {target}, now);
+    return true;
+  }
+  const auto targets = ChooseLong(work, candidates, now);
+  if (targets.empty()) return false;
+  Grant(work, targets, now);
+  return true;
+}
+
+Placer::Target* Placer::ChoosePlain(const Work& work,
+                                    const std::vector<Target*>& targets) {
+  Target* best = nullptr;
+  const auto cost = [&work](const Target& target) {
+    const double busy =
+        static_cast<double>(target.running) / std::max(1U, target.info.slots);
+    const bool near = target.info.domain == work.job.domain;
+    return busy + target.error_share + (near ? 0 : 0.3);
+  };
+  for (Target* target : targets) {
+    if (!HasRoom(*target, work)) continue;
+    if (best == nullptr || cost(*target) < cost(*best)) best = target;
+  }
+  return best;
+}
+
+Placer::Target* Placer::ChooseShort(const Work& work,
+                                    const std::vector<Target*>& targets) {
+  Target* packed = nullptr;   // Nothing unread, the most streams.
+  Target* empty = nullptr;    // Neither streams nor reads.
+  Target* backlog = nullptr;  // The least to read before.
+  const auto near = [&work](const Target& target) {
+    return target.info.domain == work.job.domain;
+  };
+  for (Target* target : targets) {
+    if (target->long_reads > 0 || !HasRoom(*target, work)) continue;
+    const bool quiet = target->reading == Duration::zero();
+    if (quiet && target->shorts > 0 && target->shorts < kPackedStreams) {
+      const auto rank = [&near](const Target& t) {
+        return std::pair(t.shorts, near(t));
+      };
+      if (packed == nullptr || rank(*target) > rank(*packed)) packed = target;
+    }
+    if (quiet && target->shorts == 0) {
+      const auto rank = [&near](const Target& t) {
+        return std::pair(t.memory, !near(t));
+      };
+      if (empty == nullptr || rank(*target) < rank(*empty)) empty = target;
+    }
+    const auto rank = [](const Target& t) {
+      return std::pair(t.reading, t.shorts);
+    };
+    if (backlog == nullptr || rank(*target) < rank(*backlog)) backlog = target;
+  }
+  if (packed != nullptr) return packed;
+  const bool fits =
+      backlog != nullptr && backlog->reading + work.read <= kReadBacklog;
+  if (long_waits_ && fits) return backlog;
+  if (empty != nullptr) return empty;
+  return backlog;
+}
+
+std::vector<Placer::Target*> Placer::ChooseLong(
+    const Work& work, const std::vector<Target*>& targets, Time now) {
+  const Duration left =
+      work.job.arrival + work.job.objective - now - kFirstEventMargin;
+  const auto readers_for = [&work](Duration time) -> std::size_t {
+    if (time <= Duration::zero()) return kMaxReaders;
+    return static_cast<std::size_t>(
+        std::ceil(Seconds(work.read) / Seconds(time)));
+  };
+  const auto free_engines = [&](std::uint32_t most_streams) {
+    std::vector<Target*> free;
+    for (Target* target : targets) {
+      if (target->long_reads > 0 || target->shorts > most_streams) continue;
+      if (target->reading > Duration::zero()) continue;
+      if (target->running >= target->info.slots) continue;
+      free.push_back(target);
+    }
+    std::sort(free.begin(), free.end(), [](const Target* a, const Target* b) {
+      return std::tuple(a->memory, a->info.name) <
+             std::tuple(b->memory, b->info.name);
+    });
+    return free;
+  };
+  auto free = free_engines(0);
+  const std::size_t aimed = std::clamp<std::size_t>(
+      readers_for(duration_cast<Duration>(left * kAimedReadShare)), 1,
+      kMaxReaders);
+  const std::size_t least = std::clamp<std::size_t>(
+      readers_for(duration_cast<Duration>(left * kAcceptedReadShare)), 1,
+      kMaxReaders);
+  const bool late = work.read / kMaxReaders > left;
+  if (free.size() < least && !late) {
+    free = free_engines(kSacrificedStreams);
+    if (free.size() < least) return {};
+  }
+  if (free.empty()) return {};
+  if (late) {
+    // Past its objective it is read with what is free, if that is soon enough.
+    const Duration time = work.read / free.size() + kFirstEventMargin;
+    if (now + time > work.job.deadline) return {};
+  }
+  if (!HasRoom(*free.front(), work)) return {};
+  free.resize(std::min(free.size(), aimed));
+  return free;
+}
+
+void Placer::Grant(Work& work, const std::vector<Target*>& targets, Time now) {
+  work.grant = {};
+  work.grant.id = work.job.id;
+  work.grant.number = work.job.number;
+  for (const Target* target : targets) {
+    work.grant.targets.push_back({target->info.name, target->info.address});
+  }
+  if (engine_ && work.job.stream) {
+    const auto readers = static_cast<int>(targets.size());
+    work.estimate = work.read / readers + targets.front()->reading +
+                    EventTime(*targets.front(), work.job.prompt_tokens);
+  }
+  work.grant.estimate = work.estimate;
+  work.placed = true;
+  work.placed_at = now;
+  Count(work, 1);
+  verdicts_.push_back(work.grant);
+}
+
+}  // namespace comfreyflow
--- /dev/null
+++ b/src/core/placer/placer.cc
@@ -0,0 +1,345 @@
+// The life of work at a placer: asked, waiting, placed, begun, ended.
+#include "comfreyflow/placer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreyflow {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Work of a host that its own word does not name has ended, unless it was
+/// placed so lately that the word may be older.
+constexpr Duration kAdoptMargin = milliseconds(400);
+/// A waiting request whose host stopped asking for it.
+constexpr Duration kAskLife = milliseconds(1200);
+/// Least time in which a request can be served at all.
+constexpr Duration kLeastService = milliseconds(10);
+/// Wait for a first usable target before a request is refused.
+constexpr Duration kEmptyPoolWait = milliseconds(250);
+constexpr Duration kEmptyPoolRetry = milliseconds(500);
+/// Weight of the last sample in a target's pace and share of errors.
+constexpr double kSampleWeight = 0.25;
+/// A failure closes a target for this long, doubled for each one in a row.
+constexpr Duration kFirstClosure = milliseconds(250);
+constexpr std::uint32_t kMaxClosureDoublings = 4;
+constexpr Duration kRefusalClosure = milliseconds(30);
+constexpr int kRepeatBuckets = 20;
+
+}  // namespace
+
+const char* ToString(WorkEnd end) {
+  switch (end) {
+    case WorkEnd::kDone:
+      return "done";
+    case WorkEnd::kTargetError:
+      return "target_error";
+    case WorkEnd::kRefused:
+      return "refused";
+    case WorkEnd::kWrongTarget:
+      return "wrong_target";
+    case WorkEnd::kBroken:
+      return "broken";
+    case WorkEnd::kSilent:
+      return "silent";
+    case WorkEnd::kUnreachable:
+      return "unreachable";
+    case WorkEnd::kGarbled:
+      return "garbled";
+    case WorkEnd::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+void Placer::SetTargets(const std::vector<PoolTarget>& targets, Time now) {
+  for (auto& [name, target] : targets_) target.listed = false;
+  for (const auto& info : targets) {
+    auto [at, added] = targets_.try_emplace(info.name);
+    Target& target = at->second;
+    if (!added && target.info.born != info.born) {
+      target.failures = 0;
+      target.pace = 1;
+      target.error_share = 0;
+      target.closed_until = now;
+    }
+    target.info = info;
+    target.listed = true;
+  }
+  std::erase_if(targets_, [](const auto& entry) {
+    return !entry.second.listed && entry.second.running == 0;
+  });
+  PlaceWaiting(now);
+}
+
+void Placer::Ask(const PlaceJob& job, Time now) {
+  auto [at, added] = works_.try_emplace(job.id);
+  Work& work = at->second;
+  if (!added && work.job.number == job.number) {
+    work.asked = now;
+    if (work.placed) verdicts_.push_back(work.grant);
+    return;
+  }
+  if (!added) {
+    if (work.placed) Count(work, -1);
+    std::erase(waiting_, job.id);
+    work = {};
+  }
+  work.job = job;
+  work.asked = now;
+  work.read = engine_ ? ReadTime(job.prompt_tokens) : Duration::zero();
+  Bucket& bucket = CurrentBucket(now);
+  if (job.number == 1) {
+    ++bucket.requests;
+  } else if (!MayRepeat(now)) {
+    Refuse(work, Errc::kOverloaded, Duration::zero());
+    works_.erase(job.id);
+    return;
+  } else {
+    ++bucket.repeats;
+  }
+  if (TryPlace(work, now)) return;
+  if (Hopeless(work, now)) {
+    Refuse(work, Errc::kDeadlineInfeasible, Duration::zero());
+    works_.erase(job.id);
+    return;
+  }
+  waiting_.push_back(job.id);
+}
+
+void Placer::Begun(const RequestId& id, Time now) {
+  const auto at = works_.find(id);
+  if (at == works_.end() || !at->second.placed || at->second.begun) return;
+  Work& work = at->second;
+  Count(work, -1);
+  work.begun = true;
+  Count(work, 1);
+  if (work.estimate > Duration::zero() && !work.grant.targets.empty()) {
+    if (Target* target = Find(work.grant.targets.front().name)) {
+      const double sample =
+          std::chrono::duration<double>(now - work.placed_at) / work.estimate;
+      target->pace += kSampleWeight * (sample - target->pace);
+      target->paced = now;
+    }
+  }
+  if (work.is_long) PlaceWaiting(now);
+}
+
+void Placer::Ended(const RequestId& id, WorkEnd end, Time now) {
+  const auto at = works_.find(id);
+  if (at == works_.end()) return;
+  Work& work = at->second;
+  if (work.placed) {
+    Count(work, -1);
+    if (!work.grant.targets.empty()) {
+      NoteHealth(work.grant.targets.front().name, end, now);
+    }
+  } else {
+    std::erase(waiting_, id);
+  }
+  works_.erase(at);
+  PlaceWaiting(now);
+}
+
+void Placer::Adopt(const HostName& host,
+                   const std::vector<RunningWork>& running, Time now) {
+  for (const auto& told : running) {
+    auto [at, added] = works_.try_emplace(told.id);
+    Work& work = at->second;
+    if (!added) {
+      if (told.begun) Begun(told.id, now);
+      continue;
+    }
+    work.job.id = told.id;
+    work.job.stream = told.stream;
+    work.job.prompt_tokens = told.prompt_tokens;
+    work.job.output_tokens = told.output_tokens;
+    work.read = engine_ ? ReadTime(told.prompt_tokens) : Duration::zero();
+    work.placed = true;
+    work.begun = told.begun;
+    work.placed_at = now;
+    work.grant.id = told.id;
+    for (const auto& name : told.targets) {
+      const Target* target = Find(name);
+      work.grant.targets.push_back(
+          {name, target != nullptr ? target->info.address : std::string()});
+    }
+    work.is_long = told.targets.size() > 1;
+    Count(work, 1);
+  }
+  std::vector<RequestId> ended;
+  for (const auto& [id, work] : works_) {
+    if (id.host != host || !work.placed) continue;
+    if (now - work.placed_at < kAdoptMargin) continue;
+    const bool named =
+        std::any_of(running.begin(), running.end(),
+                    [&id](const RunningWork& told) { return told.id == id; });
+    if (!named) ended.push_back(id);
+  }
+  for (const auto& id : ended) Ended(id, WorkEnd::kGone, now);
+}
+
+void Placer::Forget(const HostName& host) {
+  for (auto at = works_.begin(); at != works_.end();) {
+    if (at->first.host != host) {
+      ++at;
+      continue;
+    }
+    if (at->second.placed) {
+      Count(at->second, -1);
+    } else {
+      std::erase(waiting_, at->first);
+    }
+    at = works_.erase(at);
+  }
+}
+
+void Placer::Tick(Time now) { PlaceWaiting(now); }
+
+std::vector<PlaceVerdict> Placer::TakeVerdicts() {
+  return std::exchange(verdicts_, {});
+}
+
+std::vector<Placer::TargetLoad> Placer::Loads() const {
+  std::vector<TargetLoad> loads;
+  for (const auto& [name, target] : targets_) {
+    loads.push_back({name, target.running, target.shorts, target.long_reads,
+                     target.reading, target.memory, target.failures,
+                     target.pace, target.info.leaving || !target.listed});
+  }
+  return loads;
+}
+
+void Placer::PlaceWaiting(Time now) {
+  if (waiting_.empty()) {
+    long_waits_ = false;
+    return;
+  }
+  // Earliest objective first, short before long; what can't be in time any
+  // more goes behind what can.
+  const auto key = [this, now](const RequestId& id) {
+    const Work& work = works_.at(id);
+    const Time due = work.job.arrival + work.job.objective;
+    return std::tuple(due < now, work.job.priority, due, id);
+  };
+  std::sort(waiting_.begin(), waiting_.end(),
+            [&key](const RequestId& a, const RequestId& b) {
+              return key(a) < key(b);
+            });
+  long_waits_ = false;
+  std::vector<RequestId> left;
+  for (const auto& id : std::exchange(waiting_, {})) {
+    Work& work = works_.at(id);
+    if (now - work.asked > kAskLife) {
+      works_.erase(id);
+      continue;
+    }
+    if (TryPlace(work, now)) continue;
+    if (Hopeless(work, now)) {
+      Refuse(work, Errc::kDeadlineInfeasible, Duration::zero());
+      works_.erase(id);
+      continue;
+    }
+    if (work.is_long) long_waits_ = true;
+    left.push_back(id);
+  }
+  waiting_ = std::move(left);
+}
+
+bool Placer::Hopeless(const Work& work, Time now) const {
+  if (now + kLeastService >= work.job.deadline) return true;
+  const bool any = std::any_of(
+      targets_.begin(), targets_.end(), [this, &work, now](const auto& entry) {
+        return Usable(entry.second, work, now);
+      });
+  return !any && now - work.job.arrival > kEmptyPoolWait;
+}
+
+void Placer::Refuse(const Work& work, Errc code, Duration retry_after) {
+  const bool empty = code == Errc::kDeadlineInfeasible && targets_.empty();
+  verdicts_.push_back(PlaceRefusal{
+      work.job.id, work.job.number, empty ? Errc::kNoTarget : code,
+      empty ? kEmptyPoolRetry : retry_after});
+}
+
+void Placer::Count(Work& work, int sign) {
+  const bool reading = !work.begun;
+  for (std::size_t i = 0; i < work.grant.targets.size(); ++i) {
+    Target* target = Find(work.grant.targets[i].name);
+    if (target == nullptr) continue;
+    if (work.is_long) {
+      if (reading) target->long_reads += sign;
+    } else if (i == 0 && work.job.stream) {
+      target->shorts += sign;
+      if (reading) target->reading += sign * work.read;
+    }
+    if (i != 0) continue;
+    target->running += sign;
+    const std::int64_t tokens =
+        std::int64_t{work.job.prompt_tokens} + work.job.output_tokens;
+    target->memory += sign * tokens;
+  }
+}
+
+void Placer::NoteHealth(const TargetName& name, WorkEnd end, Time now) {
+  Target* target = Find(name);
+  if (target == nullptr || end == WorkEnd::kGone) return;
+  const bool error = end == WorkEnd::kTargetError || end == WorkEnd::kGarbled;
+  target->error_share +=
+      kSampleWeight * ((error ? 1.0 : 0.0) - target->error_share);
+  switch (end) {
+    case WorkEnd::kDone:
+    case WorkEnd::kTargetError:
+    case WorkEnd::kGarbled:
+    case WorkEnd::kGone:
+      target->failures = 0;
+      return;
+    case WorkEnd::kRefused:
+      target->closed_until = std::max(target->closed_until,
+                                      now + kRefusalClosure);
+      return;
+    case WorkEnd::kWrongTarget:
+      target->info.leaving = true;
+      return;
+    case WorkEnd::kBroken:
+    case WorkEnd::kSilent:
+    case WorkEnd::kUnreachable:
+      target->closed_until =
+          now + kFirstClosure *
+                    (1 << std::min(target->failures, kMaxClosureDoublings));
+      ++target->failures;
+      return;
+  }
+}
+
+Placer::Bucket& Placer::CurrentBucket(Time now) {
+  const Duration width = settings_.repeat_window / kRepeatBuckets;
+  while (!buckets_.empty() &&
+         now - buckets_.front().begin > settings_.repeat_window + width) {
+    buckets_.pop_front();
+  }
+  if (buckets_.empty() || now - buckets_.back().begin > width) {
+    buckets_.push_back({now, 0, 0});
+  }
+  return buckets_.back();
+}
+
+bool Placer::MayRepeat(Time now) {
+  CurrentBucket(now);
+  double requests = 0;
+  double repeats = 0;
+  for (const auto& bucket : buckets_) {
+    requests += bucket.requests;
+    repeats += bucket.repeats;
+  }
+  return repeats + 1 <=
+         settings_.repeat_ratio * requests + settings_.repeat_slack;
+}
+
+Placer::Target* Placer::Find(const TargetName& name) {
+  const auto at = targets_.find(name);
+  return at == targets_.end() ? nullptr : &at->second;
+}
+
+}  // namespace comfreyflow
--- /dev/null
+++ b/src/core/relay/relay-policy.cc
@@ -0,0 +1,41 @@
+// Decides on failed tries.
+#include "comfreyflow/relay-policy.h"
+
+#include <algorithm>
+
+namespace comfreyflow {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Shortest silence that is taken for a failure: a dead helper stalls the
+/// others for 1.5 s before they say so.
+constexpr Duration kLeastSilence = milliseconds(1000);
+/// A stream's pause may be this many times its bound before it is given up.
+constexpr int kGapsOfSilence = 4;
+/// The first event may take this many times its estimate.
+constexpr int kEstimatesOfSilence = 3;
+
+}  // namespace
+
+NextStep AfterFailure(const Route& route, const TryFailure& failure,
+                      const RelayProgress& progress) {
+  const bool ran = failure.sent && !failure.told_not_run;
+  const bool may_repeat = !ran || Repeatable(route);
+  const bool time_left = progress.remaining > kLeastTryTime;
+  const bool tries_left = progress.tries < kMaxSends &&
+                          progress.tries_run < std::max(1U, route.max_attempts);
+  if (progress.head_sent && !failure.may_resume) return NextStep::kCut;
+  if (may_repeat && time_left && tries_left) return NextStep::kTryAgain;
+  if (progress.head_sent) return NextStep::kCut;
+  return progress.tries_run == 0 ? NextStep::kAnswerNotRun
+                                 : NextStep::kAnswerFailed;
+}
+
+Duration SilenceLimit(const Route& route, bool begun, Duration estimate) {
+  if (begun) return std::max(kLeastSilence, kGapsOfSilence * route.max_gap);
+  const Duration expected = std::max(estimate, route.objective);
+  return std::max(kLeastSilence, kEstimatesOfSilence * expected);
+}
+
+}  // namespace comfreyflow
--- /dev/null
+++ b/src/core/routes/routes.cc
@@ -0,0 +1,89 @@
+// Matches requests to routes.
+#include "comfreyflow/routes.h"
+
+#include <algorithm>
+
+namespace comfreyflow {
+namespace {
+
+std::string LowerCase(std::string_view text) {
+  std::string out(text);
+  for (char& c : out) {
+    if (c >= 'A' && c <= 'Z') c = static_cast<char>(c - 'A' + 'a');
+  }
+  return out;
+}
+
+std::string_view WithoutPort(std::string_view host) {
+  const auto colon = host.rfind(':');
+  return colon == std::string_view::npos ? host : host.substr(0, colon);
+}
+
+}  // namespace
+
+const char* ToString(RouteKind kind) {
+  switch (kind) {
+    case RouteKind::kSafe:
+      return "safe";
+    case RouteKind::kUnsafe:
+      return "unsafe";
+    case RouteKind::kStream:
+      return "stream";
+  }
+  return "unknown";
+}
+
+bool Repeatable(const Route& route) {
+  if (route.kind == RouteKind::kStream) return route.resumable;
+  return route.kind == RouteKind::kSafe;
+}
+
+RouteTable::RouteTable(RouteDocument document)
+    : document_(std::move(document)) {
+  for (const auto& route : document_.routes) {
+    by_host_[LowerCase(route.host)].push_back(&route);
+  }
+  for (auto& [host, routes] : by_host_) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const Route* a, const Route* b) {
+                       return a->prefix.size() > b->prefix.size();
+                     });
+  }
+}
+
+const Route* RouteTable::Match(std::string_view host,
+                               std::string_view path) const {
+  const auto at = by_host_.find(LowerCase(WithoutPort(host)));
+  if (at == by_host_.end()) return nullptr;
+  for (const Route* route : at->second) {
+    if (path.starts_with(route->prefix)) return route;
+  }
+  return nullptr;
+}
+
+const KeyHolder* RouteTable::Holder(const std::string& key) const {
+  const auto at = document_.keys.find(key);
+  return at == document_.keys.end() ? nullptr : &at->second;
+}
+
+const RoutedService* RouteTable::Service(const ServiceName& name) const {
+  const auto at = document_.services.find(name);
+  return at == document_.services.end() ? nullptr : &at->second;
+}
+
+ServiceName ChooseService(const Route& route, std::uint64_t draw) {
+  std::uint64_t total = 0;
+  for (const auto& part : route.services) total += part.weight;
+  if (total == 0) {
+    return route.services.empty() ? ServiceName{}
+                                  : route.services.front().service;
+  }
+  std::uint64_t point = draw % total;
+  for (const auto& part : route.services) {
+    if (point < part.weight) return part.service;
+    point -= part.weight;
+  }
+  return route.services.back().service;
+}
+
+}  // namespace comfreyflow
--- /dev/null
+++ b/src/core/targets/target-book.cc
@@ -0,0 +1,75 @@
+// Keeps targets over outages of the list.
+#include "comfreyflow/target-book.h"
+
+#include <set>
+#include <utility>
+
+namespace comfreyflow {
+
+bool TargetBook::Settling(Time now) const {
+  return lost_ || (ever_lost_ && now - back_ < return_time_);
+}
+
+void TargetBook::Listed(const std::vector<TargetEntry>& entries, Time now) {
+  std::set<TargetName> named;
+  for (const auto& entry : entries) {
+    named.insert(entry.target.name);
+    Put(entry);
+  }
+  std::vector<TargetName> gone;
+  for (const auto& [name, entry] : entries_) {
+    if (!named.contains(name)) gone.push_back(name);
+  }
+  for (const auto& name : gone) Removed(name, now);
+}
+
+void TargetBook::Put(const TargetEntry& entry) {
+  missing_.erase(entry.target.name);
+  TargetEntry& known = entries_[entry.target.name];
+  if (known == entry) return;
+  known = entry;
+  changed_ = true;
+}
+
+void TargetBook::Removed(const TargetName& name, Time now) {
+  const auto at = entries_.find(name);
+  if (at == entries_.end()) return;
+  // What was leaving has left; only a working target's entry can have lapsed.
+  if (Settling(now) && !at->second.target.leaving) {
+    missing_.try_emplace(name, now);
+    return;
+  }
+  missing_.erase(name);
+  entries_.erase(at);
+  changed_ = true;
+}
+
+void TargetBook::KeeperLost(Time) {
+  lost_ = true;
+  ever_lost_ = true;
+}
+
+void TargetBook::KeeperBack(Time now) {
+  if (!lost_) return;
+  lost_ = false;
+  back_ = now;
+}
+
+void TargetBook::Tick(Time now) {
+  if (missing_.empty() || Settling(now)) return;
+  for (const auto& [name, since] : missing_) entries_.erase(name);
+  missing_.clear();
+  changed_ = true;
+}
+
+bool TargetBook::TakeChanged() { return std::exchange(changed_, false); }
+
+std::map<ServiceName, std::vector<PoolTarget>> TargetBook::Pool() const {
+  std::map<ServiceName, std::vector<PoolTarget>> pool;
+  for (const auto& [name, entry] : entries_) {
+    pool[entry.service].push_back(entry.target);
+  }
+  return pool;
+}
+
+}  // namespace comfreyflow
--- /dev/null
+++ b/src/gateway/follower.h
@@ -0,0 +1,46 @@
+/// Follows kinds of objects in the store: lists each, watches it, and comes
+/// back after outages with few calls.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "gateway/object-store.h"
+
+namespace comfreyflow::gateway {
+
+struct FollowedKind {
+  std::string kind;
+  /// The whole kind, at the start and after a gap.
+  std::function<void(const std::vector<StoredObject>&)> listed;
+  std::function<void(const StoredObject&)> changed;
+};
+
+struct FollowerHooks {
+  std::function<void()> lost;  ///< The store does not answer.
+  std::function<void()> back;  ///< It does again.
+};
+
+/// Lives on one I/O thread. While the store is away one kind alone tries
+/// whether it is back.
+class Follower {
+ public:
+  Follower(boost::asio::io_context& io, ObjectStore store,
+           std::vector<FollowedKind> kinds, FollowerHooks hooks);
+  ~Follower();
+  Follower(const Follower&) = delete;
+  Follower& operator=(const Follower&) = delete;
+
+  void Start();
+  bool store_up() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace comfreyflow::gateway
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,342 @@
+// Joins listener, relays, peers and placement.
+#include "gateway/gateway.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "gateway/relay.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "node/clock.h"
+#include "node/log.h"
+
+namespace comfreyflow::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using comfreyflow::detail::Now;
+using node::LogEvent;
+using node::LogLine;
+using node::Severity;
+using std::chrono::milliseconds;
+
+constexpr const char* kDocumentPath = "/peer/document";
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr std::chrono::milliseconds kPeerTimeout{1000};
+/// While a host stops: new requests are taken for this share of the time, and
+/// streams for the first part of it only, as they last.
+constexpr double kAcceptShare = 0.8;
+constexpr double kStreamShare = 0.4;
+/// Before the end of the time to stop the process is gone.
+constexpr Duration kExitMargin = milliseconds(300);
+/// Callers keep an address answer for a few seconds; with nothing open for so
+/// long after the order to stop, none comes any more.
+constexpr double kLeastStopShare = 0.75;
+constexpr Duration kStopTick = milliseconds(100);
+
+}  // namespace
+
+struct Gateway::State : std::enable_shared_from_this<State> {
+  State(asio::io_context& io, GatewaySettings given, GatewayHooks given_hooks)
+      : io(io),
+        settings(std::move(given)),
+        hooks(std::move(given_hooks)),
+        client(io),
+        placement(io, {settings.self.name, settings.self.incarnation,
+                       settings.self.failure_domain, settings.placement,
+                       settings.key, settings.placer}),
+        relays{io,
+               client,
+               placement,
+               hooks.edge,
+               settings.self.failure_domain,
+               [this] { return table; },
+               [this](const CrashEvidence& evidence) { ShareCrash(evidence); }},
+        peers(io,
+              {settings.self, settings.seeds, settings.self.incarnation.value},
+              settings.key, PeerHooks()),
+        body_budget(
+            std::make_shared<http::BodyBudget>(settings.body_memory_bytes)),
+        callers(io, {}, CallerHooks(), body_budget),
+        peer_calls(io, {}, PeerCallHooks(), body_budget),
+        stop_timer(io) {
+    relays.random.seed(settings.self.incarnation.value ^
+                       std::hash<std::string>()(settings.self.name.value));
+  }
+
+  // ---- Callers ----
+
+  http::ServerHooks CallerHooks() {
+    http::ServerHooks server;
+    server.admit_head = [](const http::Request&) { return Errc::kOk; };
+    server.handle = [this](http::ExchangePtr exchange) {
+      if (!Accepts(exchange->request())) {
+        exchange->Respond(hooks.edge.write_failure(
+            Errc::kDraining, {},
+            hooks.edge.read_request(exchange->request()).id));
+        return;
+      }
+      StartRelay(relays, std::move(exchange));
+    };
+    server.keep_connections = [this] { return !stopping; };
+    server.error_response = [this](Errc code) {
+      return hooks.edge.write_failure(code, {}, "");
+    };
+    return server;
+  }
+
+  bool Accepts(const http::Request& request) const {
+    if (!stopping) return true;
+    const Duration since = Now() - stop_began;
+    if (since > settings.stop_time * kAcceptShare) return false;
+    const auto caller = hooks.edge.read_request(request);
+    const Route* route =
+        table ? table->Match(caller.host, request.path) : nullptr;
+    const bool streams =
+        route != nullptr && route->kind == RouteKind::kStream;
+    return !streams || since < settings.stop_time * kStreamShare;
+  }
+
+  // ---- Peers ----
+
+  PeersHooks PeerHooks() {
+    PeersHooks peer;
+    peer.facts = [this] {
+      return HostFacts{version(), 0, stopping};
+    };
+    peer.config_mark = [this] { return mark; };
+    peer.changed = [this](const MemberChanged& event) {
+      if (event.state == MemberState::kDead ||
+          event.state == MemberState::kLeft) {
+        placement.Forget(event.record.name);
+      }
+      RefreshPeers();
+      if (hooks.view_changed) hooks.view_changed();
+    };
+    peer.config_announced = [this](const ConfigAnnounced& event) {
+      if (event.config.generation > version()) Fetch(event.host);
+    };
+    peer.suspect_marked = [this](const SuspectMark& event) {
+      HearSuspect(event);
+    };
+    return peer;
+  }
+
+  /// Hosts that may hold placers: alive and not stopping.
+  void RefreshPeers() {
+    std::vector<PlacementPeer> live;
+    for (const auto& [name, member] : peers.members()) {
+      const bool alive = member.state == MemberState::kAlive ||
+                         member.state == MemberState::kSuspect;
+      if (name != settings.self.name && (!alive || member.facts.draining)) {
+        continue;
+      }
+      live.push_back({name, member.record.peers});
+    }
+    placement.SetPeers(std::move(live));
+  }
+
+  void Fetch(const HostName& host) {
+    const auto at = peers.members().find(host);
+    if (at == peers.members().end() || !fetching.insert(host).second) return;
+    http::Request request;
+    request.method = "GET";
+    request.path = kDocumentPath;
+    http::CallOptions options;
+    options.connect_timeout = kPeerTimeout;
+    options.progress_timeout = kPeerTimeout;
+    client.Fetch(at->second.record.peers, std::move(request), options,
+                 [self = shared_from_this(), host](http::CallEnd end,
+                                                   http::Response answer) {
+                   self->fetching.erase(host);
+                   const bool whole =
+                       end.code == Errc::kOk && answer.status == kOk;
+                   LogLine(Severity::kInfo, "document_fetched")
+                       .With("host", host)
+                       .With("whole", whole);
+                   if (whole) self->hooks.document_from_peer(answer.body);
+                 });
+  }
+
+  http::ServerHooks PeerCallHooks() {
+    http::ServerHooks server;
+    server.admit_head = [](const http::Request&) { return Errc::kOk; };
+    server.handle = [this](http::ExchangePtr exchange) {
+      http::Response response;
+      if (exchange->request().path == kDocumentPath && table) {
+        response.body = document_text;
+      } else {
+        response.status = kNotFound;
+      }
+      exchange->Respond(std::move(response));
+    };
+    server.error_response = [](Errc code) {
+      http::Response response;
+      response.status = Info(code).http_status;
+      return response;
+    };
+    return server;
+  }
+
+  /// Peers are told how many targets a request has crashed.
+  void ShareCrash(const CrashEvidence& evidence) {
+    const auto crashed = relays.poison.CrashedTargets(evidence.fingerprint);
+    LogLine(Severity::kWarning, "crash_suspected")
+        .With("fingerprint", evidence.fingerprint)
+        .With("target", evidence.target)
+        .With("crashes", std::uint64_t{crashed.size()});
+    peers.ShareSuspect({evidence.fingerprint,
+                        static_cast<std::uint32_t>(crashed.size())});
+  }
+
+  /// A peer's count stands for as many targets, whose names do not travel.
+  void HearSuspect(const SuspectMark& suspect) {
+    const Time now = Now();
+    std::size_t known =
+        relays.poison.CrashedTargets(suspect.fingerprint).size();
+    for (; known < suspect.crashes; ++known) {
+      relays.poison.Heard(
+          {suspect.fingerprint, {"peer-" + std::to_string(known)}}, now);
+    }
+  }
+
+  std::uint64_t version() const {
+    return table ? table->document().version : 0;
+  }
+
+  // ---- Planned stop ----
+
+  void StopTick() {
+    stop_timer.expires_after(kStopTick);
+    stop_timer.async_wait([self = shared_from_this()](
+                              const boost::system::error_code& error) {
+      if (error) return;
+      const Duration since = Now() - self->stop_began;
+      const bool idle = self->relays.open == 0 &&
+                        self->callers.unanswered() == 0 &&
+                        since > self->settings.stop_time * kLeastStopShare;
+      if (!idle && since < self->settings.stop_time - kExitMargin) {
+        return self->StopTick();
+      }
+      LogLine(Severity::kInfo, "stopped")
+          .With("open_requests", std::uint64_t{self->relays.open})
+          .With("took",
+                std::chrono::duration_cast<milliseconds>(since));
+      self->peers.Leave();
+      self->hooks.stopped();
+    });
+  }
+
+  asio::io_context& io;
+  const GatewaySettings settings;
+  const GatewayHooks hooks;
+  std::shared_ptr<const RouteTable> table;
+  std::string document_text;
+  ConfigMark mark;
+  http::Client client;
+  Placement placement;
+  RelayContext relays;
+  Peers peers;
+  std::shared_ptr<http::BodyBudget> body_budget;
+  http::Server callers;
+  http::Server peer_calls;
+  asio::steady_timer stop_timer;
+  std::set<HostName> fetching;
+  bool has_targets = false;
+  bool stopping = false;
+  Time stop_began;
+};
+
+Gateway::Gateway(asio::io_context& io, GatewaySettings settings,
+                 GatewayHooks hooks)
+    : state_(std::make_shared<State>(io, std::move(settings),
+                                     std::move(hooks))) {}
+
+Gateway::~Gateway() = default;
+
+std::error_code Gateway::Open() {
+  if (const auto error = state_->callers.Listen(state_->settings.self.callers)) {
+    return error;
+  }
+  if (const auto error =
+          state_->peer_calls.Listen(state_->settings.self.peers)) {
+    return error;
+  }
+  if (const auto error = state_->placement.Open()) return error;
+  if (const auto error = state_->peers.Open()) return error;
+  state_->RefreshPeers();
+  return {};
+}
+
+bool Gateway::Apply(RouteDocument document, std::string text) {
+  if (document.version <= version()) return false;
+  const CallerLimits limits = document.limits;
+  LogLine(Severity::kInfo, "document_applied")
+      .With("version", document.version)
+      .With("before", version())
+      .With("routes", std::uint64_t{document.routes.size()})
+      .With("keys", std::uint64_t{document.keys.size()});
+  state_->table = std::make_shared<RouteTable>(std::move(document));
+  state_->mark = {version(), XXH3_64bits(text.data(), text.size())};
+  state_->document_text = std::move(text);
+  http::ServerLimits server;
+  server.header_bytes = limits.header_bytes;
+  server.body_bytes = limits.body_bytes;
+  server.receive_timeout = limits.receive_timeout;
+  server.idle_timeout = limits.idle_timeout;
+  state_->callers.SetLimits(server);
+  state_->placement.SetServices(state_->table->document().services);
+  return true;
+}
+
+std::uint64_t Gateway::version() const { return state_->version(); }
+
+void Gateway::SetTargets(
+    const std::map<ServiceName, std::vector<PoolTarget>>& targets) {
+  state_->has_targets = true;
+  state_->placement.SetTargets(targets);
+}
+
+void Gateway::SetListedHosts(std::vector<ListedHost> hosts) {
+  state_->peers.SetListed(std::move(hosts));
+}
+
+bool Gateway::ready() const {
+  return state_->table != nullptr && state_->has_targets && !state_->stopping;
+}
+
+std::vector<std::string> Gateway::Addresses(const FailureDomain&) const {
+  std::vector<std::string> out;
+  for (const auto& [name, member] : state_->peers.members()) {
+    const bool self = name == state_->settings.self.name;
+    if (self && !ready()) continue;
+    if (!self && (member.state != MemberState::kAlive ||
+                  member.facts.draining || member.facts.generation == 0)) {
+      continue;
+    }
+    out.push_back(member.record.callers);
+  }
+  return out;
+}
+
+const std::map<HostName, Member>& Gateway::members() const {
+  return state_->peers.members();
+}
+
+void Gateway::Stop() {
+  if (state_->stopping) return;
+  LogLine(Severity::kInfo, "stopping")
+      .With("open_requests", std::uint64_t{state_->relays.open});
+  state_->stopping = true;
+  state_->stop_began = Now();
+  state_->RefreshPeers();
+  state_->StopTick();
+}
+
+std::size_t Gateway::open_requests() const { return state_->relays.open; }
+
+}  // namespace comfreyflow::gateway
--- /dev/null
+++ b/src/gateway/peers.cc
@@ -0,0 +1,105 @@
+// Drives the membership.
+#include "gateway/peers.h"
+
+#include <utility>
+
+#include "node/clock.h"
+#include "node/log.h"
+
+namespace comfreyflow::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using comfreyflow::detail::Now;
+using node::LogLine;
+using node::Severity;
+
+}  // namespace
+
+struct Peers::State : std::enable_shared_from_this<State> {
+  State(asio::io_context& io, MembershipSettings given, PeersHooks hooks)
+      : address(given.self.gossip),
+        membership(std::move(given), Now()),
+        hooks(std::move(hooks)),
+        timer(io) {}
+
+  void Tick() {
+    timer.expires_after(kMembershipTick);
+    timer.async_wait([self = shared_from_this()](
+                         const boost::system::error_code& error) {
+      if (error || self->stopped) return;
+      self->membership.SetFacts(self->hooks.facts());
+      self->membership.SetConfig(self->hooks.config_mark());
+      self->CarryOut(self->membership.Tick(Now()));
+      self->Tick();
+    });
+  }
+
+  void CarryOut(const MembershipOutput& output) {
+    for (const auto& datagram : output.datagrams) socket->Send(datagram);
+    for (const auto& event : output.events) {
+      std::visit([this](const auto& typed) { On(typed); }, event);
+    }
+  }
+
+  void On(const MemberChanged& event) {
+    LogLine(Severity::kInfo, "member_changed")
+        .With("member", event.record.name)
+        .With("member_incarnation", event.record.incarnation.value)
+        .With("state", ToString(event.state));
+    hooks.changed(event);
+  }
+  void On(const ConfigAnnounced& event) { hooks.config_announced(event); }
+  void On(const TargetMark&) {}
+  void On(const SuspectMark& event) { hooks.suspect_marked(event); }
+
+  const std::string address;
+  Membership membership;
+  PeersHooks hooks;
+  asio::steady_timer timer;
+  std::shared_ptr<node::GossipSocket> socket;
+  bool stopped = false;
+};
+
+Peers::Peers(asio::io_context& io, MembershipSettings settings,
+             wire::FleetKey key, PeersHooks hooks)
+    : state_(std::make_shared<State>(io, std::move(settings),
+                                     std::move(hooks))) {
+  state_->socket = std::make_shared<node::GossipSocket>(
+      io, std::move(key),
+      [state = std::weak_ptr(state_)](const Datagram& datagram,
+                                      const std::string& from) {
+        const auto self = state.lock();
+        if (!self || self->stopped) return;
+        self->CarryOut(self->membership.Handle(datagram, from, Now()));
+      });
+}
+
+Peers::~Peers() {
+  state_->stopped = true;
+  state_->timer.cancel();
+  state_->socket->Close();
+}
+
+std::error_code Peers::Open() {
+  if (const auto error = state_->socket->Open(state_->address)) return error;
+  state_->socket->Start();
+  state_->Tick();
+  return {};
+}
+
+void Peers::SetListed(std::vector<ListedHost> hosts) {
+  state_->membership.SetPlatformList(std::move(hosts));
+}
+
+void Peers::ShareSuspect(const SuspectMark& mark) {
+  state_->membership.ShareSuspect(mark);
+}
+
+void Peers::Leave() { state_->CarryOut(state_->membership.Leave(Now())); }
+
+const std::map<HostName, Member>& Peers::members() const {
+  return state_->membership.members();
+}
+
+}  // namespace comfreyflow::gateway
--- /dev/null
+++ b/src/gateway/placement.cc
@@ -0,0 +1,449 @@
+// Datagrams and time-outs of asking for placement.
+#include "gateway/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+#include <set>
+
+#include "http/address.h"
+#include "node/clock.h"
+#include "node/log.h"
+
+namespace comfreyflow::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using comfreyflow::detail::Now;
+using node::LogLine;
+using node::Severity;
+using std::chrono::milliseconds;
+using Udp = asio::ip::udp;
+
+/// An ask that had no answer at all is sent again after this long: a little
+/// over a round trip between failure domains.
+constexpr Duration kFirstResend = milliseconds(30);
+/// Without any answer for this long the holder counts as silent.
+constexpr Duration kSilentAfter = milliseconds(100);
+/// A silent holder is left out for this long, unless it is heard of.
+constexpr Duration kSilentFor = std::chrono::seconds(2);
+/// A request that waits at its placer is asked for again this often.
+constexpr Duration kRenewal = milliseconds(250);
+constexpr Duration kSyncPeriod = milliseconds(500);
+constexpr Duration kBusyTick = milliseconds(10);
+constexpr Duration kIdleTick = milliseconds(250);
+constexpr std::size_t kLongestDatagram = 60 * 1024;
+constexpr std::size_t kWorksPerDatagram = 400;
+
+}  // namespace
+
+struct Placement::State : std::enable_shared_from_this<State> {
+  /// A request of this host. Invariant: `done` is set while it waits.
+  struct Own {
+    ServiceName service;
+    PlaceJob job;
+    Callback done;
+    HostName asked;       ///< Whom.
+    Time first_asked;     ///< That host.
+    Time last_asked;
+    bool heard = false;   ///< That host said that the request waits.
+    bool placed = false;
+    bool begun = false;
+    std::vector<TargetName> targets;
+  };
+
+  State(asio::io_context& io, PlacementSettings given)
+      : settings(std::move(given)), io(io), socket(io), timer(io) {}
+
+  // ---- Placers of this host ----
+
+  Placer& PlacerOf(const ServiceName& service) {
+    const auto [at, added] = placers.try_emplace(service, settings.placer);
+    if (added) {
+      const auto known = services.find(service);
+      if (known != services.end()) at->second.SetEngine(known->second.engine);
+      at->second.SetTargets(targets[service], Now());
+    }
+    return at->second;
+  }
+
+  /// Tells the verdicts of a placer to the hosts that asked.
+  void Deliver(const ServiceName& service) {
+    for (auto& verdict : PlacerOf(service).TakeVerdicts()) {
+      const RequestId id =
+          std::visit([](const auto& typed) { return typed.id; }, verdict);
+      if (id.host == settings.self) {
+        Take(id.sequence, verdict);
+        continue;
+      }
+      wire::PlaceAnswerMessage answer;
+      answer.sequence = id.sequence;
+      answer.number =
+          std::visit([](const auto& typed) { return typed.number; }, verdict);
+      answer.verdict = std::move(verdict);
+      To(id.host).answers.push_back(std::move(answer));
+    }
+  }
+
+  // ---- Requests of this host ----
+
+  HostName Holder(const ServiceName& service) const {
+    std::vector<HostName> names;
+    const Time now = Now();
+    for (const auto& [name, address] : peers) {
+      const auto silent = silent_until.find(name);
+      if (silent == silent_until.end() || silent->second <= now) {
+        names.push_back(name);
+      }
+    }
+    const auto ranked = RankHosts(names, "placer " + service.value, 1);
+    return ranked.empty() ? settings.self : ranked.front();
+  }
+
+  void Ask(Own& own) {
+    const Time now = Now();
+    const HostName holder = Holder(own.service);
+    if (own.asked != holder) {
+      own.asked = holder;
+      own.first_asked = now;
+      own.heard = false;
+      SendSync(own.service, holder);
+    }
+    own.last_asked = now;
+    if (holder == settings.self) {
+      const ServiceName service = own.service;
+      PlacerOf(service).Ask(own.job, now);
+      own.heard = true;
+      Deliver(service);  // `own` may be gone.
+      return;
+    }
+    To(holder).asks.push_back({own.service, own.job});
+  }
+
+  void Take(std::uint64_t sequence, const PlaceVerdict& verdict) {
+    const auto at = own.find(sequence);
+    if (at == own.end()) return;
+    Own& request = at->second;
+    const auto number =
+        std::visit([](const auto& typed) { return typed.number; }, verdict);
+    if (!request.done || number != request.job.number) return;
+    const Callback done = std::exchange(request.done, nullptr);
+    if (const auto* grant = std::get_if<PlaceGrant>(&verdict)) {
+      request.placed = true;
+      for (const auto& target : grant->targets) {
+        request.targets.push_back(target.name);
+      }
+    } else {
+      own.erase(at);
+    }
+    done(verdict);
+  }
+
+  void Note(const Own& request, const RequestId& id,
+            std::optional<WorkEnd> end) {
+    if (request.asked == settings.self || request.asked.value.empty()) {
+      Placer& placer = PlacerOf(request.service);
+      if (end) {
+        placer.Ended(id, *end, Now());
+      } else {
+        placer.Begun(id, Now());
+      }
+      const ServiceName service = request.service;
+      Deliver(service);
+      return;
+    }
+    To(request.asked)
+        .notes.push_back({id.sequence, request.service, end.has_value(),
+                          end.value_or(WorkEnd::kDone)});
+  }
+
+  /// All that this host has placed, so that a holder knows it exactly.
+  void SendSync(const ServiceName& service, const HostName& holder) {
+    std::vector<RunningWork> running;
+    for (const auto& [sequence, request] : own) {
+      if (!request.placed || request.service != service) continue;
+      running.push_back({IdOf(sequence), request.targets, request.job.stream,
+                         request.begun, request.job.prompt_tokens,
+                         request.job.output_tokens});
+      if (running.size() >= kWorksPerDatagram) break;
+    }
+    if (holder == settings.self) {
+      PlacerOf(service).Adopt(settings.self, running, Now());
+      Deliver(service);
+      return;
+    }
+    To(holder).syncs.push_back({service, std::move(running)});
+  }
+
+  RequestId IdOf(std::uint64_t sequence) const {
+    return {settings.self, settings.incarnation, sequence};
+  }
+
+  // ---- Datagrams ----
+
+  wire::PlaceMessages& To(const HostName& host) {
+    if (outgoing.empty()) {
+      asio::post(io, [self = shared_from_this()] { self->Flush(); });
+    }
+    auto& messages = outgoing[host];
+    messages.sender = settings.self;
+    messages.incarnation = settings.incarnation;
+    return messages;
+  }
+
+  void Flush() {
+    for (auto& [host, messages] : std::exchange(outgoing, {})) {
+      const auto at = peers.find(host);
+      if (at == peers.end() || messages.empty()) continue;
+      asio::ip::tcp::endpoint to;
+      if (http::ParseEndpoint(at->second, to)) continue;
+      const auto bytes = wire::EncodePlacement(messages, settings.key, Now());
+      error_code ignored;  // A lost datagram is asked for again.
+      socket.send_to(asio::buffer(bytes),
+                     Udp::endpoint(to.address(), to.port()), 0, ignored);
+    }
+  }
+
+  void Receive() {
+    socket.async_receive_from(
+        asio::buffer(buffer), from,
+        [self = shared_from_this()](const error_code& error, std::size_t size) {
+          if (!self->socket.is_open()) return;
+          if (!error) self->Received({self->buffer.data(), size});
+          self->Receive();
+        });
+  }
+
+  void Received(std::string_view bytes) {
+    wire::PlaceMessages messages;
+    const Time now = Now();
+    if (wire::DecodePlacement(bytes, settings.key, now, messages)) return;
+    silent_until.erase(messages.sender);
+    std::set<ServiceName> touched;
+    for (const auto& sync : messages.syncs) {
+      PlacerOf(sync.service).Adopt(messages.sender, sync.running, now);
+      touched.insert(sync.service);
+    }
+    for (const auto& note : messages.notes) {
+      const RequestId id{messages.sender, messages.incarnation, note.sequence};
+      Placer& placer = PlacerOf(note.service);
+      if (note.ended) {
+        placer.Ended(id, note.end, now);
+      } else {
+        placer.Begun(id, now);
+      }
+      touched.insert(note.service);
+    }
+    for (const auto& ask : messages.asks) {
+      Placer& placer = PlacerOf(ask.service);
+      const std::size_t waited = placer.waiting();
+      placer.Ask(ask.job, now);
+      touched.insert(ask.service);
+      if (placer.waiting() >= waited && placer.waiting() > 0) {
+        wire::PlaceAnswerMessage answer;
+        answer.sequence = ask.job.id.sequence;
+        answer.number = ask.job.number;
+        answer.waits = true;
+        To(messages.sender).answers.push_back(std::move(answer));
+      }
+    }
+    for (const auto& service : touched) Deliver(service);
+    for (const auto& answer : messages.answers) TakeAnswer(answer);
+  }
+
+  void TakeAnswer(const wire::PlaceAnswerMessage& answer) {
+    const auto at = own.find(answer.sequence);
+    if (at == own.end() || at->second.job.number != answer.number) return;
+    at->second.heard = true;
+    if (!answer.waits) Take(answer.sequence, answer.verdict);
+  }
+
+  // ---- Time ----
+
+  void Wait() {
+    const bool busy =
+        std::any_of(own.begin(), own.end(),
+                    [](const auto& entry) {
+                      return static_cast<bool>(entry.second.done);
+                    }) ||
+        std::any_of(placers.begin(), placers.end(), [](const auto& entry) {
+          return entry.second.waiting() > 0;
+        });
+    fast = busy;
+    timer.expires_after(busy ? kBusyTick : kIdleTick);
+    timer.async_wait([self = shared_from_this()](const error_code& error) {
+      if (error || !self->socket.is_open()) return;
+      self->Tick();
+      self->Wait();
+    });
+  }
+
+  /// Has the timer run soon, as something waits now.
+  void Hurry() {
+    if (fast) return;
+    timer.cancel();
+    Wait();
+  }
+
+  void Tick() {
+    const Time now = Now();
+    std::vector<std::uint64_t> due;
+    for (auto& [sequence, request] : own) {
+      if (!request.done) continue;
+      const Duration since = now - request.last_asked;
+      if (!request.heard && now - request.first_asked > kSilentAfter &&
+          request.asked != settings.self) {
+        silent_until[request.asked] = now + kSilentFor;
+        LogLine(Severity::kWarning, "placer_silent")
+            .With("host", request.asked)
+            .With("service", request.service);
+        due.push_back(sequence);
+      } else if (since > (request.heard ? kRenewal : kFirstResend)) {
+        due.push_back(sequence);
+      }
+    }
+    for (const auto sequence : due) {
+      const auto at = own.find(sequence);
+      if (at != own.end() && at->second.done) Ask(at->second);
+    }
+    std::vector<ServiceName> names;
+    for (auto& [service, placer] : placers) {
+      if (placer.waiting() > 0) names.push_back(service);
+    }
+    for (const auto& service : names) {
+      PlacerOf(service).Tick(now);
+      Deliver(service);
+    }
+    if (now >= sync_due) Sync(now);
+  }
+
+  void Sync(Time now) {
+    sync_due = now + kSyncPeriod;
+    std::set<ServiceName> running;
+    for (const auto& [sequence, request] : own) {
+      if (request.placed) running.insert(request.service);
+    }
+    std::set<ServiceName> told = running;
+    told.insert(synced.begin(), synced.end());
+    for (const auto& service : told) SendSync(service, Holder(service));
+    synced = std::move(running);
+  }
+
+  const PlacementSettings settings;
+  asio::io_context& io;
+  Udp::socket socket;
+  asio::steady_timer timer;
+  Udp::endpoint from;
+  std::array<char, kLongestDatagram> buffer{};
+  std::map<ServiceName, RoutedService> services;
+  std::map<ServiceName, std::vector<PoolTarget>> targets;
+  std::map<ServiceName, Placer> placers;
+  std::map<HostName, std::string> peers;
+  std::map<HostName, Time> silent_until;
+  std::map<std::uint64_t, Own> own;
+  std::map<HostName, wire::PlaceMessages> outgoing;
+  std::set<ServiceName> synced;  ///< Services of the last synchronisation.
+  std::uint64_t next_sequence = 0;
+  Time sync_due;
+  bool fast = false;
+};
+
+Placement::Placement(asio::io_context& io, PlacementSettings settings)
+    : state_(std::make_shared<State>(io, std::move(settings))) {}
+
+Placement::~Placement() {
+  error_code ignored;
+  state_->socket.close(ignored);
+  state_->timer.cancel();
+}
+
+std::error_code Placement::Open() {
+  asio::ip::tcp::endpoint endpoint;
+  if (const auto error =
+          http::ParseEndpoint(state_->settings.address, endpoint)) {
+    return error;
+  }
+  const Udp::endpoint local(endpoint.address(), endpoint.port());
+  error_code error;
+  state_->socket.open(local.protocol(), error);
+  if (!error) state_->socket.bind(local, error);
+  if (error) return error;
+  state_->Receive();
+  state_->Wait();
+  return {};
+}
+
+void Placement::SetServices(
+    const std::map<ServiceName, RoutedService>& services) {
+  state_->services = services;
+  for (const auto& [name, service] : services) {
+    const auto at = state_->placers.find(name);
+    if (at != state_->placers.end()) at->second.SetEngine(service.engine);
+  }
+}
+
+void Placement::SetTargets(
+    const std::map<ServiceName, std::vector<PoolTarget>>& targets) {
+  state_->targets = targets;
+  std::vector<ServiceName> names;
+  for (const auto& [name, placer] : state_->placers) names.push_back(name);
+  for (const auto& name : names) {
+    state_->PlacerOf(name).SetTargets(state_->targets[name], Now());
+    state_->Deliver(name);
+  }
+}
+
+void Placement::SetPeers(std::vector<PlacementPeer> peers) {
+  std::map<HostName, std::string> next;
+  for (auto& peer : peers) next[peer.name] = std::move(peer.address);
+  if (next == state_->peers) return;
+  state_->peers = std::move(next);
+  state_->sync_due = Now();
+  state_->Hurry();
+}
+
+void Placement::Forget(const HostName& host) {
+  for (auto& [name, placer] : state_->placers) placer.Forget(host);
+}
+
+RequestId Placement::NextId() { return state_->IdOf(++state_->next_sequence); }
+
+void Placement::Place(const ServiceName& service, const PlaceJob& job,
+                      Callback done) {
+  State::Own& own = state_->own[job.id.sequence];
+  own = {};
+  own.service = service;
+  own.job = job;
+  own.done = std::move(done);
+  state_->Ask(own);
+  if (state_->own.contains(job.id.sequence)) state_->Hurry();
+}
+
+void Placement::Begun(const RequestId& id) {
+  const auto at = state_->own.find(id.sequence);
+  if (at == state_->own.end() || at->second.begun) return;
+  at->second.begun = true;
+  state_->Note(at->second, id, std::nullopt);
+}
+
+void Placement::Ended(const RequestId& id, WorkEnd end) {
+  const auto at = state_->own.find(id.sequence);
+  if (at == state_->own.end()) return;
+  const State::Own own = std::move(at->second);
+  state_->own.erase(at);
+  state_->Note(own, id, end);
+}
+
+HostName Placement::HolderOf(const ServiceName& service) const {
+  return state_->Holder(service);
+}
+
+std::vector<Placer::TargetLoad> Placement::Loads(
+    const ServiceName& service) const {
+  const auto at = state_->placers.find(service);
+  return at == state_->placers.end() ? std::vector<Placer::TargetLoad>{}
+                                     : at->second.Loads();
+}
+
+}  // namespace comfreyflow::gateway
--- /dev/null
+++ b/src/gateway/placement.h
@@ -0,0 +1,69 @@
+/// Finds targets for this host's requests: asks the host that holds a service's
+/// placer, holds placers itself, and goes on alone when nobody answers.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "comfreyflow/placer.h"
+#include "comfreyflow/stewardship.h"
+#include "wire/placement.h"
+
+namespace comfreyflow::gateway {
+
+struct PlacementPeer {
+  HostName name;
+  std::string address;  ///< `ip:port` for datagrams about placement.
+};
+
+struct PlacementSettings {
+  HostName self;
+  Incarnation incarnation;
+  FailureDomain domain;
+  std::string address;  ///< `ip:port` to bind.
+  wire::FleetKey key;
+  PlacerSettings placer;
+};
+
+/// Lives on one I/O thread.
+class Placement {
+ public:
+  using Callback = std::function<void(const PlaceVerdict&)>;
+
+  Placement(boost::asio::io_context& io, PlacementSettings settings);
+  ~Placement();
+  Placement(const Placement&) = delete;
+  Placement& operator=(const Placement&) = delete;
+
+  std::error_code Open();
+  void SetServices(const std::map<ServiceName, RoutedService>& services);
+  void SetTargets(
+      const std::map<ServiceName, std::vector<PoolTarget>>& targets);
+  /// Hosts that may hold placers, this one among them.
+  void SetPeers(std::vector<PlacementPeer> peers);
+  /// The host died: its work is gone.
+  void Forget(const HostName& host);
+
+  /// A new id for a request of this host.
+  RequestId NextId();
+  /// Asks for a target of the service; `done` is called once, maybe at once,
+  /// unless `Ended` comes first.
+  void Place(const ServiceName& service, const PlaceJob& job, Callback done);
+  void Begun(const RequestId& id);
+  void Ended(const RequestId& id, WorkEnd end);
+
+  /// The host that is asked for the service's targets now.
+  HostName HolderOf(const ServiceName& service) const;
+  /// Loads as this host's own placer of the service counts them.
+  std::vector<Placer::TargetLoad> Loads(const ServiceName& service) const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace comfreyflow::gateway
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,9 +1,12 @@
 // Calls over pooled connections.
 #include "http/client.h"
 
+#include <netinet/tcp.h>
+
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -23,7 +26,44 @@
 namespace {
 
 constexpr std::size_t kIdlePerAddress = 64;
-constexpr std::chrono::seconds kIdleLife{20};
+constexpr std::chrono::milliseconds kIdleLife{20'000};
+/// A connection is not used in the last part of the time that the other end
+/// said it keeps it.
+constexpr std::chrono::milliseconds kIdleMargin{700};
+/// Time without an acknowledgement after which the kernel ends a connection.
+constexpr int kUnacknowledgedMs = 3000;
+
+/// Probing of a silent connection: after this many seconds, and how often.
+constexpr int kProbeSeconds = 1;
+constexpr int kProbes = 2;
+
+template <int Option>
+using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Option>;
+
+using UserTimeout =
+    TcpOption<TCP_USER_TIMEOUT>;
+
+void ProbeSilence(tcp::socket& socket) {
+  error_code ignored;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(TcpOption<TCP_KEEPIDLE>(kProbeSeconds), ignored);
+  socket.set_option(TcpOption<TCP_KEEPINTVL>(kProbeSeconds), ignored);
+  socket.set_option(TcpOption<TCP_KEEPCNT>(kProbes), ignored);
+}
+
+/// Time for which the other end keeps an idle connection, by its answer.
+std::chrono::milliseconds IdleLife(std::string_view keep_alive) {
+  constexpr std::string_view kName = "timeout=";
+  const auto at = keep_alive.find(kName);
+  if (at == std::string_view::npos) return kIdleLife;
+  const auto text = keep_alive.substr(at + kName.size());
+  int seconds = 0;
+  const auto end = std::from_chars(text.data(), text.data() + text.size(),
+                                   seconds);
+  if (end.ec != std::errc() || seconds < 0) return kIdleLife;
+  const std::chrono::milliseconds told = std::chrono::seconds(seconds);
+  return std::min(kIdleLife, std::max(told - kIdleMargin, told / 4));
+}
 
 /// Whether the other end has neither closed the connection nor sent anything.
 bool IsQuiet(tcp::socket& socket) {
@@ -43,25 +83,29 @@
 
   asio::io_context& io() { return io_; }
 
-  std::optional<tcp::socket> Take(const std::string& address) {
-    const auto oldest = Clock::now() - kIdleLife;
+  std::optional<tcp::socket> Take(const std::string& address,
+                                  std::chrono::milliseconds idle_limit) {
+    const auto now = Clock::now();
     const std::lock_guard lock(mutex_);
     auto& idle = idle_[address];
     while (!idle.empty()) {
       Idle last = std::move(idle.back());
       idle.pop_back();
-      if (last.since >= oldest && IsQuiet(last.socket)) {
+      if (now < last.expires && now - last.since <= idle_limit &&
+          IsQuiet(last.socket)) {
         return std::move(last.socket);
       }
     }
     return std::nullopt;
   }
 
-  void Put(const std::string& address, tcp::socket socket) {
+  void Put(const std::string& address, tcp::socket socket,
+           std::chrono::milliseconds life) {
     const std::lock_guard lock(mutex_);
     auto& idle = idle_[address];
     if (idle.size() >= kIdlePerAddress) return;
-    idle.push_back({std::move(socket), Clock::now()});
+    const auto now = Clock::now();
+    idle.push_back({std::move(socket), now, now + life});
   }
 
   /// A connection to the address fell silent: the others may have as well.
@@ -82,6 +126,7 @@
   struct Idle {
     tcp::socket socket;
     Clock::time_point since;
+    Clock::time_point expires;
   };
 
   asio::io_context& io_;
@@ -118,12 +163,19 @@
  private:
   void Fill(Request request) {
     message_.method_string(request.method);
-    message_.target(request.query.empty() ? request.path
-                                          : request.path + "?" + request.query);
+    if (!request.target.empty()) {
+      message_.target(request.target);
+    } else {
+      message_.target(request.query.empty()
+                          ? request.path
+                          : request.path + "?" + request.query);
+    }
     message_.version(11);
-    message_.set(bh::field::host, address_);
     for (const auto& field : request.fields) {
-      message_.set(field.name, field.value);
+      message_.insert(field.name, field.value);
+    }
+    if (message_.find(bh::field::host) == message_.end()) {
+      message_.set(bh::field::host, address_);
     }
     message_.body() = std::move(request.body);
     message_.prepare_payload();
@@ -132,7 +184,7 @@
 
   void Connect() {
     if (!options_.fresh_connection) {
-      if (auto socket = pool_->Take(address_)) {
+      if (auto socket = pool_->Take(address_, options_.idle_limit)) {
         // The socket comes from another strand's executor.
         const auto protocol = socket->local_endpoint().protocol();
         socket_.assign(protocol, socket->release());
@@ -150,11 +202,13 @@
           if (error) return self->Finish(Errc::kTargetUnreachable);
           error_code ignored;
           self->socket_.set_option(tcp::no_delay(true), ignored);
+          self->socket_.set_option(UserTimeout(kUnacknowledgedMs), ignored);
           self->Send();
         });
   }
 
   void Send() {
+    if (options_.probe_silence) ProbeSilence(socket_);
     sent_ = true;
     if (hooks_.on_sent) hooks_.on_sent();
     serializer_.emplace(message_);
@@ -203,16 +257,30 @@
       if (!done_) TellBody();
     }
     if (done_) return;
-    if (parser_->is_done()) return Whole();
+    if (parser_->is_done()) return foreign_ ? SkipAnswer() : Whole();
     if (error) return Finish(Errc::kTargetFailed);
     ReadSome();
   }
 
+  /// Reads on behind an answer that belongs to another call.
+  void SkipAnswer() {
+    if (!parser_->get().keep_alive()) return Finish(Errc::kTargetFailed);
+    foreign_ = false;
+    head_told_ = false;
+    BeginRead();
+  }
+
   void TellHead() {
     if (head_told_) return;
     head_told_ = true;
-    if (!hooks_.on_head) return;
+    const Response head = Head();
+    foreign_ = hooks_.is_mine && !hooks_.is_mine(head);
+    if (!foreign_ && hooks_.on_head) hooks_.on_head(head);
+  }
+
+  Response Head() const {
     Response head;
+    head.content_type.clear();
     head.status = static_cast<int>(parser_->get().result_int());
     for (const auto& field : parser_->get()) {
       std::string name(field.name_string());
@@ -221,13 +289,13 @@
       }
       head.fields.push_back({std::move(name), std::string(field.value())});
     }
-    hooks_.on_head(head);
+    return head;
   }
 
   void TellBody() {
     auto& body = parser_->get().body();
     if (body.empty()) return;
-    if (hooks_.on_body) hooks_.on_body(body);
+    if (hooks_.on_body && !foreign_) hooks_.on_body(body);
     body.clear();
   }
 
@@ -235,7 +303,9 @@
     const bool keep = parser_->get().keep_alive() && !broken_send_;
     if (keep && buffer_.size() == 0) {
       timer_.Cancel();
-      pool_->Put(address_, std::move(socket_));
+      const auto keep_alive = parser_->get()[bh::field::keep_alive];
+      pool_->Put(address_, std::move(socket_),
+                 IdleLife({keep_alive.data(), keep_alive.size()}));
     }
     Finish(Errc::kOk);
   }
@@ -278,6 +348,7 @@
   bool sent_ = false;
   bool broken_send_ = false;
   bool head_told_ = false;
+  bool foreign_ = false;  ///< The answer under way belongs to another call.
   bool done_ = false;  ///< No hook runs any more.
 };
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -21,6 +21,10 @@
   std::chrono::milliseconds progress_timeout{3000};
   std::uint64_t answer_bytes = 64 * 1024 * 1024;
   bool fresh_connection = false;  ///< Takes none from the pool.
+  /// Has the kernel probe a connection on which nothing comes for seconds.
+  bool probe_silence = false;
+  /// Longest idle time of a pooled connection that may be taken.
+  std::chrono::milliseconds idle_limit{20'000};
 };
 
 /// How a call ended. `code` is `kOk` when the answer came whole, else
@@ -34,6 +38,9 @@
 /// none runs after `on_end`.
 struct CallHooks {
   std::function<void()> on_sent;  ///< Just before the first byte goes out.
+  /// Whether an answer belongs to this call; absent: always. One that does not
+  /// is read to its end and dropped, and the next one is read.
+  std::function<bool(const Response& head)> is_mine;
   std::function<void(const Response& head)> on_head;
   std::function<void(std::string_view bytes)> on_body;
   std::function<void(CallEnd)> on_end;
--- a/src/http/head.cc
+++ b/src/http/head.cc
@@ -24,6 +24,7 @@
   out.method = std::string(message.method_string());
   const std::string_view target(message.target().data(),
                                 message.target().size());
+  out.target = std::string(target);
   const auto mark = target.find('?');
   out.path = std::string(target.substr(0, mark));
   if (mark != std::string_view::npos) out.query = target.substr(mark + 1);
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -32,11 +32,13 @@
   Fields fields;
   std::string body;
   BodyLease lease;  ///< Memory counted for `body`.
+  /// Path and query as they came; when set, a client sends them verbatim.
+  std::string target;
 };
 
 struct Response {
   int status = 200;
-  std::string content_type = "application/json";
+  std::string content_type = "application/json";  ///< Empty: none is sent.
   Fields fields;
   std::string body;
 };
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -95,6 +95,10 @@
   return {};
 }
 
+void Server::SetLimits(const ServerLimits& limits) {
+  state_->shared->limits = limits;
+}
+
 std::uint16_t Server::port() const { return state_->port; }
 
 std::size_t Server::unanswered() const { return state_->shared->unanswered; }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -53,6 +53,8 @@
   std::function<Errc(const Request&)> admit_head;
   /// Takes a whole request.
   std::function<void(ExchangePtr)> handle;
+  /// Whether connections stay open after their answers; absent: always.
+  std::function<bool()> keep_connections;
   /// The body of a failure that the server itself meets or `admit_head` told.
   std::function<Response(Errc)> error_response;
 };
@@ -73,6 +75,8 @@
   std::error_code Listen(const std::string& address);
   /// Port in use after `Listen`.
   std::uint16_t port() const;
+  /// Limits of requests that come from now on; on the I/O thread only.
+  void SetLimits(const ServerLimits& limits);
   /// Requests handed to the handler whose answer is not yet written.
   std::size_t unanswered() const;
   /// Takes no new connections; open ones go on.
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -333,10 +333,14 @@
   void FillHead(Message& message, const Response& response) {
     message.version(11);
     message.result(static_cast<unsigned>(response.status));
-    message.set(bh::field::content_type, response.content_type);
+    if (!response.content_type.empty()) {
+      message.set(bh::field::content_type, response.content_type);
+    }
     for (const auto& field : response.fields) {
-      message.set(field.name, field.value);
+      message.insert(field.name, field.value);
     }
+    const auto& keep = context_->hooks.keep_connections;
+    if (keep && !keep()) keep_alive_ = false;
     message.keep_alive(keep_alive_);
   }
 
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -26,6 +26,7 @@
 // other.
 constexpr std::string_view kDatagramContext = "comfreyflow datagram 1";
 constexpr std::string_view kEnvelopeContext = "comfreyflow envelope 1";
+constexpr std::string_view kPlacementContext = "comfreyflow placement 1";
 
 std::string Signature(std::string_view context, std::string_view bytes,
                       const FleetKey& key) {
@@ -254,4 +255,20 @@
   return {};
 }
 
+std::string EncodePlaceDatagram(const PlaceDatagram& datagram,
+                                const FleetKey& key) {
+  std::string bytes = Write(datagram);
+  bytes += Signature(kPlacementContext, bytes, key);
+  return bytes;
+}
+
+std::error_code DecodePlaceDatagram(std::string_view bytes, const FleetKey& key,
+                                    PlaceDatagram& out) {
+  if (!Verify(kPlacementContext, bytes, key)) return Errc::kBadSignature;
+  PlaceDatagram datagram;
+  if (auto error = Read(bytes, kMaxDatagramBytes, datagram)) return error;
+  out = std::move(datagram);
+  return {};
+}
+
 }  // namespace comfreyflow::wire
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -32,4 +32,10 @@
 std::error_code DecodeEnvelope(std::string_view bytes, const FleetKey& key,
                                Envelope& out);
 
+/// Encoded and signed bytes of a datagram about placement.
+std::string EncodePlaceDatagram(const PlaceDatagram& datagram,
+                                const FleetKey& key);
+std::error_code DecodePlaceDatagram(std::string_view bytes, const FleetKey& key,
+                                    PlaceDatagram& out);
+
 }  // namespace comfreyflow::wire
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -193,3 +193,70 @@
   3: string to
   4: list<Body> bodies
 }
+
+// ---- Placement, in datagrams between hosts ----------------------------------
+// Requests are named by the sequence of the host that has them; the sender's
+// name and incarnation stand in the datagram.
+
+struct PlaceAsk {
+  1: i64 sequence
+  2: string service_name
+  3: string account
+  4: string failure_domain
+  5: bool stream
+  6: i32 prompt_tokens
+  7: i32 output_tokens
+  8: i32 priority
+  9: i32 waited_ms
+  10: i32 remaining_ms
+  11: i32 objective_ms
+  12: i32 max_gap_ms
+  13: i32 number
+  14: list<string> excluded
+}
+
+struct PlacedTarget {
+  1: string name
+  2: string address
+}
+
+// The answer to an ask. `code` is 0 for a grant, else an error's number.
+struct PlaceAnswer {
+  1: i64 sequence
+  2: i32 number
+  3: i32 code
+  4: list<PlacedTarget> targets
+  5: i32 estimate_ms
+  6: i32 retry_after_ms
+}
+
+// Placed work began (outcome absent) or ended.
+struct PlaceNote {
+  1: i64 sequence
+  2: string service_name
+  3: optional i32 outcome
+}
+
+struct PlacedWork {
+  1: i64 sequence
+  2: list<string> targets
+  3: bool stream
+  4: bool begun
+  5: i32 prompt_tokens
+  6: i32 output_tokens
+}
+
+// All placed work of the sender for one service.
+struct PlaceSync {
+  1: string service_name
+  2: list<PlacedWork> running
+}
+
+struct PlaceDatagram {
+  1: string sender
+  2: i64 incarnation
+  3: list<PlaceAsk> asks
+  4: list<PlaceAnswer> answers
+  5: list<PlaceNote> notes
+  6: list<PlaceSync> syncs
+}
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -4139,4 +4139,1450 @@
   out << ")";
 }
 
+
+PlaceAsk::~PlaceAsk() noexcept {
+}
+
+
+void PlaceAsk::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void PlaceAsk::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void PlaceAsk::__set_account(const std::string& val) {
+  this->account = val;
+}
+
+void PlaceAsk::__set_failure_domain(const std::string& val) {
+  this->failure_domain = val;
+}
+
+void PlaceAsk::__set_stream(const bool val) {
+  this->stream = val;
+}
+
+void PlaceAsk::__set_prompt_tokens(const int32_t val) {
+  this->prompt_tokens = val;
+}
+
+void PlaceAsk::__set_output_tokens(const int32_t val) {
+  this->output_tokens = val;
+}
+
+void PlaceAsk::__set_priority(const int32_t val) {
+  this->priority = val;
+}
+
+void PlaceAsk::__set_waited_ms(const int32_t val) {
+  this->waited_ms = val;
+}
+
+void PlaceAsk::__set_remaining_ms(const int32_t val) {
+  this->remaining_ms = val;
+}
+
+void PlaceAsk::__set_objective_ms(const int32_t val) {
+  this->objective_ms = val;
+}
+
+void PlaceAsk::__set_max_gap_ms(const int32_t val) {
+  this->max_gap_ms = val;
+}
+
+void PlaceAsk::__set_number(const int32_t val) {
+  this->number = val;
+}
+
+void PlaceAsk::__set_excluded(const std::vector<std::string> & val) {
+  this->excluded = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceAsk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->failure_domain);
+          this->__isset.failure_domain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stream);
+          this->__isset.stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->output_tokens);
+          this->__isset.output_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->priority);
+          this->__isset.priority = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waited_ms);
+          this->__isset.waited_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->remaining_ms);
+          this->__isset.remaining_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->objective_ms);
+          this->__isset.objective_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->max_gap_ms);
+          this->__isset.max_gap_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->excluded.clear();
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->excluded.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
+            {
+              xfer += iprot->readString(this->excluded[_i142]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.excluded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceAsk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceAsk");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("failure_domain", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->failure_domain);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->prompt_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("output_tokens", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->output_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("priority", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->priority);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waited_ms", ::apache::thrift::protocol::T_I32, 9);
+  xfer += oprot->writeI32(this->waited_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("remaining_ms", ::apache::thrift::protocol::T_I32, 10);
+  xfer += oprot->writeI32(this->remaining_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("objective_ms", ::apache::thrift::protocol::T_I32, 11);
+  xfer += oprot->writeI32(this->objective_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_gap_ms", ::apache::thrift::protocol::T_I32, 12);
+  xfer += oprot->writeI32(this->max_gap_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("excluded", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded.size()));
+    std::vector<std::string> ::const_iterator _iter143;
+    for (_iter143 = this->excluded.begin(); _iter143 != this->excluded.end(); ++_iter143)
+    {
+      xfer += oprot->writeString((*_iter143));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceAsk &a, PlaceAsk &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.service_name, b.service_name);
+  swap(a.account, b.account);
+  swap(a.failure_domain, b.failure_domain);
+  swap(a.stream, b.stream);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.output_tokens, b.output_tokens);
+  swap(a.priority, b.priority);
+  swap(a.waited_ms, b.waited_ms);
+  swap(a.remaining_ms, b.remaining_ms);
+  swap(a.objective_ms, b.objective_ms);
+  swap(a.max_gap_ms, b.max_gap_ms);
+  swap(a.number, b.number);
+  swap(a.excluded, b.excluded);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceAsk::PlaceAsk(const PlaceAsk& other144) {
+  sequence = other144.sequence;
+  service_name = other144.service_name;
+  account = other144.account;
+  failure_domain = other144.failure_domain;
+  stream = other144.stream;
+  prompt_tokens = other144.prompt_tokens;
+  output_tokens = other144.output_tokens;
+  priority = other144.priority;
+  waited_ms = other144.waited_ms;
+  remaining_ms = other144.remaining_ms;
+  objective_ms = other144.objective_ms;
+  max_gap_ms = other144.max_gap_ms;
+  number = other144.number;
+  excluded = other144.excluded;
+  __isset = other144.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other145) {
+  sequence = other145.sequence;
+  service_name = other145.service_name;
+  account = other145.account;
+  failure_domain = other145.failure_domain;
+  stream = other145.stream;
+  prompt_tokens = other145.prompt_tokens;
+  output_tokens = other145.output_tokens;
+  priority = other145.priority;
+  waited_ms = other145.waited_ms;
+  remaining_ms = other145.remaining_ms;
+  objective_ms = other145.objective_ms;
+  max_gap_ms = other145.max_gap_ms;
+  number = other145.number;
+  excluded = other145.excluded;
+  __isset = other145.__isset;
+  return *this;
+}
+void PlaceAsk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceAsk(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "account=" << to_string(account);
+  out << ", " << "failure_domain=" << to_string(failure_domain);
+  out << ", " << "stream=" << to_string(stream);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "output_tokens=" << to_string(output_tokens);
+  out << ", " << "priority=" << to_string(priority);
+  out << ", " << "waited_ms=" << to_string(waited_ms);
+  out << ", " << "remaining_ms=" << to_string(remaining_ms);
+  out << ", " << "objective_ms=" << to_string(objective_ms);
+  out << ", " << "max_gap_ms=" << to_string(max_gap_ms);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "excluded=" << to_string(excluded);
+  out << ")";
+}
+
+
+PlacedTarget::~PlacedTarget() noexcept {
+}
+
+
+void PlacedTarget::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void PlacedTarget::__set_address(const std::string& val) {
+  this->address = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlacedTarget& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlacedTarget::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlacedTarget::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlacedTarget");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlacedTarget &a, PlacedTarget &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.address, b.address);
+  swap(a.__isset, b.__isset);
+}
+
+PlacedTarget::PlacedTarget(const PlacedTarget& other146) {
+  name = other146.name;
+  address = other146.address;
+  __isset = other146.__isset;
+}
+PlacedTarget& PlacedTarget::operator=(const PlacedTarget& other147) {
+  name = other147.name;
+  address = other147.address;
+  __isset = other147.__isset;
+  return *this;
+}
+void PlacedTarget::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlacedTarget(";
+  out << "name=" << to_string(name);
+  out << ", " << "address=" << to_string(address);
+  out << ")";
+}
+
+
+PlaceAnswer::~PlaceAnswer() noexcept {
+}
+
+
+void PlaceAnswer::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void PlaceAnswer::__set_number(const int32_t val) {
+  this->number = val;
+}
+
+void PlaceAnswer::__set_code(const int32_t val) {
+  this->code = val;
+}
+
+void PlaceAnswer::__set_targets(const std::vector<PlacedTarget> & val) {
+  this->targets = val;
+}
+
+void PlaceAnswer::__set_estimate_ms(const int32_t val) {
+  this->estimate_ms = val;
+}
+
+void PlaceAnswer::__set_retry_after_ms(const int32_t val) {
+  this->retry_after_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->code);
+          this->__isset.code = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->targets.clear();
+            uint32_t _size148;
+            ::apache::thrift::protocol::TType _etype151;
+            xfer += iprot->readListBegin(_etype151, _size148);
+            this->targets.resize(_size148);
+            uint32_t _i152;
+            for (_i152 = 0; _i152 < _size148; ++_i152)
+            {
+              xfer += this->targets[_i152].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->estimate_ms);
+          this->__isset.estimate_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceAnswer");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("code", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->code);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
+    std::vector<PlacedTarget> ::const_iterator _iter153;
+    for (_iter153 = this->targets.begin(); _iter153 != this->targets.end(); ++_iter153)
+    {
+      xfer += (*_iter153).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("estimate_ms", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->estimate_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->retry_after_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceAnswer &a, PlaceAnswer &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.number, b.number);
+  swap(a.code, b.code);
+  swap(a.targets, b.targets);
+  swap(a.estimate_ms, b.estimate_ms);
+  swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other154) {
+  sequence = other154.sequence;
+  number = other154.number;
+  code = other154.code;
+  targets = other154.targets;
+  estimate_ms = other154.estimate_ms;
+  retry_after_ms = other154.retry_after_ms;
+  __isset = other154.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other155) {
+  sequence = other155.sequence;
+  number = other155.number;
+  code = other155.code;
+  targets = other155.targets;
+  estimate_ms = other155.estimate_ms;
+  retry_after_ms = other155.retry_after_ms;
+  __isset = other155.__isset;
+  return *this;
+}
+void PlaceAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceAnswer(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "number=" << to_string(number);
+  out << ", " << "code=" << to_string(code);
+  out << ", " << "targets=" << to_string(targets);
+  out << ", " << "estimate_ms=" << to_string(estimate_ms);
+  out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ")";
+}
+
+
+PlaceNote::~PlaceNote() noexcept {
+}
+
+
+void PlaceNote::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void PlaceNote::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void PlaceNote::__set_outcome(const int32_t val) {
+  this->outcome = val;
+__isset.outcome = true;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceNote& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceNote::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->outcome);
+          this->__isset.outcome = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceNote::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceNote");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.outcome) {
+    xfer += oprot->writeFieldBegin("outcome", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->outcome);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceNote &a, PlaceNote &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.service_name, b.service_name);
+  swap(a.outcome, b.outcome);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceNote::PlaceNote(const PlaceNote& other156) {
+  sequence = other156.sequence;
+  service_name = other156.service_name;
+  outcome = other156.outcome;
+  __isset = other156.__isset;
+}
+PlaceNote& PlaceNote::operator=(const PlaceNote& other157) {
+  sequence = other157.sequence;
+  service_name = other157.service_name;
+  outcome = other157.outcome;
+  __isset = other157.__isset;
+  return *this;
+}
+void PlaceNote::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceNote(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "outcome="; (__isset.outcome ? (out << to_string(outcome)) : (out << "<null>"));
+  out << ")";
+}
+
+
+PlacedWork::~PlacedWork() noexcept {
+}
+
+
+void PlacedWork::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
+
+void PlacedWork::__set_targets(const std::vector<std::string> & val) {
+  this->targets = val;
+}
+
+void PlacedWork::__set_stream(const bool val) {
+  this->stream = val;
+}
+
+void PlacedWork::__set_begun(const bool val) {
+  this->begun = val;
+}
+
+void PlacedWork::__set_prompt_tokens(const int32_t val) {
+  this->prompt_tokens = val;
+}
+
+void PlacedWork::__set_output_tokens(const int32_t val) {
+  this->output_tokens = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlacedWork& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlacedWork::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->targets.clear();
+            uint32_t _size158;
+            ::apache::thrift::protocol::TType _etype161;
+            xfer += iprot->readListBegin(_etype161, _size158);
+            this->targets.resize(_size158);
+            uint32_t _i162;
+            for (_i162 = 0; _i162 < _size158; ++_i162)
+            {
+              xfer += iprot->readString(this->targets[_i162]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->stream);
+          this->__isset.stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->begun);
+          this->__isset.begun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->prompt_tokens);
+          this->__isset.prompt_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->output_tokens);
+          this->__isset.output_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlacedWork::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlacedWork");
+
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->targets.size()));
+    std::vector<std::string> ::const_iterator _iter163;
+    for (_iter163 = this->targets.begin(); _iter163 != this->targets.end(); ++_iter163)
+    {
+      xfer += oprot->writeString((*_iter163));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("begun", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->begun);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("prompt_tokens", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->prompt_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("output_tokens", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->output_tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlacedWork &a, PlacedWork &b) {
+  using ::std::swap;
+  swap(a.sequence, b.sequence);
+  swap(a.targets, b.targets);
+  swap(a.stream, b.stream);
+  swap(a.begun, b.begun);
+  swap(a.prompt_tokens, b.prompt_tokens);
+  swap(a.output_tokens, b.output_tokens);
+  swap(a.__isset, b.__isset);
+}
+
+PlacedWork::PlacedWork(const PlacedWork& other164) {
+  sequence = other164.sequence;
+  targets = other164.targets;
+  stream = other164.stream;
+  begun = other164.begun;
+  prompt_tokens = other164.prompt_tokens;
+  output_tokens = other164.output_tokens;
+  __isset = other164.__isset;
+}
+PlacedWork& PlacedWork::operator=(const PlacedWork& other165) {
+  sequence = other165.sequence;
+  targets = other165.targets;
+  stream = other165.stream;
+  begun = other165.begun;
+  prompt_tokens = other165.prompt_tokens;
+  output_tokens = other165.output_tokens;
+  __isset = other165.__isset;
+  return *this;
+}
+void PlacedWork::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlacedWork(";
+  out << "sequence=" << to_string(sequence);
+  out << ", " << "targets=" << to_string(targets);
+  out << ", " << "stream=" << to_string(stream);
+  out << ", " << "begun=" << to_string(begun);
+  out << ", " << "prompt_tokens=" << to_string(prompt_tokens);
+  out << ", " << "output_tokens=" << to_string(output_tokens);
+  out << ")";
+}
+
+
+PlaceSync::~PlaceSync() noexcept {
+}
+
+
+void PlaceSync::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void PlaceSync::__set_running(const std::vector<PlacedWork> & val) {
+  this->running = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceSync& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceSync::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->running.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
+            {
+              xfer += this->running[_i170].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceSync::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceSync");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
+    std::vector<PlacedWork> ::const_iterator _iter171;
+    for (_iter171 = this->running.begin(); _iter171 != this->running.end(); ++_iter171)
+    {
+      xfer += (*_iter171).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceSync &a, PlaceSync &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.running, b.running);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceSync::PlaceSync(const PlaceSync& other172) {
+  service_name = other172.service_name;
+  running = other172.running;
+  __isset = other172.__isset;
+}
+PlaceSync& PlaceSync::operator=(const PlaceSync& other173) {
+  service_name = other173.service_name;
+  running = other173.running;
+  __isset = other173.__isset;
+  return *this;
+}
+void PlaceSync::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceSync(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "running=" << to_string(running);
+  out << ")";
+}
+
+
+PlaceDatagram::~PlaceDatagram() noexcept {
+}
+
+
+void PlaceDatagram::__set_sender(const std::string& val) {
+  this->sender = val;
+}
+
+void PlaceDatagram::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void PlaceDatagram::__set_asks(const std::vector<PlaceAsk> & val) {
+  this->asks = val;
+}
+
+void PlaceDatagram::__set_answers(const std::vector<PlaceAnswer> & val) {
+  this->answers = val;
+}
+
+void PlaceDatagram::__set_notes(const std::vector<PlaceNote> & val) {
+  this->notes = val;
+}
+
+void PlaceDatagram::__set_syncs(const std::vector<PlaceSync> & val) {
+  this->syncs = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlaceDatagram& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlaceDatagram::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->asks.clear();
+            uint32_t _size174;
+            ::apache::thrift::protocol::TType _etype177;
+            xfer += iprot->readListBegin(_etype177, _size174);
+            this->asks.resize(_size174);
+            uint32_t _i178;
+            for (_i178 = 0; _i178 < _size174; ++_i178)
+            {
+              xfer += this->asks[_i178].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.asks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answers.clear();
+            uint32_t _size179;
+            ::apache::thrift::protocol::TType _etype182;
+            xfer += iprot->readListBegin(_etype182, _size179);
+            this->answers.resize(_size179);
+            uint32_t _i183;
+            for (_i183 = 0; _i183 < _size179; ++_i183)
+            {
+              xfer += this->answers[_i183].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->notes.clear();
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->notes.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
+            {
+              xfer += this->notes[_i188].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.notes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->syncs.clear();
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->syncs.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
+            {
+              xfer += this->syncs[_i193].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.syncs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t PlaceDatagram::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlaceDatagram");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
+    std::vector<PlaceAsk> ::const_iterator _iter194;
+    for (_iter194 = this->asks.begin(); _iter194 != this->asks.end(); ++_iter194)
+    {
+      xfer += (*_iter194).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<PlaceAnswer> ::const_iterator _iter195;
+    for (_iter195 = this->answers.begin(); _iter195 != this->answers.end(); ++_iter195)
+    {
+      xfer += (*_iter195).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
+    std::vector<PlaceNote> ::const_iterator _iter196;
+    for (_iter196 = this->notes.begin(); _iter196 != this->notes.end(); ++_iter196)
+    {
+      xfer += (*_iter196).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("syncs", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->syncs.size()));
+    std::vector<PlaceSync> ::const_iterator _iter197;
+    for (_iter197 = this->syncs.begin(); _iter197 != this->syncs.end(); ++_iter197)
+    {
+      xfer += (*_iter197).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlaceDatagram &a, PlaceDatagram &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.incarnation, b.incarnation);
+  swap(a.asks, b.asks);
+  swap(a.answers, b.answers);
+  swap(a.notes, b.notes);
+  swap(a.syncs, b.syncs);
+  swap(a.__isset, b.__isset);
+}
+
+PlaceDatagram::PlaceDatagram(const PlaceDatagram& other198) {
+  sender = other198.sender;
+  incarnation = other198.incarnation;
+  asks = other198.asks;
+  answers = other198.answers;
+  notes = other198.notes;
+  syncs = other198.syncs;
+  __isset = other198.__isset;
+}
+PlaceDatagram& PlaceDatagram::operator=(const PlaceDatagram& other199) {
+  sender = other199.sender;
+  incarnation = other199.incarnation;
+  asks = other199.asks;
+  answers = other199.answers;
+  notes = other199.notes;
+  syncs = other199.syncs;
+  __isset = other199.__isset;
+  return *this;
+}
+void PlaceDatagram::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlaceDatagram(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "asks=" << to_string(asks);
+  out << ", " << "answers=" << to_string(answers);
+  out << ", " << "notes=" << to_string(notes);
+  out << ", " << "syncs=" << to_string(syncs);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -69,6 +69,20 @@
 
 class Envelope;
 
+class PlaceAsk;
+
+class PlacedTarget;
+
+class PlaceAnswer;
+
+class PlaceNote;
+
+class PlacedWork;
+
+class PlaceSync;
+
+class PlaceDatagram;
+
 typedef struct _HostRecord__isset {
   _HostRecord__isset() : name(false), incarnation(false), failure_domain(false), gossip(false), peers(false), callers(false) {}
   bool name :1;
@@ -1660,6 +1674,525 @@
 
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
+typedef struct _PlaceAsk__isset {
+  _PlaceAsk__isset() : sequence(false), service_name(false), account(false), failure_domain(false), stream(false), prompt_tokens(false), output_tokens(false), priority(false), waited_ms(false), remaining_ms(false), objective_ms(false), max_gap_ms(false), number(false), excluded(false) {}
+  bool sequence :1;
+  bool service_name :1;
+  bool account :1;
+  bool failure_domain :1;
+  bool stream :1;
+  bool prompt_tokens :1;
+  bool output_tokens :1;
+  bool priority :1;
+  bool waited_ms :1;
+  bool remaining_ms :1;
+  bool objective_ms :1;
+  bool max_gap_ms :1;
+  bool number :1;
+  bool excluded :1;
+} _PlaceAsk__isset;
+
+class PlaceAsk : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceAsk(const PlaceAsk&);
+  PlaceAsk& operator=(const PlaceAsk&);
+  PlaceAsk() noexcept
+           : sequence(0),
+             service_name(),
+             account(),
+             failure_domain(),
+             stream(0),
+             prompt_tokens(0),
+             output_tokens(0),
+             priority(0),
+             waited_ms(0),
+             remaining_ms(0),
+             objective_ms(0),
+             max_gap_ms(0),
+             number(0) {
+  }
+
+  virtual ~PlaceAsk() noexcept;
+  int64_t sequence;
+  std::string service_name;
+  std::string account;
+  std::string failure_domain;
+  bool stream;
+  int32_t prompt_tokens;
+  int32_t output_tokens;
+  int32_t priority;
+  int32_t waited_ms;
+  int32_t remaining_ms;
+  int32_t objective_ms;
+  int32_t max_gap_ms;
+  int32_t number;
+  std::vector<std::string>  excluded;
+
+  _PlaceAsk__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_account(const std::string& val);
+
+  void __set_failure_domain(const std::string& val);
+
+  void __set_stream(const bool val);
+
+  void __set_prompt_tokens(const int32_t val);
+
+  void __set_output_tokens(const int32_t val);
+
+  void __set_priority(const int32_t val);
+
+  void __set_waited_ms(const int32_t val);
+
+  void __set_remaining_ms(const int32_t val);
+
+  void __set_objective_ms(const int32_t val);
+
+  void __set_max_gap_ms(const int32_t val);
+
+  void __set_number(const int32_t val);
+
+  void __set_excluded(const std::vector<std::string> & val);
+
+  bool operator == (const PlaceAsk & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(failure_domain == rhs.failure_domain))
+      return false;
+    if (!(stream == rhs.stream))
+      return false;
+    if (!(prompt_tokens == rhs.prompt_tokens))
+      return false;
+    if (!(output_tokens == rhs.output_tokens))
+      return false;
+    if (!(priority == rhs.priority))
+      return false;
+    if (!(waited_ms == rhs.waited_ms))
+      return false;
+    if (!(remaining_ms == rhs.remaining_ms))
+      return false;
+    if (!(objective_ms == rhs.objective_ms))
+      return false;
+    if (!(max_gap_ms == rhs.max_gap_ms))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(excluded == rhs.excluded))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceAsk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceAsk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceAsk &a, PlaceAsk &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj);
+
+typedef struct _PlacedTarget__isset {
+  _PlacedTarget__isset() : name(false), address(false) {}
+  bool name :1;
+  bool address :1;
+} _PlacedTarget__isset;
+
+class PlacedTarget : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlacedTarget(const PlacedTarget&);
+  PlacedTarget& operator=(const PlacedTarget&);
+  PlacedTarget() noexcept
+               : name(),
+                 address() {
+  }
+
+  virtual ~PlacedTarget() noexcept;
+  std::string name;
+  std::string address;
+
+  _PlacedTarget__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  bool operator == (const PlacedTarget & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    return true;
+  }
+  bool operator != (const PlacedTarget &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlacedTarget & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlacedTarget &a, PlacedTarget &b);
+
+std::ostream& operator<<(std::ostream& out, const PlacedTarget& obj);
+
+typedef struct _PlaceAnswer__isset {
+  _PlaceAnswer__isset() : sequence(false), number(false), code(false), targets(false), estimate_ms(false), retry_after_ms(false) {}
+  bool sequence :1;
+  bool number :1;
+  bool code :1;
+  bool targets :1;
+  bool estimate_ms :1;
+  bool retry_after_ms :1;
+} _PlaceAnswer__isset;
+
+class PlaceAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceAnswer(const PlaceAnswer&);
+  PlaceAnswer& operator=(const PlaceAnswer&);
+  PlaceAnswer() noexcept
+              : sequence(0),
+                number(0),
+                code(0),
+                estimate_ms(0),
+                retry_after_ms(0) {
+  }
+
+  virtual ~PlaceAnswer() noexcept;
+  int64_t sequence;
+  int32_t number;
+  int32_t code;
+  std::vector<PlacedTarget>  targets;
+  int32_t estimate_ms;
+  int32_t retry_after_ms;
+
+  _PlaceAnswer__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_number(const int32_t val);
+
+  void __set_code(const int32_t val);
+
+  void __set_targets(const std::vector<PlacedTarget> & val);
+
+  void __set_estimate_ms(const int32_t val);
+
+  void __set_retry_after_ms(const int32_t val);
+
+  bool operator == (const PlaceAnswer & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(number == rhs.number))
+      return false;
+    if (!(code == rhs.code))
+      return false;
+    if (!(targets == rhs.targets))
+      return false;
+    if (!(estimate_ms == rhs.estimate_ms))
+      return false;
+    if (!(retry_after_ms == rhs.retry_after_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceAnswer &a, PlaceAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj);
+
+typedef struct _PlaceNote__isset {
+  _PlaceNote__isset() : sequence(false), service_name(false), outcome(false) {}
+  bool sequence :1;
+  bool service_name :1;
+  bool outcome :1;
+} _PlaceNote__isset;
+
+class PlaceNote : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceNote(const PlaceNote&);
+  PlaceNote& operator=(const PlaceNote&);
+  PlaceNote() noexcept
+            : sequence(0),
+              service_name(),
+              outcome(0) {
+  }
+
+  virtual ~PlaceNote() noexcept;
+  int64_t sequence;
+  std::string service_name;
+  int32_t outcome;
+
+  _PlaceNote__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_outcome(const int32_t val);
+
+  bool operator == (const PlaceNote & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (__isset.outcome != rhs.__isset.outcome)
+      return false;
+    else if (__isset.outcome && !(outcome == rhs.outcome))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceNote &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceNote & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceNote &a, PlaceNote &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceNote& obj);
+
+typedef struct _PlacedWork__isset {
+  _PlacedWork__isset() : sequence(false), targets(false), stream(false), begun(false), prompt_tokens(false), output_tokens(false) {}
+  bool sequence :1;
+  bool targets :1;
+  bool stream :1;
+  bool begun :1;
+  bool prompt_tokens :1;
+  bool output_tokens :1;
+} _PlacedWork__isset;
+
+class PlacedWork : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlacedWork(const PlacedWork&);
+  PlacedWork& operator=(const PlacedWork&);
+  PlacedWork() noexcept
+             : sequence(0),
+               stream(0),
+               begun(0),
+               prompt_tokens(0),
+               output_tokens(0) {
+  }
+
+  virtual ~PlacedWork() noexcept;
+  int64_t sequence;
+  std::vector<std::string>  targets;
+  bool stream;
+  bool begun;
+  int32_t prompt_tokens;
+  int32_t output_tokens;
+
+  _PlacedWork__isset __isset;
+
+  void __set_sequence(const int64_t val);
+
+  void __set_targets(const std::vector<std::string> & val);
+
+  void __set_stream(const bool val);
+
+  void __set_begun(const bool val);
+
+  void __set_prompt_tokens(const int32_t val);
+
+  void __set_output_tokens(const int32_t val);
+
+  bool operator == (const PlacedWork & rhs) const
+  {
+    if (!(sequence == rhs.sequence))
+      return false;
+    if (!(targets == rhs.targets))
+      return false;
+    if (!(stream == rhs.stream))
+      return false;
+    if (!(begun == rhs.begun))
+      return false;
+    if (!(prompt_tokens == rhs.prompt_tokens))
+      return false;
+    if (!(output_tokens == rhs.output_tokens))
+      return false;
+    return true;
+  }
+  bool operator != (const PlacedWork &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlacedWork & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlacedWork &a, PlacedWork &b);
+
+std::ostream& operator<<(std::ostream& out, const PlacedWork& obj);
+
+typedef struct _PlaceSync__isset {
+  _PlaceSync__isset() : service_name(false), running(false) {}
+  bool service_name :1;
+  bool running :1;
+} _PlaceSync__isset;
+
+class PlaceSync : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceSync(const PlaceSync&);
+  PlaceSync& operator=(const PlaceSync&);
+  PlaceSync() noexcept
+            : service_name() {
+  }
+
+  virtual ~PlaceSync() noexcept;
+  std::string service_name;
+  std::vector<PlacedWork>  running;
+
+  _PlaceSync__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_running(const std::vector<PlacedWork> & val);
+
+  bool operator == (const PlaceSync & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceSync &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceSync & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceSync &a, PlaceSync &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceSync& obj);
+
+typedef struct _PlaceDatagram__isset {
+  _PlaceDatagram__isset() : sender(false), incarnation(false), asks(false), answers(false), notes(false), syncs(false) {}
+  bool sender :1;
+  bool incarnation :1;
+  bool asks :1;
+  bool answers :1;
+  bool notes :1;
+  bool syncs :1;
+} _PlaceDatagram__isset;
+
+class PlaceDatagram : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlaceDatagram(const PlaceDatagram&);
+  PlaceDatagram& operator=(const PlaceDatagram&);
+  PlaceDatagram() noexcept
+                : sender(),
+                  incarnation(0) {
+  }
+
+  virtual ~PlaceDatagram() noexcept;
+  std::string sender;
+  int64_t incarnation;
+  std::vector<PlaceAsk>  asks;
+  std::vector<PlaceAnswer>  answers;
+  std::vector<PlaceNote>  notes;
+  std::vector<PlaceSync>  syncs;
+
+  _PlaceDatagram__isset __isset;
+
+  void __set_sender(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_asks(const std::vector<PlaceAsk> & val);
+
+  void __set_answers(const std::vector<PlaceAnswer> & val);
+
+  void __set_notes(const std::vector<PlaceNote> & val);
+
+  void __set_syncs(const std::vector<PlaceSync> & val);
+
+  bool operator == (const PlaceDatagram & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(asks == rhs.asks))
+      return false;
+    if (!(answers == rhs.answers))
+      return false;
+    if (!(notes == rhs.notes))
+      return false;
+    if (!(syncs == rhs.syncs))
+      return false;
+    return true;
+  }
+  bool operator != (const PlaceDatagram &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlaceDatagram & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlaceDatagram &a, PlaceDatagram &b);
+
+std::ostream& operator<<(std::ostream& out, const PlaceDatagram& obj);
+
 }} // namespace
 
 #endif
--- /dev/null
+++ b/src/wire/placement.cc
@@ -0,0 +1,194 @@
+// Turns messages about placement into Thrift structs and back.
+#include "wire/placement.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "comfreyflow/errors.h"
+
+namespace comfreyflow::wire {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+std::int32_t Ms(Duration time) {
+  const auto count = duration_cast<milliseconds>(time).count();
+  constexpr std::int64_t kMost = std::numeric_limits<std::int32_t>::max();
+  return static_cast<std::int32_t>(std::clamp<std::int64_t>(count, 0, kMost));
+}
+
+Duration FromMs(std::int32_t ms) { return milliseconds(std::max(ms, 0)); }
+
+std::int32_t Signed(std::uint32_t value) {
+  return static_cast<std::int32_t>(
+      std::min<std::uint32_t>(value, std::numeric_limits<std::int32_t>::max()));
+}
+
+std::uint32_t Unsigned(std::int32_t value) {
+  return static_cast<std::uint32_t>(std::max(value, 0));
+}
+
+PlaceAsk ToWire(const PlaceAskMessage& message, Time now) {
+  const PlaceJob& job = message.job;
+  PlaceAsk out;
+  out.sequence = static_cast<std::int64_t>(job.id.sequence);
+  out.service_name = message.service.value;
+  out.account = job.account.value;
+  out.failure_domain = job.domain.value;
+  out.stream = job.stream;
+  out.prompt_tokens = Signed(job.prompt_tokens);
+  out.output_tokens = Signed(job.output_tokens);
+  out.priority = Signed(job.priority);
+  out.waited_ms = Ms(now - job.arrival);
+  out.remaining_ms = Ms(job.deadline - now);
+  out.objective_ms = Ms(job.objective);
+  out.max_gap_ms = Ms(job.max_gap);
+  out.number = Signed(job.number);
+  for (const auto& name : job.excluded) out.excluded.push_back(name.value);
+  return out;
+}
+
+PlaceAskMessage FromWire(const PlaceAsk& in, const RequestId& id, Time now) {
+  PlaceAskMessage out;
+  out.service.value = in.service_name;
+  PlaceJob& job = out.job;
+  job.id = id;
+  job.account.value = in.account;
+  job.domain.value = in.failure_domain;
+  job.stream = in.stream;
+  job.prompt_tokens = Unsigned(in.prompt_tokens);
+  job.output_tokens = Unsigned(in.output_tokens);
+  job.priority = Unsigned(in.priority);
+  job.arrival = now - FromMs(in.waited_ms);
+  job.deadline = now + FromMs(in.remaining_ms);
+  job.objective = FromMs(in.objective_ms);
+  job.max_gap = FromMs(in.max_gap_ms);
+  job.number = Unsigned(in.number);
+  for (const auto& name : in.excluded) job.excluded.push_back({name});
+  return out;
+}
+
+PlaceAnswer ToWire(const PlaceAnswerMessage& message) {
+  PlaceAnswer out;
+  out.sequence = static_cast<std::int64_t>(message.sequence);
+  out.number = Signed(message.number);
+  if (message.waits) return out;
+  if (const auto* refusal = std::get_if<PlaceRefusal>(&message.verdict)) {
+    out.code = static_cast<std::int32_t>(refusal->code);
+    out.retry_after_ms = Ms(refusal->retry_after);
+    return out;
+  }
+  const auto& grant = std::get<PlaceGrant>(message.verdict);
+  out.estimate_ms = Ms(grant.estimate);
+  for (const auto& target : grant.targets) {
+    PlacedTarget& placed = out.targets.emplace_back();
+    placed.name = target.name.value;
+    placed.address = target.address;
+  }
+  return out;
+}
+
+bool FromWire(const PlaceAnswer& in, PlaceAnswerMessage& out) {
+  out.sequence = static_cast<std::uint64_t>(in.sequence);
+  out.number = Unsigned(in.number);
+  out.waits = in.code == 0 && in.targets.empty();
+  if (in.code < 0 || in.code >= ErrorCount()) return false;
+  if (in.code != 0) {
+    PlaceRefusal refusal;
+    refusal.number = out.number;
+    refusal.code = static_cast<Errc>(in.code);
+    refusal.retry_after = FromMs(in.retry_after_ms);
+    out.verdict = refusal;
+    return true;
+  }
+  PlaceGrant grant;
+  grant.number = out.number;
+  grant.estimate = FromMs(in.estimate_ms);
+  for (const auto& placed : in.targets) {
+    grant.targets.push_back({{placed.name}, placed.address});
+  }
+  out.verdict = std::move(grant);
+  return true;
+}
+
+PlaceSync ToWire(const PlaceSyncMessage& message) {
+  PlaceSync out;
+  out.service_name = message.service.value;
+  for (const auto& work : message.running) {
+    PlacedWork& placed = out.running.emplace_back();
+    placed.sequence = static_cast<std::int64_t>(work.id.sequence);
+    for (const auto& name : work.targets) placed.targets.push_back(name.value);
+    placed.stream = work.stream;
+    placed.begun = work.begun;
+    placed.prompt_tokens = Signed(work.prompt_tokens);
+    placed.output_tokens = Signed(work.output_tokens);
+  }
+  return out;
+}
+
+}  // namespace
+
+std::string EncodePlacement(const PlaceMessages& messages, const FleetKey& key,
+                            Time now) {
+  PlaceDatagram out;
+  out.sender = messages.sender.value;
+  out.incarnation = static_cast<std::int64_t>(messages.incarnation.value);
+  for (const auto& ask : messages.asks) out.asks.push_back(ToWire(ask, now));
+  for (const auto& answer : messages.answers) {
+    out.answers.push_back(ToWire(answer));
+  }
+  for (const auto& note : messages.notes) {
+    PlaceNote& wire = out.notes.emplace_back();
+    wire.sequence = static_cast<std::int64_t>(note.sequence);
+    wire.service_name = note.service.value;
+    if (note.ended) wire.__set_outcome(static_cast<std::int32_t>(note.end));
+  }
+  for (const auto& sync : messages.syncs) out.syncs.push_back(ToWire(sync));
+  return EncodePlaceDatagram(out, key);
+}
+
+std::error_code DecodePlacement(std::string_view bytes, const FleetKey& key,
+                                Time now, PlaceMessages& out) {
+  PlaceDatagram in;
+  if (const auto error = DecodePlaceDatagram(bytes, key, in)) return error;
+  out = {};
+  out.sender.value = in.sender;
+  out.incarnation.value = static_cast<std::uint64_t>(in.incarnation);
+  const auto id = [&out](std::int64_t sequence) {
+    return RequestId{out.sender, out.incarnation,
+                     static_cast<std::uint64_t>(sequence)};
+  };
+  for (const auto& ask : in.asks) {
+    out.asks.push_back(FromWire(ask, id(ask.sequence), now));
+  }
+  for (const auto& answer : in.answers) {
+    if (!FromWire(answer, out.answers.emplace_back())) return Errc::kCodec;
+  }
+  for (const auto& note : in.notes) {
+    PlaceNoteMessage& message = out.notes.emplace_back();
+    message.sequence = static_cast<std::uint64_t>(note.sequence);
+    message.service.value = note.service_name;
+    message.ended = note.__isset.outcome;
+    if (!message.ended) continue;
+    const auto last = static_cast<std::int32_t>(WorkEnd::kGone);
+    if (note.outcome < 0 || note.outcome > last) return Errc::kCodec;
+    message.end = static_cast<WorkEnd>(note.outcome);
+  }
+  for (const auto& sync : in.syncs) {
+    PlaceSyncMessage& message = out.syncs.emplace_back();
+    message.service.value = sync.service_name;
+    for (const auto& placed : sync.running) {
+      RunningWork& work = message.running.emplace_back();
+      work.id = id(placed.sequence);
+      for (const auto& name : placed.targets) work.targets.push_back({name});
+      work.stream = placed.stream;
+      work.begun = placed.begun;
+      work.prompt_tokens = Unsigned(placed.prompt_tokens);
+      work.output_tokens = Unsigned(placed.output_tokens);
+    }
+  }
+  return {};
+}
+
+}  // namespace comfreyflow::wire
