--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -49,6 +49,7 @@
   std::uint64_t generation = 0;  ///< Configuration in force; 0: none.
   std::uint8_t load = 0;         ///< 0 to `kLoadSteps` - 1.
   bool draining = false;
+  bool detached = false;  ///< Does not reach the platform's store.
   bool operator==(const HostFacts&) const = default;
 };
 
--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -46,13 +46,16 @@
   Time deadline;
   Duration objective{};  ///< From arrival to the first event or answer.
   Duration max_gap{};    ///< Longest pause between its events that is in time.
-  std::uint32_t number = 1;          ///< Of this try; a later one is a repeat.
+  std::uint32_t number = 1;          ///< Of this ask for a target.
+  bool repeat = false;               ///< It was sent to a target before.
   std::vector<TargetName> excluded;  ///< Not to be tried again.
 };
 
 struct PlacedTarget {
   TargetName name;
   std::string address;
+  /// Memory to set aside there before the request is sent; 0: none.
+  std::uint32_t reserve_tokens = 0;
   bool operator==(const PlacedTarget&) const = default;
 };
 
@@ -91,7 +94,7 @@
 /// Placed work as its host tells it.
 struct RunningWork {
   RequestId id;
-  std::vector<TargetName> targets;
+  std::vector<PlacedTarget> targets;
   bool stream = false;
   bool begun = false;  ///< Its first event came.
   std::uint32_t prompt_tokens = 0;
@@ -103,6 +106,9 @@
   double repeat_ratio = 0.2;
   double repeat_slack = 50;
   Duration repeat_window = std::chrono::seconds(10);
+  /// Orders targets that are alike, so that hosts that place without knowing of
+  /// each other do not all take the same one.
+  std::uint64_t seed = 0;
 };
 
 class Placer {
@@ -150,6 +156,9 @@
   struct Target {
     PoolTarget info;
     bool listed = true;
+    /// Another target answered at its address: gone, whatever the list says.
+    bool replaced = false;
+    std::uint64_t order = 0;  ///< Among targets that are alike.
     std::uint32_t running = 0;
     std::uint32_t shorts = 0;
     std::uint32_t long_reads = 0;
@@ -183,6 +192,9 @@
   Duration EventTime(const Target& target, std::uint64_t context) const;
   bool Usable(const Target& target, const Work& work, Time now) const;
   bool HasRoom(const Target& target, const Work& work) const;
+  double FreeMemory(const Target& target) const;
+  bool FillMemory(const Work& work, const std::vector<Target*>& free,
+                  std::size_t& readers) const;
   bool Excluded(const Work& work, const TargetName& name) const;
   std::vector<Target*> Candidates(const Work& work, Time now);
   bool TryPlace(Work& work, Time now);
@@ -192,6 +204,7 @@
                                   const std::vector<Target*>& targets,
                                   Time now);
   void Grant(Work& work, const std::vector<Target*>& targets, Time now);
+  void PlanMemory(Work& work, const std::vector<Target*>& targets) const;
   void Refuse(const Work& work, Errc code, Duration retry_after);
   bool Hopeless(const Work& work, Time now) const;
   void PlaceWaiting(Time now);
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -29,7 +29,7 @@
 /// From the end of reading to the caller: the first event's steps and the way.
 constexpr Duration kFirstEventMargin = milliseconds(120);
 /// Short streams that a long prompt in need may slow down.
-constexpr std::uint32_t kSacrificedStreams = 1;
+constexpr std::uint32_t kSacrificedStreams = 3;
 /// A target whose pace is beyond this is used only if no other is free.
 constexpr double kSlowPace = 1.9;
 constexpr Duration kPaceMemory = std::chrono::seconds(3);
@@ -59,7 +59,7 @@
 }
 
 bool Placer::Usable(const Target& target, const Work& work, Time now) const {
-  if (!target.listed || target.info.leaving) return false;
+  if (!target.listed || target.info.leaving || target.replaced) return false;
   if (now < target.closed_until) return false;
   if (target.failures > 0 && target.running > 0) return false;
   return !Excluded(work, target.info.name);
@@ -68,11 +68,42 @@
 bool Placer::HasRoom(const Target& target, const Work& work) const {
   if (target.running >= target.info.slots) return false;
   if (!engine_ || engine_->memory_tokens == 0) return true;
-  const double limit = kMemoryShare * engine_->memory_tokens;
   const double wanted =
       double{0} + work.job.prompt_tokens + work.job.output_tokens;
-  if (target.running == 0) return true;
-  return target.memory + wanted <= limit;
+  return wanted <= FreeMemory(target);
+}
+
+double Placer::FreeMemory(const Target& target) const {
+  return kMemoryShare * static_cast<double>(engine_->memory_tokens) -
+         static_cast<double>(target.memory);
+}
+
+/// Whether the first `readers` of `free`, or more of them, hold the prompt and
+/// its answer; sets how many are needed.
+bool Placer::FillMemory(const Work& work, const std::vector<Target*>& free,
+                        std::size_t& readers) const {
+  if (engine_->memory_tokens == 0) return true;
+  double wanted = double{0} + work.job.prompt_tokens + work.job.output_tokens;
+  for (std::size_t i = 0; i < free.size() && i < kMaxReaders; ++i) {
+    wanted -= std::max(0.0, FreeMemory(*free[i]));
+    if (wanted > 0) continue;
+    readers = std::max(readers, i + 1);
+    return true;
+  }
+  return false;
+}
+
+/// What the first target has no memory for is set aside at the others in turn.
+void Placer::PlanMemory(Work& work, const std::vector<Target*>& targets) const {
+  if (engine_->memory_tokens == 0) return;
+  double over = double{0} + work.job.prompt_tokens + work.job.output_tokens -
+                FreeMemory(*targets.front());
+  for (std::size_t i = 1; i < targets.size() && over > 0; ++i) {
+    const double part = std::clamp(FreeMemory(*targets[i]), 0.0, over);
+    work.grant.targets[i].reserve_tokens =
+        static_cast<std::uint32_t>(std::ceil(part));
+    over -= part;
+  }
 }
 
 std::vector<Placer::Target*> Placer::Candidates(const Work& work, Time now) {
@@ -86,13 +117,14 @@
     (slow || failing ? poor : good).push_back(&target);
   }
   const bool free = std::any_of(good.begin(), good.end(), [&](Target* target) {
-    return HasRoom(*target, work);
+    return work.is_long || HasRoom(*target, work);
   });
   if (!free) good.insert(good.end(), poor.begin(), poor.end());
   return good;
 }
 
 bool Placer::TryPlace(Work& work, Time now) {
+  work.is_long = engine_ && work.job.stream && work.read > kLongRead;
   const auto candidates = Candidates(work, now);
   if (candidates.empty()) return false;
   if (!engine_ || !work.job.stream) {
@@ -101,7 +133,6 @@
     Grant(work, {target}, now);
     return true;
   }
-  work.is_long = work.read > kLongRead;
   if (!work.is_long) {
     Target* target = ChooseShort(work, candidates);
     if (target == nullptr) return false;
@@ -143,18 +174,18 @@
     const bool quiet = target->reading == Duration::zero();
     if (quiet && target->shorts > 0 && target->shorts < kPackedStreams) {
       const auto rank = [&near](const Target& t) {
-        return std::pair(t.shorts, near(t));
+        return std::tuple(t.shorts, near(t), t.order);
       };
       if (packed == nullptr || rank(*target) > rank(*packed)) packed = target;
     }
     if (quiet && target->shorts == 0) {
       const auto rank = [&near](const Target& t) {
-        return std::pair(t.memory, !near(t));
+        return std::tuple(t.memory, !near(t), t.order);
       };
       if (empty == nullptr || rank(*target) < rank(*empty)) empty = target;
     }
     const auto rank = [](const Target& t) {
-      return std::pair(t.reading, t.shorts);
+      return std::tuple(t.reading, t.shorts, t.order);
     };
     if (backlog == nullptr || rank(*target) < rank(*backlog)) backlog = target;
   }
@@ -184,8 +215,8 @@
       free.push_back(target);
     }
     std::sort(free.begin(), free.end(), [](const Target* a, const Target* b) {
-      return std::tuple(a->memory, a->info.name) <
-             std::tuple(b->memory, b->info.name);
+      return std::tuple(a->shorts, a->memory, a->order) <
+             std::tuple(b->shorts, b->memory, b->order);
     });
     return free;
   };
@@ -207,8 +238,9 @@
     const Duration time = work.read / free.size() + kFirstEventMargin;
     if (now + time > work.job.deadline) return {};
   }
-  if (!HasRoom(*free.front(), work)) return {};
-  free.resize(std::min(free.size(), aimed));
+  std::size_t readers = std::min(free.size(), aimed);
+  if (!FillMemory(work, free, readers)) return {};
+  free.resize(readers);
   return free;
 }
 
@@ -219,6 +251,7 @@
   for (const Target* target : targets) {
     work.grant.targets.push_back({target->info.name, target->info.address});
   }
+  if (work.is_long && engine_ && work.job.stream) PlanMemory(work, targets);
   if (engine_ && work.job.stream) {
     const auto readers = static_cast<int>(targets.size());
     work.estimate = work.read / readers + targets.front()->reading +
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -1,6 +1,8 @@
 // The life of work at a placer: asked, waiting, placed, begun, ended.
 #include "comfreyflow/placer.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -58,7 +60,14 @@
   for (const auto& info : targets) {
     auto [at, added] = targets_.try_emplace(info.name);
     Target& target = at->second;
-    if (!added && target.info.born != info.born) {
+    if (added) {
+      target.order =
+          XXH3_64bits_withSeed(info.name.value.data(), info.name.value.size(),
+                               settings_.seed);
+    }
+    if (!added && (target.info.born != info.born ||
+                   target.info.address != info.address)) {
+      target.replaced = false;
       target.failures = 0;
       target.pace = 1;
       target.error_share = 0;
@@ -90,8 +99,8 @@
   work.asked = now;
   work.read = engine_ ? ReadTime(job.prompt_tokens) : Duration::zero();
   Bucket& bucket = CurrentBucket(now);
-  if (job.number == 1) {
-    ++bucket.requests;
+  if (!job.repeat) {
+    if (job.excluded.empty()) ++bucket.requests;
   } else if (!MayRepeat(now)) {
     Refuse(work, Errc::kOverloaded, Duration::zero());
     works_.erase(job.id);
@@ -160,11 +169,7 @@
     work.begun = told.begun;
     work.placed_at = now;
     work.grant.id = told.id;
-    for (const auto& name : told.targets) {
-      const Target* target = Find(name);
-      work.grant.targets.push_back(
-          {name, target != nullptr ? target->info.address : std::string()});
-    }
+    work.grant.targets = told.targets;
     work.is_long = told.targets.size() > 1;
     Count(work, 1);
   }
@@ -274,10 +279,17 @@
       target->shorts += sign;
       if (reading) target->reading += sign * work.read;
     }
-    if (i != 0) continue;
+    const std::int64_t reserved = work.grant.targets[i].reserve_tokens;
+    if (i != 0) {
+      target->memory += sign * reserved;
+      continue;
+    }
     target->running += sign;
-    const std::int64_t tokens =
+    std::int64_t tokens =
         std::int64_t{work.job.prompt_tokens} + work.job.output_tokens;
+    for (std::size_t j = 1; j < work.grant.targets.size(); ++j) {
+      tokens -= work.grant.targets[j].reserve_tokens;
+    }
     target->memory += sign * tokens;
   }
 }
@@ -300,7 +312,7 @@
                                       now + kRefusalClosure);
       return;
     case WorkEnd::kWrongTarget:
-      target->info.leaving = true;
+      target->replaced = true;
       return;
     case WorkEnd::kBroken:
     case WorkEnd::kSilent:
--- a/src/gateway/edge.h
+++ b/src/gateway/edge.h
@@ -25,13 +25,20 @@
   std::string last_event_id;  ///< Of a stream that the caller resumes.
 };
 
+/// A target that helps to read a prompt. `reservation` names memory that is set
+/// aside there for the prompt; empty: none is.
+struct Helper {
+  std::string address;
+  std::string reservation;
+};
+
 /// What the gateway adds to a request that goes to a target.
 struct ForwardHead {
   std::string target;   ///< Name of the target; another must not run it.
   std::string account;  ///< Empty on a public route.
   Duration remaining{};
   int urgency = 0;  ///< 0 is the most urgent, 9 the least.
-  std::vector<std::string> helpers;  ///< Addresses that help to read.
+  std::vector<Helper> helpers;
   std::string last_event_id;         ///< Where a resumed stream goes on.
 };
 
@@ -52,6 +59,14 @@
   std::function<TargetHead(const http::Response&)> read_head;
   /// The head of a target's answer as the caller gets it.
   std::function<http::Response(const http::Response&)> write_head;
+  /// Orders to a target about memory that is set aside under an id.
+  std::function<http::Request(const std::string& target, const std::string& id,
+                              std::uint32_t tokens, Duration life)>
+      write_reserve;
+  std::function<http::Request(const std::string& target, const std::string& id)>
+      write_release;
+  /// Whether the answer says that the memory is held.
+  std::function<bool(const http::Response&)> read_reserved;
   /// The gateway's own final answer to a request.
   std::function<http::Response(Errc, Duration retry_after,
                                const std::string& request_id)>
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -37,6 +37,14 @@
 /// long after the order to stop, none comes any more.
 constexpr double kLeastStopShare = 0.75;
 constexpr Duration kStopTick = milliseconds(100);
+constexpr Duration kFactsPeriod = milliseconds(250);
+
+PlacerSettings WithSeed(const GatewaySettings& settings) {
+  PlacerSettings placer = settings.placer;
+  const auto& name = settings.self.name.value;
+  placer.seed = XXH3_64bits(name.data(), name.size());
+  return placer;
+}
 
 }  // namespace
 
@@ -48,7 +56,7 @@
         client(io),
         placement(io, {settings.self.name, settings.self.incarnation,
                        settings.self.failure_domain, settings.placement,
-                       settings.key, settings.placer}),
+                       settings.key, WithSeed(settings)}),
         relays{io,
                client,
                placement,
@@ -63,7 +71,8 @@
             std::make_shared<http::BodyBudget>(settings.body_memory_bytes)),
         callers(io, {}, CallerHooks(), body_budget),
         peer_calls(io, {}, PeerCallHooks(), body_budget),
-        stop_timer(io) {
+        stop_timer(io),
+        facts_timer(io) {
     relays.random.seed(settings.self.incarnation.value ^
                        std::hash<std::string>()(settings.self.name.value));
   }
@@ -106,7 +115,7 @@
   PeersHooks PeerHooks() {
     PeersHooks peer;
     peer.facts = [this] {
-      return HostFacts{version(), 0, stopping};
+      return HostFacts{version(), 0, stopping, !store_reachable};
     };
     peer.config_mark = [this] { return mark; };
     peer.changed = [this](const MemberChanged& event) {
@@ -126,18 +135,34 @@
     return peer;
   }
 
-  /// Hosts that may hold placers: alive and not stopping.
+  /// Hosts that may hold placers: alive, not stopping, and with the store's
+  /// word on the targets where any host has it.
   void RefreshPeers() {
     std::vector<PlacementPeer> live;
+    std::vector<PlacementPeer> attached;
     for (const auto& [name, member] : peers.members()) {
+      const bool self = name == settings.self.name;
       const bool alive = member.state == MemberState::kAlive ||
                          member.state == MemberState::kSuspect;
-      if (name != settings.self.name && (!alive || member.facts.draining)) {
-        continue;
-      }
-      live.push_back({name, member.record.peers});
+      if (!self && !alive) continue;
+      if (self ? stopping : member.facts.draining) continue;
+      const PlacementPeer peer{name, member.record.peers};
+      const bool detached = self ? !store_reachable : member.facts.detached;
+      if (!detached) attached.push_back(peer);
+      live.push_back(peer);
     }
-    placement.SetPeers(std::move(live));
+    placement.SetPeers(attached.empty() ? live : attached);
+  }
+
+  /// Facts of members change without an event of their own.
+  void WatchFacts() {
+    facts_timer.expires_after(kFactsPeriod);
+    facts_timer.async_wait([self = shared_from_this()](
+                               const boost::system::error_code& error) {
+      if (error) return;
+      self->RefreshPeers();
+      self->WatchFacts();
+    });
   }
 
   void Fetch(const HostName& host) {
@@ -245,9 +270,11 @@
   http::Server callers;
   http::Server peer_calls;
   asio::steady_timer stop_timer;
+  asio::steady_timer facts_timer;
   std::set<HostName> fetching;
   bool has_targets = false;
   bool stopping = false;
+  bool store_reachable = false;
   Time stop_began;
 };
 
@@ -269,6 +296,7 @@
   if (const auto error = state_->placement.Open()) return error;
   if (const auto error = state_->peers.Open()) return error;
   state_->RefreshPeers();
+  state_->WatchFacts();
   return {};
 }
 
@@ -301,6 +329,11 @@
   state_->placement.SetTargets(targets);
 }
 
+void Gateway::SetStoreReachable(bool reachable) {
+  state_->store_reachable = reachable;
+  state_->RefreshPeers();
+}
+
 void Gateway::SetListedHosts(std::vector<ListedHost> hosts) {
   state_->peers.SetListed(std::move(hosts));
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,6 +55,8 @@
   /// All targets, by service.
   void SetTargets(
       const std::map<ServiceName, std::vector<PoolTarget>>& targets);
+  /// Whether this host reaches the store; without it others hold placers.
+  void SetStoreReachable(bool reachable);
   void SetListedHosts(std::vector<ListedHost> hosts);
 
   /// Whether callers shall be sent here.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -35,6 +35,8 @@
 constexpr Duration kIdleTick = milliseconds(250);
 constexpr std::size_t kLongestDatagram = 60 * 1024;
 constexpr std::size_t kWorksPerDatagram = 400;
+/// Names of targets that are gone, which are remembered.
+constexpr std::size_t kMaxGone = 2000;
 
 }  // namespace
 
@@ -50,7 +52,7 @@
     bool heard = false;   ///< That host said that the request waits.
     bool placed = false;
     bool begun = false;
-    std::vector<TargetName> targets;
+    std::vector<PlacedTarget> targets;
   };
 
   State(asio::io_context& io, PlacementSettings given)
@@ -128,18 +130,58 @@
     const auto number =
         std::visit([](const auto& typed) { return typed.number; }, verdict);
     if (!request.done || number != request.job.number) return;
+    if (const PlacedTarget* unfit = Unfit(verdict)) {
+      LogLine(Severity::kInfo, "grant_declined")
+          .With("target", unfit->name)
+          .With("holder", request.asked);
+      request.job.excluded.push_back(unfit->name);
+      request.job.number = ++asks;
+      return Ask(request);
+    }
     const Callback done = std::exchange(request.done, nullptr);
     if (const auto* grant = std::get_if<PlaceGrant>(&verdict)) {
       request.placed = true;
-      for (const auto& target : grant->targets) {
-        request.targets.push_back(target.name);
-      }
+      request.targets = grant->targets;
     } else {
       own.erase(at);
     }
     done(verdict);
   }
 
+  /// A target of the grant that this host knows to leave or be gone, as its
+  /// list is later than the holder's.
+  const PlacedTarget* Unfit(const PlaceVerdict& verdict) const {
+    const auto* grant = std::get_if<PlaceGrant>(&verdict);
+    if (grant == nullptr) return nullptr;
+    for (const auto& target : grant->targets) {
+      if (unfit.contains(target.name)) return &target;
+    }
+    return nullptr;
+  }
+
+  /// Remembers what left the list, besides what it says is leaving.
+  void NoteUnfit(
+      const std::map<ServiceName, std::vector<PoolTarget>>& next) {
+    std::set<TargetName> leaving;
+    std::set<TargetName> listed;
+    for (const auto& [service, pool] : next) {
+      for (const auto& target : pool) {
+        listed.insert(target.name);
+        if (target.leaving) leaving.insert(target.name);
+      }
+    }
+    std::erase_if(unfit, [&listed](const TargetName& name) {
+      return listed.contains(name);
+    });
+    for (const auto& [service, pool] : targets) {
+      for (const auto& target : pool) {
+        if (!listed.contains(target.name)) unfit.insert(target.name);
+      }
+    }
+    while (unfit.size() > kMaxGone) unfit.erase(unfit.begin());
+    unfit.merge(leaving);
+  }
+
   void Note(const Own& request, const RequestId& id,
             std::optional<WorkEnd> end) {
     if (request.asked == settings.self || request.asked.value.empty()) {
@@ -343,6 +385,8 @@
   std::map<HostName, Time> silent_until;
   std::map<std::uint64_t, Own> own;
   std::map<HostName, wire::PlaceMessages> outgoing;
+  std::set<TargetName> unfit;  ///< Leaving or gone, by this host's list.
+  std::uint32_t asks = 0;
   std::set<ServiceName> synced;  ///< Services of the last synchronisation.
   std::uint64_t next_sequence = 0;
   Time sync_due;
@@ -385,6 +429,7 @@
 
 void Placement::SetTargets(
     const std::map<ServiceName, std::vector<PoolTarget>>& targets) {
+  state_->NoteUnfit(targets);
   state_->targets = targets;
   std::vector<ServiceName> names;
   for (const auto& [name, placer] : state_->placers) names.push_back(name);
@@ -415,6 +460,7 @@
   own = {};
   own.service = service;
   own.job = job;
+  own.job.number = ++state_->asks;
   own.done = std::move(done);
   state_->Ask(own);
   if (state_->own.contains(job.id.sequence)) state_->Hurry();
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -8,6 +8,7 @@
 
 #include "comfreyflow/event-splitter.h"
 #include "comfreyflow/relay-policy.h"
+#include "gateway/reservations.h"
 #include "http/lazy-timer.h"
 #include "node/clock.h"
 #include "node/log.h"
@@ -82,7 +83,13 @@
   }
 
  private:
-  enum class Stage : std::uint8_t { kPlacing, kSent, kStreaming, kOver };
+  enum class Stage : std::uint8_t {
+    kPlacing,
+    kReserving,
+    kSent,
+    kStreaming,
+    kOver
+  };
 
   bool TakeKey() {
     if (!table_->document().needs_keys || route_->is_public) return true;
@@ -120,7 +127,7 @@
     job.deadline = deadline_;
     job.objective = route_->objective;
     job.max_gap = route_->max_gap;
-    job.number = ++asks_;
+    job.repeat = progress_.tries > 0;
     job.excluded = excluded_;
     context_.placement.Place(service_, job,
                              [self = weak_from_this()](const PlaceVerdict& v) {
@@ -147,7 +154,43 @@
         .With("estimate", duration_cast<milliseconds>(grant_.estimate))
         .With("holder", context_.placement.HolderOf(service_))
         .With("prompt_tokens", std::uint64_t{caller_.prompt_tokens});
-    Send(now);
+    Reserve();
+  }
+
+  /// Has memory set aside where the grant says so, then sends the request.
+  void Reserve() {
+    std::vector<Reservation> wanted;
+    for (std::size_t i = 1; i < grant_.targets.size(); ++i) {
+      const auto& target = grant_.targets[i];
+      if (target.reserve_tokens == 0) continue;
+      wanted.push_back({target.name, target.address,
+                        ToString(AttemptId{id_, ++reservations_made_}),
+                        target.reserve_tokens});
+    }
+    if (wanted.empty()) return Send(Now());
+    stage_ = Stage::kReserving;
+    wanted_ = wanted;
+    reservations_ = std::make_unique<Reservations>(
+        context_.io, context_.client, context_.edge, std::move(wanted));
+    reservations_->Hold([self = weak_from_this()](const TargetName& refused) {
+      const auto relay = self.lock();
+      if (!relay || relay->stage_ != Stage::kReserving) return;
+      if (refused.value.empty()) return relay->Send(Now());
+      relay->NotReserved(refused);
+    });
+  }
+
+  /// Nothing was sent: another set of targets is asked for.
+  void NotReserved(const TargetName& refused) {
+    EndReservations();
+    context_.placement.Ended(id_, WorkEnd::kGone);
+    excluded_.push_back(refused);
+    AskPlace();
+  }
+
+  void EndReservations() {
+    reservations_.reset();
+    wanted_.clear();
   }
 
   void NotPlaced(const PlaceRefusal& refusal) {
@@ -176,7 +219,13 @@
         static_cast<int>(priority_.value_or(route_->priority)) + 1,
         kUrgencySteps);
     for (std::size_t i = 1; i < grant_.targets.size(); ++i) {
-      forward.helpers.push_back(grant_.targets[i].address);
+      const auto& target = grant_.targets[i];
+      const auto held = std::find_if(
+          wanted_.begin(), wanted_.end(), [&target](const Reservation& r) {
+            return r.target == target.name;
+          });
+      forward.helpers.push_back(
+          {target.address, held == wanted_.end() ? "" : held->id});
     }
     forward.last_event_id =
         splitter_.last_id().empty() ? caller_.last_event_id
@@ -338,6 +387,7 @@
   void TryFailed(WorkEnd end, Errc code) {
     if (call_) call_->Cancel();
     call_.reset();
+    EndReservations();
     ++try_number_;
     silence_timer_.Disarm();
     TryFailure failure;
@@ -416,7 +466,7 @@
       call_.reset();
       if (sent_) ++progress_.tries_run;
     }
-    if (stage_ == Stage::kPlacing || in_try) {
+    if (stage_ == Stage::kPlacing || stage_ == Stage::kReserving || in_try) {
       context_.placement.Ended(id_, WorkEnd::kGone);
     }
     if (progress_.head_sent) return Cut(Errc::kDeadlineExceeded);
@@ -463,6 +513,7 @@
 
   void Over(Errc code) {
     stage_ = Stage::kOver;
+    EndReservations();
     ++try_number_;
     deadline_timer_.Cancel();
     silence_timer_.Cancel();
@@ -502,7 +553,6 @@
   http::detail::LazyTimer silence_timer_;
   Stage stage_ = Stage::kPlacing;
   RelayProgress progress_;
-  std::uint32_t asks_ = 0;
   std::vector<TargetName> excluded_;
   Errc last_failure_ = Errc::kTargetFailed;
   /// A target's own failure, passed on when no other try does better.
@@ -510,6 +560,9 @@
 
   // The try under way.
   PlaceGrant grant_;
+  std::unique_ptr<Reservations> reservations_;
+  std::vector<Reservation> wanted_;  ///< Those of `reservations_`.
+  std::uint32_t reservations_made_ = 0;
   std::shared_ptr<http::Call> call_;
   std::uint64_t try_number_ = 0;  ///< Hooks of older tries do nothing.
   bool sent_ = false;
--- /dev/null
+++ b/src/gateway/reservations.cc
@@ -0,0 +1,152 @@
+// Orders that set memory aside.
+#include "gateway/reservations.h"
+
+#include <utility>
+
+#include "node/log.h"
+
+namespace comfreyflow::gateway {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using node::LogLine;
+using node::Severity;
+using std::chrono::milliseconds;
+
+/// Two renewals may get lost within a lease's life.
+constexpr Duration kRenewal = milliseconds(1100);
+constexpr milliseconds kOrderTimeout{400};
+/// A release without answer is sent again; then the lease's end does it.
+constexpr int kReleaseTries = 3;
+constexpr Duration kReleaseRetry = milliseconds(300);
+
+/// Sends a release until it is answered.
+class ReleaseLoop : public std::enable_shared_from_this<ReleaseLoop> {
+ public:
+  ReleaseLoop(asio::io_context& io, http::Client& client,
+              std::string address, std::function<http::Request()> request)
+      : client_(client),
+        address_(std::move(address)),
+        request_(std::move(request)),
+        timer_(io) {}
+
+  void Send() {
+    ++tries_;
+    http::CallOptions options;
+    options.connect_timeout = kOrderTimeout;
+    options.progress_timeout = kOrderTimeout;
+    client_.Fetch(address_, request_(), options,
+                  [self = shared_from_this()](http::CallEnd end,
+                                              const http::Response&) {
+                    if (end.code != Errc::kOk) self->Again();
+                  });
+  }
+
+ private:
+  void Again() {
+    if (tries_ >= kReleaseTries) return;
+    timer_.expires_after(kReleaseRetry);
+    timer_.async_wait([self = shared_from_this()](const error_code& error) {
+      if (!error) self->Send();
+    });
+  }
+
+  http::Client& client_;
+  const std::string address_;
+  const std::function<http::Request()> request_;
+  asio::steady_timer timer_;
+  int tries_ = 0;
+};
+
+}  // namespace
+
+struct Reservations::State : std::enable_shared_from_this<State> {
+  State(asio::io_context& io, http::Client& client, const EdgeHooks& edge,
+        std::vector<Reservation> wanted)
+      : io(io),
+        client(client),
+        edge(edge),
+        wanted(std::move(wanted)),
+        timer(io) {}
+
+  void Hold(Done given) {
+    done = std::move(given);
+    open = wanted.size();
+    for (const auto& reservation : wanted) Order(reservation);
+  }
+
+  void Order(const Reservation& reservation) {
+    http::CallOptions options;
+    options.connect_timeout = kOrderTimeout;
+    options.progress_timeout = kOrderTimeout;
+    client.Fetch(
+        reservation.address,
+        edge.write_reserve(reservation.target.value, reservation.id,
+                           reservation.tokens, kReservationLife),
+        options,
+        [self = shared_from_this(), target = reservation.target](
+            http::CallEnd end, const http::Response& answer) {
+          const bool granted =
+              end.code == Errc::kOk && self->edge.read_reserved(answer);
+          self->Answered(target, granted, answer.status);
+        });
+  }
+
+  void Answered(const TargetName& target, bool granted, int status) {
+    if (ended) return;
+    if (!granted) {
+      LogLine(Severity::kWarning, "reservation_refused")
+          .With("target", target)
+          .With("status", std::uint64_t(std::max(status, 0)))
+          .With("held", !done);
+    }
+    if (!done) return;  // A renewal; the target cuts the request off itself.
+    if (!granted) return std::exchange(done, nullptr)(target);
+    if (--open > 0) return;
+    Renew();
+    std::exchange(done, nullptr)({});
+  }
+
+  void Renew() {
+    timer.expires_after(kRenewal);
+    timer.async_wait([self = shared_from_this()](const error_code& error) {
+      if (error || self->ended) return;
+      for (const auto& reservation : self->wanted) self->Order(reservation);
+      self->Renew();
+    });
+  }
+
+  void Release() {
+    ended = true;
+    timer.cancel();
+    for (const auto& reservation : wanted) {
+      std::make_shared<ReleaseLoop>(
+          io, client, reservation.address,
+          [&edge = edge, reservation] {
+            return edge.write_release(reservation.target.value, reservation.id);
+          })
+          ->Send();
+    }
+  }
+
+  asio::io_context& io;
+  http::Client& client;
+  const EdgeHooks& edge;
+  const std::vector<Reservation> wanted;
+  asio::steady_timer timer;
+  Done done;
+  std::size_t open = 0;
+  bool ended = false;
+};
+
+Reservations::Reservations(asio::io_context& io, http::Client& client,
+                           const EdgeHooks& edge,
+                           std::vector<Reservation> wanted)
+    : state_(std::make_shared<State>(io, client, edge, std::move(wanted))) {}
+
+Reservations::~Reservations() { state_->Release(); }
+
+void Reservations::Hold(Done done) { state_->Hold(std::move(done)); }
+
+}  // namespace comfreyflow::gateway
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -114,13 +114,29 @@
   return age * kStates + static_cast<std::int32_t>(claim.state);
 }
 
+/// Load and flags of a host in one byte: draining is the lowest bit, then five
+/// bits of load, then detached.
+constexpr std::int32_t kDetachedBit = 2 * kLoadSteps;
+
+std::int32_t LoadByte(const HostFacts& facts) {
+  return facts.load * 2 + (facts.draining ? 1 : 0) +
+         (facts.detached ? kDetachedBit : 0);
+}
+
+bool TakeLoadByte(std::int32_t value, HostFacts& facts) {
+  if (value < 0 || value >= 2 * kDetachedBit) return false;
+  facts.detached = value >= kDetachedBit;
+  facts.load = static_cast<std::uint8_t>(value % kDetachedBit / 2);
+  facts.draining = value % 2 == 1;
+  return true;
+}
+
 void PutClaims(const comfreyflow::Datagram& datagram, Datagram& out) {
   bool lags = false;
   for (const MemberClaim& claim : datagram.claims) {
     out.claim_ids.push_back(static_cast<std::int32_t>(claim.id.value));
     out.claim_marks.push_back(MarkOf(claim));
-    out.claim_loads.push_back(static_cast<char>(
-        claim.facts.load * 2 + (claim.facts.draining ? 1 : 0)));
+    out.claim_loads.push_back(static_cast<char>(LoadByte(claim.facts)));
     out.claim_lags.push_back(static_cast<std::int64_t>(
         datagram.facts.generation - claim.facts.generation));
     lags = lags || out.claim_lags.back() != 0;
@@ -138,14 +154,12 @@
     const std::int32_t mark = in.claim_marks[i];
     if (mark < 0) return false;
     const auto load = static_cast<unsigned char>(in.claim_loads[i]);
-    if (load / 2 >= kLoadSteps) return false;
     const std::int64_t lag = in.__isset.claim_lags ? in.claim_lags[i] : 0;
     MemberClaim claim;
     claim.id.value = static_cast<std::uint32_t>(in.claim_ids[i]);
     claim.state = static_cast<MemberState>(mark % kStates);
     claim.age = kAgeUnit * (mark / kStates);
-    claim.facts.load = load / 2;
-    claim.facts.draining = load % 2 == 1;
+    if (!TakeLoadByte(load, claim.facts)) return false;
     claim.facts.generation =
         out.facts.generation - static_cast<std::uint64_t>(lag);
     out.claims.push_back(claim);
@@ -162,7 +176,7 @@
     out.__set_subject(static_cast<std::int32_t>(datagram.subject.value));
   }
   out.generation = static_cast<std::int64_t>(datagram.facts.generation);
-  out.load = datagram.facts.load * 2 + (datagram.facts.draining ? 1 : 0);
+  out.load = LoadByte(datagram.facts);
   out.config_generation = static_cast<std::int64_t>(datagram.config.generation);
   out.config_hash = static_cast<std::int64_t>(datagram.config.hash);
   PutClaims(datagram, out);
@@ -193,14 +207,12 @@
 bool FromWire(const Datagram& in, comfreyflow::Datagram& out) {
   const auto last = static_cast<std::int32_t>(DatagramKind::kLeave);
   if (in.kind < 0 || in.kind > last) return false;
-  if (in.load < 0 || in.load / 2 >= kLoadSteps) return false;
   out.kind = static_cast<DatagramKind>(in.kind);
   out.sender.value = static_cast<std::uint32_t>(in.sender);
   out.sequence = static_cast<std::uint64_t>(in.sequence);
   out.subject.value = static_cast<std::uint32_t>(in.subject);
   out.facts.generation = static_cast<std::uint64_t>(in.generation);
-  out.facts.load = static_cast<std::uint8_t>(in.load / 2);
-  out.facts.draining = in.load % 2 == 1;
+  if (!TakeLoadByte(in.load, out.facts)) return false;
   out.config.generation = static_cast<std::uint64_t>(in.config_generation);
   out.config.hash = static_cast<std::uint64_t>(in.config_hash);
   for (const HostRecord& record : in.records) {
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -213,11 +213,14 @@
   12: i32 max_gap_ms
   13: i32 number
   14: list<string> excluded
+  15: bool repeat
 }
 
+// `reserve_tokens` of memory are set aside there for the request.
 struct PlacedTarget {
   1: string name
   2: string address
+  3: i32 reserve_tokens
 }
 
 // The answer to an ask. `code` is 0 for a grant, else an error's number.
@@ -239,7 +242,7 @@
 
 struct PlacedWork {
   1: i64 sequence
-  2: list<string> targets
+  2: list<PlacedTarget> targets
   3: bool stream
   4: bool begun
   5: i32 prompt_tokens
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -4199,6 +4199,10 @@
 void PlaceAsk::__set_excluded(const std::vector<std::string> & val) {
   this->excluded = val;
 }
+
+void PlaceAsk::__set_repeat(const bool val) {
+  this->repeat = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
 {
   obj.printTo(out);
@@ -4351,6 +4355,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->repeat);
+          this->__isset.repeat = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4432,6 +4444,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("repeat", ::apache::thrift::protocol::T_BOOL, 15);
+  xfer += oprot->writeBool(this->repeat);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4453,6 +4469,7 @@
   swap(a.max_gap_ms, b.max_gap_ms);
   swap(a.number, b.number);
   swap(a.excluded, b.excluded);
+  swap(a.repeat, b.repeat);
   swap(a.__isset, b.__isset);
 }
 
@@ -4471,6 +4488,7 @@
   max_gap_ms = other144.max_gap_ms;
   number = other144.number;
   excluded = other144.excluded;
+  repeat = other144.repeat;
   __isset = other144.__isset;
 }
 PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other145) {
@@ -4488,6 +4506,7 @@
   max_gap_ms = other145.max_gap_ms;
   number = other145.number;
   excluded = other145.excluded;
+  repeat = other145.repeat;
   __isset = other145.__isset;
   return *this;
 }
@@ -4508,6 +4527,7 @@
   out << ", " << "max_gap_ms=" << to_string(max_gap_ms);
   out << ", " << "number=" << to_string(number);
   out << ", " << "excluded=" << to_string(excluded);
+  out << ", " << "repeat=" << to_string(repeat);
   out << ")";
 }
 
@@ -4523,6 +4543,10 @@
 void PlacedTarget::__set_address(const std::string& val) {
   this->address = val;
 }
+
+void PlacedTarget::__set_reserve_tokens(const int32_t val) {
+  this->reserve_tokens = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlacedTarget& obj)
 {
   obj.printTo(out);
@@ -4567,6 +4591,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->reserve_tokens);
+          this->__isset.reserve_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4592,6 +4624,10 @@
   xfer += oprot->writeString(this->address);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reserve_tokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->reserve_tokens);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4601,17 +4637,20 @@
   using ::std::swap;
   swap(a.name, b.name);
   swap(a.address, b.address);
+  swap(a.reserve_tokens, b.reserve_tokens);
   swap(a.__isset, b.__isset);
 }
 
 PlacedTarget::PlacedTarget(const PlacedTarget& other146) {
   name = other146.name;
   address = other146.address;
+  reserve_tokens = other146.reserve_tokens;
   __isset = other146.__isset;
 }
 PlacedTarget& PlacedTarget::operator=(const PlacedTarget& other147) {
   name = other147.name;
   address = other147.address;
+  reserve_tokens = other147.reserve_tokens;
   __isset = other147.__isset;
   return *this;
 }
@@ -4620,6 +4659,7 @@
   out << "PlacedTarget(";
   out << "name=" << to_string(name);
   out << ", " << "address=" << to_string(address);
+  out << ", " << "reserve_tokens=" << to_string(reserve_tokens);
   out << ")";
 }
 
@@ -4978,7 +5018,7 @@
   this->sequence = val;
 }
 
-void PlacedWork::__set_targets(const std::vector<std::string> & val) {
+void PlacedWork::__set_targets(const std::vector<PlacedTarget> & val) {
   this->targets = val;
 }
 
@@ -5044,7 +5084,7 @@
             uint32_t _i162;
             for (_i162 = 0; _i162 < _size158; ++_i162)
             {
-              xfer += iprot->readString(this->targets[_i162]);
+              xfer += this->targets[_i162].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5108,11 +5148,11 @@
 
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->targets.size()));
-    std::vector<std::string> ::const_iterator _iter163;
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
+    std::vector<PlacedTarget> ::const_iterator _iter163;
     for (_iter163 = this->targets.begin(); _iter163 != this->targets.end(); ++_iter163)
     {
-      xfer += oprot->writeString((*_iter163));
+      xfer += (*_iter163).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -1675,7 +1675,7 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _PlaceAsk__isset {
-  _PlaceAsk__isset() : sequence(false), service_name(false), account(false), failure_domain(false), stream(false), prompt_tokens(false), output_tokens(false), priority(false), waited_ms(false), remaining_ms(false), objective_ms(false), max_gap_ms(false), number(false), excluded(false) {}
+  _PlaceAsk__isset() : sequence(false), service_name(false), account(false), failure_domain(false), stream(false), prompt_tokens(false), output_tokens(false), priority(false), waited_ms(false), remaining_ms(false), objective_ms(false), max_gap_ms(false), number(false), excluded(false), repeat(false) {}
   bool sequence :1;
   bool service_name :1;
   bool account :1;
@@ -1690,6 +1690,7 @@
   bool max_gap_ms :1;
   bool number :1;
   bool excluded :1;
+  bool repeat :1;
 } _PlaceAsk__isset;
 
 class PlaceAsk : public virtual ::apache::thrift::TBase {
@@ -1710,7 +1711,8 @@
              remaining_ms(0),
              objective_ms(0),
              max_gap_ms(0),
-             number(0) {
+             number(0),
+             repeat(0) {
   }
 
   virtual ~PlaceAsk() noexcept;
@@ -1728,6 +1730,7 @@
   int32_t max_gap_ms;
   int32_t number;
   std::vector<std::string>  excluded;
+  bool repeat;
 
   _PlaceAsk__isset __isset;
 
@@ -1759,6 +1762,8 @@
 
   void __set_excluded(const std::vector<std::string> & val);
 
+  void __set_repeat(const bool val);
+
   bool operator == (const PlaceAsk & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -1789,6 +1794,8 @@
       return false;
     if (!(excluded == rhs.excluded))
       return false;
+    if (!(repeat == rhs.repeat))
+      return false;
     return true;
   }
   bool operator != (const PlaceAsk &rhs) const {
@@ -1808,9 +1815,10 @@
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj);
 
 typedef struct _PlacedTarget__isset {
-  _PlacedTarget__isset() : name(false), address(false) {}
+  _PlacedTarget__isset() : name(false), address(false), reserve_tokens(false) {}
   bool name :1;
   bool address :1;
+  bool reserve_tokens :1;
 } _PlacedTarget__isset;
 
 class PlacedTarget : public virtual ::apache::thrift::TBase {
@@ -1820,12 +1828,14 @@
   PlacedTarget& operator=(const PlacedTarget&);
   PlacedTarget() noexcept
                : name(),
-                 address() {
+                 address(),
+                 reserve_tokens(0) {
   }
 
   virtual ~PlacedTarget() noexcept;
   std::string name;
   std::string address;
+  int32_t reserve_tokens;
 
   _PlacedTarget__isset __isset;
 
@@ -1833,12 +1843,16 @@
 
   void __set_address(const std::string& val);
 
+  void __set_reserve_tokens(const int32_t val);
+
   bool operator == (const PlacedTarget & rhs) const
   {
     if (!(name == rhs.name))
       return false;
     if (!(address == rhs.address))
       return false;
+    if (!(reserve_tokens == rhs.reserve_tokens))
+      return false;
     return true;
   }
   bool operator != (const PlacedTarget &rhs) const {
@@ -2018,7 +2032,7 @@
 
   virtual ~PlacedWork() noexcept;
   int64_t sequence;
-  std::vector<std::string>  targets;
+  std::vector<PlacedTarget>  targets;
   bool stream;
   bool begun;
   int32_t prompt_tokens;
@@ -2028,7 +2042,7 @@
 
   void __set_sequence(const int64_t val);
 
-  void __set_targets(const std::vector<std::string> & val);
+  void __set_targets(const std::vector<PlacedTarget> & val);
 
   void __set_stream(const bool val);
 
--- a/src/wire/placement.cc
+++ b/src/wire/placement.cc
@@ -29,6 +29,18 @@
   return static_cast<std::uint32_t>(std::max(value, 0));
 }
 
+PlacedTarget ToWire(const comfreyflow::PlacedTarget& target) {
+  PlacedTarget out;
+  out.name = target.name.value;
+  out.address = target.address;
+  out.reserve_tokens = Signed(target.reserve_tokens);
+  return out;
+}
+
+comfreyflow::PlacedTarget FromWire(const PlacedTarget& in) {
+  return {{in.name}, in.address, Unsigned(in.reserve_tokens)};
+}
+
 PlaceAsk ToWire(const PlaceAskMessage& message, Time now) {
   const PlaceJob& job = message.job;
   PlaceAsk out;
@@ -46,6 +58,7 @@
   out.max_gap_ms = Ms(job.max_gap);
   out.number = Signed(job.number);
   for (const auto& name : job.excluded) out.excluded.push_back(name.value);
+  out.repeat = job.repeat;
   return out;
 }
 
@@ -66,6 +79,7 @@
   job.max_gap = FromMs(in.max_gap_ms);
   job.number = Unsigned(in.number);
   for (const auto& name : in.excluded) job.excluded.push_back({name});
+  job.repeat = in.repeat;
   return out;
 }
 
@@ -82,9 +96,7 @@
   const auto& grant = std::get<PlaceGrant>(message.verdict);
   out.estimate_ms = Ms(grant.estimate);
   for (const auto& target : grant.targets) {
-    PlacedTarget& placed = out.targets.emplace_back();
-    placed.name = target.name.value;
-    placed.address = target.address;
+    out.targets.push_back(ToWire(target));
   }
   return out;
 }
@@ -106,7 +118,7 @@
   grant.number = out.number;
   grant.estimate = FromMs(in.estimate_ms);
   for (const auto& placed : in.targets) {
-    grant.targets.push_back({{placed.name}, placed.address});
+    grant.targets.push_back(FromWire(placed));
   }
   out.verdict = std::move(grant);
   return true;
@@ -118,7 +130,9 @@
   for (const auto& work : message.running) {
     PlacedWork& placed = out.running.emplace_back();
     placed.sequence = static_cast<std::int64_t>(work.id.sequence);
-    for (const auto& name : work.targets) placed.targets.push_back(name.value);
+    for (const auto& target : work.targets) {
+      placed.targets.push_back(ToWire(target));
+    }
     placed.stream = work.stream;
     placed.begun = work.begun;
     placed.prompt_tokens = Signed(work.prompt_tokens);
@@ -181,7 +195,9 @@
     for (const auto& placed : sync.running) {
       RunningWork& work = message.running.emplace_back();
       work.id = id(placed.sequence);
-      for (const auto& name : placed.targets) work.targets.push_back({name});
+      for (const auto& target : placed.targets) {
+        work.targets.push_back(FromWire(target));
+      }
       work.stream = placed.stream;
       work.begun = placed.begun;
       work.prompt_tokens = Unsigned(placed.prompt_tokens);
