--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -208,6 +208,7 @@
   void Refuse(const Work& work, Errc code, Duration retry_after);
   bool Hopeless(const Work& work, Time now) const;
   void PlaceWaiting(Time now);
+  void DropOverdue(Time now);
   void Count(Work& work, int sign);
   void NoteHealth(const TargetName& name, WorkEnd end, Time now);
   bool MayRepeat(Time now);
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -14,6 +14,11 @@
 /// Work of a host that its own word does not name has ended, unless it was
 /// placed so lately that the word may be older.
 constexpr Duration kAdoptMargin = milliseconds(400);
+/// Work whose end was not heard of is dropped so long after its deadline.
+constexpr Duration kOverdueMargin = std::chrono::seconds(1);
+/// Deadline of work that only its host knows; the host's word renews nothing,
+/// as requests of this length are rare.
+constexpr Duration kAdoptedLife = std::chrono::seconds(30);
 /// A waiting request whose host stopped asking for it.
 constexpr Duration kAskLife = milliseconds(1200);
 /// Least time in which a request can be served at all.
@@ -168,6 +173,7 @@
     work.placed = true;
     work.begun = told.begun;
     work.placed_at = now;
+    work.job.deadline = now + kAdoptedLife;
     work.grant.id = told.id;
     work.grant.targets = told.targets;
     work.is_long = told.targets.size() > 1;
@@ -200,7 +206,20 @@
   }
 }
 
-void Placer::Tick(Time now) { PlaceWaiting(now); }
+void Placer::Tick(Time now) {
+  DropOverdue(now);
+  PlaceWaiting(now);
+}
+
+void Placer::DropOverdue(Time now) {
+  std::vector<RequestId> overdue;
+  for (const auto& [id, work] : works_) {
+    if (work.placed && now > work.job.deadline + kOverdueMargin) {
+      overdue.push_back(id);
+    }
+  }
+  for (const auto& id : overdue) Ended(id, WorkEnd::kGone, now);
+}
 
 std::vector<PlaceVerdict> Placer::TakeVerdicts() {
   return std::exchange(verdicts_, {});
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -139,19 +139,19 @@
   /// word on the targets where any host has it.
   void RefreshPeers() {
     std::vector<PlacementPeer> live;
-    std::vector<PlacementPeer> attached;
+    bool any_attached = false;
     for (const auto& [name, member] : peers.members()) {
       const bool self = name == settings.self.name;
       const bool alive = member.state == MemberState::kAlive ||
                          member.state == MemberState::kSuspect;
       if (!self && !alive) continue;
-      if (self ? stopping : member.facts.draining) continue;
-      const PlacementPeer peer{name, member.record.peers};
+      const bool leaves = self ? stopping : member.facts.draining;
       const bool detached = self ? !store_reachable : member.facts.detached;
-      if (!detached) attached.push_back(peer);
-      live.push_back(peer);
+      live.push_back({name, member.record.peers, !leaves && !detached});
+      any_attached = any_attached || live.back().may_hold;
     }
-    placement.SetPeers(attached.empty() ? live : attached);
+    for (auto& peer : live) peer.may_hold = peer.may_hold || !any_attached;
+    placement.SetPeers(std::move(live));
   }
 
   /// Facts of members change without an event of their own.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -93,7 +93,8 @@
   HostName Holder(const ServiceName& service) const {
     std::vector<HostName> names;
     const Time now = Now();
-    for (const auto& [name, address] : peers) {
+    for (const auto& [name, peer] : peers) {
+      if (!peer.may_hold) continue;
       const auto silent = silent_until.find(name);
       if (silent == silent_until.end() || silent->second <= now) {
         names.push_back(name);
@@ -239,7 +240,7 @@
       const auto at = peers.find(host);
       if (at == peers.end() || messages.empty()) continue;
       asio::ip::tcp::endpoint to;
-      if (http::ParseEndpoint(at->second, to)) continue;
+      if (http::ParseEndpoint(at->second.address, to)) continue;
       const auto bytes = wire::EncodePlacement(messages, settings.key, Now());
       error_code ignored;  // A lost datagram is asked for again.
       socket.send_to(asio::buffer(bytes),
@@ -351,7 +352,7 @@
     }
     std::vector<ServiceName> names;
     for (auto& [service, placer] : placers) {
-      if (placer.waiting() > 0) names.push_back(service);
+      if (placer.waiting() > 0 || now >= sync_due) names.push_back(service);
     }
     for (const auto& service : names) {
       PlacerOf(service).Tick(now);
@@ -381,7 +382,7 @@
   std::map<ServiceName, RoutedService> services;
   std::map<ServiceName, std::vector<PoolTarget>> targets;
   std::map<ServiceName, Placer> placers;
-  std::map<HostName, std::string> peers;
+  std::map<HostName, PlacementPeer> peers;
   std::map<HostName, Time> silent_until;
   std::map<std::uint64_t, Own> own;
   std::map<HostName, wire::PlaceMessages> outgoing;
@@ -440,8 +441,8 @@
 }
 
 void Placement::SetPeers(std::vector<PlacementPeer> peers) {
-  std::map<HostName, std::string> next;
-  for (auto& peer : peers) next[peer.name] = std::move(peer.address);
+  std::map<HostName, PlacementPeer> next;
+  for (auto& peer : peers) next[peer.name] = std::move(peer);
   if (next == state_->peers) return;
   state_->peers = std::move(next);
   state_->sync_due = Now();
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -18,6 +18,8 @@
 struct PlacementPeer {
   HostName name;
   std::string address;  ///< `ip:port` for datagrams about placement.
+  bool may_hold = true;  ///< Whether it may hold placers.
+  bool operator==(const PlacementPeer&) const = default;
 };
 
 struct PlacementSettings {
@@ -43,7 +45,7 @@
   void SetServices(const std::map<ServiceName, RoutedService>& services);
   void SetTargets(
       const std::map<ServiceName, std::vector<PoolTarget>>& targets);
-  /// Hosts that may hold placers, this one among them.
+  /// All live hosts, this one among them.
   void SetPeers(std::vector<PlacementPeer> peers);
   /// The host died: its work is gone.
   void Forget(const HostName& host);
