--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -130,8 +130,8 @@
   /// All placed work of a host, as of now; what it does not name has ended.
   void Adopt(const HostName& host, const std::vector<RunningWork>& running,
              Time now);
-  /// The host is gone and its work with it.
-  void Forget(const HostName& host);
+  /// The work of a host's starts before `incarnation` is gone with them.
+  void Forget(const HostName& host, Incarnation incarnation);
   /// Places what waits; at least every 20 ms.
   void Tick(Time now);
   std::vector<PlaceVerdict> TakeVerdicts();
@@ -166,6 +166,7 @@
     std::uint64_t memory = 0;
     std::uint32_t failures = 0;
     Time closed_until;
+    bool on_trial = false;  ///< Work sent since the last failure still runs.
     double pace = 1;
     double error_share = 0;
     Time paced;
@@ -176,6 +177,8 @@
     bool placed = false;
     bool begun = false;
     bool is_long = false;
+    bool is_trial = false;  ///< Shows whether a target works again.
+    bool adopted = false;   ///< Placed by another host's placer.
     Duration read{};  ///< Reading time of the whole prompt on one target.
     Duration estimate{};
     Time placed_at;
@@ -210,6 +213,7 @@
   void PlaceWaiting(Time now);
   void DropOverdue(Time now);
   void Count(Work& work, int sign);
+  void EndTrial(const Work& work);
   void NoteHealth(const TargetName& name, WorkEnd end, Time now);
   bool MayRepeat(Time now);
   Bucket& CurrentBucket(Time now);
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -61,7 +61,7 @@
 bool Placer::Usable(const Target& target, const Work& work, Time now) const {
   if (!target.listed || target.info.leaving || target.replaced) return false;
   if (now < target.closed_until) return false;
-  if (target.failures > 0 && target.running > 0) return false;
+  if (target.failures > 0 && target.on_trial) return false;
   return !Excluded(work, target.info.name);
 }
 
@@ -260,6 +260,8 @@
   work.grant.estimate = work.estimate;
   work.placed = true;
   work.placed_at = now;
+  work.is_trial = targets.front()->failures > 0;
+  targets.front()->on_trial = work.is_trial;
   Count(work, 1);
   verdicts_.push_back(work.grant);
 }
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -74,6 +74,7 @@
                    target.info.address != info.address)) {
       target.replaced = false;
       target.failures = 0;
+      target.on_trial = false;
       target.pace = 1;
       target.error_share = 0;
       target.closed_until = now;
@@ -97,6 +98,7 @@
   }
   if (!added) {
     if (work.placed) Count(work, -1);
+    EndTrial(work);
     std::erase(waiting_, job.id);
     work = {};
   }
@@ -147,6 +149,7 @@
   if (work.placed) {
     Count(work, -1);
     if (!work.grant.targets.empty()) {
+      EndTrial(work);
       NoteHealth(work.grant.targets.front().name, end, now);
     }
   } else {
@@ -171,6 +174,7 @@
     work.job.output_tokens = told.output_tokens;
     work.read = engine_ ? ReadTime(told.prompt_tokens) : Duration::zero();
     work.placed = true;
+    work.adopted = true;
     work.begun = told.begun;
     work.placed_at = now;
     work.job.deadline = now + kAdoptedLife;
@@ -182,7 +186,7 @@
   std::vector<RequestId> ended;
   for (const auto& [id, work] : works_) {
     if (id.host != host || !work.placed) continue;
-    if (now - work.placed_at < kAdoptMargin) continue;
+    if (!work.adopted && now - work.placed_at < kAdoptMargin) continue;
     const bool named =
         std::any_of(running.begin(), running.end(),
                     [&id](const RunningWork& told) { return told.id == id; });
@@ -191,14 +195,15 @@
   for (const auto& id : ended) Ended(id, WorkEnd::kGone, now);
 }
 
-void Placer::Forget(const HostName& host) {
+void Placer::Forget(const HostName& host, Incarnation incarnation) {
   for (auto at = works_.begin(); at != works_.end();) {
-    if (at->first.host != host) {
+    if (at->first.host != host || at->first.incarnation >= incarnation) {
       ++at;
       continue;
     }
     if (at->second.placed) {
       Count(at->second, -1);
+      EndTrial(at->second);
     } else {
       std::erase(waiting_, at->first);
     }
@@ -313,6 +318,12 @@
   }
 }
 
+void Placer::EndTrial(const Work& work) {
+  if (!work.is_trial || work.grant.targets.empty()) return;
+  Target* target = Find(work.grant.targets.front().name);
+  if (target != nullptr) target->on_trial = false;
+}
+
 void Placer::NoteHealth(const TargetName& name, WorkEnd end, Time now) {
   Target* target = Find(name);
   if (target == nullptr || end == WorkEnd::kGone) return;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -119,10 +119,10 @@
     };
     peer.config_mark = [this] { return mark; };
     peer.changed = [this](const MemberChanged& event) {
-      if (event.state == MemberState::kDead ||
-          event.state == MemberState::kLeft) {
-        placement.Forget(event.record.name);
-      }
+      const bool gone = event.state == MemberState::kDead ||
+                        event.state == MemberState::kLeft;
+      const Incarnation next{event.record.incarnation.value + (gone ? 1 : 0)};
+      placement.Forget(event.record.name, next);
       RefreshPeers();
       if (hooks.view_changed) hooks.view_changed();
     };
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -33,6 +33,8 @@
 constexpr Duration kSyncPeriod = milliseconds(500);
 constexpr Duration kBusyTick = milliseconds(10);
 constexpr Duration kIdleTick = milliseconds(250);
+/// A service without work is still told of so often, as datagrams get lost.
+constexpr int kIdleSyncs = 4;
 constexpr std::size_t kLongestDatagram = 60 * 1024;
 constexpr std::size_t kWorksPerDatagram = 400;
 /// Names of targets that are gone, which are remembered.
@@ -363,14 +365,14 @@
 
   void Sync(Time now) {
     sync_due = now + kSyncPeriod;
-    std::set<ServiceName> running;
     for (const auto& [sequence, request] : own) {
-      if (request.placed) running.insert(request.service);
+      if (request.placed) sync_rounds[request.service] = kIdleSyncs;
+    }
+    for (auto& [service, rounds] : sync_rounds) {
+      if (rounds == 0) continue;
+      --rounds;
+      SendSync(service, Holder(service));
     }
-    std::set<ServiceName> told = running;
-    told.insert(synced.begin(), synced.end());
-    for (const auto& service : told) SendSync(service, Holder(service));
-    synced = std::move(running);
   }
 
   const PlacementSettings settings;
@@ -388,7 +390,7 @@
   std::map<HostName, wire::PlaceMessages> outgoing;
   std::set<TargetName> unfit;  ///< Leaving or gone, by this host's list.
   std::uint32_t asks = 0;
-  std::set<ServiceName> synced;  ///< Services of the last synchronisation.
+  std::map<ServiceName, int> sync_rounds;  ///< Still to come.
   std::uint64_t next_sequence = 0;
   Time sync_due;
   bool fast = false;
@@ -449,8 +451,10 @@
   state_->Hurry();
 }
 
-void Placement::Forget(const HostName& host) {
-  for (auto& [name, placer] : state_->placers) placer.Forget(host);
+void Placement::Forget(const HostName& host, Incarnation incarnation) {
+  for (auto& [name, placer] : state_->placers) {
+    placer.Forget(host, incarnation);
+  }
 }
 
 RequestId Placement::NextId() { return state_->IdOf(++state_->next_sequence); }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -47,8 +47,8 @@
       const std::map<ServiceName, std::vector<PoolTarget>>& targets);
   /// All live hosts, this one among them.
   void SetPeers(std::vector<PlacementPeer> peers);
-  /// The host died: its work is gone.
-  void Forget(const HostName& host);
+  /// The host's starts before `incarnation` are gone, and their work.
+  void Forget(const HostName& host, Incarnation incarnation);
 
   /// A new id for a request of this host.
   RequestId NextId();
