Hosts find each other through the store and within 0.3 s; holders are chosen by age

Cause: after a restart of all hosts each one placed alone for up to 1.2 s, and each start moved placers.

--- /dev/null
+++ b/include/comfreyflow/holder.h
@@ -0,0 +1,26 @@
+/// Which host holds the placer of a service. Hosts that have run longest are
+/// taken first, so that a start moves nothing and a host's end moves only what
+/// it held.
+#pragma once
+
+#include <vector>
+
+#include "comfreyflow/types.h"
+
+namespace comfreyflow {
+
+struct HolderCandidate {
+  HostName name;
+  Incarnation started;  ///< In milliseconds of wall time.
+};
+
+/// The holder among `candidates`; an empty name when there is none. Those that
+/// started within `kCohortSpan` of the earliest share the services by
+/// rendezvous hash.
+HostName ChooseHolder(const std::vector<HolderCandidate>& candidates,
+                      const ServiceName& service);
+
+/// Hosts that are started together begin within this time of each other.
+inline constexpr std::chrono::milliseconds kCohortSpan{3000};
+
+}  // namespace comfreyflow
--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -132,6 +132,9 @@
              Time now);
   /// The work of a host's starts before `incarnation` is gone with them.
   void Forget(const HostName& host, Incarnation incarnation);
+  /// Grants nothing before `until`: other hosts' running work is not known yet.
+  void HoldUntil(Time until) { held_until_ = until; }
+  Time held_until() const { return held_until_; }
   /// Places what waits; at least every 20 ms.
   void Tick(Time now);
   std::vector<PlaceVerdict> TakeVerdicts();
@@ -226,6 +229,7 @@
   std::vector<RequestId> waiting_;  ///< Of `works_`, those not placed.
   std::deque<Bucket> buckets_;
   std::vector<PlaceVerdict> verdicts_;
+  Time held_until_;
   bool long_waits_ = false;  ///< A long prompt waits for free engines.
 };
 
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -18,6 +18,10 @@
 constexpr Duration kProbePeriod = seconds(1);  // Of each of the two kinds.
 constexpr Duration kContactPeriod = seconds(1);
 constexpr Duration kAloneContactPeriod = milliseconds(300);
+// A host that starts must know the others before it decides anything alone.
+constexpr Duration kStartTime = milliseconds(1500);
+constexpr Duration kStartContactPeriod = milliseconds(100);
+constexpr std::size_t kStartContacts = 8;
 constexpr Duration kIndirectAfter = milliseconds(250);
 constexpr Duration kProbeLimit = milliseconds(700);
 constexpr Duration kPauseAfter = seconds(1);
@@ -265,14 +269,21 @@
 }
 
 void Membership::State::Contact(Time now, MembershipOutput& out) {
+  const bool starting = now < started + kStartTime;
   const bool alone = table.live() == 1;
-  next_contact = now + (alone ? kAloneContactPeriod : kContactPeriod);
-  const std::vector<std::string> addresses = ContactAddresses();
-  if (addresses.empty()) return;
-  Datagram datagram = Base(DatagramKind::kPing);
-  datagram.records.push_back(settings.self);
-  Fill(datagram, MemberId{}, kMeetingBytes, now);
-  Send(std::move(datagram), addresses[Pick(addresses.size())], out);
+  next_contact = now + (starting ? kStartContactPeriod
+                        : alone  ? kAloneContactPeriod
+                                 : kContactPeriod);
+  std::vector<std::string> addresses = ContactAddresses();
+  std::shuffle(addresses.begin(), addresses.end(), random);
+  const std::size_t most = starting ? kStartContacts : 1;
+  if (addresses.size() > most) addresses.resize(most);
+  for (const auto& address : addresses) {
+    Datagram datagram = Base(DatagramKind::kPing);
+    datagram.records.push_back(settings.self);
+    Fill(datagram, MemberId{}, kMeetingBytes, now);
+    Send(std::move(datagram), address, out);
+  }
 }
 
 void Membership::State::LearnMarks(const Datagram& datagram, Time now,
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -125,6 +125,7 @@
 
 bool Placer::TryPlace(Work& work, Time now) {
   work.is_long = engine_ && work.job.stream && work.read > kLongRead;
+  if (now < held_until_) return false;
   const auto candidates = Candidates(work, now);
   if (candidates.empty()) return false;
   if (!engine_ || !work.job.stream) {
--- /dev/null
+++ b/src/core/placer/holder.cc
@@ -0,0 +1,27 @@
+// Chooses holders of placers.
+#include "comfreyflow/holder.h"
+
+#include <algorithm>
+
+#include "comfreyflow/stewardship.h"
+
+namespace comfreyflow {
+
+HostName ChooseHolder(const std::vector<HolderCandidate>& candidates,
+                      const ServiceName& service) {
+  if (candidates.empty()) return {};
+  const auto first = std::min_element(
+      candidates.begin(), candidates.end(),
+      [](const HolderCandidate& a, const HolderCandidate& b) {
+        return a.started < b.started;
+      });
+  const auto last = first->started.value +
+                    static_cast<std::uint64_t>(kCohortSpan.count());
+  std::vector<HostName> cohort;
+  for (const auto& candidate : candidates) {
+    if (candidate.started.value <= last) cohort.push_back(candidate.name);
+  }
+  return RankHosts(cohort, "placer " + service.value, 1).front();
+}
+
+}  // namespace comfreyflow
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -282,7 +282,8 @@
       targets_.begin(), targets_.end(), [this, &work, now](const auto& entry) {
         return Usable(entry.second, work, now);
       });
-  return !any && now - work.job.arrival > kEmptyPoolWait;
+  const Time since = std::max(work.job.arrival, held_until_);
+  return !any && now - since > kEmptyPoolWait;
 }
 
 void Placer::Refuse(const Work& work, Errc code, Duration retry_after) {
--- a/src/core/relay/relay-policy.cc
+++ b/src/core/relay/relay-policy.cc
@@ -8,9 +8,9 @@
 
 using std::chrono::milliseconds;
 
-/// Shortest silence that is taken for a failure: a dead helper stalls the
-/// others for 1.5 s before they say so.
-constexpr Duration kLeastSilence = milliseconds(1000);
+/// Shortest silence that is taken for a failure. Callers give a stream up
+/// after two seconds, and a new run needs some hundred ms to its next event.
+constexpr Duration kLeastSilence = milliseconds(1400);
 /// A stream's pause may be this many times its bound before it is given up.
 constexpr int kGapsOfSilence = 4;
 /// The first event may take this many times its estimate.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -32,7 +32,7 @@
 constexpr double kAcceptShare = 0.8;
 constexpr double kStreamShare = 0.4;
 /// Before the end of the time to stop the process is gone.
-constexpr Duration kExitMargin = milliseconds(300);
+constexpr Duration kExitMargin = milliseconds(900);
 /// Callers keep an address answer for a few seconds; with nothing open for so
 /// long after the order to stop, none comes any more.
 constexpr double kLeastStopShare = 0.75;
@@ -147,7 +147,8 @@
       if (!self && !alive) continue;
       const bool leaves = self ? stopping : member.facts.draining;
       const bool detached = self ? !store_reachable : member.facts.detached;
-      live.push_back({name, member.record.peers, !leaves && !detached});
+      live.push_back({name, member.record.peers, member.record.incarnation,
+                      !leaves && !detached});
       any_attached = any_attached || live.back().may_hold;
     }
     for (auto& peer : live) peer.may_hold = peer.may_hold || !any_attached;
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 
+#include "comfreyflow/holder.h"
 #include "http/address.h"
 #include "node/clock.h"
 #include "node/log.h"
@@ -31,6 +32,12 @@
 /// A request that waits at its placer is asked for again this often.
 constexpr Duration kRenewal = milliseconds(250);
 constexpr Duration kSyncPeriod = milliseconds(500);
+/// A new holder waits so long for the other hosts' running work.
+constexpr Duration kSyncWait = milliseconds(120);
+/// A holder that was not asked for so long begins anew.
+constexpr Duration kHoldingLapse = std::chrono::seconds(2);
+/// From the start of a process until it knows its peers.
+constexpr Duration kSettleTime = milliseconds(300);
 constexpr Duration kBusyTick = milliseconds(10);
 constexpr Duration kIdleTick = milliseconds(250);
 /// A service without work is still told of so often, as datagrams get lost.
@@ -57,6 +64,13 @@
     std::vector<PlacedTarget> targets;
   };
 
+  /// This host as the holder of a service's placer.
+  struct Holding {
+    Time last_ask;  ///< By anybody.
+    Time begun;
+    std::set<HostName> heard;  ///< Told their work since.
+  };
+
   State(asio::io_context& io, PlacementSettings given)
       : settings(std::move(given)), io(io), socket(io), timer(io) {}
 
@@ -93,17 +107,43 @@
   // ---- Requests of this host ----
 
   HostName Holder(const ServiceName& service) const {
-    std::vector<HostName> names;
+    std::vector<HolderCandidate> candidates;
     const Time now = Now();
     for (const auto& [name, peer] : peers) {
       if (!peer.may_hold) continue;
       const auto silent = silent_until.find(name);
       if (silent == silent_until.end() || silent->second <= now) {
-        names.push_back(name);
+        candidates.push_back({name, peer.incarnation});
       }
     }
-    const auto ranked = RankHosts(names, "placer " + service.value, 1);
-    return ranked.empty() ? settings.self : ranked.front();
+    const HostName holder = ChooseHolder(candidates, service);
+    return holder.value.empty() ? settings.self : holder;
+  }
+
+  /// Has a placer that begins to be asked wait for the other hosts' word.
+  void BeginHolding(const ServiceName& service, Time now) {
+    Holding& state = holding[service];
+    if (now - state.last_ask > kHoldingLapse) {
+      state.begun = now;
+      state.heard.clear();
+      PlacerOf(service).HoldUntil(std::max(now + kSyncWait, settled));
+      LogLine(Severity::kInfo, "placer_taken")
+          .With("service", service)
+          .With("peers", std::uint64_t{peers.size()});
+    }
+    state.last_ask = now;
+  }
+
+  /// A host told its running work; with the last one's the wait is over.
+  void Heard(const ServiceName& service, const HostName& host, Time now) {
+    Holding& state = holding[service];
+    state.heard.insert(host);
+    Placer& placer = PlacerOf(service);
+    if (placer.held_until() <= now || now < settled) return;
+    for (const auto& [name, peer] : peers) {
+      if (name != settings.self && !state.heard.contains(name)) return;
+    }
+    placer.HoldUntil(now);
   }
 
   void Ask(Own& own) {
@@ -118,6 +158,7 @@
     own.last_asked = now;
     if (holder == settings.self) {
       const ServiceName service = own.service;
+      BeginHolding(service, now);
       PlacerOf(service).Ask(own.job, now);
       own.heard = true;
       Deliver(service);  // `own` may be gone.
@@ -268,6 +309,7 @@
     std::set<ServiceName> touched;
     for (const auto& sync : messages.syncs) {
       PlacerOf(sync.service).Adopt(messages.sender, sync.running, now);
+      Heard(sync.service, messages.sender, now);
       touched.insert(sync.service);
     }
     for (const auto& note : messages.notes) {
@@ -282,6 +324,7 @@
     }
     for (const auto& ask : messages.asks) {
       Placer& placer = PlacerOf(ask.service);
+      BeginHolding(ask.service, now);
       const std::size_t waited = placer.waiting();
       placer.Ask(ask.job, now);
       touched.insert(ask.service);
@@ -384,6 +427,8 @@
   std::map<ServiceName, RoutedService> services;
   std::map<ServiceName, std::vector<PoolTarget>> targets;
   std::map<ServiceName, Placer> placers;
+  std::map<ServiceName, Holding> holding;
+  Time settled;  ///< Before it this host may not know all the others.
   std::map<HostName, PlacementPeer> peers;
   std::map<HostName, Time> silent_until;
   std::map<std::uint64_t, Own> own;
@@ -416,6 +461,7 @@
   state_->socket.open(local.protocol(), error);
   if (!error) state_->socket.bind(local, error);
   if (error) return error;
+  state_->settled = Now() + kSettleTime;
   state_->Receive();
   state_->Wait();
   return {};
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "comfreyflow/placer.h"
-#include "comfreyflow/stewardship.h"
 #include "wire/placement.h"
 
 namespace comfreyflow::gateway {
@@ -18,6 +17,7 @@
 struct PlacementPeer {
   HostName name;
   std::string address;  ///< `ip:port` for datagrams about placement.
+  Incarnation incarnation;
   bool may_hold = true;  ///< Whether it may hold placers.
   bool operator==(const PlacementPeer&) const = default;
 };
