--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -125,8 +125,10 @@
   void Ask(const PlaceJob& job, Time now);
   /// The first event or the answer's head came.
   void Begun(const RequestId& id, Time now);
-  /// The work is off its targets, or wants none any more.
-  void Ended(const RequestId& id, WorkEnd end, Time now);
+  /// The work is off its targets, or wants none any more. `at` is the target
+  /// that was the cause, the first one if empty.
+  void Ended(const RequestId& id, WorkEnd end, Time now,
+             const TargetName& at = {});
   /// All placed work of a host, as of now; what it does not name has ended.
   void Adopt(const HostName& host, const std::vector<RunningWork>& running,
              Time now);
@@ -195,6 +197,7 @@
   };
 
   Duration ReadTime(std::uint64_t tokens) const;
+  static bool IsLong(const Work& work);
   Duration EventTime(const Target& target, std::uint64_t context) const;
   bool Usable(const Target& target, const Work& work, Time now) const;
   bool HasRoom(const Target& target, const Work& work) const;
@@ -219,6 +222,8 @@
   void EndTrial(const Work& work);
   void NoteHealth(const TargetName& name, WorkEnd end, Time now);
   bool MayRepeat(Time now);
+  void NoteShort(Duration read, Time now);
+  std::size_t ShortReserve(Time now) const;
   Bucket& CurrentBucket(Time now);
   Target* Find(const TargetName& name);
 
@@ -230,6 +235,9 @@
   std::deque<Bucket> buckets_;
   std::vector<PlaceVerdict> verdicts_;
   Time held_until_;
+  /// Reading time of short prompts asked for per second, averaged.
+  double short_reads_ = 0;
+  Time short_noted_;
   bool long_waits_ = false;  ///< A long prompt waits for free engines.
 };
 
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -32,6 +32,16 @@
 constexpr std::uint32_t kSacrificedStreams = 3;
 /// A target whose pace is beyond this is used only if no other is free.
 constexpr double kSlowPace = 1.9;
+/// Demand of short prompts is averaged over this time.
+constexpr Duration kShortMemory = milliseconds(800);
+/// Share of its time that an engine of short streams spends on reading; beyond
+/// it pauses grow out of bounds.
+constexpr double kShortReadShare = 0.3;
+/// Shares of the engines that are left to short streams at least and at most.
+constexpr double kLeastShortShare = 0.09;
+constexpr double kMostShortShare = 0.8;
+/// Unread short prompts on one engine beyond which others wait for a free one.
+constexpr Duration kReadLimit = milliseconds(260);
 constexpr Duration kPaceMemory = std::chrono::seconds(3);
 constexpr double kTolerableErrors = 0.3;
 
@@ -45,6 +55,37 @@
       linear + pairs * Seconds(engine_->prefill_per_1m_pairs));
 }
 
+bool Placer::IsLong(const Work& work) { return work.read > kLongRead; }
+
+/// Averages the demand of short prompts over about `kShortMemory`.
+void Placer::NoteShort(Duration read, Time now) {
+  const Seconds memory(kShortMemory);
+  const Seconds passed = std::min<Seconds>(now - short_noted_, 10 * memory);
+  short_reads_ *= std::exp(-passed / memory);
+  short_reads_ += Seconds(read) / memory;
+  short_noted_ = now;
+}
+
+/// Engines that long prompts leave to short ones.
+std::size_t Placer::ShortReserve(Time now) const {
+  const Seconds memory(kShortMemory);
+  const Seconds passed = std::min<Seconds>(now - short_noted_, 10 * memory);
+  const double reads = short_reads_ * std::exp(-passed / memory);
+  std::uint32_t streams = 0;
+  std::size_t engines = 0;
+  for (const auto& [name, target] : targets_) {
+    if (!target.listed || target.info.leaving || target.replaced) continue;
+    ++engines;
+    streams += target.shorts;
+  }
+  const double wanted = std::max(reads / kShortReadShare,
+                                 static_cast<double>(streams) / kPackedStreams);
+  const double least = kLeastShortShare * static_cast<double>(engines);
+  const double most = kMostShortShare * static_cast<double>(engines);
+  return static_cast<std::size_t>(
+      std::ceil(std::clamp(wanted, std::min(least, most), most)));
+}
+
 Duration Placer::EventTime(const Target& target, std::uint64_t context) const {
   const double held = static_cast<double>(target.memory + context) / 1000;
   const Duration step =
@@ -124,7 +165,7 @@
 }
 
 bool Placer::TryPlace(Work& work, Time now) {
-  work.is_long = engine_ && work.job.stream && work.read > kLongRead;
+  work.is_long = engine_ && work.job.stream && IsLong(work);
   if (now < held_until_) return false;
   const auto candidates = Candidates(work, now);
   if (candidates.empty()) return false;
@@ -195,7 +236,9 @@
       backlog != nullptr && backlog->reading + work.read <= kReadBacklog;
   if (long_waits_ && fits) return backlog;
   if (empty != nullptr) return empty;
-  return backlog;
+  const bool over =
+      backlog != nullptr && backlog->reading + work.read > kReadLimit;
+  return over ? nullptr : backlog;
 }
 
 std::vector<Placer::Target*> Placer::ChooseLong(
@@ -221,7 +264,18 @@
     });
     return free;
   };
+  // Engines without long reads, of which the short streams keep their part.
+  std::size_t open = 0;
+  for (const auto& [name, target] : targets_) {
+    const bool usable = target.listed && !target.info.leaving &&
+                        !target.replaced && now >= target.closed_until;
+    if (usable && target.long_reads == 0) ++open;
+  }
+  const std::size_t reserve = ShortReserve(now);
+  const std::size_t most = open > reserve ? open - reserve : 0;
+  if (most == 0) return {};
   auto free = free_engines(0);
+  if (free.size() > most) free.resize(most);
   const std::size_t aimed = std::clamp<std::size_t>(
       readers_for(duration_cast<Duration>(left * kAimedReadShare)), 1,
       kMaxReaders);
@@ -231,6 +285,7 @@
   const bool late = work.read / kMaxReaders > left;
   if (free.size() < least && !late) {
     free = free_engines(kSacrificedStreams);
+    if (free.size() > most) free.resize(most);
     if (free.size() < least) return {};
   }
   if (free.empty()) return {};
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -105,6 +105,7 @@
   work.job = job;
   work.asked = now;
   work.read = engine_ ? ReadTime(job.prompt_tokens) : Duration::zero();
+  if (engine_ && job.stream && !IsLong(work)) NoteShort(work.read, now);
   Bucket& bucket = CurrentBucket(now);
   if (!job.repeat) {
     if (job.excluded.empty()) ++bucket.requests;
@@ -142,7 +143,8 @@
   if (work.is_long) PlaceWaiting(now);
 }
 
-void Placer::Ended(const RequestId& id, WorkEnd end, Time now) {
+void Placer::Ended(const RequestId& id, WorkEnd end, Time now,
+                   const TargetName& target) {
   const auto at = works_.find(id);
   if (at == works_.end()) return;
   Work& work = at->second;
@@ -150,7 +152,8 @@
     Count(work, -1);
     if (!work.grant.targets.empty()) {
       EndTrial(work);
-      NoteHealth(work.grant.targets.front().name, end, now);
+      const TargetName& first = work.grant.targets.front().name;
+      NoteHealth(target.value.empty() ? first : target, end, now);
     }
   } else {
     std::erase(waiting_, id);
--- a/src/gateway/edge.h
+++ b/src/gateway/edge.h
@@ -50,6 +50,7 @@
   bool told_not_run = false;  ///< The request did not run.
   bool wrong_target = false;  ///< Another target has this address.
   bool event_stream = false;
+  std::string at_fault;  ///< Name of the target that caused a refusal.
 };
 
 struct EdgeHooks {
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -227,11 +227,11 @@
   }
 
   void Note(const Own& request, const RequestId& id,
-            std::optional<WorkEnd> end) {
+            std::optional<WorkEnd> end, const TargetName& at) {
     if (request.asked == settings.self || request.asked.value.empty()) {
       Placer& placer = PlacerOf(request.service);
       if (end) {
-        placer.Ended(id, *end, Now());
+        placer.Ended(id, *end, Now(), at);
       } else {
         placer.Begun(id, Now());
       }
@@ -241,7 +241,7 @@
     }
     To(request.asked)
         .notes.push_back({id.sequence, request.service, end.has_value(),
-                          end.value_or(WorkEnd::kDone)});
+                          end.value_or(WorkEnd::kDone), at});
   }
 
   /// All that this host has placed, so that a holder knows it exactly.
@@ -316,7 +316,7 @@
       const RequestId id{messages.sender, messages.incarnation, note.sequence};
       Placer& placer = PlacerOf(note.service);
       if (note.ended) {
-        placer.Ended(id, note.end, now);
+        placer.Ended(id, note.end, now, note.at);
       } else {
         placer.Begun(id, now);
       }
@@ -521,15 +521,16 @@
   const auto at = state_->own.find(id.sequence);
   if (at == state_->own.end() || at->second.begun) return;
   at->second.begun = true;
-  state_->Note(at->second, id, std::nullopt);
+  state_->Note(at->second, id, std::nullopt, {});
 }
 
-void Placement::Ended(const RequestId& id, WorkEnd end) {
+void Placement::Ended(const RequestId& id, WorkEnd end,
+                      const TargetName& cause) {
   const auto at = state_->own.find(id.sequence);
   if (at == state_->own.end()) return;
   const State::Own own = std::move(at->second);
   state_->own.erase(at);
-  state_->Note(own, id, end);
+  state_->Note(own, id, end, cause);
 }
 
 HostName Placement::HolderOf(const ServiceName& service) const {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -56,7 +56,8 @@
   /// unless `Ended` comes first.
   void Place(const ServiceName& service, const PlaceJob& job, Callback done);
   void Begun(const RequestId& id);
-  void Ended(const RequestId& id, WorkEnd end);
+  /// `at` is the target that was the cause; empty: the first one.
+  void Ended(const RequestId& id, WorkEnd end, const TargetName& at = {});
 
   /// The host that is asked for the service's targets now.
   HostName HolderOf(const ServiceName& service) const;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -403,9 +403,11 @@
     splitter_.DropRest();
     NoteCrash(end);
     const NextStep next = AfterFailure(*route_, failure, progress_);
+    cause_ = CauseOf(failure);
     LogLine(Severity::kWarning, "try_failed")
         .With("request", caller_.id)
         .With("target", grant_.targets.front().name)
+        .With("cause", cause_)
         .With("end", ToString(end))
         .With("status", std::uint64_t(std::max(0, head_.status)))
         .With("sent", sent_)
@@ -413,10 +415,20 @@
         .With("head_sent", progress_.head_sent)
         .With("try", std::uint64_t{progress_.tries})
         .With("next", std::uint64_t(next));
-    context_.placement.Ended(id_, end);
+    context_.placement.Ended(id_, end, cause_);
     Follow(next, code);
   }
 
+  /// The target of the grant that a refusal names, else the first.
+  TargetName CauseOf(const TryFailure& failure) const {
+    if (failure.told_not_run) {
+      for (const auto& target : grant_.targets) {
+        if (target.name.value == head_.at_fault) return target.name;
+      }
+    }
+    return grant_.targets.front().name;
+  }
+
   void NoteCrash(WorkEnd end) {
     const Time now = Now();
     const bool crashed = end == WorkEnd::kBroken && sent_;
@@ -432,7 +444,7 @@
             PoisonVerdict::kQuarantined) {
           return progress_.head_sent ? Cut(code) : Fail(code, {});
         }
-        excluded_.push_back(grant_.targets.front().name);
+        excluded_.push_back(cause_);
         return AskPlace();
       case NextStep::kAnswerNotRun:
         return Fail(Errc::kTargetRefused, {});
@@ -568,6 +580,7 @@
   bool sent_ = false;
   bool try_begun_ = false;
   bool streams_ = false;
+  TargetName cause_;  ///< Of the last failure.
   TargetHead head_;
   http::Response answer_;
   std::string body_;
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -238,6 +238,7 @@
   1: i64 sequence
   2: string service_name
   3: optional i32 outcome
+  4: optional string target
 }
 
 struct PlacedWork {
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -4892,6 +4892,11 @@
   this->outcome = val;
 __isset.outcome = true;
 }
+
+void PlaceNote::__set_target(const std::string& val) {
+  this->target = val;
+__isset.target = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceNote& obj)
 {
   obj.printTo(out);
@@ -4944,6 +4949,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4974,6 +4987,11 @@
     xfer += oprot->writeI32(this->outcome);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.target) {
+    xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->target);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4984,6 +5002,7 @@
   swap(a.sequence, b.sequence);
   swap(a.service_name, b.service_name);
   swap(a.outcome, b.outcome);
+  swap(a.target, b.target);
   swap(a.__isset, b.__isset);
 }
 
@@ -4991,12 +5010,14 @@
   sequence = other156.sequence;
   service_name = other156.service_name;
   outcome = other156.outcome;
+  target = other156.target;
   __isset = other156.__isset;
 }
 PlaceNote& PlaceNote::operator=(const PlaceNote& other157) {
   sequence = other157.sequence;
   service_name = other157.service_name;
   outcome = other157.outcome;
+  target = other157.target;
   __isset = other157.__isset;
   return *this;
 }
@@ -5006,6 +5027,7 @@
   out << "sequence=" << to_string(sequence);
   out << ", " << "service_name=" << to_string(service_name);
   out << ", " << "outcome="; (__isset.outcome ? (out << to_string(outcome)) : (out << "<null>"));
+  out << ", " << "target="; (__isset.target ? (out << to_string(target)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -1949,10 +1949,11 @@
 std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj);
 
 typedef struct _PlaceNote__isset {
-  _PlaceNote__isset() : sequence(false), service_name(false), outcome(false) {}
+  _PlaceNote__isset() : sequence(false), service_name(false), outcome(false), target(false) {}
   bool sequence :1;
   bool service_name :1;
   bool outcome :1;
+  bool target :1;
 } _PlaceNote__isset;
 
 class PlaceNote : public virtual ::apache::thrift::TBase {
@@ -1963,13 +1964,15 @@
   PlaceNote() noexcept
             : sequence(0),
               service_name(),
-              outcome(0) {
+              outcome(0),
+              target() {
   }
 
   virtual ~PlaceNote() noexcept;
   int64_t sequence;
   std::string service_name;
   int32_t outcome;
+  std::string target;
 
   _PlaceNote__isset __isset;
 
@@ -1979,6 +1982,8 @@
 
   void __set_outcome(const int32_t val);
 
+  void __set_target(const std::string& val);
+
   bool operator == (const PlaceNote & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -1989,6 +1994,10 @@
       return false;
     else if (__isset.outcome && !(outcome == rhs.outcome))
       return false;
+    if (__isset.target != rhs.__isset.target)
+      return false;
+    else if (__isset.target && !(target == rhs.target))
+      return false;
     return true;
   }
   bool operator != (const PlaceNote &rhs) const {
--- a/src/wire/placement.cc
+++ b/src/wire/placement.cc
@@ -157,6 +157,7 @@
     wire.sequence = static_cast<std::int64_t>(note.sequence);
     wire.service_name = note.service.value;
     if (note.ended) wire.__set_outcome(static_cast<std::int32_t>(note.end));
+    if (!note.at.value.empty()) wire.__set_target(note.at.value);
   }
   for (const auto& sync : messages.syncs) out.syncs.push_back(ToWire(sync));
   return EncodePlaceDatagram(out, key);
@@ -184,6 +185,7 @@
     message.sequence = static_cast<std::uint64_t>(note.sequence);
     message.service.value = note.service_name;
     message.ended = note.__isset.outcome;
+    message.at.value = note.target;
     if (!message.ended) continue;
     const auto last = static_cast<std::int32_t>(WorkEnd::kGone);
     if (note.outcome < 0 || note.outcome > last) return Errc::kCodec;
--- a/src/wire/placement.h
+++ b/src/wire/placement.h
@@ -30,6 +30,7 @@
   ServiceName service;
   bool ended = false;  ///< Else it began.
   WorkEnd end = WorkEnd::kDone;
+  TargetName at;  ///< The target that was the cause; empty: the first.
 };
 
 struct PlaceSyncMessage {
