--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -226,6 +226,7 @@
   bool Hopeless(const Work& work, Time now) const;
   void PlaceWaiting(Time now);
   void DropOverdue(Time now);
+  void ChooseClosing(Time now);
   void Count(Work& work, int sign);
   void EndTrial(const Work& work);
   void NoteHealth(const TargetName& name, WorkEnd end, Time now);
@@ -247,6 +248,9 @@
   double short_reads_ = 0;
   Time short_noted_;
   bool long_waits_ = false;  ///< A long prompt waits for free engines.
+  /// Engines that take no more short streams, so that a long prompt which
+  /// waits finds them free.
+  std::set<TargetName> closing_;
 };
 
 }  // namespace comfreyflow
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -39,7 +39,11 @@
 constexpr double kShortReadShare = 0.3;
 /// Shares of the engines that are left to short streams at least and at most.
 constexpr double kLeastShortShare = 0.09;
-constexpr double kMostShortShare = 0.8;
+constexpr double kMostShortShare = 0.82;
+/// Share of the engines that short streams leave to long prompts which have
+/// waited for `kLongPatience`.
+constexpr double kLeastLongShare = 0.18;
+constexpr Duration kLongPatience = milliseconds(250);
 /// Unread short prompts on one engine beyond which others wait for a free one.
 constexpr Duration kReadLimit = milliseconds(260);
 constexpr Duration kPaceMemory = std::chrono::seconds(3);
@@ -187,6 +191,43 @@
   return true;
 }
 
+void Placer::ChooseClosing(Time now) {
+  const bool aged = std::any_of(
+      waiting_.begin(), waiting_.end(), [this, now](const RequestId& id) {
+        const Work& work = works_.at(id);
+        return work.is_long && now - work.job.arrival > kLongPatience;
+      });
+  if (!aged) return closing_.clear();
+  std::vector<const Target*> open;
+  std::size_t engines = 0;
+  std::size_t reading = 0;
+  for (const auto& [name, target] : targets_) {
+    if (!target.listed || target.info.leaving || target.replaced) continue;
+    ++engines;
+    if (target.long_reads > 0) {
+      ++reading;
+    } else {
+      open.push_back(&target);
+    }
+  }
+  const auto wanted = static_cast<std::size_t>(
+      std::ceil(kLeastLongShare * static_cast<double>(engines)));
+  std::set<TargetName> next;
+  if (wanted > reading) {
+    // Those chosen before stay chosen; then those that are free soonest.
+    std::sort(open.begin(), open.end(), [this](const auto* a, const auto* b) {
+      const auto rank = [this](const Target* t) {
+        return std::tuple(!closing_.contains(t->info.name), t->shorts,
+                          t->order);
+      };
+      return rank(a) < rank(b);
+    });
+    open.resize(std::min(open.size(), wanted - reading));
+    for (const Target* target : open) next.insert(target->info.name);
+  }
+  closing_ = std::move(next);
+}
+
 Placer::Target* Placer::ChoosePlain(const Work& work,
                                     const std::vector<Target*>& targets) {
   Target* best = nullptr;
@@ -213,6 +254,7 @@
   };
   for (Target* target : targets) {
     if (target->long_reads > 0 || !HasRoom(*target, work)) continue;
+    if (closing_.contains(target->info.name)) continue;
     const bool quiet = target->reading == Duration::zero();
     if (quiet && target->shorts > 0 && target->shorts < kPackedStreams) {
       const auto rank = [&near](const Target& t) {
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -247,6 +247,7 @@
 void Placer::PlaceWaiting(Time now) {
   if (waiting_.empty()) {
     long_waits_ = false;
+    closing_.clear();
     return;
   }
   // Earliest objective first, short before long; what can't be in time any
@@ -278,6 +279,7 @@
     left.push_back(id);
   }
   waiting_ = std::move(left);
+  ChooseClosing(now);
 }
 
 bool Placer::Hopeless(const Work& work, Time now) const {
