Work on targets that are not listed yet is counted too

Cause: a placer that heard of running work before it had the list of targets counted its end but not its begin, and engines looked full for good (fresh-bafb, 0.256).

--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -159,13 +159,29 @@
   };
   std::vector<TargetLoad> Loads() const;
 
+  /// What the placer believes, in a line.
+  struct Summary {
+    std::size_t waiting = 0;
+    std::size_t running = 0;
+    std::size_t targets = 0;  ///< Listed and not leaving.
+    std::size_t closed = 0;   ///< Of them, after failures or on trial.
+    std::size_t short_engines = 0;
+    std::size_t long_engines = 0;
+    std::size_t unread = 0;  ///< Work that waits for its first event.
+    std::size_t reserve = 0;  ///< Engines that long prompts leave.
+    std::size_t closing = 0;  ///< Engines that short streams leave.
+    std::uint64_t memory = 0;
+  };
+  Summary Summarize(Time now) const;
+
  private:
   struct Target {
     PoolTarget info;
-    bool listed = true;
+    bool listed = false;
     /// Another target answered at its address: gone, whatever the list says.
     bool replaced = false;
     std::uint64_t order = 0;  ///< Among targets that are alike.
+    std::uint32_t users = 0;  ///< Work placed on it, as first or as helper.
     std::uint32_t running = 0;
     std::uint32_t shorts = 0;
     std::uint32_t long_reads = 0;
@@ -179,7 +195,8 @@
     double error_share = 0;
     Time paced;
   };
-  /// Invariant: a placed work is counted at each of its targets.
+  /// Invariant: a placed work is counted at each of its targets, whether they
+  /// are listed or not.
   struct Work {
     PlaceJob job;
     bool placed = false;
@@ -235,6 +252,7 @@
   std::size_t ShortReserve(Time now) const;
   Bucket& CurrentBucket(Time now);
   Target* Find(const TargetName& name);
+  Target& Known(const TargetName& name);
 
   PlacerSettings settings_;
   std::optional<EngineModel> engine_;
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -63,13 +63,8 @@
 void Placer::SetTargets(const std::vector<PoolTarget>& targets, Time now) {
   for (auto& [name, target] : targets_) target.listed = false;
   for (const auto& info : targets) {
-    auto [at, added] = targets_.try_emplace(info.name);
-    Target& target = at->second;
-    if (added) {
-      target.order =
-          XXH3_64bits_withSeed(info.name.value.data(), info.name.value.size(),
-                               settings_.seed);
-    }
+    const bool added = !targets_.contains(info.name);
+    Target& target = Known(info.name);
     if (!added && (target.info.born != info.born ||
                    target.info.address != info.address)) {
       target.replaced = false;
@@ -83,7 +78,7 @@
     target.listed = true;
   }
   std::erase_if(targets_, [](const auto& entry) {
-    return !entry.second.listed && entry.second.running == 0;
+    return !entry.second.listed && entry.second.users == 0;
   });
   PlaceWaiting(now);
 }
@@ -244,6 +239,26 @@
   return loads;
 }
 
+Placer::Summary Placer::Summarize(Time now) const {
+  Summary out;
+  out.waiting = waiting();
+  out.running = running();
+  out.closing = closing_.size();
+  if (engine_) out.reserve = ShortReserve(now);
+  for (const auto& [name, target] : targets_) {
+    if (!target.listed || target.info.leaving || target.replaced) continue;
+    ++out.targets;
+    if (now < target.closed_until || target.on_trial) ++out.closed;
+    if (target.shorts > 0) ++out.short_engines;
+    if (target.long_reads > 0) ++out.long_engines;
+    out.memory += target.memory;
+  }
+  for (const auto& [id, work] : works_) {
+    if (work.placed && !work.begun) ++out.unread;
+  }
+  return out;
+}
+
 void Placer::PlaceWaiting(Time now) {
   if (waiting_.empty()) {
     long_waits_ = false;
@@ -302,8 +317,8 @@
 void Placer::Count(Work& work, int sign) {
   const bool reading = !work.begun;
   for (std::size_t i = 0; i < work.grant.targets.size(); ++i) {
-    Target* target = Find(work.grant.targets[i].name);
-    if (target == nullptr) continue;
+    Target* target = &Known(work.grant.targets[i].name);
+    target->users += sign;
     if (work.is_long) {
       const auto readers = static_cast<int>(work.grant.targets.size());
       if (reading) target->long_reads += sign;
@@ -392,6 +407,16 @@
          settings_.repeat_ratio * requests + settings_.repeat_slack;
 }
 
+Placer::Target& Placer::Known(const TargetName& name) {
+  const auto [at, added] = targets_.try_emplace(name);
+  if (added) {
+    at->second.info.name = name;
+    at->second.order = XXH3_64bits_withSeed(
+        name.value.data(), name.value.size(), settings_.seed);
+  }
+  return at->second;
+}
+
 Placer::Target* Placer::Find(const TargetName& name) {
   const auto at = targets_.find(name);
   return at == targets_.end() ? nullptr : &at->second;
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -406,8 +406,29 @@
     if (now >= sync_due) Sync(now);
   }
 
+  /// Tells what the placers that are asked here believe.
+  void LogState(Time now) {
+    for (auto& [service, state] : holding) {
+      if (now - state.last_ask > kHoldingLapse) continue;
+      const auto sum = PlacerOf(service).Summarize(now);
+      LogLine(Severity::kInfo, "placement")
+          .With("service", service)
+          .With("waiting", std::uint64_t{sum.waiting})
+          .With("running", std::uint64_t{sum.running})
+          .With("unread", std::uint64_t{sum.unread})
+          .With("targets", std::uint64_t{sum.targets})
+          .With("closed", std::uint64_t{sum.closed})
+          .With("short_engines", std::uint64_t{sum.short_engines})
+          .With("long_engines", std::uint64_t{sum.long_engines})
+          .With("reserve", std::uint64_t{sum.reserve})
+          .With("closing", std::uint64_t{sum.closing})
+          .With("memory", sum.memory);
+    }
+  }
+
   void Sync(Time now) {
     sync_due = now + kSyncPeriod;
+    LogState(now);
     for (const auto& [sequence, request] : own) {
       if (request.placed) sync_rounds[request.service] = kIdleSyncs;
     }
