--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -37,7 +37,7 @@
 /// A holder that was not asked for so long begins anew.
 constexpr Duration kHoldingLapse = std::chrono::seconds(2);
 /// From the start of a process until it knows its peers.
-constexpr Duration kSettleTime = milliseconds(300);
+constexpr Duration kSettleTime = milliseconds(250);
 constexpr Duration kBusyTick = milliseconds(10);
 constexpr Duration kIdleTick = milliseconds(250);
 /// A service without work is still told of so often, as datagrams get lost.
@@ -167,6 +167,23 @@
     To(holder).asks.push_back({own.service, own.job});
   }
 
+  /// Requests that wait at a host which holds the placer no more go to the one
+  /// that does.
+  void FollowHolders() {
+    std::vector<std::uint64_t> moved;
+    for (const auto& [sequence, request] : own) {
+      if (!request.done) continue;
+      if (Holder(request.service) != request.asked) moved.push_back(sequence);
+    }
+    for (const auto sequence : moved) {
+      const auto at = own.find(sequence);
+      if (at == own.end() || !at->second.done) continue;
+      Note(at->second, IdOf(sequence), WorkEnd::kGone, {});
+      at->second.job.number = ++asks;
+      Ask(at->second);
+    }
+  }
+
   void Take(std::uint64_t sequence, const PlaceVerdict& verdict) {
     const auto at = own.find(sequence);
     if (at == own.end()) return;
@@ -514,6 +531,7 @@
   for (auto& peer : peers) next[peer.name] = std::move(peer);
   if (next == state_->peers) return;
   state_->peers = std::move(next);
+  state_->FollowHolders();
   state_->sync_due = Now();
   state_->Hurry();
 }
