--- a/include/comfreyflow/addresses.h
+++ b/include/comfreyflow/addresses.h
@@ -44,6 +44,19 @@
   std::mt19937_64 random_;
 };
 
+/// A host that callers may be sent to, with a weight by its size.
+struct WeightedHost {
+  std::string address;
+  double weight = 1;
+};
+
+/// Up to `count` of the hosts in random order, each drawn with a chance in
+/// proportion to its weight, for callers that pick any one of them. Method:
+/// Efraimidis and Spirakis, weighted sampling without replacement.
+std::vector<std::string> SampleHosts(std::vector<WeightedHost> hosts,
+                                     std::size_t count,
+                                     std::mt19937_64& random);
+
 /// Hosts in an answer at most.
 inline constexpr std::size_t kAddressesPerAnswer = 6;
 /// Callers keep an answer between half of this and this.
--- a/include/comfreyflow/holder.h
+++ b/include/comfreyflow/holder.h
@@ -12,9 +12,11 @@
 struct HolderCandidate {
   HostName name;
   Incarnation started;  ///< In milliseconds of wall time.
+  std::uint32_t capacity = 100;  ///< In hundredths of a core.
 };
 
-/// The holder among `candidates`; an empty name when there is none. Those that
+/// The holder among `candidates`; an empty name when there is none. Only hosts
+/// with at least half of the largest capacity are taken; of them those that
 /// started within `kCohortSpan` of the earliest share the services by
 /// rendezvous hash.
 HostName ChooseHolder(const std::vector<HolderCandidate>& candidates,
--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -31,6 +31,7 @@
   std::string gossip;   ///< `ip:port` for datagrams.
   std::string peers;    ///< `ip:port` for calls of other hosts.
   std::string callers;  ///< `ip:port` for callers.
+  std::uint32_t capacity = 100;  ///< Processor share, in hundredths of a core.
   bool operator==(const HostRecord&) const = default;
 };
 
--- a/src/core/addresses/addresses.cc
+++ b/src/core/addresses/addresses.cc
@@ -88,4 +88,20 @@
   return answer;
 }
 
+std::vector<std::string> SampleHosts(std::vector<WeightedHost> hosts,
+                                     std::size_t count,
+                                     std::mt19937_64& random) {
+  std::uniform_real_distribution<double> draw(0.0, 1.0);
+  std::vector<std::pair<double, std::string>> keyed;
+  for (auto& host : hosts) {
+    const double key = std::pow(draw(random), 1.0 / std::max(host.weight, 1e-6));
+    keyed.emplace_back(key, std::move(host.address));
+  }
+  std::sort(keyed.rbegin(), keyed.rend());
+  if (keyed.size() > count) keyed.resize(count);
+  std::vector<std::string> out;
+  for (auto& [key, address] : keyed) out.push_back(std::move(address));
+  return out;
+}
+
 }  // namespace comfreyflow
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -33,6 +33,8 @@
 constexpr std::uint32_t kMaxClosureDoublings = 4;
 constexpr Duration kRefusalClosure = milliseconds(30);
 constexpr int kRepeatBuckets = 20;
+/// With more waiting than this, places are given at the next tick only.
+constexpr std::size_t kPlaceAtOnce = 16;
 
 }  // namespace
 
@@ -135,7 +137,7 @@
       target->paced = now;
     }
   }
-  if (work.is_long) PlaceWaiting(now);
+  if (work.is_long && waiting_.size() <= kPlaceAtOnce) PlaceWaiting(now);
 }
 
 void Placer::Ended(const RequestId& id, WorkEnd end, Time now,
@@ -154,7 +156,7 @@
     std::erase(waiting_, id);
   }
   works_.erase(at);
-  PlaceWaiting(now);
+  if (waiting_.size() <= kPlaceAtOnce) PlaceWaiting(now);
 }
 
 void Placer::Adopt(const HostName& host,
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -21,8 +21,11 @@
 constexpr Duration kLongestRetry = milliseconds(1000);
 constexpr std::uint32_t kFailuresOfOutage = 2;
 /// Shortest time between two watches of a kind, so that a storm of changes
-/// comes in few answers.
-constexpr Duration kWatchPause = milliseconds(60);
+/// comes in few answers. It grows with the hosts, which keeps the calls of all
+/// of them flat, up to a part of the time in which changes must be in force.
+constexpr Duration kWatchPausePerHost = milliseconds(10);
+constexpr Duration kLeastWatchPause = milliseconds(60);
+constexpr Duration kMostWatchPause = milliseconds(600);
 
 }  // namespace
 
@@ -96,7 +99,13 @@
     track.revision = std::max(track.revision, changes.revision);
     for (const auto& change : changes.changes) track.kind.changed(change);
     if (was_out) return Step(index);
-    Later(index, changes.changes.empty() ? Duration::zero() : kWatchPause);
+    Later(index, changes.changes.empty() ? Duration::zero() : Pause());
+  }
+
+  Duration Pause() const {
+    const auto hosts = static_cast<int>(hooks.hosts());
+    return std::clamp(hosts * kWatchPausePerHost, kLeastWatchPause,
+                      kMostWatchPause);
   }
 
   void Answered() {
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -23,6 +23,8 @@
 struct FollowerHooks {
   std::function<void()> lost;  ///< The store does not answer.
   std::function<void()> back;  ///< It does again.
+  /// Hosts that follow the same kinds.
+  std::function<std::size_t()> hosts;
 };
 
 /// Lives on one I/O thread. While the store is away one kind alone tries
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,9 +4,9 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
+#include "comfreyflow/addresses.h"
 #include "gateway/relay.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -38,6 +38,12 @@
 constexpr double kLeastStopShare = 0.75;
 constexpr Duration kStopTick = milliseconds(100);
 constexpr Duration kFactsPeriod = milliseconds(250);
+/// Addresses of an answer: enough that callers find one that works, and few
+/// enough that large hosts get more of them.
+constexpr std::size_t kAddressesOfAnswer = 16;
+/// The store's own word on a new document is waited for so long before a peer
+/// is asked; in a large fleet each would be asked by all.
+constexpr Duration kStoreFirst = milliseconds(700);
 
 PlacerSettings WithSeed(const GatewaySettings& settings) {
   PlacerSettings placer = settings.placer;
@@ -127,7 +133,7 @@
       if (hooks.view_changed) hooks.view_changed();
     };
     peer.config_announced = [this](const ConfigAnnounced& event) {
-      if (event.config.generation > version()) Fetch(event.host);
+      if (event.config.generation > version()) Announced(event);
     };
     peer.suspect_marked = [this](const SuspectMark& event) {
       HearSuspect(event);
@@ -148,7 +154,7 @@
       const bool leaves = self ? stopping : member.facts.draining;
       const bool detached = self ? !store_reachable : member.facts.detached;
       live.push_back({name, member.record.peers, member.record.incarnation,
-                      !leaves && !detached});
+                      member.record.capacity, !leaves && !detached});
       any_attached = any_attached || live.back().may_hold;
     }
     for (auto& peer : live) peer.may_hold = peer.may_hold || !any_attached;
@@ -166,9 +172,19 @@
     });
   }
 
+  void Announced(const ConfigAnnounced& event) {
+    if (announced != event.config.generation) {
+      announced = std::max(announced, event.config.generation);
+      announced_at = Now();
+    }
+    const bool waits = store_reachable && Now() - announced_at < kStoreFirst;
+    if (!waits && !fetching) Fetch(event.host);
+  }
+
   void Fetch(const HostName& host) {
     const auto at = peers.members().find(host);
-    if (at == peers.members().end() || !fetching.insert(host).second) return;
+    if (at == peers.members().end()) return;
+    fetching = true;
     http::Request request;
     request.method = "GET";
     request.path = kDocumentPath;
@@ -178,7 +194,7 @@
     client.Fetch(at->second.record.peers, std::move(request), options,
                  [self = shared_from_this(), host](http::CallEnd end,
                                                    http::Response answer) {
-                   self->fetching.erase(host);
+                   self->fetching = false;
                    const bool whole =
                        end.code == Errc::kOk && answer.status == kOk;
                    LogLine(Severity::kInfo, "document_fetched")
@@ -272,7 +288,9 @@
   http::Server peer_calls;
   asio::steady_timer stop_timer;
   asio::steady_timer facts_timer;
-  std::set<HostName> fetching;
+  bool fetching = false;
+  std::uint64_t announced = 0;  ///< Latest generation heard of.
+  Time announced_at;
   bool has_targets = false;
   bool stopping = false;
   bool store_reachable = false;
@@ -344,7 +362,7 @@
 }
 
 std::vector<std::string> Gateway::Addresses(const FailureDomain&) const {
-  std::vector<std::string> out;
+  std::vector<WeightedHost> hosts;
   for (const auto& [name, member] : state_->peers.members()) {
     const bool self = name == state_->settings.self.name;
     if (self && !ready()) continue;
@@ -352,9 +370,11 @@
                   member.facts.draining || member.facts.generation == 0)) {
       continue;
     }
-    out.push_back(member.record.callers);
+    hosts.push_back({member.record.callers,
+                     static_cast<double>(member.record.capacity)});
   }
-  return out;
+  return SampleHosts(std::move(hosts), kAddressesOfAnswer,
+                     state_->relays.random);
 }
 
 const std::map<HostName, Member>& Gateway::members() const {
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -113,7 +113,7 @@
       if (!peer.may_hold) continue;
       const auto silent = silent_until.find(name);
       if (silent == silent_until.end() || silent->second <= now) {
-        candidates.push_back({name, peer.incarnation});
+        candidates.push_back({name, peer.incarnation, peer.capacity});
       }
     }
     const HostName holder = ChooseHolder(candidates, service);
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -90,6 +90,7 @@
   out.gossip = record.gossip;
   out.peers = record.peers;
   out.callers = record.callers;
+  out.capacity = static_cast<std::int32_t>(record.capacity);
   return out;
 }
 
@@ -101,6 +102,7 @@
   out.gossip = record.gossip;
   out.peers = record.peers;
   out.callers = record.callers;
+  out.capacity = static_cast<std::uint32_t>(std::max(record.capacity, 1));
   return out;
 }
 
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -8,6 +8,7 @@
   4: string gossip
   5: string peers
   6: string callers
+  7: i32 capacity
 }
 
 struct TargetMark {
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -41,6 +41,10 @@
 void HostRecord::__set_callers(const std::string& val) {
   this->callers = val;
 }
+
+void HostRecord::__set_capacity(const int32_t val) {
+  this->capacity = val;
+}
 std::ostream& operator<<(std::ostream& out, const HostRecord& obj)
 {
   obj.printTo(out);
@@ -117,6 +121,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->capacity);
+          this->__isset.capacity = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -158,6 +170,10 @@
   xfer += oprot->writeString(this->callers);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("capacity", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->capacity);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -171,6 +187,7 @@
   swap(a.gossip, b.gossip);
   swap(a.peers, b.peers);
   swap(a.callers, b.callers);
+  swap(a.capacity, b.capacity);
   swap(a.__isset, b.__isset);
 }
 
@@ -181,6 +198,7 @@
   gossip = other0.gossip;
   peers = other0.peers;
   callers = other0.callers;
+  capacity = other0.capacity;
   __isset = other0.__isset;
 }
 HostRecord& HostRecord::operator=(const HostRecord& other1) {
@@ -190,6 +208,7 @@
   gossip = other1.gossip;
   peers = other1.peers;
   callers = other1.callers;
+  capacity = other1.capacity;
   __isset = other1.__isset;
   return *this;
 }
@@ -202,6 +221,7 @@
   out << ", " << "gossip=" << to_string(gossip);
   out << ", " << "peers=" << to_string(peers);
   out << ", " << "callers=" << to_string(callers);
+  out << ", " << "capacity=" << to_string(capacity);
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -84,13 +84,14 @@
 class PlaceDatagram;
 
 typedef struct _HostRecord__isset {
-  _HostRecord__isset() : name(false), incarnation(false), failure_domain(false), gossip(false), peers(false), callers(false) {}
+  _HostRecord__isset() : name(false), incarnation(false), failure_domain(false), gossip(false), peers(false), callers(false), capacity(false) {}
   bool name :1;
   bool incarnation :1;
   bool failure_domain :1;
   bool gossip :1;
   bool peers :1;
   bool callers :1;
+  bool capacity :1;
 } _HostRecord__isset;
 
 class HostRecord : public virtual ::apache::thrift::TBase {
@@ -104,7 +105,8 @@
                failure_domain(),
                gossip(),
                peers(),
-               callers() {
+               callers(),
+               capacity(0) {
   }
 
   virtual ~HostRecord() noexcept;
@@ -114,6 +116,7 @@
   std::string gossip;
   std::string peers;
   std::string callers;
+  int32_t capacity;
 
   _HostRecord__isset __isset;
 
@@ -129,6 +132,8 @@
 
   void __set_callers(const std::string& val);
 
+  void __set_capacity(const int32_t val);
+
   bool operator == (const HostRecord & rhs) const
   {
     if (!(name == rhs.name))
@@ -143,6 +148,8 @@
       return false;
     if (!(callers == rhs.callers))
       return false;
+    if (!(capacity == rhs.capacity))
+      return false;
     return true;
   }
   bool operator != (const HostRecord &rhs) const {
