--- a/include/comfreyflow/holder.h
+++ b/include/comfreyflow/holder.h
@@ -11,7 +11,7 @@
 
 struct HolderCandidate {
   HostName name;
-  Incarnation started;  ///< In milliseconds of wall time.
+  Incarnation started;           ///< In milliseconds of wall time.
   std::uint32_t capacity = 100;  ///< In hundredths of a core.
 };
 
--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -28,9 +28,9 @@
   HostName name;
   Incarnation incarnation;
   FailureDomain failure_domain;
-  std::string gossip;   ///< `ip:port` for datagrams.
-  std::string peers;    ///< `ip:port` for calls of other hosts.
-  std::string callers;  ///< `ip:port` for callers.
+  std::string gossip;            ///< `ip:port` for datagrams.
+  std::string peers;             ///< `ip:port` for calls of other hosts.
+  std::string callers;           ///< `ip:port` for callers.
   std::uint32_t capacity = 100;  ///< Processor share, in hundredths of a core.
   bool operator==(const HostRecord&) const = default;
 };
--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -167,7 +167,7 @@
     std::size_t closed = 0;   ///< Of them, after failures or on trial.
     std::size_t short_engines = 0;
     std::size_t long_engines = 0;
-    std::size_t unread = 0;  ///< Work that waits for its first event.
+    std::size_t unread = 0;   ///< Work that waits for its first event.
     std::size_t reserve = 0;  ///< Engines that long prompts leave.
     std::size_t closing = 0;  ///< Engines that short streams leave.
     std::uint64_t memory = 0;
@@ -204,7 +204,7 @@
     bool is_long = false;
     bool is_trial = false;  ///< Shows whether a target works again.
     bool adopted = false;   ///< Placed by another host's placer.
-    Duration read{};  ///< Reading time of the whole prompt on one target.
+    Duration read{};        ///< Reading time of the whole prompt on one target.
     Duration estimate{};
     Time placed_at;
     Time asked;
--- a/include/comfreyflow/relay-policy.h
+++ b/include/comfreyflow/relay-policy.h
@@ -12,7 +12,7 @@
 struct TryFailure {
   bool sent = false;          ///< A byte of the request may have left.
   bool told_not_run = false;  ///< The target said that it did not run it.
-  bool may_resume = false;    ///< A stream that can go on behind its last event.
+  bool may_resume = false;  ///< A stream that can go on behind its last event.
 };
 
 /// Where a request stands. Invariant: `tries_run` counts the targets that may
--- a/src/core/addresses/addresses.cc
+++ b/src/core/addresses/addresses.cc
@@ -94,7 +94,8 @@
   std::uniform_real_distribution<double> draw(0.0, 1.0);
   std::vector<std::pair<double, std::string>> keyed;
   for (auto& host : hosts) {
-    const double key = std::pow(draw(random), 1.0 / std::max(host.weight, 1e-6));
+    const double key =
+        std::pow(draw(random), 1.0 / std::max(host.weight, 1e-6));
     keyed.emplace_back(key, std::move(host.address));
   }
   std::sort(keyed.rbegin(), keyed.rend());
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -315,11 +315,11 @@
     if (target->running < target->info.slots) readers.push_back(target);
   }
   if (readers.size() < count) return {};
-  std::sort(readers.begin(), readers.end(), [](const Target* a,
-                                               const Target* b) {
-    return std::tuple(a->shorts, a->gaps.size(), a->memory, a->order) <
-           std::tuple(b->shorts, b->gaps.size(), b->memory, b->order);
-  });
+  std::sort(
+      readers.begin(), readers.end(), [](const Target* a, const Target* b) {
+        return std::tuple(a->shorts, a->gaps.size(), a->memory, a->order) <
+               std::tuple(b->shorts, b->gaps.size(), b->memory, b->order);
+      });
   if (!FillMemory(work, readers, count) || count > most) return {};
   readers.resize(count);
   return readers;
@@ -345,7 +345,8 @@
   }
   const bool late = work.read / static_cast<int>(kMaxReaders) > left;
   const std::size_t least =
-      late ? 1 : readers_for(duration_cast<Duration>(left * kAcceptedReadShare));
+      late ? 1
+           : readers_for(duration_cast<Duration>(left * kAcceptedReadShare));
   for (std::size_t count = aimed; count-- > least;) {
     if (count == 0) break;
     const Duration time = work.read / static_cast<int>(count);
--- a/src/core/placer/holder.cc
+++ b/src/core/placer/holder.cc
@@ -10,22 +10,22 @@
 HostName ChooseHolder(const std::vector<HolderCandidate>& candidates,
                       const ServiceName& service) {
   if (candidates.empty()) return {};
-  const auto largest = std::max_element(
-      candidates.begin(), candidates.end(),
-      [](const HolderCandidate& a, const HolderCandidate& b) {
-        return a.capacity < b.capacity;
-      });
+  const auto largest =
+      std::max_element(candidates.begin(), candidates.end(),
+                       [](const HolderCandidate& a, const HolderCandidate& b) {
+                         return a.capacity < b.capacity;
+                       });
   std::vector<HolderCandidate> able;
   for (const auto& candidate : candidates) {
     if (2 * candidate.capacity >= largest->capacity) able.push_back(candidate);
   }
-  const auto first = std::min_element(
-      able.begin(), able.end(),
-      [](const HolderCandidate& a, const HolderCandidate& b) {
-        return a.started < b.started;
-      });
-  const auto last = first->started.value +
-                    static_cast<std::uint64_t>(kCohortSpan.count());
+  const auto first =
+      std::min_element(able.begin(), able.end(),
+                       [](const HolderCandidate& a, const HolderCandidate& b) {
+                         return a.started < b.started;
+                       });
+  const auto last =
+      first->started.value + static_cast<std::uint64_t>(kCohortSpan.count());
   std::vector<HostName> cohort;
   for (const auto& candidate : able) {
     if (candidate.started.value <= last) cohort.push_back(candidate.name);
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -299,11 +299,15 @@
   ChooseClosing(now);
 }
 
+/// Whether no target can take the work before its deadline.
 bool Placer::Hopeless(const Work& work, Time now) const {
   if (now + kLeastService >= work.job.deadline) return true;
   const bool any = std::any_of(
-      targets_.begin(), targets_.end(), [this, &work, now](const auto& entry) {
-        return Usable(entry.second, work, now);
+      targets_.begin(), targets_.end(), [this, &work](const auto& entry) {
+        const Target& target = entry.second;
+        return target.listed && !target.info.leaving && !target.replaced &&
+               target.closed_until + kLeastService < work.job.deadline &&
+               !Excluded(work, target.info.name);
       });
   const Time since = std::max(work.job.arrival, held_until_);
   return !any && now - since > kEmptyPoolWait;
@@ -311,9 +315,9 @@
 
 void Placer::Refuse(const Work& work, Errc code, Duration retry_after) {
   const bool empty = code == Errc::kDeadlineInfeasible && targets_.empty();
-  verdicts_.push_back(PlaceRefusal{
-      work.job.id, work.job.number, empty ? Errc::kNoTarget : code,
-      empty ? kEmptyPoolRetry : retry_after});
+  verdicts_.push_back(PlaceRefusal{work.job.id, work.job.number,
+                                   empty ? Errc::kNoTarget : code,
+                                   empty ? kEmptyPoolRetry : retry_after});
 }
 
 void Placer::Count(Work& work, int sign) {
@@ -368,8 +372,8 @@
       target->failures = 0;
       return;
     case WorkEnd::kRefused:
-      target->closed_until = std::max(target->closed_until,
-                                      now + kRefusalClosure);
+      target->closed_until =
+          std::max(target->closed_until, now + kRefusalClosure);
       return;
     case WorkEnd::kWrongTarget:
       target->replaced = true;
@@ -413,8 +417,8 @@
   const auto [at, added] = targets_.try_emplace(name);
   if (added) {
     at->second.info.name = name;
-    at->second.order = XXH3_64bits_withSeed(
-        name.value.data(), name.value.size(), settings_.seed);
+    at->second.order = XXH3_64bits_withSeed(name.value.data(),
+                                            name.value.size(), settings_.seed);
   }
   return at->second;
 }
--- a/src/gateway/edge.h
+++ b/src/gateway/edge.h
@@ -15,9 +15,9 @@
 
 /// A caller's request as the gateway needs it.
 struct CallerRequest {
-  std::string id;       ///< The caller's own, one for each of its attempts.
-  std::string host;     ///< Host name it asked for.
-  std::string key;      ///< Of a client account; empty when there is none.
+  std::string id;    ///< The caller's own, one for each of its attempts.
+  std::string host;  ///< Host name it asked for.
+  std::string key;   ///< Of a client account; empty when there is none.
   std::optional<Duration> remaining;  ///< How long the caller will wait.
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
@@ -39,7 +39,7 @@
   Duration remaining{};
   int urgency = 0;  ///< 0 is the most urgent, 9 the least.
   std::vector<Helper> helpers;
-  std::string last_event_id;         ///< Where a resumed stream goes on.
+  std::string last_event_id;  ///< Where a resumed stream goes on.
 };
 
 /// A target's answer as the gateway needs it.
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -165,8 +165,6 @@
   for (std::size_t i = 0; i < state_->tracks.size(); ++i) state_->Step(i);
 }
 
-bool Follower::store_up() const {
-  return state_->failures < kFailuresOfOutage;
-}
+bool Follower::store_up() const { return state_->failures < kFailuresOfOutage; }
 
 }  // namespace comfreyflow::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -111,8 +111,7 @@
     const auto caller = hooks.edge.read_request(request);
     const Route* route =
         table ? table->Match(caller.host, request.path) : nullptr;
-    const bool streams =
-        route != nullptr && route->kind == RouteKind::kStream;
+    const bool streams = route != nullptr && route->kind == RouteKind::kStream;
     return !streams || since < settings.stop_time * kStreamShare;
   }
 
@@ -164,12 +163,12 @@
   /// Facts of members change without an event of their own.
   void WatchFacts() {
     facts_timer.expires_after(kFactsPeriod);
-    facts_timer.async_wait([self = shared_from_this()](
-                               const boost::system::error_code& error) {
-      if (error) return;
-      self->RefreshPeers();
-      self->WatchFacts();
-    });
+    facts_timer.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (error) return;
+          self->RefreshPeers();
+          self->WatchFacts();
+        });
   }
 
   void Announced(const ConfigAnnounced& event) {
@@ -231,8 +230,8 @@
         .With("fingerprint", evidence.fingerprint)
         .With("target", evidence.target)
         .With("crashes", std::uint64_t{crashed.size()});
-    peers.ShareSuspect({evidence.fingerprint,
-                        static_cast<std::uint32_t>(crashed.size())});
+    peers.ShareSuspect(
+        {evidence.fingerprint, static_cast<std::uint32_t>(crashed.size())});
   }
 
   /// A peer's count stands for as many targets, whose names do not travel.
@@ -254,23 +253,22 @@
 
   void StopTick() {
     stop_timer.expires_after(kStopTick);
-    stop_timer.async_wait([self = shared_from_this()](
-                              const boost::system::error_code& error) {
-      if (error) return;
-      const Duration since = Now() - self->stop_began;
-      const bool idle = self->relays.open == 0 &&
-                        self->callers.unanswered() == 0 &&
-                        since > self->settings.stop_time * kLeastStopShare;
-      if (!idle && since < self->settings.stop_time - kExitMargin) {
-        return self->StopTick();
-      }
-      LogLine(Severity::kInfo, "stopped")
-          .With("open_requests", std::uint64_t{self->relays.open})
-          .With("took",
-                std::chrono::duration_cast<milliseconds>(since));
-      self->peers.Leave();
-      self->hooks.stopped();
-    });
+    stop_timer.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (error) return;
+          const Duration since = Now() - self->stop_began;
+          const bool idle = self->relays.open == 0 &&
+                            self->callers.unanswered() == 0 &&
+                            since > self->settings.stop_time * kLeastStopShare;
+          if (!idle && since < self->settings.stop_time - kExitMargin) {
+            return self->StopTick();
+          }
+          LogLine(Severity::kInfo, "stopped")
+              .With("open_requests", std::uint64_t{self->relays.open})
+              .With("took", std::chrono::duration_cast<milliseconds>(since));
+          self->peers.Leave();
+          self->hooks.stopped();
+        });
   }
 
   asio::io_context& io;
@@ -299,13 +297,14 @@
 
 Gateway::Gateway(asio::io_context& io, GatewaySettings settings,
                  GatewayHooks hooks)
-    : state_(std::make_shared<State>(io, std::move(settings),
-                                     std::move(hooks))) {}
+    : state_(
+          std::make_shared<State>(io, std::move(settings), std::move(hooks))) {}
 
 Gateway::~Gateway() = default;
 
 std::error_code Gateway::Open() {
-  if (const auto error = state_->callers.Listen(state_->settings.self.callers)) {
+  if (const auto error =
+          state_->callers.Listen(state_->settings.self.callers)) {
     return error;
   }
   if (const auto error =
@@ -370,8 +369,8 @@
                   member.facts.draining || member.facts.generation == 0)) {
       continue;
     }
-    hosts.push_back({member.record.callers,
-                     static_cast<double>(member.record.capacity)});
+    hosts.push_back(
+        {member.record.callers, static_cast<double>(member.record.capacity)});
   }
   return SampleHosts(std::move(hosts), kAddressesOfAnswer,
                      state_->relays.random);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -17,8 +17,8 @@
 namespace comfreyflow::gateway {
 
 struct GatewaySettings {
-  HostRecord self;          ///< With the addresses to bind.
-  std::string placement;    ///< `ip:port` for datagrams about placement.
+  HostRecord self;                 ///< With the addresses to bind.
+  std::string placement;           ///< `ip:port` for datagrams about placement.
   std::vector<std::string> seeds;  ///< `ip:port` of others for gossip.
   std::uint64_t body_memory_bytes = 64 * 1024 * 1024;
   wire::FleetKey key;
--- a/src/gateway/object-store.h
+++ b/src/gateway/object-store.h
@@ -15,7 +15,7 @@
 struct StoredObject {
   std::string name;
   std::uint64_t revision = 0;
-  std::string value;  ///< As its writer left it; may be unreadable.
+  std::string value;     ///< As its writer left it; may be unreadable.
   bool removed = false;  ///< Only in changes.
 };
 
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -25,14 +25,14 @@
 
   void Tick() {
     timer.expires_after(kMembershipTick);
-    timer.async_wait([self = shared_from_this()](
-                         const boost::system::error_code& error) {
-      if (error || self->stopped) return;
-      self->membership.SetFacts(self->hooks.facts());
-      self->membership.SetConfig(self->hooks.config_mark());
-      self->CarryOut(self->membership.Tick(Now()));
-      self->Tick();
-    });
+    timer.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (error || self->stopped) return;
+          self->membership.SetFacts(self->hooks.facts());
+          self->membership.SetConfig(self->hooks.config_mark());
+          self->CarryOut(self->membership.Tick(Now()));
+          self->Tick();
+        });
   }
 
   void CarryOut(const MembershipOutput& output) {
@@ -63,8 +63,8 @@
 
 Peers::Peers(asio::io_context& io, MembershipSettings settings,
              wire::FleetKey key, PeersHooks hooks)
-    : state_(std::make_shared<State>(io, std::move(settings),
-                                     std::move(hooks))) {
+    : state_(
+          std::make_shared<State>(io, std::move(settings), std::move(hooks))) {
   state_->socket = std::make_shared<node::GossipSocket>(
       io, std::move(key),
       [state = std::weak_ptr(state_)](const Datagram& datagram,
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -55,10 +55,10 @@
     ServiceName service;
     PlaceJob job;
     Callback done;
-    HostName asked;       ///< Whom.
-    Time first_asked;     ///< That host.
+    HostName asked;    ///< Whom.
+    Time first_asked;  ///< That host.
     Time last_asked;
-    bool heard = false;   ///< That host said that the request waits.
+    bool heard = false;  ///< That host said that the request waits.
     bool placed = false;
     bool begun = false;
     std::vector<PlacedTarget> targets;
@@ -221,8 +221,7 @@
   }
 
   /// Remembers what left the list, besides what it says is leaving.
-  void NoteUnfit(
-      const std::map<ServiceName, std::vector<PoolTarget>>& next) {
+  void NoteUnfit(const std::map<ServiceName, std::vector<PoolTarget>>& next) {
     std::set<TargetName> leaving;
     std::set<TargetName> listed;
     for (const auto& [service, pool] : next) {
@@ -243,8 +242,8 @@
     unfit.merge(leaving);
   }
 
-  void Note(const Own& request, const RequestId& id,
-            std::optional<WorkEnd> end, const TargetName& at) {
+  void Note(const Own& request, const RequestId& id, std::optional<WorkEnd> end,
+            const TargetName& at) {
     if (request.asked == settings.self || request.asked.value.empty()) {
       Placer& placer = PlacerOf(request.service);
       if (end) {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -19,7 +19,7 @@
   std::string address;  ///< `ip:port` for datagrams about placement.
   Incarnation incarnation;
   std::uint32_t capacity = 100;  ///< In hundredths of a core.
-  bool may_hold = true;  ///< Whether it may hold placers.
+  bool may_hold = true;          ///< Whether it may hold placers.
   bool operator==(const PlacementPeer&) const = default;
 };
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -221,20 +221,18 @@
     for (std::size_t i = 1; i < grant_.targets.size(); ++i) {
       const auto& target = grant_.targets[i];
       const auto held = std::find_if(
-          wanted_.begin(), wanted_.end(), [&target](const Reservation& r) {
-            return r.target == target.name;
-          });
+          wanted_.begin(), wanted_.end(),
+          [&target](const Reservation& r) { return r.target == target.name; });
       forward.helpers.push_back(
           {target.address, held == wanted_.end() ? "" : held->id});
     }
-    forward.last_event_id =
-        splitter_.last_id().empty() ? caller_.last_event_id
-                                    : splitter_.last_id();
+    forward.last_event_id = splitter_.last_id().empty() ? caller_.last_event_id
+                                                        : splitter_.last_id();
     stage_ = progress_.head_sent ? Stage::kStreaming : Stage::kSent;
     http::CallOptions options;
     options.connect_timeout = kConnectTimeout;
-    options.progress_timeout = ceil<milliseconds>(deadline_ - now) +
-                               std::chrono::seconds(1);
+    options.progress_timeout =
+        ceil<milliseconds>(deadline_ - now) + std::chrono::seconds(1);
     if (!Repeatable(*route_)) options.idle_limit = kUnsafeIdleLimit;
     call_ = context_.client.Open(
         grant_.targets.front().address,
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -24,8 +24,8 @@
 /// Sends a release until it is answered.
 class ReleaseLoop : public std::enable_shared_from_this<ReleaseLoop> {
  public:
-  ReleaseLoop(asio::io_context& io, http::Client& client,
-              std::string address, std::function<http::Request()> request)
+  ReleaseLoop(asio::io_context& io, http::Client& client, std::string address,
+              std::function<http::Request()> request)
       : client_(client),
         address_(std::move(address)),
         request_(std::move(request)),
@@ -36,11 +36,11 @@
     http::CallOptions options;
     options.connect_timeout = kOrderTimeout;
     options.progress_timeout = kOrderTimeout;
-    client_.Fetch(address_, request_(), options,
-                  [self = shared_from_this()](http::CallEnd end,
-                                              const http::Response&) {
-                    if (end.code != Errc::kOk) self->Again();
-                  });
+    client_.Fetch(
+        address_, request_(), options,
+        [self = shared_from_this()](http::CallEnd end, const http::Response&) {
+          if (end.code != Errc::kOk) self->Again();
+        });
   }
 
  private:
@@ -80,17 +80,16 @@
     http::CallOptions options;
     options.connect_timeout = kOrderTimeout;
     options.progress_timeout = kOrderTimeout;
-    client.Fetch(
-        reservation.address,
-        edge.write_reserve(reservation.target.value, reservation.id,
-                           reservation.tokens, kReservationLife),
-        options,
-        [self = shared_from_this(), target = reservation.target](
-            http::CallEnd end, const http::Response& answer) {
-          const bool granted =
-              end.code == Errc::kOk && self->edge.read_reserved(answer);
-          self->Answered(target, granted, answer.status);
-        });
+    client.Fetch(reservation.address,
+                 edge.write_reserve(reservation.target.value, reservation.id,
+                                    reservation.tokens, kReservationLife),
+                 options,
+                 [self = shared_from_this(), target = reservation.target](
+                     http::CallEnd end, const http::Response& answer) {
+                   const bool granted = end.code == Errc::kOk &&
+                                        self->edge.read_reserved(answer);
+                   self->Answered(target, granted, answer.status);
+                 });
   }
 
   void Answered(const TargetName& target, bool granted, int status) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -40,8 +40,7 @@
 template <int Option>
 using TcpOption = asio::detail::socket_option::integer<IPPROTO_TCP, Option>;
 
-using UserTimeout =
-    TcpOption<TCP_USER_TIMEOUT>;
+using UserTimeout = TcpOption<TCP_USER_TIMEOUT>;
 
 void ProbeSilence(tcp::socket& socket) {
   error_code ignored;
@@ -58,8 +57,8 @@
   if (at == std::string_view::npos) return kIdleLife;
   const auto text = keep_alive.substr(at + kName.size());
   int seconds = 0;
-  const auto end = std::from_chars(text.data(), text.data() + text.size(),
-                                   seconds);
+  const auto end =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
   if (end.ec != std::errc() || seconds < 0) return kIdleLife;
   const std::chrono::milliseconds told = std::chrono::seconds(seconds);
   return std::min(kIdleLife, std::max(told - kIdleMargin, told / 4));
@@ -349,7 +348,7 @@
   bool broken_send_ = false;
   bool head_told_ = false;
   bool foreign_ = false;  ///< The answer under way belongs to another call.
-  bool done_ = false;  ///< No hook runs any more.
+  bool done_ = false;     ///< No hook runs any more.
 };
 
 Client::Client(asio::io_context& io) : pool_(std::make_shared<Pool>(io)) {}
--- a/test/addresses-test.cc
+++ b/test/addresses-test.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
 using std::chrono::seconds;
@@ -107,3 +108,27 @@
   const AddressAnswer answer = addresses.Answer({"d0"}, kStart);
   CHECK(answer.hosts.back() == "10.0.0.2:80");
 }
+
+TEST_CASE(
+    "samples for callers follow the hosts' sizes and hold no host twice") {
+  std::mt19937_64 random(7);
+  std::vector<WeightedHost> hosts;
+  for (int i = 0; i < 20; ++i) {
+    hosts.push_back({"small" + std::to_string(i), 12});
+  }
+  for (int i = 0; i < 4; ++i) {
+    hosts.push_back({"large" + std::to_string(i), 50});
+  }
+  int large = 0;
+  for (int round = 0; round < 1000; ++round) {
+    const auto sample = SampleHosts(hosts, 4, random);
+    REQUIRE(sample.size() == 4);
+    const std::set<std::string> distinct(sample.begin(), sample.end());
+    CHECK(distinct.size() == 4);
+    for (const auto& name : sample) large += name.starts_with("large") ? 1 : 0;
+  }
+  // Their share of the weight is 200 of 440.
+  CHECK(large > 1400);
+  CHECK(large < 2200);
+  CHECK(SampleHosts(hosts, 50, random).size() == 24);
+}
--- /dev/null
+++ b/test/holder-test.cc
@@ -0,0 +1,64 @@
+// Who holds a placer: large and old hosts, and few moves.
+#include "comfreyflow/holder.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+std::vector<HolderCandidate> Hosts(int count, std::uint64_t started) {
+  std::vector<HolderCandidate> hosts;
+  for (int i = 0; i < count; ++i) {
+    hosts.push_back({{"h" + std::to_string(i)}, {started}, 25});
+  }
+  return hosts;
+}
+
+}  // namespace
+
+TEST_CASE("no candidate, no holder") {
+  CHECK(ChooseHolder({}, {"s"}).value.empty());
+}
+
+TEST_CASE("a host that starts takes no placer over") {
+  auto hosts = Hosts(6, 1'000'000);
+  const HostName before = ChooseHolder(hosts, {"s"});
+  for (int i = 0; i < 20; ++i) {
+    hosts.push_back({{"new" + std::to_string(i)}, {1'010'000}, 25});
+    CHECK(ChooseHolder(hosts, {"s"}) == before);
+  }
+}
+
+TEST_CASE("the end of a host moves only what it held") {
+  const auto hosts = Hosts(8, 1'000'000);
+  const HostName holder = ChooseHolder(hosts, {"s"});
+  for (const auto& gone : hosts) {
+    std::vector<HolderCandidate> rest;
+    for (const auto& host : hosts) {
+      if (host.name != gone.name) rest.push_back(host);
+    }
+    const HostName next = ChooseHolder(rest, {"s"});
+    CHECK((next == holder) == (gone.name != holder));
+  }
+}
+
+TEST_CASE("services spread over hosts of one start") {
+  const auto hosts = Hosts(8, 1'000'000);
+  std::set<HostName> holders;
+  for (int i = 0; i < 40; ++i) {
+    holders.insert(ChooseHolder(hosts, {"s" + std::to_string(i)}));
+  }
+  CHECK(holders.size() >= 6);
+}
+
+TEST_CASE("a small host holds nothing beside a large one") {
+  auto hosts = Hosts(20, 1'000'000);
+  for (auto& host : hosts) host.capacity = 12;
+  hosts.push_back({{"large"}, {1'050'000}, 50});
+  for (int i = 0; i < 10; ++i) {
+    CHECK(ChooseHolder(hosts, {"s" + std::to_string(i)}).value == "large");
+  }
+}
--- /dev/null
+++ b/test/placer-test.cc
@@ -0,0 +1,418 @@
+// Placement: short streams and long prompts apart, exact counts over lost
+// messages, deaths and moves, and targets that fail.
+#include "comfreyflow/placer.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+
+using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Time kStart{std::chrono::hours(1)};
+
+EngineModel Engine() {
+  EngineModel engine;
+  engine.slots = 16;
+  engine.memory_tokens = 315'000;
+  engine.step = microseconds(850);
+  engine.step_per_sequence = microseconds(4);
+  engine.step_per_1k_context = microseconds(3);
+  engine.prefill_per_second = 177'000;
+  engine.prefill_per_1m_pairs = microseconds(184);
+  engine.event_tokens = 51;
+  return engine;
+}
+
+std::vector<PoolTarget> Targets(int count, std::uint32_t slots = 16) {
+  std::vector<PoolTarget> targets;
+  for (int i = 0; i < count; ++i) {
+    PoolTarget target;
+    target.name.value = "t" + std::to_string(i);
+    target.address = "10.0.0." + std::to_string(i) + ":1";
+    target.slots = slots;
+    targets.push_back(target);
+  }
+  return targets;
+}
+
+PlaceJob Job(std::uint64_t sequence, Time now, std::uint32_t tokens,
+             const std::string& host = "h") {
+  PlaceJob job;
+  job.id = {{host}, {1}, sequence};
+  job.stream = tokens > 0;
+  job.prompt_tokens = tokens;
+  job.output_tokens = 1000;
+  job.arrival = now;
+  job.deadline = now + seconds(10);
+  job.objective = milliseconds(tokens > 30'000 ? 3000 : 300);
+  job.max_gap = milliseconds(tokens > 30'000 ? 1000 : 250);
+  return job;
+}
+
+Placer EnginePlacer(int engines) {
+  Placer placer({});
+  placer.SetEngine(Engine());
+  placer.SetTargets(Targets(engines), kStart);
+  return placer;
+}
+
+Placer PlainPlacer(int targets, std::uint32_t slots) {
+  Placer placer({});
+  placer.SetTargets(Targets(targets, slots), kStart);
+  return placer;
+}
+
+/// The grant among the verdicts of one ask; fails the test if there is none.
+PlaceGrant Granted(Placer& placer, const PlaceJob& job, Time now) {
+  placer.Ask(job, now);
+  for (const auto& verdict : placer.TakeVerdicts()) {
+    const auto* grant = std::get_if<PlaceGrant>(&verdict);
+    if (grant != nullptr && grant->id == job.id) return *grant;
+  }
+  FAIL("not granted");
+  return {};
+}
+
+std::uint32_t Running(const Placer& placer) {
+  std::uint32_t total = 0;
+  for (const auto& load : placer.Loads()) total += load.running;
+  return total;
+}
+
+/// Invariant of a placer without work: nothing is counted anywhere.
+void CheckEmpty(const Placer& placer) {
+  CHECK(placer.running() == 0);
+  for (const auto& load : placer.Loads()) {
+    CHECK(load.running == 0);
+    CHECK(load.shorts == 0);
+    CHECK(load.long_reads == 0);
+    CHECK(load.reading == Duration::zero());
+    CHECK(load.memory == 0);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("short streams are packed, so that whole engines stay free") {
+  Placer placer = EnginePlacer(20);
+  Time now = kStart;
+  for (std::uint64_t i = 1; i <= 40; ++i) {
+    const PlaceJob job = Job(i, now, 4000);
+    Granted(placer, job, now);
+    placer.Begun(job.id, now + milliseconds(90));
+    now += milliseconds(100);
+  }
+  std::size_t used = 0;
+  for (const auto& load : placer.Loads()) used += load.running > 0 ? 1 : 0;
+  CHECK(used <= 4);
+}
+
+TEST_CASE("unread prompts are spread, so that no pass grows long") {
+  Placer placer = EnginePlacer(20);
+  std::map<TargetName, int> unread;
+  for (std::uint64_t i = 1; i <= 15; ++i) {
+    ++unread[Granted(placer, Job(i, kStart, 4000), kStart).targets[0].name];
+  }
+  for (const auto& [name, count] : unread) CHECK(count <= 1);
+}
+
+TEST_CASE("a long prompt takes as many readers as its objective needs") {
+  Placer placer = EnginePlacer(21);
+  CHECK(Granted(placer, Job(1, kStart, 60'000), kStart).targets.size() == 1);
+  CHECK(Granted(placer, Job(2, kStart, 200'000), kStart).targets.size() >= 3);
+}
+
+TEST_CASE("streams on an engine bear only reads within their pauses") {
+  Placer placer = EnginePlacer(2);
+  const PlaceJob first = Job(1, kStart, 60'000);
+  const auto busy = Granted(placer, first, kStart).targets[0].name;
+  placer.Begun(first.id, kStart + milliseconds(800));
+  // The stream that was begun bears 1 s: 60k tokens fit into that, 140k don't.
+  placer.Ask(Job(2, kStart, 140'000), kStart + milliseconds(800));
+  for (const auto& verdict : placer.TakeVerdicts()) {
+    const auto* grant = std::get_if<PlaceGrant>(&verdict);
+    if (grant == nullptr) continue;
+    for (const auto& target : grant->targets) CHECK(target.name != busy);
+  }
+}
+
+TEST_CASE("a short stream never joins an engine that reads a long prompt") {
+  Placer placer = EnginePlacer(4);
+  const auto reader = Granted(placer, Job(1, kStart, 120'000), kStart);
+  std::set<TargetName> reading;
+  for (const auto& target : reader.targets) reading.insert(target.name);
+  for (std::uint64_t i = 2; i <= 12; ++i) {
+    const PlaceJob job = Job(i, kStart, 2000);
+    const auto grant = Granted(placer, job, kStart);
+    CHECK_FALSE(reading.contains(grant.targets[0].name));
+    placer.Begun(job.id, kStart);
+  }
+}
+
+TEST_CASE("a prompt over one engine's memory sets memory aside at others") {
+  Placer placer = EnginePlacer(21);
+  const PlaceJob job = Job(1, kStart, 700'000);
+  const auto grant = Granted(placer, job, kStart);
+  std::uint64_t reserved = 0;
+  for (const auto& target : grant.targets) reserved += target.reserve_tokens;
+  CHECK(grant.targets[0].reserve_tokens == 0);
+  CHECK(reserved + 0.95 * 315'000 >= 701'000);
+  for (const auto& load : placer.Loads()) CHECK(load.memory <= 315'000);
+  placer.Ended(job.id, WorkEnd::kDone, kStart + seconds(5));
+  CheckEmpty(placer);
+}
+
+TEST_CASE("long prompts leave engines to short streams by their demand") {
+  Placer placer = EnginePlacer(20);
+  Time now = kStart;
+  for (std::uint64_t i = 1; i <= 200; ++i) {
+    const PlaceJob job = Job(i, now, 5000);
+    placer.Ask(job, now);
+    placer.Begun(job.id, now);
+    now += milliseconds(10);
+  }
+  placer.TakeVerdicts();
+  for (std::uint64_t i = 1000; i < 1040; ++i) {
+    placer.Ask(Job(i, now, 300'000), now);
+  }
+  const auto sum = placer.Summarize(now);
+  CHECK(sum.reserve >= 8);
+  CHECK(sum.targets - sum.long_engines >= sum.reserve);
+}
+
+TEST_CASE("a long prompt that waits in a flood of short ones gets engines") {
+  Placer placer = EnginePlacer(10);
+  Time now = kStart;
+  std::uint64_t next = 1;
+  std::map<std::uint64_t, Time> running;
+  Time placed{};
+  const PlaceJob late = Job(100'000, kStart + seconds(3), 100'000);
+  while (now < kStart + seconds(12) && placed == Time{}) {
+    for (int i = 0; i < 2; ++i, ++next) {
+      placer.Ask(Job(next, now, 4000), now);
+      placer.Begun(Job(next, now, 4000).id, now);
+      running[next] = now + milliseconds(1500);
+    }
+    for (auto at = running.begin(); at != running.end();) {
+      if (at->second > now) {
+        ++at;
+        continue;
+      }
+      placer.Ended(Job(at->first, now, 0).id, WorkEnd::kDone, now);
+      at = running.erase(at);
+    }
+    if (now >= late.arrival) placer.Ask(late, now);
+    placer.Tick(now);
+    for (const auto& verdict : placer.TakeVerdicts()) {
+      const auto* grant = std::get_if<PlaceGrant>(&verdict);
+      if (grant != nullptr && grant->id == late.id) placed = now;
+    }
+    now += milliseconds(20);
+  }
+  REQUIRE(placed != Time{});
+  CHECK(placed - late.arrival <= seconds(3));
+}
+
+TEST_CASE("plain servers queue at the placer, not at the server") {
+  Placer placer = PlainPlacer(2, 3);
+  for (std::uint64_t i = 1; i <= 8; ++i) placer.Ask(Job(i, kStart, 0), kStart);
+  CHECK(placer.TakeVerdicts().size() == 6);
+  CHECK(placer.waiting() == 2);
+  placer.Ended(Job(1, kStart, 0).id, WorkEnd::kDone, kStart);
+  CHECK(placer.TakeVerdicts().size() == 1);
+}
+
+TEST_CASE("the same ask again is granted once, and answered again") {
+  Placer placer = PlainPlacer(3, 6);
+  const PlaceJob job = Job(1, kStart, 0);
+  const auto first = Granted(placer, job, kStart);
+  const auto again = Granted(placer, job, kStart + milliseconds(40));
+  CHECK(first.targets == again.targets);
+  CHECK(Running(placer) == 1);
+}
+
+TEST_CASE("a host's word ends what it does not name") {
+  Placer placer = EnginePlacer(8);
+  const PlaceJob kept = Job(1, kStart, 3000);
+  const PlaceJob lost = Job(2, kStart, 200'000);
+  const auto grant = Granted(placer, kept, kStart);
+  Granted(placer, lost, kStart);
+  const RunningWork told{kept.id, grant.targets, true,        true,
+                         3000,    1000,          kept.max_gap};
+  placer.Adopt({"h"}, {told}, kStart + milliseconds(100));
+  CHECK(Running(placer) == 2);  // The word may be older than the grant.
+  placer.Adopt({"h"}, {told}, kStart + seconds(1));
+  CHECK(Running(placer) == 1);
+  placer.Adopt({"h"}, {}, kStart + seconds(2));
+  CheckEmpty(placer);
+}
+
+TEST_CASE("adopted work ends with the next word, however soon") {
+  Placer placer = EnginePlacer(8);
+  const RunningWork told{
+      {{"h"}, {1}, 7}, {{{"t1"}, "a", 0}}, true, false, 90'000, 1000,
+      seconds(1)};
+  placer.Adopt({"h"}, {told}, kStart);
+  CHECK(Running(placer) == 1);
+  placer.Adopt({"h"}, {}, kStart + milliseconds(10));
+  CheckEmpty(placer);
+}
+
+TEST_CASE("work heard of before the list of targets leaves no trace") {
+  Placer placer({});
+  placer.SetEngine(Engine());
+  const RunningWork told{{{"h"}, {1}, 7},
+                         {{{"t1"}, "a", 0}, {{"t2"}, "b", 50'000}},
+                         true,
+                         false,
+                         400'000,
+                         1000,
+                         seconds(1)};
+  placer.Adopt({"h"}, {told}, kStart);
+  placer.SetTargets(Targets(4), kStart);
+  placer.Begun(told.id, kStart + milliseconds(5));
+  placer.Ended(told.id, WorkEnd::kDone, kStart + milliseconds(10));
+  CheckEmpty(placer);
+}
+
+TEST_CASE("targets that leave the list and return keep exact counts") {
+  Placer placer = EnginePlacer(4);
+  const PlaceJob job = Job(1, kStart, 150'000);
+  Granted(placer, job, kStart);
+  placer.SetTargets({}, kStart + milliseconds(10));
+  placer.SetTargets(Targets(4), kStart + milliseconds(20));
+  placer.Ended(job.id, WorkEnd::kDone, kStart + milliseconds(30));
+  CheckEmpty(placer);
+}
+
+TEST_CASE("a host's earlier starts are forgotten, its present one is not") {
+  Placer placer = PlainPlacer(3, 6);
+  PlaceJob before = Job(1, kStart, 0);
+  PlaceJob after = Job(2, kStart, 0);
+  after.id.incarnation = {2};
+  Granted(placer, before, kStart);
+  Granted(placer, after, kStart);
+  placer.Forget({"h"}, {2});
+  CHECK(Running(placer) == 1);
+  placer.Forget({"h"}, {3});
+  CheckEmpty(placer);
+}
+
+TEST_CASE("work whose end was never heard of ends with its deadline") {
+  Placer placer = PlainPlacer(3, 6);
+  Granted(placer, Job(1, kStart, 0), kStart);
+  placer.Tick(kStart + seconds(10));
+  CHECK(Running(placer) == 1);
+  placer.Tick(kStart + seconds(12));
+  CheckEmpty(placer);
+}
+
+TEST_CASE("a target that failed is closed, then gets one trial at a time") {
+  Placer placer = PlainPlacer(1, 6);
+  const PlaceJob first = Job(1, kStart, 0);
+  const PlaceJob beside = Job(2, kStart, 0);
+  Granted(placer, first, kStart);
+  Granted(placer, beside, kStart);
+  placer.Ended(first.id, WorkEnd::kBroken, kStart);
+  placer.Ask(Job(3, kStart, 0), kStart + milliseconds(10));
+  CHECK(placer.TakeVerdicts().empty());
+  const Time later = kStart + milliseconds(300);
+  placer.Ask(Job(4, later, 0), later);
+  placer.Tick(later);
+  CHECK(placer.TakeVerdicts().size() == 1);  // Work from before still runs.
+  placer.Ended(Job(3, kStart, 0).id, WorkEnd::kDone, later);
+  placer.Ended(Job(4, kStart, 0).id, WorkEnd::kDone, later);
+  placer.Tick(later);
+  placer.Ask(Job(5, later, 0), later);
+  placer.Ask(Job(6, later, 0), later);
+  CHECK(placer.TakeVerdicts().size() >= 2);
+}
+
+TEST_CASE("a target whose address another has taken gets nothing") {
+  Placer placer = PlainPlacer(2, 6);
+  const PlaceJob job = Job(1, kStart, 0);
+  const auto wrong = Granted(placer, job, kStart).targets[0].name;
+  placer.Ended(job.id, WorkEnd::kWrongTarget, kStart);
+  placer.SetTargets(Targets(2, 6), kStart + milliseconds(1));
+  for (std::uint64_t i = 2; i < 8; ++i) {
+    CHECK(Granted(placer, Job(i, kStart, 0), kStart).targets[0].name != wrong);
+  }
+}
+
+TEST_CASE("leaving targets get nothing, from the moment they are told") {
+  Placer placer = PlainPlacer(2, 6);
+  auto targets = Targets(2, 6);
+  targets[0].leaving = true;
+  placer.SetTargets(targets, kStart);
+  for (std::uint64_t i = 1; i <= 6; ++i) {
+    const auto grant = Granted(placer, Job(i, kStart, 0), kStart);
+    CHECK(grant.targets[0].name == targets[1].name);
+  }
+}
+
+TEST_CASE("repeats stay within their budget in any window") {
+  PlacerSettings settings;
+  settings.repeat_ratio = 0.2;
+  settings.repeat_slack = 5;
+  Placer placer(settings);
+  placer.SetTargets(Targets(3, 1000), kStart);
+  std::uint32_t repeats = 0;
+  Time now = kStart;
+  for (std::uint64_t i = 1; i <= 100; ++i) {
+    now += milliseconds(20);
+    PlaceJob job = Job(i, now, 0);
+    Granted(placer, job, now);
+    placer.Ended(job.id, WorkEnd::kTargetError, now);
+    job.number = 2;
+    job.repeat = true;
+    placer.Ask(job, now);
+    for (const auto& verdict : placer.TakeVerdicts()) {
+      if (std::holds_alternative<PlaceGrant>(verdict)) ++repeats;
+    }
+  }
+  CHECK(repeats <= 0.2 * 100 + 5);
+  CHECK(repeats >= 20);
+}
+
+TEST_CASE("nothing is granted before the other hosts' work is known") {
+  Placer placer = PlainPlacer(2, 6);
+  placer.HoldUntil(kStart + milliseconds(120));
+  placer.Ask(Job(1, kStart, 0), kStart);
+  CHECK(placer.TakeVerdicts().empty());
+  placer.Tick(kStart + milliseconds(120));
+  CHECK(placer.TakeVerdicts().size() == 1);
+}
+
+TEST_CASE("what can't be served any more is refused, not held") {
+  Placer placer = PlainPlacer(1, 1);
+  Granted(placer, Job(1, kStart, 0), kStart);
+  PlaceJob job = Job(2, kStart, 0);
+  job.deadline = kStart + milliseconds(400);
+  placer.Ask(job, kStart);
+  CHECK(placer.TakeVerdicts().empty());
+  placer.Ask(job, kStart + milliseconds(395));
+  placer.Tick(kStart + milliseconds(395));
+  const auto verdicts = placer.TakeVerdicts();
+  REQUIRE(verdicts.size() == 1);
+  CHECK(std::holds_alternative<PlaceRefusal>(verdicts[0]));
+}
+
+TEST_CASE("hosts that place without knowing of each other choose apart") {
+  std::set<TargetName> chosen;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    PlacerSettings settings;
+    settings.seed = seed;
+    Placer placer(settings);
+    placer.SetEngine(Engine());
+    placer.SetTargets(Targets(20), kStart);
+    chosen.insert(
+        Granted(placer, Job(1, kStart, 3000), kStart).targets[0].name);
+  }
+  CHECK(chosen.size() >= 4);
+}
--- /dev/null
+++ b/test/relay-policy-test.cc
@@ -0,0 +1,92 @@
+// What follows a failed try: only what is true is told, only what may be
+// repeated is.
+#include "comfreyflow/relay-policy.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+Route RouteOf(RouteKind kind, bool resumable = false) {
+  Route route;
+  route.kind = kind;
+  route.resumable = resumable;
+  route.max_attempts = 2;
+  route.objective = milliseconds(300);
+  route.max_gap = milliseconds(250);
+  return route;
+}
+
+RelayProgress After(std::uint32_t tries, std::uint32_t run) {
+  RelayProgress progress;
+  progress.tries = tries;
+  progress.tries_run = run;
+  progress.remaining = seconds(5);
+  return progress;
+}
+
+constexpr TryFailure kLost{true, false, false};
+constexpr TryFailure kNotRun{true, true, false};
+constexpr TryFailure kUnsent{false, false, false};
+
+}  // namespace
+
+TEST_CASE("what must not be repeated is never sent after a lost answer") {
+  const Route route = RouteOf(RouteKind::kUnsafe);
+  CHECK(AfterFailure(route, kLost, After(1, 1)) == NextStep::kAnswerFailed);
+}
+
+TEST_CASE("what was not run may be sent elsewhere, of any kind") {
+  for (const auto kind :
+       {RouteKind::kUnsafe, RouteKind::kSafe, RouteKind::kStream}) {
+    const Route route = RouteOf(kind);
+    CHECK(AfterFailure(route, kNotRun, After(1, 0)) == NextStep::kTryAgain);
+    CHECK(AfterFailure(route, kUnsent, After(1, 0)) == NextStep::kTryAgain);
+  }
+}
+
+TEST_CASE("safe requests run on as many targets as the route says") {
+  const Route route = RouteOf(RouteKind::kSafe);
+  CHECK(AfterFailure(route, kLost, After(1, 1)) == NextStep::kTryAgain);
+  CHECK(AfterFailure(route, kLost, After(2, 2)) == NextStep::kAnswerFailed);
+}
+
+TEST_CASE("not run is told only when no target may have run it") {
+  const Route route = RouteOf(RouteKind::kUnsafe);
+  CHECK(AfterFailure(route, kNotRun, After(kMaxSends, 0)) ==
+        NextStep::kAnswerNotRun);
+  CHECK(AfterFailure(route, kNotRun, After(kMaxSends, 1)) ==
+        NextStep::kAnswerFailed);
+}
+
+TEST_CASE("a stream that began is resumed or cut, never answered anew") {
+  RelayProgress progress = After(1, 1);
+  progress.head_sent = true;
+  const TryFailure resumable{true, false, true};
+  CHECK(AfterFailure(RouteOf(RouteKind::kStream, true), resumable, progress) ==
+        NextStep::kTryAgain);
+  CHECK(AfterFailure(RouteOf(RouteKind::kStream), kLost, progress) ==
+        NextStep::kCut);
+  progress.tries_run = 2;
+  CHECK(AfterFailure(RouteOf(RouteKind::kStream, true), resumable, progress) ==
+        NextStep::kCut);
+}
+
+TEST_CASE("no try is begun without time for it") {
+  RelayProgress progress = After(1, 0);
+  progress.remaining = kLeastTryTime;
+  CHECK(AfterFailure(RouteOf(RouteKind::kSafe), kNotRun, progress) ==
+        NextStep::kAnswerNotRun);
+}
+
+TEST_CASE("silence is waited for longer where pauses may be longer") {
+  Route route = RouteOf(RouteKind::kStream, true);
+  const Duration chat = SilenceLimit(route, true, {});
+  CHECK(chat < seconds(2));  // Callers give up then.
+  route.max_gap = seconds(1);
+  CHECK(SilenceLimit(route, true, {}) > chat);
+  CHECK(SilenceLimit(route, false, seconds(4)) >= seconds(4));
+}
--- /dev/null
+++ b/test/routes-test.cc
@@ -0,0 +1,80 @@
+// Routes: which one a request takes, who holds a key, how weights split.
+#include "comfreyflow/routes.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+Route RouteTo(const std::string& name, const std::string& host,
+              const std::string& prefix) {
+  Route route;
+  route.name = name;
+  route.host = host;
+  route.prefix = prefix;
+  route.services = {{{"s"}, 1}};
+  return route;
+}
+
+RouteTable Table() {
+  RouteDocument document;
+  document.version = 3;
+  document.routes = {RouteTo("short", "a.example", "/x/"),
+                     RouteTo("long", "a.example", "/x/y/"),
+                     RouteTo("other", "b.example", "/x/")};
+  document.keys["k1"] = {{"account"}, 2};
+  return RouteTable(std::move(document));
+}
+
+}  // namespace
+
+TEST_CASE("the longest prefix of the host wins") {
+  const RouteTable table = Table();
+  CHECK(table.Match("a.example", "/x/y/z")->name == "long");
+  CHECK(table.Match("a.example", "/x/z")->name == "short");
+  CHECK(table.Match("b.example", "/x/y/z")->name == "other");
+}
+
+TEST_CASE("host names ignore case and port; other paths have no route") {
+  const RouteTable table = Table();
+  CHECK(table.Match("A.Example:8080", "/x/1")->name == "short");
+  CHECK(table.Match("a.example", "/x") == nullptr);
+  CHECK(table.Match("a.example", "/xy/") == nullptr);
+  CHECK(table.Match("c.example", "/x/") == nullptr);
+}
+
+TEST_CASE("keys name their account; unknown ones none") {
+  const RouteTable table = Table();
+  REQUIRE(table.Holder("k1") != nullptr);
+  CHECK(table.Holder("k1")->account.value == "account");
+  CHECK(table.Holder("k1")->priority == 2);
+  CHECK(table.Holder("") == nullptr);
+  CHECK(table.Holder("k2") == nullptr);
+}
+
+TEST_CASE("weights split a route in proportion") {
+  Route route;
+  route.services = {{{"big"}, 9}, {{"small"}, 1}, {{"none"}, 0}};
+  int big = 0;
+  int small = 0;
+  for (std::uint64_t draw = 0; draw < 1000; ++draw) {
+    const ServiceName service = ChooseService(route, draw);
+    big += service.value == "big" ? 1 : 0;
+    small += service.value == "small" ? 1 : 0;
+  }
+  CHECK(big == 900);
+  CHECK(small == 100);
+}
+
+TEST_CASE("what may run twice follows from the kind") {
+  Route route;
+  route.kind = RouteKind::kUnsafe;
+  CHECK_FALSE(Repeatable(route));
+  route.kind = RouteKind::kSafe;
+  CHECK(Repeatable(route));
+  route.kind = RouteKind::kStream;
+  CHECK_FALSE(Repeatable(route));
+  route.resumable = true;
+  CHECK(Repeatable(route));
+}
--- /dev/null
+++ b/test/target-book-test.cc
@@ -0,0 +1,97 @@
+// Targets over outages of their list.
+#include "comfreyflow/target-book.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Time kStart{std::chrono::hours(1)};
+constexpr Duration kReturn = seconds(2);
+
+TargetEntry Entry(const std::string& name, bool leaving = false) {
+  TargetEntry entry;
+  entry.service.value = "s";
+  entry.target.name.value = name;
+  entry.target.address = "10.0.0.1:1";
+  entry.target.slots = 4;
+  entry.target.leaving = leaving;
+  return entry;
+}
+
+std::size_t InPool(const TargetBook& book) {
+  const auto pool = book.Pool();
+  const auto at = pool.find({"s"});
+  return at == pool.end() ? 0 : at->second.size();
+}
+
+}  // namespace
+
+TEST_CASE("an entry that goes while the list is kept is gone at once") {
+  TargetBook book(kReturn);
+  book.Listed({Entry("a"), Entry("b")}, kStart);
+  CHECK(book.TakeChanged());
+  book.Removed({"a"}, kStart + seconds(1));
+  CHECK(InPool(book) == 1);
+  CHECK(book.TakeChanged());
+  CHECK_FALSE(book.TakeChanged());
+}
+
+TEST_CASE("entries that lapsed in an outage are used until they had time") {
+  TargetBook book(kReturn);
+  book.Listed({Entry("a"), Entry("b")}, kStart);
+  book.KeeperLost(kStart + seconds(1));
+  book.KeeperBack(kStart + seconds(5));
+  book.Listed({Entry("b")}, kStart + seconds(5));
+  book.Tick(kStart + seconds(5) + kReturn - milliseconds(1));
+  CHECK(InPool(book) == 2);
+  CHECK(book.missing() == 1);
+  SUBCASE("one that came back stays") {
+    book.Put(Entry("a"));
+    book.Tick(kStart + seconds(8));
+    CHECK(InPool(book) == 2);
+  }
+  SUBCASE("one that did not is gone") {
+    book.Tick(kStart + seconds(5) + kReturn);
+    CHECK(InPool(book) == 1);
+    CHECK(book.missing() == 0);
+  }
+}
+
+TEST_CASE("what was leaving does not come back by an outage") {
+  TargetBook book(kReturn);
+  book.Listed({Entry("a", true)}, kStart);
+  book.KeeperLost(kStart);
+  book.KeeperBack(kStart + seconds(1));
+  book.Listed({}, kStart + seconds(1));
+  CHECK(InPool(book) == 0);
+}
+
+TEST_CASE("a second outage begins the time anew") {
+  TargetBook book(kReturn);
+  book.Listed({Entry("a")}, kStart);
+  book.KeeperLost(kStart);
+  book.KeeperBack(kStart + seconds(1));
+  book.Listed({}, kStart + seconds(1));
+  book.KeeperLost(kStart + seconds(2));
+  book.Tick(kStart + seconds(4));
+  CHECK(InPool(book) == 1);
+  book.KeeperBack(kStart + seconds(5));
+  book.Tick(kStart + seconds(6));
+  CHECK(InPool(book) == 1);
+  book.Tick(kStart + seconds(7));
+  CHECK(InPool(book) == 0);
+}
+
+TEST_CASE("the same entry again is no change") {
+  TargetBook book(kReturn);
+  book.Put(Entry("a"));
+  CHECK(book.TakeChanged());
+  book.Put(Entry("a"));
+  CHECK_FALSE(book.TakeChanged());
+  book.Put(Entry("a", true));
+  CHECK(book.TakeChanged());
+}
