--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -69,7 +69,8 @@
                hooks.edge,
                settings.self.failure_domain,
                [this] { return table; },
-               [this](const CrashEvidence& evidence) { ShareCrash(evidence); }},
+               [this](const CrashEvidence& evidence) { ShareCrash(evidence); },
+               metrics},
         peers(io,
               {settings.self, settings.seeds, settings.self.incarnation.value},
               settings.key, PeerHooks()),
@@ -277,6 +278,7 @@
   std::shared_ptr<const RouteTable> table;
   std::string document_text;
   ConfigMark mark;
+  node::Metrics metrics;
   http::Client client;
   Placement placement;
   RelayContext relays;
@@ -390,6 +392,51 @@
   state_->StopTick();
 }
 
+std::string Gateway::MetricsText() const {
+  return state_->metrics.Render(
+      {state_->relays.open, state_->relays.open, state_->body_budget->used()});
+}
+
+nlohmann::ordered_json Gateway::Dump() const {
+  using Json = nlohmann::ordered_json;
+  Json hosts = Json::array();
+  for (const auto& [name, member] : state_->peers.members()) {
+    hosts.push_back({{"name", name.value},
+                     {"state", ToString(member.state)},
+                     {"generation", member.facts.generation},
+                     {"draining", member.facts.draining},
+                     {"detached", member.facts.detached},
+                     {"capacity", member.record.capacity}});
+  }
+  Json services = Json::object();
+  if (state_->table) {
+    for (const auto& [name, service] : state_->table->document().services) {
+      Json targets = Json::array();
+      for (const auto& load : state_->placement.Loads(name)) {
+        targets.push_back({{"name", load.name.value},
+                           {"running", load.running},
+                           {"short_streams", load.shorts},
+                           {"long_reads", load.long_reads},
+                           {"memory_tokens", load.memory},
+                           {"failures", load.failures},
+                           {"pace", load.pace},
+                           {"leaving", load.leaving}});
+      }
+      services[name.value] = {
+          {"holder", state_->placement.HolderOf(name).value},
+          {"targets", std::move(targets)}};
+    }
+  }
+  return Json{{"host", state_->settings.self.name.value},
+              {"version", version()},
+              {"ready", ready()},
+              {"stopping", state_->stopping},
+              {"store_reachable", state_->store_reachable},
+              {"open_requests", state_->relays.open},
+              {"hosts", std::move(hosts)},
+              {"services", std::move(services)}};
+}
+
 std::size_t Gateway::open_requests() const { return state_->relays.open; }
 
 }  // namespace comfreyflow::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,10 @@
   /// Begins the planned stop.
   void Stop();
   std::size_t open_requests() const;
+  /// Prometheus text.
+  std::string MetricsText() const;
+  /// The whole state of this process, for people.
+  nlohmann::ordered_json Dump() const;
 
  private:
   struct State;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -205,7 +205,8 @@
   // ---- A try at a target ----
 
   void Send(Time now) {
-    ++progress_.tries;
+    if (++progress_.tries > 1) context_.metrics.Retried();
+    context_.metrics.QueueWait(now - arrival_);
     try_begun_ = false;
     sent_ = false;
     head_ = {};
@@ -294,6 +295,7 @@
     }
     const std::string events = splitter_.Feed(bytes);
     if (events.empty()) return;
+    NotePause();
     if (!try_begun_) {
       try_begun_ = true;
       context_.placement.Begun(id_);
@@ -302,11 +304,27 @@
     PassEvents(events);
   }
 
+  node::LengthClass Length() const {
+    return node::ClassOf(caller_.prompt_tokens);
+  }
+
+  void NotePause() {
+    const Time now = Now();
+    if (progress_.head_sent) {
+      context_.metrics.BetweenTokens(Length(), now - last_event_);
+    }
+    longest_pause_ = progress_.head_sent
+                         ? std::max(longest_pause_, now - last_event_)
+                         : Duration::zero();
+    last_event_ = now;
+  }
+
   void PassEvents(const std::string& events) {
     if (!progress_.head_sent) {
       progress_.head_sent = true;
       stage_ = Stage::kStreaming;
       first_event_ = Now() - arrival_;
+      context_.metrics.FirstToken(Length(), first_event_);
       exchange_->StartStream(context_.edge.write_head(answer_));
     }
     exchange_->Write(events);
@@ -527,6 +545,7 @@
     ++try_number_;
     deadline_timer_.Cancel();
     silence_timer_.Cancel();
+    context_.metrics.Finished(code);
     const auto severity =
         code == Errc::kOk ? Severity::kInfo : Severity::kWarning;
     LogLine(severity, "request_ended")
@@ -539,6 +558,7 @@
         .With("ran", std::uint64_t{progress_.tries_run})
         .With("events", std::uint64_t{splitter_.events()})
         .With("first_event", duration_cast<milliseconds>(first_event_))
+        .With("longest_pause", duration_cast<milliseconds>(longest_pause_))
         .With("took", duration_cast<milliseconds>(Now() - arrival_));
     exchange_.reset();
     self_.reset();
@@ -559,6 +579,8 @@
   const Time arrival_;
   Time deadline_;
   Duration first_event_{};
+  Duration longest_pause_{};  ///< Between events that the caller got.
+  Time last_event_;
   http::detail::LazyTimer deadline_timer_;
   http::detail::LazyTimer silence_timer_;
   Stage stage_ = Stage::kPlacing;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -13,6 +13,7 @@
 #include "gateway/placement.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "node/metrics.h"
 
 namespace comfreyflow::gateway {
 
@@ -25,6 +26,7 @@
   FailureDomain domain;
   std::function<std::shared_ptr<const RouteTable>()> table;
   std::function<void(const CrashEvidence&)> share_crash;
+  node::Metrics& metrics;
   Poison poison{};
   std::mt19937_64 random{};
   std::size_t open = 0;  ///< Requests without a final answer.
--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -1,10 +1,13 @@
 // Turns glog lines into JSON objects.
 #include "node/log.h"
 
+#include <fcntl.h>
 #include <glog/logging.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <ctime>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 
@@ -54,11 +57,64 @@
     }
     out += '\n';
     const std::lock_guard lock(mutex_);
-    std::fwrite(out.data(), 1, out.size(), stderr);
+    if (lost_ > 0) {
+      const std::string told = Json{{"time", TimeText()},
+                                    {"severity", "warning"},
+                                    {"event", "lines_lost"},
+                                    {"lines", lost_}}
+                                   .dump() +
+                               '\n';
+      if (Write(told)) lost_ = 0;
+    }
+    if (!Write(out)) ++lost_;
   }
 
  private:
+  /// Pipes take lines of this length whole or not at all.
+  static constexpr std::size_t kPipeAtomic = 4096;
+
+  static bool Write(std::string_view line) {
+    if (line.size() > kPipeAtomic) return false;
+    return ::write(STDOUT_FILENO, line.data(), line.size()) ==
+           static_cast<ssize_t>(line.size());
+  }
+
   std::mutex mutex_;
+  std::uint64_t lost_ = 0;
+};
+
+/// Lines of one event in a second at most; failures have a larger share.
+constexpr std::uint32_t kInfoLines = 150;
+constexpr std::uint32_t kWarningLines = 300;
+
+/// Counts lines by event and second.
+class LineBudget {
+ public:
+  /// Whether the line may be written; `left_out` is set to the number of lines
+  /// of the event that an earlier second lost.
+  bool Take(const std::string& event, Severity severity,
+            std::uint64_t& left_out) {
+    const auto now = std::chrono::steady_clock::now();
+    const std::lock_guard lock(mutex_);
+    Count& count = counts_[event];
+    if (now - count.begun >= std::chrono::seconds(1)) {
+      left_out = count.left_out;
+      count = {now, 0, 0};
+    }
+    const auto most = severity == Severity::kInfo ? kInfoLines : kWarningLines;
+    if (++count.lines <= most) return true;
+    ++count.left_out;
+    return false;
+  }
+
+ private:
+  struct Count {
+    std::chrono::steady_clock::time_point begun;
+    std::uint32_t lines = 0;
+    std::uint64_t left_out = 0;
+  };
+  std::mutex mutex_;
+  std::map<std::string, Count> counts_;
 };
 
 }  // namespace
@@ -75,6 +131,8 @@
   for (int level = 0; level < google::NUM_SEVERITIES; ++level) {
     google::SetLogDestination(level, "");
   }
+  ::fcntl(STDOUT_FILENO, F_SETFL,
+          ::fcntl(STDOUT_FILENO, F_GETFL, 0) | O_NONBLOCK);
   google::InitGoogleLogging(program);
   google::SetStderrLogging(google::GLOG_FATAL);
   google::AddLogSink(&sink);
@@ -88,6 +146,16 @@
 
 LogLine::~LogLine() {
   if (!google::IsGoogleLoggingInitialized()) return;
+  static LineBudget budget;
+  std::uint64_t left_out = 0;
+  const std::string event = fields_->json["event"];
+  const bool taken = budget.Take(event, fields_->severity, left_out);
+  if (left_out > 0) {
+    LogLine(Severity::kWarning, "lines_left_out")
+        .With("of", event)
+        .With("lines", left_out);
+  }
+  if (!taken) return;
   const std::string text =
       kObjectMark +
       fields_->json.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -1,5 +1,9 @@
-/// The log: one JSON object a line on standard error, through glog. Lines name
+/// The log: one JSON object a line on standard output, through glog. Lines name
 /// events and typed fields; prompts, answers and keys are never given to it.
+///
+/// Writing never blocks: a reader that is too slow loses whole lines, which are
+/// counted and told in a line `lines_lost`. Each event has a budget of lines a
+/// second; what is beyond it is counted in a line `lines_left_out`.
 #pragma once
 
 #include <chrono>
