--- /dev/null
+++ b/test/platform/stand-ins.cc
@@ -0,0 +1,365 @@
+// Stand-ins of the users' platform.
+#include "platform/stand-ins.h"
+
+#include <algorithm>
+
+namespace comfreyflow::platform {
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr const char* kLocal = "127.0.0.1";
+constexpr std::uint64_t kBudget = 64 * 1024 * 1024;
+
+http::ServerHooks Hooks(std::function<void(http::ExchangePtr)> handle) {
+  http::ServerHooks hooks;
+  hooks.admit_head = [](const http::Request&) { return Errc::kOk; };
+  hooks.handle = std::move(handle);
+  hooks.error_response = [](Errc code) {
+    http::Response response;
+    response.status = Info(code).http_status;
+    return response;
+  };
+  return hooks;
+}
+
+std::string At(std::uint16_t port) {
+  return std::string(kLocal) + ":" + std::to_string(port);
+}
+
+std::uint16_t FreePort(boost::asio::io_context& io) {
+  using boost::asio::ip::tcp;
+  const auto local = boost::asio::ip::make_address(kLocal);
+  tcp::acceptor acceptor(io, tcp::endpoint(local, 0));
+  return acceptor.local_endpoint().port();
+}
+
+http::Response JsonAnswer(int status, const Json& body) {
+  http::Response response;
+  response.status = status;
+  response.body = body.dump();
+  return response;
+}
+
+std::vector<std::string> Parts(const std::string& path) {
+  std::vector<std::string> parts;
+  std::size_t at = 1;
+  while (at <= path.size()) {
+    const auto end = std::min(path.find('/', at), path.size());
+    parts.push_back(path.substr(at, end - at));
+    at = end + 1;
+  }
+  return parts;
+}
+
+}  // namespace
+
+// ---- Store ------------------------------------------------------------------
+
+FakeStore::FakeStore(boost::asio::io_context& io)
+    : budget_(std::make_shared<http::BodyBudget>(kBudget)),
+      server_(io, {},
+              Hooks([this](http::ExchangePtr e) { Handle(std::move(e)); }),
+              budget_) {
+  server_.Listen(At(0));
+}
+
+std::string FakeStore::address() const { return At(server_.port()); }
+
+bool FakeStore::Has(const std::string& kind, const std::string& name) const {
+  const auto at = objects_.find(kind);
+  return at != objects_.end() && at->second.contains(name);
+}
+
+void FakeStore::Put(const std::string& kind, const std::string& name,
+                    const Json& spec) {
+  const Json object{{"Meta", {{"Name", name}, {"Rev", ++revision_}}},
+                    {"Spec", spec},
+                    {"Status", nullptr}};
+  objects_[kind][name] = object;
+  Note(kind, object, false);
+}
+
+void FakeStore::Remove(const std::string& kind, const std::string& name) {
+  const Json object = objects_[kind][name];
+  objects_[kind].erase(name);
+  ++revision_;
+  Note(kind, object, true);
+}
+
+void FakeStore::SetDown(bool down) {
+  down_ = down;
+  if (!down) return;
+  for (auto& waiting : std::exchange(waiting_, {})) waiting.exchange->Abort();
+}
+
+void FakeStore::Note(const std::string& kind, const Json& object,
+                     bool removed) {
+  events_.push_back(
+      {kind, revision_, Json{{"Object", object}, {"Removed", removed}}});
+  std::erase_if(waiting_,
+                [this](const Waiting& waiting) { return Answer(waiting); });
+}
+
+bool FakeStore::Answer(const Waiting& waiting) {
+  Json events = Json::array();
+  for (const auto& event : events_) {
+    if (event.kind == waiting.kind && event.revision > waiting.since) {
+      events.push_back(event.event);
+    }
+  }
+  if (events.empty()) return false;
+  waiting.exchange->Respond(JsonAnswer(
+      200, {{"events", std::move(events)}, {"CurrentRev", revision_}}));
+  return true;
+}
+
+void FakeStore::Handle(http::ExchangePtr exchange) {
+  const http::Request& request = exchange->request();
+  if (down_) return exchange->Respond(JsonAnswer(503, Json::object()));
+  const auto parts = Parts(request.path);
+  const std::string kind = parts.size() > 1 ? parts[1] : "";
+  const std::string since = http::QueryValue(request.query, "Watch");
+  if (request.method == "POST") {
+    const Json body = Json::parse(request.body);
+    const std::string name = body["Meta"]["Name"];
+    if (Has(kind, name)) {
+      return exchange->Respond(JsonAnswer(409, objects_[kind][name]));
+    }
+    Put(kind, name, body["Spec"]);
+    return exchange->Respond(JsonAnswer(201, objects_[kind][name]));
+  }
+  if (request.method == "DELETE") {
+    if (Has(kind, parts.back())) Remove(kind, parts.back());
+    return exchange->Respond(JsonAnswer(200, Json::object()));
+  }
+  if (!since.empty()) {
+    const Waiting waiting{kind, std::stoull(since), std::move(exchange)};
+    if (Answer(waiting)) return;
+    if (http::QueryValue(request.query, "WaitMs") != "0") {
+      return waiting_.push_back(waiting);
+    }
+    return waiting.exchange->Respond(JsonAnswer(
+        200, {{"events", Json::array()}, {"CurrentRev", revision_}}));
+  }
+  Json items = Json::array();
+  for (const auto& [name, object] : objects_[kind]) items.push_back(object);
+  exchange->Respond(JsonAnswer(200, {{"Items", std::move(items)},
+                                     {"MorePages", false},
+                                     {"CurrentRev", revision_}}));
+}
+
+// ---- Target -----------------------------------------------------------------
+
+FakeTarget::FakeTarget(boost::asio::io_context& io, std::string name)
+    : io_(io),
+      name_(std::move(name)),
+      budget_(std::make_shared<http::BodyBudget>(kBudget)),
+      server_(io, {}, Hooks([this](const http::ExchangePtr& e) { Handle(e); }),
+              budget_) {
+  server_.Listen(At(0));
+  handler_ = [this](const http::ExchangePtr& exchange) {
+    http::Response answer = Head(exchange->request());
+    answer.body = "answer of " + name_;
+    exchange->Respond(std::move(answer));
+  };
+}
+
+std::string FakeTarget::address() const { return At(server_.port()); }
+
+http::Response FakeTarget::Head(const http::Request& request,
+                                int status) const {
+  http::Response head;
+  head.status = status;
+  head.content_type = "text/plain";
+  head.fields = {{"x-request-id", std::string(http::FieldValue(
+                                      request.fields, "x-request-id"))},
+                 {"x-seal", "seal-" + name_}};
+  return head;
+}
+
+void FakeTarget::AbortLater(const http::ExchangePtr& exchange) const {
+  constexpr milliseconds kTimeToWrite{50};
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(io_, kTimeToWrite);
+  timer->async_wait([timer, exchange](const boost::system::error_code&) {
+    exchange->Abort();
+  });
+}
+
+void FakeTarget::WriteEvents(const http::ExchangePtr& exchange, int first,
+                             int count) {
+  for (int i = first; i < first + count; ++i) {
+    const std::string id = std::to_string(i);
+    exchange->Write("id: " + id + "\ndata: word" + id + "\n\n");
+  }
+}
+
+void FakeTarget::Handle(const http::ExchangePtr& exchange) {
+  const http::Request& request = exchange->request();
+  if (request.path == "/order") {
+    orders_.push_back(Json::parse(request.body));
+    return exchange->Respond(JsonAnswer(200, {{"Free", 1}}));
+  }
+  requests_.push_back({request.method,
+                       request.path,
+                       request.query,
+                       request.fields,
+                       request.body,
+                       {},
+                       request.target});
+  const auto expected = http::FieldValue(request.fields, "x-target-instance");
+  if (expected != name_) {
+    return exchange->Respond(JsonAnswer(421, Json::object()));
+  }
+  handler_(exchange);
+}
+
+// ---- Site -------------------------------------------------------------------
+
+Site::Site() : client_(io_), store_(std::make_unique<FakeStore>(io_)) {}
+Site::~Site() = default;
+
+FakeTarget& Site::AddTarget(const std::string& service,
+                            const std::string& name) {
+  targets_.push_back(std::make_unique<FakeTarget>(io_, name));
+  List(service, *targets_.back());
+  return *targets_.back();
+}
+
+void Site::List(const std::string& service, const FakeTarget& target,
+                const std::string& state) {
+  store_->Put("servers", target.name(),
+              {{"Service", service},
+               {"Addr", target.address()},
+               {"Zone", "z1"},
+               {"Slots", 8},
+               {"State", state}});
+}
+
+void Site::PutConfig(std::uint64_t version,
+                     const std::function<void(Json&)>& change) {
+  const auto route = [](const char* name, const char* prefix, const char* kind,
+                        const char* service) {
+    return Json{
+        {"Name", name},      {"Host", "a.example"}, {"PathPrefix", prefix},
+        {"Kind", kind},      {"TimeoutMs", 5000},   {"TargetLatencyMs", 300},
+        {"Priority", 1},     {"Service", service},  {"Attempts", 2},
+        {"Resumable", true}, {"MaxGapMs", 250}};
+  };
+  Json config{{"Version", version},
+              {"Routes",
+               {route("safe", "/safe/", "safe", "app"),
+                route("unsafe", "/unsafe/", "unsafe", "app"),
+                route("stream", "/stream/", "stream", "model")}},
+              {"Services",
+               {{{"Name", "app"}},
+                {{"Name", "model"},
+                 {"Engine",
+                  {{"Slots", 8},
+                   {"KvTokens", 100000},
+                   {"Stride", 10},
+                   {"step_ms", 1.0},
+                   {"read_per_s", 1000000.0}}}}}},
+              {"Limits", Json::object()},
+              {"Tenants", {{{"Name", "account1"}, {"ApiKeys", {"key1"}}}}}};
+  if (change) change(config);
+  store_->Put("config", "main", config);
+}
+
+std::size_t Site::AddHost() {
+  HostSettings settings;
+  settings.name = "host" + std::to_string(hosts_.size());
+  settings.failure_domain = "z1";
+  settings.ip = kLocal;
+  settings.callers = At(FreePort(io_));
+  settings.readiness = At(FreePort(io_));
+  settings.directory = At(FreePort(io_));
+  settings.gossip_port = FreePort(io_);
+  settings.placement_port = FreePort(io_);
+  settings.metrics_port = FreePort(io_);
+  settings.store = store_->address();
+  settings.stop_time = std::chrono::seconds(2);
+  settings.repeat_ratio = 0.2;
+  settings.repeat_slack = 100;
+  settings.repeat_window = std::chrono::seconds(10);
+  settings.memory_bytes = kBudget;
+  settings_.push_back(settings);
+  hosts_.push_back(std::make_unique<Host>(io_, settings, "/dev/null"));
+  hosts_.back()->Start();
+  return hosts_.size() - 1;
+}
+
+bool Site::Until(const std::function<bool()>& done) {
+  const auto limit =
+      std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (!done()) {
+    if (std::chrono::steady_clock::now() > limit) return false;
+    if (io_.stopped()) io_.restart();
+    io_.run_for(milliseconds(5));
+  }
+  return true;
+}
+
+bool Site::UntilReady(std::size_t number) {
+  return Until([this, number] {
+    return Get(settings_[number].readiness, "/readyz").response.status == 200;
+  });
+}
+
+std::shared_ptr<Answer> Site::Send(std::size_t number,
+                                   const std::string& method,
+                                   const std::string& path,
+                                   const http::Fields& fields,
+                                   const std::string& body) {
+  http::Request request;
+  request.method = method;
+  request.target = path;
+  request.body = body;
+  request.fields = {{"host", "a.example"},
+                    {"x-request-id", "id" + std::to_string(++next_id_)},
+                    {"x-deadline-ms", "5000"}};
+  if (!http::HasField(fields, "authorization")) {
+    request.fields.push_back({"authorization", "Token key1"});
+  }
+  for (const auto& field : fields) request.fields.push_back(field);
+  const auto answer = std::make_shared<Answer>();
+  http::CallOptions options;
+  options.fresh_connection = true;
+  options.progress_timeout = std::chrono::seconds(9);
+  client_.Fetch(settings_[number].callers, std::move(request), options,
+                [answer](http::CallEnd end, http::Response response) {
+                  answer->ended = true;
+                  answer->whole = end.code == Errc::kOk;
+                  answer->response = std::move(response);
+                });
+  return answer;
+}
+
+Answer Site::Call(std::size_t number, const std::string& method,
+                  const std::string& path, const http::Fields& fields,
+                  const std::string& body) {
+  const auto answer = Send(number, method, path, fields, body);
+  Until([&answer] { return answer->ended; });
+  return *answer;
+}
+
+Answer Site::Get(const std::string& address, const std::string& path) {
+  http::Request request;
+  request.method = "GET";
+  request.target = path;
+  http::CallOptions options;
+  options.fresh_connection = true;
+  const auto answer = std::make_shared<Answer>();
+  client_.Fetch(address, std::move(request), options,
+                [answer](http::CallEnd end, http::Response response) {
+                  answer->ended = true;
+                  answer->whole = end.code == Errc::kOk;
+                  answer->response = std::move(response);
+                });
+  Until([&answer] { return answer->ended; });
+  return *answer;
+}
+
+}  // namespace comfreyflow::platform
--- /dev/null
+++ b/test/platform/translation-test.cc
@@ -0,0 +1,194 @@
+// What the adapter reads and writes: settings, configuration, entries, headers.
+#include <doctest/doctest.h>
+
+#include "platform/documents.h"
+#include "platform/edge.h"
+#include "platform/settings.h"
+
+using namespace comfreyflow;            // NOLINT(google-build-using-namespace)
+using namespace comfreyflow::platform;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr const char* kSettings = R"({
+  "NodeName": "front-1", "Zone": "z1", "Region": "r1", "Ip": "10.1.0.4",
+  "Listen": {"Front": "10.1.0.4:81", "ReadyAddr": "10.1.0.4:82",
+             "Directory": "10.1.0.4:83"},
+  "PortRange": [7340, 7355], "Seeds": ["10.1.0.5:99", "10.2.0.6:99"],
+  "Limits": {"CpuShare": 0.25, "MemoryMb": 260}, "SomethingNew": {"a": 1},
+  "Bounds": {"GraceS": 8, "DrainMs": 2000, "RetryRatio": 0.3},
+  "Platform": {"Addr": "10.9.0.1:8000"}})";
+
+http::Fields CallerFields() {
+  return {{"host", "a.example"},
+          {"x-request-id", "r1"},
+          {"authorization", "Token k1"},
+          {"x-deadline-ms", "1500"},
+          {"x-token-count", "1460,80"},
+          {"connection", "x-hop, keep-alive"},
+          {"x-hop", "1"},
+          {"keep-alive", "timeout=5"},
+          {"x-tenant", "forged"},
+          {"x-target-instance", "forged"},
+          {"transfer-encoding", "chunked"},
+          {"x-prefix-hash", "ab:800"},
+          {"x-kept", "1"},
+          {"x-kept", "2"}};
+}
+
+}  // namespace
+
+TEST_CASE("settings are read, and fields that are not known are ignored") {
+  HostSettings settings;
+  std::string problem;
+  REQUIRE_FALSE(ParseSettings(kSettings, settings, problem));
+  CHECK(settings.name == "front-1");
+  CHECK(settings.callers == "10.1.0.4:81");
+  CHECK(settings.gossip_port == 7340);
+  CHECK(settings.placement_port == 7341);
+  CHECK(settings.seed_ips == std::vector<std::string>{"10.1.0.5", "10.2.0.6"});
+  CHECK(settings.stop_time == seconds(8));
+  CHECK(settings.repeat_ratio == 0.3);
+  CHECK(settings.capacity == 25);
+}
+
+TEST_CASE("settings without a field that is needed name it") {
+  HostSettings settings;
+  std::string problem;
+  std::string text = kSettings;
+  text.replace(text.find("PortRange"), 9, "PortRangs");
+  CHECK(ParseSettings(text, settings, problem) == Errc::kSettingsInvalid);
+  CHECK(problem.find("PortRange") != std::string::npos);
+  CHECK(ParseSettings("{", settings, problem) == Errc::kSettingsInvalid);
+  CHECK(ParseSettings("[]", settings, problem) == Errc::kSettingsInvalid);
+}
+
+TEST_CASE("a configuration is read whole or not at all") {
+  RouteDocument document;
+  const std::string text = R"({"Version": 7, "Routes": [
+    {"Name": "r", "Host": "a", "PathPrefix": "/x/", "Kind": "stream",
+     "TimeoutMs": 10000, "TargetLatencyMs": 300, "MaxGapMs": 250,
+     "Attempts": 2, "Resumable": true,
+     "Split": [{"Service": "s1", "Weight": 90}, {"Service": "s2", "Weight": 10}]}],
+    "Services": [{"Name": "s1", "Engine": {"Slots": 16, "KvTokens": 315000,
+      "step_ms": 0.85, "read_per_s": 177000.0, "pairs_per_m": 0.184,
+      "Stride": 51}}, {"Name": "s2"}],
+    "Limits": {"IdleTimeoutMs": 15000},
+    "Tenants": [{"Name": "t", "ApiKeys": ["k1", "k2"], "Priority": 0}]})";
+  REQUIRE_FALSE(ReadDocument(text, document));
+  CHECK(document.version == 7);
+  const Route& route = document.routes.at(0);
+  CHECK(route.kind == RouteKind::kStream);
+  CHECK(route.max_gap == milliseconds(250));
+  CHECK(route.services.size() == 2);
+  CHECK(document.services.at({"s1"}).engine->event_tokens == 51);
+  CHECK(document.services.at({"s1"}).engine->step ==
+        std::chrono::microseconds(850));
+  CHECK_FALSE(document.services.at({"s2"}).engine.has_value());
+  CHECK(document.keys.at("k2").priority == 0);
+  CHECK(document.limits.idle_timeout == milliseconds(15000));
+  CHECK(ReadDocument(text.substr(1), document) == Errc::kConfigInvalid);
+  CHECK(ReadDocument(R"({"Version": "x", "Routes": []})", document) ==
+        Errc::kConfigInvalid);
+  CHECK(document.version == 7);
+}
+
+TEST_CASE("entries of other writers name no target") {
+  TargetEntry entry;
+  const std::string good =
+      R"({"Service":"s","Addr":"10.0.0.1:1","Slots":4,"State":"draining"})";
+  REQUIRE(ReadTarget("i1", good, entry));
+  CHECK(entry.target.leaving);
+  for (const char* bad :
+       {"", "x", "[]", "{}",
+        R"({"Service":"s","Addr":7,"Slots":4,"State":"ready"})",
+        R"({"Service":"s","Addr":"a:1","Slots":"4","State":"ready"})",
+        R"({"Service":"s","Addr":"a:1","Slots":4,"State":"other"})",
+        R"({"Service":"","Addr":"a:1","Slots":4,"State":"ready"})"}) {
+    CHECK_FALSE(ReadTarget("i1", bad, entry));
+  }
+}
+
+TEST_CASE("a target sees the request without key and connection headers") {
+  const auto edge = MakeEdge();
+  http::Request request;
+  request.method = "POST";
+  request.target = "/x/2f?a=%20b&";
+  request.fields = CallerFields();
+  request.body = "body";
+  gateway::ForwardHead head;
+  head.target = "i1";
+  head.account = "account1";
+  head.remaining = milliseconds(900);
+  head.helpers = {{"10.0.0.2:1", "t81"}, {"10.0.0.3:1", ""}};
+  const auto out = edge.write_request(request, head);
+  CHECK(out.target == "/x/2f?a=%20b&");
+  CHECK(out.body == "body");
+  CHECK(http::FieldValue(out.fields, "x-deadline-ms") == "900");
+  CHECK(http::FieldValue(out.fields, "x-tenant") == "account1");
+  CHECK(http::FieldValue(out.fields, "x-target-instance") == "i1");
+  CHECK(http::FieldValue(out.fields, "x-helpers") ==
+        "10.0.0.2:1/t81,10.0.0.3:1");
+  CHECK(http::FieldValue(out.fields, "x-prefix-hash") == "ab:800");
+  for (const char* dropped : {"authorization", "x-hop", "connection",
+                              "keep-alive", "transfer-encoding"}) {
+    CHECK_FALSE(http::HasField(out.fields, dropped));
+  }
+  int kept = 0;
+  int accounts = 0;
+  for (const auto& field : out.fields) {
+    kept += field.name == "x-kept" ? 1 : 0;
+    accounts += field.name == "x-tenant" ? 1 : 0;
+  }
+  CHECK(kept == 2);
+  CHECK(accounts == 1);
+}
+
+TEST_CASE("a caller's request is understood, bad numbers are none") {
+  const auto edge = MakeEdge();
+  http::Request request;
+  request.fields = CallerFields();
+  auto read = edge.read_request(request);
+  CHECK(read.key == "k1");
+  CHECK(read.prompt_tokens == 1460);
+  CHECK(read.max_output_tokens == 80);
+  CHECK(read.remaining == milliseconds(1500));
+  request.fields = {{"x-token-count", "99999999999999999999,-4"},
+                    {"x-deadline-ms", "soon"},
+                    {"authorization", "Bearer k1"}};
+  read = edge.read_request(request);
+  CHECK(read.prompt_tokens == 0);
+  CHECK(read.max_output_tokens == 0);
+  CHECK_FALSE(read.remaining.has_value());
+  CHECK(read.key.empty());
+}
+
+TEST_CASE("an answer is authentic only with its mark and without encoding") {
+  const auto edge = MakeEdge();
+  http::Response response;
+  response.fields = {{"x-seal", "s"}, {"content-type", "text/event-stream"}};
+  CHECK(edge.read_head(response).authentic);
+  CHECK(edge.read_head(response).event_stream);
+  response.fields.push_back({"content-encoding", "gzip"});
+  CHECK_FALSE(edge.read_head(response).authentic);
+  response.fields = {{"x-not-run", "1"}, {"at-server", "i9"}};
+  response.status = 503;
+  CHECK(edge.read_head(response).told_not_run);
+  CHECK(edge.read_head(response).at_fault == "i9");
+  response.status = 421;
+  response.fields.clear();
+  CHECK(edge.read_head(response).wrong_target);
+}
+
+TEST_CASE("own failures carry a promise only where nothing ran") {
+  const auto edge = MakeEdge();
+  const auto refused =
+      edge.write_failure(Errc::kDraining, milliseconds(250), "r");
+  CHECK(refused.status == 503);
+  CHECK(http::FieldValue(refused.fields, "retry-after") == "0.250");
+  const auto failed = edge.write_failure(Errc::kTargetFailed, {}, "r");
+  CHECK(failed.status == 502);
+  CHECK_FALSE(http::HasField(failed.fields, "retry-after"));
+}
