--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -336,6 +336,30 @@
   CHECK(http::FieldValue(last.response.fields, "connection") == "close");
 }
 
+TEST_CASE("a target's work ends when its caller leaves") {
+  Site site;
+  FakeTarget& target = site.AddTarget("model", "i1");
+  bool left = false;
+  http::ExchangePtr open;
+  target.OnRequest([&](const http::ExchangePtr& exchange) {
+    open = exchange;
+    exchange->OnGone([&left] { left = true; });
+    http::Response head = target.Head(exchange->request());
+    head.content_type = "text/event-stream";
+    exchange->StartStream(std::move(head));
+    FakeTarget::WriteEvents(exchange, 1, 2);
+  });
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  const auto answer = site.Send(host, "POST", "/stream/1", kStreamFields);
+  REQUIRE(site.Until([&] { return open != nullptr; }));
+  CHECK_FALSE(left);
+  answer->call->Cancel();
+  CHECK(site.Until([&left] { return left; }));
+  CHECK(target.requests().size() == 1);
+}
+
 TEST_CASE("hosts find each other, share placement and answer with addresses") {
   Site site;
   FakeTarget& target = site.AddTarget("app", "i1");
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -328,12 +328,13 @@
   http::CallOptions options;
   options.fresh_connection = true;
   options.progress_timeout = std::chrono::seconds(9);
-  client_.Fetch(settings_[number].callers, std::move(request), options,
-                [answer](http::CallEnd end, http::Response response) {
-                  answer->ended = true;
-                  answer->whole = end.code == Errc::kOk;
-                  answer->response = std::move(response);
-                });
+  answer->call =
+      client_.Fetch(settings_[number].callers, std::move(request), options,
+                    [answer](http::CallEnd end, http::Response response) {
+                      answer->ended = true;
+                      answer->whole = end.code == Errc::kOk;
+                      answer->response = std::move(response);
+                    });
   return answer;
 }
 
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -92,6 +92,7 @@
 
 /// What a caller got.
 struct Answer {
+  std::shared_ptr<http::Call> call;
   bool ended = false;
   bool whole = false;
   http::Response response;
