--- a/src/core/relay/relay-policy.cc
+++ b/src/core/relay/relay-policy.cc
@@ -11,6 +11,9 @@
 /// Shortest silence that is taken for a failure. Callers give a stream up
 /// after two seconds, and a new run needs some hundred ms to its next event.
 constexpr Duration kLeastSilence = milliseconds(1400);
+/// A plain answer comes at once; one that is past its objective by half is
+/// asked of another target.
+constexpr Duration kLeastPlainSilence = milliseconds(200);
 /// A stream's pause may be this many times its bound before it is given up.
 constexpr int kGapsOfSilence = 4;
 /// The first event may take this many times its estimate.
@@ -33,6 +36,9 @@
 }
 
 Duration SilenceLimit(const Route& route, bool begun, Duration estimate) {
+  if (route.kind == RouteKind::kSafe) {
+    return std::max(kLeastPlainSilence, route.objective * 3 / 2);
+  }
   if (begun) return std::max(kLeastSilence, kGapsOfSilence * route.max_gap);
   const Duration expected = std::max(estimate, route.objective);
   return std::max(kLeastSilence, kEstimatesOfSilence * expected);
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -22,6 +22,9 @@
 /// Prints the answer's text to `out` while it comes (complete.cc).
 Report Complete(Args args, std::ostream& out, std::ostream& err);
 
+/// Reads logs only (explain.cc).
+Report Explain(Args args, std::ostream& err);
+
 /// The table of docs/ERRORS.md.
 std::string ErrorsMarkdown();
 
--- a/src/ctl/run.cc
+++ b/src/ctl/run.cc
@@ -38,6 +38,7 @@
       {"drain", "Stop a host without cutting a stream", Quiet(Drain)},
       {"addresses", "Show the hosts that callers should use", Quiet(Addresses)},
       {"complete", "Send a prompt and print the answer as it comes", Complete},
+      {"explain", "Show the way of one request through logs", Quiet(Explain)},
       {"errors", "List all error codes", Quiet(Errors)},
   };
   return all;
--- a/test/relay-policy-test.cc
+++ b/test/relay-policy-test.cc
@@ -90,3 +90,10 @@
   CHECK(SilenceLimit(route, true, {}) > chat);
   CHECK(SilenceLimit(route, false, seconds(4)) >= seconds(4));
 }
+
+TEST_CASE("a plain target that says nothing is given up while time is left") {
+  Route route = RouteOf(RouteKind::kSafe);
+  route.objective = milliseconds(150);
+  CHECK(SilenceLimit(route, false, {}) > route.objective);
+  CHECK(SilenceLimit(route, false, {}) < milliseconds(400));
+}
