--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -241,6 +242,9 @@
   void PlanMemory(Work& work, const std::vector<Target*>& targets) const;
   void Refuse(const Work& work, Errc code, Duration retry_after);
   bool Hopeless(const Work& work, Time now) const;
+  /// Late, priority, end of the objective.
+  using Rank = std::tuple<bool, std::uint32_t, Time>;
+  std::vector<std::pair<Rank, Work*>> RankWaiting(Time now);
   void PlaceWaiting(Time now);
   void DropOverdue(Time now);
   void ChooseClosing(Time now);
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -261,38 +261,51 @@
   return out;
 }
 
+/// What waits in the order of placing: earliest objective first, and what can't
+/// be in time any more behind what can.
+std::vector<std::pair<Placer::Rank, Placer::Work*>> Placer::RankWaiting(
+    Time now) {
+  std::vector<std::pair<Rank, Work*>> ranked;
+  for (const auto& id : waiting_) {
+    Work& work = works_.at(id);
+    const Time due = work.job.arrival + work.job.objective;
+    ranked.emplace_back(Rank(due < now, work.job.priority, due), &work);
+  }
+  std::stable_sort(
+      ranked.begin(), ranked.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  return ranked;
+}
+
 void Placer::PlaceWaiting(Time now) {
   if (waiting_.empty()) {
     long_waits_ = false;
     closing_.clear();
     return;
   }
-  // Earliest objective first, short before long; what can't be in time any
-  // more goes behind what can.
-  const auto key = [this, now](const RequestId& id) {
-    const Work& work = works_.at(id);
-    const Time due = work.job.arrival + work.job.objective;
-    return std::tuple(due < now, work.job.priority, due, id);
-  };
-  std::sort(waiting_.begin(), waiting_.end(),
-            [&key](const RequestId& a, const RequestId& b) {
-              return key(a) < key(b);
-            });
   long_waits_ = false;
+  // A short request that found no place shows that larger ones find none.
+  std::optional<Duration> blocked;
   std::vector<RequestId> left;
-  for (const auto& id : std::exchange(waiting_, {})) {
-    Work& work = works_.at(id);
+  for (const auto& [rank, found] : RankWaiting(now)) {
+    Work& work = *found;
+    const RequestId id = work.job.id;
     if (now - work.asked > kAskLife) {
       works_.erase(id);
       continue;
     }
-    if (TryPlace(work, now)) continue;
+    const bool skip = blocked && !work.is_long && work.read >= *blocked;
+    if (!skip && TryPlace(work, now)) continue;
     if (Hopeless(work, now)) {
       Refuse(work, Errc::kDeadlineInfeasible, Duration::zero());
       works_.erase(id);
       continue;
     }
-    if (work.is_long) long_waits_ = true;
+    if (work.is_long) {
+      long_waits_ = true;
+    } else if (work.job.excluded.empty()) {
+      blocked = std::min(blocked.value_or(work.read), work.read);
+    }
     left.push_back(id);
   }
   waiting_ = std::move(left);
