--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -19,6 +19,8 @@
 /// A watch may be cut off by itself: the first failure is tried again at once.
 constexpr Duration kFirstRetry = milliseconds(50);
 constexpr Duration kLongestRetry = milliseconds(1000);
+/// Before the first list a host can't serve at all.
+constexpr Duration kLongestFirstRetry = milliseconds(300);
 constexpr std::uint32_t kFailuresOfOutage = 2;
 /// Shortest time between two watches of a kind, so that a storm of changes
 /// comes in few answers. It grows with the hosts, which keeps the calls of all
@@ -129,8 +131,10 @@
           .With("kind", tracks[index].kind.kind);
       hooks.lost();
     }
+    const Duration longest =
+        tracks[index].listed ? kLongestRetry : kLongestFirstRetry;
     const Duration wait =
-        std::min(kLongestRetry, kFirstRetry * (1 << std::min(failures, 8U)));
+        std::min(longest, kFirstRetry * (1 << std::min(failures, 8U)));
     Later(index, wait);
   }
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -33,6 +33,8 @@
 /// that is not.
 constexpr std::size_t kWholeAnswerBytes = 1024 * 1024;
 constexpr int kServerErrors = 500;
+/// Least time after which a caller finds a host with configuration again.
+constexpr Duration kNoConfigurationRetry = std::chrono::seconds(1);
 /// Urgency on the wire of a route's priority.
 constexpr int kUrgencySteps = 9;
 
@@ -516,10 +518,20 @@
 
   /// Before the request was admitted.
   void Refuse(Errc code) {
-    exchange_->Respond(context_.edge.write_failure(code, {}, caller_.id));
+    exchange_->Respond(
+        context_.edge.write_failure(code, RetryAfter(code), caller_.id));
     Over(code);
   }
 
+  /// A host without configuration waits for the store; its callers come back
+  /// later, and not all at once.
+  Duration RetryAfter(Errc code) {
+    if (code != Errc::kNoConfiguration) return {};
+    std::uniform_int_distribution<Duration::rep> spread(
+        kNoConfigurationRetry.count(), 2 * kNoConfigurationRetry.count());
+    return Duration(spread(context_.random));
+  }
+
   /// Only codes whose status is a promise when nothing ran.
   void Fail(Errc code, Duration retry_after) {
     const bool promise = Info(code).outcome == Outcome::kNotRun;
