--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -340,12 +340,14 @@
     break;
   }
   if (!ping && answer.records.empty()) return;
-  // A sender that this host does not know does not know this host either.
-  if (!table.Knows(datagram.sender)) {
+  // A sender that introduces itself, or that this host does not know, does not
+  // know this host either.
+  const bool known = table.Knows(datagram.sender);
+  if (!known || (ping && !datagram.records.empty())) {
     answer.records.push_back(settings.self);
-    // Only the sender may have its record, if all others forgot it.
-    answer.wanted.push_back(datagram.sender);
   }
+  // Only the sender may have its record, if all others forgot it.
+  if (!known) answer.wanted.push_back(datagram.sender);
   Fill(answer, datagram.sender, meeting ? kMeetingBytes : kDatagramBytes, now);
   Send(std::move(answer), from, out);
 }
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -37,7 +37,7 @@
 /// A holder that was not asked for so long begins anew.
 constexpr Duration kHoldingLapse = std::chrono::seconds(2);
 /// From the start of a process until it knows its peers.
-constexpr Duration kSettleTime = milliseconds(250);
+constexpr Duration kSettleTime = milliseconds(350);
 constexpr Duration kBusyTick = milliseconds(10);
 constexpr Duration kIdleTick = milliseconds(250);
 /// A service without work is still told of so often, as datagrams get lost.
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -134,6 +134,23 @@
   CHECK(member.state == MemberState::kAlive);
 }
 
+TEST_CASE("a host that starts knows the others within a quarter of a second") {
+  GossipNet net({.hosts = 8, .seed = 5});
+  for (int i = 0; i < 8; ++i) net.Start(i);
+  net.Run(seconds(30));
+  net.Kill(3);
+  net.Run(seconds(20));
+  net.Start(3);
+  std::vector<ListedHost> listed;
+  for (int i = 0; i < 8; ++i) {
+    const auto& self = net.node(i).members().at(net.name(i));
+    listed.push_back({net.name(i), self.record.gossip, false});
+  }
+  net.node(3).SetPlatformList(listed);
+  net.Run(milliseconds(250));
+  CHECK(net.node(3).Live().size() == 8);
+}
+
 TEST_CASE("a host that says it leaves is left out at once and stays so") {
   GossipNet net({.hosts = 8, .seed = 6});
   StartAll(net, seconds(10));
