--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -27,7 +27,11 @@
   std::function<std::shared_ptr<const RouteTable>()> table;
   std::function<void(const CrashEvidence&)> share_crash;
   node::Metrics& metrics;
-  Poison poison{};
+  /// A connection that breaks is no sure sign of a crash, so that more of them
+  /// are needed than where targets tell their crashes.
+  Poison poison{{.crash_limit = 3,
+                 .suspect_time = std::chrono::seconds(60),
+                 .quarantine_time = std::chrono::seconds(60)}};
   std::mt19937_64 random{};
   std::size_t open = 0;  ///< Requests without a final answer.
 };
--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -336,6 +336,35 @@
   CHECK(http::FieldValue(last.response.fields, "connection") == "close");
 }
 
+TEST_CASE("a request that breaks every target reaches three and no more") {
+  Site site;
+  std::vector<FakeTarget*> targets;
+  for (int i = 1; i <= 6; ++i) {
+    targets.push_back(&site.AddTarget("app", "i" + std::to_string(i)));
+    targets.back()->OnRequest([](const http::ExchangePtr& e) {
+      if (e->request().body == "poison") return e->Abort();
+      http::Response answer;
+      answer.fields = {
+          {"x-request-id",
+           std::string(http::FieldValue(e->request().fields, "x-request-id"))},
+          {"x-seal", "s"}};
+      e->Respond(std::move(answer));
+    });
+  }
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  int status = 0;
+  for (int i = 0; i < 8; ++i) {
+    status = site.Call(host, "POST", "/safe/1", {}, "poison").response.status;
+  }
+  std::size_t reached = 0;
+  for (const FakeTarget* target : targets) reached += target->requests().size();
+  CHECK(reached <= 4);
+  CHECK(status == 503);
+  CHECK(site.Call(host, "POST", "/safe/1", {}, "sound").response.status == 200);
+}
+
 TEST_CASE("a target's work ends when its caller leaves") {
   Site site;
   FakeTarget& target = site.AddTarget("model", "i1");
