--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -185,7 +185,9 @@
     Count(work, 1);
   }
   std::vector<RequestId> ended;
-  for (const auto& [id, work] : works_) {
+  for (const auto& entry : works_) {
+    const RequestId& id = entry.first;
+    const Work& work = entry.second;
     if (id.host != host || !work.placed) continue;
     if (!work.adopted && now - work.placed_at < kAdoptMargin) continue;
     const bool named =
--- a/src/core/relay/event-splitter.cc
+++ b/src/core/relay/event-splitter.cc
@@ -22,10 +22,11 @@
 
 std::string EventSplitter::Feed(std::string_view bytes) {
   rest_ += bytes;
+  const std::string_view text = rest_;
   std::size_t begin = 0;
   for (std::size_t end = EndOfEvent(rest_, 0); end != std::string::npos;
        end = EndOfEvent(rest_, begin)) {
-    TakeEvent(std::string_view(rest_).substr(begin, end - begin));
+    TakeEvent(text.substr(begin, end - begin));
     begin = end;
   }
   if (begin == 0 && rest_.size() > kMaxEventBytes) {
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -61,7 +61,7 @@
 
   void List(std::size_t index) {
     store.list(tracks[index].kind.kind,
-               [self = shared_from_this(), index](ObjectList list) {
+               [self = shared_from_this(), index](const ObjectList& list) {
                  if (!self->stopped) self->Listed(index, list);
                });
   }
@@ -80,10 +80,11 @@
     // A probe must not wait: it has to tell soon whether the store is back.
     const Duration wait =
         failures >= kFailuresOfOutage ? Duration::zero() : kWatchTime;
-    store.watch(tracks[index].kind.kind, tracks[index].revision, wait,
-                [self = shared_from_this(), index](ObjectChanges changes) {
-                  if (!self->stopped) self->Changed(index, changes);
-                });
+    store.watch(
+        tracks[index].kind.kind, tracks[index].revision, wait,
+        [self = shared_from_this(), index](const ObjectChanges& changes) {
+          if (!self->stopped) self->Changed(index, changes);
+        });
   }
 
   void Changed(std::size_t index, const ObjectChanges& changes) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -192,8 +192,8 @@
     options.connect_timeout = kPeerTimeout;
     options.progress_timeout = kPeerTimeout;
     client.Fetch(at->second.record.peers, std::move(request), options,
-                 [self = shared_from_this(), host](http::CallEnd end,
-                                                   http::Response answer) {
+                 [self = shared_from_this(), host](
+                     http::CallEnd end, const http::Response& answer) {
                    self->fetching = false;
                    const bool whole =
                        end.code == Errc::kOk && answer.status == kOk;
@@ -207,7 +207,7 @@
   http::ServerHooks PeerCallHooks() {
     http::ServerHooks server;
     server.admit_head = [](const http::Request&) { return Errc::kOk; };
-    server.handle = [this](http::ExchangePtr exchange) {
+    server.handle = [this](const http::ExchangePtr& exchange) {
       http::Response response;
       if (exchange->request().path == kDocumentPath && table) {
         response.body = document_text;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -427,12 +427,12 @@
         .With("target", grant_.targets.front().name)
         .With("cause", cause_)
         .With("end", ToString(end))
-        .With("status", std::uint64_t(std::max(0, head_.status)))
+        .With("status", static_cast<std::uint64_t>(std::max(0, head_.status)))
         .With("sent", sent_)
         .With("not_run", failure.told_not_run)
         .With("head_sent", progress_.head_sent)
         .With("try", std::uint64_t{progress_.tries})
-        .With("next", std::uint64_t(next));
+        .With("next", static_cast<std::uint64_t>(next));
     context_.placement.Ended(id_, end, cause_);
     Follow(next, code);
   }
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -97,7 +97,7 @@
     if (!granted) {
       LogLine(Severity::kWarning, "reservation_refused")
           .With("target", target)
-          .With("status", std::uint64_t(std::max(status, 0)))
+          .With("status", static_cast<std::uint64_t>(std::max(status, 0)))
           .With("held", !done);
     }
     if (!done) return;  // A renewal; the target cuts the request off itself.
