--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -281,7 +281,7 @@
   if (!Verify(kPlacementContext, bytes, key)) return Errc::kBadSignature;
   PlaceDatagram datagram;
   if (auto error = Read(bytes, kMaxDatagramBytes, datagram)) return error;
-  out = std::move(datagram);
+  out = datagram;
   return {};
 }
 
