Slow engines take what the others can't; a host that was cut off takes nothing over

So the choice is made among the sound engines first and among all of them next. Hosts that were cut off while others were not now come after those (one bit of the facts on the wire), and a change of `detached` is told at once, as `draining` is.

--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -51,9 +51,15 @@
   std::uint8_t load = 0;         ///< 0 to `kLoadSteps` - 1.
   bool draining = false;
   bool detached = false;  ///< Does not reach the platform's store.
+  /// It was, while others were not; those are asked for duties before it.
+  bool returned = false;
   bool operator==(const HostFacts&) const = default;
 };
 
+/// Whether the change has to be known soon: it moves what the host does for
+/// others.
+bool ChangesDuties(const HostFacts& before, const HostFacts& after);
+
 /// The configuration in force on the sender.
 struct ConfigMark {
   std::uint64_t generation = 0;
--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -171,6 +171,9 @@
     std::size_t unread = 0;   ///< Work that waits for its first event.
     std::size_t reserve = 0;  ///< Engines that long prompts leave.
     std::size_t closing = 0;  ///< Engines that short streams leave.
+    std::size_t full = 0;     ///< Engines without a free slot.
+    std::size_t poor = 0;     ///< Slow or failing, left out while others do.
+    Duration reading{};       ///< Of all prompts not yet begun.
     std::uint64_t memory = 0;
   };
   Summary Summarize(Time now) const;
@@ -221,13 +224,16 @@
   static bool IsLong(const Work& work);
   Duration EventTime(const Target& target, std::uint64_t context) const;
   bool Usable(const Target& target, const Work& work, Time now) const;
+  static bool IsPoor(const Target& target, Time now);
   bool HasRoom(const Target& target, const Work& work) const;
   double FreeMemory(const Target& target) const;
   bool FillMemory(const Work& work, const std::vector<Target*>& free,
                   std::size_t& readers) const;
   bool Excluded(const Work& work, const TargetName& name) const;
-  std::vector<Target*> Candidates(const Work& work, Time now);
+  std::vector<Target*> Candidates(const Work& work, bool poor_too, Time now);
   bool TryPlace(Work& work, Time now);
+  std::vector<Target*> Choose(const Work& work,
+                              const std::vector<Target*>& targets, Time now);
   Target* ChoosePlain(const Work& work, const std::vector<Target*>& targets);
   Target* ChooseShort(const Work& work, const std::vector<Target*>& targets);
   std::vector<Target*> ChooseLong(const Work& work,
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -449,7 +449,7 @@
 
 void Membership::SetFacts(const HostFacts& facts) {
   HostFacts& own = state_->table.self().facts;
-  if (facts.draining != own.draining) state_->announce = kAnnounceTo;
+  if (ChangesDuties(facts, own)) state_->announce = kAnnounceTo;
   own = facts;
 }
 
--- a/src/core/membership/size.cc
+++ b/src/core/membership/size.cc
@@ -48,6 +48,11 @@
   return {static_cast<std::uint32_t>(hash)};
 }
 
+bool ChangesDuties(const HostFacts& before, const HostFacts& after) {
+  return before.draining != after.draining ||
+         before.detached != after.detached || before.returned != after.returned;
+}
+
 const char* ToString(MemberState state) {
   switch (state) {
     case MemberState::kAlive:
--- a/src/core/membership/table.cc
+++ b/src/core/membership/table.cc
@@ -73,7 +73,7 @@
   Member* member = Lookup(id);
   if (member == nullptr || member->record.name == self_) return;
   if (member->state == MemberState::kLeft || at <= member->evidence) return;
-  if (facts.draining != member->facts.draining) MarkNews(member->id);
+  if (ChangesDuties(facts, member->facts)) MarkNews(member->id);
   member->evidence = at;
   member->facts = facts;
   if (member->state == MemberState::kAlive || at <= member->since) return;
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -110,6 +110,12 @@
   return !Excluded(work, target.info.name);
 }
 
+/// Lately slow or failing: used only while no other target is free.
+bool Placer::IsPoor(const Target& target, Time now) {
+  const bool slow = target.pace > kSlowPace && now - target.paced < kPaceMemory;
+  return slow || target.error_share > kTolerableErrors;
+}
+
 bool Placer::HasRoom(const Target& target, const Work& work) const {
   if (target.running >= target.info.slots) return false;
   if (!engine_ || engine_->memory_tokens == 0) return true;
@@ -151,44 +157,37 @@
   }
 }
 
-std::vector<Placer::Target*> Placer::Candidates(const Work& work, Time now) {
-  std::vector<Target*> good;
-  std::vector<Target*> poor;
+std::vector<Placer::Target*> Placer::Candidates(const Work& work, bool poor_too,
+                                                Time now) {
+  std::vector<Target*> out;
   for (auto& [name, target] : targets_) {
     if (!Usable(target, work, now)) continue;
-    const bool slow =
-        target.pace > kSlowPace && now - target.paced < kPaceMemory;
-    const bool failing = target.error_share > kTolerableErrors;
-    (slow || failing ? poor : good).push_back(&target);
+    if (poor_too || !IsPoor(target, now)) out.push_back(&target);
   }
-  const bool free = std::any_of(good.begin(), good.end(), [&](Target* target) {
-    return work.is_long || HasRoom(*target, work);
-  });
-  if (!free) good.insert(good.end(), poor.begin(), poor.end());
-  return good;
+  return out;
 }
 
 bool Placer::TryPlace(Work& work, Time now) {
   work.is_long = engine_ && work.job.stream && IsLong(work);
   if (now < held_until_) return false;
-  const auto candidates = Candidates(work, now);
-  if (candidates.empty()) return false;
-  if (!engine_ || !work.job.stream) {
-    Target* target = ChoosePlain(work, candidates);
-    if (target == nullptr) return false;
-    Grant(work, {target}, now);
-    return true;
-  }
-  if (!work.is_long) {
-    Target* target = ChooseShort(work, candidates);
-    if (target == nullptr) return false;
-    Grant(work, {target}, now);
+  for (const bool poor_too : {false, true}) {
+    const auto targets = Choose(work, Candidates(work, poor_too, now), now);
+    if (targets.empty()) continue;
+    Grant(work, targets, now);
     return true;
   }
-  const auto targets = ChooseLong(work, candidates, now);
-  if (targets.empty()) return false;
-  Grant(work, targets, now);
-  return true;
+  return false;
+}
+
+/// The targets that take the work, out of `targets`; none if it has to wait.
+std::vector<Placer::Target*> Placer::Choose(const Work& work,
+                                            const std::vector<Target*>& targets,
+                                            Time now) {
+  if (work.is_long) return ChooseLong(work, targets, now);
+  Target* target = engine_ && work.job.stream ? ChooseShort(work, targets)
+                                              : ChoosePlain(work, targets);
+  return target == nullptr ? std::vector<Target*>{}
+                           : std::vector<Target*>{target};
 }
 
 void Placer::ChooseClosing(Time now) {
--- a/src/core/placer/holder.cc
+++ b/src/core/placer/holder.cc
@@ -19,6 +19,12 @@
   for (const auto& candidate : candidates) {
     if (2 * candidate.capacity >= largest->capacity) able.push_back(candidate);
   }
+  const bool any_stayed =
+      std::any_of(able.begin(), able.end(),
+                  [](const HolderCandidate& c) { return !c.returned; });
+  if (any_stayed) {
+    std::erase_if(able, [](const HolderCandidate& c) { return c.returned; });
+  }
   const auto first =
       std::min_element(able.begin(), able.end(),
                        [](const HolderCandidate& a, const HolderCandidate& b) {
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -255,6 +255,9 @@
     if (now < target.closed_until || target.on_trial) ++out.closed;
     if (target.shorts > 0) ++out.short_engines;
     if (target.long_reads > 0) ++out.long_engines;
+    if (target.running >= target.info.slots) ++out.full;
+    if (IsPoor(target, now)) ++out.poor;
+    out.reading += target.reading;
     out.memory += target.memory;
   }
   for (const auto& [id, work] : works_) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "comfreyflow/addresses.h"
@@ -38,6 +39,8 @@
 constexpr double kLeastStopShare = 0.75;
 constexpr Duration kStopTick = milliseconds(100);
 constexpr Duration kFactsPeriod = milliseconds(250);
+/// Hosts find out within this time that the store is away for all of them.
+constexpr Duration kAbsence = milliseconds(1800);
 /// Addresses of an answer: enough that callers find one that works, and few
 /// enough that large hosts get more of them.
 constexpr std::size_t kAddressesOfAnswer = 16;
@@ -121,7 +124,7 @@
   PeersHooks PeerHooks() {
     PeersHooks peer;
     peer.facts = [this] {
-      return HostFacts{version(), 0, stopping, !store_reachable};
+      return HostFacts{version(), 0, stopping, !store_reachable, returned};
     };
     peer.config_mark = [this] { return mark; };
     peer.changed = [this](const MemberChanged& event) {
@@ -146,6 +149,7 @@
   void RefreshPeers() {
     std::vector<PlacementPeer> live;
     bool any_attached = false;
+    bool other_attached = false;
     for (const auto& [name, member] : peers.members()) {
       const bool self = name == settings.self.name;
       const bool alive = member.state == MemberState::kAlive ||
@@ -154,13 +158,29 @@
       const bool leaves = self ? stopping : member.facts.draining;
       const bool detached = self ? !store_reachable : member.facts.detached;
       live.push_back({name, member.record.peers, member.record.incarnation,
-                      member.record.capacity, !leaves && !detached});
+                      member.record.capacity, !leaves && !detached,
+                      self ? returned : member.facts.returned});
       any_attached = any_attached || live.back().may_hold;
+      other_attached = other_attached || (!self && !detached);
     }
+    NoteAbsence(other_attached);
     for (auto& peer : live) peer.may_hold = peer.may_hold || !any_attached;
     placement.SetPeers(std::move(live));
   }
 
+  /// A host that is cut off while others are not has to give its duties up; it
+  /// does not take them back when it returns. All are cut off at nearly the
+  /// same time when the store itself is away.
+  void NoteAbsence(bool other_attached) {
+    if (store_reachable || !was_reachable || !other_attached) {
+      absent_since.reset();
+      return;
+    }
+    const Time now = Now();
+    if (!absent_since) absent_since = now;
+    returned = returned || now - *absent_since > kAbsence;
+  }
+
   /// Facts of members change without an event of their own.
   void WatchFacts() {
     facts_timer.expires_after(kFactsPeriod);
@@ -294,6 +314,9 @@
   bool has_targets = false;
   bool stopping = false;
   bool store_reachable = false;
+  bool was_reachable = false;
+  bool returned = false;  ///< Was cut off while others were not.
+  std::optional<Time> absent_since;
   Time stop_began;
 };
 
@@ -351,6 +374,7 @@
 
 void Gateway::SetStoreReachable(bool reachable) {
   state_->store_reachable = reachable;
+  state_->was_reachable = state_->was_reachable || reachable;
   state_->RefreshPeers();
 }
 
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -113,7 +113,8 @@
       if (!peer.may_hold) continue;
       const auto silent = silent_until.find(name);
       if (silent == silent_until.end() || silent->second <= now) {
-        candidates.push_back({name, peer.incarnation, peer.capacity});
+        candidates.push_back(
+            {name, peer.incarnation, peer.capacity, peer.returned});
       }
     }
     const HostName holder = ChooseHolder(candidates, service);
@@ -438,6 +439,10 @@
           .With("long_engines", std::uint64_t{sum.long_engines})
           .With("reserve", std::uint64_t{sum.reserve})
           .With("closing", std::uint64_t{sum.closing})
+          .With("full", std::uint64_t{sum.full})
+          .With("poor", std::uint64_t{sum.poor})
+          .With("reading",
+                std::chrono::duration_cast<milliseconds>(sum.reading))
           .With("memory", sum.memory);
     }
   }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -20,6 +20,7 @@
   Incarnation incarnation;
   std::uint32_t capacity = 100;  ///< In hundredths of a core.
   bool may_hold = true;          ///< Whether it may hold placers.
+  bool returned = false;         ///< Was cut off while others were not.
   bool operator==(const PlacementPeer&) const = default;
 };
 
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -117,17 +117,20 @@
 }
 
 /// Load and flags of a host in one byte: draining is the lowest bit, then five
-/// bits of load, then detached.
+/// bits of load, then detached, then returned.
 constexpr std::int32_t kDetachedBit = 2 * kLoadSteps;
+constexpr std::int32_t kReturnedBit = 2 * kDetachedBit;
 
 std::int32_t LoadByte(const HostFacts& facts) {
   return facts.load * 2 + (facts.draining ? 1 : 0) +
-         (facts.detached ? kDetachedBit : 0);
+         (facts.detached ? kDetachedBit : 0) +
+         (facts.returned ? kReturnedBit : 0);
 }
 
 bool TakeLoadByte(std::int32_t value, HostFacts& facts) {
-  if (value < 0 || value >= 2 * kDetachedBit) return false;
-  facts.detached = value >= kDetachedBit;
+  if (value < 0 || value >= 2 * kReturnedBit) return false;
+  facts.returned = value >= kReturnedBit;
+  facts.detached = value % kReturnedBit >= kDetachedBit;
   facts.load = static_cast<std::uint8_t>(value % kDetachedBit / 2);
   facts.draining = value % 2 == 1;
   return true;
--- a/test/holder-test.cc
+++ b/test/holder-test.cc
@@ -45,6 +45,20 @@
   }
 }
 
+TEST_CASE("a host that was cut off takes nothing over when it is back") {
+  auto hosts = Hosts(6, 1'000'000);
+  const HostName holder = ChooseHolder(hosts, {"s"});
+  std::vector<HolderCandidate> rest;
+  for (const auto& host : hosts) {
+    if (host.name != holder) rest.push_back(host);
+  }
+  const HostName next = ChooseHolder(rest, {"s"});
+  for (auto& host : hosts) host.returned = host.name == holder;
+  CHECK(ChooseHolder(hosts, {"s"}) == next);
+  for (auto& host : hosts) host.returned = true;
+  CHECK(ChooseHolder(hosts, {"s"}) == holder);
+}
+
 TEST_CASE("services spread over hosts of one start") {
   const auto hosts = Hosts(8, 1'000'000);
   std::set<HostName> holders;
--- a/test/placer-test.cc
+++ b/test/placer-test.cc
@@ -219,6 +219,27 @@
   CHECK(placed - late.arrival <= seconds(3));
 }
 
+TEST_CASE("a slow engine takes what the others can't take now") {
+  Placer placer = EnginePlacer(4);
+  Time now = kStart;
+  // Three engines begin each of their streams far too late.
+  std::set<TargetName> slow;
+  for (std::uint64_t i = 1; slow.size() < 3; ++i) {
+    const PlaceGrant grant = Granted(placer, Job(i, now, 8000), now);
+    if (slow.size() < 3) {
+      slow.insert(grant.targets[0].name);
+      placer.Begun({{"h"}, {1}, i}, now + 20 * grant.estimate);
+    }
+  }
+  now += seconds(1);
+  // The fourth reads a long prompt, which no short stream may join.
+  const PlaceGrant read = Granted(placer, Job(100, now, 60'000), now);
+  REQUIRE(read.targets.size() == 1);
+  REQUIRE_FALSE(slow.contains(read.targets[0].name));
+  const PlaceGrant grant = Granted(placer, Job(101, now, 2000), now);
+  CHECK(slow.contains(grant.targets[0].name));
+}
+
 TEST_CASE("plain servers queue at the placer, not at the server") {
   Placer placer = PlainPlacer(2, 3);
   for (std::uint64_t i = 1; i <= 8; ++i) placer.Ask(Job(i, kStart, 0), kStart);
