--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -36,7 +36,7 @@
     FollowedKind kind;
     bool listed = false;
     bool waits_for_store = false;
-    std::uint64_t revision = 0;
+    std::uint64_t version = 0;
     std::unique_ptr<asio::steady_timer> timer;
   };
 
@@ -61,18 +61,18 @@
 
   void List(std::size_t index) {
     store.list(tracks[index].kind.kind,
-               [self = shared_from_this(), index](const ObjectList& list) {
+               [self = shared_from_this(), index](const ListAnswer& list) {
                  if (!self->stopped) self->Listed(index, list);
                });
   }
 
-  void Listed(std::size_t index, const ObjectList& list) {
+  void Listed(std::size_t index, const ListAnswer& list) {
     Track& track = tracks[index];
     if (list.error) return Failed(index);
     Answered();
     track.listed = true;
-    track.revision = list.revision;
-    track.kind.listed(list.objects);
+    track.version = list.version;
+    track.kind.listed(list.items);
     Step(index);
   }
 
@@ -80,26 +80,25 @@
     // A probe must not wait: it has to tell soon whether the store is back.
     const Duration wait =
         failures >= kFailuresOfOutage ? Duration::zero() : kWatchTime;
-    store.watch(
-        tracks[index].kind.kind, tracks[index].revision, wait,
-        [self = shared_from_this(), index](const ObjectChanges& changes) {
-          if (!self->stopped) self->Changed(index, changes);
-        });
+    store.watch(tracks[index].kind.kind, tracks[index].version, wait,
+                [self = shared_from_this(), index](const WatchAnswer& changes) {
+                  if (!self->stopped) self->Changed(index, changes);
+                });
   }
 
-  void Changed(std::size_t index, const ObjectChanges& changes) {
+  void Changed(std::size_t index, const WatchAnswer& changes) {
     Track& track = tracks[index];
     if (changes.forgotten) {
       LogLine(Severity::kInfo, "store_history_gone")
           .With("kind", track.kind.kind)
-          .With("revision", track.revision);
+          .With("version", track.version);
       track.listed = false;
       return Step(index);
     }
     if (changes.error) return Failed(index);
     const bool was_out = failures >= kFailuresOfOutage;
     Answered();
-    track.revision = std::max(track.revision, changes.revision);
+    track.version = std::max(track.version, changes.version);
     for (const auto& change : changes.changes) track.kind.changed(change);
     if (was_out) return Step(index);
     Later(index, changes.changes.empty() ? Duration::zero() : Pause());
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -16,8 +16,8 @@
 struct FollowedKind {
   std::string kind;
   /// The whole kind, at the start and after a gap.
-  std::function<void(const std::vector<StoredObject>&)> listed;
-  std::function<void(const StoredObject&)> changed;
+  std::function<void(const std::vector<PlatformObject>&)> listed;
+  std::function<void(const PlatformObject&)> changed;
 };
 
 struct FollowerHooks {
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -566,6 +566,7 @@
         .With("version", table_ ? table_->document().version : 0)
         .With("account", account_)
         .With(code)
+        .With("prompt_tokens", std::uint64_t{caller_.prompt_tokens})
         .With("tries", std::uint64_t{progress_.tries})
         .With("ran", std::uint64_t{progress_.tries_run})
         .With("events", std::uint64_t{splitter_.events()})
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -33,6 +33,10 @@
 /// Time without an acknowledgement after which the kernel ends a connection.
 constexpr int kUnacknowledgedMs = 3000;
 
+/// The other end may answer before it has read a body that is longer than this,
+/// and read on much later; shorter ones fit the buffers on the way.
+constexpr std::size_t kReadWhileSending = 16 * 1024;
+
 /// Probing of a silent connection: after this many seconds, and how often.
 constexpr int kProbeSeconds = 1;
 constexpr int kProbes = 2;
@@ -210,8 +214,10 @@
     if (options_.probe_silence) ProbeSilence(socket_);
     sent_ = true;
     if (hooks_.on_sent) hooks_.on_sent();
+    sending_ = true;
     serializer_.emplace(message_);
     SendSome();
+    if (message_.body().size() > kReadWhileSending) BeginRead();
   }
 
   void SendSome() {
@@ -220,22 +226,23 @@
         socket_, *serializer_,
         [self = shared_from_this()](const error_code& error, std::size_t) {
           if (self->done_) return;
-          if (error) return self->ReadEarlyAnswer();
-          if (!self->serializer_->is_done()) return self->SendSome();
-          self->BeginRead();
+          if (!error && !self->serializer_->is_done()) return self->SendSome();
+          self->SendDone(error);
         });
   }
 
-  /// The other end may have answered and closed before it took all.
-  void ReadEarlyAnswer() {
-    broken_send_ = true;
-    BeginRead();
-  }
-
-  void BeginRead() {
+  /// After an error too: the other end may have answered and closed before it
+  /// took all.
+  void SendDone(const error_code& error) {
+    sending_ = false;
+    broken_send_ = bool(error);
     serializer_.reset();
     std::string().swap(message_.body());
     lease_ = {};
+    if (!parser_) BeginRead();
+  }
+
+  void BeginRead() {
     parser_.emplace();
     parser_->body_limit(options_.answer_bytes);
     ReadSome();
@@ -299,7 +306,7 @@
   }
 
   void Whole() {
-    const bool keep = parser_->get().keep_alive() && !broken_send_;
+    const bool keep = parser_->get().keep_alive() && !sending_ && !broken_send_;
     if (keep && buffer_.size() == 0) {
       timer_.Cancel();
       const auto keep_alive = parser_->get()[bh::field::keep_alive];
@@ -345,6 +352,7 @@
   std::optional<bh::response_parser<bh::string_body>> parser_;
   beast::flat_buffer buffer_;
   bool sent_ = false;
+  bool sending_ = false;  ///< Bytes of the request are still to go out.
   bool broken_send_ = false;
   bool head_told_ = false;
   bool foreign_ = false;  ///< The answer under way belongs to another call.
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -177,6 +177,10 @@
   void HeadDone() {
     request_ = HeadOf(parser_->get());
     keep_alive_ = parser_->get().keep_alive();
+    // Any other coding leaves it open where the body ends.
+    if (HasField(request_.fields, "transfer-encoding") && !parser_->chunked()) {
+      return Refuse(Errc::kMalformedHttp);
+    }
     const auto length = parser_->content_length();
     if (length && *length > context_->limits.body_bytes) {
       return Refuse(Errc::kBodyTooLarge);
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -2,7 +2,9 @@
 #include "platform/client.h"
 
 #include <boost/asio.hpp>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "http/address.h"
 #include "node/clock.h"
@@ -16,13 +18,13 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kCreated = 201;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 constexpr int kGone = 410;
 constexpr int kTooMany = 429;
 constexpr int kOutage = 503;
 constexpr int kServerErrors = 500;
-constexpr std::string_view kHexDigits = "0123456789ABCDEF";
 
 /// What came back. `status` 0: no whole answer.
 struct Result {
@@ -31,37 +33,11 @@
   std::string body;
 };
 
-std::string Escape(const std::string& text) {
-  const std::string plain = "-_.~";
-  std::string out;
-  for (const char c : text) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (std::isalnum(byte) || plain.find(c) != std::string::npos) {
-      out += c;
-    } else {
-      out += {'%', kHexDigits[byte / 16], kHexDigits[byte % 16]};
-    }
-  }
-  return out;
-}
-
-/// The body of a write; empty when the value is not UTF-8.
-std::string ValueBody(const std::string& value) {
-  try {
-    return Json{{"value", value}}.dump();
-  } catch (const Json::exception&) {
-    return "";
-  }
-}
-
-std::string ObjectPath(const std::string& kind, const std::string& name) {
-  return "/objects/" + Escape(kind) + '/' + Escape(name);
-}
-
 /// The error that a status other than 200 stands for.
 std::error_code StatusError(int status) {
   switch (status) {
     case kOk:
+    case kCreated:
       return {};
     case kNotFound:
       return Errc::kObjectNotFound;
@@ -81,17 +57,6 @@
   return failed ? PlatformEnd::kFailed : PlatformEnd::kAnswered;
 }
 
-PlatformObject ParseObject(const Json& item) {
-  return {item.at("name"), item.at("version"), item.at("value"),
-          item.value("deleted", false)};
-}
-
-std::vector<PlatformObject> ParseObjects(const Json& items) {
-  std::vector<PlatformObject> out;
-  for (const Json& item : items) out.push_back(ParseObject(item));
-  return out;
-}
-
 std::vector<PlatformMember> ParseMembers(const Json& items,
                                          const char* address) {
   std::vector<PlatformMember> out;
@@ -107,31 +72,23 @@
 /// Fills an answer from a result; a body of a wrong shape is `kCodec`.
 template <class Answer>
 Answer Decode(const Result& result,
-              const std::function<void(const Json&, Answer&)>& fill) {
+              const std::function<void(const std::string&, Answer&)>& fill) {
   Answer answer;
   answer.error = StatusError(result.status);
   if (answer.error) return answer;
   try {
-    fill(Json::parse(result.body), answer);
-  } catch (const Json::exception&) {
+    fill(result.body, answer);
+  } catch (const std::exception&) {
     answer = {};
     answer.error = Errc::kCodec;
   }
   return answer;
 }
 
-std::uint64_t VersionIn(const std::string& body) {
-  const Json json = Json::parse(body, nullptr, false);
-  if (!json.is_object()) return 0;
-  const auto version = json.find("version");
-  const bool known = version != json.end() && version->is_number_unsigned();
-  return known ? version->get<std::uint64_t>() : 0;
-}
-
-WriteAnswer DecodeWrite(const Result& result) {
+WriteAnswer DecodeWrite(const Result& result, std::uint64_t version) {
   WriteAnswer answer;
   answer.error = StatusError(result.status);
-  answer.version = VersionIn(result.body);
+  answer.version = version;
   const bool no_word = result.status == 0 && result.sent;
   const bool unclear =
       result.status >= kServerErrors && result.status != kOutage;
@@ -153,7 +110,8 @@
   struct Job {
     PlatformCall call = PlatformCall::kRead;
     http::Request request;
-    std::string probe_query;  ///< Replaces the query of a probe; empty: keep.
+    /// Replaces the request of a probe, which should end quickly.
+    std::optional<http::Request> probe;
     Duration timeout{};
     PlatformPermit permit;
     Handler done;
@@ -161,8 +119,10 @@
   };
   using JobPtr = std::shared_ptr<Job>;
 
-  Core(asio::io_context& io, http::Client& client, PlatformSettings given)
+  Core(asio::io_context& io, http::Client& client, PlatformSettings given,
+       ObjectApi form)
       : settings(std::move(given)),
+        api(std::move(form)),
         http(client),
         strand(asio::make_strand(io)),
         gate(settings.limits) {}
@@ -174,17 +134,23 @@
   void Start(const JobPtr& job) {
     job->permit = gate.Start(job->call, Now());
     if (job->permit.code != Errc::kOk) {
-      ++counts.refused_here;
+      Count(&PlatformCounts::refused_here);
       return job->refused(job->permit.code);
     }
-    ++(job->call == PlatformCall::kWrite ? counts.writes : counts.reads);
-    if (job->permit.probe && !job->probe_query.empty()) {
-      job->request.query = job->probe_query;
+    Count(job->call == PlatformCall::kWrite ? &PlatformCounts::writes
+                                            : &PlatformCounts::reads);
+    if (job->permit.probe && job->probe) {
+      job->request = std::move(*job->probe);
       job->timeout = settings.call_timeout;
     }
     Send(job, false);
   }
 
+  void Count(std::uint64_t PlatformCounts::*field) {
+    const std::lock_guard lock(mutex);
+    ++(counts.*field);
+  }
+
   void Send(const JobPtr& job, bool again) {
     http::Request request{job->request.method, job->request.path,
                           job->request.query,  job->request.fields,
@@ -195,6 +161,7 @@
     options.connect_timeout = std::min(options.connect_timeout, timeout);
     options.progress_timeout = timeout;
     options.fresh_connection = again;
+    options.probe_silence = job->call == PlatformCall::kWatch;
     http.Fetch(settings.address, std::move(request), options,
                [self = shared_from_this(), job, again](
                    http::CallEnd end, const http::Response& response) {
@@ -208,53 +175,46 @@
 
   void End(const JobPtr& job, bool again, const Result& result) {
     const bool lost = result.status == 0 && result.sent;
-    if (lost && !again && RetryOnNewConnection(job->call, gate.outage())) {
+    if (lost && !again && settings.resend_reads &&
+        RetryOnNewConnection(job->call, gate.outage())) {
       return Send(job, true);
     }
     gate.Ended(job->call, job->permit, EndOf(result.status), Now());
-    if (result.status == 0) ++counts.failed;
-    if (lost && job->call == PlatformCall::kWrite) ++counts.answers_lost;
+    if (result.status == 0) Count(&PlatformCounts::failed);
+    if (lost && job->call == PlatformCall::kWrite) {
+      Count(&PlatformCounts::answers_lost);
+    }
     job->done(result);
   }
 
-  void Write(const char* method, const std::string& path,
-             const http::Field& condition, const std::string& body,
-             const WriteHandler& handler) {
+  void Write(http::Request request, const WriteHandler& handler) {
     auto job = std::make_shared<Job>();
     job->call = PlatformCall::kWrite;
-    job->request.method = method;
-    job->request.path = path;
-    job->request.fields = {condition};
-    job->request.body = body;
+    job->request = std::move(request);
     job->timeout = settings.call_timeout;
     job->refused = [handler](std::error_code error) {
       handler({WriteState::kRefused, error, 0});
     };
-    job->done = [handler](const Result& result) {
-      handler(DecodeWrite(result));
+    job->done = [handler, read = api.read_version](const Result& result) {
+      handler(DecodeWrite(result, read(result.body)));
     };
     Run(job);
   }
 
-  void Put(const std::string& path, const http::Field& condition,
-           const std::string& value, const WriteHandler& handler) {
-    const std::string body = ValueBody(value);
-    if (!body.empty()) {
-      return Write("PUT", path, condition, body, handler);
-    }
+  /// A write with a value; none is sent without one.
+  void Put(http::Request request, const WriteHandler& handler) {
+    if (!request.body.empty()) return Write(std::move(request), handler);
     asio::post(strand, [handler] {
       handler({WriteState::kRefused, Errc::kCodec, 0});
     });
   }
 
   template <class Answer>
-  JobPtr ReadJob(const std::string& path, const std::string& query,
+  JobPtr ReadJob(http::Request request,
                  const std::function<void(Answer)>& handler,
-                 const std::function<void(const Json&, Answer&)>& fill) {
+                 const std::function<void(const std::string&, Answer&)>& fill) {
     auto job = std::make_shared<Job>();
-    job->request.method = "GET";
-    job->request.path = path;
-    job->request.query = query;
+    job->request = std::move(request);
     job->timeout = settings.call_timeout;
     job->refused = [handler](std::error_code error) {
       Answer answer;
@@ -268,102 +228,99 @@
   }
 
   PlatformSettings settings;
+  const ObjectApi api;
   http::Client& http;
   asio::strand<asio::io_context::executor_type> strand;
   PlatformGate gate;
+  std::mutex mutex;  ///< Of `counts`, which any thread reads.
   PlatformCounts counts;
 };
 
 PlatformClient::PlatformClient(asio::io_context& io, http::Client& http,
-                               PlatformSettings settings) {
+                               PlatformSettings settings, ObjectApi api) {
   asio::ip::tcp::endpoint endpoint;
   const std::error_code error = http::ParseEndpoint(settings.address, endpoint);
   if (error || endpoint.port() == 0) {
     throw std::system_error(Errc::kSettingsInvalid, settings.address);
   }
-  core_ = std::make_shared<Core>(io, http, std::move(settings));
+  core_ = std::make_shared<Core>(io, http, std::move(settings), std::move(api));
 }
 
 void PlatformClient::Create(const std::string& kind, const std::string& name,
                             const std::string& value,
                             const WriteHandler& handler) {
-  core_->Put(ObjectPath(kind, name), {"if-none-match", "*"}, value, handler);
+  core_->Put(core_->api.create(kind, name, value), handler);
 }
 
 void PlatformClient::Update(const std::string& kind, const std::string& name,
                             std::uint64_t version, const std::string& value,
                             const WriteHandler& handler) {
-  core_->Put(ObjectPath(kind, name), {"if-match", std::to_string(version)},
-             value, handler);
+  core_->Put(core_->api.update(kind, name, version, value), handler);
 }
 
 void PlatformClient::Remove(const std::string& kind, const std::string& name,
                             std::uint64_t version,
                             const WriteHandler& handler) {
-  core_->Write("DELETE", ObjectPath(kind, name),
-               {"if-match", std::to_string(version)}, "", handler);
+  core_->Write(core_->api.remove(kind, name, version), handler);
 }
 
 void PlatformClient::Read(const std::string& kind, const std::string& name,
                           const ReadHandler& handler) {
   core_->Run(core_->ReadJob<ReadAnswer>(
-      ObjectPath(kind, name), "", handler,
-      [name](const Json& body, ReadAnswer& answer) {
-        answer.object = {name, body.at("version"), body.at("value")};
+      core_->api.read(kind, name), handler,
+      [name, read = core_->api.read_object](const std::string& body,
+                                            ReadAnswer& answer) {
+        answer.object.name = name;
+        read(body, answer);
       }));
 }
 
 void PlatformClient::List(const ListQuery& query, const ListHandler& handler) {
-  const std::string text = "prefix=" + Escape(query.prefix) +
-                           "&from=" + Escape(query.from) +
-                           "&limit=" + std::to_string(query.limit);
-  core_->Run(core_->ReadJob<ListAnswer>(
-      "/objects/" + Escape(query.kind), text, handler,
-      [](const Json& body, ListAnswer& answer) {
-        answer.version = body.at("version");
-        answer.items = ParseObjects(body.at("items"));
-      }));
+  core_->Run(core_->ReadJob<ListAnswer>(core_->api.list(query), handler,
+                                        core_->api.read_list));
 }
 
 void PlatformClient::Watch(const std::string& kind, std::uint64_t since,
                            Duration timeout, const WatchHandler& handler) {
-  const auto query = [since](Duration wait) {
-    const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait);
-    return "since=" + std::to_string(since) +
-           "&timeout_ms=" + std::to_string(ms.count());
-  };
   const auto job = core_->ReadJob<WatchAnswer>(
-      "/watch/" + Escape(kind), query(timeout), handler,
-      [](const Json& body, WatchAnswer& answer) {
-        answer.version = body.at("version");
-        answer.changes = ParseObjects(body.at("changes"));
-      });
+      core_->api.watch(kind, since, timeout), handler, core_->api.read_watch);
   job->call = PlatformCall::kWatch;
   job->timeout = timeout + core_->settings.watch_grace;
-  job->probe_query = query(Duration::zero());
-  job->done = [handler, done = job->done](const Result& result) {
+  job->probe = core_->api.watch(kind, since, Duration::zero());
+  job->done = [handler, done = job->done,
+               version = core_->api.read_version](const Result& result) {
     if (result.status != kGone) return done(result);
     WatchAnswer answer;
     answer.forgotten = true;
-    answer.version = VersionIn(result.body);
+    answer.version = version(result.body);
     handler(std::move(answer));
   };
   core_->Run(job);
 }
 
 void PlatformClient::Hosts(const HostsHandler& handler) {
+  http::Request request;
+  request.method = "GET";
+  request.path = "/hosts";
   core_->Run(core_->ReadJob<HostsAnswer>(
-      "/hosts", "", handler, [](const Json& body, HostsAnswer& answer) {
+      std::move(request), handler,
+      [](const std::string& text, HostsAnswer& answer) {
+        const Json body = Json::parse(text);
         answer.version = body.at("version");
         answer.hosts = ParseMembers(body.at("hosts"), "gossip");
         answer.targets = ParseMembers(body.at("targets"), "address");
       }));
 }
 
+PlatformCounts PlatformClient::Counts() const {
+  const std::lock_guard lock(core_->mutex);
+  return core_->counts;
+}
+
 void PlatformClient::State(PlatformCall call, const StateHandler& handler) {
   asio::post(core_->strand, [core = core_, call, handler] {
     handler(core->gate.RetryAfter(call, Now()), core->gate.outage(),
-            core->counts);
+            PlatformCounts(core->counts));
   });
 }
 
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -1,4 +1,4 @@
-/// Client of the platform's object API (docs/PLATFORM-API.md). It carries out
+/// Client of the platform's store of objects, in any wire form. It carries out
 /// calls and tells how each ended; when calls may start is decided by
 /// `PlatformGate`, and nothing is sent twice but reads.
 #pragma once
@@ -14,16 +14,10 @@
 #include "comfreyflow/platform-gate.h"
 #include "comfreyflow/types.h"
 #include "http/client.h"
+#include "platform/object-api.h"
 
 namespace comfreyflow {
 
-struct PlatformObject {
-  std::string name;
-  std::uint64_t version = 0;
-  std::string value;
-  bool deleted = false;  ///< Only in changes told by a watch.
-};
-
 enum class WriteState : std::uint8_t {
   kApplied,     ///< The platform said so.
   kRefused,     ///< It took no effect; `error` says why.
@@ -38,31 +32,6 @@
   std::uint64_t version = 0;  ///< The object's, where the platform told it.
 };
 
-struct ReadAnswer {
-  std::error_code error;
-  PlatformObject object;
-};
-
-struct ListQuery {
-  std::string kind;
-  std::string prefix;
-  std::string from;  ///< First name that may be listed.
-  std::uint32_t limit = 500;
-};
-
-struct ListAnswer {
-  std::error_code error;
-  std::uint64_t version = 0;  ///< Of the kind.
-  std::vector<PlatformObject> items;
-};
-
-struct WatchAnswer {
-  std::error_code error;
-  std::uint64_t version = 0;  ///< Watch on from here.
-  bool forgotten = false;     ///< Changes are missing: list the kind anew.
-  std::vector<PlatformObject> changes;
-};
-
 /// A host or target as the platform's lagging list has it.
 struct PlatformMember {
   std::string name;
@@ -87,6 +56,8 @@
   /// A watch that is silent for so long past its time has failed; it is not
   /// sent again by itself.
   Duration watch_grace = std::chrono::milliseconds(1000);
+  /// A read whose answer was lost is sent again once, on a new connection.
+  bool resend_reads = true;
 };
 
 /// Calls by what became of them, since the start.
@@ -116,7 +87,7 @@
   /// Throws `std::system_error` with `kSettingsInvalid` when the address is
   /// not `ip:port`.
   PlatformClient(boost::asio::io_context& io, http::Client& http,
-                 PlatformSettings settings);
+                 PlatformSettings settings, ObjectApi api = OwnObjectApi());
 
   /// Values are UTF-8 text of up to a megabyte.
   void Create(const std::string& kind, const std::string& name,
@@ -134,6 +105,7 @@
              const WatchHandler& handler);
   void Hosts(const HostsHandler& handler);
   void State(PlatformCall call, const StateHandler& handler);
+  PlatformCounts Counts() const;
 
  private:
   struct Core;
--- /dev/null
+++ b/src/platform/own-object-api.cc
@@ -0,0 +1,140 @@
+// The product's own form of an object API.
+#include <nlohmann/json.hpp>
+
+#include "platform/object-api.h"
+
+namespace comfreyflow {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kHexDigits = "0123456789ABCDEF";
+
+std::string Escape(const std::string& text) {
+  const std::string plain = "-_.~";
+  std::string out;
+  for (const char c : text) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (std::isalnum(byte) || plain.find(c) != std::string::npos) {
+      out += c;
+    } else {
+      out += {'%', kHexDigits[byte / 16], kHexDigits[byte % 16]};
+    }
+  }
+  return out;
+}
+
+/// The body of a write; empty when the value is not UTF-8.
+std::string ValueBody(const std::string& value) {
+  try {
+    return Json{{"value", value}}.dump();
+  } catch (const Json::exception&) {
+    return "";
+  }
+}
+
+std::string ObjectPath(const std::string& kind, const std::string& name) {
+  return "/objects/" + Escape(kind) + '/' + Escape(name);
+}
+
+http::Request Call(const char* method, std::string path) {
+  http::Request request;
+  request.method = method;
+  request.path = std::move(path);
+  return request;
+}
+
+http::Request Put(const std::string& kind, const std::string& name,
+                  http::Field condition, const std::string& value) {
+  http::Request request = Call("PUT", ObjectPath(kind, name));
+  request.fields = {std::move(condition)};
+  request.body = ValueBody(value);
+  return request;
+}
+
+http::Request Create(const std::string& kind, const std::string& name,
+                     const std::string& value) {
+  return Put(kind, name, {"if-none-match", "*"}, value);
+}
+
+http::Request Update(const std::string& kind, const std::string& name,
+                     std::uint64_t version, const std::string& value) {
+  return Put(kind, name, {"if-match", std::to_string(version)}, value);
+}
+
+http::Request Remove(const std::string& kind, const std::string& name,
+                     std::uint64_t version) {
+  http::Request request = Call("DELETE", ObjectPath(kind, name));
+  if (version != 0) {
+    request.fields = {{"if-match", std::to_string(version)}};
+  }
+  return request;
+}
+
+http::Request Read(const std::string& kind, const std::string& name) {
+  return Call("GET", ObjectPath(kind, name));
+}
+
+http::Request List(const ListQuery& query) {
+  http::Request request = Call("GET", "/objects/" + Escape(query.kind));
+  request.query = "prefix=" + Escape(query.prefix) +
+                  "&from=" + Escape(query.from) +
+                  "&limit=" + std::to_string(query.limit);
+  return request;
+}
+
+http::Request Watch(const std::string& kind, std::uint64_t since,
+                    Duration timeout) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(timeout);
+  http::Request request = Call("GET", "/watch/" + Escape(kind));
+  request.query = "since=" + std::to_string(since) +
+                  "&timeout_ms=" + std::to_string(ms.count());
+  return request;
+}
+
+PlatformObject ParseObject(const Json& item) {
+  return {item.at("name"), item.at("version"), item.at("value"),
+          item.value("deleted", false)};
+}
+
+std::vector<PlatformObject> ParseObjects(const Json& items) {
+  std::vector<PlatformObject> out;
+  for (const Json& item : items) out.push_back(ParseObject(item));
+  return out;
+}
+
+std::uint64_t VersionIn(const std::string& body) {
+  const Json json = Json::parse(body, nullptr, false);
+  if (!json.is_object()) return 0;
+  const auto version = json.find("version");
+  const bool known = version != json.end() && version->is_number_unsigned();
+  return known ? version->get<std::uint64_t>() : 0;
+}
+
+void ReadObject(const std::string& body, ReadAnswer& out) {
+  const Json json = Json::parse(body);
+  out.object.version = json.at("version");
+  out.object.value = json.at("value");
+}
+
+void ReadList(const std::string& body, ListAnswer& out) {
+  const Json json = Json::parse(body);
+  out.version = json.at("version");
+  out.items = ParseObjects(json.at("items"));
+}
+
+void ReadWatch(const std::string& body, WatchAnswer& out) {
+  const Json json = Json::parse(body);
+  out.version = json.at("version");
+  out.changes = ParseObjects(json.at("changes"));
+}
+
+}  // namespace
+
+ObjectApi OwnObjectApi() {
+  return {Create, Update,    Remove,     Read,     List,
+          Watch,  VersionIn, ReadObject, ReadList, ReadWatch};
+}
+
+}  // namespace comfreyflow
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -1,6 +1,8 @@
 // Stand-ins of the users' platform.
 #include "platform/stand-ins.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 
 namespace comfreyflow::platform {
@@ -10,6 +12,10 @@
 using std::chrono::milliseconds;
 
 constexpr const char* kLocal = "127.0.0.1";
+constexpr std::uint16_t kCallerPort = 8227;
+constexpr std::uint16_t kReadyPort = 8220;
+constexpr std::uint16_t kDirectoryPort = 8224;
+constexpr std::uint16_t kGossipPort = 7340;
 constexpr std::uint64_t kBudget = 64 * 1024 * 1024;
 
 http::ServerHooks Hooks(std::function<void(http::ExchangePtr)> handle) {
@@ -28,13 +34,6 @@
   return std::string(kLocal) + ":" + std::to_string(port);
 }
 
-std::uint16_t FreePort(boost::asio::io_context& io) {
-  using boost::asio::ip::tcp;
-  const auto local = boost::asio::ip::make_address(kLocal);
-  tcp::acceptor acceptor(io, tcp::endpoint(local, 0));
-  return acceptor.local_endpoint().port();
-}
-
 http::Response JsonAnswer(int status, const Json& body) {
   http::Response response;
   response.status = status;
@@ -55,6 +54,15 @@
 
 }  // namespace
 
+std::string LoopbackIp(std::size_t host) {
+  constexpr int kOctet = 256;
+  constexpr int kFirstNet = 16;
+  constexpr int kNets = 200;
+  const int process = ::getpid();
+  return "127." + std::to_string(kFirstNet + process / kOctet % kNets) + "." +
+         std::to_string(process % kOctet) + "." + std::to_string(host + 1);
+}
+
 // ---- Store ------------------------------------------------------------------
 
 FakeStore::FakeStore(boost::asio::io_context& io)
@@ -94,6 +102,12 @@
   for (auto& waiting : std::exchange(waiting_, {})) waiting.exchange->Abort();
 }
 
+void FakeStore::Forget() {
+  events_.clear();
+  forgotten_ = revision_;
+  for (auto& waiting : std::exchange(waiting_, {})) waiting.exchange->Abort();
+}
+
 void FakeStore::Note(const std::string& kind, const Json& object,
                      bool removed) {
   events_.push_back(
@@ -117,6 +131,7 @@
 
 void FakeStore::Handle(http::ExchangePtr exchange) {
   const http::Request& request = exchange->request();
+  ++calls_;
   if (down_) return exchange->Respond(JsonAnswer(503, Json::object()));
   const auto parts = Parts(request.path);
   const std::string kind = parts.size() > 1 ? parts[1] : "";
@@ -128,6 +143,10 @@
       return exchange->Respond(JsonAnswer(409, objects_[kind][name]));
     }
     Put(kind, name, body["Spec"]);
+    if (lost_answers_ > 0) {
+      --lost_answers_;
+      return exchange->Abort();
+    }
     return exchange->Respond(JsonAnswer(201, objects_[kind][name]));
   }
   if (request.method == "DELETE") {
@@ -136,6 +155,9 @@
   }
   if (!since.empty()) {
     const Waiting waiting{kind, std::stoull(since), std::move(exchange)};
+    if (waiting.since < forgotten_) {
+      return waiting.exchange->Respond(JsonAnswer(410, Json::object()));
+    }
     if (Answer(waiting)) return;
     if (http::QueryValue(request.query, "WaitMs") != "0") {
       return waiting_.push_back(waiting);
@@ -143,10 +165,19 @@
     return waiting.exchange->Respond(JsonAnswer(
         200, {{"events", Json::array()}, {"CurrentRev", revision_}}));
   }
+  if (parts.size() > 2) {
+    return exchange->Respond(Has(kind, parts[2])
+                                 ? JsonAnswer(200, objects_[kind][parts[2]])
+                                 : JsonAnswer(404, Json::object()));
+  }
   Json items = Json::array();
-  for (const auto& [name, object] : objects_[kind]) items.push_back(object);
+  const auto& objects = objects_[kind];
+  auto at = objects.upper_bound(http::QueryValue(request.query, "After"));
+  for (; at != objects.end() && items.size() < page_size_; ++at) {
+    items.push_back(at->second);
+  }
   exchange->Respond(JsonAnswer(200, {{"Items", std::move(items)},
-                                     {"MorePages", false},
+                                     {"MorePages", at != objects.end()},
                                      {"CurrentRev", revision_}}));
 }
 
@@ -216,6 +247,62 @@
   handler_(exchange);
 }
 
+// ---- Raw target
+// --------------------------------------------------------------
+
+using Tcp = boost::asio::ip::tcp;
+
+RawTarget::RawTarget(boost::asio::io_context& io, std::string name,
+                     Handler handler)
+    : name_(std::move(name)),
+      handler_(std::move(handler)),
+      acceptor_(io, Tcp::endpoint(boost::asio::ip::make_address(kLocal), 0)) {
+  // A sender notices soon that nothing more is read.
+  constexpr int kReceiveBytes = 64 * 1024;
+  acceptor_.set_option(
+      boost::asio::socket_base::receive_buffer_size(kReceiveBytes));
+  Accept();
+}
+
+std::string RawTarget::address() const {
+  return At(acceptor_.local_endpoint().port());
+}
+
+void RawTarget::Reset(const Socket& socket) {
+  socket->set_option(boost::asio::socket_base::linger(true, 0));
+  socket->close();
+}
+
+void RawTarget::Accept() {
+  acceptor_.async_accept(
+      [this](const boost::system::error_code& error, Tcp::socket socket) {
+        if (error) return;
+        ++connections_;
+        Read(std::make_shared<Tcp::socket>(std::move(socket)), true);
+        Accept();
+      });
+}
+
+void RawTarget::Read(const Socket& socket, bool first) {
+  constexpr std::size_t kBufferBytes = 4096;
+  const auto buffer = std::make_shared<std::string>(kBufferBytes, '\0');
+  socket->async_read_some(
+      boost::asio::buffer(*buffer),
+      [this, socket, buffer, first](const boost::system::error_code& error,
+                                    std::size_t size) {
+        if (error) return;
+        buffer->resize(size);
+        if (!first) {
+          rest_ += *buffer;
+          return Read(socket, false);
+        }
+        const bool reads_on = handler_(socket, *buffer);
+        if (!socket->is_open()) return;
+        if (reads_on) return Read(socket, false);
+        silent_.push_back(socket);
+      });
+}
+
 // ---- Site -------------------------------------------------------------------
 
 Site::Site() : client_(io_), store_(std::make_unique<FakeStore>(io_)) {}
@@ -230,14 +317,61 @@
 
 void Site::List(const std::string& service, const FakeTarget& target,
                 const std::string& state) {
-  store_->Put("servers", target.name(),
+  ListAt(service, target.name(), target.address(), state);
+}
+
+void Site::ListAt(const std::string& service, const std::string& name,
+                  const std::string& address, const std::string& state) {
+  store_->Put("servers", name,
               {{"Service", service},
-               {"Addr", target.address()},
+               {"Addr", address},
                {"Zone", "z1"},
                {"Slots", 8},
                {"State", state}});
 }
 
+RawTarget& Site::AddRawTarget(const std::string& service,
+                              const std::string& name,
+                              RawTarget::Handler handler) {
+  raw_targets_.push_back(
+      std::make_unique<RawTarget>(io_, name, std::move(handler)));
+  ListAt(service, name, raw_targets_.back()->address(), "ready");
+  return *raw_targets_.back();
+}
+
+std::string Site::SendBytes(std::size_t number, const std::string& bytes) {
+  Tcp::socket socket(io_);
+  socket.connect(
+      {boost::asio::ip::make_address(settings_[number].ip), kCallerPort});
+  boost::asio::write(socket, boost::asio::buffer(bytes));
+  std::string got;
+  std::string buffer(4096, '\0');
+  bool over = false;
+  std::function<void()> read = [&] {
+    socket.async_read_some(
+        boost::asio::buffer(buffer),
+        [&](const boost::system::error_code& error, std::size_t size) {
+          got.append(buffer, 0, size);
+          over = bool(error);
+          if (!over) read();
+        });
+  };
+  read();
+  constexpr milliseconds kQuiet{300};
+  auto last = std::chrono::steady_clock::now();
+  std::size_t seen = 0;
+  Until([&] {
+    if (got.size() != seen) last = std::chrono::steady_clock::now();
+    seen = got.size();
+    return over ||
+           (seen > 0 && std::chrono::steady_clock::now() - last > kQuiet);
+  });
+  if (over) return got;
+  socket.close();
+  Until([&] { return over; });
+  return got;
+}
+
 void Site::PutConfig(std::uint64_t version,
                      const std::function<void(Json&)>& change) {
   const auto route = [](const char* name, const char* prefix, const char* kind,
@@ -272,13 +406,15 @@
   HostSettings settings;
   settings.name = "host" + std::to_string(hosts_.size());
   settings.failure_domain = "z1";
-  settings.ip = kLocal;
-  settings.callers = At(FreePort(io_));
-  settings.readiness = At(FreePort(io_));
-  settings.directory = At(FreePort(io_));
-  settings.gossip_port = FreePort(io_);
-  settings.placement_port = FreePort(io_);
-  settings.metrics_port = FreePort(io_);
+  settings.ip = LoopbackIp(hosts_.size());
+  const auto at = [&settings](std::uint16_t port) {
+    return settings.ip + ":" + std::to_string(port);
+  };
+  settings.callers = at(kCallerPort);
+  settings.readiness = at(kReadyPort);
+  settings.directory = at(kDirectoryPort);
+  settings.gossip_port = kGossipPort;
+  settings.placement_port = kGossipPort + 1;
   settings.store = store_->address();
   settings.stop_time = std::chrono::seconds(2);
   settings.repeat_ratio = 0.2;
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -17,6 +17,11 @@
 
 namespace comfreyflow::platform {
 
+/// An address of the loopback network for each host, another one for each
+/// process, so that fixed ports are free however many tests run at once.
+std::string LoopbackIp(std::size_t host);
+inline constexpr std::size_t kMostLoopbackHosts = 250;
+
 /// The store: objects by kind and name, lists and watches.
 class FakeStore {
  public:
@@ -29,6 +34,13 @@
   bool Has(const std::string& kind, const std::string& name) const;
   /// While it is down each call is answered 503, waiting watches too.
   void SetDown(bool down);
+  /// Objects in an answer at most.
+  void SetPageSize(std::size_t size) { page_size_ = size; }
+  /// The next writes are done and not answered.
+  void LoseAnswers(int count) { lost_answers_ = count; }
+  std::size_t calls() const { return calls_; }
+  /// Drops its history: watches from before are told to list anew.
+  void Forget();
 
  private:
   struct Waiting {
@@ -52,6 +64,10 @@
   std::vector<Event> events_;
   std::vector<Waiting> waiting_;
   std::uint64_t revision_ = 1;
+  std::size_t page_size_ = 500;
+  int lost_answers_ = 0;
+  std::size_t calls_ = 0;
+  std::uint64_t forgotten_ = 0;  ///< Changes up to here are gone.
   bool down_ = false;
   http::Server server_;
 };
@@ -90,6 +106,37 @@
   http::Server server_;
 };
 
+/// A target that writes bytes as a test gives them, whatever HTTP says.
+class RawTarget {
+ public:
+  using Socket = std::shared_ptr<boost::asio::ip::tcp::socket>;
+  /// Takes what came first on a connection, a head and part of its body;
+  /// whether to read on.
+  using Handler = std::function<bool(Socket, const std::string& bytes)>;
+
+  RawTarget(boost::asio::io_context& io, std::string name, Handler handler);
+
+  const std::string& name() const { return name_; }
+  std::string address() const;
+  /// All that came after the first read, on any connection.
+  const std::string& rest() const { return rest_; }
+  std::size_t connections() const { return connections_; }
+
+  /// Closes the connection so that the other end reads a reset.
+  static void Reset(const Socket& socket);
+
+ private:
+  void Accept();
+  void Read(const Socket& socket, bool first);
+
+  const std::string name_;
+  Handler handler_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::string rest_;
+  std::vector<Socket> silent_;  ///< Open, and not read any more.
+  std::size_t connections_ = 0;
+};
+
 /// What a caller got.
 struct Answer {
   std::shared_ptr<http::Call> call;
@@ -109,6 +156,8 @@
   FakeTarget& AddTarget(const std::string& service, const std::string& name);
   void List(const std::string& service, const FakeTarget& target,
             const std::string& state = "ready");
+  RawTarget& AddRawTarget(const std::string& service, const std::string& name,
+                          RawTarget::Handler handler);
   /// The configuration of tests: one route of each kind, one account.
   void PutConfig(std::uint64_t version,
                  const std::function<void(nlohmann::json&)>& change = {});
@@ -134,12 +183,19 @@
               const std::string& path, const http::Fields& fields = {},
               const std::string& body = "");
   Answer Get(const std::string& address, const std::string& path);
+  /// Sends bytes on a connection of their own; all that came back until it was
+  /// closed or nothing more came.
+  std::string SendBytes(std::size_t number, const std::string& bytes);
 
  private:
+  void ListAt(const std::string& service, const std::string& name,
+              const std::string& address, const std::string& state);
+
   boost::asio::io_context io_{1};
   http::Client client_;
   std::unique_ptr<FakeStore> store_;
   std::vector<std::unique_ptr<FakeTarget>> targets_;
+  std::vector<std::unique_ptr<RawTarget>> raw_targets_;
   std::vector<HostSettings> settings_;
   std::vector<std::unique_ptr<Host>> hosts_;
   int next_id_ = 0;
