--- /dev/null
+++ b/soak/callers.h
@@ -0,0 +1,43 @@
+/// Callers that ask the hosts for addresses, keep connections, send requests
+/// of each kind, and sometimes go away early.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "http/client.h"
+#include "soak/records.h"
+
+namespace comfreyflow::soak {
+
+struct CallerPaths {
+  /// Directory listener of each host.
+  std::vector<std::string> directories;
+  /// A host's own address for callers, and where it is reached.
+  std::vector<std::string> addresses;
+  std::vector<std::string> paths;
+  std::function<std::string()> pick_key;
+};
+
+/// Lives on one I/O thread; `records` outlives it.
+class Callers {
+ public:
+  Callers(boost::asio::io_context& io, Records& records, CallerPaths paths,
+          std::uint64_t seed);
+  ~Callers();
+
+  void Start(int count);
+  /// No new requests; those under way go on.
+  void Stop();
+  int open() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace comfreyflow::soak
--- /dev/null
+++ b/soak/host-process.cc
@@ -0,0 +1,105 @@
+// Starts and signals processes.
+#include "soak/host-process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace comfreyflow::soak {
+namespace {
+
+constexpr int kGossipPort = 7340;
+constexpr int kLastPort = 7355;
+constexpr int kControlPort = 8229;
+constexpr int kStopSeconds = 4;
+constexpr int kMemoryMb = 260;
+constexpr mode_t kLogMode = 0644;
+
+}  // namespace
+
+HostProcess::HostProcess(HostPlan plan) : plan_(std::move(plan)) {
+  WriteSettings();
+}
+
+HostProcess::~HostProcess() {
+  if (!Running()) return;
+  ::kill(pid_, SIGKILL);
+  ::waitpid(pid_, &status_, 0);
+}
+
+std::string HostProcess::At(int port) const {
+  return plan_.ip + ":" + std::to_string(port);
+}
+
+void HostProcess::WriteSettings() const {
+  nlohmann::json seeds = nlohmann::json::array();
+  for (const auto& ip : plan_.seeds) {
+    seeds.push_back(ip + ":" + std::to_string(kControlPort));
+  }
+  const nlohmann::json settings{
+      {"NodeName", plan_.name},
+      {"Zone", plan_.failure_domain},
+      {"Ip", plan_.ip},
+      {"Listen",
+       {{"Front", At(kCallerPort)},
+        {"ReadyAddr", At(kReadyPort)},
+        {"Directory", At(kDirectoryPort)}}},
+      {"PortRange", {kGossipPort, kLastPort}},
+      {"Seeds", seeds},
+      {"Platform", {{"Addr", plan_.store}}},
+      {"Bounds",
+       {{"GraceS", kStopSeconds},
+        {"RetryRatio", 0.2},
+        {"RetrySlack", 100},
+        {"RetryWindowS", 10}}},
+      {"Limits", {{"CpuShare", 0.25}, {"Cores", 1}, {"MemoryMb", kMemoryMb}}}};
+  std::ofstream(plan_.directory + "/" + plan_.name + ".json")
+      << settings.dump(2);
+}
+
+void HostProcess::Start() {
+  if (Running()) return;
+  const std::string base = plan_.directory + "/" + plan_.name;
+  const std::string settings = "COMFREYFLOW_NODE_FILE=" + base + ".json";
+  std::string program = plan_.program;
+  std::string fault = plan_.fault;
+  std::array<char*, 3> arguments = {program.data(), nullptr, nullptr};
+  if (!fault.empty()) arguments[1] = fault.data();
+  std::array<char*, 2> environment = {const_cast<char*>(settings.c_str()),
+                                      nullptr};
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                   (base + ".log").c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, kLogMode);
+  // A connection that the child inherits would stay open behind our back.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  const int error = ::posix_spawn(&pid_, program.c_str(), &actions, nullptr,
+                                  arguments.data(), environment.data());
+  posix_spawn_file_actions_destroy(&actions);
+  if (error != 0) {
+    pid_ = 0;
+    throw std::runtime_error("cannot start " + program);
+  }
+}
+
+void HostProcess::Signal(int signal) const {
+  if (pid_ != 0) ::kill(pid_, signal);
+}
+
+bool HostProcess::Running() {
+  if (pid_ == 0) return false;
+  if (::waitpid(pid_, &status_, WNOHANG) == 0) return true;
+  pid_ = 0;
+  return false;
+}
+
+}  // namespace comfreyflow::soak
--- /dev/null
+++ b/soak/host-process.h
@@ -0,0 +1,52 @@
+/// A host as a process of its own: its settings, its signals, its log.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace comfreyflow::soak {
+
+struct HostPlan {
+  std::string program;
+  std::string directory;  ///< For settings and log.
+  std::string name;
+  std::string failure_domain;
+  std::string ip;
+  std::string store;               ///< `ip:port`
+  std::vector<std::string> seeds;  ///< `ip`
+  std::string fault;  ///< Planted one, for a program that takes it.
+};
+
+inline constexpr int kCallerPort = 8227;
+inline constexpr int kReadyPort = 8220;
+inline constexpr int kDirectoryPort = 8224;
+
+/// Ends its process when it goes.
+class HostProcess {
+ public:
+  explicit HostProcess(HostPlan plan);
+  ~HostProcess();
+  HostProcess(const HostProcess&) = delete;
+  HostProcess& operator=(const HostProcess&) = delete;
+
+  const HostPlan& plan() const { return plan_; }
+  std::string At(int port) const;
+  /// Does nothing while the process runs.
+  void Start();
+  void Signal(int signal) const;
+  /// Whether the process runs; takes note of its end.
+  bool Running();
+  /// How the last process ended, as `waitpid` tells it.
+  int status() const { return status_; }
+
+ private:
+  void WriteSettings() const;
+
+  const HostPlan plan_;
+  pid_t pid_ = 0;  ///< 0: none runs.
+  int status_ = 0;
+};
+
+}  // namespace comfreyflow::soak
--- /dev/null
+++ b/soak/planted-host.cc
@@ -0,0 +1,201 @@
+// A host with one planted fault, named by its argument: each breaks a promise,
+// and a soak that does not find it is of no use.
+#include <array>
+#include <boost/asio.hpp>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "node/log.h"
+#include "platform/edge.h"
+#include "platform/host.h"
+#include "platform/settings.h"
+#include "soak/planted.h"
+
+namespace comfreyflow::soak {
+namespace {
+
+using gateway::EdgeHooks;
+using gateway::ObjectStore;
+using platform::HostParts;
+using Json = nlohmann::json;
+constexpr int kServerErrors = 500;
+constexpr int kUnavailable = 503;
+
+/// Takes a target's failure for its word that it did not run the request.
+void RepeatFailed(HostParts& parts) {
+  parts.edge.read_head = [read = parts.edge.read_head](const auto& response) {
+    gateway::TargetHead head = read(response);
+    head.told_not_run = head.told_not_run || head.status >= kServerErrors;
+    return head;
+  };
+}
+
+/// Says of every failure that nothing ran.
+void PromiseFailed(HostParts& parts) {
+  parts.edge.write_failure = [write = parts.edge.write_failure](
+                                 Errc code, Duration retry_after,
+                                 const std::string& id) {
+    http::Response response = write(code, retry_after, id);
+    if (response.status >= kServerErrors) response.status = kUnavailable;
+    return response;
+  };
+}
+
+void DropMark(HostParts& parts) {
+  parts.edge.write_head = [write = parts.edge.write_head](const auto& answer) {
+    http::Response head = write(answer);
+    std::erase_if(head.fields,
+                  [](const auto& f) { return f.name == "x-seal"; });
+    return head;
+  };
+}
+
+using Change = std::function<void(const http::Request&, gateway::ForwardHead&,
+                                  http::Request&)>;
+
+void ChangeRequests(HostParts& parts, Change change) {
+  parts.edge.write_request =
+      [write = parts.edge.write_request, change = std::move(change)](
+          const http::Request& request, const gateway::ForwardHead& given) {
+        gateway::ForwardHead head = given;
+        http::Request out = write(request, head);
+        change(request, head, out);
+        return out;
+      };
+}
+
+void PassKey(HostParts& parts) {
+  ChangeRequests(parts, [](const auto& request, auto&, auto& out) {
+    out.fields.push_back(
+        {"authorization",
+         std::string(http::FieldValue(request.fields, "authorization"))});
+  });
+}
+
+void ChangeAccount(HostParts& parts) {
+  ChangeRequests(parts, [](const auto&, auto&, auto& out) {
+    for (auto& field : out.fields) {
+      if (field.name == "x-tenant") field.value = "account0";
+    }
+  });
+}
+
+void ChangePath(HostParts& parts) {
+  ChangeRequests(parts, [](const auto&, auto&, auto& out) {
+    const auto at = out.target.find("%2f");
+    if (at != std::string::npos) out.target.replace(at, 3, "/");
+  });
+}
+
+/// Resumes a stream one event too late.
+void SkipEvent(HostParts& parts) {
+  ChangeRequests(parts, [](const auto&, auto&, auto& out) {
+    for (auto& field : out.fields) {
+      if (field.name != "last-event-id") continue;
+      field.value = std::to_string(std::stoi(field.value) + 1);
+    }
+  });
+}
+
+/// Keeps the first key it saw for every caller.
+void TakeAnyKey(HostParts& parts) {
+  const auto first = std::make_shared<std::string>();
+  parts.edge.read_request = [read = parts.edge.read_request,
+                             first](const http::Request& request) {
+    gateway::CallerRequest out = read(request);
+    if (first->empty()) *first = out.key;
+    out.key = *first;
+    return out;
+  };
+}
+
+void KeepMemory(HostParts& parts) {
+  parts.edge.write_release = [reserve = parts.edge.write_reserve](
+                                 const std::string& target,
+                                 const std::string& id) {
+    constexpr std::uint32_t kTokens = 1000;
+    return reserve(target, id, kTokens, std::chrono::seconds(20));
+  };
+}
+
+/// Changes what the store tells of a kind.
+void ChangeStore(HostParts& parts, const std::string& kind,
+                 std::function<void(WatchAnswer&)> change) {
+  parts.wrap_store = [kind, change = std::move(change)](ObjectStore store) {
+    store.watch = [watch = store.watch, kind, change](
+                      const std::string& asked, std::uint64_t version,
+                      Duration wait, gateway::WatchHandler handler) {
+      if (asked != kind) return watch(asked, version, wait, handler);
+      watch(asked, version, wait, [change, handler](WatchAnswer changes) {
+        change(changes);
+        handler(std::move(changes));
+      });
+    };
+    return store;
+  };
+}
+
+void IgnoreLeaving(HostParts& parts) {
+  ChangeStore(parts, "servers", [](WatchAnswer& changes) {
+    std::erase_if(changes.changes, [](const auto& c) { return c.deleted; });
+    for (auto& object : changes.changes) {
+      Json json = Json::parse(object.value);
+      json["State"] = "ready";
+      object.value = json.dump();
+    }
+  });
+}
+
+void IgnoreConfiguration(HostParts& parts) {
+  ChangeStore(parts, "config",
+              [](WatchAnswer& changes) { changes.changes.clear(); });
+}
+
+using Plant = void (*)(HostParts&);
+
+/// In the order of `kPlanted`.
+constexpr std::array<Plant, kPlanted.size()> kPlants = {
+    RepeatFailed,  PromiseFailed, DropMark,           PassKey,
+    ChangeAccount, ChangePath,    SkipEvent,          TakeAnyKey,
+    KeepMemory,    IgnoreLeaving, IgnoreConfiguration};
+
+Plant Find(const std::string& fault) {
+  for (std::size_t i = 0; i < kPlanted.size(); ++i) {
+    if (kPlanted[i].name == fault) return kPlants[i];
+  }
+  return nullptr;
+}
+
+int Run(const std::string& fault) {
+  const Plant plant = Find(fault);
+  if (plant == nullptr) {
+    std::cerr << "planted faults:";
+    for (const auto& planted : kPlanted) std::cerr << ' ' << planted.name;
+    std::cerr << '\n';
+    return EXIT_FAILURE;
+  }
+  node::StartLog("soak-planted-host");
+  const char* path = std::getenv(platform::kSettingsVariable);
+  platform::HostSettings settings;
+  std::string problem;
+  if (path == nullptr || platform::ReadSettings(path, settings, problem)) {
+    return EXIT_FAILURE;
+  }
+  HostParts parts;
+  plant(parts);
+  boost::asio::io_context io(1);
+  platform::Host host(io, settings, path, std::move(parts));
+  if (host.Start()) return EXIT_FAILURE;
+  io.run();
+  return EXIT_SUCCESS;
+}
+
+}  // namespace
+}  // namespace comfreyflow::soak
+
+int main(int argc, char** argv) {
+  return comfreyflow::soak::Run(argc > 1 ? argv[1] : "");
+}
--- /dev/null
+++ b/soak/planted.h
@@ -0,0 +1,27 @@
+/// Faults that `soak-planted-host` takes, and the promise that each breaks: a
+/// soak that does not find them is of no use.
+#pragma once
+
+#include <array>
+
+namespace comfreyflow::soak {
+
+struct Planted {
+  const char* name;
+  const char* promise;
+};
+
+inline constexpr std::array<Planted, 11> kPlanted = {
+    {{"repeats_failed", "TWICE"},
+     {"promises_failed", "REFUSED"},
+     {"drops_mark", "MIXED"},
+     {"passes_key", "UNASKED"},
+     {"changes_account", "UNASKED"},
+     {"changes_path", "UNASKED"},
+     {"skips_event", "ORDER"},
+     {"takes_any_key", "CONFIG"},
+     {"keeps_memory", "LEAK"},
+     {"ignores_leaving", "DRAIN"},
+     {"ignores_configuration", "CONFIG"}}};
+
+}  // namespace comfreyflow::soak
--- /dev/null
+++ b/soak/promises.cc
@@ -0,0 +1,360 @@
+// Judges records.
+#include "soak/promises.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+
+namespace comfreyflow::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kLeastEvents = 6;
+constexpr int kMoreEvents = 24;
+constexpr int kUnauthorized = 401;
+
+bool Success(const Sent& sent) {
+  return sent.status >= 200 && sent.status < 300;
+}
+
+/// Statuses that say that the request has not run and never will.
+bool Promises(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+class Judge {
+ public:
+  Judge(const Records& records, const Bounds& bounds)
+      : records_(records), bounds_(bounds) {
+    for (const auto& sent : records.sent) sent_[sent.id] = &sent;
+    for (const auto& run : records.runs) runs_[run.id].push_back(&run);
+  }
+
+  void Untimed() {
+    for (const auto& sent : records_.sent) {
+      CheckAnswer(sent);
+      CheckRuns(sent);
+      CheckCut(sent);
+    }
+    for (const auto& run : records_.runs) CheckAsked(run);
+    CheckRepeats();
+  }
+
+  void Timed() {
+    for (const auto& sent : records_.sent) {
+      CheckInTime(sent);
+      CheckGone(sent);
+      CheckKey(sent);
+    }
+    for (const auto& run : records_.runs) CheckLeaving(run);
+    CheckMemory();
+    CheckRecovered();
+  }
+
+  std::vector<Breach> TakeBreaches() { return std::move(breaches_); }
+
+ private:
+  void Note(const char* promise, const std::string& request,
+            std::string detail) {
+    breaches_.push_back({promise, request, std::move(detail)});
+  }
+
+  const std::vector<const Run*>& RunsOf(const Sent& sent) const {
+    static const std::vector<const Run*> kNone;
+    const auto at = runs_.find(sent.id);
+    return at == runs_.end() ? kNone : at->second;
+  }
+
+  std::size_t RanCount(const Sent& sent) const {
+    const auto& runs = RunsOf(sent);
+    return static_cast<std::size_t>(std::count_if(
+        runs.begin(), runs.end(), [](const Run* run) { return run->ran; }));
+  }
+
+  /// Whether something was done to the subject between the two moments.
+  bool Disturbed(Subject subject, std::size_t number, Time from, Time to,
+                 bool planned_too = true) const {
+    return std::any_of(records_.disturbances.begin(),
+                       records_.disturbances.end(), [&](const Disturbance& d) {
+                         if (d.subject != subject || d.number != number)
+                           return false;
+                         if (d.planned && !planned_too) return false;
+                         return d.from <= to &&
+                                d.until.value_or(records_.over) >= from;
+                       });
+  }
+
+  bool HostInTouch(std::size_t host, Time from, Time to) const {
+    return !Disturbed(Subject::kHost, host, from - bounds_.touch, to) &&
+           !Disturbed(Subject::kStorePath, host, from - bounds_.touch, to);
+  }
+
+  bool TargetsDisturbed(const Sent& sent, Time to) const {
+    return std::any_of(RunsOf(sent).begin(), RunsOf(sent).end(),
+                       [&](const Run* run) {
+                         return Disturbed(Subject::kTarget, run->target,
+                                          run->at - bounds_.touch, to);
+                       });
+  }
+
+  /// MIXED, ORDER: what the caller got is its target's whole answer, or does
+  /// not look whole.
+  void CheckAnswer(const Sent& sent) {
+    if (sent.status == 0) return;
+    if (sent.kind == Kind::kStream && Success(sent)) {
+      const std::string all = EventsOf(sent.id);
+      const bool right =
+          sent.whole ? sent.answer == all : all.starts_with(sent.answer);
+      if (!right) Note("ORDER", sent.id, "events are missing, twice or mixed");
+    }
+    if (!Success(sent) || !sent.whole) return;
+    if (!sent.marked) Note("MIXED", sent.id, "a success without its mark");
+    if (sent.kind != Kind::kStream &&
+        sent.answer != AnswerOf(sent.path, sent.body)) {
+      Note("MIXED", sent.id, "another answer: " + sent.answer);
+    }
+    if (RanCount(sent) == 0) Note("MIXED", sent.id, "no target ran it");
+  }
+
+  /// TWICE, REFUSED, BUDGET for one request.
+  void CheckRuns(const Sent& sent) {
+    const std::size_t ran = RanCount(sent);
+    if (sent.kind == Kind::kUnsafe && ran > 1) {
+      Note("TWICE", sent.id, std::to_string(ran) + " runs");
+    }
+    if (sent.kind == Kind::kUnsafe && Promises(sent.status) && ran > 0) {
+      Note("REFUSED", sent.id, "status " + std::to_string(sent.status));
+    }
+    if (ran > bounds_.attempts) {
+      Note("BUDGET", sent.id, std::to_string(ran) + " targets ran it");
+    }
+  }
+
+  /// LOST: no answer is cut but by a disturbance or the caller.
+  void CheckCut(const Sent& sent) {
+    if (sent.left || !sent.ended || sent.whole) return;
+    const Time end = *sent.ended;
+    if (Disturbed(Subject::kHost, sent.host, sent.at - milliseconds(200), end,
+                  false) ||
+        Disturbed(Subject::kCallerPath, sent.host, sent.at - bounds_.touch,
+                  end)) {
+      return;
+    }
+    if (StopEnded(sent, end)) return;
+    if (sent.kind == Kind::kStream && Success(sent)) {
+      if (TargetsDisturbed(sent, end)) return;
+      if (end - sent.at + milliseconds(100) >= sent.deadline) return;
+    }
+    Note("LOST", sent.id,
+         "cut at host " + std::to_string(sent.host) + ", status " +
+             std::to_string(sent.status));
+  }
+
+  /// Whether the end of a planned stop cut the request, and was free to: it was
+  /// not passed on yet, or its target was still at work in the last sixth of
+  /// the time to stop.
+  bool StopEnded(const Sent& sent, Time to) const {
+    constexpr Duration kClose = milliseconds(100);
+    return std::any_of(records_.disturbances.begin(),
+                       records_.disturbances.end(), [&](const Disturbance& d) {
+                         if (!d.planned || d.number != sent.host || !d.gone)
+                           return false;
+                         if (sent.at > *d.gone || to + kClose < *d.gone)
+                           return false;
+                         return RunsOf(sent).empty() ||
+                                6 * (*d.gone - d.from) >= 5 * bounds_.stop;
+                       });
+  }
+
+  /// UNASKED, ROUTE: targets get what a caller sent, under its account.
+  void CheckAsked(const Run& run) {
+    const auto at = sent_.find(run.id);
+    if (at == sent_.end()) {
+      return Note("UNASKED", run.id, "no caller sent it");
+    }
+    const Sent& sent = *at->second;
+    if (run.path != sent.path || run.body != sent.body) {
+      Note("UNASKED", run.id, "changed: " + run.path);
+    }
+    if (run.key_seen) Note("UNASKED", run.id, "the key reached a target");
+    const KeyLife* life = LifeOf(sent.key);
+    if (life == nullptr) {
+      Note("ROUTE", run.id, "ran with a key that never was");
+    } else if (life->account != run.account) {
+      Note("UNASKED", run.id, "under the account " + run.account);
+    }
+  }
+
+  const KeyLife* LifeOf(const std::string& key) const {
+    for (const auto& life : records_.keys) {
+      if (life.key == key) return &life;
+    }
+    return nullptr;
+  }
+
+  /// BUDGET: repeats of all hosts together, in any window.
+  void CheckRepeats() {
+    std::vector<Time> repeats;
+    for (const auto& [id, runs] : runs_) {
+      for (std::size_t i = 1; i < runs.size(); ++i) {
+        repeats.push_back(runs[i]->at);
+      }
+    }
+    std::vector<Time> requests;
+    for (const auto& sent : records_.sent) requests.push_back(sent.at);
+    std::sort(repeats.begin(), repeats.end());
+    std::sort(requests.begin(), requests.end());
+    const auto within = [this](const std::vector<Time>& all, Time begin) {
+      const auto first = std::lower_bound(all.begin(), all.end(), begin);
+      const auto last =
+          std::upper_bound(first, all.end(), begin + bounds_.repeat_window);
+      return static_cast<double>(last - first);
+    };
+    for (const Time begin : repeats) {
+      const double most =
+          bounds_.repeat_ratio * within(requests, begin) + bounds_.repeat_slack;
+      if (within(repeats, begin) <= most) continue;
+      return Note("BUDGET", "", "too many repeats in a window");
+    }
+  }
+
+  /// Every request has its final answer soon after its deadline.
+  void CheckInTime(const Sent& sent) {
+    const Time due = sent.at + sent.deadline + bounds_.late_answer;
+    if (sent.left || due > records_.over) return;
+    if (sent.ended && *sent.ended <= due) return;
+    if (Disturbed(Subject::kHost, sent.host, sent.at - bounds_.touch, due) ||
+        Disturbed(Subject::kCallerPath, sent.host, sent.at - bounds_.touch,
+                  due)) {
+      return;
+    }
+    Note("CONFIG", sent.id, "no answer at its deadline");
+  }
+
+  /// GONE: work ends soon after its caller has left.
+  void CheckGone(const Sent& sent) {
+    if (!sent.left) return;
+    const Time due = *sent.left + bounds_.left;
+    for (const Run* run : RunsOf(sent)) {
+      if (run->ended && *run->ended <= due) continue;
+      const Time end = run->ended.value_or(records_.over);
+      if (end <= due) continue;
+      if (Disturbed(Subject::kHost, sent.host, sent.at - bounds_.touch, due) ||
+          Disturbed(Subject::kCallerPath, sent.host, sent.at - bounds_.touch,
+                    due) ||
+          Disturbed(Subject::kTarget, run->target, run->at - bounds_.touch,
+                    due)) {
+        continue;
+      }
+      Note("GONE", sent.id, "work goes on after its caller left");
+    }
+  }
+
+  /// CONFIG, DENIED: keys are in force and out of it in time.
+  void CheckKey(const Sent& sent) {
+    const KeyLife* life = LifeOf(sent.key);
+    if (life == nullptr || sent.status == 0) return;
+    const bool added = sent.at > life->added + bounds_.config;
+    const bool removed =
+        life->removed && sent.at > *life->removed + bounds_.config;
+    if (!removed && added && sent.status == kUnauthorized && !life->removed &&
+        HostInTouch(sent.host, sent.at, sent.at)) {
+      Note("DENIED", sent.id, "a key in force is refused");
+    }
+    if (removed && sent.status != kUnauthorized &&
+        HostInTouch(sent.host, *life->removed, sent.at)) {
+      Note("CONFIG", sent.id, "a key that was taken away is taken");
+    }
+  }
+
+  /// DRAIN: nothing reaches a target that has been leaving for long.
+  void CheckLeaving(const Run& run) {
+    const auto at = sent_.find(run.id);
+    if (at == sent_.end()) return;
+    for (const auto& leaving : records_.leaving) {
+      if (leaving.target != run.target) continue;
+      if (run.at <= leaving.from + bounds_.drain) continue;
+      if (leaving.until && run.at >= *leaving.until) continue;
+      if (!HostInTouch(at->second->host, leaving.from, run.at)) continue;
+      Note("DRAIN", run.id, "sent to a target that leaves");
+    }
+  }
+
+  /// LEAK: memory is free soon after its last use.
+  void CheckMemory() {
+    for (const auto& held : records_.held) {
+      const Time free = held.renewed + held.life;
+      if (held.released || free <= records_.over) continue;
+      if (Disturbed(Subject::kTarget, held.target, held.renewed - bounds_.touch,
+                    records_.over)) {
+        continue;
+      }
+      const auto used = std::any_of(
+          records_.sent.begin(), records_.sent.end(), [&](const Sent& sent) {
+            return !sent.ended ||
+                   *sent.ended + bounds_.free_memory > records_.over;
+          });
+      if (!used) Note("LEAK", "", held.id + " is still held");
+    }
+  }
+
+  /// RECOVER: once all is quiet, requests are served again.
+  void CheckRecovered() {
+    std::size_t all = 0;
+    std::size_t served = 0;
+    for (const auto& sent : records_.sent) {
+      const KeyLife* life = LifeOf(sent.key);
+      if (sent.at < records_.quiet_from + bounds_.recover || sent.left ||
+          life == nullptr || life->removed || !sent.ended) {
+        continue;
+      }
+      ++all;
+      if (Success(sent) && sent.whole) ++served;
+    }
+    if (all == 0) return;
+    const double share = static_cast<double>(served) / static_cast<double>(all);
+    if (share < bounds_.recovered_share) {
+      Note("RECOVER", "",
+           std::to_string(served) + " of " + std::to_string(all) + " served");
+    }
+  }
+
+  const Records& records_;
+  const Bounds& bounds_;
+  std::map<std::string, const Sent*> sent_;
+  std::map<std::string, std::vector<const Run*>> runs_;
+  std::vector<Breach> breaches_;
+};
+
+}  // namespace
+
+int EventCountOf(const std::string& id) {
+  return kLeastEvents +
+         static_cast<int>(std::hash<std::string>()(id) % kMoreEvents);
+}
+
+std::string EventOf(const std::string& id, int number) {
+  const std::string text = std::to_string(number);
+  return "id: " + text + "\ndata: " + id + '-' + text + "\n\n";
+}
+
+std::string EventsOf(const std::string& id) {
+  std::string out;
+  for (int i = 1; i <= EventCountOf(id); ++i) out += EventOf(id, i);
+  return out;
+}
+
+std::string AnswerOf(const std::string& path, const std::string& body) {
+  return "answer to " + path + " with " + body;
+}
+
+std::vector<Breach> Check(const Records& records, const Bounds& bounds,
+                          bool timed) {
+  Judge judge(records, bounds);
+  judge.Untimed();
+  if (timed) judge.Timed();
+  return judge.TakeBreaches();
+}
+
+}  // namespace comfreyflow::soak
--- /dev/null
+++ b/soak/promises.h
@@ -0,0 +1,41 @@
+/// The promises that hold whatever fails, checked against records.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "soak/records.h"
+
+namespace comfreyflow::soak {
+
+/// Times and shares that the pages promise.
+struct Bounds {
+  Duration config = std::chrono::milliseconds(2000);
+  Duration drain = std::chrono::milliseconds(2000);
+  Duration touch = std::chrono::milliseconds(3000);
+  Duration late_answer = std::chrono::milliseconds(500);
+  /// From the order to stop until the process is ended by force.
+  Duration stop = std::chrono::seconds(4);
+  Duration left = std::chrono::milliseconds(500);
+  /// From the last disturbance until requests are served again.
+  Duration recover = std::chrono::seconds(12);
+  double recovered_share = 0.25;
+  double repeat_ratio = 0.2;
+  double repeat_slack = 100;
+  Duration repeat_window = std::chrono::seconds(10);
+  std::size_t attempts = 2;
+  /// After the last use of memory that was set aside.
+  Duration free_memory = std::chrono::seconds(4);
+};
+
+struct Breach {
+  std::string promise;
+  std::string request;  ///< Id; empty where no single one is at fault.
+  std::string detail;
+};
+
+/// `timed`: also promises that name a time, which a busy machine can break.
+std::vector<Breach> Check(const Records& records, const Bounds& bounds,
+                          bool timed);
+
+}  // namespace comfreyflow::soak
--- /dev/null
+++ b/soak/proxy.h
@@ -0,0 +1,38 @@
+/// A TCP relay on loopback whose connections are disturbed from outside.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace comfreyflow::soak {
+
+enum class PathFault : std::uint8_t {
+  kNone,
+  kSilent,      ///< Nothing passes, in neither direction.
+  kSilentBack,  ///< Answers do not pass.
+  kSlow,        ///< Each read is passed on late.
+  kReset,       ///< Open connections and new ones are reset.
+};
+
+const char* ToString(PathFault fault);
+
+/// Lives on one I/O thread. What silence holds back passes when it is over.
+class Proxy {
+ public:
+  /// `target` is `ip:port`.
+  Proxy(boost::asio::io_context& io, const std::string& target);
+  ~Proxy();
+  Proxy(const Proxy&) = delete;
+  Proxy& operator=(const Proxy&) = delete;
+
+  std::string address() const;
+  void Set(PathFault fault);
+
+ private:
+  struct State;
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace comfreyflow::soak
--- /dev/null
+++ b/soak/records.h
@@ -0,0 +1,107 @@
+/// What callers and targets saw during a soak, and what was done to the hosts
+/// meanwhile. Plain data, judged by `Check` once the soak is over.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "comfreyflow/types.h"
+
+namespace comfreyflow::soak {
+
+enum class Kind : std::uint8_t { kSafe, kUnsafe, kStream };
+
+/// One attempt of a caller.
+struct Sent {
+  std::string id;
+  Kind kind = Kind::kSafe;
+  std::size_t host = 0;  ///< That it was sent to.
+  std::string key;
+  std::string path;
+  std::string body;
+  Time at;
+  Duration deadline{};
+  std::optional<Time> left;   ///< The caller went away.
+  std::optional<Time> ended;  ///< Its answer is whole, or the connection over.
+  int status = 0;             ///< 0: no head came.
+  bool whole = false;
+  bool marked = false;  ///< The answer has a target's mark of origin.
+  std::string answer;
+};
+
+/// One arrival of a request at a target.
+struct Run {
+  std::string id;
+  std::size_t target = 0;
+  Time at;
+  bool ran = true;      ///< False: the target refused it and said so.
+  bool failed = false;  ///< The target answered with a failure of its own.
+  std::string path;
+  std::string body;
+  std::string account;
+  bool key_seen = false;      ///< The caller's key reached the target.
+  std::optional<Time> ended;  ///< Answered, or its connection closed.
+};
+
+/// A key of an account, from one acknowledged configuration to another.
+struct KeyLife {
+  std::string key;
+  std::string account;
+  Time added;
+  std::optional<Time> removed;
+};
+
+/// A target that is leaving or off the list.
+struct Leaving {
+  std::size_t target = 0;
+  Time from;
+  std::optional<Time> until;
+};
+
+enum class Subject : std::uint8_t {
+  kHost,        ///< The process was killed, started, stopped or paused.
+  kStorePath,   ///< Between a host and the store.
+  kCallerPath,  ///< Between callers and a host.
+  kTarget,      ///< The target or the way to it.
+};
+
+struct Disturbance {
+  Subject subject = Subject::kHost;
+  std::size_t number = 0;  ///< Of the host or target.
+  std::string what;
+  Time from;
+  std::optional<Time> until;  ///< Absent: to the end.
+  bool planned = false;       ///< A stop that has to cut nothing.
+  std::optional<Time> gone;   ///< When the host's process ended.
+};
+
+/// Memory that a host had set aside at a target.
+struct Held {
+  std::string id;
+  std::size_t target = 0;
+  Time renewed;
+  Duration life{};
+  bool released = false;
+};
+
+struct Records {
+  std::deque<Sent> sent;
+  std::deque<Run> runs;
+  std::vector<KeyLife> keys;
+  std::vector<Leaving> leaving;
+  std::vector<Disturbance> disturbances;
+  std::vector<Held> held;
+  Time quiet_from;  ///< After the last disturbance.
+  Time over;
+};
+
+/// All events of the answer to a stream, and the answer of a plain target.
+std::string EventsOf(const std::string& id);
+std::string EventOf(const std::string& id, int number);
+int EventCountOf(const std::string& id);
+std::string AnswerOf(const std::string& path, const std::string& body);
+
+}  // namespace comfreyflow::soak
--- /dev/null
+++ b/soak/site.cc
@@ -0,0 +1,282 @@
+// Store, targets and what they note.
+#include "soak/site.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "node/clock.h"
+
+namespace comfreyflow::soak {
+namespace {
+
+using comfreyflow::detail::Now;
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr int kSlots = 8;
+constexpr int kMemoryTokens = 100'000;
+constexpr milliseconds kFirstEvent{8};
+constexpr milliseconds kBetweenEvents{15};
+constexpr milliseconds kPlainWork{4};
+constexpr std::size_t kAccounts = 2;
+/// Of picks, those of any key that ever was.
+constexpr double kOldKeyShare = 0.1;
+constexpr double kErrorShare = 0.5;
+
+Json RouteOf(const char* name, const char* kind, const char* service) {
+  return Json{{"Name", name},
+              {"Host", kHostHeader},
+              {"PathPrefix", std::string("/") + name + "/"},
+              {"Kind", kind},
+              {"TimeoutMs", 5000},
+              {"TargetLatencyMs", 300},
+              {"MaxGapMs", 250},
+              {"Priority", 1},
+              {"Service", service},
+              {"Attempts", 2},
+              {"Resumable", true}};
+}
+
+std::string AccountOf(std::uint64_t number) {
+  return "account" + std::to_string(number % kAccounts);
+}
+
+}  // namespace
+
+struct Site::Target {
+  Target(boost::asio::io_context& io, std::string service, std::size_t number)
+      : service(std::move(service)),
+        number(number),
+        fake(io, "target" + std::to_string(number)),
+        path(io, fake.address()) {}
+
+  const std::string service;
+  const std::size_t number;
+  platform::FakeTarget fake;
+  Proxy path;
+  Behaviour behaviour = Behaviour::kSound;
+  std::size_t orders_read = 0;
+  std::vector<http::ExchangePtr> hanging;  ///< Never answered.
+};
+
+Site::Site(boost::asio::io_context& io, Records& records, std::uint64_t seed)
+    : io_(io), records_(records), random_(seed), store_(io) {
+  for (std::size_t i = 0; i < kAccounts; ++i) {
+    records_.keys.push_back({"key" + std::to_string(keys_made_),
+                             AccountOf(keys_made_), Now(), std::nullopt});
+    ++keys_made_;
+  }
+  PutConfig();
+}
+
+Site::~Site() = default;
+
+Proxy& Site::AddStorePath() {
+  store_paths_.push_back(std::make_unique<Proxy>(io_, store_.address()));
+  return *store_paths_.back();
+}
+
+void Site::AddTarget(const std::string& service) {
+  targets_.push_back(std::make_unique<Target>(io_, service, targets_.size()));
+  Target& target = *targets_.back();
+  target.fake.OnRequest([this, &target](const http::ExchangePtr& exchange) {
+    Take(target, exchange);
+  });
+  List(target.number, "ready");
+}
+
+Proxy& Site::target_path(std::size_t target) {
+  return targets_.at(target)->path;
+}
+
+void Site::SetBehaviour(std::size_t target, Behaviour behaviour) {
+  targets_.at(target)->behaviour = behaviour;
+  if (behaviour == Behaviour::kSound) targets_.at(target)->hanging.clear();
+}
+
+void Site::List(std::size_t number, const std::string& state) {
+  Target& target = *targets_.at(number);
+  store_.Put("servers", target.fake.name(),
+             {{"Service", target.service},
+              {"Addr", target.path.address()},
+              {"Zone", "z" + std::to_string(number % 3)},
+              {"Slots", kSlots},
+              {"State", state}});
+}
+
+void Site::Unlist(std::size_t target) {
+  const std::string& name = targets_.at(target)->fake.name();
+  if (store_.Has("servers", name)) store_.Remove("servers", name);
+}
+
+void Site::PutConfig() {
+  Json accounts = Json::array();
+  for (std::size_t i = 0; i < kAccounts; ++i) {
+    Json keys = Json::array();
+    for (const auto& life : records_.keys) {
+      if (life.account == AccountOf(i) && !life.removed) {
+        keys.push_back(life.key);
+      }
+    }
+    accounts.push_back({{"Name", AccountOf(i)}, {"ApiKeys", keys}});
+  }
+  store_.Put("config", "main",
+             {{"Version", version_ += 3},
+              {"Routes",
+               {RouteOf("safe", "safe", kPlainService),
+                RouteOf("unsafe", "unsafe", kPlainService),
+                RouteOf("stream", "stream", kEngineService)}},
+              {"Services",
+               {{{"Name", kPlainService}},
+                {{"Name", kEngineService},
+                 {"Engine",
+                  {{"Slots", kSlots},
+                   {"KvTokens", kMemoryTokens},
+                   {"Stride", 10},
+                   {"step_ms", 1.0},
+                   {"read_per_s", 1000000.0}}}}}},
+              {"Limits", Json::object()},
+              {"Tenants", accounts}});
+}
+
+void Site::ChangeKey() {
+  const std::string account = AccountOf(keys_made_);
+  for (auto& life : records_.keys) {
+    if (life.account == account && !life.removed) life.removed = Now();
+  }
+  records_.keys.push_back(
+      {"key" + std::to_string(keys_made_), account, Now(), std::nullopt});
+  ++keys_made_;
+  PutConfig();
+}
+
+std::string Site::PickKey() {
+  std::vector<std::string> in_force;
+  for (const auto& life : records_.keys) {
+    if (!life.removed) in_force.push_back(life.key);
+  }
+  const auto pick = [this](std::size_t size) {
+    return std::uniform_int_distribution<std::size_t>(0, size - 1)(random_);
+  };
+  if (std::bernoulli_distribution(kOldKeyShare)(random_)) {
+    return records_.keys[pick(records_.keys.size())].key;
+  }
+  return in_force[pick(in_force.size())];
+}
+
+void Site::Take(Target& target, const http::ExchangePtr& exchange) {
+  const http::Request& request = exchange->request();
+  const std::size_t number = records_.runs.size();
+  Run& run = records_.runs.emplace_back();
+  run.id = http::FieldValue(request.fields, "x-request-id");
+  run.target = target.number;
+  run.at = Now();
+  run.path = request.target;
+  run.body = request.body;
+  run.account = http::FieldValue(request.fields, "x-tenant");
+  run.key_seen = http::HasField(request.fields, "authorization");
+  exchange->OnGone([this, number] {
+    Run& ended = records_.runs[number];
+    if (!ended.ended) ended.ended = Now();
+  });
+  const auto answer = [&](int status) {
+    http::Response head = target.fake.Head(request, status);
+    if (!run.ran) head.fields.push_back({"x-not-run", "1"});
+    run.ended = run.at;
+    exchange->Respond(std::move(head));
+  };
+  switch (target.behaviour) {
+    case Behaviour::kRefuses:
+      run.ran = false;
+      return answer(503);
+    case Behaviour::kErrors:
+      if (!std::bernoulli_distribution(kErrorShare)(random_)) break;
+      run.failed = true;
+      return answer(500);
+    case Behaviour::kLoses:
+      run.ended = run.at;
+      return exchange->Abort();
+    case Behaviour::kHangs:
+      target.hanging.push_back(exchange);
+      return;
+    case Behaviour::kSound:
+      break;
+  }
+  if (target.service == kEngineService) {
+    return Stream(target, exchange, number);
+  }
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(io_, kPlainWork);
+  timer->async_wait([this, timer, &target, exchange,
+                     number](const boost::system::error_code&) {
+    http::Response response = target.fake.Head(exchange->request());
+    Run& ended = records_.runs[number];
+    response.body = AnswerOf(ended.path, ended.body);
+    if (!ended.ended) ended.ended = Now();
+    exchange->Respond(std::move(response));
+  });
+}
+
+/// Events from the one behind `Last-Event-Id` on, one by one.
+void Site::Stream(Target& target, const http::ExchangePtr& exchange,
+                  std::size_t run) {
+  struct Progress {
+    explicit Progress(boost::asio::io_context& io) : timer(io) {}
+    boost::asio::steady_timer timer;
+    int next = 1;
+    bool begun = false;
+    std::function<void()> step;
+  };
+  const auto progress = std::make_shared<Progress>(io_);
+  const auto& fields = exchange->request().fields;
+  const auto last = http::FieldValue(fields, "last-event-id");
+  if (!last.empty()) progress->next = std::stoi(std::string(last)) + 1;
+  progress->step = [this, &target, exchange, run,
+                    weak = std::weak_ptr(progress)] {
+    const auto self = weak.lock();
+    Run& record = records_.runs[run];
+    if (record.ended) return;
+    if (!std::exchange(self->begun, true)) {
+      http::Response head = target.fake.Head(exchange->request());
+      head.content_type = "text/event-stream";
+      exchange->StartStream(std::move(head));
+    }
+    if (self->next > EventCountOf(record.id)) {
+      record.ended = Now();
+      return exchange->End();
+    }
+    exchange->Write(EventOf(record.id, self->next++));
+    self->timer.expires_after(kBetweenEvents);
+    self->timer.async_wait(
+        [self](const boost::system::error_code&) { self->step(); });
+  };
+  progress->timer.expires_after(kFirstEvent);
+  progress->timer.async_wait(
+      [progress](const boost::system::error_code&) { progress->step(); });
+}
+
+void Site::ReadOrders() {
+  for (const auto& target : targets_) {
+    const auto& orders = target->fake.orders();
+    for (; target->orders_read < orders.size(); ++target->orders_read) {
+      const Json& order = orders[target->orders_read];
+      const std::string id = order["Id"];
+      const auto held = std::find_if(
+          records_.held.begin(), records_.held.end(), [&](const Held& h) {
+            return h.id == id && h.target == target->number;
+          });
+      if (order["Op"] == "release") {
+        if (held != records_.held.end()) held->released = true;
+        continue;
+      }
+      const Duration life = milliseconds(order["HoldMs"].get<int>());
+      if (held == records_.held.end()) {
+        records_.held.push_back({id, target->number, Now(), life, false});
+      } else {
+        held->renewed = Now();
+      }
+    }
+  }
+}
+
+}  // namespace comfreyflow::soak
--- /dev/null
+++ b/soak/site.h
@@ -0,0 +1,73 @@
+/// The site around the hosts: the store and the targets, as stand-ins behind
+/// proxies, and the records of what the targets were asked for.
+#pragma once
+
+#include <boost/asio.hpp>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "platform/stand-ins.h"
+#include "soak/proxy.h"
+#include "soak/records.h"
+
+namespace comfreyflow::soak {
+
+enum class Behaviour : std::uint8_t {
+  kSound,
+  kErrors,
+  kRefuses,
+  kLoses,
+  kHangs
+};
+
+inline constexpr const char* kPlainService = "app";
+inline constexpr const char* kEngineService = "model";
+inline constexpr const char* kHostHeader = "a.example";
+
+/// Lives on one I/O thread; `records` outlives it.
+class Site {
+ public:
+  Site(boost::asio::io_context& io, Records& records, std::uint64_t seed);
+  ~Site();
+
+  platform::FakeStore& store() { return store_; }
+  /// A way of its own to the store for each host.
+  Proxy& AddStorePath();
+  Proxy& store_path(std::size_t host) { return *store_paths_.at(host); }
+
+  void AddTarget(const std::string& service);
+  std::size_t targets() const { return targets_.size(); }
+  Proxy& target_path(std::size_t target);
+  void SetBehaviour(std::size_t target, Behaviour behaviour);
+  /// Writes the target's entry, or takes it away.
+  void List(std::size_t target, const std::string& state);
+  void Unlist(std::size_t target);
+
+  /// A new configuration in which an account's key is another one.
+  void ChangeKey();
+  /// A key for the next request: mostly one in force.
+  std::string PickKey();
+  /// Takes note of orders about memory.
+  void ReadOrders();
+
+ private:
+  struct Target;
+
+  void PutConfig();
+  void Take(Target& target, const http::ExchangePtr& exchange);
+  void Stream(Target& target, const http::ExchangePtr& exchange,
+              std::size_t run);
+
+  boost::asio::io_context& io_;
+  Records& records_;
+  std::mt19937_64 random_;
+  platform::FakeStore store_;
+  std::vector<std::unique_ptr<Proxy>> store_paths_;
+  std::vector<std::unique_ptr<Target>> targets_;
+  std::uint64_t version_ = 0;
+  std::uint64_t keys_made_ = 0;
+};
+
+}  // namespace comfreyflow::soak
--- /dev/null
+++ b/soak/soak.cc
@@ -0,0 +1,356 @@
+// Starts the hosts, carries the disturbances out, ends all.
+#include "soak/soak.h"
+
+#include <signal.h>
+
+#include <algorithm>
+#include <boost/asio.hpp>
+#include <functional>
+#include <memory>
+
+#include "node/clock.h"
+#include "soak/callers.h"
+#include "soak/host-process.h"
+#include "soak/proxy.h"
+#include "soak/schedule.h"
+#include "soak/site.h"
+
+namespace comfreyflow::soak {
+namespace {
+
+namespace asio = boost::asio;
+using comfreyflow::detail::Now;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Hosts find each other and become ready.
+constexpr Duration kSettleTime = seconds(3);
+/// Without disturbance at the end: RECOVER's bound and some seconds more.
+constexpr Duration kQuietTime = seconds(15);
+constexpr Duration kTick = milliseconds(20);
+constexpr Duration kRestartPause = milliseconds(300);
+constexpr Duration kDrainTime = milliseconds(3000);
+constexpr int kStormChanges = 5;
+constexpr Duration kStormGap = milliseconds(150);
+constexpr std::size_t kSeeds = 3;
+
+class Soak {
+ public:
+  explicit Soak(const SoakSettings& settings)
+      : settings_(settings), site_(io_, records_, settings.seed) {}
+
+  SoakResult Run() {
+    AddTargets();
+    AddHosts();
+    for (auto& host : hosts_) host->Start();
+    Callers callers(io_, records_, Paths(), settings_.seed);
+    const Time begin = Now();
+    At(kSettleTime, [&callers, this] { callers.Start(settings_.callers); });
+    const Duration end = kSettleTime + settings_.length;
+    for (const auto& event : Draw(settings_.seed, kSettleTime, end)) {
+      At(event.at, [this, event] { Carry(event); });
+    }
+    const Duration last = end + seconds(5);
+    At(last, [this] { records_.quiet_from = Now(); });
+    At(last + kQuietTime, [&callers] { callers.Stop(); });
+    while (Now() - begin < last + kQuietTime + seconds(5)) Tick();
+    records_.over = Now();
+    return Result();
+  }
+
+ private:
+  void At(Duration time, std::function<void()> action) {
+    const auto timer = std::make_shared<asio::steady_timer>(io_, time);
+    timer->async_wait([timer, action = std::move(action)](
+                          const boost::system::error_code&) { action(); });
+  }
+
+  void Tick() {
+    io_.run_for(kTick);
+    site_.ReadOrders();
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      if (hosts_[i]->Running() || restarting_[i]) continue;
+      restarting_[i] = true;
+      NoteGone(i);
+      At(kRestartPause, [this, i] { Restart(i); });
+    }
+  }
+
+  /// Open disturbances of a host whose process has ended.
+  std::vector<Disturbance*> OpenAt(std::size_t host) {
+    std::vector<Disturbance*> out;
+    for (auto& disturbance : records_.disturbances) {
+      if (disturbance.subject == Subject::kHost && disturbance.number == host &&
+          !disturbance.until) {
+        out.push_back(&disturbance);
+      }
+    }
+    return out;
+  }
+
+  void NoteGone(std::size_t host) {
+    for (Disturbance* disturbance : OpenAt(host)) disturbance->gone = Now();
+  }
+
+  void Restart(std::size_t host) {
+    restarting_[host] = false;
+    hosts_[host]->Start();
+    for (Disturbance* disturbance : OpenAt(host)) {
+      disturbance->until = Now() + kSettleTime;
+    }
+  }
+
+  void AddTargets() {
+    for (int i = 0; i < settings_.targets; ++i) {
+      site_.AddTarget(kEngineService);
+    }
+    for (int i = 0; i < std::max(2, settings_.targets / 3); ++i) {
+      site_.AddTarget(kPlainService);
+    }
+  }
+
+  void AddHosts() {
+    const auto count = static_cast<std::size_t>(std::clamp<std::size_t>(
+        settings_.hosts, 1, platform::kMostLoopbackHosts));
+    restarting_.assign(count, false);
+    for (std::size_t i = 0; i < count; ++i) {
+      HostPlan plan;
+      plan.program = settings_.program;
+      plan.fault = settings_.fault;
+      plan.directory = settings_.directory;
+      plan.name = "host" + std::to_string(i);
+      plan.failure_domain = "z" + std::to_string(i % 3);
+      plan.ip = platform::LoopbackIp(i);
+      plan.store = site_.AddStorePath().address();
+      for (std::size_t k = 0; k < std::min(kSeeds, count); ++k) {
+        plan.seeds.push_back(platform::LoopbackIp(k));
+      }
+      hosts_.push_back(std::make_unique<HostProcess>(plan));
+      caller_paths_.push_back(
+          std::make_unique<Proxy>(io_, hosts_.back()->At(kCallerPort)));
+    }
+  }
+
+  CallerPaths Paths() {
+    CallerPaths paths;
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      paths.directories.push_back(hosts_[i]->At(kDirectoryPort));
+      paths.addresses.push_back(hosts_[i]->At(kCallerPort));
+      paths.paths.push_back(caller_paths_[i]->address());
+    }
+    paths.pick_key = [this] { return site_.PickKey(); };
+    return paths;
+  }
+
+  // ---- Disturbances ----
+
+  Disturbance& Note(Subject subject, std::size_t number, Trouble trouble,
+                    std::optional<Duration> life) {
+    Disturbance disturbance{subject, number, ToString(trouble), Now(), {}};
+    if (life) disturbance.until = Now() + *life;
+    return records_.disturbances.emplace_back(std::move(disturbance));
+  }
+
+  void Kill(std::size_t host, Trouble trouble) {
+    Note(Subject::kHost, host, trouble, std::nullopt);
+    hosts_[host]->Signal(SIGKILL);
+  }
+
+  void Stop(std::size_t host) {
+    Note(Subject::kHost, host, Trouble::kHostStop, std::nullopt).planned = true;
+    hosts_[host]->Signal(SIGTERM);
+  }
+
+  void Pause(std::size_t host, Duration life) {
+    Note(Subject::kHost, host, Trouble::kHostPause, life);
+    hosts_[host]->Signal(SIGSTOP);
+    At(life, [this, host] { hosts_[host]->Signal(SIGCONT); });
+  }
+
+  /// Disturbs a path and heals it after a while.
+  void Disturb(Proxy& path, PathFault fault, Subject subject,
+               std::size_t number, const Event& event) {
+    Note(subject, number, event.trouble, event.life);
+    path.Set(fault);
+    At(event.life, [&path] { path.Set(PathFault::kNone); });
+  }
+
+  void DisturbStore(PathFault fault, const Event& event) {
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      Disturb(site_.store_path(i), fault, Subject::kStorePath, i, event);
+    }
+  }
+
+  void Misbehave(std::size_t target, Behaviour behaviour, const Event& event) {
+    Note(Subject::kTarget, target, event.trouble, event.life);
+    site_.SetBehaviour(target, behaviour);
+    At(event.life,
+       [this, target] { site_.SetBehaviour(target, Behaviour::kSound); });
+  }
+
+  /// Listed as leaving, then gone, then back.
+  void Leave(std::size_t target, Duration life) {
+    const std::size_t number = records_.leaving.size();
+    records_.leaving.push_back({target, Now(), std::nullopt});
+    site_.List(target, "draining");
+    At(kDrainTime, [this, target] { site_.Unlist(target); });
+    At(kDrainTime + life, [this, target, number] {
+      records_.leaving[number].until = Now();
+      site_.List(target, "ready");
+    });
+  }
+
+  void Lapse(std::size_t target, Duration life) {
+    Note(Subject::kTarget, target, Trouble::kTargetLapses, life);
+    site_.Unlist(target);
+    At(life, [this, target] { site_.List(target, "ready"); });
+  }
+
+  void Storm() {
+    for (int i = 0; i < kStormChanges; ++i) {
+      At(i * kStormGap, [this] { site_.ChangeKey(); });
+    }
+  }
+
+  void Down(const Event& event) {
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      Note(Subject::kStorePath, i, event.trouble, event.life);
+    }
+    site_.store().SetDown(true);
+    At(event.life, [this] { site_.store().SetDown(false); });
+  }
+
+  void Carry(const Event& event) {
+    const std::size_t host = event.pick % hosts_.size();
+    const std::size_t target = event.pick % site_.targets();
+    story_.push_back(Describe(event, host, target));
+    if (event.trouble <= Trouble::kHostsKill) return CarryHost(event, host);
+    if (event.trouble <= Trouble::kStoreAnswersLost) {
+      return CarryStore(event, host);
+    }
+    if (event.trouble <= Trouble::kTargetLapses) {
+      return CarryTarget(event, target);
+    }
+    CarryOther(event, host);
+  }
+
+  void CarryHost(const Event& event, std::size_t host) {
+    switch (event.trouble) {
+      case Trouble::kHostKill:
+        return Kill(host, event.trouble);
+      case Trouble::kHostStop:
+        return Stop(host);
+      case Trouble::kHostPause:
+        return Pause(host, event.life);
+      case Trouble::kHostReload:
+        return hosts_[host]->Signal(SIGHUP);
+      default:
+        for (std::size_t i = 0; i < hosts_.size(); i += 2) {
+          Kill((host + i) % hosts_.size(), event.trouble);
+        }
+    }
+  }
+
+  void CarryStore(const Event& event, std::size_t host) {
+    switch (event.trouble) {
+      case Trouble::kStoreSilent:
+        return DisturbStore(PathFault::kSilent, event);
+      case Trouble::kStoreReset:
+        return DisturbStore(PathFault::kReset, event);
+      case Trouble::kStoreSlow:
+        return DisturbStore(PathFault::kSlow, event);
+      case Trouble::kStoreDown:
+        return Down(event);
+      case Trouble::kStoreForgets:
+        return site_.store().Forget();
+      default: {
+        const bool answers = event.trouble == Trouble::kStoreAnswersLost;
+        Disturb(site_.store_path(host),
+                answers ? PathFault::kSilentBack : PathFault::kSilent,
+                Subject::kStorePath, host, event);
+      }
+    }
+  }
+
+  void CarryTarget(const Event& event, std::size_t target) {
+    switch (event.trouble) {
+      case Trouble::kTargetDark:
+        return Disturb(site_.target_path(target), PathFault::kSilent,
+                       Subject::kTarget, target, event);
+      case Trouble::kTargetReset:
+        return Disturb(site_.target_path(target), PathFault::kReset,
+                       Subject::kTarget, target, event);
+      case Trouble::kTargetErrors:
+        return Misbehave(target, Behaviour::kErrors, event);
+      case Trouble::kTargetRefuses:
+        return Misbehave(target, Behaviour::kRefuses, event);
+      case Trouble::kTargetLoses:
+        return Misbehave(target, Behaviour::kLoses, event);
+      case Trouble::kTargetHangs:
+        return Misbehave(target, Behaviour::kHangs, event);
+      case Trouble::kTargetLeaves:
+        return Leave(target, event.life);
+      default:
+        Lapse(target, event.life);
+    }
+  }
+
+  void CarryOther(const Event& event, std::size_t host) {
+    switch (event.trouble) {
+      case Trouble::kKeyChange:
+        return site_.ChangeKey();
+      case Trouble::kKeyStorm:
+        return Storm();
+      default: {
+        const bool slow = event.trouble == Trouble::kCallersSlow;
+        Disturb(*caller_paths_[host],
+                slow ? PathFault::kSlow : PathFault::kReset,
+                Subject::kCallerPath, host, event);
+      }
+    }
+  }
+
+  static std::string Describe(const Event& event, std::size_t host,
+                              std::size_t target) {
+    const auto ms = [](Duration time) {
+      return std::to_string(
+          std::chrono::duration_cast<milliseconds>(time).count());
+    };
+    return ms(event.at) + " ms: " + ToString(event.trouble) + ", host " +
+           std::to_string(host) + " or target " + std::to_string(target) +
+           ", " + ms(event.life) + " ms";
+  }
+
+  SoakResult Result() {
+    SoakResult out;
+    out.requests = records_.sent.size();
+    out.served = static_cast<std::size_t>(std::count_if(
+        records_.sent.begin(), records_.sent.end(), [](const Sent& sent) {
+          return sent.whole && sent.status >= 200 && sent.status < 300;
+        }));
+    for (const auto& sent : records_.sent) {
+      sent.left ? ++out.left : ++out.statuses[sent.status];
+    }
+    out.disturbances = story_.size();
+    out.breaches = Check(records_, {}, settings_.timed);
+    out.story = std::move(story_);
+    return out;
+  }
+
+  const SoakSettings settings_;
+  asio::io_context io_{1};
+  Records records_;
+  Site site_;
+  std::vector<std::unique_ptr<HostProcess>> hosts_;
+  std::vector<std::unique_ptr<Proxy>> caller_paths_;
+  std::vector<bool> restarting_;
+  std::vector<std::string> story_;
+};
+
+}  // namespace
+
+SoakResult RunSoak(const SoakSettings& settings) {
+  return Soak(settings).Run();
+}
+
+}  // namespace comfreyflow::soak
--- /dev/null
+++ b/soak/soak.h
@@ -0,0 +1,39 @@
+/// One soak: hosts as processes, disturbed from outside while callers use
+/// them, then judged by what callers and targets saw.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "soak/promises.h"
+
+namespace comfreyflow::soak {
+
+struct SoakSettings {
+  std::string program;    ///< Of a host.
+  std::string fault;      ///< Planted in it; empty: none.
+  std::string directory;  ///< For settings and logs.
+  std::uint64_t seed = 1;
+  int hosts = 4;
+  int callers = 16;
+  int targets = 6;  ///< Engines; a third as many plain ones, at least two.
+  Duration length = std::chrono::seconds(20);
+  bool timed = false;  ///< Also judges promises that name a time.
+};
+
+struct SoakResult {
+  std::size_t requests = 0;
+  std::size_t served = 0;
+  std::size_t left = 0;                 ///< By their callers.
+  std::map<int, std::size_t> statuses;  ///< Of the others; 0: none came.
+  std::size_t disturbances = 0;
+  std::vector<Breach> breaches;
+  /// What was done, a line each.
+  std::vector<std::string> story;
+};
+
+SoakResult RunSoak(const SoakSettings& settings);
+
+}  // namespace comfreyflow::soak
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -32,8 +32,9 @@
 /// streams for the first part of it only, as they last.
 constexpr double kAcceptShare = 0.8;
 constexpr double kStreamShare = 0.4;
-/// Before the end of the time to stop the process is gone.
-constexpr Duration kExitMargin = milliseconds(900);
+/// Work that is still under way after this share of the time to stop is cut;
+/// the process is gone well before it is ended by force.
+constexpr double kExitShare = 8.0 / 9;
 /// Callers keep an address answer for a few seconds; with nothing open for so
 /// long after the order to stop, none comes any more.
 constexpr double kLeastStopShare = 0.75;
@@ -281,7 +282,7 @@
           const bool idle = self->relays.open == 0 &&
                             self->callers.unanswered() == 0 &&
                             since > self->settings.stop_time * kLeastStopShare;
-          if (!idle && since < self->settings.stop_time - kExitMargin) {
+          if (!idle && since < self->settings.stop_time * kExitShare) {
             return self->StopTick();
           }
           LogLine(Severity::kInfo, "stopped")
