Events of the log are one typed table, shown in docs/LOGS.md

Lines name an event of src/node/events.h instead of a text; `comfreyflowctl events` prints the table, a test compares it with docs/LOGS.md, and each line that hosts write in the platform's host tests is checked against its fields. Per-event budgets index an array instead of a map of texts.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -22,10 +22,10 @@
 constexpr milliseconds kLongestRest{40};
 constexpr milliseconds kLongestStay{200};
 constexpr double kLeaverShare = 0.08;
-constexpr double kLongPromptShare = 0.03;
+constexpr double kLargePromptShare = 0.03;
 constexpr const char* kShortPrompt = "2000,400";
 /// More than one engine of the stand-in holds.
-constexpr const char* kLongPrompt = "180000,200";
+constexpr const char* kLargePrompt = "180000,200";
 
 }  // namespace
 
@@ -130,8 +130,8 @@
       sent.kind = Kind::kStream;
       sent.path = "/stream/" + sent.id;
       sent.body = "prompt of " + sent.id;
-      request.fields.push_back({"x-token-count", Share() < kLongPromptShare
-                                                     ? kLongPrompt
+      request.fields.push_back({"x-token-count", Share() < kLargePromptShare
+                                                     ? kLargePrompt
                                                      : kShortPrompt});
     } else if (kind < 0.75) {
       sent.kind = Kind::kUnsafe;
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -85,9 +85,10 @@
                        });
   }
 
-  bool HostInTouch(std::size_t host, Time from, Time to) const {
-    return !Disturbed(Subject::kHost, host, from - bounds_.touch, to) &&
-           !Disturbed(Subject::kStorePath, host, from - bounds_.touch, to);
+  /// Whether nothing was done to the host for a while before the moment.
+  bool InTouch(std::size_t host, Time at) const {
+    return !Disturbed(Subject::kHost, host, at - bounds_.touch, at) &&
+           !Disturbed(Subject::kStorePath, host, at - bounds_.touch, at);
   }
 
   bool TargetsDisturbed(const Sent& sent, Time to) const {
@@ -259,11 +260,11 @@
     const bool removed =
         life->removed && sent.at > *life->removed + bounds_.config;
     if (!removed && added && sent.status == kUnauthorized && !life->removed &&
-        HostInTouch(sent.host, sent.at, sent.at)) {
+        InTouch(sent.host, sent.at)) {
       Note("DENIED", sent.id, "a key in force is refused");
     }
     if (removed && sent.status != kUnauthorized &&
-        HostInTouch(sent.host, *life->removed, sent.at)) {
+        InTouch(sent.host, sent.at)) {
       Note("CONFIG", sent.id, "a key that was taken away is taken");
     }
   }
@@ -276,7 +277,7 @@
       if (leaving.target != run.target) continue;
       if (run.at <= leaving.from + bounds_.drain) continue;
       if (leaving.until && run.at >= *leaving.until) continue;
-      if (!HostInTouch(at->second->host, leaving.from, run.at)) continue;
+      if (!InTouch(at->second->host, run.at)) continue;
       Note("DRAIN", run.id, "sent to a target that leaves");
     }
   }
@@ -292,8 +293,9 @@
       }
       const auto used = std::any_of(
           records_.sent.begin(), records_.sent.end(), [&](const Sent& sent) {
-            return !sent.ended ||
-                   *sent.ended + bounds_.free_memory > records_.over;
+            return sent.large &&
+                   sent.ended.value_or(records_.over) + bounds_.free_memory >
+                       records_.over;
           });
       if (!used) Note("LEAK", "", held.id + " is still held");
     }
--- a/soak/records.h
+++ b/soak/records.h
@@ -22,6 +22,7 @@
   std::string key;
   std::string path;
   std::string body;
+  bool large = false;  ///< Its prompt is larger than one engine's memory.
   Time at;
   Duration deadline{};
   std::optional<Time> left;   ///< The caller went away.
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -274,6 +274,8 @@
         records_.held.push_back({id, target->number, Now(), life, false});
       } else {
         held->renewed = Now();
+        held->life = life;
+        held->released = false;
       }
     }
   }
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -18,6 +18,7 @@
 Report Drain(Args args, std::ostream& err);
 Report Addresses(Args args, std::ostream& err);
 Report Errors(Args args, std::ostream& err);
+Report Events(Args args, std::ostream& err);
 
 /// Prints the answer's text to `out` while it comes (complete.cc).
 Report Complete(Args args, std::ostream& out, std::ostream& err);
--- a/src/ctl/host-commands.cc
+++ b/src/ctl/host-commands.cc
@@ -4,6 +4,7 @@
 #include "ctl/arguments.h"
 #include "ctl/commands.h"
 #include "ctl/host-call.h"
+#include "node/events.h"
 
 namespace comfreyflow::ctl {
 namespace {
@@ -134,4 +135,18 @@
   return report;
 }
 
+Report Events(Args args, std::ostream&) {
+  CommandLine command("Lists all events of the logs as a Markdown table");
+  command.Parse(args);
+  Report report = command.NewReport();
+  report.text = node::RenderEvents();
+  report.json["events"] = Json::array();
+  for (const auto& spec : node::kEventSpecs) {
+    report.json["events"].push_back({{"event", spec.name},
+                                     {"when", spec.when},
+                                     {"fields", std::string(spec.fields)}});
+  }
+  return report;
+}
+
 }  // namespace comfreyflow::ctl
--- a/src/ctl/run.cc
+++ b/src/ctl/run.cc
@@ -40,6 +40,7 @@
       {"complete", "Send a prompt and print the answer as it comes", Complete},
       {"explain", "Show the way of one request through logs", Quiet(Explain)},
       {"errors", "List all error codes", Quiet(Errors)},
+      {"events", "List all events of the logs", Quiet(Events)},
   };
   return all;
 }
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -18,6 +18,7 @@
 
 using comfreyflow::HostSettings;
 using comfreyflow::kVersion;
+using comfreyflow::node::Event;
 using comfreyflow::node::LogLine;
 using comfreyflow::node::Severity;
 
@@ -120,30 +121,31 @@
 
   int Run() {
     if (const auto error = node_.Start()) {
-      LogLine(Severity::kError, "start_failed").With("reason", error.message());
+      LogLine(Severity::kError, Event::kStartFailed)
+          .With("reason", error.message());
       return kFailed;
     }
     WaitSignal();
     WaitTls();
     io_.run();
-    LogLine(Severity::kInfo, "host_stopped")
+    LogLine(Severity::kInfo, Event::kHostStopped)
         .With("exit_code", static_cast<std::uint64_t>(exit_code_));
     return exit_code_;
   }
 
  private:
   void WaitSignal() {
-    signals_.async_wait(
-        [this](const boost::system::error_code& error, int number) {
-          if (error) return;
-          if (number == SIGHUP) {
-            node_.ReloadTls();
-          } else {
-            LogLine(Severity::kInfo, "drain_asked").With("by", "signal");
-            node_.Drain();
-          }
-          WaitSignal();
-        });
+    signals_.async_wait([this](const boost::system::error_code& error,
+                               int number) {
+      if (error) return;
+      if (number == SIGHUP) {
+        node_.ReloadTls();
+      } else {
+        LogLine(Severity::kInfo, Event::kDrainAsked).With("by", "signal");
+        node_.Drain();
+      }
+      WaitSignal();
+    });
   }
 
   void WaitTls() {
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -10,6 +10,7 @@
 namespace {
 
 namespace asio = boost::asio;
+using node::Event;
 using node::LogLine;
 using node::Severity;
 using std::chrono::milliseconds;
@@ -89,7 +90,7 @@
   void Changed(std::size_t index, const WatchAnswer& changes) {
     Track& track = tracks[index];
     if (changes.forgotten) {
-      LogLine(Severity::kInfo, "store_history_gone")
+      LogLine(Severity::kInfo, Event::kStoreHistoryGone)
           .With("kind", track.kind.kind)
           .With("version", track.version);
       track.listed = false;
@@ -112,7 +113,7 @@
 
   void Answered() {
     if (std::exchange(failures, 0) < kFailuresOfOutage) return;
-    LogLine(Severity::kInfo, "store_back");
+    LogLine(Severity::kInfo, Event::kStoreBack);
     hooks.back();
     for (std::size_t i = 0; i < tracks.size(); ++i) {
       if (std::exchange(tracks[i].waits_for_store, false)) Later(i, {});
@@ -127,7 +128,7 @@
     ++failures;
     if (failures == kFailuresOfOutage) {
       prober = index;
-      LogLine(Severity::kWarning, "store_lost")
+      LogLine(Severity::kWarning, Event::kStoreLost)
           .With("kind", tracks[index].kind.kind);
       hooks.lost();
     }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,6 +19,7 @@
 
 namespace asio = boost::asio;
 using comfreyflow::detail::Now;
+using node::Event;
 using node::LogEvent;
 using node::LogLine;
 using node::Severity;
@@ -218,7 +219,7 @@
                    self->fetching = false;
                    const bool whole =
                        end.code == Errc::kOk && answer.status == kOk;
-                   LogLine(Severity::kInfo, "document_fetched")
+                   LogLine(Severity::kInfo, Event::kDocumentFetched)
                        .With("host", host)
                        .With("whole", whole);
                    if (whole) self->hooks.document_from_peer(answer.body);
@@ -248,7 +249,7 @@
   /// Peers are told how many targets a request has crashed.
   void ShareCrash(const CrashEvidence& evidence) {
     const auto crashed = relays.poison.CrashedTargets(evidence.fingerprint);
-    LogLine(Severity::kWarning, "crash_suspected")
+    LogLine(Severity::kWarning, Event::kCrashSuspected)
         .With("fingerprint", evidence.fingerprint)
         .With("target", evidence.target)
         .With("crashes", std::uint64_t{crashed.size()});
@@ -285,7 +286,7 @@
           if (!idle && since < self->settings.stop_time * kExitShare) {
             return self->StopTick();
           }
-          LogLine(Severity::kInfo, "stopped")
+          LogLine(Severity::kInfo, Event::kStopped)
               .With("open_requests", std::uint64_t{self->relays.open})
               .With("took", std::chrono::duration_cast<milliseconds>(since));
           self->peers.Leave();
@@ -347,7 +348,7 @@
 bool Gateway::Apply(RouteDocument document, std::string text) {
   if (document.version <= version()) return false;
   const CallerLimits limits = document.limits;
-  LogLine(Severity::kInfo, "document_applied")
+  LogLine(Severity::kInfo, Event::kDocumentApplied)
       .With("version", document.version)
       .With("before", version())
       .With("routes", std::uint64_t{document.routes.size()})
@@ -409,7 +410,7 @@
 
 void Gateway::Stop() {
   if (state_->stopping) return;
-  LogLine(Severity::kInfo, "stopping")
+  LogLine(Severity::kInfo, Event::kStopping)
       .With("open_requests", std::uint64_t{state_->relays.open});
   state_->stopping = true;
   state_->stop_began = Now();
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -11,6 +11,7 @@
 
 namespace asio = boost::asio;
 using comfreyflow::detail::Now;
+using node::Event;
 using node::LogLine;
 using node::Severity;
 
@@ -43,7 +44,7 @@
   }
 
   void On(const MemberChanged& event) {
-    LogLine(Severity::kInfo, "member_changed")
+    LogLine(Severity::kInfo, Event::kMemberChanged)
         .With("member", event.record.name)
         .With("member_incarnation", event.record.incarnation.value)
         .With("state", ToString(event.state));
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -17,6 +17,7 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 using comfreyflow::detail::Now;
+using node::Event;
 using node::LogLine;
 using node::Severity;
 using std::chrono::milliseconds;
@@ -128,7 +129,7 @@
       state.begun = now;
       state.heard.clear();
       PlacerOf(service).HoldUntil(std::max(now + kSyncWait, settled));
-      LogLine(Severity::kInfo, "placer_taken")
+      LogLine(Severity::kInfo, Event::kPlacerTaken)
           .With("service", service)
           .With("peers", std::uint64_t{peers.size()});
     }
@@ -193,7 +194,7 @@
         std::visit([](const auto& typed) { return typed.number; }, verdict);
     if (!request.done || number != request.job.number) return;
     if (const PlacedTarget* unfit = Unfit(verdict)) {
-      LogLine(Severity::kInfo, "grant_declined")
+      LogLine(Severity::kInfo, Event::kGrantDeclined)
           .With("target", unfit->name)
           .With("holder", request.asked);
       request.job.excluded.push_back(unfit->name);
@@ -400,7 +401,7 @@
       if (!request.heard && now - request.first_asked > kSilentAfter &&
           request.asked != settings.self) {
         silent_until[request.asked] = now + kSilentFor;
-        LogLine(Severity::kWarning, "placer_silent")
+        LogLine(Severity::kWarning, Event::kPlacerSilent)
             .With("host", request.asked)
             .With("service", request.service);
         due.push_back(sequence);
@@ -428,7 +429,7 @@
     for (auto& [service, state] : holding) {
       if (now - state.last_ask > kHoldingLapse) continue;
       const auto sum = PlacerOf(service).Summarize(now);
-      LogLine(Severity::kInfo, "placement")
+      LogLine(Severity::kInfo, Event::kPlacement)
           .With("service", service)
           .With("waiting", std::uint64_t{sum.waiting})
           .With("running", std::uint64_t{sum.running})
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -17,6 +17,7 @@
 namespace {
 
 using comfreyflow::detail::Now;
+using node::Event;
 using node::LogLine;
 using node::Severity;
 using std::chrono::ceil;
@@ -147,7 +148,7 @@
     grant_ = std::get<PlaceGrant>(verdict);
     const Time now = Now();
     if (now >= deadline_) return DeadlinePassed();
-    LogLine(Severity::kInfo, "placed")
+    LogLine(Severity::kInfo, Event::kPlaced)
         .With("request", caller_.id)
         .With("target", grant_.targets.front().name)
         .With("targets", std::uint64_t{grant_.targets.size()})
@@ -422,7 +423,7 @@
     NoteCrash(end);
     const NextStep next = AfterFailure(*route_, failure, progress_);
     cause_ = CauseOf(failure);
-    LogLine(Severity::kWarning, "try_failed")
+    LogLine(Severity::kWarning, Event::kTryFailed)
         .With("request", caller_.id)
         .With("target", grant_.targets.front().name)
         .With("cause", cause_)
@@ -560,7 +561,7 @@
     context_.metrics.Finished(code);
     const auto severity =
         code == Errc::kOk ? Severity::kInfo : Severity::kWarning;
-    LogLine(severity, "request_ended")
+    LogLine(severity, Event::kRequestEnded)
         .With("request", caller_.id)
         .With("route", route_ != nullptr ? route_->name : std::string())
         .With("version", table_ ? table_->document().version : 0)
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -10,6 +10,7 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using node::Event;
 using node::LogLine;
 using node::Severity;
 using std::chrono::milliseconds;
@@ -95,7 +96,7 @@
   void Answered(const TargetName& target, bool granted, int status) {
     if (ended) return;
     if (!granted) {
-      LogLine(Severity::kWarning, "reservation_refused")
+      LogLine(Severity::kWarning, Event::kReservationRefused)
           .With("target", target)
           .With("status", static_cast<std::uint64_t>(std::max(status, 0)))
           .With("held", !done);
--- a/src/node/caller-api.cc
+++ b/src/node/caller-api.cc
@@ -113,14 +113,14 @@
 
 http::Response CallerApi::Error(Errc code) const {
   deps_.metrics->Finished(code);
-  LogLine(Severity::kWarning, "request_refused").With(code);
+  LogLine(Severity::kWarning, Event::kRequestRefused).With(code);
   return ErrorResponse(FailureOf(code));
 }
 
 void CallerApi::Refuse(const http::ExchangePtr& exchange,
                        const Failure& failure) const {
   deps_.metrics->Finished(failure.code);
-  LogLine(Severity::kWarning, "request_refused")
+  LogLine(Severity::kWarning, Event::kRequestRefused)
       .With(failure.code)
       .With("field", failure.field);
   exchange->Respond(ErrorResponse(failure));
--- a/src/node/config-actor.cc
+++ b/src/node/config-actor.cc
@@ -171,7 +171,7 @@
 void ConfigActor::Do(const FetchConfig& command) { deps_.hooks.fetch(command); }
 
 void ConfigActor::Do(const ConfigRejected& command) {
-  LogLine(Severity::kError, "config_rejected")
+  LogLine(Severity::kError, Event::kConfigRejected)
       .With("generation", command.generation)
       .With("problems", std::uint64_t{command.problems.size()});
 }
--- a/src/node/entry-actor.cc
+++ b/src/node/entry-actor.cc
@@ -131,7 +131,7 @@
     targets_[seen->info.name] = seen->info;
   }
   if (const auto* failed = std::get_if<StreamFailed>(&event)) {
-    LogLine(Severity::kWarning, "attempt_failed")
+    LogLine(Severity::kWarning, Event::kAttemptFailed)
         .With(failed->attempt)
         .With(failed->code)
         .With("not_run", failed->not_run)
@@ -236,7 +236,7 @@
 void EntryActor::Report(const Call& call, const Finish& finish) {
   const auto severity =
       finish.code == Errc::kOk ? Severity::kInfo : Severity::kWarning;
-  LogLine(severity, "request_ended")
+  LogLine(severity, Event::kRequestEnded)
       .With(call.info.id)
       .With("account", call.info.account)
       .With("service", call.info.service)
--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -5,9 +5,9 @@
 #include <glog/logging.h>
 #include <unistd.h>
 
+#include <array>
 #include <cstdio>
 #include <ctime>
-#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 
@@ -51,7 +51,7 @@
       out.back() = ',';
       out += text.substr(2);  // Behind the mark and the brace.
     } else {
-      line["event"] = "library";
+      line["event"] = SpecOf(Event::kLibrary).name;
       line["message"] = text;
       out = line.dump(-1, ' ', false, Json::error_handler_t::replace);
     }
@@ -60,7 +60,7 @@
     if (lost_ > 0) {
       const std::string told = Json{{"time", TimeText()},
                                     {"severity", "warning"},
-                                    {"event", "lines_lost"},
+                                    {"event", SpecOf(Event::kLinesLost).name},
                                     {"lines", lost_}}
                                    .dump() +
                                '\n';
@@ -92,11 +92,10 @@
  public:
   /// Whether the line may be written; `left_out` is set to the number of lines
   /// of the event that an earlier second lost.
-  bool Take(const std::string& event, Severity severity,
-            std::uint64_t& left_out) {
+  bool Take(Event event, Severity severity, std::uint64_t& left_out) {
     const auto now = std::chrono::steady_clock::now();
     const std::lock_guard lock(mutex_);
-    Count& count = counts_[event];
+    Count& count = counts_.at(static_cast<std::size_t>(event));
     if (now - count.begun >= std::chrono::seconds(1)) {
       left_out = count.left_out;
       count = {now, 0, 0};
@@ -114,16 +113,28 @@
     std::uint64_t left_out = 0;
   };
   std::mutex mutex_;
-  std::map<std::string, Count> counts_;
+  std::array<Count, kEventSpecs.size()> counts_;
 };
 
 }  // namespace
 
 struct LogLine::Fields {
   Severity severity;
+  Event event;
   Json json;
 };
 
+namespace {
+
+LogTap& Tap() {
+  static LogTap tap;
+  return tap;
+}
+
+}  // namespace
+
+void SetLogTap(LogTap tap) { Tap() = std::move(tap); }
+
 void StartLog(const char* program) {
   static JsonSink sink;
   FLAGS_logtostderr = false;
@@ -138,37 +149,38 @@
   google::AddLogSink(&sink);
 }
 
-LogLine::LogLine(Severity severity, std::string_view event)
+LogLine::LogLine(Severity severity, Event event)
     : fields_(std::make_unique<Fields>()) {
   fields_->severity = severity;
-  fields_->json["event"] = event;
+  fields_->event = event;
+  fields_->json["event"] = SpecOf(event).name;
 }
 
 LogLine::~LogLine() {
+  const auto text = [this] {
+    return fields_->json.dump(-1, ' ', false, Json::error_handler_t::replace);
+  };
+  if (Tap()) Tap()(fields_->event, text());
   if (!google::IsGoogleLoggingInitialized()) return;
   static LineBudget budget;
   std::uint64_t left_out = 0;
-  const std::string event = fields_->json["event"];
-  const bool taken = budget.Take(event, fields_->severity, left_out);
+  const bool taken = budget.Take(fields_->event, fields_->severity, left_out);
   if (left_out > 0) {
-    LogLine(Severity::kWarning, "lines_left_out")
-        .With("of", event)
+    LogLine(Severity::kWarning, Event::kLinesLeftOut)
+        .With("of", SpecOf(fields_->event).name)
         .With("lines", left_out);
   }
   if (!taken) return;
-  const std::string text =
-      kObjectMark +
-      fields_->json.dump(-1, ' ', false, Json::error_handler_t::replace);
   if (fields_->severity == Severity::kInfo) {
-    LOG(INFO) << text;
+    LOG(INFO) << kObjectMark << text();
   } else if (fields_->severity == Severity::kWarning) {
-    LOG(WARNING) << text;
+    LOG(WARNING) << kObjectMark << text();
   } else {
-    LOG(ERROR) << text;
+    LOG(ERROR) << kObjectMark << text();
   }
 }
 
-void LogEvent(Severity severity, std::string_view event) {
+void LogEvent(Severity severity, Event event) {
   const LogLine line(severity, event);
 }
 
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -8,12 +8,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
 
 #include "comfreyflow/errors.h"
 #include "comfreyflow/types.h"
+#include "node/events.h"
 
 namespace comfreyflow::node {
 
@@ -23,12 +25,12 @@
 void StartLog(const char* program);
 
 /// A line without fields.
-void LogEvent(Severity severity, std::string_view event);
+void LogEvent(Severity severity, Event event);
 
 /// One line, written when it goes out of scope.
 class LogLine {
  public:
-  LogLine(Severity severity, std::string_view event);
+  LogLine(Severity severity, Event event);
   LogLine(const LogLine&) = delete;
   LogLine& operator=(const LogLine&) = delete;
   ~LogLine();
@@ -55,4 +57,8 @@
   std::unique_ptr<Fields> fields_;
 };
 
+/// For tests: takes the event and the JSON text of each line, written or not.
+using LogTap = std::function<void(Event event, const std::string& line)>;
+void SetLogTap(LogTap tap);
+
 }  // namespace comfreyflow::node
--- a/src/node/membership-actor.cc
+++ b/src/node/membership-actor.cc
@@ -69,7 +69,7 @@
 }
 
 void MembershipActor::On(const MemberChanged& event) {
-  LogLine(Severity::kInfo, "member_changed")
+  LogLine(Severity::kInfo, Event::kMemberChanged)
       .With("member", event.record.name)
       .With("member_incarnation", event.record.incarnation.value)
       .With("state", ToString(event.state));
--- a/src/node/node-deps.cc
+++ b/src/node/node-deps.cc
@@ -276,7 +276,7 @@
     if (drain.phase() != DrainPhase::kServing) return;
     drain.Stop(comfreyflow::detail::Now(), kPeersStop, settings().address_life);
   }
-  LogEvent(Severity::kInfo, "drain_began");
+  LogEvent(Severity::kInfo, Event::kDrainBegan);
   WaitDrain();
 }
 
@@ -295,7 +295,7 @@
     phase = drain.Advance(open, comfreyflow::detail::Now());
   }
   if (phase >= DrainPhase::kRefusing && !refusing.exchange(true)) {
-    LogEvent(Severity::kInfo, "drain_refuses");
+    LogEvent(Severity::kInfo, Event::kDrainRefuses);
     entry->Send(EntryPosted{StopAdmitting{Errc::kDraining}});
   }
   if (phase != DrainPhase::kDone) return WaitDrain();
--- a/src/node/node-peers.cc
+++ b/src/node/node-peers.cc
@@ -390,7 +390,7 @@
   };
   deps.hooks.admitting = [this](Errc reason) {
     stopped = reason;
-    LogLine(Severity::kWarning, "admitting").With(reason);
+    LogLine(Severity::kWarning, Event::kAdmitting).With(reason);
     if (reason != Errc::kOk) {
       entry->Send(EntryPosted{StopAdmitting{reason}});
     } else if (!refusing) {
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -179,7 +179,7 @@
   }
   auto parsed = ParseConfig(text.str());
   for (const auto& problem : parsed.problems) {
-    LogLine(Severity::kError, "config_problem")
+    LogLine(Severity::kError, Event::kConfigProblem)
         .With("problem", ToString(problem));
   }
   if (!parsed.ok()) return Errc::kConfigInvalid;
@@ -196,7 +196,7 @@
 void Node::State::ApplyConfig(const ConfigPtr& next) {
   const auto before = config->current();
   if (!config->Set(next)) return;
-  LogLine(Severity::kInfo, "config_applied")
+  LogLine(Severity::kInfo, Event::kConfigApplied)
       .With("generation", next->generation)
       .With("hash", next->hash);
   for (const auto& target : Targets()) {
@@ -238,7 +238,7 @@
   if (const auto error = state_->LoadConfigFile()) return error;
   state_->WaitLoads();
   state_->StartThreads();
-  LogLine(Severity::kInfo, "host_started")
+  LogLine(Severity::kInfo, Event::kHostStarted)
       .With("host", state_->settings().name)
       .With("failure_domain", state_->settings().failure_domain)
       .With("incarnation", state_->incarnation.value);
@@ -251,10 +251,10 @@
   if (!state_->tls) return;
   bool changed = false;
   if (const auto error = state_->tls->Reload(changed)) {
-    LogLine(Severity::kError, "tls_reload_failed")
+    LogLine(Severity::kError, Event::kTlsReloadFailed)
         .With("reason", error.message());
   } else if (changed) {
-    LogEvent(Severity::kInfo, "tls_reloaded");
+    LogEvent(Severity::kInfo, Event::kTlsReloaded);
   }
 }
 
--- a/src/node/orders-actor.cc
+++ b/src/node/orders-actor.cc
@@ -208,7 +208,7 @@
       targets.begin(), targets.end(),
       [&](const TargetInfo& info) { return info.name == command.target; });
   if (target == targets.end() || Now() >= command.not_after) return;
-  LogLine(Severity::kInfo, "order_sent")
+  LogLine(Severity::kInfo, Event::kOrderSent)
       .With("target", command.target)
       .With("kind", NameOf(command.kind))
       .With("model", ToString(command.model))
@@ -228,7 +228,7 @@
 }
 
 void OrdersActor::Do(Issue& issue, const RolloutStopped& command) {
-  LogLine(Severity::kError, "rollout_stopped")
+  LogLine(Severity::kError, Event::kRolloutStopped)
       .With("service", issue.duty.service)
       .With("model", ToString(command.model))
       .With("target", command.target);
--- a/src/node/peer-links.cc
+++ b/src/node/peer-links.cc
@@ -81,7 +81,7 @@
       wire::DecodeEnvelope(exchange->request().body, deps_.key, envelope);
   if (error || envelope.to != deps_.self.value) {
     const Errc code = error ? ToErrc(error) : Errc::kPeerRefused;
-    LogLine(Severity::kWarning, "peer_refused").With(code);
+    LogLine(Severity::kWarning, Event::kPeerRefused).With(code);
     return exchange->Respond(ErrorResponse(FailureOf(code)));
   }
   exchange->Respond({});
--- a/src/node/steward-actor.cc
+++ b/src/node/steward-actor.cc
@@ -99,7 +99,7 @@
     const auto [at, added] = wards_.try_emplace(
         name, Ward{info, Steward(info), Sweep(), 0, 0, false, {}, {}});
     if (!added) continue;
-    LogLine(Severity::kInfo, "stewardship_began").With("target", name);
+    LogLine(Severity::kInfo, Event::kStewardshipBegan).With("target", name);
     for (const auto& [host, news] : owners_) {
       std::visit([&ward = at->second](
                      const auto& typed) { ward.sweep.Handle(typed, Now()); },
@@ -217,7 +217,7 @@
 void StewardActor::CarryOut(Ward& ward, const SweepCommands& commands) {
   for (const auto& command : commands) {
     if (const auto* cancel = std::get_if<CancelOnTarget>(&command)) {
-      LogLine(Severity::kWarning, "sweep_cancel")
+      LogLine(Severity::kWarning, Event::kSweepCancel)
           .With(cancel->attempt)
           .With("target", ward.info.name);
       SendCancel(*deps_.client, ward.info, cancel->attempt);
--- a/src/node/supervisor.cc
+++ b/src/node/supervisor.cc
@@ -32,7 +32,7 @@
   for (auto& child : children_) {
     if (child.spec.ref->handle().address() != down.source) continue;
     const Time now = comfreyflow::detail::Now();
-    LogLine(Severity::kError, "actor_failed")
+    LogLine(Severity::kError, Event::kActorFailed)
         .With("actor", child.spec.name)
         .With("reason", caf::to_string(down.reason));
     auto& restarts = child.restarts;
--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "node/log.h"
 #include "platform/stand-ins.h"
 
 using namespace comfreyflow;            // NOLINT(google-build-using-namespace)
@@ -39,6 +40,21 @@
   return text;
 }
 
+/// Checks every line that hosts write in this program against the table of
+/// events.
+const bool kTapped = [] {
+  node::SetLogTap([](node::Event event, const std::string& line) {
+    const auto json = nlohmann::json::parse(line);
+    const auto& spec = node::SpecOf(event);
+    CHECK(json["event"] == spec.name);
+    for (const auto& [field, value] : json.items()) {
+      const bool known = field == "event" || node::HasField(spec, field);
+      CHECK_MESSAGE(known, spec.name << " has a field " << field);
+    }
+  });
+  return true;
+}();
+
 }  // namespace
 
 TEST_CASE("a request is passed through unchanged, and its answer too") {
--- a/test/shell/ctl-test.cc
+++ b/test/shell/ctl-test.cc
@@ -5,6 +5,7 @@
 #include "comfreyflow/config-change.h"
 #include "ctl/commands.h"
 #include "fakes/fake-platform.h"
+#include "node/events.h"
 #include "shell/host-fixture.h"
 
 using namespace comfreyflow;        // NOLINT(google-build-using-namespace)
@@ -360,3 +361,10 @@
   REQUIRE(table != std::string::npos);
   CHECK(page.substr(table) == ctl::ErrorsMarkdown());
 }
+
+TEST_CASE("docs/LOGS.md has the table of events") {
+  const auto root = std::filesystem::path(__FILE__).parent_path() / "../..";
+  std::string page;
+  REQUIRE(ctl::ReadFile((root / "docs/LOGS.md").string(), page));
+  CHECK(page.find(node::RenderEvents()) != std::string::npos);
+}
