Metrics of store calls, ages, budgets, reservations, memory and descriptors

Beside the counters by code and the histograms by prompt length the metrics address now tells the configuration's version and age, the age of the list of targets, whether the store answers, its calls and what became of them, what waits at placers held here, second sends left in the budget, prompts whose memory was set aside or refused, time to the answer of plain requests, resident memory and descriptors. The line `placement` tells the budget too.

--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -174,9 +174,10 @@
     std::size_t full = 0;     ///< Engines without a free slot.
     std::size_t poor = 0;     ///< Slow or failing, left out while others do.
     Duration reading{};       ///< Of all prompts not yet begun.
+    double repeats_left = 0;  ///< Of the budget, now.
     std::uint64_t memory = 0;
   };
-  Summary Summarize(Time now) const;
+  Summary Summarize(Time now);
 
  private:
   struct Target {
@@ -257,7 +258,7 @@
   void Count(Work& work, int sign);
   void EndTrial(const Work& work);
   void NoteHealth(const TargetName& name, WorkEnd end, Time now);
-  bool MayRepeat(Time now);
+  double RepeatsLeft(Time now);
   void NoteShort(Duration read, Time now);
   std::size_t ShortReserve(Time now) const;
   Bucket& CurrentBucket(Time now);
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -106,7 +106,7 @@
   Bucket& bucket = CurrentBucket(now);
   if (!job.repeat) {
     if (job.excluded.empty()) ++bucket.requests;
-  } else if (!MayRepeat(now)) {
+  } else if (RepeatsLeft(now) < 1) {
     Refuse(work, Errc::kOverloaded, Duration::zero());
     works_.erase(job.id);
     return;
@@ -243,11 +243,12 @@
   return loads;
 }
 
-Placer::Summary Placer::Summarize(Time now) const {
+Placer::Summary Placer::Summarize(Time now) {
   Summary out;
   out.waiting = waiting();
   out.running = running();
   out.closing = closing_.size();
+  out.repeats_left = RepeatsLeft(now);
   if (engine_) out.reserve = ShortReserve(now);
   for (const auto& [name, target] : targets_) {
     if (!target.listed || target.info.leaving || target.replaced) continue;
@@ -419,7 +420,7 @@
   return buckets_.back();
 }
 
-bool Placer::MayRepeat(Time now) {
+double Placer::RepeatsLeft(Time now) {
   CurrentBucket(now);
   double requests = 0;
   double repeats = 0;
@@ -427,8 +428,7 @@
     requests += bucket.requests;
     repeats += bucket.repeats;
   }
-  return repeats + 1 <=
-         settings_.repeat_ratio * requests + settings_.repeat_slack;
+  return settings_.repeat_ratio * requests + settings_.repeat_slack - repeats;
 }
 
 Placer::Target& Placer::Known(const TargetName& name) {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -57,6 +57,10 @@
   return placer;
 }
 
+double SecondsSince(Time time) {
+  return std::chrono::duration<double>(Now() - time).count();
+}
+
 }  // namespace
 
 struct Gateway::State : std::enable_shared_from_this<State> {
@@ -314,6 +318,8 @@
   std::uint64_t announced = 0;  ///< Latest generation heard of.
   Time announced_at;
   bool has_targets = false;
+  Time applied_at;  ///< When the configuration came into force.
+  Time targets_at;  ///< When the list of targets changed.
   bool stopping = false;
   bool store_reachable = false;
   bool was_reachable = false;
@@ -356,6 +362,7 @@
   state_->table = std::make_shared<RouteTable>(std::move(document));
   state_->mark = {version(), XXH3_64bits(text.data(), text.size())};
   state_->document_text = std::move(text);
+  state_->applied_at = Now();
   http::ServerLimits server;
   server.header_bytes = limits.header_bytes;
   server.body_bytes = limits.body_bytes;
@@ -371,6 +378,7 @@
 void Gateway::SetTargets(
     const std::map<ServiceName, std::vector<PoolTarget>>& targets) {
   state_->has_targets = true;
+  state_->targets_at = Now();
   state_->placement.SetTargets(targets);
 }
 
@@ -418,9 +426,39 @@
   state_->StopTick();
 }
 
-std::string Gateway::MetricsText() const {
-  return state_->metrics.Render(
-      {state_->relays.open, state_->relays.open, state_->body_budget->used()});
+std::string Gateway::MetricsText(std::vector<node::Reading> more) const {
+  State& state = *state_;
+  const auto add = [&more](const char* name, const char* help, double value) {
+    more.push_back({name, "gauge", help, {{"", value}}});
+  };
+  add("comfreyflow_configuration_version", "Configuration in force; 0: none.",
+      static_cast<double>(version()));
+  add("comfreyflow_configuration_age_seconds", "Since it came into force.",
+      SecondsSince(state.applied_at));
+  add("comfreyflow_targets_age_seconds", "Since the list of targets changed.",
+      SecondsSince(state.targets_at));
+  add("comfreyflow_store_reachable", "1 while the store answers.",
+      state.store_reachable ? 1 : 0);
+  node::Reading waiting{"comfreyflow_placer_waiting",
+                        "gauge",
+                        "Requests that wait at a placer held here.",
+                        {}};
+  node::Reading repeats{"comfreyflow_repeats_left",
+                        "gauge",
+                        "Second sends that the budget still allows.",
+                        {}};
+  for (const auto& [service, held] : state.placement.Held()) {
+    const std::string label = "service=\"" + service.value + "\"";
+    waiting.values.push_back({label, static_cast<double>(held.waiting)});
+    repeats.values.push_back({label, held.repeats_left});
+  }
+  more.push_back(std::move(waiting));
+  more.push_back(std::move(repeats));
+  for (auto& reading : node::ProcessReadings()) {
+    more.push_back(std::move(reading));
+  }
+  return state.metrics.Render(
+      {state.relays.open, state.relays.open, state.body_budget->used()}, more);
 }
 
 nlohmann::ordered_json Gateway::Dump() const {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "gateway/edge.h"
 #include "gateway/peers.h"
 #include "gateway/placement.h"
+#include "node/metrics.h"
 
 namespace comfreyflow::gateway {
 
@@ -69,7 +70,8 @@
   void Stop();
   std::size_t open_requests() const;
   /// Prometheus text.
-  std::string MetricsText() const;
+  /// `more` is added to what the gateway itself counts.
+  std::string MetricsText(std::vector<node::Reading> more) const;
   /// The whole state of this process, for people.
   nlohmann::ordered_json Dump() const;
 
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -444,6 +444,8 @@
           .With("poor", std::uint64_t{sum.poor})
           .With("reading",
                 std::chrono::duration_cast<milliseconds>(sum.reading))
+          .With("repeats_left",
+                static_cast<std::uint64_t>(std::max(0.0, sum.repeats_left)))
           .With("memory", sum.memory);
     }
   }
@@ -581,6 +583,16 @@
   return state_->Holder(service);
 }
 
+std::map<ServiceName, Placer::Summary> Placement::Held() {
+  std::map<ServiceName, Placer::Summary> out;
+  const Time now = Now();
+  for (const auto& [service, state] : state_->holding) {
+    if (now - state.last_ask > kHoldingLapse) continue;
+    out[service] = state_->PlacerOf(service).Summarize(now);
+  }
+  return out;
+}
+
 std::vector<Placer::TargetLoad> Placement::Loads(
     const ServiceName& service) const {
   const auto at = state_->placers.find(service);
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -63,6 +63,8 @@
 
   /// The host that is asked for the service's targets now.
   HostName HolderOf(const ServiceName& service) const;
+  /// What the placers that are asked here believe.
+  std::map<ServiceName, Placer::Summary> Held();
   /// Loads as this host's own placer of the service counts them.
   std::vector<Placer::TargetLoad> Loads(const ServiceName& service) const;
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -178,6 +178,7 @@
     reservations_->Hold([self = weak_from_this()](const TargetName& refused) {
       const auto relay = self.lock();
       if (!relay || relay->stage_ != Stage::kReserving) return;
+      relay->context_.metrics.Reserved(refused.value.empty());
       if (refused.value.empty()) return relay->Send(Now());
       relay->NotReserved(refused);
     });
@@ -397,6 +398,7 @@
       return Over(Errc::kOk);
     }
     context_.placement.Ended(id_, WorkEnd::kDone);
+    context_.metrics.Answered(Repeatable(*route_), Now() - arrival_);
     http::Response answer = context_.edge.write_head(answer_);
     answer.body = std::move(body_);
     exchange_->Respond(std::move(answer));
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -107,7 +107,7 @@
     {"placer_silent", "the holder of a placer does not answer", "host service"},
     {"placement", "each half second at the holder of a placer",
      "service waiting running unread targets closed short_engines long_engines "
-     "reserve closing full poor reading memory"},
+     "reserve closing full poor reading repeats_left memory"},
     {"grant_declined", "a grant named a target that this host knows to leave",
      "target holder"},
     {"placed", "a target was granted",
--- a/src/node/metrics.cc
+++ b/src/node/metrics.cc
@@ -1,8 +1,12 @@
 // Histograms by Boost.Histogram and their text form.
 #include "node/metrics.h"
 
+#include <unistd.h>
+
 #include <array>
 #include <boost/histogram.hpp>
+#include <filesystem>
+#include <fstream>
 #include <mutex>
 #include <sstream>
 #include <vector>
@@ -62,12 +66,21 @@
   }
 }
 
+void RenderReading(std::ostringstream& out, const Reading& reading) {
+  Head(out, reading.name, reading.kind, reading.help.c_str());
+  for (const auto& [label, value] : reading.values) {
+    out << reading.name << (label.empty() ? "" : "{" + label + "}") << ' '
+        << value << '\n';
+  }
+}
+
 constexpr std::array kVerdicts = {"claimed",      "seen_done",  "seen_running",
                                   "seen_unknown", "other_body", "unavailable"};
 constexpr std::array kLengthNames = {"to_4k", "to_32k", "to_256k", "over_256k"};
 constexpr std::uint32_t kThousand = 1024;
 constexpr const char* kFirstToken = "comfreyflow_first_token_seconds";
 constexpr const char* kBetween = "comfreyflow_between_tokens_seconds";
+constexpr const char* kAnswer = "comfreyflow_answer_seconds";
 constexpr const char* kQueueWait = "comfreyflow_queue_wait_seconds";
 
 }  // namespace
@@ -88,6 +101,8 @@
   std::array<Series, kLengthClasses> first_token;
   std::array<Series, kLengthClasses> between;
   Series queue_wait;
+  std::array<Series, 2> answered;               ///< Not repeatable, repeatable.
+  std::array<std::uint64_t, 2> reservations{};  ///< Refused, granted.
   std::vector<std::uint64_t> finished =
       std::vector<std::uint64_t>(static_cast<std::size_t>(ErrorCount()));
   std::array<std::uint64_t, kVerdicts.size()> claims{};
@@ -112,6 +127,16 @@
   state_->queue_wait.Add(wait);
 }
 
+void Metrics::Answered(bool repeatable, Duration since_arrival) {
+  const std::lock_guard lock(state_->mutex);
+  state_->answered.at(repeatable ? 1 : 0).Add(since_arrival);
+}
+
+void Metrics::Reserved(bool granted) {
+  const std::lock_guard lock(state_->mutex);
+  ++state_->reservations.at(granted ? 1 : 0);
+}
+
 void Metrics::Finished(Errc code) {
   const std::lock_guard lock(state_->mutex);
   ++state_->finished.at(static_cast<std::size_t>(code));
@@ -127,7 +152,8 @@
   ++state_->claims.at(static_cast<std::size_t>(verdict));
 }
 
-std::string Metrics::Render(const Gauges& gauges) const {
+std::string Metrics::Render(const Gauges& gauges,
+                            const std::vector<Reading>& readings) const {
   const std::lock_guard lock(state_->mutex);
   std::ostringstream out;
   Head(out, kFirstToken, "histogram", "Time to first token by prompt length.");
@@ -136,6 +162,15 @@
   RenderByLength(out, kBetween, state_->between);
   Head(out, kQueueWait, "histogram", "Time from arrival to dispatch.");
   RenderSeries(out, kQueueWait, "", state_->queue_wait);
+  Head(out, kAnswer, "histogram", "Time to the answer of plain requests.");
+  RenderSeries(out, kAnswer, "repeatable=\"no\"", state_->answered[0]);
+  RenderSeries(out, kAnswer, "repeatable=\"yes\"", state_->answered[1]);
+  Head(out, "comfreyflow_reservations_total", "counter",
+       "Prompts for which memory was set aside at targets.");
+  out << "comfreyflow_reservations_total{outcome=\"refused\"} "
+      << state_->reservations[0] << '\n'
+      << "comfreyflow_reservations_total{outcome=\"granted\"} "
+      << state_->reservations[1] << '\n';
   Head(out, "comfreyflow_requests_total", "counter",
        "Final answers by code; all but ok are refusals or failures.");
   for (int i = 0; i < ErrorCount(); ++i) {
@@ -157,7 +192,26 @@
   out << "comfreyflow_open_attempts " << gauges.open_attempts << '\n';
   Head(out, "comfreyflow_body_memory_bytes", "gauge", "Memory for bodies.");
   out << "comfreyflow_body_memory_bytes " << gauges.body_memory_bytes << '\n';
+  for (const auto& reading : readings) RenderReading(out, reading);
   return out.str();
 }
 
+std::vector<Reading> ProcessReadings() {
+  std::uint64_t pages = 0;
+  std::ifstream("/proc/self/statm") >> pages >> pages;  // The second one.
+  std::error_code ignored;
+  const auto files = std::distance(
+      std::filesystem::directory_iterator("/proc/self/fd", ignored),
+      std::filesystem::directory_iterator());
+  return {{"comfreyflow_resident_bytes",
+           "gauge",
+           "Memory of the process.",
+           {{"", static_cast<double>(pages) *
+                     static_cast<double>(::sysconf(_SC_PAGESIZE))}}},
+          {"comfreyflow_open_descriptors",
+           "gauge",
+           "Open files and sockets.",
+           {{"", static_cast<double>(files)}}}};
+}
+
 }  // namespace comfreyflow::node
--- a/src/node/metrics.h
+++ b/src/node/metrics.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "comfreyflow/entry.h"
 #include "comfreyflow/errors.h"
@@ -25,6 +26,21 @@
   std::uint64_t body_memory_bytes = 0;
 };
 
+/// Values of one name that are read when the text is made.
+struct Reading {
+  std::string name;
+  const char* kind = "gauge";  ///< Or `counter`.
+  std::string help;
+  struct Value {
+    std::string label;  ///< As `name="value"`; empty: none.
+    double value = 0;
+  };
+  std::vector<Value> values;
+};
+
+/// Memory and descriptors of this process.
+std::vector<Reading> ProcessReadings();
+
 /// Safe to use from any thread.
 class Metrics {
  public:
@@ -36,11 +52,16 @@
   void FirstToken(LengthClass length, Duration since_arrival);
   void BetweenTokens(LengthClass length, Duration gap);
   void QueueWait(Duration wait);
+  /// A request that is no stream was answered by its target.
+  void Answered(bool repeatable, Duration since_arrival);
+  /// Memory was set aside at targets for a prompt, or a target refused.
+  void Reserved(bool granted);
   void Finished(Errc code);
   void Retried();
   void Claim(ClaimVerdict verdict);
 
-  std::string Render(const Gauges& gauges) const;
+  std::string Render(const Gauges& gauges,
+                     const std::vector<Reading>& readings = {}) const;
 
  private:
   struct State;
--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -227,9 +227,10 @@
   REQUIRE(site.UntilReady(host));
   site.List("app", first, "draining");
   REQUIRE(site.Until([&] {
-    const auto dump = site.Get(
-        "127.0.0.1:" + std::to_string(site.settings(host).metrics_port),
-        "/dump");
+    const auto dump =
+        site.Get(site.settings(host).ip + ":" +
+                     std::to_string(site.settings(host).metrics_port),
+                 "/dump");
     return dump.response.body.find("\"leaving\": true") != std::string::npos ||
            site.Call(host, "GET", "/safe/x").response.body == "answer of i2";
   }));
@@ -435,3 +436,28 @@
     return json.is_object() && json["Addrs"].size() == 1;
   }));
 }
+
+TEST_CASE("metrics tell what came of requests, store calls and budgets") {
+  Site site;
+  site.AddTarget("app", "i1");
+  site.PutConfig(7);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  CHECK(site.Call(host, "GET", "/safe/1").response.status == 200);
+  CHECK(site.Call(host, "GET", "/none/1").response.status == 404);
+  const auto& settings = site.settings(host);
+  const std::string text =
+      site.Get(settings.ip + ":" + std::to_string(settings.metrics_port),
+               "/metrics")
+          .response.body;
+  for (const char* line :
+       {"comfreyflow_requests_total{code=\"ok\"} 1",
+        "comfreyflow_requests_total{code=\"not_found\"} 1",
+        "comfreyflow_answer_seconds_count{repeatable=\"yes\"} 1",
+        "comfreyflow_configuration_version 7", "comfreyflow_store_reachable 1",
+        "comfreyflow_store_calls_total{call=\"write\"} 1",
+        "comfreyflow_repeats_left{service=\"app\"} 50.2",
+        "comfreyflow_resident_bytes ", "comfreyflow_open_descriptors "}) {
+    CHECK_MESSAGE(text.find(line) != std::string::npos, line);
+  }
+}
