--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -222,7 +222,9 @@
   };
 
   Duration ReadTime(std::uint64_t tokens) const;
-  static bool IsLong(const Work& work);
+  bool IsLong(const Work& work) const;
+  std::size_t EnginesToHold(const PlaceJob& job) const;
+  bool TooLarge(const PlaceJob& job) const;
   Duration EventTime(const Target& target, std::uint64_t context) const;
   bool Usable(const Target& target, const Work& work, Time now) const;
   static bool IsPoor(const Target& target, Time now);
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -59,7 +59,24 @@
       linear + pairs * Seconds(engine_->prefill_per_1m_pairs));
 }
 
-bool Placer::IsLong(const Work& work) { return work.read > kLongRead; }
+/// Long to read, or too large for one engine: both need engines of their own.
+bool Placer::IsLong(const Work& work) const {
+  return work.read > kLongRead || EnginesToHold(work.job) > 1;
+}
+
+/// Engines whose whole memory holds the prompt and its answer.
+std::size_t Placer::EnginesToHold(const PlaceJob& job) const {
+  if (!engine_ || engine_->memory_tokens == 0) return 1;
+  const double wanted = double{0} + job.prompt_tokens + job.output_tokens;
+  const double each =
+      kMemoryShare * static_cast<double>(engine_->memory_tokens);
+  return static_cast<std::size_t>(std::max(1.0, std::ceil(wanted / each)));
+}
+
+/// Whether no gang could hold the prompt, however free its engines are.
+bool Placer::TooLarge(const PlaceJob& job) const {
+  return job.stream && EnginesToHold(job) > kMaxReaders;
+}
 
 /// Averages the demand of short prompts over about `kShortMemory`.
 void Placer::NoteShort(Duration read, Time now) {
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -113,6 +113,11 @@
   } else {
     ++bucket.repeats;
   }
+  if (TooLarge(job)) {
+    Refuse(work, Errc::kPromptTooLong, Duration::zero());
+    works_.erase(job.id);
+    return;
+  }
   if (TryPlace(work, now)) return;
   if (Hopeless(work, now)) {
     Refuse(work, Errc::kDeadlineInfeasible, Duration::zero());
--- a/test/placer-test.cc
+++ b/test/placer-test.cc
@@ -168,6 +168,31 @@
   CheckEmpty(placer);
 }
 
+TEST_CASE(
+    "a prompt over one engine's memory gets a gang, however fast it reads") {
+  EngineModel fast = Engine();
+  fast.memory_tokens = 100'000;
+  fast.prefill_per_second = 1'000'000;
+  fast.prefill_per_1m_pairs = {};
+  Placer placer({});
+  placer.SetEngine(fast);
+  placer.SetTargets(Targets(6), kStart);
+  const PlaceGrant grant = Granted(placer, Job(1, kStart, 180'000), kStart);
+  CHECK(grant.targets.size() >= 2);
+  CHECK(grant.targets[1].reserve_tokens > 0);
+}
+
+TEST_CASE("a prompt that no gang can hold is refused at once") {
+  Placer placer = EnginePlacer(40);
+  placer.Ask(Job(1, kStart, 6'000'000), kStart);
+  const auto verdicts = placer.TakeVerdicts();
+  REQUIRE(verdicts.size() == 1);
+  const auto* refusal = std::get_if<PlaceRefusal>(&verdicts[0]);
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->code == Errc::kPromptTooLong);
+  CHECK(placer.waiting() == 0);
+}
+
 TEST_CASE("long prompts leave engines to short streams by their demand") {
   Placer placer = EnginePlacer(20);
   Time now = kStart;
