--- a/soak/main.cc
+++ b/soak/main.cc
@@ -107,6 +107,8 @@
   TCLAP::ValueArg<int> targets("", "targets", "engines", false, 6, "N", line);
   TCLAP::ValueArg<int> length("", "length", "seconds of disturbances", false,
                               20, "S", line);
+  TCLAP::ValueArg<int> quiet("", "quiet", "seconds without at the end", false,
+                             15, "S", line);
   TCLAP::ValueArg<std::string> planted(
       "", "planted", "check that this fault, planted in the host, is found",
       false, "", "NAME", line);
@@ -122,6 +124,7 @@
   settings.callers = callers.getValue();
   settings.targets = targets.getValue();
   settings.length = std::chrono::seconds(length.getValue());
+  settings.quiet = std::chrono::seconds(quiet.getValue());
   settings.timed = timed.getValue();
   if (planted.isSet()) return FindPlanted(settings, planted.getValue());
   return Play(settings, count.getValue(), story.getValue());
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -25,8 +25,6 @@
 
 /// Hosts find each other and become ready.
 constexpr Duration kSettleTime = seconds(3);
-/// Without disturbance at the end: RECOVER's bound and some seconds more.
-constexpr Duration kQuietTime = seconds(15);
 constexpr Duration kTick = milliseconds(20);
 constexpr Duration kRestartPause = milliseconds(300);
 constexpr Duration kDrainTime = milliseconds(3000);
@@ -52,8 +50,8 @@
     }
     const Duration last = end + seconds(5);
     At(last, [this] { records_.quiet_from = Now(); });
-    At(last + kQuietTime, [&callers] { callers.Stop(); });
-    while (Now() - begin < last + kQuietTime + seconds(5)) Tick();
+    At(last + settings_.quiet, [&callers] { callers.Stop(); });
+    while (Now() - begin < last + settings_.quiet + seconds(5)) Tick();
     records_.over = Now();
     return Result();
   }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -20,6 +20,9 @@
   int callers = 16;
   int targets = 6;  ///< Engines; a third as many plain ones, at least two.
   Duration length = std::chrono::seconds(20);
+  /// Without disturbance at the end; judging recovery takes `Bounds::recover`
+  /// and some seconds more.
+  Duration quiet = std::chrono::seconds(15);
   bool timed = false;  ///< Also judges promises that name a time.
 };
 
