Duties move only from hosts that are cut off alone; adopted work ends when unnamed

Now a host loses its duties when it has been detached for 1.8 s while most live hosts are not (class Duties, tested over virtual time).

--- a/include/comfreyflow/holder.h
+++ b/include/comfreyflow/holder.h
@@ -3,6 +3,8 @@
 /// it held.
 #pragma once
 
+#include <map>
+#include <set>
 #include <vector>
 
 #include "comfreyflow/types.h"
@@ -24,6 +26,35 @@
 HostName ChooseHolder(const std::vector<HolderCandidate>& candidates,
                       const ServiceName& service);
 
+/// A live host as it says of itself.
+struct HostView {
+  HostName name;
+  bool unable = false;    ///< It stops, or knows no configuration yet.
+  bool detached = false;  ///< It does not reach the store.
+};
+
+/// Which live hosts may hold placers. A host that is cut off from the store for
+/// a while loses its duties if most hosts are not; when the store itself is
+/// away, hosts hear of each other's loss one by one and nothing moves.
+class Duties {
+ public:
+  /// `hosts`: all live ones; called a few times a second.
+  void Update(const std::vector<HostView>& hosts, Time now);
+  /// All may if none could otherwise.
+  bool MayHold(const HostName& host) const { return able_.contains(host); }
+  /// It is cut off while most hosts are not, and has been for a while.
+  bool Absent(const HostName& host) const { return absent_.contains(host); }
+
+ private:
+  std::map<HostName, Time> detached_since_;
+  std::set<HostName> absent_;
+  std::set<HostName> able_;
+};
+
+/// A host is cut off for so long before its duties move: hosts hear within it
+/// that the store is away for all of them.
+inline constexpr Duration kAbsence = std::chrono::milliseconds(1800);
+
 /// Hosts that are started together begin within this time of each other.
 inline constexpr std::chrono::milliseconds kCohortSpan{3000};
 
--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -209,6 +209,7 @@
     bool is_long = false;
     bool is_trial = false;  ///< Shows whether a target works again.
     bool adopted = false;   ///< Placed by another host's placer.
+    Time named;             ///< When its host last told of it.
     Duration read{};        ///< Reading time of the whole prompt on one target.
     Duration estimate{};
     Time placed_at;
--- a/src/core/placer/holder.cc
+++ b/src/core/placer/holder.cc
@@ -39,4 +39,28 @@
   return RankHosts(cohort, "placer " + service.value, 1).front();
 }
 
+void Duties::Update(const std::vector<HostView>& hosts, Time now) {
+  std::map<HostName, Time> since;
+  for (const auto& host : hosts) {
+    if (!host.detached) continue;
+    const auto before = detached_since_.find(host.name);
+    since[host.name] = before == detached_since_.end() ? now : before->second;
+  }
+  detached_since_ = std::move(since);
+  const bool most_attached = 2 * detached_since_.size() < hosts.size();
+  absent_.clear();
+  able_.clear();
+  for (const auto& host : hosts) {
+    const auto at = detached_since_.find(host.name);
+    if (most_attached && at != detached_since_.end() &&
+        now - at->second > kAbsence) {
+      absent_.insert(host.name);
+    } else if (!host.unable) {
+      able_.insert(host.name);
+    }
+  }
+  if (!able_.empty()) return;
+  for (const auto& host : hosts) able_.insert(host.name);
+}
+
 }  // namespace comfreyflow
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -16,9 +16,9 @@
 constexpr Duration kAdoptMargin = milliseconds(400);
 /// Work whose end was not heard of is dropped so long after its deadline.
 constexpr Duration kOverdueMargin = std::chrono::seconds(1);
-/// Deadline of work that only its host knows; the host's word renews nothing,
-/// as requests of this length are rare.
-constexpr Duration kAdoptedLife = std::chrono::seconds(30);
+/// Work that another placer placed ends here when its host does not name it for
+/// so long: the host asks another holder, which hears of its end.
+constexpr Duration kAdoptedSilence = std::chrono::seconds(2);
 /// A waiting request whose host stopped asking for it.
 constexpr Duration kAskLife = milliseconds(1200);
 /// Least time in which a request can be served at all.
@@ -169,6 +169,7 @@
   for (const auto& told : running) {
     auto [at, added] = works_.try_emplace(told.id);
     Work& work = at->second;
+    work.named = now;
     if (!added) {
       if (told.begun) Begun(told.id, now);
       continue;
@@ -183,7 +184,6 @@
     work.adopted = true;
     work.begun = told.begun;
     work.placed_at = now;
-    work.job.deadline = now + kAdoptedLife;
     work.grant.id = told.id;
     work.grant.targets = told.targets;
     work.is_long = told.stream && IsLong(work);
@@ -227,9 +227,10 @@
 void Placer::DropOverdue(Time now) {
   std::vector<RequestId> overdue;
   for (const auto& [id, work] : works_) {
-    if (work.placed && now > work.job.deadline + kOverdueMargin) {
-      overdue.push_back(id);
-    }
+    if (!work.placed) continue;
+    const bool over = work.adopted ? now > work.named + kAdoptedSilence
+                                   : now > work.job.deadline + kOverdueMargin;
+    if (over) overdue.push_back(id);
   }
   for (const auto& id : overdue) Ended(id, WorkEnd::kGone, now);
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,10 +4,10 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 #include "comfreyflow/addresses.h"
+#include "comfreyflow/holder.h"
 #include "gateway/relay.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -41,8 +41,6 @@
 constexpr double kLeastStopShare = 0.75;
 constexpr Duration kStopTick = milliseconds(100);
 constexpr Duration kFactsPeriod = milliseconds(250);
-/// Hosts find out within this time that the store is away for all of them.
-constexpr Duration kAbsence = milliseconds(1800);
 /// Addresses of an answer: enough that callers find one that works, and few
 /// enough that large hosts get more of them.
 constexpr std::size_t kAddressesOfAnswer = 16;
@@ -130,7 +128,7 @@
   PeersHooks PeerHooks() {
     PeersHooks peer;
     peer.facts = [this] {
-      return HostFacts{version(), 0, stopping, !store_reachable, returned};
+      return HostFacts{version(), 0, stopping, Detached(), returned};
     };
     peer.config_mark = [this] { return mark; };
     peer.changed = [this](const MemberChanged& event) {
@@ -150,42 +148,32 @@
     return peer;
   }
 
-  /// Hosts that may hold placers: alive, not stopping, and with the store's
-  /// word on the targets where any host has it.
+  /// Tells placement which hosts live and may hold placers.
   void RefreshPeers() {
+    std::vector<HostView> views;
     std::vector<PlacementPeer> live;
-    bool any_attached = false;
-    bool other_attached = false;
     for (const auto& [name, member] : peers.members()) {
       const bool self = name == settings.self.name;
       const bool alive = member.state == MemberState::kAlive ||
                          member.state == MemberState::kSuspect;
       if (!self && !alive) continue;
-      const bool leaves = self ? stopping : member.facts.draining;
-      const bool detached = self ? !store_reachable : member.facts.detached;
+      // Facts of a host that was just heard of are not known yet.
+      const bool unable =
+          self ? stopping || !table || !has_targets : member.facts.draining;
+      views.push_back(
+          {name, unable, self ? Detached() : member.facts.detached});
       live.push_back({name, member.record.peers, member.record.incarnation,
-                      member.record.capacity, !leaves && !detached,
+                      member.record.capacity, true,
                       self ? returned : member.facts.returned});
-      any_attached = any_attached || live.back().may_hold;
-      other_attached = other_attached || (!self && !detached);
     }
-    NoteAbsence(other_attached);
-    for (auto& peer : live) peer.may_hold = peer.may_hold || !any_attached;
+    duties.Update(views, Now());
+    returned = returned || duties.Absent(settings.self.name);
+    for (auto& peer : live) peer.may_hold = duties.MayHold(peer.name);
     placement.SetPeers(std::move(live));
   }
 
-  /// A host that is cut off while others are not has to give its duties up; it
-  /// does not take them back when it returns. All are cut off at nearly the
-  /// same time when the store itself is away.
-  void NoteAbsence(bool other_attached) {
-    if (store_reachable || !was_reachable || !other_attached) {
-      absent_since.reset();
-      return;
-    }
-    const Time now = Now();
-    if (!absent_since) absent_since = now;
-    returned = returned || now - *absent_since > kAbsence;
-  }
+  /// Whether the store was there and does not answer any more.
+  bool Detached() const { return !store_reachable && was_reachable; }
 
   /// Facts of members change without an event of their own.
   void WatchFacts() {
@@ -323,8 +311,8 @@
   bool stopping = false;
   bool store_reachable = false;
   bool was_reachable = false;
-  bool returned = false;  ///< Was cut off while others were not.
-  std::optional<Time> absent_since;
+  Duties duties;
+  bool returned = false;  ///< Was cut off while most others were not.
   Time stop_began;
 };
 
--- a/test/holder-test.cc
+++ b/test/holder-test.cc
@@ -76,3 +76,50 @@
     CHECK(ChooseHolder(hosts, {"s" + std::to_string(i)}).value == "large");
   }
 }
+
+TEST_CASE("a host that is cut off alone loses its duties after a while") {
+  Duties duties;
+  Time now{std::chrono::hours(1)};
+  std::vector<HostView> hosts = {{{"a"}}, {{"b"}}, {{"c"}}};
+  duties.Update(hosts, now);
+  CHECK(duties.MayHold({"a"}));
+  hosts[0].detached = true;
+  duties.Update(hosts, now);
+  CHECK(duties.MayHold({"a"}));
+  now += kAbsence + std::chrono::milliseconds(1);
+  duties.Update(hosts, now);
+  CHECK_FALSE(duties.MayHold({"a"}));
+  CHECK(duties.Absent({"a"}));
+  CHECK(duties.MayHold({"b"}));
+  hosts[0].detached = false;
+  duties.Update(hosts, now);
+  CHECK(duties.MayHold({"a"}));
+  CHECK_FALSE(duties.Absent({"a"}));
+}
+
+TEST_CASE("nothing moves when all hosts lose the store one after another") {
+  Duties duties;
+  Time now{std::chrono::hours(1)};
+  std::vector<HostView> hosts;
+  for (int i = 0; i < 10; ++i) hosts.push_back({{"h" + std::to_string(i)}});
+  for (auto& host : hosts) {
+    host.detached = true;
+    duties.Update(hosts, now);
+    for (const auto& each : hosts) CHECK(duties.MayHold(each.name));
+    now += std::chrono::milliseconds(150);
+  }
+  for (int i = 0; i < 40; ++i) {
+    duties.Update(hosts, now += std::chrono::milliseconds(250));
+    for (const auto& each : hosts) CHECK(duties.MayHold(each.name));
+  }
+}
+
+TEST_CASE("hosts that stop or know nothing hold nothing, unless all do") {
+  Duties duties;
+  std::vector<HostView> hosts = {{{"a"}, true}, {{"b"}}};
+  duties.Update(hosts, Time{});
+  CHECK_FALSE(duties.MayHold({"a"}));
+  hosts[1].unable = true;
+  duties.Update(hosts, Time{});
+  CHECK(duties.MayHold({"a"}));
+}
--- a/test/placer-test.cc
+++ b/test/placer-test.cc
@@ -310,6 +310,25 @@
   CheckEmpty(placer);
 }
 
+TEST_CASE("adopted work that its host tells of no more ends soon") {
+  // The host asks another placer by now, which hears of the end.
+  Placer placer = EnginePlacer(2);
+  Time now = kStart;
+  const std::vector<RunningWork> running = {
+      {{{"h"}, {1}, 1}, {{{"t0"}, "", 0}}, true, false, 100'000, 100, {}},
+      {{{"h"}, {1}, 2}, {{{"t1"}, "", 0}}, true, false, 100'000, 100, {}}};
+  for (int i = 0; i < 10; ++i) {
+    placer.Adopt({"h"}, running, now);
+    now += milliseconds(500);
+    placer.Tick(now);
+    CHECK(placer.running() == 2);
+  }
+  now += seconds(2);
+  placer.Tick(now);
+  CHECK(placer.running() == 0);
+  CHECK(Granted(placer, Job(9, now, 100'000), now).targets.size() == 1);
+}
+
 TEST_CASE("work heard of before the list of targets leaves no trace") {
   Placer placer({});
   placer.SetEngine(Engine());
