--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -74,6 +74,7 @@
     track.listed = true;
     track.version = list.version;
     track.kind.listed(list.items);
+    if (track.kind.told) track.kind.told();
     Step(index);
   }
 
@@ -101,6 +102,7 @@
     Answered();
     track.version = std::max(track.version, changes.version);
     for (const auto& change : changes.changes) track.kind.changed(change);
+    if (track.kind.told && !changes.changes.empty()) track.kind.told();
     if (was_out) return Step(index);
     Later(index, changes.changes.empty() ? Duration::zero() : Pause());
   }
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -18,6 +18,8 @@
   /// The whole kind, at the start and after a gap.
   std::function<void(const std::vector<PlatformObject>&)> listed;
   std::function<void(const PlatformObject&)> changed;
+  /// After all that one answer told; absent: nothing.
+  std::function<void()> told;
 };
 
 struct FollowerHooks {
