--- a/soak/planted-host.cc
+++ b/soak/planted-host.cc
@@ -127,7 +127,7 @@
   parts.wrap_store = [kind, change = std::move(change)](ObjectStore store) {
     store.watch = [watch = store.watch, kind, change](
                       const std::string& asked, std::uint64_t version,
-                      Duration wait, gateway::WatchHandler handler) {
+                      Duration wait, const gateway::WatchHandler& handler) {
       if (asked != kind) return watch(asked, version, wait, handler);
       watch(asked, version, wait, [change, handler](WatchAnswer changes) {
         change(changes);
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -62,9 +62,9 @@
   }
 
   const std::vector<const Run*>& RunsOf(const Sent& sent) const {
-    static const std::vector<const Run*> kNone;
+    static const std::vector<const Run*> no_runs;
     const auto at = runs_.find(sent.id);
-    return at == runs_.end() ? kNone : at->second;
+    return at == runs_.end() ? no_runs : at->second;
   }
 
   std::size_t RanCount(const Sent& sent) const {
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -7,6 +7,7 @@
 #include <boost/asio.hpp>
 #include <functional>
 #include <memory>
+#include <set>
 
 #include "node/clock.h"
 #include "soak/callers.h"
@@ -188,20 +189,26 @@
 
   /// Listed as leaving, then gone, then back.
   void Leave(std::size_t target, Duration life) {
+    if (!leaving_.insert(target).second) return;
     const std::size_t number = records_.leaving.size();
     records_.leaving.push_back({target, Now(), std::nullopt});
     site_.List(target, "draining");
     At(kDrainTime, [this, target] { site_.Unlist(target); });
     At(kDrainTime + life, [this, target, number] {
       records_.leaving[number].until = Now();
+      leaving_.erase(target);
       site_.List(target, "ready");
     });
   }
 
+  /// What leaves meanwhile does not come back with the lapse's end.
   void Lapse(std::size_t target, Duration life) {
+    if (leaving_.contains(target)) return;
     Note(Subject::kTarget, target, Trouble::kTargetLapses, life);
     site_.Unlist(target);
-    At(life, [this, target] { site_.List(target, "ready"); });
+    At(life, [this, target] {
+      if (!leaving_.contains(target)) site_.List(target, "ready");
+    });
   }
 
   void Storm() {
@@ -342,6 +349,7 @@
   std::vector<std::unique_ptr<HostProcess>> hosts_;
   std::vector<std::unique_ptr<Proxy>> caller_paths_;
   std::vector<bool> restarting_;
+  std::set<std::size_t> leaving_;  ///< Targets.
   std::vector<std::string> story_;
 };
 
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -26,9 +26,6 @@
 /// aimed at, and what is still accepted.
 constexpr double kAimedReadShare = 0.6;
 constexpr double kAcceptedReadShare = 0.92;
-/// A prompt that is late in any case may be read for this part of its time
-/// left.
-constexpr int kLateParts = 4;
 /// From the end of reading to the caller: the first event's steps and the way.
 constexpr Duration kFirstEventMargin = milliseconds(120);
 /// Part of a stream's longest pause that is left for what is not counted.
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -135,17 +135,17 @@
 
  private:
   void WaitSignal() {
-    signals_.async_wait([this](const boost::system::error_code& error,
-                               int number) {
-      if (error) return;
-      if (number == SIGHUP) {
-        node_.ReloadTls();
-      } else {
-        LogLine(Severity::kInfo, Event::kDrainAsked).With("by", "signal");
-        node_.Drain();
-      }
-      WaitSignal();
-    });
+    signals_.async_wait(
+        [this](const boost::system::error_code& error, int number) {
+          if (error) return;
+          if (number == SIGHUP) {
+            node_.ReloadTls();
+          } else {
+            LogLine(Severity::kInfo, Event::kDrainAsked).With("by", "signal");
+            node_.Drain();
+          }
+          WaitSignal();
+        });
   }
 
   void WaitTls() {
--- a/src/gateway/object-store.cc
+++ b/src/gateway/object-store.cc
@@ -50,14 +50,14 @@
 
 }  // namespace
 
-ObjectStore MakeObjectStore(std::shared_ptr<PlatformClient> client) {
+ObjectStore MakeObjectStore(const std::shared_ptr<PlatformClient>& client) {
   ObjectStore store;
   store.list = [client](const std::string& kind, ListHandler handler) {
     ListOn(client, kind, std::make_shared<ListAnswer>(), std::move(handler));
   };
   store.watch = [client](const std::string& kind, std::uint64_t version,
-                         Duration wait, WatchHandler handler) {
-    client->Watch(kind, version, wait, std::move(handler));
+                         Duration wait, const WatchHandler& handler) {
+    client->Watch(kind, version, wait, handler);
   };
   store.create = [client](const std::string& kind, const std::string& name,
                           const std::string& value, WriteHandler handler) {
--- a/src/gateway/object-store.h
+++ b/src/gateway/object-store.h
@@ -32,6 +32,6 @@
       remove;
 };
 
-ObjectStore MakeObjectStore(std::shared_ptr<PlatformClient> client);
+ObjectStore MakeObjectStore(const std::shared_ptr<PlatformClient>& client);
 
 }  // namespace comfreyflow::gateway
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -235,7 +235,7 @@
   /// took all.
   void SendDone(const error_code& error) {
     sending_ = false;
-    broken_send_ = bool(error);
+    broken_send_ = error.failed();
     serializer_.reset();
     std::string().swap(message_.body());
     lease_ = {};
--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -47,7 +47,8 @@
     const auto json = nlohmann::json::parse(line);
     const auto& spec = node::SpecOf(event);
     CHECK(json["event"] == spec.name);
-    for (const auto& [field, value] : json.items()) {
+    for (auto at = json.begin(); at != json.end(); ++at) {
+      const std::string field = at.key();
       const bool known = field == "event" || node::HasField(spec, field);
       CHECK_MESSAGE(known, spec.name << " has a field " << field);
     }
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -352,7 +352,7 @@
         boost::asio::buffer(buffer),
         [&](const boost::system::error_code& error, std::size_t size) {
           got.append(buffer, 0, size);
-          over = bool(error);
+          over = error.failed();
           if (!over) read();
         });
   };
--- a/test/platform/wire-test.cc
+++ b/test/platform/wire-test.cc
@@ -15,7 +15,7 @@
     "Authorization: Token key1\r\n";
 
 /// Value of a header in a head as it came, or empty.
-std::string HeaderIn(const std::string& head, std::string name) {
+std::string HeaderIn(const std::string& head, const std::string& name) {
   std::string lower = head;
   std::transform(lower.begin(), lower.end(), lower.begin(), ::tolower);
   const auto at = lower.find("\r\n" + name + ": ");
--- a/test/shell/follower-test.cc
+++ b/test/shell/follower-test.cc
@@ -13,7 +13,7 @@
 /// A store that answers as the test says, and one follower of two kinds.
 struct Following {
   Following() {
-    store.list = [this](const std::string& kind, ListHandler handler) {
+    store.list = [this](const std::string& kind, const ListHandler& handler) {
       ++lists[kind];
       ListAnswer answer;
       if (down) answer.error = Errc::kPlatformUnavailable;
