--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -175,8 +175,9 @@
                        records_.disturbances.end(), [&](const Disturbance& d) {
                          if (!d.planned || d.number != sent.host || !d.gone)
                            return false;
-                         if (sent.at > *d.gone || to + kClose < *d.gone)
+                         if (sent.at > d.until.value_or(records_.over))
                            return false;
+                         if (to + kClose < *d.gone) return false;
                          return RunsOf(sent).empty() ||
                                 6 * (*d.gone - d.from) >= 5 * bounds_.stop;
                        });
--- a/test/soak/promises-test.cc
+++ b/test/soak/promises-test.cc
@@ -155,6 +155,13 @@
   CHECK(Broken(records).empty());
   records.disturbances[0].from = kStart - milliseconds(100);
   CHECK(Broken(records) == Promises{"LOST"});
+  // Not passed on, or sent when the process had ended.
+  records.runs.erase(records.runs.begin());
+  CHECK(Broken(records).empty());
+  records.disturbances[0].gone = kStart - milliseconds(10);
+  CHECK(Broken(records).empty());
+  records.disturbances[0].until = kStart - milliseconds(5);
+  CHECK(Broken(records) == Promises{"LOST"});
 }
 
 TEST_CASE("keys are judged by hosts in touch") {
