One sample configuration for tests and soak; one loop over the placers held

The soak wrote the same configuration and the same entries of targets as the stand-ins do, in the platform's names: both use SampleConfig and SampleEntry now. The log of placers and the metrics each went over the placers that are asked here: Held does.

--- a/soak/site.cc
+++ b/soak/site.cc
@@ -13,8 +13,6 @@
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
-constexpr int kSlots = 8;
-constexpr int kMemoryTokens = 100'000;
 constexpr milliseconds kFirstEvent{8};
 constexpr milliseconds kBetweenEvents{15};
 constexpr milliseconds kPlainWork{4};
@@ -23,20 +21,6 @@
 constexpr double kOldKeyShare = 0.1;
 constexpr double kErrorShare = 0.5;
 
-Json RouteOf(const char* name, const char* kind, const char* service) {
-  return Json{{"Name", name},
-              {"Host", kHostHeader},
-              {"PathPrefix", std::string("/") + name + "/"},
-              {"Kind", kind},
-              {"TimeoutMs", 5000},
-              {"TargetLatencyMs", 300},
-              {"MaxGapMs", 250},
-              {"Priority", 1},
-              {"Service", service},
-              {"Attempts", 2},
-              {"Resumable", true}};
-}
-
 std::string AccountOf(std::uint64_t number) {
   return "account" + std::to_string(number % kAccounts);
 }
@@ -97,11 +81,8 @@
 void Site::List(std::size_t number, const std::string& state) {
   Target& target = *targets_.at(number);
   store_.Put("servers", target.fake.name(),
-             {{"Service", target.service},
-              {"Addr", target.path.address()},
-              {"Zone", "z" + std::to_string(number % 3)},
-              {"Slots", kSlots},
-              {"State", state}});
+             platform::SampleEntry(target.service, target.path.address(),
+                                   "z" + std::to_string(number % 3), state));
 }
 
 void Site::Unlist(std::size_t target) {
@@ -120,23 +101,9 @@
     }
     accounts.push_back({{"Name", AccountOf(i)}, {"ApiKeys", keys}});
   }
-  store_.Put("config", "main",
-             {{"Version", version_ += 3},
-              {"Routes",
-               {RouteOf("safe", "safe", kPlainService),
-                RouteOf("unsafe", "unsafe", kPlainService),
-                RouteOf("stream", "stream", kEngineService)}},
-              {"Services",
-               {{{"Name", kPlainService}},
-                {{"Name", kEngineService},
-                 {"Engine",
-                  {{"Slots", kSlots},
-                   {"KvTokens", kMemoryTokens},
-                   {"Stride", 10},
-                   {"step_ms", 1.0},
-                   {"read_per_s", 1000000.0}}}}}},
-              {"Limits", Json::object()},
-              {"Tenants", accounts}});
+  Json config = platform::SampleConfig(version_ += 3);
+  config["Tenants"] = std::move(accounts);
+  store_.Put("config", "main", config);
 }
 
 void Site::ChangeKey() {
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -67,8 +67,7 @@
 
   /// This host as the holder of a service's placer.
   struct Holding {
-    Time last_ask;  ///< By anybody.
-    Time begun;
+    Time last_ask;             ///< By anybody.
     std::set<HostName> heard;  ///< Told their work since.
   };
 
@@ -126,7 +125,6 @@
   void BeginHolding(const ServiceName& service, Time now) {
     Holding& state = holding[service];
     if (now - state.last_ask > kHoldingLapse) {
-      state.begun = now;
       state.heard.clear();
       PlacerOf(service).HoldUntil(std::max(now + kSyncWait, settled));
       LogLine(Severity::kInfo, Event::kPlacerTaken)
@@ -424,11 +422,18 @@
     if (now >= sync_due) Sync(now);
   }
 
-  /// Tells what the placers that are asked here believe.
-  void LogState(Time now) {
-    for (auto& [service, state] : holding) {
+  /// What the placers that are asked here believe.
+  std::map<ServiceName, Placer::Summary> Held(Time now) {
+    std::map<ServiceName, Placer::Summary> out;
+    for (const auto& [service, state] : holding) {
       if (now - state.last_ask > kHoldingLapse) continue;
-      const auto sum = PlacerOf(service).Summarize(now);
+      out[service] = PlacerOf(service).Summarize(now);
+    }
+    return out;
+  }
+
+  void LogState(Time now) {
+    for (const auto& [service, sum] : Held(now)) {
       LogLine(Severity::kInfo, Event::kPlacement)
           .With("service", service)
           .With("waiting", std::uint64_t{sum.waiting})
@@ -584,13 +589,7 @@
 }
 
 std::map<ServiceName, Placer::Summary> Placement::Held() {
-  std::map<ServiceName, Placer::Summary> out;
-  const Time now = Now();
-  for (const auto& [service, state] : state_->holding) {
-    if (now - state.last_ask > kHoldingLapse) continue;
-    out[service] = state_->PlacerOf(service).Summarize(now);
-  }
-  return out;
+  return state_->Held(Now());
 }
 
 std::vector<Placer::TargetLoad> Placement::Loads(
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -63,6 +63,42 @@
          std::to_string(process % kOctet) + "." + std::to_string(host + 1);
 }
 
+Json SampleConfig(std::uint64_t version) {
+  const auto route = [](const char* name, const char* prefix, const char* kind,
+                        const char* service) {
+    return Json{
+        {"Name", name},      {"Host", "a.example"}, {"PathPrefix", prefix},
+        {"Kind", kind},      {"TimeoutMs", 5000},   {"TargetLatencyMs", 300},
+        {"Priority", 1},     {"Service", service},  {"Attempts", 2},
+        {"Resumable", true}, {"MaxGapMs", 250}};
+  };
+  return Json{{"Version", version},
+              {"Routes",
+               {route("safe", "/safe/", "safe", "app"),
+                route("unsafe", "/unsafe/", "unsafe", "app"),
+                route("stream", "/stream/", "stream", "model")}},
+              {"Services",
+               {{{"Name", "app"}},
+                {{"Name", "model"},
+                 {"Engine",
+                  {{"Slots", 8},
+                   {"KvTokens", 100000},
+                   {"Stride", 10},
+                   {"step_ms", 1.0},
+                   {"read_per_s", 1000000.0}}}}}},
+              {"Limits", Json::object()},
+              {"Tenants", {{{"Name", "account1"}, {"ApiKeys", {"key1"}}}}}};
+}
+
+Json SampleEntry(const std::string& service, const std::string& address,
+                 const std::string& failure_domain, const std::string& state) {
+  return Json{{"Service", service},
+              {"Addr", address},
+              {"Zone", failure_domain},
+              {"Slots", 8},
+              {"State", state}};
+}
+
 // ---- Store ------------------------------------------------------------------
 
 FakeStore::FakeStore(boost::asio::io_context& io)
@@ -322,12 +358,7 @@
 
 void Site::ListAt(const std::string& service, const std::string& name,
                   const std::string& address, const std::string& state) {
-  store_->Put("servers", name,
-              {{"Service", service},
-               {"Addr", address},
-               {"Zone", "z1"},
-               {"Slots", 8},
-               {"State", state}});
+  store_->Put("servers", name, SampleEntry(service, address, "z1", state));
 }
 
 RawTarget& Site::AddRawTarget(const std::string& service,
@@ -374,30 +405,7 @@
 
 void Site::PutConfig(std::uint64_t version,
                      const std::function<void(Json&)>& change) {
-  const auto route = [](const char* name, const char* prefix, const char* kind,
-                        const char* service) {
-    return Json{
-        {"Name", name},      {"Host", "a.example"}, {"PathPrefix", prefix},
-        {"Kind", kind},      {"TimeoutMs", 5000},   {"TargetLatencyMs", 300},
-        {"Priority", 1},     {"Service", service},  {"Attempts", 2},
-        {"Resumable", true}, {"MaxGapMs", 250}};
-  };
-  Json config{{"Version", version},
-              {"Routes",
-               {route("safe", "/safe/", "safe", "app"),
-                route("unsafe", "/unsafe/", "unsafe", "app"),
-                route("stream", "/stream/", "stream", "model")}},
-              {"Services",
-               {{{"Name", "app"}},
-                {{"Name", "model"},
-                 {"Engine",
-                  {{"Slots", 8},
-                   {"KvTokens", 100000},
-                   {"Stride", 10},
-                   {"step_ms", 1.0},
-                   {"read_per_s", 1000000.0}}}}}},
-              {"Limits", Json::object()},
-              {"Tenants", {{{"Name", "account1"}, {"ApiKeys", {"key1"}}}}}};
+  Json config = SampleConfig(version);
   if (change) change(config);
   store_->Put("config", "main", config);
 }
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -22,6 +22,15 @@
 std::string LoopbackIp(std::size_t host);
 inline constexpr std::size_t kMostLoopbackHosts = 250;
 
+/// The configuration of tests: a route of each kind, a plain service and one of
+/// engines, one account.
+nlohmann::json SampleConfig(std::uint64_t version);
+/// A target's entry in the store.
+nlohmann::json SampleEntry(const std::string& service,
+                           const std::string& address,
+                           const std::string& failure_domain,
+                           const std::string& state);
+
 /// The store: objects by kind and name, lists and watches.
 class FakeStore {
  public:
@@ -158,7 +167,7 @@
             const std::string& state = "ready");
   RawTarget& AddRawTarget(const std::string& service, const std::string& name,
                           RawTarget::Handler handler);
-  /// The configuration of tests: one route of each kind, one account.
+  /// `SampleConfig`, changed.
   void PutConfig(std::uint64_t version,
                  const std::function<void(nlohmann::json&)>& change = {});
   /// Starts a host; returns its number.
