--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -30,8 +30,9 @@
   std::string address;  ///< `ip:port`
   FailureDomain domain;
   std::uint32_t slots = 1;
-  std::uint64_t born = 0;  ///< Changes when it starts again under its name.
-  bool leaving = false;    ///< Takes no new work.
+  std::uint64_t born = 0;     ///< Changes when it starts again under its name.
+  bool leaving = false;       ///< Takes no new work.
+  std::uint64_t version = 0;  ///< Of its entry in the list.
   bool operator==(const PoolTarget&) const = default;
 };
 
@@ -58,6 +59,7 @@
   std::string address;
   /// Memory to set aside there before the request is sent; 0: none.
   std::uint32_t reserve_tokens = 0;
+  std::uint64_t version = 0;  ///< Of its entry where it was chosen.
   bool operator==(const PlacedTarget&) const = default;
 };
 
--- a/include/comfreyflow/target-book.h
+++ b/include/comfreyflow/target-book.h
@@ -26,13 +26,15 @@
   /// The whole list.
   void Listed(const std::vector<TargetEntry>& entries, Time now);
   void Put(const TargetEntry& entry);
-  void Removed(const TargetName& name, Time now);
+  /// Whether the target stays in use, as its entry may have lapsed.
+  bool Removed(const TargetName& name, Time now);
   /// The list's keeper does not answer, or answers again.
   void KeeperLost(Time now);
   void KeeperBack(Time now);
   /// Drops entries that are still missing; when to call it again, if ever.
   void Tick(Time now);
-  /// True once after each change.
+  /// True once after each change; a later version of an entry that is the same
+  /// otherwise is none.
   bool TakeChanged();
 
   std::map<ServiceName, std::vector<PoolTarget>> Pool() const;
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -378,7 +378,8 @@
   work.grant.id = work.job.id;
   work.grant.number = work.job.number;
   for (const Target* target : targets) {
-    work.grant.targets.push_back({target->info.name, target->info.address});
+    work.grant.targets.push_back(
+        {target->info.name, target->info.address, 0, target->info.version});
   }
   if (work.is_long && engine_ && work.job.stream) PlanMemory(work, targets);
   if (engine_ && work.job.stream) {
--- a/src/core/targets/target-book.cc
+++ b/src/core/targets/target-book.cc
@@ -26,22 +26,23 @@
 void TargetBook::Put(const TargetEntry& entry) {
   missing_.erase(entry.target.name);
   TargetEntry& known = entries_[entry.target.name];
-  if (known == entry) return;
-  known = entry;
-  changed_ = true;
+  TargetEntry before = std::exchange(known, entry);
+  before.target.version = entry.target.version;
+  if (before != entry) changed_ = true;
 }
 
-void TargetBook::Removed(const TargetName& name, Time now) {
+bool TargetBook::Removed(const TargetName& name, Time now) {
   const auto at = entries_.find(name);
-  if (at == entries_.end()) return;
+  if (at == entries_.end()) return false;
   // What was leaving has left; only a working target's entry can have lapsed.
   if (Settling(now) && !at->second.target.leaving) {
     missing_.try_emplace(name, now);
-    return;
+    return true;
   }
   missing_.erase(name);
   entries_.erase(at);
   changed_ = true;
+  return false;
 }
 
 void TargetBook::KeeperLost(Time) {
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -4,12 +4,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "node/clock.h"
 #include "node/log.h"
 
 namespace comfreyflow::gateway {
 namespace {
 
 namespace asio = boost::asio;
+using comfreyflow::detail::Now;
 using node::Event;
 using node::LogLine;
 using node::Severity;
@@ -38,6 +40,7 @@
     bool listed = false;
     bool waits_for_store = false;
     std::uint64_t version = 0;
+    Time confirmed;  ///< When the store last answered about the kind.
     std::unique_ptr<asio::steady_timer> timer;
   };
 
@@ -69,10 +72,11 @@
 
   void Listed(std::size_t index, const ListAnswer& list) {
     Track& track = tracks[index];
-    if (list.error) return Failed(index);
+    if (list.error) return Failed(index, list.error, list.silent);
     Answered();
     track.listed = true;
     track.version = list.version;
+    track.confirmed = Now();
     track.kind.listed(list.items);
     if (track.kind.told) track.kind.told();
     Step(index);
@@ -97,10 +101,11 @@
       track.listed = false;
       return Step(index);
     }
-    if (changes.error) return Failed(index);
+    if (changes.error) return Failed(index, changes.error, changes.silent);
     const bool was_out = failures >= kFailuresOfOutage;
     Answered();
     track.version = std::max(track.version, changes.version);
+    track.confirmed = Now();
     for (const auto& change : changes.changes) track.kind.changed(change);
     if (track.kind.told && !changes.changes.empty()) track.kind.told();
     if (was_out) return Step(index);
@@ -122,7 +127,13 @@
     }
   }
 
-  void Failed(std::size_t index) {
+  void Failed(std::size_t index, const std::error_code& error, bool silent) {
+    LogLine(Severity::kInfo, Event::kStoreCallFailed)
+        .With("kind", tracks[index].kind.kind)
+        .With(ToErrc(error))
+        .With("silent", silent)
+        .With("version", tracks[index].version)
+        .With("age", Age(tracks[index]));
     if (failures >= kFailuresOfOutage && index != prober) {
       tracks[index].waits_for_store = true;
       return;
@@ -141,6 +152,12 @@
     Later(index, wait);
   }
 
+  /// Since the store answered about the kind; zero before its first answer.
+  static milliseconds Age(const Track& track) {
+    if (!track.listed) return {};
+    return std::chrono::duration_cast<milliseconds>(Now() - track.confirmed);
+  }
+
   void Later(std::size_t index, Duration wait) {
     auto& timer = *tracks[index].timer;
     timer.expires_after(wait);
@@ -172,6 +189,14 @@
   for (std::size_t i = 0; i < state_->tracks.size(); ++i) state_->Step(i);
 }
 
+std::vector<KindKnown> Follower::Known() const {
+  std::vector<KindKnown> known;
+  for (const auto& track : state_->tracks) {
+    known.push_back({track.kind.kind, track.version, track.confirmed});
+  }
+  return known;
+}
+
 bool Follower::store_up() const { return state_->failures < kFailuresOfOutage; }
 
 }  // namespace comfreyflow::gateway
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -22,6 +22,13 @@
   std::function<void()> told;
 };
 
+/// How far a kind is known here.
+struct KindKnown {
+  std::string kind;
+  std::uint64_t version = 0;  ///< Of the store, at its last answer.
+  Time confirmed;             ///< When that answer came.
+};
+
 struct FollowerHooks {
   std::function<void()> lost;  ///< The store does not answer.
   std::function<void()> back;  ///< It does again.
@@ -41,6 +48,7 @@
 
   void Start();
   bool store_up() const;
+  std::vector<KindKnown> Known() const;
 
  private:
   struct State;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 #include "comfreyflow/placer.h"
 #include "comfreyflow/routes.h"
 #include "gateway/edge.h"
+#include "gateway/follower.h"
 #include "gateway/peers.h"
 #include "gateway/placement.h"
 #include "node/metrics.h"
@@ -33,6 +34,8 @@
   EdgeHooks edge;
   /// The routes' document that a peer has in force; kOk takes it over.
   std::function<void(const std::string& text)> document_from_peer;
+  /// How far the list of targets is known; absent: not told in the log.
+  std::function<KindKnown()> targets_known;
   /// The stop is over; the process may exit.
   std::function<void()> stopped;
   /// The view of the hosts changed.
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -148,6 +148,8 @@
     grant_ = std::get<PlaceGrant>(verdict);
     const Time now = Now();
     if (now >= deadline_) return DeadlinePassed();
+    const KindKnown known =
+        context_.targets_known ? context_.targets_known() : KindKnown{};
     LogLine(Severity::kInfo, Event::kPlaced)
         .With("request", caller_.id)
         .With("target", grant_.targets.front().name)
@@ -156,7 +158,10 @@
         .With("waited", duration_cast<milliseconds>(now - arrival_))
         .With("estimate", duration_cast<milliseconds>(grant_.estimate))
         .With("holder", context_.placement.HolderOf(service_))
-        .With("prompt_tokens", std::uint64_t{caller_.prompt_tokens});
+        .With("prompt_tokens", std::uint64_t{caller_.prompt_tokens})
+        .With("entry_version", grant_.targets.front().version)
+        .With("list_version", known.version)
+        .With("list_age", duration_cast<milliseconds>(now - known.confirmed));
     Reserve();
   }
 
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -10,6 +10,7 @@
 #include "comfreyflow/poison.h"
 #include "comfreyflow/routes.h"
 #include "gateway/edge.h"
+#include "gateway/follower.h"
 #include "gateway/placement.h"
 #include "http/client.h"
 #include "http/server.h"
@@ -27,6 +28,7 @@
   std::function<std::shared_ptr<const RouteTable>()> table;
   std::function<void(const CrashEvidence&)> share_crash;
   node::Metrics& metrics;
+  std::function<KindKnown()> targets_known;
   /// A connection that breaks is no sure sign of a crash, so that more of them
   /// are needed than where targets tell their crashes.
   Poison poison{{.crash_limit = 3,
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -21,6 +21,7 @@
   kStoreLost,
   kStoreBack,
   kStoreHistoryGone,
+  kStoreCallFailed,
   kDocumentApplied,
   kDocumentFetched,
   kDocumentInvalid,
@@ -70,7 +71,7 @@
   std::string_view fields;  ///< Between single spaces; each may be absent.
 };
 
-inline constexpr std::array<EventSpec, 52> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 53> kEventSpecs = {{
     {"started", "a host process began", "host failure_domain store"},
     {"settings_invalid", "the settings can't be used; the process ends",
      "problem"},
@@ -87,14 +88,19 @@
     {"store_back", "the store answers again", ""},
     {"store_history_gone", "changes are missing; the kind is listed anew",
      "kind version"},
+    {"store_call_failed",
+     "a list or watch ended without its answer; silent: nothing came in time",
+     "kind code silent version age"},
     {"document_applied", "a configuration is in force",
      "version before routes keys"},
     {"document_fetched", "a configuration was asked of a peer", "host whole"},
     {"document_invalid", "a configuration can't be read; the one before stays",
      "source code"},
     {"target_seen", "an entry of the list of targets came or changed",
-     "target service address leaving"},
-    {"target_removed", "an entry is gone from the list", "target"},
+     "target service address leaving version"},
+    {"target_removed",
+     "an entry is gone from the list; kept: it may have lapsed in an outage",
+     "target version kept"},
     {"target_unreadable", "an entry names no target that could be used",
      "target"},
     {"hosts_listed", "the store's list of hosts was read", "hosts"},
@@ -111,7 +117,8 @@
     {"grant_declined", "a grant named a target that this host knows to leave",
      "target holder"},
     {"placed", "a target was granted",
-     "request target targets try waited estimate holder prompt_tokens"},
+     "request target targets try waited estimate holder prompt_tokens "
+     "entry_version list_version list_age"},
     {"reservation_refused", "a target did not set memory aside",
      "target status held"},
     {"try_failed", "a try ended without its whole answer",
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -30,6 +30,7 @@
 struct Result {
   int status = 0;
   bool sent = false;  ///< A byte of the request may have reached the platform.
+  bool silent = false;  ///< Nothing came in time.
   std::string body;
 };
 
@@ -166,7 +167,8 @@
                [self = shared_from_this(), job, again](
                    http::CallEnd end, const http::Response& response) {
                  Result result{end.code == Errc::kOk ? response.status : 0,
-                               end.sent, response.body};
+                               end.sent, end.code == Errc::kTargetSilent,
+                               response.body};
                  asio::post(self->strand, [self, job, again, result] {
                    self->End(job, again, result);
                  });
@@ -222,7 +224,9 @@
       handler(std::move(answer));
     };
     job->done = [handler, fill](const Result& result) {
-      handler(Decode<Answer>(result, fill));
+      Answer answer = Decode<Answer>(result, fill);
+      if constexpr (requires { answer.silent; }) answer.silent = result.silent;
+      handler(std::move(answer));
     };
     return job;
   }
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -217,11 +217,13 @@
   15: bool repeat
 }
 
-// `reserve_tokens` of memory are set aside there for the request.
+// `reserve_tokens` of memory are set aside there for the request; `version` is
+// that of the target's entry at the holder.
 struct PlacedTarget {
   1: string name
   2: string address
   3: i32 reserve_tokens
+  4: i64 version
 }
 
 // The answer to an ask. `code` is 0 for a grant, else an error's number.
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -4567,6 +4567,10 @@
 void PlacedTarget::__set_reserve_tokens(const int32_t val) {
   this->reserve_tokens = val;
 }
+
+void PlacedTarget::__set_version(const int64_t val) {
+  this->version = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlacedTarget& obj)
 {
   obj.printTo(out);
@@ -4619,6 +4623,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4648,6 +4660,10 @@
   xfer += oprot->writeI32(this->reserve_tokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->version);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4658,6 +4674,7 @@
   swap(a.name, b.name);
   swap(a.address, b.address);
   swap(a.reserve_tokens, b.reserve_tokens);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -4665,12 +4682,14 @@
   name = other146.name;
   address = other146.address;
   reserve_tokens = other146.reserve_tokens;
+  version = other146.version;
   __isset = other146.__isset;
 }
 PlacedTarget& PlacedTarget::operator=(const PlacedTarget& other147) {
   name = other147.name;
   address = other147.address;
   reserve_tokens = other147.reserve_tokens;
+  version = other147.version;
   __isset = other147.__isset;
   return *this;
 }
@@ -4680,6 +4699,7 @@
   out << "name=" << to_string(name);
   out << ", " << "address=" << to_string(address);
   out << ", " << "reserve_tokens=" << to_string(reserve_tokens);
+  out << ", " << "version=" << to_string(version);
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -1822,10 +1822,11 @@
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj);
 
 typedef struct _PlacedTarget__isset {
-  _PlacedTarget__isset() : name(false), address(false), reserve_tokens(false) {}
+  _PlacedTarget__isset() : name(false), address(false), reserve_tokens(false), version(false) {}
   bool name :1;
   bool address :1;
   bool reserve_tokens :1;
+  bool version :1;
 } _PlacedTarget__isset;
 
 class PlacedTarget : public virtual ::apache::thrift::TBase {
@@ -1836,13 +1837,15 @@
   PlacedTarget() noexcept
                : name(),
                  address(),
-                 reserve_tokens(0) {
+                 reserve_tokens(0),
+                 version(0) {
   }
 
   virtual ~PlacedTarget() noexcept;
   std::string name;
   std::string address;
   int32_t reserve_tokens;
+  int64_t version;
 
   _PlacedTarget__isset __isset;
 
@@ -1852,6 +1855,8 @@
 
   void __set_reserve_tokens(const int32_t val);
 
+  void __set_version(const int64_t val);
+
   bool operator == (const PlacedTarget & rhs) const
   {
     if (!(name == rhs.name))
@@ -1860,6 +1865,8 @@
       return false;
     if (!(reserve_tokens == rhs.reserve_tokens))
       return false;
+    if (!(version == rhs.version))
+      return false;
     return true;
   }
   bool operator != (const PlacedTarget &rhs) const {
--- a/src/wire/placement.cc
+++ b/src/wire/placement.cc
@@ -34,11 +34,15 @@
   out.name = target.name.value;
   out.address = target.address;
   out.reserve_tokens = Signed(target.reserve_tokens);
+  out.version = static_cast<std::int64_t>(target.version);
   return out;
 }
 
 comfreyflow::PlacedTarget FromWire(const PlacedTarget& in) {
-  return {{in.name}, in.address, Unsigned(in.reserve_tokens)};
+  return {{in.name},
+          in.address,
+          Unsigned(in.reserve_tokens),
+          static_cast<std::uint64_t>(in.version)};
 }
 
 PlaceAsk ToWire(const PlaceAskMessage& message, Time now) {
--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -457,6 +457,8 @@
         "comfreyflow_answer_seconds_count{repeatable=\"yes\"} 1",
         "comfreyflow_configuration_version 7", "comfreyflow_store_reachable 1",
         "comfreyflow_store_calls_total{call=\"write\"} 1",
+        "comfreyflow_store_kind_age_seconds{kind=\"config\"} ",
+        "comfreyflow_store_kind_age_seconds{kind=\"servers\"} ",
         "comfreyflow_repeats_left{service=\"app\"} 50.2",
         "comfreyflow_resident_bytes ", "comfreyflow_open_descriptors "}) {
     CHECK_MESSAGE(text.find(line) != std::string::npos, line);
--- a/test/target-book-test.cc
+++ b/test/target-book-test.cc
@@ -94,4 +94,18 @@
   CHECK_FALSE(book.TakeChanged());
   book.Put(Entry("a", true));
   CHECK(book.TakeChanged());
+  TargetEntry later = Entry("a", true);
+  later.target.version = 7;
+  book.Put(later);
+  CHECK_FALSE(book.TakeChanged());
+  CHECK(book.Pool().at({"s"}).front().version == 7);
+}
+
+TEST_CASE("a removal tells whether the target stays in use") {
+  TargetBook book(kReturn);
+  book.Listed({Entry("a"), Entry("b"), Entry("c", true)}, kStart);
+  CHECK_FALSE(book.Removed({"a"}, kStart));
+  book.KeeperLost(kStart);
+  CHECK(book.Removed({"b"}, kStart));
+  CHECK_FALSE(book.Removed({"c"}, kStart));
 }
