--- a/src/node/events.h
+++ b/src/node/events.h
@@ -152,7 +152,10 @@
     {"tls_reload_failed", "a new certificate can't be used", "reason"},
     {"order_sent", "an order went to a target", "target kind model fence"},
     {"rollout_stopped", "a version failed to load", "service model target"},
-    {"peer_refused", "a call of another host was refused", "code"},
+    {"peer_refused",
+     "a call or datagram of another host was refused; datagrams: told each 10 "
+     "s, with their count since the start",
+     "code from count"},
     {"stewardship_began", "this host grants a target's memory", "target"},
     {"sweep_cancel", "work that no host has is cancelled at its target",
      "request attempt target"},
--- a/src/node/gossip-socket.cc
+++ b/src/node/gossip-socket.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "http/address.h"
+#include "node/clock.h"
+#include "node/log.h"
 
 namespace comfreyflow::node {
 namespace {
@@ -11,6 +13,9 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+/// Refused datagrams are told at most so often.
+constexpr Duration kRefusedPeriod = std::chrono::seconds(10);
+
 std::string TextOf(const asio::ip::udp::endpoint& endpoint) {
   const auto ip = endpoint.address();
   const std::string host =
@@ -75,8 +80,21 @@
 void GossipSocket::Received(std::size_t size) {
   Datagram datagram;
   const std::string_view bytes(buffer_.data(), size);
-  if (wire::DecodeDatagram(bytes, key_, datagram)) return;
+  if (const auto error = wire::DecodeDatagram(bytes, key_, datagram)) {
+    return Refused(error);
+  }
   receiver_(datagram, TextOf(from_));
 }
 
+void GossipSocket::Refused(const std::error_code& error) {
+  ++refused_;
+  const Time now = comfreyflow::detail::Now();
+  if (now < tell_refused_) return;
+  tell_refused_ = now + kRefusedPeriod;
+  LogLine(Severity::kWarning, Event::kPeerRefused)
+      .With(ToErrc(error))
+      .With("from", TextOf(from_))
+      .With("count", refused_);
+}
+
 }  // namespace comfreyflow::node
--- a/src/node/gossip-socket.h
+++ b/src/node/gossip-socket.h
@@ -36,6 +36,8 @@
 
   void Receive();
   void Received(std::size_t size);
+  /// Counts a datagram that is not a peer's, and tells of it now and then.
+  void Refused(const std::error_code& error);
 
   boost::asio::strand<boost::asio::io_context::executor_type> strand_;
   Udp::socket socket_;
@@ -44,6 +46,8 @@
   std::uint16_t port_ = 0;
   Udp::endpoint from_;
   std::array<char, kLongestDatagram> buffer_{};
+  std::uint64_t refused_ = 0;
+  Time tell_refused_;
 };
 
 }  // namespace comfreyflow::node
