Soak: hosts that are in touch, targets that leave in many ways, and counts of what was judged

The mix 'leaving' disturbs less often and does what real connections and writers do: connections to the store that are forgotten on the way while their near end acknowledges, targets that serve on for long after they left, untold departures, entries of other writers, late reports. Keys have a predecessor in force, so that requests are not refused half of the time. Each promise that names a time prints how often it was judged; PEERS, that hosts know each other, is new, with tests of both.

--- a/soak/main.cc
+++ b/soak/main.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <filesystem>
+#include <fstream>
+#include <iomanip>
 #include <iostream>
 
 #include "soak/planted.h"
@@ -13,6 +15,21 @@
 
 namespace fs = std::filesystem;
 
+void PrintJudged(const std::vector<Judged>& judged) {
+  if (judged.empty()) return;
+  std::cout << "  judged:" << std::fixed << std::setprecision(1);
+  for (const auto& count : judged) {
+    std::cout << ' ' << count.promise << ' ' << count.judged << " of "
+              << count.of << ' ' << count.unit << ';';
+  }
+  std::cout << std::endl;
+  for (const auto& count : judged) {
+    if (count.judged > 0) continue;
+    std::cout << "  NOT JUDGED: " << count.promise << ", " << count.unit
+              << std::endl;
+  }
+}
+
 int Report(const SoakSettings& settings, const SoakResult& result, bool story) {
   std::cout << "seed " << settings.seed << ": " << result.requests
             << " requests, " << result.served << " served, "
@@ -23,8 +40,14 @@
     std::cout << ' ' << status << " x" << count;
   }
   std::cout << std::endl;
+  PrintJudged(result.judged);
   if (result.breaches.empty()) return 0;
   constexpr std::size_t kMostShown = 12;
+  std::ofstream all(settings.directory + "/broken.txt");
+  for (const auto& breach : result.breaches) {
+    all << breach.promise << ' ' << breach.request << ' ' << breach.detail
+        << '\n';
+  }
   for (std::size_t i = 0; i < result.breaches.size() && i < kMostShown; ++i) {
     const Breach& breach = result.breaches[i];
     std::cout << "  " << breach.promise << ' ' << breach.request << ' '
@@ -33,7 +56,8 @@
   if (story) {
     for (const auto& line : result.story) std::cout << "  " << line << '\n';
   }
-  std::cout << "  logs: " << settings.directory << std::endl;
+  std::cout << "  all in broken.txt beside the logs: " << settings.directory
+            << std::endl;
   return 1;
 }
 
@@ -84,6 +108,16 @@
   return EXIT_FAILURE;
 }
 
+std::vector<Trouble> TroublesOf(const std::vector<std::string>& names) {
+  std::vector<Trouble> out;
+  for (const auto& name : names) {
+    const auto trouble = TroubleOf(name);
+    if (!trouble) throw std::invalid_argument("no disturbance " + name);
+    out.push_back(*trouble);
+  }
+  return out;
+}
+
 int Main(int argc, char** argv) {
   TCLAP::CmdLine line(
       "Plays seeds of faults against host processes and checks from outside "
@@ -112,6 +146,13 @@
   TCLAP::ValueArg<std::string> planted(
       "", "planted", "check that this fault, planted in the host, is found",
       false, "", "NAME", line);
+  std::vector<std::string> mixes = {"mixed", "leaving"};
+  TCLAP::ValuesConstraint<std::string> known_mixes(mixes);
+  TCLAP::ValueArg<std::string> mix("", "mix", "what is done to the hosts",
+                                   false, mixes.front(), &known_mixes, line);
+  TCLAP::MultiArg<std::string> only(
+      "", "only", "draw this disturbance only (as --story names it)", false,
+      "NAME", line);
   TCLAP::SwitchArg timed("", "timed", "also judge promises that name a time",
                          line);
   TCLAP::SwitchArg story("", "story", "print what was done", line);
@@ -126,6 +167,8 @@
   settings.length = std::chrono::seconds(length.getValue());
   settings.quiet = std::chrono::seconds(quiet.getValue());
   settings.timed = timed.getValue();
+  settings.mix = mix.getValue() == "leaving" ? Mix::kLeaving : Mix::kMixed;
+  settings.only = TroublesOf(only.getValue());
   if (planted.isSet()) return FindPlanted(settings, planted.getValue());
   return Play(settings, count.getValue(), story.getValue());
 }
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -51,16 +51,59 @@
     for (const auto& run : records_.runs) CheckLeaving(run);
     CheckMemory();
     CheckRecovered();
+    CheckPeers();
   }
 
   std::vector<Breach> TakeBreaches() { return std::move(breaches_); }
 
+  /// Requires `Timed`.
+  std::vector<Judged> Counts() const {
+    const auto count = [this](const char* name) {
+      const auto at = judged_.find(name);
+      return at == judged_.end() ? 0.0 : static_cast<double>(at->second);
+    };
+    const auto all = static_cast<double>(records_.sent.size());
+    return {{"LOST", count("LOST"), all, "streams"},
+            {"CONFIG", count("CONFIG time"), all, "answers in time"},
+            {"CONFIG", count("CONFIG key"), all, "keys taken away"},
+            {"DENIED", count("DENIED"), all, "keys in force"},
+            {"GONE", count("GONE"), all, "callers that left"},
+            LeavingJudged(),
+            {"LEAK", count("LEAK"), static_cast<double>(records_.held.size()),
+             "reservations"},
+            {"RECOVER", count("RECOVER"), all, "requests"},
+            {"PEERS", count("PEERS"),
+             static_cast<double>(records_.hosts_known.size()), "hosts"}};
+  }
+
  private:
   void Note(const char* promise, const std::string& request,
             std::string detail) {
     breaches_.push_back({promise, request, std::move(detail)});
   }
 
+  /// Host-seconds in which a target had been leaving for longer than the bound,
+  /// and those of them at which the host was in touch.
+  Judged LeavingJudged() const {
+    constexpr Duration kSample = milliseconds(50);
+    std::size_t hosts = 0;
+    for (const auto& sent : records_.sent) {
+      hosts = std::max(hosts, sent.host + 1);
+    }
+    Judged out{"DRAIN", 0, 0, "host-seconds of leaving"};
+    const double step = std::chrono::duration<double>(kSample).count();
+    for (const auto& leaving : records_.leaving) {
+      const Time end = leaving.until.value_or(records_.over);
+      for (Time at = leaving.from + bounds_.drain; at < end; at += kSample) {
+        for (std::size_t host = 0; host < hosts; ++host) {
+          out.of += step;
+          if (InTouch(host, at)) out.judged += step;
+        }
+      }
+    }
+    return out;
+  }
+
   const std::vector<const Run*>& RunsOf(const Sent& sent) const {
     static const std::vector<const Run*> no_runs;
     const auto at = runs_.find(sent.id);
@@ -143,9 +186,11 @@
   /// take its own slowness for a target's.
   void CheckStreamCut(const Sent& sent) {
     const bool stream = sent.kind == Kind::kStream && Success(sent);
+    if (stream && sent.ended && sent.whole) ++judged_["LOST"];
     if (!stream || !WasCut(sent)) return;
     const Time end = *sent.ended;
     if (TargetsDisturbed(sent, end)) return;
+    ++judged_["LOST"];
     if (end - sent.at + milliseconds(100) >= sent.deadline) return;
     NoteCut(sent);
   }
@@ -239,12 +284,16 @@
   void CheckInTime(const Sent& sent) {
     const Time due = sent.at + sent.deadline + bounds_.late_answer;
     if (sent.left || due > records_.over) return;
-    if (sent.ended && *sent.ended <= due) return;
+    if (sent.ended && *sent.ended <= due) {
+      ++judged_["CONFIG time"];
+      return;
+    }
     if (Disturbed(Subject::kHost, sent.host, sent.at - bounds_.touch, due) ||
         Disturbed(Subject::kCallerPath, sent.host, sent.at - bounds_.touch,
                   due)) {
       return;
     }
+    ++judged_["CONFIG time"];
     Note("CONFIG", sent.id, "no answer at its deadline");
   }
 
@@ -253,7 +302,10 @@
     if (!sent.left) return;
     const Time due = *sent.left + bounds_.left;
     for (const Run* run : RunsOf(sent)) {
-      if (run->ended && *run->ended <= due) continue;
+      if (run->ended && *run->ended <= due) {
+        ++judged_["GONE"];
+        continue;
+      }
       const Time end = run->ended.value_or(records_.over);
       if (end <= due) continue;
       if (Disturbed(Subject::kHost, sent.host, sent.at - bounds_.touch, due) ||
@@ -263,6 +315,7 @@
                     due)) {
         continue;
       }
+      ++judged_["GONE"];
       Note("GONE", sent.id, "work goes on after its caller left");
     }
   }
@@ -274,13 +327,18 @@
     const bool added = sent.at > life->added + bounds_.config;
     const bool removed =
         life->removed && sent.at > *life->removed + bounds_.config;
-    if (!removed && added && sent.status == kUnauthorized && !life->removed &&
-        InTouch(sent.host, sent.at)) {
-      Note("DENIED", sent.id, "a key in force is refused");
+    if (!InTouch(sent.host, sent.at)) return;
+    if (!removed && added && !life->removed) {
+      ++judged_["DENIED"];
+      if (sent.status == kUnauthorized) {
+        Note("DENIED", sent.id, "a key in force is refused");
+      }
     }
-    if (removed && sent.status != kUnauthorized &&
-        InTouch(sent.host, sent.at)) {
-      Note("CONFIG", sent.id, "a key that was taken away is taken");
+    if (removed) {
+      ++judged_["CONFIG key"];
+      if (sent.status != kUnauthorized) {
+        Note("CONFIG", sent.id, "a key that was taken away is taken");
+      }
     }
   }
 
@@ -293,7 +351,12 @@
       if (run.at <= leaving.from + bounds_.drain) continue;
       if (leaving.until && run.at >= *leaving.until) continue;
       if (!InTouch(at->second->host, run.at)) continue;
-      Note("DRAIN", run.id, "sent to a target that leaves");
+      const auto late =
+          std::chrono::duration_cast<milliseconds>(run.at - leaving.from);
+      Note("DRAIN", run.id,
+           "sent by host " + std::to_string(at->second->host) + " to target " +
+               std::to_string(run.target) + ", " +
+               std::to_string(late.count()) + " ms after it began to leave");
     }
   }
 
@@ -312,6 +375,7 @@
                    sent.ended.value_or(records_.over) + bounds_.free_memory >
                        records_.over;
           });
+      ++judged_["LEAK"];
       if (!used) Note("LEAK", "", held.id + " is still held");
     }
   }
@@ -329,6 +393,7 @@
       ++all;
       if (Success(sent) && sent.whole) ++served;
     }
+    judged_["RECOVER"] = all;
     if (all == 0) return;
     const double share = static_cast<double>(served) / static_cast<double>(all);
     if (share < bounds_.recovered_share) {
@@ -337,11 +402,25 @@
     }
   }
 
+  /// PEERS: hosts that have been quiet know each other.
+  void CheckPeers() {
+    const std::size_t all = records_.hosts_known.size();
+    for (std::size_t host = 0; host < all; ++host) {
+      const std::size_t known = records_.hosts_known[host];
+      ++judged_["PEERS"];
+      if (known == all) continue;
+      Note("PEERS", "",
+           "host " + std::to_string(host) + " knows " + std::to_string(known) +
+               " of " + std::to_string(all) + " hosts");
+    }
+  }
+
   const Records& records_;
   const Bounds& bounds_;
   std::map<std::string, const Sent*> sent_;
   std::map<std::string, std::vector<const Run*>> runs_;
   std::vector<Breach> breaches_;
+  std::map<std::string, std::size_t> judged_;
 };
 
 }  // namespace
@@ -366,6 +445,12 @@
   return "answer to " + path + " with " + body;
 }
 
+std::vector<Judged> CountJudged(const Records& records, const Bounds& bounds) {
+  Judge judge(records, bounds);
+  judge.Timed();
+  return judge.Counts();
+}
+
 std::vector<Breach> Check(const Records& records, const Bounds& bounds,
                           bool timed) {
   Judge judge(records, bounds);
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -34,6 +34,16 @@
   std::string detail;
 };
 
+/// How often a promise that names a time was judged at all.
+struct Judged {
+  std::string promise;
+  double judged = 0;  ///< In `unit`.
+  double of = 0;      ///< Of so many that there were.
+  const char* unit = "";
+};
+
+std::vector<Judged> CountJudged(const Records& records, const Bounds& bounds);
+
 /// `timed`: also promises that name a time, which a busy machine can break.
 std::vector<Breach> Check(const Records& records, const Bounds& bounds,
                           bool timed);
--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -42,6 +42,7 @@
 
     tcp::socket near;
     tcp::socket far;
+    bool forgotten = false;  ///< What comes is thrown away.
   };
   using LinkPtr = std::shared_ptr<Link>;
 
@@ -101,6 +102,9 @@
                                   self->Pass(
                                       [self, pump, error, size] {
                                         if (error) return End(pump, error);
+                                        if (pump->link->forgotten) {
+                                          return self->Read(pump);
+                                        }
                                         self->Write(pump, size);
                                       },
                                       pump->back);
@@ -119,7 +123,9 @@
   }
 
   static void End(const PumpPtr& pump, const error_code& error) {
-    if (error != asio::error::eof) return pump->link->Reset();
+    if (error != asio::error::eof || pump->link->forgotten) {
+      return pump->link->Reset();
+    }
     error_code ignored;
     pump->to->shutdown(tcp::socket::shutdown_send, ignored);
   }
@@ -142,6 +148,12 @@
     }
   }
 
+  void ForgetLinks() {
+    for (const auto& weak : links) {
+      if (const auto link = weak.lock()) link->forgotten = true;
+    }
+  }
+
   asio::io_context& io;
   tcp::acceptor acceptor;
   tcp::endpoint target;
@@ -171,4 +183,6 @@
 
 void Proxy::Set(PathFault fault) { state_->Set(fault); }
 
+void Proxy::ForgetLinks() { state_->ForgetLinks(); }
+
 }  // namespace comfreyflow::soak
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -29,6 +29,9 @@
 
   std::string address() const;
   void Set(PathFault fault);
+  /// Open connections stay open and swallow what they get, for good; new ones
+  /// work. Their ends go on acknowledging.
+  void ForgetLinks();
 
  private:
   struct State;
--- a/soak/records.h
+++ b/soak/records.h
@@ -95,6 +95,9 @@
   std::vector<Leaving> leaving;
   std::vector<Disturbance> disturbances;
   std::vector<Held> held;
+  /// Live hosts that each host knew when all had been quiet, itself included;
+  /// empty: not asked.
+  std::vector<std::size_t> hosts_known;
   Time quiet_from;  ///< After the last disturbance.
   Time over;
 };
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -1,6 +1,7 @@
 // Draws disturbances.
 #include "soak/schedule.h"
 
+#include <algorithm>
 #include <array>
 #include <random>
 
@@ -9,35 +10,100 @@
 
 using std::chrono::milliseconds;
 
-/// Mean pause between two disturbances.
-constexpr double kMeanPauseSeconds = 0.6;
-constexpr Duration kShortestLife = milliseconds(200);
-constexpr Duration kLongestLife = milliseconds(4000);
+struct Pace {
+  double mean_pause_seconds;  ///< Between two disturbances.
+  Duration shortest_life;
+  Duration longest_life;
+};
+
+constexpr Pace kMixedPace = {0.6, milliseconds(200), milliseconds(4000)};
+constexpr Pace kLeavingPace = {2.0, milliseconds(3000), milliseconds(30'000)};
+
+/// Of `Mix::kLeaving`; what stands twice is drawn twice as often.
+constexpr std::array kLeavingTroubles = {
+    Trouble::kStoreForgetsLinks, Trouble::kStoreForgetsHostLinks,
+    Trouble::kStoreForgetsLinks, Trouble::kStoreForgetsHostLinks,
+    Trouble::kTargetDrains,      Trouble::kTargetGoes,
+    Trouble::kTargetDrains,      Trouble::kTargetGoes,
+    Trouble::kTargetsGo,         Trouble::kTargetsGo,
+    Trouble::kTargetUnreadable,  Trouble::kTargetReportLate,
+    Trouble::kHostKill,          Trouble::kHostStop,
+    Trouble::kStoreReset,        Trouble::kStoreForgets,
+    Trouble::kTargetHangs,       Trouble::kKeyChange};
+
+const Pace& PaceOf(Mix mix) {
+  return mix == Mix::kLeaving ? kLeavingPace : kMixedPace;
+}
+
+/// A path that stays disturbed keeps hosts out of touch.
+constexpr Duration kLongestReset = std::chrono::seconds(1);
+
+Duration LifeOf(Mix mix, Trouble trouble, Duration drawn) {
+  const bool brief = mix == Mix::kLeaving && trouble == Trouble::kStoreReset;
+  return brief ? std::min(drawn, kLongestReset) : drawn;
+}
+
+/// What is drawn from, evenly.
+std::vector<Trouble> TroublesOf(Mix mix) {
+  if (mix == Mix::kLeaving) {
+    return {kLeavingTroubles.begin(), kLeavingTroubles.end()};
+  }
+  std::vector<Trouble> out;
+  for (int i = 0; i < kMixedTroubles; ++i) {
+    out.push_back(static_cast<Trouble>(i));
+  }
+  return out;
+}
 
 }  // namespace
 
 const char* ToString(Trouble trouble) {
   constexpr std::array<const char*, kTroubles> kNames = {
-      "host_kill",    "host_stop",     "host_pause",    "host_reload",
-      "hosts_kill",   "store_silent",  "store_reset",   "store_slow",
-      "store_down",   "store_forgets", "store_path",    "store_answers_lost",
-      "target_dark",  "target_reset",  "target_errors", "target_refuses",
-      "target_loses", "target_hangs",  "target_leaves", "target_lapses",
-      "key_change",   "key_storm",     "callers_reset", "callers_slow"};
+      "host_kill",           "host_stop",
+      "host_pause",          "host_reload",
+      "hosts_kill",          "store_silent",
+      "store_reset",         "store_slow",
+      "store_down",          "store_forgets",
+      "store_path",          "store_answers_lost",
+      "target_dark",         "target_reset",
+      "target_errors",       "target_refuses",
+      "target_loses",        "target_hangs",
+      "target_leaves",       "target_lapses",
+      "key_change",          "key_storm",
+      "callers_reset",       "callers_slow",
+      "store_forgets_links", "store_forgets_host_links",
+      "target_drains",       "target_goes",
+      "targets_go",          "target_unreadable",
+      "target_report_late"};
   return kNames.at(static_cast<std::size_t>(trouble));
 }
 
-std::vector<Event> Draw(std::uint64_t seed, Duration begin, Duration end) {
+Duration LongestLife(Mix mix) { return PaceOf(mix).longest_life; }
+
+std::optional<Trouble> TroubleOf(const std::string& name) {
+  for (int i = 0; i < kTroubles; ++i) {
+    const auto trouble = static_cast<Trouble>(i);
+    if (name == ToString(trouble)) return trouble;
+  }
+  return std::nullopt;
+}
+
+std::vector<Event> Draw(std::uint64_t seed, Duration begin, Duration end,
+                        Mix mix, const std::vector<Trouble>& only) {
+  const Pace& pace = PaceOf(mix);
+  const std::vector<Trouble> troubles = only.empty() ? TroublesOf(mix) : only;
+  std::uniform_int_distribution<int> pick(
+      0, static_cast<int>(troubles.size()) - 1);
   std::mt19937_64 random(seed);
-  std::exponential_distribution<double> pause(1 / kMeanPauseSeconds);
-  std::uniform_int_distribution<int> trouble(0, kTroubles - 1);
-  std::uniform_int_distribution<Duration::rep> life(kShortestLife.count(),
-                                                    kLongestLife.count());
+  std::exponential_distribution<double> pause(1 / pace.mean_pause_seconds);
+  std::uniform_int_distribution<Duration::rep> life(pace.shortest_life.count(),
+                                                    pace.longest_life.count());
   std::vector<Event> out;
   Duration at = begin;
   while (at < end) {
-    out.push_back({at, static_cast<Trouble>(trouble(random)),
-                   Duration(life(random)), random()});
+    const Trouble trouble = troubles[static_cast<std::size_t>(pick(random))];
+    const Duration lasts = LifeOf(mix, trouble, Duration(life(random)));
+    out.push_back({at, trouble, lasts, random()});
     at += std::chrono::duration_cast<Duration>(
         std::chrono::duration<double>(pause(random)));
   }
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <string>
 #include <vector>
 
 #include "comfreyflow/types.h"
@@ -34,10 +36,28 @@
   kKeyStorm,
   kCallersReset,
   kCallersSlow,
+  // Below: only in `Mix::kLeaving`.
+  kStoreForgetsLinks,      ///< Open connections to the store hear nothing more.
+  kStoreForgetsHostLinks,  ///< Those of one host.
+  kTargetDrains,           ///< Is listed as leaving and serves on for long.
+  kTargetGoes,             ///< Its entry is removed without notice.
+  kTargetsGo,              ///< Three at once, told and untold.
+  kTargetUnreadable,       ///< Another writer's bytes stand in its entry.
+  kTargetReportLate,       ///< Leaves, and an older report arrives afterwards.
+};
+/// Those of `Mix::kMixed`, and all.
+inline constexpr int kMixedTroubles = 24;
+inline constexpr int kTroubles = 31;
+
+/// What a soak looks for.
+enum class Mix : std::uint8_t {
+  kMixed,    ///< Everything, two a second: hosts are seldom in touch.
+  kLeaving,  ///< Targets leave and connections go silent; hosts are in touch
+             ///< for most of the time.
 };
-inline constexpr int kTroubles = 24;
 
 const char* ToString(Trouble trouble);
+std::optional<Trouble> TroubleOf(const std::string& name);
 
 struct Event {
   Duration at{};
@@ -46,7 +66,10 @@
   std::uint64_t pick = 0;  ///< Chooses the host or target.
 };
 
-/// Events in `[begin, end)`; each is over before `end` plus its longest life.
-std::vector<Event> Draw(std::uint64_t seed, Duration begin, Duration end);
+/// Events in `[begin, end)`; each is over before `end` plus `LongestLife`.
+std::vector<Event> Draw(std::uint64_t seed, Duration begin, Duration end,
+                        Mix mix = Mix::kMixed,
+                        const std::vector<Trouble>& only = {});
+Duration LongestLife(Mix mix);
 
 }  // namespace comfreyflow::soak
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -17,6 +17,8 @@
 constexpr milliseconds kBetweenEvents{15};
 constexpr milliseconds kPlainWork{4};
 constexpr std::size_t kAccounts = 2;
+/// A key is picked mostly when all hosts had time to hear of it.
+constexpr std::chrono::seconds kKnownAfter{3};
 /// Of picks, those of any key that ever was.
 constexpr double kOldKeyShare = 0.1;
 constexpr double kErrorShare = 0.5;
@@ -39,6 +41,8 @@
   platform::FakeTarget fake;
   Proxy path;
   Behaviour behaviour = Behaviour::kSound;
+  std::uint64_t born = 1;     ///< Changes with each start.
+  std::uint64_t reports = 1;  ///< Since its start.
   std::size_t orders_read = 0;
   std::vector<http::ExchangePtr> hanging;  ///< Never answered.
 };
@@ -80,9 +84,34 @@
 
 void Site::List(std::size_t number, const std::string& state) {
   Target& target = *targets_.at(number);
-  store_.Put("servers", target.fake.name(),
-             platform::SampleEntry(target.service, target.path.address(),
-                                   "z" + std::to_string(number % 3), state));
+  PutEntry(target, state, ++target.reports);
+}
+
+void Site::ListLate(std::size_t number, const std::string& state) {
+  const Target& target = *targets_.at(number);
+  PutEntry(target, state, target.reports - 1);
+}
+
+void Site::Restart(std::size_t number) {
+  Target& target = *targets_.at(number);
+  ++target.born;
+  target.reports = 0;
+  List(number, "ready");
+}
+
+void Site::ListUnreadable(std::size_t number) {
+  const Target& target = *targets_.at(number);
+  store_.Put("servers", target.fake.name(), Json{{"Service", 7}});
+}
+
+void Site::PutEntry(const Target& target, const std::string& state,
+                    std::uint64_t report) {
+  Json entry =
+      platform::SampleEntry(target.service, target.path.address(),
+                            "z" + std::to_string(target.number % 3), state);
+  entry["born"] = target.born;
+  entry["Seq"] = report;
+  store_.Put("servers", target.fake.name(), entry);
 }
 
 void Site::Unlist(std::size_t target) {
@@ -108,9 +137,12 @@
 
 void Site::ChangeKey() {
   const std::string account = AccountOf(keys_made_);
+  // The key before stays, so that there is one that is known everywhere.
+  std::vector<KeyLife*> in_force;
   for (auto& life : records_.keys) {
-    if (life.account == account && !life.removed) life.removed = Now();
+    if (life.account == account && !life.removed) in_force.push_back(&life);
   }
+  if (in_force.size() > 1) in_force.front()->removed = Now();
   records_.keys.push_back(
       {"key" + std::to_string(keys_made_), account, Now(), std::nullopt});
   ++keys_made_;
@@ -120,7 +152,10 @@
 std::string Site::PickKey() {
   std::vector<std::string> in_force;
   for (const auto& life : records_.keys) {
-    if (!life.removed) in_force.push_back(life.key);
+    const bool known = Now() - life.added > kKnownAfter;
+    if (!life.removed && (known || in_force.empty())) {
+      in_force.push_back(life.key);
+    }
   }
   const auto pick = [this](std::size_t size) {
     return std::uniform_int_distribution<std::size_t>(0, size - 1)(random_);
--- a/soak/site.h
+++ b/soak/site.h
@@ -41,9 +41,15 @@
   std::size_t targets() const { return targets_.size(); }
   Proxy& target_path(std::size_t target);
   void SetBehaviour(std::size_t target, Behaviour behaviour);
-  /// Writes the target's entry, or takes it away.
+  /// Writes the target's report as its entry, or takes the entry away.
   void List(std::size_t target, const std::string& state);
   void Unlist(std::size_t target);
+  /// The target's report in another state, as it was before its last one.
+  void ListLate(std::size_t target, const std::string& state);
+  /// Another writer's bytes as its entry.
+  void ListUnreadable(std::size_t target);
+  /// The target starts anew under its name, and reports.
+  void Restart(std::size_t target);
 
   /// A new configuration in which an account's key is another one.
   void ChangeKey();
@@ -55,6 +61,8 @@
  private:
   struct Target;
 
+  void PutEntry(const Target& target, const std::string& state,
+                std::uint64_t report);
   void PutConfig();
   void Take(Target& target, const http::ExchangePtr& exchange);
   void Stream(Target& target, const http::ExchangePtr& exchange,
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -7,9 +7,12 @@
 #include <boost/asio.hpp>
 #include <functional>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <set>
 
+#include "http/client.h"
 #include "node/clock.h"
+#include "platform/settings.h"
 #include "soak/callers.h"
 #include "soak/host-process.h"
 #include "soak/proxy.h"
@@ -29,6 +32,13 @@
 constexpr Duration kTick = milliseconds(20);
 constexpr Duration kRestartPause = milliseconds(300);
 constexpr Duration kDrainTime = milliseconds(3000);
+/// A target that left is back after this time.
+constexpr Duration kAwayTime = milliseconds(1500);
+/// An older report arrives so long after the one that the target leaves, and
+/// the next one so long after that.
+constexpr Duration kLateReport = milliseconds(2500);
+constexpr Duration kNextReport = milliseconds(1200);
+constexpr std::size_t kTogether = 3;
 constexpr int kStormChanges = 5;
 constexpr Duration kStormGap = milliseconds(150);
 constexpr std::size_t kSeeds = 3;
@@ -46,12 +56,16 @@
     const Time begin = Now();
     At(kSettleTime, [&callers, this] { callers.Start(settings_.callers); });
     const Duration end = kSettleTime + settings_.length;
-    for (const auto& event : Draw(settings_.seed, kSettleTime, end)) {
+    for (const auto& event : Draw(settings_.seed, kSettleTime, end,
+                                  settings_.mix, settings_.only)) {
       At(event.at, [this, event] { Carry(event); });
     }
-    const Duration last = end + seconds(5);
+    const Duration last = end + LongestLife(settings_.mix) + seconds(1);
     At(last, [this] { records_.quiet_from = Now(); });
-    At(last + settings_.quiet, [&callers] { callers.Stop(); });
+    At(last + settings_.quiet, [&callers, this] {
+      callers.Stop();
+      AskHosts();
+    });
     while (Now() - begin < last + settings_.quiet + seconds(5)) Tick();
     records_.over = Now();
     return Result();
@@ -99,6 +113,28 @@
     }
   }
 
+  /// Asks each host which hosts it takes for alive.
+  void AskHosts() {
+    records_.hosts_known.assign(hosts_.size(), 0);
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      http::Request request;
+      request.method = "GET";
+      request.path = "/dump";
+      client_.Fetch(hosts_[i]->At(platform::kMetricsPort), std::move(request),
+                    {}, [this, i](http::CallEnd, const http::Response& answer) {
+                      records_.hosts_known[i] = LiveHosts(answer.body);
+                    });
+    }
+  }
+
+  static std::size_t LiveHosts(const std::string& dump) {
+    const auto json = nlohmann::json::parse(dump, nullptr, false);
+    if (!json.is_object() || !json.contains("hosts")) return 0;
+    return static_cast<std::size_t>(std::count_if(
+        json["hosts"].begin(), json["hosts"].end(),
+        [](const auto& host) { return host.value("state", "") == "alive"; }));
+  }
+
   void AddTargets() {
     for (int i = 0; i < settings_.targets; ++i) {
       site_.AddTarget(kEngineService);
@@ -201,6 +237,54 @@
     });
   }
 
+  /// Leaves for long and serves on, told or untold, then starts anew.
+  void Depart(std::size_t target, bool told, Duration life) {
+    if (!leaving_.insert(target).second) return;
+    const std::size_t number = records_.leaving.size();
+    records_.leaving.push_back({target, Now(), std::nullopt});
+    told ? site_.List(target, "draining") : site_.Unlist(target);
+    At(life, [this, target] { site_.Unlist(target); });
+    At(life + kAwayTime, [this, target, number] {
+      records_.leaving[number].until = Now();
+      leaving_.erase(target);
+      site_.Restart(target);
+    });
+  }
+
+  void DepartTogether(std::size_t first, Duration life) {
+    for (std::size_t i = 0; i < kTogether; ++i) {
+      Depart((first + i) % site_.targets(), i % 2 == 0, life);
+    }
+  }
+
+  void DepartWithLateReport(std::size_t target, Duration life) {
+    if (leaving_.contains(target)) return;
+    Depart(target, true, life);
+    if (life < kLateReport + kNextReport) return;
+    At(kLateReport, [this, target] { site_.ListLate(target, "ready"); });
+    At(kLateReport + kNextReport,
+       [this, target] { site_.List(target, "draining"); });
+  }
+
+  /// Another writer's bytes stand in the entry until the target reports again.
+  void Overwrite(std::size_t target, Duration life) {
+    if (!leaving_.insert(target).second) return;
+    const std::size_t number = records_.leaving.size();
+    records_.leaving.push_back({target, Now(), std::nullopt});
+    site_.ListUnreadable(target);
+    At(life, [this, target, number] {
+      records_.leaving[number].until = Now();
+      leaving_.erase(target);
+      site_.List(target, "ready");
+    });
+  }
+
+  /// A moment's disturbance: what connects anew works.
+  void ForgetLinks(std::size_t host, Trouble trouble) {
+    Note(Subject::kStorePath, host, trouble, Duration::zero());
+    site_.store_path(host).ForgetLinks();
+  }
+
   /// What leaves meanwhile does not come back with the lapse's end.
   void Lapse(std::size_t target, Duration life) {
     if (leaving_.contains(target)) return;
@@ -236,7 +320,30 @@
     if (event.trouble <= Trouble::kTargetLapses) {
       return CarryTarget(event, target);
     }
-    CarryOther(event, host);
+    if (event.trouble <= Trouble::kCallersSlow) return CarryOther(event, host);
+    CarryLeaving(event, host, target);
+  }
+
+  void CarryLeaving(const Event& event, std::size_t host, std::size_t target) {
+    switch (event.trouble) {
+      case Trouble::kStoreForgetsLinks:
+        for (std::size_t i = 0; i < hosts_.size(); ++i) {
+          ForgetLinks(i, event.trouble);
+        }
+        return;
+      case Trouble::kStoreForgetsHostLinks:
+        return ForgetLinks(host, event.trouble);
+      case Trouble::kTargetDrains:
+        return Depart(target, true, event.life);
+      case Trouble::kTargetGoes:
+        return Depart(target, false, event.life);
+      case Trouble::kTargetsGo:
+        return DepartTogether(target, event.life);
+      case Trouble::kTargetUnreadable:
+        return Overwrite(target, event.life);
+      default:
+        return DepartWithLateReport(target, event.life);
+    }
   }
 
   void CarryHost(const Event& event, std::size_t host) {
@@ -338,12 +445,14 @@
     }
     out.disturbances = story_.size();
     out.breaches = Check(records_, {}, settings_.timed);
+    if (settings_.timed) out.judged = CountJudged(records_, {});
     out.story = std::move(story_);
     return out;
   }
 
   const SoakSettings settings_;
   asio::io_context io_{1};
+  http::Client client_{io_};
   Records records_;
   Site site_;
   std::vector<std::unique_ptr<HostProcess>> hosts_;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "soak/promises.h"
+#include "soak/schedule.h"
 
 namespace comfreyflow::soak {
 
@@ -24,6 +25,8 @@
   /// and some seconds more.
   Duration quiet = std::chrono::seconds(15);
   bool timed = false;  ///< Also judges promises that name a time.
+  Mix mix = Mix::kMixed;
+  std::vector<Trouble> only;  ///< In place of the mix's own; empty: those.
 };
 
 struct SoakResult {
@@ -33,6 +36,7 @@
   std::map<int, std::size_t> statuses;  ///< Of the others; 0: none came.
   std::size_t disturbances = 0;
   std::vector<Breach> breaches;
+  std::vector<Judged> judged;  ///< Of the promises that name a time.
   /// What was done, a line each.
   std::vector<std::string> story;
 };
--- a/test/soak/promises-test.cc
+++ b/test/soak/promises-test.cc
@@ -205,6 +205,34 @@
   CHECK(Broken(records).empty());
 }
 
+TEST_CASE("hosts that do not know each other are found") {
+  Records records = Sound();
+  records.hosts_known = {2, 2};
+  CHECK(Broken(records).empty());
+  records.hosts_known = {2, 1};
+  CHECK(Broken(records) == Promises{"PEERS"});
+}
+
+TEST_CASE("counts tell how often a promise was judged, and of what") {
+  Records records = Sound();
+  records.leaving = {{0, kStart - seconds(6), kStart - seconds(2)}};
+  const auto count = [&records](const std::string& promise) {
+    for (const auto& judged : CountJudged(records, {})) {
+      if (judged.promise == promise) return judged;
+    }
+    return Judged{};
+  };
+  CHECK(count("DRAIN").of == doctest::Approx(2));
+  CHECK(count("DRAIN").judged == doctest::Approx(2));
+  CHECK(count("GONE").judged == 0);
+  CHECK(count("RECOVER").judged == 3);
+  // The last three seconds before each moment count too.
+  records.disturbances.push_back({Subject::kStorePath, 0, "cut",
+                                  kStart - seconds(7), kStart - seconds(6)});
+  CHECK(count("DRAIN").judged == doctest::Approx(1).epsilon(0.1));
+  CHECK(count("DRAIN").of == doctest::Approx(2));
+}
+
 TEST_CASE("a site that serves nobody after the last disturbance is found") {
   Records records = Sound();
   for (auto& sent : records.sent) sent.status = 503;
