Hosts that reach the store by different addresses hear each other

Seen: in a soak in which each host has its own way to the store, no host knew another; each placed alone, closed targets by its own failures and had one source for configuration and targets. Where hosts of a deployment are told different addresses of the store, callers get less at once: no second way for a configuration, and placers that count only their own work. Cause: datagrams between hosts are signed with a key that was made from the store's address, a value that each host is told separately. Evidence: peer_refused bad_signature on all hosts; host-test 'hosts find each other' failed as soon as the stand-in's store had an address for each host.

--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -103,12 +103,28 @@
 
 FakeStore::FakeStore(boost::asio::io_context& io)
     : budget_(std::make_shared<http::BodyBudget>(kBudget)),
-      server_(io, {},
-              Hooks([this](http::ExchangePtr e) { Handle(std::move(e)); }),
-              budget_) {
+      io_(io),
+      server_(io, {}, ServerHooks(), budget_) {
   server_.Listen(At(0));
 }
 
+http::ServerHooks FakeStore::ServerHooks() {
+  return Hooks([this](http::ExchangePtr e) { Handle(std::move(e)); });
+}
+
+std::string FakeStore::AddAddress() {
+  auto server = std::make_unique<http::Server>(io_, http::ServerLimits{},
+                                               ServerHooks(), budget_);
+  server->Listen(At(0));
+  more_servers_.push_back(std::move(server));
+  return At(more_servers_.back()->port());
+}
+
+void FakeStore::LoseWatches() {
+  std::move(waiting_.begin(), waiting_.end(), std::back_inserter(lost_));
+  waiting_.clear();
+}
+
 std::string FakeStore::address() const { return At(server_.port()); }
 
 bool FakeStore::Has(const std::string& kind, const std::string& name) const {
@@ -423,7 +439,7 @@
   settings.directory = at(kDirectoryPort);
   settings.gossip_port = kGossipPort;
   settings.placement_port = kGossipPort + 1;
-  settings.store = store_->address();
+  settings.store = store_->AddAddress();
   settings.stop_time = std::chrono::seconds(2);
   settings.repeat_ratio = 0.2;
   settings.repeat_slack = 100;
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -37,6 +37,8 @@
   explicit FakeStore(boost::asio::io_context& io);
 
   std::string address() const;
+  /// One more address at which the store is reached.
+  std::string AddAddress();
   void Put(const std::string& kind, const std::string& name,
            const nlohmann::json& spec);
   void Remove(const std::string& kind, const std::string& name);
@@ -50,6 +52,8 @@
   std::size_t calls() const { return calls_; }
   /// Drops its history: watches from before are told to list anew.
   void Forget();
+  /// Watches that wait now are never answered, nor are they cut.
+  void LoseWatches();
 
  private:
   struct Waiting {
@@ -63,6 +67,7 @@
     nlohmann::json event;
   };
 
+  http::ServerHooks ServerHooks();
   void Handle(http::ExchangePtr exchange);
   void Note(const std::string& kind, const nlohmann::json& object,
             bool removed);
@@ -72,13 +77,16 @@
   std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
   std::vector<Event> events_;
   std::vector<Waiting> waiting_;
+  std::vector<Waiting> lost_;  ///< Held open, never answered.
   std::uint64_t revision_ = 1;
   std::size_t page_size_ = 500;
   int lost_answers_ = 0;
   std::size_t calls_ = 0;
   std::uint64_t forgotten_ = 0;  ///< Changes up to here are gone.
   bool down_ = false;
+  boost::asio::io_context& io_;
   http::Server server_;
+  std::vector<std::unique_ptr<http::Server>> more_servers_;
 };
 
 /// A target that answers as a test says and notes what came.
--- a/test/platform/translation-test.cc
+++ b/test/platform/translation-test.cc
@@ -1,6 +1,8 @@
 // What the adapter reads and writes: settings, configuration, entries, headers.
 #include <doctest/doctest.h>
 
+#include <nlohmann/json.hpp>
+
 #include "platform/documents.h"
 #include "platform/edge.h"
 #include "platform/settings.h"
@@ -54,6 +56,21 @@
   CHECK(settings.capacity == 25);
 }
 
+TEST_CASE("hosts that reach the store by other addresses are one deployment") {
+  const auto deployment = [](const char* zones, const char* store) {
+    auto json = nlohmann::json::parse(kSettings);
+    json["Zones"] = nlohmann::json::parse(zones);
+    json["Platform"]["Addr"] = store;
+    HostSettings settings;
+    std::string problem;
+    REQUIRE_FALSE(ParseSettings(json.dump(), settings, problem));
+    return settings.deployment;
+  };
+  const auto one = deployment(R"({"z1":"r1","z2":"r1"})", "10.9.0.1:8000");
+  CHECK(deployment(R"({"z2":"r1","z1":"r1"})", "10.9.0.2:1") == one);
+  CHECK(deployment(R"({"z1":"r1","z2":"r2"})", "10.9.0.1:8000") != one);
+}
+
 TEST_CASE("settings without a field that is needed name it") {
   HostSettings settings;
   std::string problem;
