A watch that tells nothing is renewed before its host counts as in touch

Cause: a watch waits 30 s at the store, and nothing but its own time ended it where its connection had been forgotten on the way while the near end went on acknowledging: kernel probes find only a dead end. Configurations came from peers meanwhile; nothing told of targets. And when both kinds' watches ended together, the host took the store for lost, so that removals heard then counted as lapses and stayed in use for 2 to 3 s more (kept in target_removed). Evidence: placed with list_age up to 31.5 s for each broken request; store_call_failed silent at age 31,500 on the same hosts; 'kept' for 60 more. Mend: FollowPlan (src/core/follow, tests in virtual time) decides the calls. In a small fleet a watch waits 2.5 s and its answer 1 s more, so silence is found within 3.5 s, and hosts are in touch after 3 s with a bound of 2 s besides. In a large one waits spread from 2.5 to 30 s, so some host's ends soon and the calls of all stay flat. A watch that ends without answer is no failure of the store: a call that does not wait asks it at once on another connection. Why it works: no belief of a small fleet's host is older than 3.5 s and a call.

A large fleet still needs to be told by peers what one host heard.

--- /dev/null
+++ b/src/core/follow/follow-plan.cc
@@ -0,0 +1,137 @@
+// Times of calls to the store.
+#include "comfreyflow/follow-plan.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreyflow {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kFirstRetry = milliseconds(50);
+constexpr Duration kLongestRetry = milliseconds(1000);
+/// Before the first list a host can't serve at all.
+constexpr Duration kLongestFirstRetry = milliseconds(300);
+constexpr std::uint32_t kMostDoublings = 8;
+/// Shortest time between two watches of a kind, so that a storm of changes
+/// comes in few answers. It grows with the hosts, which keeps the calls of all
+/// of them flat, up to a part of the time in which changes must be in force.
+constexpr Duration kPausePerHost = milliseconds(10);
+constexpr Duration kLeastPause = milliseconds(60);
+constexpr Duration kMostPause = milliseconds(600);
+/// Mean time between two renewals of a kind's watches in the whole fleet.
+constexpr Duration kRenewalInFleet = milliseconds(200);
+
+Duration Doubled(Duration time, std::uint32_t doublings, Duration most) {
+  return std::min(most, time * (1 << std::min(doublings, kMostDoublings)));
+}
+
+Duration PauseOf(std::size_t hosts) {
+  return std::clamp(static_cast<int>(hosts) * kPausePerHost, kLeastPause,
+                    kMostPause);
+}
+
+}  // namespace
+
+FollowPlan::FollowPlan(std::size_t kinds, std::uint64_t seed)
+    : kinds_(kinds), random_(seed) {}
+
+/// Even over a range that begins at the least time, so that of many hosts whose
+/// watches began together some end soon.
+Duration FollowPlan::WatchTime(std::size_t hosts) {
+  const Duration mean =
+      std::clamp(static_cast<int>(hosts) * kRenewalInFleet, kLeastWatchTime,
+                 (kLeastWatchTime + kMostWatchTime) / 2);
+  const Duration most = 2 * mean - kLeastWatchTime;
+  std::uniform_int_distribution<Duration::rep> draw(kLeastWatchTime.count(),
+                                                    most.count());
+  return Duration(draw(random_));
+}
+
+std::optional<FollowPlan::Step> FollowPlan::Next(std::size_t index,
+                                                 std::size_t hosts) {
+  Kind& kind = kinds_[index];
+  if (!store_up() && index != prober_) {
+    kind.waits_for_store = true;
+    return std::nullopt;
+  }
+  if (!kind.listed) return Step{true, {}};
+  // A call that has to tell whether the store answers must not wait.
+  if (failures_ > 0 || kind.unsure) return Step{};
+  kind.watching = true;
+  return Step{false, WatchTime(hosts)};
+}
+
+FollowPlan::Effect FollowPlan::Answered(Kind& kind) {
+  Effect effect;
+  kind.unsure = false;
+  if (std::exchange(kind.watching, false)) kind.cuts = 0;
+  effect.back = !store_up();
+  failures_ = 0;
+  for (std::size_t i = 0; effect.back && i < kinds_.size(); ++i) {
+    if (std::exchange(kinds_[i].waits_for_store, false)) {
+      effect.resumed.push_back(i);
+    }
+  }
+  effect.pause = Duration::zero();
+  return effect;
+}
+
+FollowPlan::Effect FollowPlan::Listed(std::size_t index,
+                                      std::uint64_t version) {
+  Kind& kind = kinds_[index];
+  kind.listed = true;
+  kind.version = version;
+  return Answered(kind);
+}
+
+FollowPlan::Effect FollowPlan::Changed(std::size_t index, std::uint64_t version,
+                                       bool any, std::size_t hosts) {
+  Kind& kind = kinds_[index];
+  kind.version = std::max(kind.version, version);
+  Effect effect = Answered(kind);
+  // After an outage more may have changed than the first answer told.
+  if (any && !effect.back) effect.pause = PauseOf(hosts);
+  return effect;
+}
+
+FollowPlan::Effect FollowPlan::Forgotten(std::size_t index) {
+  kinds_[index].listed = false;
+  kinds_[index].watching = false;
+  Effect effect;
+  effect.pause = Duration::zero();
+  return effect;
+}
+
+FollowPlan::Effect FollowPlan::Failed(std::size_t index) {
+  Kind& kind = kinds_[index];
+  Effect effect;
+  // Its connection may have died alone: a call on another one will tell.
+  if (std::exchange(kind.watching, false)) {
+    kind.unsure = true;
+    effect.pause = kind.cuts == 0
+                       ? Duration::zero()
+                       : Doubled(kFirstRetry, kind.cuts, kLongestRetry);
+    ++kind.cuts;
+    return effect;
+  }
+  if (!store_up() && index != prober_) {
+    kind.waits_for_store = true;
+    return effect;
+  }
+  if (++failures_ == kFailuresOfOutage) {
+    prober_ = index;
+    effect.lost = true;
+  }
+  effect.pause = Doubled(kFirstRetry, failures_,
+                         kind.listed ? kLongestRetry : kLongestFirstRetry);
+  return effect;
+}
+
+void FollowPlan::Behind(std::size_t index) {
+  kinds_[index].watching = false;
+  kinds_[index].unsure = true;
+}
+
+}  // namespace comfreyflow
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -1,9 +1,10 @@
 // Lists, watches and waits.
 #include "gateway/follower.h"
 
-#include <algorithm>
+#include <random>
 #include <utility>
 
+#include "comfreyflow/follow-plan.h"
 #include "node/clock.h"
 #include "node/log.h"
 
@@ -17,36 +18,21 @@
 using node::Severity;
 using std::chrono::milliseconds;
 
-/// How long a watch waits at the store; each one that ends is a call.
-constexpr Duration kWatchTime = std::chrono::seconds(30);
-/// A watch may be cut off by itself: the first failure is tried again at once.
-constexpr Duration kFirstRetry = milliseconds(50);
-constexpr Duration kLongestRetry = milliseconds(1000);
-/// Before the first list a host can't serve at all.
-constexpr Duration kLongestFirstRetry = milliseconds(300);
-constexpr std::uint32_t kFailuresOfOutage = 2;
-/// Shortest time between two watches of a kind, so that a storm of changes
-/// comes in few answers. It grows with the hosts, which keeps the calls of all
-/// of them flat, up to a part of the time in which changes must be in force.
-constexpr Duration kWatchPausePerHost = milliseconds(10);
-constexpr Duration kLeastWatchPause = milliseconds(60);
-constexpr Duration kMostWatchPause = milliseconds(600);
-
 }  // namespace
 
 struct Follower::State : std::enable_shared_from_this<State> {
   struct Track {
     FollowedKind kind;
-    bool listed = false;
-    bool waits_for_store = false;
-    std::uint64_t version = 0;
-    Time confirmed;  ///< When the store last answered about the kind.
+    Time confirmed;          ///< When the store last answered about the kind.
+    std::uint64_t call = 0;  ///< Answers to earlier calls are not taken.
     std::unique_ptr<asio::steady_timer> timer;
   };
 
   State(asio::io_context& io, ObjectStore given,
         std::vector<FollowedKind> kinds, FollowerHooks hooks)
-      : store(std::move(given)), hooks(std::move(hooks)) {
+      : store(std::move(given)),
+        hooks(std::move(hooks)),
+        plan(kinds.size(), std::random_device{}()) {
     for (auto& kind : kinds) {
       Track& track = tracks.emplace_back();
       track.kind = std::move(kind);
@@ -56,40 +42,42 @@
 
   void Step(std::size_t index) {
     if (stopped) return;
-    if (failures >= kFailuresOfOutage && index != prober) {
-      tracks[index].waits_for_store = true;
-      return;
-    }
-    tracks[index].listed ? Watch(index) : List(index);
+    const auto step = plan.Next(index, hooks.hosts());
+    if (!step) return;
+    step->list ? List(index) : Watch(index, step->wait);
+  }
+
+  /// Takes an answer unless another call was begun since.
+  template <class Answer>
+  std::function<void(const Answer&)> Taking(
+      std::size_t index, void (State::*take)(std::size_t, const Answer&)) {
+    const std::uint64_t call = ++tracks[index].call;
+    return
+        [self = shared_from_this(), index, take, call](const Answer& answer) {
+          if (self->stopped || self->tracks[index].call != call) return;
+          (*self.*take)(index, answer);
+        };
   }
 
   void List(std::size_t index) {
     store.list(tracks[index].kind.kind,
-               [self = shared_from_this(), index](const ListAnswer& list) {
-                 if (!self->stopped) self->Listed(index, list);
-               });
+               Taking<ListAnswer>(index, &State::Listed));
   }
 
   void Listed(std::size_t index, const ListAnswer& list) {
-    Track& track = tracks[index];
     if (list.error) return Failed(index, list.error, list.silent);
-    Answered();
-    track.listed = true;
-    track.version = list.version;
+    Track& track = tracks[index];
     track.confirmed = Now();
+    const auto effect = plan.Listed(index, list.version);
+    Tell(effect, index);
     track.kind.listed(list.items);
     if (track.kind.told) track.kind.told();
-    Step(index);
+    Go(index, effect);
   }
 
-  void Watch(std::size_t index) {
-    // A probe must not wait: it has to tell soon whether the store is back.
-    const Duration wait =
-        failures >= kFailuresOfOutage ? Duration::zero() : kWatchTime;
-    store.watch(tracks[index].kind.kind, tracks[index].version, wait,
-                [self = shared_from_this(), index](const WatchAnswer& changes) {
-                  if (!self->stopped) self->Changed(index, changes);
-                });
+  void Watch(std::size_t index, Duration wait) {
+    store.watch(tracks[index].kind.kind, plan.version(index), wait,
+                Taking<WatchAnswer>(index, &State::Changed));
   }
 
   void Changed(std::size_t index, const WatchAnswer& changes) {
@@ -97,34 +85,17 @@
     if (changes.forgotten) {
       LogLine(Severity::kInfo, Event::kStoreHistoryGone)
           .With("kind", track.kind.kind)
-          .With("version", track.version);
-      track.listed = false;
-      return Step(index);
+          .With("version", plan.version(index));
+      return Go(index, plan.Forgotten(index));
     }
     if (changes.error) return Failed(index, changes.error, changes.silent);
-    const bool was_out = failures >= kFailuresOfOutage;
-    Answered();
-    track.version = std::max(track.version, changes.version);
     track.confirmed = Now();
+    const auto effect = plan.Changed(index, changes.version,
+                                     !changes.changes.empty(), hooks.hosts());
+    Tell(effect, index);
     for (const auto& change : changes.changes) track.kind.changed(change);
     if (track.kind.told && !changes.changes.empty()) track.kind.told();
-    if (was_out) return Step(index);
-    Later(index, changes.changes.empty() ? Duration::zero() : Pause());
-  }
-
-  Duration Pause() const {
-    const auto hosts = static_cast<int>(hooks.hosts());
-    return std::clamp(hosts * kWatchPausePerHost, kLeastWatchPause,
-                      kMostWatchPause);
-  }
-
-  void Answered() {
-    if (std::exchange(failures, 0) < kFailuresOfOutage) return;
-    LogLine(Severity::kInfo, Event::kStoreBack);
-    hooks.back();
-    for (std::size_t i = 0; i < tracks.size(); ++i) {
-      if (std::exchange(tracks[i].waits_for_store, false)) Later(i, {});
-    }
+    Go(index, effect);
   }
 
   void Failed(std::size_t index, const std::error_code& error, bool silent) {
@@ -132,30 +103,37 @@
         .With("kind", tracks[index].kind.kind)
         .With(ToErrc(error))
         .With("silent", silent)
-        .With("version", tracks[index].version)
-        .With("age", Age(tracks[index]));
-    if (failures >= kFailuresOfOutage && index != prober) {
-      tracks[index].waits_for_store = true;
-      return;
-    }
-    ++failures;
-    if (failures == kFailuresOfOutage) {
-      prober = index;
+        .With("version", plan.version(index))
+        .With("age", Age(index));
+    const auto effect = plan.Failed(index);
+    Tell(effect, index);
+    Go(index, effect);
+  }
+
+  void Tell(const FollowPlan::Effect& effect, std::size_t index) {
+    if (effect.lost) {
       LogLine(Severity::kWarning, Event::kStoreLost)
           .With("kind", tracks[index].kind.kind);
       hooks.lost();
     }
-    const Duration longest =
-        tracks[index].listed ? kLongestRetry : kLongestFirstRetry;
-    const Duration wait =
-        std::min(longest, kFirstRetry * (1 << std::min(failures, 8U)));
-    Later(index, wait);
+    if (effect.back) {
+      LogLine(Severity::kInfo, Event::kStoreBack);
+      hooks.back();
+    }
+  }
+
+  void Go(std::size_t index, const FollowPlan::Effect& effect) {
+    for (const std::size_t resumed : effect.resumed) Later(resumed, {});
+    if (!effect.pause) return;
+    if (*effect.pause == Duration::zero()) return Step(index);
+    Later(index, *effect.pause);
   }
 
   /// Since the store answered about the kind; zero before its first answer.
-  static milliseconds Age(const Track& track) {
-    if (!track.listed) return {};
-    return std::chrono::duration_cast<milliseconds>(Now() - track.confirmed);
+  milliseconds Age(std::size_t index) const {
+    if (!plan.listed(index)) return {};
+    return std::chrono::duration_cast<milliseconds>(Now() -
+                                                    tracks[index].confirmed);
   }
 
   void Later(std::size_t index, Duration wait) {
@@ -170,8 +148,7 @@
   ObjectStore store;
   FollowerHooks hooks;
   std::vector<Track> tracks;
-  std::uint32_t failures = 0;  ///< In a row, of all kinds.
-  std::size_t prober = 0;      ///< The kind that tries during an outage.
+  FollowPlan plan;
   bool stopped = false;
 };
 
@@ -191,12 +168,14 @@
 
 std::vector<KindKnown> Follower::Known() const {
   std::vector<KindKnown> known;
-  for (const auto& track : state_->tracks) {
-    known.push_back({track.kind.kind, track.version, track.confirmed});
+  for (std::size_t i = 0; i < state_->tracks.size(); ++i) {
+    const auto& track = state_->tracks[i];
+    known.push_back(
+        {track.kind.kind, state_->plan.version(i), track.confirmed});
   }
   return known;
 }
 
-bool Follower::store_up() const { return state_->failures < kFailuresOfOutage; }
+bool Follower::store_up() const { return state_->plan.store_up(); }
 
 }  // namespace comfreyflow::gateway
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -5,7 +5,6 @@
 #include <boost/asio.hpp>
 #include <functional>
 #include <memory>
-#include <random>
 #include <string>
 #include <vector>
 
--- /dev/null
+++ b/test/follow-plan-test.cc
@@ -0,0 +1,145 @@
+// When the store is called to follow kinds of objects.
+#include "comfreyflow/follow-plan.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::size_t kTargets = 0;
+constexpr std::size_t kDocument = 1;
+
+/// A plan of two kinds that are listed.
+FollowPlan Listed(std::uint64_t seed = 1) {
+  FollowPlan plan(2, seed);
+  for (const std::size_t kind : {kTargets, kDocument}) {
+    REQUIRE(plan.Next(kind, 1)->list);
+    plan.Listed(kind, 5);
+  }
+  return plan;
+}
+
+}  // namespace
+
+TEST_CASE("a watch that tells nothing is renewed before hosts are in touch") {
+  // In touch after 3 s; an answer may take 1 s, and a call to look again.
+  constexpr Duration kSilenceFound = milliseconds(2500);
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    FollowPlan plan = Listed(seed);
+    for (const std::size_t hosts : {1, 2, 6, 8}) {
+      const auto step = plan.Next(kTargets, hosts);
+      REQUIRE(step);
+      CHECK_FALSE(step->list);
+      CHECK(step->wait <= kSilenceFound);
+      plan.Changed(kTargets, 5, false, hosts);
+    }
+  }
+}
+
+TEST_CASE(
+    "of many watches that began together some end soon, and all in time") {
+  for (const std::size_t hosts : {30, 65, 83, 350}) {
+    Duration first = kMostWatchTime;
+    Duration last{};
+    Duration total{};
+    for (std::size_t host = 0; host < hosts; ++host) {
+      FollowPlan plan = Listed(host + 1);
+      const Duration wait = plan.Next(kTargets, hosts)->wait;
+      first = std::min(first, wait);
+      last = std::max(last, wait);
+      total += wait;
+    }
+    CHECK(first <= milliseconds(3500));
+    CHECK(last <= kMostWatchTime);
+    // Calls of the whole fleet for one kind: 5 a second, and more only where
+    // the longest wait binds.
+    const double mean = std::chrono::duration<double>(total).count() /
+                        static_cast<double>(hosts);
+    CHECK(static_cast<double>(hosts) / mean <
+          std::max(6.0, static_cast<double>(hosts) / 14));
+  }
+}
+
+TEST_CASE("watches that end without answer are no outage of the store") {
+  FollowPlan plan = Listed();
+  for (const std::size_t kind : {kTargets, kDocument}) plan.Next(kind, 6);
+  for (const std::size_t kind : {kTargets, kDocument}) {
+    const auto effect = plan.Failed(kind);
+    CHECK_FALSE(effect.lost);
+    CHECK(effect.pause == Duration::zero());
+  }
+  // The next call does not wait; its answer is the store's word.
+  CHECK(plan.Next(kTargets, 6)->wait == Duration::zero());
+  const auto effect = plan.Changed(kTargets, 9, true, 6);
+  CHECK_FALSE(effect.back);
+  CHECK(plan.store_up());
+  CHECK(plan.Next(kTargets, 6)->wait > Duration::zero());
+}
+
+TEST_CASE("two calls in a row that fail are an outage, which one kind probes") {
+  FollowPlan plan = Listed();
+  for (const std::size_t kind : {kTargets, kDocument}) {
+    plan.Next(kind, 6);
+    plan.Failed(kind);
+    REQUIRE(plan.Next(kind, 6));
+  }
+  CHECK_FALSE(plan.Failed(kTargets).lost);
+  CHECK(plan.Failed(kDocument).lost);
+  CHECK_FALSE(plan.store_up());
+  CHECK_FALSE(plan.Next(kTargets, 6));
+  CHECK(plan.Next(kDocument, 6)->wait == Duration::zero());
+  CHECK(plan.Failed(kDocument).pause <= seconds(1));
+  const auto effect = plan.Changed(kDocument, 7, true, 6);
+  CHECK(effect.back);
+  CHECK(effect.pause == Duration::zero());
+  CHECK(effect.resumed == std::vector<std::size_t>{kTargets});
+  CHECK(plan.store_up());
+}
+
+TEST_CASE("watches that are cut again and again are renewed ever later") {
+  FollowPlan plan = Listed();
+  Duration before{};
+  for (int i = 0; i < 12; ++i) {
+    CHECK(plan.Next(kTargets, 6)->wait > Duration::zero());
+    const auto effect = plan.Failed(kTargets);
+    CHECK(*effect.pause >= before);
+    CHECK(*effect.pause <= seconds(1));
+    before = *effect.pause;
+    plan.Next(kTargets, 6);
+    plan.Changed(kTargets, 5, false, 6);
+  }
+  CHECK(before == seconds(1));
+  plan.Next(kTargets, 6);
+  plan.Changed(kTargets, 5, false, 6);
+  plan.Next(kTargets, 6);
+  CHECK(plan.Failed(kTargets).pause == Duration::zero());
+}
+
+TEST_CASE("a kind that is behind is asked for at once, without waiting") {
+  FollowPlan plan = Listed();
+  plan.Next(kTargets, 83);
+  plan.Behind(kTargets);
+  CHECK(plan.Next(kTargets, 83)->wait == Duration::zero());
+  plan.Changed(kTargets, 9, true, 83);
+  CHECK(plan.Next(kTargets, 83)->wait > Duration::zero());
+}
+
+TEST_CASE("a gap in the history has the kind listed") {
+  FollowPlan plan = Listed();
+  plan.Next(kTargets, 6);
+  CHECK(plan.Forgotten(kTargets).pause == Duration::zero());
+  CHECK(plan.Next(kTargets, 6)->list);
+}
+
+TEST_CASE("before its first list a host tries often") {
+  FollowPlan plan(2, 1);
+  for (int i = 0; i < 6; ++i) {
+    CHECK(plan.Next(kTargets, 1)->list);
+    CHECK(*plan.Failed(kTargets).pause <= milliseconds(300));
+  }
+}
--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -243,6 +243,27 @@
   CHECK(second.requests().size() >= 8);
 }
 
+TEST_CASE("a watch that tells nothing hides neither leaving nor configuration") {
+  Site site;
+  FakeTarget& first = site.AddTarget("app", "i1");
+  site.AddTarget("app", "i2");
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  site.store().LoseWatches();
+  site.List("app", first, "draining");
+  site.PutConfig(2, [](nlohmann::json& config) {
+    config["Routes"][0]["PathPrefix"] = "/moved/";
+  });
+  REQUIRE(site.Until([&] {
+    return site.Call(host, "GET", "/moved/1").response.body == "answer of i2" &&
+           site.Call(host, "GET", "/moved/2").response.body == "answer of i2";
+  }));
+  const auto before = first.requests().size();
+  for (int i = 0; i < 8; ++i) site.Call(host, "GET", "/moved/1");
+  CHECK(first.requests().size() == before);
+}
+
 TEST_CASE("a later configuration is in force, an earlier one never again") {
   Site site;
   site.AddTarget("app", "i1");
