--- a/include/comfreyflow/target-book.h
+++ b/include/comfreyflow/target-book.h
@@ -28,6 +28,8 @@
   void Put(const TargetEntry& entry);
   /// Whether the target stays in use, as its entry may have lapsed.
   bool Removed(const TargetName& name, Time now);
+  /// The entry names no target any more, whatever it is: none is used.
+  void Dropped(const TargetName& name);
   /// The list's keeper does not answer, or answers again.
   void KeeperLost(Time now);
   void KeeperBack(Time now);
--- a/src/core/targets/target-book.cc
+++ b/src/core/targets/target-book.cc
@@ -39,12 +39,15 @@
     missing_.try_emplace(name, now);
     return true;
   }
-  missing_.erase(name);
-  entries_.erase(at);
-  changed_ = true;
+  Dropped(name);
   return false;
 }
 
+void TargetBook::Dropped(const TargetName& name) {
+  missing_.erase(name);
+  if (entries_.erase(name) > 0) changed_ = true;
+}
+
 void TargetBook::KeeperLost(Time) {
   lost_ = true;
   ever_lost_ = true;
--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -243,7 +243,8 @@
   CHECK(second.requests().size() >= 8);
 }
 
-TEST_CASE("a watch that tells nothing hides neither leaving nor configuration") {
+TEST_CASE(
+    "a watch that tells nothing hides neither leaving nor configuration") {
   Site site;
   FakeTarget& first = site.AddTarget("app", "i1");
   site.AddTarget("app", "i2");
@@ -264,6 +265,34 @@
   CHECK(first.requests().size() == before);
 }
 
+TEST_CASE("a target whose entry another writer overwrote gets nothing more") {
+  Site site;
+  FakeTarget& first = site.AddTarget("app", "i1");
+  site.AddTarget("app", "i2");
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  site.store().Put("servers", "i1", {{"Service", 7}});
+  const std::string metrics = site.settings(host).ip + ":" +
+                              std::to_string(site.settings(host).metrics_port);
+  REQUIRE(site.Until([&] {
+    site.Call(host, "GET", "/safe/1");
+    const auto dump = site.Get(metrics, "/dump").response.body;
+    return dump.find("\"i2\"") != std::string::npos &&
+           dump.find("\"i1\"") == std::string::npos;
+  }));
+  const auto before = first.requests().size();
+  for (int i = 0; i < 8; ++i) {
+    CHECK(site.Call(host, "GET", "/safe/1").response.body == "answer of i2");
+  }
+  CHECK(first.requests().size() == before);
+  site.List("app", first);
+  CHECK(site.Until([&] {
+    site.Call(host, "GET", "/safe/1");
+    return first.requests().size() > before;
+  }));
+}
+
 TEST_CASE("a later configuration is in force, an earlier one never again") {
   Site site;
   site.AddTarget("app", "i1");
--- a/test/target-book-test.cc
+++ b/test/target-book-test.cc
@@ -101,6 +101,21 @@
   CHECK(book.Pool().at({"s"}).front().version == 7);
 }
 
+TEST_CASE("an entry that names no target is no lapse") {
+  TargetBook book(kReturn);
+  book.Listed({Entry("a"), Entry("b")}, kStart);
+  book.KeeperLost(kStart);
+  book.Removed({"b"}, kStart);
+  book.TakeChanged();
+  book.Dropped({"a"});
+  book.Dropped({"b"});
+  CHECK(book.TakeChanged());
+  CHECK(InPool(book) == 0);
+  CHECK(book.missing() == 0);
+  book.Dropped({"a"});
+  CHECK_FALSE(book.TakeChanged());
+}
+
 TEST_CASE("a removal tells whether the target stays in use") {
   TargetBook book(kReturn);
   book.Listed({Entry("a"), Entry("b"), Entry("c", true)}, kStart);
