A target's older report does not bring it back once it leaves

Cause: entries were taken in the order of the store's versions; the number and the start that each report carries were not looked at. Evidence: target_seen leaving=true, then false at a later version, then placed with that version on all hosts. Mend: an entry with the start of the one before and a lower number is not taken (older in target_seen). Where the start is not told, the order of arrival counts as before, as numbers begin anew with a start.

--- a/include/comfreyflow/target-book.h
+++ b/include/comfreyflow/target-book.h
@@ -14,6 +14,9 @@
 struct TargetEntry {
   ServiceName service;
   PoolTarget target;
+  /// Number of the report that the entry was written from; grows with each of
+  /// one start of the target. 0: not told.
+  std::uint64_t report = 0;
   bool operator==(const TargetEntry&) const = default;
 };
 
@@ -25,7 +28,9 @@
 
   /// The whole list.
   void Listed(const std::vector<TargetEntry>& entries, Time now);
-  void Put(const TargetEntry& entry);
+  /// Whether it was taken: a report that is older than the last one of the same
+  /// start may arrive after it.
+  bool Put(const TargetEntry& entry);
   /// Whether the target stays in use, as its entry may have lapsed.
   bool Removed(const TargetName& name, Time now);
   /// The entry names no target any more, whatever it is: none is used.
@@ -48,6 +53,8 @@
   bool Settling(Time now) const;
 
   const Duration return_time_;
+  static bool IsOlder(const TargetEntry& entry, const TargetEntry& known);
+
   std::map<TargetName, TargetEntry> entries_;
   std::map<TargetName, Time> missing_;  ///< Since when.
   bool lost_ = false;
--- a/src/core/targets/target-book.cc
+++ b/src/core/targets/target-book.cc
@@ -23,12 +23,25 @@
   for (const auto& name : gone) Removed(name, now);
 }
 
-void TargetBook::Put(const TargetEntry& entry) {
+bool TargetBook::IsOlder(const TargetEntry& entry, const TargetEntry& known) {
+  // Without its start a lower number may be that of a new one.
+  return entry.target.born != 0 && entry.target.born == known.target.born &&
+         entry.report != 0 && entry.report < known.report;
+}
+
+bool TargetBook::Put(const TargetEntry& entry) {
   missing_.erase(entry.target.name);
   TargetEntry& known = entries_[entry.target.name];
+  if (IsOlder(entry, known)) {
+    known.target.version = entry.target.version;
+    return false;
+  }
   TargetEntry before = std::exchange(known, entry);
+  // What differs with each report is no change.
   before.target.version = entry.target.version;
+  before.report = entry.report;
   if (before != entry) changed_ = true;
+  return true;
 }
 
 bool TargetBook::Removed(const TargetName& name, Time now) {
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -96,8 +96,10 @@
     {"document_fetched", "a configuration was asked of a peer", "host whole"},
     {"document_invalid", "a configuration can't be read; the one before stays",
      "source code"},
-    {"target_seen", "an entry of the list of targets came or changed",
-     "target service address leaving version"},
+    {"target_seen",
+     "an entry of the list of targets came or changed; older: it was written "
+     "from a report before the last one, and not taken",
+     "target service address leaving version older"},
     {"target_removed",
      "an entry is gone from the list; kept: it may have lapsed in an outage",
      "target version kept"},
--- a/test/target-book-test.cc
+++ b/test/target-book-test.cc
@@ -101,6 +101,53 @@
   CHECK(book.Pool().at({"s"}).front().version == 7);
 }
 
+TEST_CASE("a report that arrives late does not bring a leaving target back") {
+  TargetBook book(kReturn);
+  const auto report = [](std::uint64_t born, std::uint64_t number,
+                         bool leaving) {
+    TargetEntry entry = Entry("a", leaving);
+    entry.target.born = born;
+    entry.report = number;
+    return entry;
+  };
+  const auto leaving = [&book] {
+    return book.Pool().at({"s"}).front().leaving;
+  };
+  CHECK(book.Put(report(1, 7, false)));
+  CHECK(book.Put(report(1, 9, true)));
+  CHECK_FALSE(book.Put(report(1, 8, false)));
+  CHECK(leaving());
+  CHECK(book.Put(report(1, 10, false)));
+  CHECK_FALSE(leaving());
+  CHECK(book.Put(report(1, 11, true)));
+  SUBCASE("a new start counts anew") {
+    CHECK(book.Put(report(2, 1, false)));
+    CHECK_FALSE(leaving());
+  }
+  SUBCASE("in a whole list too") {
+    book.Listed({report(1, 10, false)}, kStart);
+    CHECK(leaving());
+  }
+  SUBCASE("an entry without a number is taken") {
+    CHECK(book.Put(report(1, 0, false)));
+    CHECK_FALSE(leaving());
+  }
+}
+
+TEST_CASE("reports without a start are taken in the order of their arrival") {
+  TargetBook book(kReturn);
+  TargetEntry entry = Entry("a", true);
+  entry.report = 9;
+  CHECK(book.Put(entry));
+  entry.target.leaving = false;
+  entry.report = 1;
+  CHECK(book.Put(entry));
+  book.TakeChanged();
+  entry.report = 2;
+  CHECK(book.Put(entry));
+  CHECK_FALSE(book.TakeChanged());
+}
+
 TEST_CASE("an entry that names no target is no lapse") {
   TargetBook book(kReturn);
   book.Listed({Entry("a"), Entry("b")}, kStart);
