--- a/include/comfreyflow/follow-plan.h
+++ b/include/comfreyflow/follow-plan.h
@@ -71,10 +71,13 @@
   std::mt19937_64 random_;
 };
 
-/// Longest time for which a watch of a small fleet waits. With the time that an
-/// answer may take, a silent connection is found before hosts count as being in
-/// touch with the store again.
-inline constexpr Duration kLeastWatchTime = std::chrono::milliseconds(2500);
+/// Longest time for which a watch of a small fleet waits. With the grace of its
+/// answer a silent connection is found within the 3 s after which a host counts
+/// as being in touch with the store again.
+inline constexpr Duration kLeastWatchTime = std::chrono::milliseconds(2100);
+/// A watch that has not answered so long after its time is on a connection that
+/// is dead, or asks a store that is slow: a call on another one will tell.
+inline constexpr Duration kWatchGrace = std::chrono::milliseconds(600);
 /// The most that any watch waits.
 inline constexpr Duration kMostWatchTime = std::chrono::seconds(30);
 
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -289,7 +289,9 @@
   const auto job = core_->ReadJob<WatchAnswer>(
       core_->api.watch(kind, since, timeout), handler, core_->api.read_watch);
   job->call = PlatformCall::kWatch;
-  job->timeout = timeout + core_->settings.watch_grace;
+  const bool waits = timeout > Duration::zero();
+  job->timeout = waits ? timeout + core_->settings.watch_grace
+                       : core_->settings.call_timeout;
   job->probe = core_->api.watch(kind, since, Duration::zero());
   job->done = [handler, done = job->done,
                version = core_->api.read_version](const Result& result) {
--- a/test/follow-plan-test.cc
+++ b/test/follow-plan-test.cc
@@ -27,15 +27,15 @@
 }  // namespace
 
 TEST_CASE("a watch that tells nothing is renewed before hosts are in touch") {
-  // In touch after 3 s; an answer may take 1 s, and a call to look again.
-  constexpr Duration kSilenceFound = milliseconds(2500);
+  constexpr Duration kInTouch = seconds(3);
+  constexpr Duration kLookAgain = milliseconds(100);
   for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     FollowPlan plan = Listed(seed);
     for (const std::size_t hosts : {1, 2, 6, 8}) {
       const auto step = plan.Next(kTargets, hosts);
       REQUIRE(step);
       CHECK_FALSE(step->list);
-      CHECK(step->wait <= kSilenceFound);
+      CHECK(step->wait + kWatchGrace + kLookAgain <= kInTouch);
       plan.Changed(kTargets, 5, false, hosts);
     }
   }
