Peers tell of targets that leave, as they do of configurations

In a large fleet each watch has to wait long, or the store's calls grow with the hosts; so one host hears of a leaving at once and others up to 30 s later. The configuration has a second way, the peers; targets had none, though the membership carries marks of them for the product's own daemon. Mend: a host shares a mark with the version of the target's entry when the list tells that it leaves or is gone. A peer whose entry is no later stops using it, and asks the store anew if its own watch has not told within a second. A gone entry's mark is not taken after an outage, when entries lapse. target_marked tells of it. Tests, each failing before: target-book-test 'a peer's word closes a target that this host's list does not tell', 'peers are told once...'.

--- a/include/comfreyflow/follow-plan.h
+++ b/include/comfreyflow/follow-plan.h
@@ -43,8 +43,9 @@
   Effect Forgotten(std::size_t kind);
   /// No answer came, or a refusal.
   Effect Failed(std::size_t kind);
-  /// The kind is known to be behind the store: its open call is given up.
-  void Behind(std::size_t kind);
+  /// The kind is known to be behind the store. Whether its open call is to be
+  /// given up for the next one; else that call does not wait anyhow.
+  bool Behind(std::size_t kind);
 
   bool store_up() const { return failures_ < kFailuresOfOutage; }
   bool listed(std::size_t kind) const { return kinds_[kind].listed; }
--- a/include/comfreyflow/target-book.h
+++ b/include/comfreyflow/target-book.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "comfreyflow/membership.h"
 #include "comfreyflow/placer.h"
 #include "comfreyflow/types.h"
 
@@ -35,6 +36,14 @@
   bool Removed(const TargetName& name, Time now);
   /// The entry names no target any more, whatever it is: none is used.
   void Dropped(const TargetName& name);
+  /// A peer knows that the target takes no new work as of that version of its
+  /// entry. Whether it was in use here until now.
+  bool Marked(const TargetMark& mark, Time now);
+  /// Targets that the list says to leave or that are gone from it, since the
+  /// last call; for the peers.
+  std::vector<TargetMark> TakeMarks();
+  /// Whether the list has not told by now what a peer told some time ago.
+  bool Behind(Time now) const;
   /// The list's keeper does not answer, or answers again.
   void KeeperLost(Time now);
   void KeeperBack(Time now);
@@ -55,7 +64,14 @@
   const Duration return_time_;
   static bool IsOlder(const TargetEntry& entry, const TargetEntry& known);
 
+  /// Whether a peer's word on the target is later than the entry.
+  bool ClosedByMark(const TargetEntry& entry) const;
+
   std::map<TargetName, TargetEntry> entries_;
+  std::map<TargetName, std::uint64_t> marks_;  ///< By peers: closed as of.
+  /// Closed by a peer's word alone, since when.
+  std::map<TargetName, Time> unconfirmed_;
+  std::vector<TargetMark> news_;
   std::map<TargetName, Time> missing_;  ///< Since when.
   bool lost_ = false;
   bool ever_lost_ = false;
--- a/src/core/follow/follow-plan.cc
+++ b/src/core/follow/follow-plan.cc
@@ -129,9 +129,10 @@
   return effect;
 }
 
-void FollowPlan::Behind(std::size_t index) {
-  kinds_[index].watching = false;
+bool FollowPlan::Behind(std::size_t index) {
+  if (!std::exchange(kinds_[index].watching, false)) return false;
   kinds_[index].unsure = true;
+  return true;
 }
 
 }  // namespace comfreyflow
--- a/src/core/targets/target-book.cc
+++ b/src/core/targets/target-book.cc
@@ -1,10 +1,18 @@
 // Keeps targets over outages of the list.
 #include "comfreyflow/target-book.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
 namespace comfreyflow {
+namespace {
+
+/// The list tells what a peer told within this time, or its watch is broken.
+constexpr Duration kListPatience = std::chrono::seconds(1);
+constexpr std::size_t kMostMarks = 4000;
+
+}  // namespace
 
 bool TargetBook::Settling(Time now) const {
   return lost_ || (ever_lost_ && now - back_ < return_time_);
@@ -29,13 +37,24 @@
          entry.report != 0 && entry.report < known.report;
 }
 
-bool TargetBook::Put(const TargetEntry& entry) {
-  missing_.erase(entry.target.name);
-  TargetEntry& known = entries_[entry.target.name];
+bool TargetBook::Put(const TargetEntry& given) {
+  TargetEntry entry = given;
+  const TargetName& name = entry.target.name;
+  missing_.erase(name);
+  TargetEntry& known = entries_[name];
   if (IsOlder(entry, known)) {
     known.target.version = entry.target.version;
     return false;
   }
+  if (entry.target.leaving && entry.target.version != known.target.version) {
+    news_.push_back({name, entry.target.version, true});
+  }
+  if (ClosedByMark(entry)) {
+    entry.target.leaving = true;
+  } else {
+    marks_.erase(name);
+  }
+  unconfirmed_.erase(name);
   TargetEntry before = std::exchange(known, entry);
   // What differs with each report is no change.
   before.target.version = entry.target.version;
@@ -58,7 +77,47 @@
 
 void TargetBook::Dropped(const TargetName& name) {
   missing_.erase(name);
-  if (entries_.erase(name) > 0) changed_ = true;
+  unconfirmed_.erase(name);
+  const auto at = entries_.find(name);
+  if (at == entries_.end()) return;
+  news_.push_back({name, at->second.target.version, true});
+  entries_.erase(at);
+  changed_ = true;
+}
+
+bool TargetBook::ClosedByMark(const TargetEntry& entry) const {
+  const auto at = marks_.find(entry.target.name);
+  return at != marks_.end() && entry.target.version <= at->second;
+}
+
+bool TargetBook::Marked(const TargetMark& mark, Time now) {
+  if (!mark.closed) return false;
+  const auto at = entries_.find(mark.target);
+  // Gone at the version known here: after an outage it may have lapsed.
+  const bool gone =
+      at != entries_.end() && mark.version == at->second.target.version;
+  if (gone && Settling(now)) return false;
+  if (marks_.size() >= kMostMarks) marks_.erase(marks_.begin());
+  std::uint64_t& closed = marks_[mark.target];
+  closed = std::max(closed, mark.version);
+  if (at == entries_.end() || at->second.target.leaving ||
+      !ClosedByMark(at->second)) {
+    return false;
+  }
+  at->second.target.leaving = true;
+  unconfirmed_.try_emplace(mark.target, now);
+  changed_ = true;
+  return true;
+}
+
+std::vector<TargetMark> TargetBook::TakeMarks() {
+  return std::exchange(news_, {});
+}
+
+bool TargetBook::Behind(Time now) const {
+  return std::any_of(
+      unconfirmed_.begin(), unconfirmed_.end(),
+      [now](const auto& entry) { return now - entry.second > kListPatience; });
 }
 
 void TargetBook::KeeperLost(Time) {
@@ -74,7 +133,10 @@
 
 void TargetBook::Tick(Time now) {
   if (missing_.empty() || Settling(now)) return;
-  for (const auto& [name, since] : missing_) entries_.erase(name);
+  for (const auto& [name, since] : missing_) {
+    entries_.erase(name);
+    unconfirmed_.erase(name);
+  }
   missing_.clear();
   changed_ = true;
 }
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -166,6 +166,20 @@
   for (std::size_t i = 0; i < state_->tracks.size(); ++i) state_->Step(i);
 }
 
+void Follower::Behind(const std::string& kind) {
+  for (std::size_t i = 0; i < state_->tracks.size(); ++i) {
+    if (state_->tracks[i].kind.kind != kind || !state_->plan.Behind(i)) {
+      continue;
+    }
+    LogLine(Severity::kInfo, Event::kStoreCallFailed)
+        .With("kind", kind)
+        .With("behind", true)
+        .With("version", state_->plan.version(i))
+        .With("age", state_->Age(i));
+    state_->Step(i);
+  }
+}
+
 std::vector<KindKnown> Follower::Known() const {
   std::vector<KindKnown> known;
   for (std::size_t i = 0; i < state_->tracks.size(); ++i) {
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -46,6 +46,8 @@
   Follower& operator=(const Follower&) = delete;
 
   void Start();
+  /// The kind is known to be behind the store: it is asked anew at once.
+  void Behind(const std::string& kind);
   bool store_up() const;
   std::vector<KindKnown> Known() const;
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -143,6 +143,9 @@
     peer.config_announced = [this](const ConfigAnnounced& event) {
       if (event.config.generation > version()) Announced(event);
     };
+    peer.target_marked = [this](const TargetMark& event) {
+      if (hooks.target_marked) hooks.target_marked(event);
+    };
     peer.suspect_marked = [this](const SuspectMark& event) {
       HearSuspect(event);
     };
@@ -371,6 +374,10 @@
   state_->placement.SetTargets(targets);
 }
 
+void Gateway::ShareTarget(const TargetMark& mark) {
+  state_->peers.ShareTarget(mark);
+}
+
 void Gateway::SetStoreReachable(bool reachable) {
   state_->store_reachable = reachable;
   state_->was_reachable = state_->was_reachable || reachable;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -36,6 +36,8 @@
   std::function<void(const std::string& text)> document_from_peer;
   /// How far the list of targets is known; absent: not told in the log.
   std::function<KindKnown()> targets_known;
+  /// A peer knows that a target takes no new work.
+  std::function<void(const TargetMark&)> target_marked;
   /// The stop is over; the process may exit.
   std::function<void()> stopped;
   /// The view of the hosts changed.
@@ -60,6 +62,8 @@
   /// All targets, by service.
   void SetTargets(
       const std::map<ServiceName, std::vector<PoolTarget>>& targets);
+  /// Tells the peers that a target takes no new work.
+  void ShareTarget(const TargetMark& mark);
   /// Whether this host reaches the store; without it others hold placers.
   void SetStoreReachable(bool reachable);
   void SetListedHosts(std::vector<ListedHost> hosts);
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -51,7 +51,7 @@
     hooks.changed(event);
   }
   void On(const ConfigAnnounced& event) { hooks.config_announced(event); }
-  void On(const TargetMark&) {}
+  void On(const TargetMark& event) { hooks.target_marked(event); }
   void On(const SuspectMark& event) { hooks.suspect_marked(event); }
 
   const std::string address;
@@ -93,6 +93,10 @@
   state_->membership.SetPlatformList(std::move(hosts));
 }
 
+void Peers::ShareTarget(const TargetMark& mark) {
+  state_->membership.ShareTarget(mark);
+}
+
 void Peers::ShareSuspect(const SuspectMark& mark) {
   state_->membership.ShareSuspect(mark);
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -18,6 +18,7 @@
   std::function<ConfigMark()> config_mark;
   std::function<void(const MemberChanged&)> changed;
   std::function<void(const ConfigAnnounced&)> config_announced;
+  std::function<void(const TargetMark&)> target_marked;
   std::function<void(const SuspectMark&)> suspect_marked;
 };
 
@@ -33,6 +34,7 @@
   std::error_code Open();
   /// Hosts as the platform's store lists them.
   void SetListed(std::vector<ListedHost> hosts);
+  void ShareTarget(const TargetMark& mark);
   void ShareSuspect(const SuspectMark& mark);
   /// Tells others that this host stops.
   void Leave();
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -28,6 +28,7 @@
   kTargetSeen,
   kTargetRemoved,
   kTargetUnreadable,
+  kTargetMarked,
   kHostsListed,
   kHostObjectRemoved,
   kMemberChanged,
@@ -71,7 +72,7 @@
   std::string_view fields;  ///< Between single spaces; each may be absent.
 };
 
-inline constexpr std::array<EventSpec, 53> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 54> kEventSpecs = {{
     {"started", "a host process began", "host failure_domain store"},
     {"settings_invalid", "the settings can't be used; the process ends",
      "problem"},
@@ -89,8 +90,9 @@
     {"store_history_gone", "changes are missing; the kind is listed anew",
      "kind version"},
     {"store_call_failed",
-     "a list or watch ended without its answer; silent: nothing came in time",
-     "kind code silent version age"},
+     "a list or watch ended without its answer; silent: nothing came in time; "
+     "behind: given up, as a peer knows more",
+     "kind code silent behind version age"},
     {"document_applied", "a configuration is in force",
      "version before routes keys"},
     {"document_fetched", "a configuration was asked of a peer", "host whole"},
@@ -105,6 +107,9 @@
      "target version kept"},
     {"target_unreadable", "an entry names no target that could be used",
      "target"},
+    {"target_marked",
+     "a peer told that a target takes no new work, before this host's list did",
+     "target version list_version"},
     {"hosts_listed", "the store's list of hosts was read", "hosts"},
     {"host_object_removed", "a dead host's object was removed from the store",
      "host"},
--- a/test/follow-plan-test.cc
+++ b/test/follow-plan-test.cc
@@ -123,8 +123,9 @@
 TEST_CASE("a kind that is behind is asked for at once, without waiting") {
   FollowPlan plan = Listed();
   plan.Next(kTargets, 83);
-  plan.Behind(kTargets);
+  CHECK(plan.Behind(kTargets));
   CHECK(plan.Next(kTargets, 83)->wait == Duration::zero());
+  CHECK_FALSE(plan.Behind(kTargets));
   plan.Changed(kTargets, 9, true, 83);
   CHECK(plan.Next(kTargets, 83)->wait > Duration::zero());
 }
--- a/test/target-book-test.cc
+++ b/test/target-book-test.cc
@@ -163,6 +163,75 @@
   CHECK_FALSE(book.TakeChanged());
 }
 
+TEST_CASE("a peer's word closes a target that this host's list does not tell") {
+  const auto entry = [](const std::string& name, std::uint64_t version) {
+    TargetEntry out = Entry(name);
+    out.target.version = version;
+    return out;
+  };
+  const auto leaving = [](const TargetBook& book) {
+    return book.Pool().at({"s"}).front().leaving;
+  };
+  TargetBook book(kReturn);
+  book.Listed({entry("a", 5)}, kStart);
+  book.TakeChanged();
+  SUBCASE("at a later version of its entry") {
+    CHECK(book.Marked({{"a"}, 8, true}, kStart));
+    CHECK(book.TakeChanged());
+    CHECK(leaving(book));
+    CHECK_FALSE(book.Marked({{"a"}, 8, true}, kStart));
+    // An answer from before does not open it, a later entry does.
+    book.Put(entry("a", 7));
+    CHECK(leaving(book));
+    book.Put(entry("a", 9));
+    CHECK_FALSE(leaving(book));
+  }
+  SUBCASE("at the version known here, as its entry is gone") {
+    CHECK(book.Marked({{"a"}, 5, true}, kStart));
+    CHECK(leaving(book));
+  }
+  SUBCASE("not at an earlier version") {
+    CHECK_FALSE(book.Marked({{"a"}, 4, true}, kStart));
+    CHECK_FALSE(leaving(book));
+  }
+  SUBCASE("not by a lapse after an outage") {
+    book.KeeperLost(kStart);
+    CHECK_FALSE(book.Marked({{"a"}, 5, true}, kStart));
+    CHECK(book.Marked({{"a"}, 6, true}, kStart));
+  }
+  SUBCASE("and tells that the list is behind") {
+    book.Marked({{"a"}, 8, true}, kStart);
+    CHECK_FALSE(book.Behind(kStart + milliseconds(900)));
+    CHECK(book.Behind(kStart + milliseconds(1100)));
+    book.Put(entry("a", 8));
+    CHECK_FALSE(book.Behind(kStart + milliseconds(1100)));
+  }
+}
+
+TEST_CASE("peers are told once of targets that leave or are gone") {
+  TargetBook book(kReturn);
+  TargetEntry a = Entry("a");
+  a.target.version = 5;
+  TargetEntry b = Entry("b");
+  b.target.version = 6;
+  book.Listed({a, b}, kStart);
+  CHECK(book.TakeMarks().empty());
+  a.target.leaving = true;
+  a.target.version = 7;
+  book.Put(a);
+  book.Put(a);
+  book.Removed({"b"}, kStart);
+  const std::vector<TargetMark> marks = {{{"a"}, 7, true}, {{"b"}, 6, true}};
+  CHECK(book.TakeMarks() == marks);
+  CHECK(book.TakeMarks().empty());
+  // A lapse is nobody's end.
+  TargetEntry c = Entry("c");
+  book.Put(c);
+  book.KeeperLost(kStart);
+  book.Removed({"c"}, kStart);
+  CHECK(book.TakeMarks().empty());
+}
+
 TEST_CASE("a removal tells whether the target stays in use") {
   TargetBook book(kReturn);
   book.Listed({Entry("a"), Entry("b"), Entry("c", true)}, kStart);
