A host declines grants of targets that its own later list does not have

Cause: a host declined what its list had once had; one that started after the target had left, with a fresh list, took the word of a holder whose list was old. Holders are the hosts that run longest, so a start is always the junior. Mend: grants carry the version of the target's entry at the holder. A target that this host's list lacks, at a version that the list has passed, is gone; one at a later version is new and taken. This replaces the memory of up to 2,000 names of targets that had been listed.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -55,6 +55,11 @@
   return placer;
 }
 
+std::function<std::uint64_t()> ListVersion(const GatewayHooks& hooks) {
+  if (!hooks.targets_known) return nullptr;
+  return [known = hooks.targets_known] { return known().version; };
+}
+
 double SecondsSince(Time time) {
   return std::chrono::duration<double>(Now() - time).count();
 }
@@ -69,7 +74,7 @@
         client(io),
         placement(io, {settings.self.name, settings.self.incarnation,
                        settings.self.failure_domain, settings.placement,
-                       settings.key, WithSeed(settings)}),
+                       settings.key, WithSeed(settings), ListVersion(hooks)}),
         relays{io,
                client,
                placement,
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -45,8 +45,6 @@
 constexpr int kIdleSyncs = 4;
 constexpr std::size_t kLongestDatagram = 60 * 1024;
 constexpr std::size_t kWorksPerDatagram = 400;
-/// Names of targets that are gone, which are remembered.
-constexpr std::size_t kMaxGone = 2000;
 
 }  // namespace
 
@@ -214,32 +212,22 @@
   const PlacedTarget* Unfit(const PlaceVerdict& verdict) const {
     const auto* grant = std::get_if<PlaceGrant>(&verdict);
     if (grant == nullptr) return nullptr;
+    const std::uint64_t known =
+        settings.list_version ? settings.list_version() : 0;
     for (const auto& target : grant->targets) {
-      if (unfit.contains(target.name)) return &target;
+      const auto at = listed.find(target.name);
+      const bool gone =
+          at == listed.end() && known > 0 && target.version <= known;
+      if (gone || (at != listed.end() && at->second)) return &target;
     }
     return nullptr;
   }
 
-  /// Remembers what left the list, besides what it says is leaving.
-  void NoteUnfit(const std::map<ServiceName, std::vector<PoolTarget>>& next) {
-    std::set<TargetName> leaving;
-    std::set<TargetName> listed;
-    for (const auto& [service, pool] : next) {
-      for (const auto& target : pool) {
-        listed.insert(target.name);
-        if (target.leaving) leaving.insert(target.name);
-      }
-    }
-    std::erase_if(unfit, [&listed](const TargetName& name) {
-      return listed.contains(name);
-    });
+  void NoteListed() {
+    listed.clear();
     for (const auto& [service, pool] : targets) {
-      for (const auto& target : pool) {
-        if (!listed.contains(target.name)) unfit.insert(target.name);
-      }
+      for (const auto& target : pool) listed[target.name] = target.leaving;
     }
-    while (unfit.size() > kMaxGone) unfit.erase(unfit.begin());
-    unfit.merge(leaving);
   }
 
   void Note(const Own& request, const RequestId& id, std::optional<WorkEnd> end,
@@ -483,7 +471,7 @@
   std::map<HostName, Time> silent_until;
   std::map<std::uint64_t, Own> own;
   std::map<HostName, wire::PlaceMessages> outgoing;
-  std::set<TargetName> unfit;  ///< Leaving or gone, by this host's list.
+  std::map<TargetName, bool> listed;  ///< Of `targets`: whether it leaves.
   std::uint32_t asks = 0;
   std::map<ServiceName, int> sync_rounds;  ///< Still to come.
   std::uint64_t next_sequence = 0;
@@ -528,8 +516,8 @@
 
 void Placement::SetTargets(
     const std::map<ServiceName, std::vector<PoolTarget>>& targets) {
-  state_->NoteUnfit(targets);
   state_->targets = targets;
+  state_->NoteListed();
   std::vector<ServiceName> names;
   for (const auto& [name, placer] : state_->placers) names.push_back(name);
   for (const auto& name : names) {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -31,6 +31,9 @@
   std::string address;  ///< `ip:port` to bind.
   wire::FleetKey key;
   PlacerSettings placer;
+  /// The store's version up to which this host knows the list of targets;
+  /// absent: it can't tell.
+  std::function<std::uint64_t()> list_version;
 };
 
 /// Lives on one I/O thread.
--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -3,11 +3,13 @@
 
 #include <algorithm>
 
+#include "comfreyflow/holder.h"
 #include "node/log.h"
 #include "platform/stand-ins.h"
 
 using namespace comfreyflow;            // NOLINT(google-build-using-namespace)
 using namespace comfreyflow::platform;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -265,6 +267,30 @@
   CHECK(first.requests().size() == before);
 }
 
+TEST_CASE("a host that never knew a target takes no old grant of it") {
+  Site site;
+  FakeTarget& gone = site.AddTarget("app", "i1");
+  FakeTarget& stays = site.AddTarget("app", "i2");
+  site.PutConfig(1);
+  const auto holder = site.AddHost();
+  REQUIRE(site.UntilReady(holder));
+  // The host that has run longest alone holds the placers.
+  const auto start = std::chrono::steady_clock::now();
+  REQUIRE(site.Until([&] {
+    return std::chrono::steady_clock::now() - start >
+           kCohortSpan + milliseconds(100);
+  }));
+  site.store().LoseWatches();
+  site.store().Remove("servers", "i1");
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  for (int i = 0; i < 12; ++i) {
+    CHECK(site.Call(host, "GET", "/safe/1").response.body == "answer of i2");
+  }
+  CHECK(gone.requests().empty());
+  CHECK(stays.requests().size() == 12);
+}
+
 TEST_CASE("a target whose entry another writer overwrote gets nothing more") {
   Site site;
   FakeTarget& first = site.AddTarget("app", "i1");
