--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -267,6 +267,18 @@
   CHECK(first.requests().size() == before);
 }
 
+TEST_CASE(
+    "a host whose introduction was refused once introduces itself again") {
+  Site site;
+  site.AddTarget("app", "i1");
+  site.PutConfig(1);
+  site.store().RefuseWrites(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  CHECK(site.Until(
+      [&] { return site.store().Has("comfreyflow-hosts", "host0"); }));
+}
+
 TEST_CASE("a host that never knew a target takes no old grant of it") {
   Site site;
   FakeTarget& gone = site.AddTarget("app", "i1");
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -189,6 +189,10 @@
   const std::string kind = parts.size() > 1 ? parts[1] : "";
   const std::string since = http::QueryValue(request.query, "Watch");
   if (request.method == "POST") {
+    if (refused_writes_ > 0) {
+      --refused_writes_;
+      return exchange->Respond(JsonAnswer(503, Json::object()));
+    }
     const Json body = Json::parse(request.body);
     const std::string name = body["Meta"]["Name"];
     if (Has(kind, name)) {
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -49,6 +49,8 @@
   void SetPageSize(std::size_t size) { page_size_ = size; }
   /// The next writes are done and not answered.
   void LoseAnswers(int count) { lost_answers_ = count; }
+  /// The next writes are refused as in an outage.
+  void RefuseWrites(int count) { refused_writes_ = count; }
   std::size_t calls() const { return calls_; }
   /// Drops its history: watches from before are told to list anew.
   void Forget();
@@ -81,6 +83,7 @@
   std::uint64_t revision_ = 1;
   std::size_t page_size_ = 500;
   int lost_answers_ = 0;
+  int refused_writes_ = 0;
   std::size_t calls_ = 0;
   std::uint64_t forgotten_ = 0;  ///< Changes up to here are gone.
   bool down_ = false;
