--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -289,7 +289,7 @@
 void Membership::State::LearnMarks(const Datagram& datagram, Time now,
                                    MembershipOutput& out) {
   for (const TargetMark& mark : datagram.targets) {
-    if (rumours.Learn(mark, RumourSends())) out.events.emplace_back(mark);
+    if (rumours.Learn(mark, RumourSends(), now)) out.events.emplace_back(mark);
   }
   for (const SuspectMark& mark : datagram.suspects) {
     if (rumours.Learn(mark, RumourSends(), now)) out.events.emplace_back(mark);
@@ -464,7 +464,7 @@
 }
 
 void Membership::ShareTarget(const TargetMark& mark) {
-  state_->rumours.Learn(mark, state_->RumourSends());
+  state_->rumours.Learn(mark, state_->RumourSends(), state_->last_tick);
 }
 
 void Membership::ShareSuspect(const SuspectMark& mark) {
--- a/src/core/membership/rumours.cc
+++ b/src/core/membership/rumours.cc
@@ -11,6 +11,8 @@
 constexpr std::size_t kMostSuspects = 4096;
 constexpr std::size_t kMostTargets = 8192;
 constexpr Duration kForgetSuspectAfter = std::chrono::minutes(30);
+/// All hosts have heard of a target's mark, or listed the target, by then.
+constexpr Duration kForgetTargetAfter = std::chrono::minutes(5);
 
 /// Moves up to `most` marks with sends left into `out`, the newest first.
 template <class Entries, class Marks>
@@ -33,7 +35,7 @@
 
 }  // namespace
 
-bool Rumours::Learn(const TargetMark& mark, int sends) {
+bool Rumours::Learn(const TargetMark& mark, int sends, Time now) {
   const auto known = targets_.find(mark.target);
   if (known != targets_.end()) {
     const TargetMark& have = known->second.mark;
@@ -45,7 +47,7 @@
   } else if (targets_.size() >= kMostTargets) {
     return false;
   }
-  targets_[mark.target] = {mark, sends};
+  targets_[mark.target] = {mark, sends, now};
   return true;
 }
 
@@ -66,6 +68,9 @@
 }
 
 void Rumours::Expire(Time now) {
+  std::erase_if(targets_, [&](const auto& entry) {
+    return now >= entry.second.learned + kForgetTargetAfter;
+  });
   std::erase_if(suspects_, [&](const auto& entry) {
     return now >= entry.second.learned + kForgetSuspectAfter;
   });
--- a/src/core/membership/rumours.h
+++ b/src/core/membership/rumours.h
@@ -14,16 +14,18 @@
 class Rumours {
  public:
   /// Each of these returns whether the mark was news.
-  bool Learn(const TargetMark& mark, int sends);
+  bool Learn(const TargetMark& mark, int sends, Time now);
   bool Learn(const SuspectMark& mark, int sends, Time now);
   /// Adds the marks least often sent to the datagram.
   void Fill(Datagram& datagram);
+  /// Forgets what was learned long ago, so that there is room for more.
   void Expire(Time now);
 
  private:
   struct Target {
     TargetMark mark;
     int sends_left = 0;
+    Time learned;
   };
   struct Suspect {
     SuspectMark mark;
