--- a/soak/main.cc
+++ b/soak/main.cc
@@ -83,6 +83,7 @@
   constexpr int kMostSeeds = 4;
   settings.program = "build/soak-planted-host";
   settings.fault = planted.name;
+  settings.mix = planted.mix;
   settings.directory += std::string("/") + planted.name;
   std::size_t found = 0;
   const std::uint64_t end = settings.seed + kMostSeeds;
--- a/soak/planted-host.cc
+++ b/soak/planted-host.cc
@@ -154,13 +154,26 @@
               [](WatchAnswer& changes) { changes.changes.clear(); });
 }
 
+/// Lets each watch wait for half a minute.
+void KeepWatches(HostParts& parts) {
+  parts.wrap_store = [](ObjectStore store) {
+    store.watch = [watch = store.watch](const std::string& kind,
+                                        std::uint64_t version, Duration wait,
+                                        const gateway::WatchHandler& handler) {
+      constexpr Duration kWait = std::chrono::seconds(30);
+      watch(kind, version, wait > Duration::zero() ? kWait : wait, handler);
+    };
+    return store;
+  };
+}
+
 using Plant = void (*)(HostParts&);
 
 /// In the order of `kPlanted`.
 constexpr std::array<Plant, kPlanted.size()> kPlants = {
-    RepeatFailed,  PromiseFailed, DropMark,           PassKey,
-    ChangeAccount, ChangePath,    SkipEvent,          TakeAnyKey,
-    KeepMemory,    IgnoreLeaving, IgnoreConfiguration};
+    RepeatFailed,        PromiseFailed, DropMark,   PassKey,    ChangeAccount,
+    ChangePath,          SkipEvent,     TakeAnyKey, KeepMemory, IgnoreLeaving,
+    IgnoreConfiguration, KeepWatches};
 
 Plant Find(const std::string& fault) {
   for (std::size_t i = 0; i < kPlanted.size(); ++i) {
--- a/soak/planted.h
+++ b/soak/planted.h
@@ -4,14 +4,17 @@
 
 #include <array>
 
+#include "soak/schedule.h"
+
 namespace comfreyflow::soak {
 
 struct Planted {
   const char* name;
   const char* promise;
+  Mix mix = Mix::kMixed;  ///< That shows it.
 };
 
-inline constexpr std::array<Planted, 11> kPlanted = {
+inline constexpr std::array<Planted, 12> kPlanted = {
     {{"repeats_failed", "TWICE"},
      {"promises_failed", "REFUSED"},
      {"drops_mark", "MIXED"},
@@ -22,6 +25,7 @@
      {"takes_any_key", "CONFIG"},
      {"keeps_memory", "LEAK"},
      {"ignores_leaving", "DRAIN"},
-     {"ignores_configuration", "CONFIG"}}};
+     {"ignores_configuration", "CONFIG"},
+     {"keeps_watches", "DRAIN", Mix::kLeaving}}};
 
 }  // namespace comfreyflow::soak
