Targets that did not come back after an outage are dropped in time, not with the next housekeeping

Cause: entries kept as possible lapses (kept in target_removed) were dropped by a tick each second, and an outage's end was found up to a second late. So a host uses no such target when it counts as in touch, 3 s after the outage. Tests: target-book-test (what Tick returns; 'for some minutes, whose marks are bounded').

--- a/include/comfreyflow/target-book.h
+++ b/include/comfreyflow/target-book.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -47,8 +48,9 @@
   /// The list's keeper does not answer, or answers again.
   void KeeperLost(Time now);
   void KeeperBack(Time now);
-  /// Drops entries that are still missing; when to call it again, if ever.
-  void Tick(Time now);
+  /// Drops entries that are still missing; when to call it again for those that
+  /// are left, if ever.
+  std::optional<Time> Tick(Time now);
   /// True once after each change; a later version of an entry that is the same
   /// otherwise is none.
   bool TakeChanged();
@@ -68,7 +70,12 @@
   bool ClosedByMark(const TargetEntry& entry) const;
 
   std::map<TargetName, TargetEntry> entries_;
-  std::map<TargetName, std::uint64_t> marks_;  ///< By peers: closed as of.
+  /// A peer's word: closed as of a version of the entry.
+  struct Closed {
+    std::uint64_t version = 0;
+    Time heard;
+  };
+  std::map<TargetName, Closed> marks_;
   /// Closed by a peer's word alone, since when.
   std::map<TargetName, Time> unconfirmed_;
   std::vector<TargetMark> news_;
--- a/src/core/follow/follow-plan.cc
+++ b/src/core/follow/follow-plan.cc
@@ -10,7 +10,9 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kFirstRetry = milliseconds(50);
-constexpr Duration kLongestRetry = milliseconds(1000);
+/// With the time for which lapsed entries are used after an outage less than
+/// the 3 s after which a host counts as being in touch.
+constexpr Duration kLongestRetry = milliseconds(600);
 /// Before the first list a host can't serve at all.
 constexpr Duration kLongestFirstRetry = milliseconds(300);
 constexpr std::uint32_t kMostDoublings = 8;
--- a/src/core/targets/target-book.cc
+++ b/src/core/targets/target-book.cc
@@ -10,6 +10,8 @@
 
 /// The list tells what a peer told within this time, or its watch is broken.
 constexpr Duration kListPatience = std::chrono::seconds(1);
+/// The list has told of what a peer told so long ago.
+constexpr Duration kMarkLife = std::chrono::minutes(5);
 constexpr std::size_t kMostMarks = 4000;
 
 }  // namespace
@@ -46,7 +48,7 @@
     known.target.version = entry.target.version;
     return false;
   }
-  if (entry.target.leaving && entry.target.version != known.target.version) {
+  if (entry.target.leaving && !known.target.leaving) {
     news_.push_back({name, entry.target.version, true});
   }
   if (ClosedByMark(entry)) {
@@ -87,7 +89,7 @@
 
 bool TargetBook::ClosedByMark(const TargetEntry& entry) const {
   const auto at = marks_.find(entry.target.name);
-  return at != marks_.end() && entry.target.version <= at->second;
+  return at != marks_.end() && entry.target.version <= at->second.version;
 }
 
 bool TargetBook::Marked(const TargetMark& mark, Time now) {
@@ -97,9 +99,9 @@
   const bool gone =
       at != entries_.end() && mark.version == at->second.target.version;
   if (gone && Settling(now)) return false;
-  if (marks_.size() >= kMostMarks) marks_.erase(marks_.begin());
-  std::uint64_t& closed = marks_[mark.target];
-  closed = std::max(closed, mark.version);
+  if (marks_.size() >= kMostMarks) return false;
+  Closed& closed = marks_[mark.target];
+  closed = {std::max(closed.version, mark.version), now};
   if (at == entries_.end() || at->second.target.leaving ||
       !ClosedByMark(at->second)) {
     return false;
@@ -131,14 +133,19 @@
   back_ = now;
 }
 
-void TargetBook::Tick(Time now) {
-  if (missing_.empty() || Settling(now)) return;
+std::optional<Time> TargetBook::Tick(Time now) {
+  std::erase_if(marks_, [now](const auto& entry) {
+    return now - entry.second.heard > kMarkLife;
+  });
+  if (missing_.empty() || lost_) return std::nullopt;
+  if (Settling(now)) return back_ + return_time_;
   for (const auto& [name, since] : missing_) {
     entries_.erase(name);
     unconfirmed_.erase(name);
   }
   missing_.clear();
   changed_ = true;
+  return std::nullopt;
 }
 
 bool TargetBook::TakeChanged() { return std::exchange(changed_, false); }
--- a/test/follow-plan-test.cc
+++ b/test/follow-plan-test.cc
@@ -93,7 +93,7 @@
   CHECK_FALSE(plan.store_up());
   CHECK_FALSE(plan.Next(kTargets, 6));
   CHECK(plan.Next(kDocument, 6)->wait == Duration::zero());
-  CHECK(plan.Failed(kDocument).pause <= seconds(1));
+  CHECK(plan.Failed(kDocument).pause <= milliseconds(600));
   const auto effect = plan.Changed(kDocument, 7, true, 6);
   CHECK(effect.back);
   CHECK(effect.pause == Duration::zero());
@@ -108,12 +108,12 @@
     CHECK(plan.Next(kTargets, 6)->wait > Duration::zero());
     const auto effect = plan.Failed(kTargets);
     CHECK(*effect.pause >= before);
-    CHECK(*effect.pause <= seconds(1));
+    CHECK(*effect.pause <= milliseconds(600));
     before = *effect.pause;
     plan.Next(kTargets, 6);
     plan.Changed(kTargets, 5, false, 6);
   }
-  CHECK(before == seconds(1));
+  CHECK(before == milliseconds(600));
   plan.Next(kTargets, 6);
   plan.Changed(kTargets, 5, false, 6);
   plan.Next(kTargets, 6);
--- a/test/target-book-test.cc
+++ b/test/target-book-test.cc
@@ -55,7 +55,8 @@
     CHECK(InPool(book) == 2);
   }
   SUBCASE("one that did not is gone") {
-    book.Tick(kStart + seconds(5) + kReturn);
+    CHECK(book.Tick(kStart + seconds(6)) == kStart + seconds(5) + kReturn);
+    CHECK_FALSE(book.Tick(kStart + seconds(5) + kReturn));
     CHECK(InPool(book) == 1);
     CHECK(book.missing() == 0);
   }
@@ -190,6 +191,16 @@
     CHECK(book.Marked({{"a"}, 5, true}, kStart));
     CHECK(leaving(book));
   }
+  SUBCASE("for some minutes, whose marks are bounded") {
+    book.Marked({{"a"}, 8, true}, kStart);
+    for (int i = 0; i < 5000; ++i) {
+      book.Marked({{"gone" + std::to_string(i)}, 3, true}, kStart);
+    }
+    const Time later = kStart + std::chrono::minutes(6);
+    book.Tick(later);
+    book.Put(entry("b", 5));
+    CHECK(book.Marked({{"b"}, 6, true}, later));
+  }
   SUBCASE("not at an earlier version") {
     CHECK_FALSE(book.Marked({{"a"}, 4, true}, kStart));
     CHECK_FALSE(leaving(book));
