--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -84,6 +84,9 @@
   TargetName target;
   std::uint64_t version = 0;
   bool closed = true;
+  /// The start that leaves by the target's own word, at any version of its
+  /// entry; 0: the mark stands for entries up to `version`.
+  std::uint64_t start = 0;
   bool operator==(const TargetMark&) const = default;
 };
 
--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -60,6 +60,7 @@
   /// Memory to set aside there before the request is sent; 0: none.
   std::uint32_t reserve_tokens = 0;
   std::uint64_t version = 0;  ///< Of its entry where it was chosen.
+  std::uint64_t born = 0;     ///< Its start, as that entry has it.
   bool operator==(const PlacedTarget&) const = default;
 };
 
@@ -139,6 +140,12 @@
              Time now);
   /// The work of a host's starts before `incarnation` is gone with them.
   void Forget(const HostName& host, Incarnation incarnation);
+  /// The target wants no request of that host before `until`: it is full for
+  /// that host, and taken by others only while no other target is free.
+  void Rest(const TargetName& target, const HostName& host, Time until,
+            Time now);
+  /// How many hosts there are to send requests.
+  void SetHosts(std::size_t hosts) { hosts_ = hosts; }
   /// Grants nothing before `until`: other hosts' running work is not known yet.
   void HoldUntil(Time until) { held_until_ = until; }
   Time held_until() const { return held_until_; }
@@ -201,6 +208,7 @@
     double pace = 1;
     double error_share = 0;
     Time paced;
+    std::map<HostName, Time> rests;  ///< Hosts that it wants nothing of.
   };
   /// Invariant: a placed work is counted at each of its targets, whether they
   /// are listed or not.
@@ -254,6 +262,11 @@
   void PlanMemory(Work& work, const std::vector<Target*>& targets) const;
   void Refuse(const Work& work, Errc code, Duration retry_after);
   bool Hopeless(const Work& work, Time now) const;
+  std::optional<Duration> ComeBackAfter(const Work& work, Time now) const;
+  bool RefuseWaiting(const Work& work, Time now);
+  bool InPool(const Target& target, const Work& work) const;
+  static bool RestsFor(const Target& target, const HostName& host, Time at);
+  static bool Rests(const Target& target, Time now);
   /// Late, priority, end of the objective.
   using Rank = std::tuple<bool, std::uint32_t, Time>;
   std::vector<std::pair<Rank, Work*>> RankWaiting(Time now);
@@ -278,6 +291,7 @@
   std::deque<Bucket> buckets_;
   std::vector<PlaceVerdict> verdicts_;
   Time held_until_;
+  std::size_t hosts_ = 1;
   /// Reading time of short prompts asked for per second, averaged.
   double short_reads_ = 0;
   Time short_noted_;
--- a/include/comfreyflow/target-book.h
+++ b/include/comfreyflow/target-book.h
@@ -22,6 +22,15 @@
   bool operator==(const TargetEntry&) const = default;
 };
 
+/// A target's own word, in an answer, that its start `born` leaves.
+struct TargetLeft {
+  TargetName target;
+  std::uint64_t born = 0;     ///< 0: the start that is known here.
+  std::uint64_t version = 0;  ///< Of an entry of that start; 0: not known.
+  /// Where the answer came from; empty: from the target, whatever its address.
+  std::string address;
+};
+
 class TargetBook {
  public:
   /// `return_time`: how long after the list's keeper is back entries may still
@@ -40,8 +49,12 @@
   /// A peer knows that the target takes no new work as of that version of its
   /// entry. Whether it was in use here until now.
   bool Marked(const TargetMark& mark, Time now);
-  /// Targets that the list says to leave or that are gone from it, since the
-  /// last call; for the peers.
+  /// The target leaves by its own word: that start of it takes no new work
+  /// here, whatever the list says, until a later start is listed. Whether that
+  /// is news.
+  bool ToldLeaving(const TargetLeft& left, Time now);
+  /// Targets that leave or are gone from the list, since the last call; for the
+  /// peers.
   std::vector<TargetMark> TakeMarks();
   /// Whether the list has not told by now what a peer told some time ago.
   bool Behind(Time now) const;
@@ -56,9 +69,13 @@
   bool TakeChanged();
 
   std::map<ServiceName, std::vector<PoolTarget>> Pool() const;
+  /// Whether the target takes no new work, by the list, a peer or itself.
+  bool Leaving(const TargetName& name) const;
   std::size_t size() const { return entries_.size(); }
   /// Entries that are missing from the list and still in use.
   std::size_t missing() const { return missing_.size(); }
+  /// Starts that are closed by their own word.
+  std::size_t told_leaving() const { return left_.size(); }
 
  private:
   bool Settling(Time now) const;
@@ -68,6 +85,11 @@
 
   /// Whether a peer's word on the target is later than the entry.
   bool ClosedByMark(const TargetEntry& entry) const;
+  /// Whether the entry is of the start that leaves by its own word; forgets
+  /// that word if it is of a later start.
+  bool ClosedByOwnWord(const TargetEntry& entry);
+  bool Close(const TargetLeft& told, Time now);
+  void ForgetOwnWords(Time now);
 
   std::map<TargetName, TargetEntry> entries_;
   /// A peer's word: closed as of a version of the entry.
@@ -76,6 +98,15 @@
     Time heard;
   };
   std::map<TargetName, Closed> marks_;
+  /// A start that leaves by its own word. Invariant: `version` is the highest
+  /// known of an entry of that start, so that an entry of another start is a
+  /// later one if and only if its version is higher.
+  struct Left {
+    std::uint64_t born = 0;  ///< 0: not known; that of the next entry.
+    std::uint64_t version = 0;
+    Time heard;
+  };
+  std::map<TargetName, Left> left_;
   /// Closed by a peer's word alone, since when.
   std::map<TargetName, Time> unconfirmed_;
   std::vector<TargetMark> news_;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -147,7 +147,8 @@
   TCLAP::ValueArg<std::string> planted(
       "", "planted", "check that this fault, planted in the host, is found",
       false, "", "NAME", line);
-  std::vector<std::string> mixes = {"mixed", "leaving"};
+  std::vector<std::string> mixes = {
+      ToString(Mix::kMixed), ToString(Mix::kLeaving), ToString(Mix::kTold)};
   TCLAP::ValuesConstraint<std::string> known_mixes(mixes);
   TCLAP::ValueArg<std::string> mix("", "mix", "what is done to the hosts",
                                    false, mixes.front(), &known_mixes, line);
@@ -168,7 +169,7 @@
   settings.length = std::chrono::seconds(length.getValue());
   settings.quiet = std::chrono::seconds(quiet.getValue());
   settings.timed = timed.getValue();
-  settings.mix = mix.getValue() == "leaving" ? Mix::kLeaving : Mix::kMixed;
+  settings.mix = MixOf(mix.getValue()).value_or(Mix::kMixed);
   settings.only = TroublesOf(only.getValue());
   if (planted.isSet()) return FindPlanted(settings, planted.getValue());
   return Play(settings, count.getValue(), story.getValue());
--- a/soak/planted-host.cc
+++ b/soak/planted-host.cc
@@ -167,13 +167,31 @@
   };
 }
 
+void IgnoreToldLeaving(HostParts& parts) {
+  parts.edge.read_head = [read = parts.edge.read_head](const auto& response) {
+    gateway::TargetHead head = read(response);
+    head.leaving = false;
+    return head;
+  };
+}
+
+void IgnoreRetryAfter(HostParts& parts) {
+  parts.edge.read_head = [read = parts.edge.read_head](const auto& response) {
+    gateway::TargetHead head = read(response);
+    head.rest.reset();
+    return head;
+  };
+}
+
 using Plant = void (*)(HostParts&);
 
 /// In the order of `kPlanted`.
 constexpr std::array<Plant, kPlanted.size()> kPlants = {
-    RepeatFailed,        PromiseFailed, DropMark,   PassKey,    ChangeAccount,
-    ChangePath,          SkipEvent,     TakeAnyKey, KeepMemory, IgnoreLeaving,
-    IgnoreConfiguration, KeepWatches};
+    RepeatFailed,      PromiseFailed,       DropMark,
+    PassKey,           ChangeAccount,       ChangePath,
+    SkipEvent,         TakeAnyKey,          KeepMemory,
+    IgnoreLeaving,     IgnoreConfiguration, KeepWatches,
+    IgnoreToldLeaving, IgnoreRetryAfter};
 
 Plant Find(const std::string& fault) {
   for (std::size_t i = 0; i < kPlanted.size(); ++i) {
--- a/soak/planted.h
+++ b/soak/planted.h
@@ -14,7 +14,7 @@
   Mix mix = Mix::kMixed;  ///< That shows it.
 };
 
-inline constexpr std::array<Planted, 12> kPlanted = {
+inline constexpr std::array<Planted, 14> kPlanted = {
     {{"repeats_failed", "TWICE"},
      {"promises_failed", "REFUSED"},
      {"drops_mark", "MIXED"},
@@ -26,6 +26,8 @@
      {"keeps_memory", "LEAK"},
      {"ignores_leaving", "DRAIN"},
      {"ignores_configuration", "CONFIG"},
-     {"keeps_watches", "DRAIN", Mix::kLeaving}}};
+     {"keeps_watches", "DRAIN", Mix::kLeaving},
+     {"ignores_told_leaving", "DRAIN", Mix::kTold},
+     {"ignores_retry_after", "BUDGET", Mix::kTold}}};
 
 }  // namespace comfreyflow::soak
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -49,6 +49,7 @@
       CheckKey(sent);
     }
     for (const auto& run : records_.runs) CheckLeaving(run);
+    for (const auto& word : records_.words) CheckWord(word);
     CheckMemory();
     CheckRecovered();
     CheckPeers();
@@ -69,6 +70,10 @@
             {"DENIED", count("DENIED"), all, "keys in force"},
             {"GONE", count("GONE"), all, "callers that left"},
             LeavingJudged(),
+            {"DRAIN", count("DRAIN told"),
+             static_cast<double>(records_.words.size()), "own words"},
+            {"BUDGET", count("BUDGET rest"),
+             static_cast<double>(records_.words.size()), "rests"},
             {"LEAK", count("LEAK"), static_cast<double>(records_.held.size()),
              "reservations"},
             {"RECOVER", count("RECOVER"), all, "requests"},
@@ -360,6 +365,47 @@
     }
   }
 
+  /// DRAIN, BUDGET: what a target says of itself to a host binds that host, in
+  /// touch or not, unless it was stopped, started or paused since.
+  void CheckWord(const Word& word) {
+    const auto at = sent_.find(word.id);
+    if (at == sent_.end() || at->second->left) return;
+    const std::size_t host = at->second->host;
+    const Time from =
+        word.at + (word.rest ? bounds_.rest_slack : bounds_.drain);
+    const Time end = word.rest ? word.at + *word.rest : records_.over;
+    std::vector<std::string> late;
+    for (const Run* run : RunsAt(host, word.target)) {
+      if (run->born != word.born || run->at <= from || run->at >= end) continue;
+      // What its caller sent in time may be late.
+      if (!word.rest && sent_.at(run->id)->at <= from) continue;
+      if (!Disturbed(Subject::kHost, host, word.at, run->at)) {
+        late.push_back(run->id);
+      }
+    }
+    const bool whole = from < std::min(end, records_.over) &&
+                       !Disturbed(Subject::kHost, host, word.at, from);
+    if (whole) ++judged_[word.rest ? "BUDGET rest" : "DRAIN told"];
+    if (late.size() <= (word.rest ? bounds_.rest_requests : 0)) return;
+    Note(word.rest ? "BUDGET" : "DRAIN", late.front(),
+         "and " + std::to_string(late.size() - 1) + " more by host " +
+             std::to_string(host) + " reached target " +
+             std::to_string(word.target) +
+             (word.rest ? ", which wanted nothing" : ", which said it leaves"));
+  }
+
+  /// What reached the target from the host.
+  const std::vector<const Run*>& RunsAt(std::size_t host, std::size_t target) {
+    if (runs_at_.empty()) {
+      for (const auto& run : records_.runs) {
+        const auto at = sent_.find(run.id);
+        if (at == sent_.end()) continue;
+        runs_at_[{at->second->host, run.target}].push_back(&run);
+      }
+    }
+    return runs_at_[{host, target}];
+  }
+
   /// LEAK: memory is free soon after its last use.
   void CheckMemory() {
     for (const auto& held : records_.held) {
@@ -419,6 +465,9 @@
   const Bounds& bounds_;
   std::map<std::string, const Sent*> sent_;
   std::map<std::string, std::vector<const Run*>> runs_;
+  /// By host and target.
+  std::map<std::pair<std::size_t, std::size_t>, std::vector<const Run*>>
+      runs_at_;
   std::vector<Breach> breaches_;
   std::map<std::string, std::size_t> judged_;
 };
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -13,6 +13,10 @@
   Duration config = std::chrono::milliseconds(2000);
   Duration drain = std::chrono::milliseconds(2000);
   Duration touch = std::chrono::milliseconds(3000);
+  /// A target that wants nothing for a while may get what was on its way for so
+  /// long, and this many requests afterwards.
+  Duration rest_slack = std::chrono::milliseconds(500);
+  std::size_t rest_requests = 2;
   Duration late_answer = std::chrono::milliseconds(500);
   /// From the order to stop until the process is ended by force.
   Duration stop = std::chrono::seconds(4);
--- a/soak/records.h
+++ b/soak/records.h
@@ -37,6 +37,7 @@
 struct Run {
   std::string id;
   std::size_t target = 0;
+  std::uint64_t born = 1;  ///< Start of the target.
   Time at;
   bool ran = true;      ///< False: the target refused it and said so.
   bool failed = false;  ///< The target answered with a failure of its own.
@@ -62,6 +63,16 @@
   std::optional<Time> until;
 };
 
+/// What a start of a target said of itself in its answer to a request.
+struct Word {
+  std::string id;  ///< Of the request.
+  std::size_t target = 0;
+  std::uint64_t born = 1;
+  Time at;
+  /// It wants nothing of the host that asked for so long; absent: it leaves.
+  std::optional<Duration> rest;
+};
+
 enum class Subject : std::uint8_t {
   kHost,        ///< The process was killed, started, stopped or paused.
   kStorePath,   ///< Between a host and the store.
@@ -93,6 +104,7 @@
   std::deque<Run> runs;
   std::vector<KeyLife> keys;
   std::vector<Leaving> leaving;
+  std::vector<Word> words;
   std::vector<Disturbance> disturbances;
   std::vector<Held> held;
   /// Live hosts that each host knew when all had been quiet, itself included;
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -31,24 +31,37 @@
     Trouble::kStoreReset,        Trouble::kStoreForgets,
     Trouble::kTargetHangs,       Trouble::kKeyChange};
 
+/// What `Mix::kTold` has besides.
+constexpr std::array kToldTroubles = {
+    Trouble::kTargetTells, Trouble::kTargetRests, Trouble::kTargetPours,
+    Trouble::kTargetTells, Trouble::kTargetRests, Trouble::kHostPause,
+    Trouble::kStoreDown};
+
+constexpr std::array kMixNames = {"mixed", "leaving", "told"};
+
 const Pace& PaceOf(Mix mix) {
-  return mix == Mix::kLeaving ? kLeavingPace : kMixedPace;
+  return mix == Mix::kMixed ? kMixedPace : kLeavingPace;
 }
 
 /// A path that stays disturbed keeps hosts out of touch.
 constexpr Duration kLongestReset = std::chrono::seconds(1);
 
 Duration LifeOf(Mix mix, Trouble trouble, Duration drawn) {
-  const bool brief = mix == Mix::kLeaving && trouble == Trouble::kStoreReset;
+  const bool brief = mix != Mix::kMixed && (trouble == Trouble::kStoreReset ||
+                                            trouble == Trouble::kHostPause);
   return brief ? std::min(drawn, kLongestReset) : drawn;
 }
 
 /// What is drawn from, evenly.
 std::vector<Trouble> TroublesOf(Mix mix) {
-  if (mix == Mix::kLeaving) {
-    return {kLeavingTroubles.begin(), kLeavingTroubles.end()};
-  }
   std::vector<Trouble> out;
+  if (mix != Mix::kMixed) {
+    out.assign(kLeavingTroubles.begin(), kLeavingTroubles.end());
+  }
+  if (mix == Mix::kTold) {
+    out.insert(out.end(), kToldTroubles.begin(), kToldTroubles.end());
+  }
+  if (mix != Mix::kMixed) return out;
   for (int i = 0; i < kMixedTroubles; ++i) {
     out.push_back(static_cast<Trouble>(i));
   }
@@ -74,10 +87,22 @@
       "store_forgets_links", "store_forgets_host_links",
       "target_drains",       "target_goes",
       "targets_go",          "target_unreadable",
-      "target_report_late"};
+      "target_report_late",  "target_tells",
+      "target_rests",        "target_pours"};
   return kNames.at(static_cast<std::size_t>(trouble));
 }
 
+const char* ToString(Mix mix) {
+  return kMixNames.at(static_cast<std::size_t>(mix));
+}
+
+std::optional<Mix> MixOf(const std::string& name) {
+  for (std::size_t i = 0; i < kMixNames.size(); ++i) {
+    if (name == kMixNames[i]) return static_cast<Mix>(i);
+  }
+  return std::nullopt;
+}
+
 Duration LongestLife(Mix mix) { return PaceOf(mix).longest_life; }
 
 std::optional<Trouble> TroubleOf(const std::string& name) {
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -44,18 +44,26 @@
   kTargetsGo,              ///< Three at once, told and untold.
   kTargetUnreadable,       ///< Another writer's bytes stand in its entry.
   kTargetReportLate,       ///< Leaves, and an older report arrives afterwards.
+  // Below: only in `Mix::kTold`.
+  kTargetTells,  ///< Says in its answers that it leaves; the list does not.
+  kTargetRests,  ///< Turns requests away and says for how long.
+  kTargetPours,  ///< Sends bytes that are no answer, without end.
 };
 /// Those of `Mix::kMixed`, and all.
 inline constexpr int kMixedTroubles = 24;
-inline constexpr int kTroubles = 31;
+inline constexpr int kTroubles = 34;
 
 /// What a soak looks for.
 enum class Mix : std::uint8_t {
   kMixed,    ///< Everything, two a second: hosts are seldom in touch.
   kLeaving,  ///< Targets leave and connections go silent; hosts are in touch
              ///< for most of the time.
+  kTold,     ///< As `kLeaving`; what targets say of themselves as well.
 };
 
+const char* ToString(Mix mix);
+std::optional<Mix> MixOf(const std::string& name);
+
 const char* ToString(Trouble trouble);
 std::optional<Trouble> TroubleOf(const std::string& name);
 
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -22,6 +22,10 @@
 /// Of picks, those of any key that ever was.
 constexpr double kOldKeyShare = 0.1;
 constexpr double kErrorShare = 0.5;
+constexpr milliseconds kShortestRest{600};
+constexpr milliseconds kLongestRest{3000};
+constexpr std::size_t kPouredBytes = 16 * 1024;
+constexpr milliseconds kBetweenPours{5};
 
 std::string AccountOf(std::uint64_t number) {
   return "account" + std::to_string(number % kAccounts);
@@ -43,6 +47,7 @@
   Behaviour behaviour = Behaviour::kSound;
   std::uint64_t born = 1;     ///< Changes with each start.
   std::uint64_t reports = 1;  ///< Since its start.
+  bool tells = false;         ///< All its answers say that it leaves.
   std::size_t orders_read = 0;
   std::vector<http::ExchangePtr> hanging;  ///< Never answered.
 };
@@ -82,6 +87,10 @@
   if (behaviour == Behaviour::kSound) targets_.at(target)->hanging.clear();
 }
 
+void Site::SetTells(std::size_t target, bool tells) {
+  targets_.at(target)->tells = tells;
+}
+
 void Site::List(std::size_t number, const std::string& state) {
   Target& target = *targets_.at(number);
   PutEntry(target, state, ++target.reports);
@@ -166,12 +175,49 @@
   return in_force[pick(in_force.size())];
 }
 
+/// The head of an answer, with what the target says of itself.
+http::Response Site::Head(const Target& target, const http::Request& request,
+                          int status) {
+  http::Response head = target.fake.Head(request, status);
+  if (!target.tells) return head;
+  head.fields.push_back({"server-leaving", "1"});
+  records_.words.push_back(
+      {std::string(http::FieldValue(request.fields, "x-request-id")),
+       target.number, target.born, Now(), std::nullopt});
+  return head;
+}
+
+/// Bytes that are no answer, until the other end closes.
+void Site::Pour(Target& target, const http::ExchangePtr& exchange) {
+  http::Response head = Head(target, exchange->request(), 200);
+  if (target.service == kEngineService) {
+    head.content_type = "text/event-stream";
+  } else {
+    std::erase_if(head.fields,
+                  [](const auto& field) { return field.name == "x-seal"; });
+  }
+  exchange->StartStream(std::move(head));
+  const auto closed = std::make_shared<bool>(false);
+  exchange->OnGone([closed] { *closed = true; });
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_);
+  const auto step = std::make_shared<std::function<void()>>();
+  *step = [exchange, closed, timer, weak = std::weak_ptr(step)] {
+    const auto self = weak.lock();
+    if (*closed) return;
+    exchange->Write(std::string(kPouredBytes, 'z'));
+    timer->expires_after(kBetweenPours);
+    timer->async_wait([self](const boost::system::error_code&) { (*self)(); });
+  };
+  (*step)();
+}
+
 void Site::Take(Target& target, const http::ExchangePtr& exchange) {
   const http::Request& request = exchange->request();
   const std::size_t number = records_.runs.size();
   Run& run = records_.runs.emplace_back();
   run.id = http::FieldValue(request.fields, "x-request-id");
   run.target = target.number;
+  run.born = target.born;
   run.at = Now();
   run.path = request.target;
   run.body = request.body;
@@ -182,7 +228,7 @@
     if (!ended.ended) ended.ended = Now();
   });
   const auto answer = [&](int status) {
-    http::Response head = target.fake.Head(request, status);
+    http::Response head = Head(target, request, status);
     if (!run.ran) head.fields.push_back({"x-not-run", "1"});
     run.ended = run.at;
     exchange->Respond(std::move(head));
@@ -201,6 +247,11 @@
     case Behaviour::kHangs:
       target.hanging.push_back(exchange);
       return;
+    case Behaviour::kRests:
+      run.ran = false;
+      return TurnAway(target, exchange, run);
+    case Behaviour::kPours:
+      return Pour(target, exchange);
     case Behaviour::kSound:
       break;
   }
@@ -211,7 +262,7 @@
       std::make_shared<boost::asio::steady_timer>(io_, kPlainWork);
   timer->async_wait([this, timer, &target, exchange,
                      number](const boost::system::error_code&) {
-    http::Response response = target.fake.Head(exchange->request());
+    http::Response response = Head(target, exchange->request(), 200);
     Run& ended = records_.runs[number];
     response.body = AnswerOf(ended.path, ended.body);
     if (!ended.ended) ended.ended = Now();
@@ -219,6 +270,21 @@
   });
 }
 
+void Site::TurnAway(Target& target, const http::ExchangePtr& exchange,
+                    Run& run) {
+  std::uniform_int_distribution<milliseconds::rep> draw(kShortestRest.count(),
+                                                        kLongestRest.count());
+  const milliseconds rest(draw(random_));
+  http::Response head = Head(target, exchange->request(), 503);
+  head.fields.push_back({"x-not-run", "1"});
+  head.fields.push_back(
+      {"retry-after",
+       std::to_string(std::chrono::duration<double>(rest).count())});
+  records_.words.push_back({run.id, target.number, target.born, Now(), rest});
+  run.ended = run.at;
+  exchange->Respond(std::move(head));
+}
+
 /// Events from the one behind `Last-Event-Id` on, one by one.
 void Site::Stream(Target& target, const http::ExchangePtr& exchange,
                   std::size_t run) {
@@ -239,7 +305,7 @@
     Run& record = records_.runs[run];
     if (record.ended) return;
     if (!std::exchange(self->begun, true)) {
-      http::Response head = target.fake.Head(exchange->request());
+      http::Response head = Head(target, exchange->request(), 200);
       head.content_type = "text/event-stream";
       exchange->StartStream(std::move(head));
     }
--- a/soak/site.h
+++ b/soak/site.h
@@ -19,7 +19,9 @@
   kErrors,
   kRefuses,
   kLoses,
-  kHangs
+  kHangs,
+  kRests,  ///< Turns requests away and wants nothing for a while.
+  kPours   ///< Sends bytes that are no answer until it is closed.
 };
 
 inline constexpr const char* kPlainService = "app";
@@ -48,6 +50,8 @@
   void ListLate(std::size_t target, const std::string& state);
   /// Another writer's bytes as its entry.
   void ListUnreadable(std::size_t target);
+  /// Whether all answers of the target say that it leaves.
+  void SetTells(std::size_t target, bool tells);
   /// The target starts anew under its name, and reports.
   void Restart(std::size_t target);
 
@@ -64,6 +68,10 @@
   void PutEntry(const Target& target, const std::string& state,
                 std::uint64_t report);
   void PutConfig();
+  http::Response Head(const Target& target, const http::Request& request,
+                      int status);
+  void TurnAway(Target& target, const http::ExchangePtr& exchange, Run& run);
+  void Pour(Target& target, const http::ExchangePtr& exchange);
   void Take(Target& target, const http::ExchangePtr& exchange);
   void Stream(Target& target, const http::ExchangePtr& exchange,
               std::size_t run);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -38,6 +38,7 @@
 /// the next one so long after that.
 constexpr Duration kLateReport = milliseconds(2500);
 constexpr Duration kNextReport = milliseconds(1200);
+constexpr Duration kReportPause = seconds(1);
 constexpr std::size_t kTogether = 3;
 constexpr int kStormChanges = 5;
 constexpr Duration kStormGap = milliseconds(150);
@@ -266,6 +267,22 @@
        [this, target] { site_.List(target, "draining"); });
   }
 
+  /// Says in its answers that it leaves, while its reports call it ready; goes
+  /// and comes back as a new start.
+  void Tell(std::size_t target, Duration life) {
+    if (!leaving_.insert(target).second) return;
+    site_.SetTells(target, true);
+    for (Duration at = kReportPause; at < life; at += kReportPause) {
+      At(at, [this, target] { site_.List(target, "ready"); });
+    }
+    At(life, [this, target] { site_.Unlist(target); });
+    At(life + kAwayTime, [this, target] {
+      leaving_.erase(target);
+      site_.SetTells(target, false);
+      site_.Restart(target);
+    });
+  }
+
   /// Another writer's bytes stand in the entry until the target reports again.
   void Overwrite(std::size_t target, Duration life) {
     if (!leaving_.insert(target).second) return;
@@ -321,7 +338,21 @@
       return CarryTarget(event, target);
     }
     if (event.trouble <= Trouble::kCallersSlow) return CarryOther(event, host);
-    CarryLeaving(event, host, target);
+    if (event.trouble <= Trouble::kTargetReportLate) {
+      return CarryLeaving(event, host, target);
+    }
+    CarryTold(event, target);
+  }
+
+  void CarryTold(const Event& event, std::size_t target) {
+    switch (event.trouble) {
+      case Trouble::kTargetTells:
+        return Tell(target, event.life);
+      case Trouble::kTargetRests:
+        return Misbehave(target, Behaviour::kRests, event);
+      default:
+        return Misbehave(target, Behaviour::kPours, event);
+    }
   }
 
   void CarryLeaving(const Event& event, std::size_t host, std::size_t target) {
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -289,7 +289,9 @@
 void Membership::State::LearnMarks(const Datagram& datagram, Time now,
                                    MembershipOutput& out) {
   for (const TargetMark& mark : datagram.targets) {
-    if (rumours.Learn(mark, RumourSends(), now)) out.events.emplace_back(mark);
+    if (!rumours.Learn(mark, RumourSends(), now)) continue;
+    out.events.emplace_back(mark);
+    announce = kAnnounceTo;
   }
   for (const SuspectMark& mark : datagram.suspects) {
     if (rumours.Learn(mark, RumourSends(), now)) out.events.emplace_back(mark);
@@ -464,7 +466,10 @@
 }
 
 void Membership::ShareTarget(const TargetMark& mark) {
-  state_->rumours.Learn(mark, state_->RumourSends(), state_->last_tick);
+  State& state = *state_;
+  if (state.rumours.Learn(mark, state.RumourSends(), state.last_tick)) {
+    state.announce = kAnnounceTo;
+  }
 }
 
 void Membership::ShareSuspect(const SuspectMark& mark) {
--- a/src/core/membership/rumours.cc
+++ b/src/core/membership/rumours.cc
@@ -35,10 +35,19 @@
 
 }  // namespace
 
-bool Rumours::Learn(const TargetMark& mark, int sends, Time now) {
-  const auto known = targets_.find(mark.target);
+bool Rumours::Learn(const TargetMark& given, int sends, Time now) {
+  const auto known = targets_.find(given.target);
+  TargetMark mark = given;
   if (known != targets_.end()) {
     const TargetMark& have = known->second.mark;
+    const bool other_start = mark.start != 0 && mark.start != have.start;
+    if (mark.start == 0) mark.start = have.start;
+    // A start that leaves is news whatever the version it was seen at.
+    if (other_start) mark.version = std::max(mark.version, have.version);
+    if (other_start) {
+      targets_[mark.target] = {mark, sends, now};
+      return true;
+    }
     // At one version a closing beats an opening.
     if (mark.version < have.version) return false;
     if (mark.version == have.version && (have.closed || !mark.closed)) {
--- a/src/core/membership/rumours.h
+++ b/src/core/membership/rumours.h
@@ -9,8 +9,9 @@
 
 namespace comfreyflow::detail {
 
-/// Invariant: a mark is replaced only by one of a higher version, or by a
-/// higher count of crashes.
+/// Invariant: a mark is replaced only by one of a higher version or of another
+/// start, or by a higher count of crashes; a start once marked stays named
+/// until another one is.
 class Rumours {
  public:
   /// Each of these returns whether the mark was news.
--- a/src/core/membership/size.cc
+++ b/src/core/membership/size.cc
@@ -82,7 +82,7 @@
   }
   bytes += kIdBytes * datagram.wanted.size() + kListBytes;
   for (const TargetMark& mark : datagram.targets) {
-    bytes += TextBytes(mark.target.value) + kHashBytes + kFieldBytes;
+    bytes += TextBytes(mark.target.value) + 2 * kHashBytes + 2 * kFieldBytes;
   }
   const std::size_t suspect = kHashBytes + kIdBytes + kFieldBytes;
   return bytes + suspect * datagram.suspects.size();
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -124,13 +124,14 @@
   if (!target.listed || target.info.leaving || target.replaced) return false;
   if (now < target.closed_until) return false;
   if (target.failures > 0 && target.on_trial) return false;
+  if (RestsFor(target, work.job.id.host, now)) return false;
   return !Excluded(work, target.info.name);
 }
 
-/// Lately slow or failing: used only while no other target is free.
+/// Lately slow, failing or full: used only while no other target is free.
 bool Placer::IsPoor(const Target& target, Time now) {
   const bool slow = target.pace > kSlowPace && now - target.paced < kPaceMemory;
-  return slow || target.error_share > kTolerableErrors;
+  return slow || target.error_share > kTolerableErrors || Rests(target, now);
 }
 
 bool Placer::HasRoom(const Target& target, const Work& work) const {
@@ -378,8 +379,9 @@
   work.grant.id = work.job.id;
   work.grant.number = work.job.number;
   for (const Target* target : targets) {
+    const PoolTarget& info = target->info;
     work.grant.targets.push_back(
-        {target->info.name, target->info.address, 0, target->info.version});
+        {info.name, info.address, 0, info.version, info.born});
   }
   if (work.is_long && engine_ && work.job.stream) PlanMemory(work, targets);
   if (engine_ && work.job.stream) {
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -75,6 +75,7 @@
       target.pace = 1;
       target.error_share = 0;
       target.closed_until = now;
+      target.rests.clear();
     }
     target.info = info;
     target.listed = true;
@@ -119,8 +120,7 @@
     return;
   }
   if (TryPlace(work, now)) return;
-  if (Hopeless(work, now)) {
-    Refuse(work, Errc::kDeadlineInfeasible, Duration::zero());
+  if (RefuseWaiting(work, now)) {
     works_.erase(job.id);
     return;
   }
@@ -308,8 +308,7 @@
     }
     const bool skip = blocked && !work.is_long && work.read >= *blocked;
     if (!skip && TryPlace(work, now)) continue;
-    if (Hopeless(work, now)) {
-      Refuse(work, Errc::kDeadlineInfeasible, Duration::zero());
+    if (RefuseWaiting(work, now)) {
       works_.erase(id);
       continue;
     }
@@ -324,15 +323,78 @@
   ChooseClosing(now);
 }
 
+/// Refuses work that no target takes in time; whether it did.
+bool Placer::RefuseWaiting(const Work& work, Time now) {
+  if (Hopeless(work, now)) {
+    Refuse(work, Errc::kDeadlineInfeasible, Duration::zero());
+    return true;
+  }
+  const auto back = ComeBackAfter(work, now);
+  if (back) Refuse(work, Errc::kOverloaded, *back);
+  return back.has_value();
+}
+
+void Placer::Rest(const TargetName& name, const HostName& host, Time until,
+                  Time now) {
+  Target* target = Find(name);
+  if (target == nullptr) return;
+  std::erase_if(target->rests,
+                [now](const auto& e) { return e.second <= now; });
+  Time& known = target->rests[host];
+  known = std::max(known, until);
+}
+
+bool Placer::RestsFor(const Target& target, const HostName& host, Time at) {
+  const auto rest = target.rests.find(host);
+  return rest != target.rests.end() && rest->second > at;
+}
+
+/// Whether some host is to send nothing.
+bool Placer::Rests(const Target& target, Time now) {
+  return std::any_of(target.rests.begin(), target.rests.end(),
+                     [now](const auto& entry) { return entry.second > now; });
+}
+
+/// Where all targets want nothing of the work's host until it is late, when its
+/// caller shall ask again: at once, if another host may send to one of them.
+std::optional<Duration> Placer::ComeBackAfter(const Work& work,
+                                              Time now) const {
+  const HostName& host = work.job.id.host;
+  std::optional<Time> first;
+  bool elsewhere = false;
+  for (const auto& [name, target] : targets_) {
+    if (!InPool(target, work)) continue;
+    if (!RestsFor(target, host, now)) return std::nullopt;
+    const Time until = target.rests.at(host);
+    first = std::min(first.value_or(until), until);
+    const auto resting = static_cast<std::size_t>(
+        std::count_if(target.rests.begin(), target.rests.end(),
+                      [now](const auto& e) { return e.second > now; }));
+    elsewhere = elsewhere || resting < hosts_;
+  }
+  if (!first || *first < work.job.arrival + work.job.objective) {
+    return std::nullopt;
+  }
+  // Work that ran before must not be refused as not run.
+  if (elsewhere && !work.job.repeat) return Duration::zero();
+  if (*first + kLeastService < work.job.deadline) return std::nullopt;
+  return *first - now;
+}
+
+/// Whether the target is there for the work, free or not.
+bool Placer::InPool(const Target& target, const Work& work) const {
+  return target.listed && !target.info.leaving && !target.replaced &&
+         !Excluded(work, target.info.name);
+}
+
 /// Whether no target can take the work before its deadline.
 bool Placer::Hopeless(const Work& work, Time now) const {
   if (now + kLeastService >= work.job.deadline) return true;
   const bool any = std::any_of(
       targets_.begin(), targets_.end(), [this, &work](const auto& entry) {
         const Target& target = entry.second;
-        return target.listed && !target.info.leaving && !target.replaced &&
-               target.closed_until + kLeastService < work.job.deadline &&
-               !Excluded(work, target.info.name);
+        return InPool(target, work) &&
+               target.closed_until + kLeastService < work.job.deadline;
       });
   const Time since = std::max(work.job.arrival, held_until_);
   return !any && now - since > kEmptyPoolWait;
--- a/src/core/targets/target-book.cc
+++ b/src/core/targets/target-book.cc
@@ -13,6 +13,11 @@
 /// The list has told of what a peer told so long ago.
 constexpr Duration kMarkLife = std::chrono::minutes(5);
 constexpr std::size_t kMostMarks = 4000;
+/// A start whose entry is gone serves on for seconds; an entry of it may come
+/// back while the list's keeper is in trouble.
+constexpr Duration kOwnWordLife = std::chrono::hours(1);
+/// Beyond this, starts that are not listed are forgotten, the oldest first.
+constexpr std::size_t kMostOwnWords = 8192;
 
 }  // namespace
 
@@ -56,6 +61,7 @@
   } else {
     marks_.erase(name);
   }
+  if (ClosedByOwnWord(entry)) entry.target.leaving = true;
   unconfirmed_.erase(name);
   TargetEntry before = std::exchange(known, entry);
   // What differs with each report is no change.
@@ -92,8 +98,81 @@
   return at != marks_.end() && entry.target.version <= at->second.version;
 }
 
+bool TargetBook::ClosedByOwnWord(const TargetEntry& entry) {
+  const auto at = left_.find(entry.target.name);
+  if (at == left_.end()) return false;
+  Left& left = at->second;
+  const std::uint64_t born = entry.target.born;
+  if (left.born == 0) left.born = born;
+  // An entry that names no start may be of any.
+  if (born == 0 || born == left.born) {
+    left.version = std::max(left.version, entry.target.version);
+    return true;
+  }
+  if (entry.target.version <= left.version) return true;
+  left_.erase(at);
+  return false;
+}
+
+bool TargetBook::Close(const TargetLeft& told, Time now) {
+  TargetLeft left = told;
+  const auto at = entries_.find(left.target);
+  if (at != entries_.end()) {
+    const PoolTarget& listed = at->second.target;
+    if (left.born == 0) left.born = listed.born;
+    const bool same = listed.born == left.born || listed.born == 0;
+    // The word of a start before the one that is listed.
+    if (!same && left.version <= listed.version) return false;
+    if (same) left.version = std::max(left.version, listed.version);
+  }
+  const auto known = left_.find(left.target);
+  if (known != left_.end() && known->second.born == left.born) {
+    known->second.heard = now;
+    return false;
+  }
+  left_[left.target] = {left.born, left.version, now};
+  if (at != entries_.end() && !at->second.target.leaving) {
+    at->second.target.leaving = true;
+    changed_ = true;
+  }
+  ForgetOwnWords(now);
+  return true;
+}
+
+bool TargetBook::ToldLeaving(const TargetLeft& told, Time now) {
+  const auto at = entries_.find(told.target);
+  const bool elsewhere =
+      !told.address.empty() &&
+      (at == entries_.end() || at->second.target.address != told.address);
+  if (elsewhere || !Close(told, now)) return false;
+  const Left& left = left_.at(told.target);
+  news_.push_back({told.target, left.version, true, left.born});
+  return true;
+}
+
+void TargetBook::ForgetOwnWords(Time now) {
+  std::erase_if(left_, [this, now](const auto& entry) {
+    return now - entry.second.heard > kOwnWordLife &&
+           !entries_.contains(entry.first);
+  });
+  while (left_.size() > kMostOwnWords) {
+    auto oldest = left_.end();
+    for (auto at = left_.begin(); at != left_.end(); ++at) {
+      if (entries_.contains(at->first)) continue;
+      if (oldest == left_.end() || at->second.heard < oldest->second.heard) {
+        oldest = at;
+      }
+    }
+    if (oldest == left_.end()) return;  // Bounded by the list.
+    left_.erase(oldest);
+  }
+}
+
 bool TargetBook::Marked(const TargetMark& mark, Time now) {
   if (!mark.closed) return false;
+  if (mark.start != 0) {
+    return Close({mark.target, mark.start, mark.version, {}}, now);
+  }
   const auto at = entries_.find(mark.target);
   // Gone at the version known here: after an outage it may have lapsed.
   const bool gone =
@@ -137,6 +216,7 @@
   std::erase_if(marks_, [now](const auto& entry) {
     return now - entry.second.heard > kMarkLife;
   });
+  ForgetOwnWords(now);
   if (missing_.empty() || lost_) return std::nullopt;
   if (Settling(now)) return back_ + return_time_;
   for (const auto& [name, since] : missing_) {
@@ -148,6 +228,11 @@
   return std::nullopt;
 }
 
+bool TargetBook::Leaving(const TargetName& name) const {
+  const auto at = entries_.find(name);
+  return at == entries_.end() || at->second.target.leaving;
+}
+
 bool TargetBook::TakeChanged() { return std::exchange(changed_, false); }
 
 std::map<ServiceName, std::vector<PoolTarget>> TargetBook::Pool() const {
--- a/src/gateway/edge.h
+++ b/src/gateway/edge.h
@@ -51,6 +51,10 @@
   bool wrong_target = false;  ///< Another target has this address.
   bool event_stream = false;
   std::string at_fault;  ///< Name of the target that caused a refusal.
+  bool leaving = false;  ///< The target that answers takes no new work.
+  /// It turned the request away and wants nothing of this host for so long.
+  std::optional<Duration> rest;
+  bool rest_unreadable = false;  ///< It named a time that can't be read.
 };
 
 struct EdgeHooks {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -72,9 +72,10 @@
         settings(std::move(given)),
         hooks(std::move(given_hooks)),
         client(io),
-        placement(io, {settings.self.name, settings.self.incarnation,
-                       settings.self.failure_domain, settings.placement,
-                       settings.key, WithSeed(settings), ListVersion(hooks)}),
+        placement(
+            io, {settings.self.name, settings.self.incarnation,
+                 settings.self.failure_domain, settings.placement, settings.key,
+                 WithSeed(settings), ListVersion(hooks), hooks.target_marked}),
         relays{io,
                client,
                placement,
@@ -83,7 +84,10 @@
                [this] { return table; },
                [this](const CrashEvidence& evidence) { ShareCrash(evidence); },
                metrics,
-               hooks.targets_known},
+               hooks.targets_known,
+               [this](const TargetLeft& left, const std::string& request) {
+                 if (hooks.target_left) hooks.target_left(left, request);
+               }},
         peers(io,
               {settings.self, settings.seeds, settings.self.incarnation.value},
               settings.key, PeerHooks()),
@@ -381,6 +385,7 @@
 
 void Gateway::ShareTarget(const TargetMark& mark) {
   state_->peers.ShareTarget(mark);
+  if (mark.start != 0) state_->placement.ShareLeaving(mark);
 }
 
 void Gateway::SetStoreReachable(bool reachable) {
@@ -440,6 +445,9 @@
       SecondsSince(state.targets_at));
   add("comfreyflow_store_reachable", "1 while the store answers.",
       state.store_reachable ? 1 : 0);
+  add("comfreyflow_targets_resting",
+      "Targets that want no request of this host for a while.",
+      static_cast<double>(state.placement.resting()));
   node::Reading waiting{"comfreyflow_placer_waiting",
                         "gauge",
                         "Requests that wait at a placer held here.",
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -11,6 +11,7 @@
 
 #include "comfreyflow/placer.h"
 #include "comfreyflow/routes.h"
+#include "comfreyflow/target-book.h"
 #include "gateway/edge.h"
 #include "gateway/follower.h"
 #include "gateway/peers.h"
@@ -38,6 +39,10 @@
   std::function<KindKnown()> targets_known;
   /// A peer knows that a target takes no new work.
   std::function<void(const TargetMark&)> target_marked;
+  /// A target said in its answer to a request that it leaves; absent: nothing
+  /// is done.
+  std::function<void(const TargetLeft&, const std::string& request)>
+      target_left;
   /// The stop is over; the process may exit.
   std::function<void()> stopped;
   /// The view of the hosts changed.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "comfreyflow/holder.h"
+#include "comfreyflow/target-rests.h"
 #include "http/address.h"
 #include "node/clock.h"
 #include "node/log.h"
@@ -80,6 +81,7 @@
       const auto known = services.find(service);
       if (known != services.end()) at->second.SetEngine(known->second.engine);
       at->second.SetTargets(targets[service], Now());
+      at->second.SetHosts(peers.size());
     }
     return at->second;
   }
@@ -152,6 +154,9 @@
       own.first_asked = now;
       own.heard = false;
       SendSync(own.service, holder);
+      rests.ForEach(now, [&](const TargetName& target, Duration left) {
+        SendRest(own.service, holder, target, left);
+      });
     }
     own.last_asked = now;
     if (holder == settings.self) {
@@ -189,13 +194,9 @@
     const auto number =
         std::visit([](const auto& typed) { return typed.number; }, verdict);
     if (!request.done || number != request.job.number) return;
-    if (const PlacedTarget* unfit = Unfit(verdict)) {
-      LogLine(Severity::kInfo, Event::kGrantDeclined)
-          .With("target", unfit->name)
-          .With("holder", request.asked);
-      request.job.excluded.push_back(unfit->name);
-      request.job.number = ++asks;
-      return Ask(request);
+    const auto* granted = std::get_if<PlaceGrant>(&verdict);
+    if (const PlacedTarget* unfit = granted ? Unfit(*granted) : nullptr) {
+      return Decline(request, *unfit);
     }
     const Callback done = std::exchange(request.done, nullptr);
     if (const auto* grant = std::get_if<PlaceGrant>(&verdict)) {
@@ -207,22 +208,58 @@
     done(verdict);
   }
 
-  /// A target of the grant that this host knows to leave or be gone, as its
-  /// list is later than the holder's.
-  const PlacedTarget* Unfit(const PlaceVerdict& verdict) const {
-    const auto* grant = std::get_if<PlaceGrant>(&verdict);
-    if (grant == nullptr) return nullptr;
+  /// A target of the grant that takes no request of this host: it leaves, is
+  /// gone, or asked for a rest, which the holder does not know yet.
+  const PlacedTarget* Unfit(const PlaceGrant& grant) const {
     const std::uint64_t known =
         settings.list_version ? settings.list_version() : 0;
-    for (const auto& target : grant->targets) {
+    for (const auto& target : grant.targets) {
       const auto at = listed.find(target.name);
       const bool gone =
           at == listed.end() && known > 0 && target.version <= known;
-      if (gone || (at != listed.end() && at->second)) return &target;
+      const bool leaves = at != listed.end() && at->second;
+      if (gone || leaves || RestOf(target) > Duration::zero()) return &target;
     }
     return nullptr;
   }
 
+  Duration RestOf(const PlacedTarget& target) const {
+    return rests.Left(target.name, target.born, Now());
+  }
+
+  /// Asks for another grant.
+  void Decline(Own& request, const PlacedTarget& unfit) {
+    const Duration rest = RestOf(unfit);
+    LogLine(Severity::kInfo, Event::kGrantDeclined)
+        .With("target", unfit.name)
+        .With("holder", request.asked)
+        .With("rest", std::chrono::duration_cast<milliseconds>(rest));
+    if (rest > Duration::zero()) {
+      SendRest(request.service, request.asked, unfit.name, rest);
+    } else {
+      request.job.excluded.push_back(unfit.name);
+    }
+    request.job.number = ++asks;
+    Ask(request);
+  }
+
+  void SendRest(const ServiceName& service, const HostName& holder,
+                const TargetName& target, Duration rest) {
+    if (holder == settings.self) {
+      const Time now = Now();
+      PlacerOf(service).Rest(target, settings.self, now + rest, now);
+    } else {
+      To(holder).rests.push_back({service, target, rest});
+    }
+  }
+
+  void ShareLeaving(const TargetMark& mark) {
+    std::set<HostName> holders;
+    for (const auto& [service, pool] : targets) holders.insert(Holder(service));
+    holders.erase(settings.self);
+    for (const auto& holder : holders) To(holder).leaving.push_back(mark);
+  }
+
   void NoteListed() {
     listed.clear();
     for (const auto& [service, pool] : targets) {
@@ -310,6 +347,14 @@
     const Time now = Now();
     if (wire::DecodePlacement(bytes, settings.key, now, messages)) return;
     silent_until.erase(messages.sender);
+    for (const auto& mark : messages.leaving) {
+      if (settings.target_marked) settings.target_marked(mark);
+    }
+    for (const auto& rest : messages.rests) {
+      PlacerOf(rest.service)
+          .Rest(rest.target, messages.sender,
+                now + std::min(rest.rest, kLongestRest), now);
+    }
     std::set<ServiceName> touched;
     for (const auto& sync : messages.syncs) {
       PlacerOf(sync.service).Adopt(messages.sender, sync.running, now);
@@ -471,6 +516,7 @@
   std::map<HostName, Time> silent_until;
   std::map<std::uint64_t, Own> own;
   std::map<HostName, wire::PlaceMessages> outgoing;
+  TargetRests rests;                  ///< Of this host.
   std::map<TargetName, bool> listed;  ///< Of `targets`: whether it leaves.
   std::uint32_t asks = 0;
   std::map<ServiceName, int> sync_rounds;  ///< Still to come.
@@ -531,6 +577,9 @@
   for (auto& peer : peers) next[peer.name] = std::move(peer);
   if (next == state_->peers) return;
   state_->peers = std::move(next);
+  for (auto& [service, placer] : state_->placers) {
+    placer.SetHosts(state_->peers.size());
+  }
   state_->FollowHolders();
   state_->sync_due = Now();
   state_->Hurry();
@@ -572,6 +621,24 @@
   state_->Note(own, id, end, cause);
 }
 
+void Placement::ToldRest(const ServiceName& service, const PlacedTarget& target,
+                         Duration rest) {
+  if (!state_->rests.Told(target.name, target.born, rest, Now())) return;
+  state_->SendRest(service, state_->Holder(service), target.name,
+                   state_->RestOf(target));
+}
+
+void Placement::ShareLeaving(const TargetMark& mark) {
+  state_->ShareLeaving(mark);
+}
+
+std::optional<TargetName> Placement::Misfit(const PlaceGrant& grant) const {
+  const PlacedTarget* unfit = state_->Unfit(grant);
+  return unfit == nullptr ? std::nullopt : std::optional(unfit->name);
+}
+
+std::size_t Placement::resting() const { return state_->rests.size(Now()); }
+
 HostName Placement::HolderOf(const ServiceName& service) const {
   return state_->Holder(service);
 }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,9 @@
   /// The store's version up to which this host knows the list of targets;
   /// absent: it can't tell.
   std::function<std::uint64_t()> list_version;
+  /// Another host knows by a target's own word that it leaves; absent: nothing
+  /// is done.
+  std::function<void(const TargetMark&)> target_marked;
 };
 
 /// Lives on one I/O thread.
@@ -64,6 +68,17 @@
   /// `at` is the target that was the cause; empty: the first one.
   void Ended(const RequestId& id, WorkEnd end, const TargetName& at = {});
 
+  /// The target wants no request of this host for `rest`: none is sent, and the
+  /// placers that are asked hear of it.
+  void ToldRest(const ServiceName& service, const PlacedTarget& target,
+                Duration rest);
+  /// Tells the hosts that hold placers of a target that leaves by its own word.
+  void ShareLeaving(const TargetMark& mark);
+  /// A target of the grant that takes no request of this host by now, if any.
+  std::optional<TargetName> Misfit(const PlaceGrant& grant) const;
+  /// Targets that want no request of this host now.
+  std::size_t resting() const;
+
   /// The host that is asked for the service's targets now.
   HostName HolderOf(const ServiceName& service) const;
   /// What the placers that are asked here believe.
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -171,24 +171,34 @@
     for (std::size_t i = 1; i < grant_.targets.size(); ++i) {
       const auto& target = grant_.targets[i];
       if (target.reserve_tokens == 0) continue;
-      wanted.push_back({target.name, target.address,
-                        ToString(AttemptId{id_, ++reservations_made_}),
-                        target.reserve_tokens});
+      wanted.push_back(
+          {target, ToString(AttemptId{id_, ++reservations_made_})});
     }
     if (wanted.empty()) return Send(Now());
     stage_ = Stage::kReserving;
     wanted_ = wanted;
     reservations_ = std::make_unique<Reservations>(
-        context_.io, context_.client, context_.edge, std::move(wanted));
+        context_.io, context_.client, context_.edge, std::move(wanted),
+        [self = weak_from_this()](const PlacedTarget& target,
+                                  const TargetHead& told) {
+          if (const auto relay = self.lock()) relay->NoteWord(target, told);
+        });
     reservations_->Hold([self = weak_from_this()](const TargetName& refused) {
       const auto relay = self.lock();
       if (!relay || relay->stage_ != Stage::kReserving) return;
       relay->context_.metrics.Reserved(refused.value.empty());
-      if (refused.value.empty()) return relay->Send(Now());
-      relay->NotReserved(refused);
+      if (!refused.value.empty()) return relay->NotReserved(refused);
+      relay->SendReserved();
     });
   }
 
+  /// Sends the request unless a target closed meanwhile.
+  void SendReserved() {
+    const auto misfit = context_.placement.Misfit(grant_);
+    if (misfit) return NotReserved(*misfit);
+    Send(Now());
+  }
+
   /// Nothing was sent: another set of targets is asked for.
   void NotReserved(const TargetName& refused) {
     EndReservations();
@@ -230,9 +240,10 @@
         kUrgencySteps);
     for (std::size_t i = 1; i < grant_.targets.size(); ++i) {
       const auto& target = grant_.targets[i];
-      const auto held = std::find_if(
-          wanted_.begin(), wanted_.end(),
-          [&target](const Reservation& r) { return r.target == target.name; });
+      const auto held = std::find_if(wanted_.begin(), wanted_.end(),
+                                     [&target](const Reservation& r) {
+                                       return r.target.name == target.name;
+                                     });
       forward.helpers.push_back(
           {target.address, held == wanted_.end() ? "" : held->id});
     }
@@ -291,19 +302,54 @@
     answer_ = head;
     const bool success = head_.status >= 200 && head_.status < 300;
     streams_ = success && head_.authentic && head_.event_stream;
+    NoteWord(grant_.targets.front(), head_);
     if (!batching_ || !streams_) context_.placement.Begun(id_);
   }
 
-  void Body(std::string_view bytes) {
-    if (!streams_) {
-      body_ += bytes;
-      if (body_.size() > kWholeAnswerBytes && !progress_.head_sent) {
-        PassLargeAnswer();
+  /// What a target says of itself in an answer holds at once, before the rest
+  /// of the answer came.
+  void NoteWord(const PlacedTarget& target, const TargetHead& told) {
+    if (told.leaving) {
+      context_.target_left({target.name, target.born, target.version, {}},
+                           caller_.id);
+      // Another target answered at that address.
+      if (told.wrong_target && told.at_fault != target.name.value) {
+        context_.target_left({{told.at_fault}, 0, 0, target.address},
+                             caller_.id);
       }
-      return;
     }
+    if (!told.rest && !told.rest_unreadable) return;
+    const Duration rest = told.rest.value_or(Duration::zero());
+    LogLine(told.rest_unreadable ? Severity::kWarning : Severity::kInfo,
+            Event::kTargetRests)
+        .With("request", caller_.id)
+        .With("target", target.name)
+        .With("born", target.born)
+        .With("rest", duration_cast<milliseconds>(rest))
+        .With("unreadable", told.rest_unreadable);
+    context_.placement.ToldRest(service_, target, rest);
+  }
+
+  void Body(std::string_view bytes) {
+    if (!streams_) return PlainBody(bytes);
     const std::string events = splitter_.Feed(bytes);
-    if (events.empty()) return;
+    if (!events.empty()) TakeEvents(events);
+    if (splitter_.too_long()) {
+      TryFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
+    }
+  }
+
+  void PlainBody(std::string_view bytes) {
+    if (progress_.head_sent) return exchange_->Write(std::string(bytes));
+    body_ += bytes;
+    if (body_.size() <= kWholeAnswerBytes) return;
+    const bool own = head_.authentic && head_.request_id == caller_.id &&
+                     !head_.told_not_run;
+    if (!own) return TryFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
+    PassLargeAnswer();
+  }
+
+  void TakeEvents(const std::string& events) {
     NotePause();
     if (!try_begun_) {
       try_begun_ = true;
@@ -366,9 +412,11 @@
   }
 
   void StreamWhole() {
-    if (!splitter_.rest().empty() || !progress_.head_sent) {
+    if (!splitter_.ends_whole() || !progress_.head_sent) {
       return TryFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
     }
+    std::string comments = splitter_.TakeRest();
+    if (!comments.empty()) exchange_->Write(std::move(comments));
     context_.placement.Ended(id_, WorkEnd::kDone);
     exchange_->End();
     Over(Errc::kOk);
@@ -395,9 +443,6 @@
       return TryFailed(WorkEnd::kTargetError, Errc::kTargetFailed);
     }
     if (progress_.head_sent) {
-      if (stage_ == Stage::kStreaming && !body_.empty()) {
-        exchange_->Write(std::exchange(body_, {}));
-      }
       context_.placement.Ended(id_, WorkEnd::kDone);
       exchange_->End();
       return Over(Errc::kOk);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -9,6 +9,7 @@
 
 #include "comfreyflow/poison.h"
 #include "comfreyflow/routes.h"
+#include "comfreyflow/target-book.h"
 #include "gateway/edge.h"
 #include "gateway/follower.h"
 #include "gateway/placement.h"
@@ -29,6 +30,9 @@
   std::function<void(const CrashEvidence&)> share_crash;
   node::Metrics& metrics;
   std::function<KindKnown()> targets_known;
+  /// A target said in its answer to the request that it leaves.
+  std::function<void(const TargetLeft&, const std::string& request)>
+      target_left;
   /// A connection that breaks is no sure sign of a crash, so that more of them
   /// are needed than where targets tell their crashes.
   Poison poison{{.crash_limit = 3,
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -18,10 +18,21 @@
 /// Two renewals may get lost within a lease's life.
 constexpr Duration kRenewal = milliseconds(1100);
 constexpr milliseconds kOrderTimeout{400};
+/// Of an answer to an order.
+constexpr std::size_t kOrderAnswerBytes = 64 * 1024;
 /// A release without answer is sent again; then the lease's end does it.
 constexpr int kReleaseTries = 3;
 constexpr Duration kReleaseRetry = milliseconds(300);
 
+http::CallOptions OrderOptions() {
+  http::CallOptions options;
+  options.connect_timeout = kOrderTimeout;
+  options.progress_timeout = kOrderTimeout;
+  options.total_timeout = 2 * kOrderTimeout;
+  options.answer_bytes = kOrderAnswerBytes;
+  return options;
+}
+
 /// Sends a release until it is answered.
 class ReleaseLoop : public std::enable_shared_from_this<ReleaseLoop> {
  public:
@@ -34,11 +45,8 @@
 
   void Send() {
     ++tries_;
-    http::CallOptions options;
-    options.connect_timeout = kOrderTimeout;
-    options.progress_timeout = kOrderTimeout;
     client_.Fetch(
-        address_, request_(), options,
+        address_, request_(), OrderOptions(),
         [self = shared_from_this()](http::CallEnd end, const http::Response&) {
           if (end.code != Errc::kOk) self->Again();
         });
@@ -64,11 +72,12 @@
 
 struct Reservations::State : std::enable_shared_from_this<State> {
   State(asio::io_context& io, http::Client& client, const EdgeHooks& edge,
-        std::vector<Reservation> wanted)
+        std::vector<Reservation> wanted, Told told)
       : io(io),
         client(client),
         edge(edge),
         wanted(std::move(wanted)),
+        told(std::move(told)),
         timer(io) {}
 
   void Hold(Done given) {
@@ -78,18 +87,19 @@
   }
 
   void Order(const Reservation& reservation) {
-    http::CallOptions options;
-    options.connect_timeout = kOrderTimeout;
-    options.progress_timeout = kOrderTimeout;
-    client.Fetch(reservation.address,
-                 edge.write_reserve(reservation.target.value, reservation.id,
-                                    reservation.tokens, kReservationLife),
-                 options,
-                 [self = shared_from_this(), target = reservation.target](
+    const PlacedTarget& target = reservation.target;
+    client.Fetch(target.address,
+                 edge.write_reserve(target.name.value, reservation.id,
+                                    target.reserve_tokens, kReservationLife),
+                 OrderOptions(),
+                 [self = shared_from_this(), target](
                      http::CallEnd end, const http::Response& answer) {
+                   if (answer.status != 0) {
+                     self->told(target, self->edge.read_head(answer));
+                   }
                    const bool granted = end.code == Errc::kOk &&
                                         self->edge.read_reserved(answer);
-                   self->Answered(target, granted, answer.status);
+                   self->Answered(target.name, granted, answer.status);
                  });
   }
 
@@ -121,11 +131,12 @@
     ended = true;
     timer.cancel();
     for (const auto& reservation : wanted) {
-      std::make_shared<ReleaseLoop>(
-          io, client, reservation.address,
-          [&edge = edge, reservation] {
-            return edge.write_release(reservation.target.value, reservation.id);
-          })
+      std::make_shared<ReleaseLoop>(io, client, reservation.target.address,
+                                    [&edge = edge, reservation] {
+                                      return edge.write_release(
+                                          reservation.target.name.value,
+                                          reservation.id);
+                                    })
           ->Send();
     }
   }
@@ -134,6 +145,7 @@
   http::Client& client;
   const EdgeHooks& edge;
   const std::vector<Reservation> wanted;
+  const Told told;
   asio::steady_timer timer;
   Done done;
   std::size_t open = 0;
@@ -142,8 +154,9 @@
 
 Reservations::Reservations(asio::io_context& io, http::Client& client,
                            const EdgeHooks& edge,
-                           std::vector<Reservation> wanted)
-    : state_(std::make_shared<State>(io, client, edge, std::move(wanted))) {}
+                           std::vector<Reservation> wanted, Told told)
+    : state_(std::make_shared<State>(io, client, edge, std::move(wanted),
+                                     std::move(told))) {}
 
 Reservations::~Reservations() { state_->Release(); }
 
--- a/src/gateway/reservations.h
+++ b/src/gateway/reservations.h
@@ -18,10 +18,8 @@
 namespace comfreyflow::gateway {
 
 struct Reservation {
-  TargetName target;
-  std::string address;
+  PlacedTarget target;  ///< With the tokens to reserve.
   std::string id;
-  std::uint32_t tokens = 0;
 };
 
 /// Lives on one I/O thread.
@@ -29,9 +27,12 @@
  public:
   /// `refused` names the target that did not grant; it is empty when all did.
   using Done = std::function<void(const TargetName& refused)>;
+  /// Hears what targets say of themselves in answers to orders.
+  using Told = std::function<void(const PlacedTarget&, const TargetHead&)>;
 
   Reservations(boost::asio::io_context& io, http::Client& client,
-               const EdgeHooks& edge, std::vector<Reservation> wanted);
+               const EdgeHooks& edge, std::vector<Reservation> wanted,
+               Told told);
   /// Gives back all that may be held.
   ~Reservations();
   Reservations(const Reservations&) = delete;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -3,6 +3,7 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -37,6 +38,17 @@
 /// and read on much later; shorter ones fit the buffers on the way.
 constexpr std::size_t kReadWhileSending = 16 * 1024;
 
+/// Of an answer's head, of a chunk's own line, or of trailers.
+constexpr std::size_t kHeadBytes = 16 * 1024;
+/// Read at once; the parser keeps what it can't use yet.
+constexpr std::size_t kReadBytes = 64 * 1024;
+/// Provisional answers and answers to other calls before a call's own.
+constexpr int kMostSkipped = 8;
+/// Of a body of an answer to another call.
+constexpr std::size_t kSkippedBytes = 1024 * 1024;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
+
 /// Probing of a silent connection: after this many seconds, and how often.
 constexpr int kProbeSeconds = 1;
 constexpr int kProbes = 2;
@@ -140,6 +152,8 @@
 /// One call: connect or reuse, send, read until the end.
 class Client::Operation : public Call,
                           public std::enable_shared_from_this<Operation> {
+  using Clock = std::chrono::steady_clock;
+
  public:
   Operation(std::shared_ptr<Pool> pool, std::string address,
             CallOptions options, CallHooks hooks)
@@ -152,6 +166,7 @@
         timer_(strand_) {}
 
   void Start(Request request) {
+    started_ = Clock::now();
     Fill(std::move(request));
     asio::dispatch(strand_, [self = shared_from_this()] { self->Connect(); });
   }
@@ -244,6 +259,7 @@
 
   void BeginRead() {
     parser_.emplace();
+    parser_->header_limit(kHeadBytes);
     parser_->body_limit(options_.answer_bytes);
     ReadSome();
   }
@@ -268,9 +284,11 @@
     ReadSome();
   }
 
-  /// Reads on behind an answer that belongs to another call.
+  /// Reads on behind an answer that is not the call's own final one.
   void SkipAnswer() {
-    if (!parser_->get().keep_alive()) return Finish(Errc::kTargetFailed);
+    if (!parser_->get().keep_alive() || ++skipped_ > kMostSkipped) {
+      return Finish(Errc::kTargetFailed);
+    }
     foreign_ = false;
     head_told_ = false;
     BeginRead();
@@ -280,7 +298,10 @@
     if (head_told_) return;
     head_told_ = true;
     const Response head = Head();
-    foreign_ = hooks_.is_mine && !hooks_.is_mine(head);
+    // No call asks for another protocol.
+    if (head.status == kSwitchingProtocols) return Finish(Errc::kTargetFailed);
+    const bool provisional = head.status < kFirstFinalStatus;
+    foreign_ = provisional || (hooks_.is_mine && !hooks_.is_mine(head));
     if (!foreign_ && hooks_.on_head) hooks_.on_head(head);
   }
 
@@ -301,8 +322,10 @@
   void TellBody() {
     auto& body = parser_->get().body();
     if (body.empty()) return;
+    if (foreign_) skipped_bytes_ += body.size();
     if (hooks_.on_body && !foreign_) hooks_.on_body(body);
     body.clear();
+    if (skipped_bytes_ > kSkippedBytes) Finish(Errc::kTargetFailed);
   }
 
   void Whole() {
@@ -331,6 +354,12 @@
   }
 
   void Arm(std::chrono::milliseconds time) {
+    if (options_.total_timeout > std::chrono::milliseconds::zero()) {
+      const auto since = std::chrono::floor<std::chrono::milliseconds>(
+          Clock::now() - started_);
+      time = std::clamp(options_.total_timeout - since,
+                        std::chrono::milliseconds::zero(), time);
+    }
     timer_.Arm(time, weak_from_this(), &Operation::Expired);
   }
 
@@ -350,13 +379,16 @@
   BodyLease lease_;  ///< Memory counted for `message_`'s body.
   std::optional<bh::request_serializer<bh::string_body>> serializer_;
   std::optional<bh::response_parser<bh::string_body>> parser_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kReadBytes};
   bool sent_ = false;
   bool sending_ = false;  ///< Bytes of the request are still to go out.
   bool broken_send_ = false;
   bool head_told_ = false;
-  bool foreign_ = false;  ///< The answer under way belongs to another call.
-  bool done_ = false;     ///< No hook runs any more.
+  bool foreign_ = false;  ///< The answer under way is not the call's own.
+  int skipped_ = 0;       ///< Answers before it.
+  std::size_t skipped_bytes_ = 0;
+  Clock::time_point started_;
+  bool done_ = false;  ///< No hook runs any more.
 };
 
 Client::Client(asio::io_context& io) : pool_(std::make_shared<Pool>(io)) {}
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,5 +1,8 @@
 /// HTTP/1.1 client with pooled connections and a progress deadline on each
-/// call. Used towards targets, the platform and other hosts.
+/// call. Used towards targets, the platform and other hosts. What the other end
+/// sends takes bounded memory: a head, a chunk's extensions, trailers,
+/// provisional answers and answers to other calls end the call if they don't
+/// end themselves.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -19,6 +22,8 @@
   /// Longest time without a byte from the other end once all is sent, and
   /// without a byte taken by it before.
   std::chrono::milliseconds progress_timeout{3000};
+  /// Longest time for the whole call; zero: none.
+  std::chrono::milliseconds total_timeout{0};
   std::uint64_t answer_bytes = 64 * 1024 * 1024;
   bool fresh_connection = false;  ///< Takes none from the pool.
   /// Has the kernel probe a connection on which nothing comes for seconds.
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -29,6 +29,8 @@
   kTargetRemoved,
   kTargetUnreadable,
   kTargetMarked,
+  kTargetLeft,
+  kTargetRests,
   kHostsListed,
   kHostObjectRemoved,
   kMemberChanged,
@@ -72,7 +74,7 @@
   std::string_view fields;  ///< Between single spaces; each may be absent.
 };
 
-inline constexpr std::array<EventSpec, 54> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 56> kEventSpecs = {{
     {"started", "a host process began", "host failure_domain store"},
     {"settings_invalid", "the settings can't be used; the process ends",
      "problem"},
@@ -100,16 +102,26 @@
      "source code"},
     {"target_seen",
      "an entry of the list of targets came or changed; older: it was written "
-     "from a report before the last one, and not taken",
-     "target service address leaving version older"},
+     "from a report before the last one, and not taken; closed: it gets no "
+     "work here, maybe by a peer's or its own word",
+     "target service address leaving closed version older"},
     {"target_removed",
      "an entry is gone from the list; kept: it may have lapsed in an outage",
      "target version kept"},
     {"target_unreadable", "an entry names no target that could be used",
      "target"},
     {"target_marked",
-     "a peer told that a target takes no new work, before this host's list did",
-     "target version list_version"},
+     "a peer told that a target takes no new work, before this host's list "
+     "did; born: by the target's own word, that start of it",
+     "target version born list_version"},
+    {"target_left",
+     "a target said in its answer that it leaves; closed here until a later "
+     "start is listed",
+     "request target born version list_version"},
+    {"target_rests",
+     "a target turned a request away and wants nothing of this host for a "
+     "while; unreadable: it named a time that can't be read",
+     "request target born rest unreadable"},
     {"hosts_listed", "the store's list of hosts was read", "hosts"},
     {"host_object_removed", "a dead host's object was removed from the store",
      "host"},
@@ -121,8 +133,10 @@
     {"placement", "each half second at the holder of a placer",
      "service waiting running unread targets closed short_engines long_engines "
      "reserve closing full poor reading repeats_left memory"},
-    {"grant_declined", "a grant named a target that this host knows to leave",
-     "target holder"},
+    {"grant_declined",
+     "a grant named a target that this host knows to leave, or to want nothing "
+     "for a while (rest)",
+     "target holder rest"},
     {"placed", "a target was granted",
      "request target targets try waited estimate holder prompt_tokens "
      "entry_version list_version list_age"},
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -196,6 +196,9 @@
     target.target = mark.target.value;
     target.version = static_cast<std::int64_t>(mark.version);
     target.closed = mark.closed;
+    if (mark.start != 0) {
+      target.__set_start(static_cast<std::int64_t>(mark.start));
+    }
   }
   for (const auto& mark : datagram.suspects) {
     SuspectMark& suspect = out.suspects.emplace_back();
@@ -227,8 +230,10 @@
     out.wanted.push_back({static_cast<std::uint32_t>(id)});
   }
   for (const TargetMark& mark : in.targets) {
-    out.targets.push_back(
-        {{mark.target}, static_cast<std::uint64_t>(mark.version), mark.closed});
+    out.targets.push_back({{mark.target},
+                           static_cast<std::uint64_t>(mark.version),
+                           mark.closed,
+                           static_cast<std::uint64_t>(mark.start)});
   }
   for (const SuspectMark& mark : in.suspects) {
     out.suspects.push_back({static_cast<std::uint64_t>(mark.fingerprint),
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -11,10 +11,12 @@
   7: i32 capacity
 }
 
+// `start` names the start of the target that leaves by its own word.
 struct TargetMark {
   1: string target
   2: i64 version
   3: bool closed
+  4: optional i64 start
 }
 
 struct SuspectMark {
@@ -224,6 +226,7 @@
   2: string address
   3: i32 reserve_tokens
   4: i64 version
+  5: i64 born
 }
 
 // The answer to an ask. `code` is 0 for a grant, else an error's number.
@@ -260,6 +263,13 @@
   2: list<PlacedWork> running
 }
 
+// The target wants no request of the sender for so long.
+struct TargetRest {
+  1: string service_name
+  2: string target
+  3: i32 rest_ms
+}
+
 struct PlaceDatagram {
   1: string sender
   2: i64 incarnation
@@ -267,4 +277,6 @@
   4: list<PlaceAnswer> answers
   5: list<PlaceNote> notes
   6: list<PlaceSync> syncs
+  7: list<TargetMark> leaving
+  8: list<TargetRest> rests
 }
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -241,6 +241,11 @@
 void TargetMark::__set_closed(const bool val) {
   this->closed = val;
 }
+
+void TargetMark::__set_start(const int64_t val) {
+  this->start = val;
+__isset.start = true;
+}
 std::ostream& operator<<(std::ostream& out, const TargetMark& obj)
 {
   obj.printTo(out);
@@ -293,6 +298,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->start);
+          this->__isset.start = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -322,6 +335,11 @@
   xfer += oprot->writeBool(this->closed);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.start) {
+    xfer += oprot->writeFieldBegin("start", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->start);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -332,6 +350,7 @@
   swap(a.target, b.target);
   swap(a.version, b.version);
   swap(a.closed, b.closed);
+  swap(a.start, b.start);
   swap(a.__isset, b.__isset);
 }
 
@@ -339,12 +358,14 @@
   target = other2.target;
   version = other2.version;
   closed = other2.closed;
+  start = other2.start;
   __isset = other2.__isset;
 }
 TargetMark& TargetMark::operator=(const TargetMark& other3) {
   target = other3.target;
   version = other3.version;
   closed = other3.closed;
+  start = other3.start;
   __isset = other3.__isset;
   return *this;
 }
@@ -354,6 +375,7 @@
   out << "target=" << to_string(target);
   out << ", " << "version=" << to_string(version);
   out << ", " << "closed=" << to_string(closed);
+  out << ", " << "start="; (__isset.start ? (out << to_string(start)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4571,6 +4593,10 @@
 void PlacedTarget::__set_version(const int64_t val) {
   this->version = val;
 }
+
+void PlacedTarget::__set_born(const int64_t val) {
+  this->born = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlacedTarget& obj)
 {
   obj.printTo(out);
@@ -4631,6 +4657,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4664,6 +4698,10 @@
   xfer += oprot->writeI64(this->version);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4675,6 +4713,7 @@
   swap(a.address, b.address);
   swap(a.reserve_tokens, b.reserve_tokens);
   swap(a.version, b.version);
+  swap(a.born, b.born);
   swap(a.__isset, b.__isset);
 }
 
@@ -4683,6 +4722,7 @@
   address = other146.address;
   reserve_tokens = other146.reserve_tokens;
   version = other146.version;
+  born = other146.born;
   __isset = other146.__isset;
 }
 PlacedTarget& PlacedTarget::operator=(const PlacedTarget& other147) {
@@ -4690,6 +4730,7 @@
   address = other147.address;
   reserve_tokens = other147.reserve_tokens;
   version = other147.version;
+  born = other147.born;
   __isset = other147.__isset;
   return *this;
 }
@@ -4700,6 +4741,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "reserve_tokens=" << to_string(reserve_tokens);
   out << ", " << "version=" << to_string(version);
+  out << ", " << "born=" << to_string(born);
   out << ")";
 }
 
@@ -5436,6 +5478,138 @@
 }
 
 
+TargetRest::~TargetRest() noexcept {
+}
+
+
+void TargetRest::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void TargetRest::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void TargetRest::__set_rest_ms(const int32_t val) {
+  this->rest_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const TargetRest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TargetRest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->rest_ms);
+          this->__isset.rest_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TargetRest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TargetRest");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rest_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->rest_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TargetRest &a, TargetRest &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.target, b.target);
+  swap(a.rest_ms, b.rest_ms);
+  swap(a.__isset, b.__isset);
+}
+
+TargetRest::TargetRest(const TargetRest& other174) {
+  service_name = other174.service_name;
+  target = other174.target;
+  rest_ms = other174.rest_ms;
+  __isset = other174.__isset;
+}
+TargetRest& TargetRest::operator=(const TargetRest& other175) {
+  service_name = other175.service_name;
+  target = other175.target;
+  rest_ms = other175.rest_ms;
+  __isset = other175.__isset;
+  return *this;
+}
+void TargetRest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TargetRest(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "rest_ms=" << to_string(rest_ms);
+  out << ")";
+}
+
+
 PlaceDatagram::~PlaceDatagram() noexcept {
 }
 
@@ -5463,6 +5637,14 @@
 void PlaceDatagram::__set_syncs(const std::vector<PlaceSync> & val) {
   this->syncs = val;
 }
+
+void PlaceDatagram::__set_leaving(const std::vector<TargetMark> & val) {
+  this->leaving = val;
+}
+
+void PlaceDatagram::__set_rests(const std::vector<TargetRest> & val) {
+  this->rests = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceDatagram& obj)
 {
   obj.printTo(out);
@@ -5511,14 +5693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size174;
-            ::apache::thrift::protocol::TType _etype177;
-            xfer += iprot->readListBegin(_etype177, _size174);
-            this->asks.resize(_size174);
-            uint32_t _i178;
-            for (_i178 = 0; _i178 < _size174; ++_i178)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->asks.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->asks[_i178].read(iprot);
+              xfer += this->asks[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5531,14 +5713,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size179;
-            ::apache::thrift::protocol::TType _etype182;
-            xfer += iprot->readListBegin(_etype182, _size179);
-            this->answers.resize(_size179);
-            uint32_t _i183;
-            for (_i183 = 0; _i183 < _size179; ++_i183)
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->answers.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
             {
-              xfer += this->answers[_i183].read(iprot);
+              xfer += this->answers[_i185].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5551,14 +5733,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notes.clear();
-            uint32_t _size184;
-            ::apache::thrift::protocol::TType _etype187;
-            xfer += iprot->readListBegin(_etype187, _size184);
-            this->notes.resize(_size184);
-            uint32_t _i188;
-            for (_i188 = 0; _i188 < _size184; ++_i188)
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->notes.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
             {
-              xfer += this->notes[_i188].read(iprot);
+              xfer += this->notes[_i190].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5571,14 +5753,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->syncs.clear();
-            uint32_t _size189;
-            ::apache::thrift::protocol::TType _etype192;
-            xfer += iprot->readListBegin(_etype192, _size189);
-            this->syncs.resize(_size189);
-            uint32_t _i193;
-            for (_i193 = 0; _i193 < _size189; ++_i193)
+            uint32_t _size191;
+            ::apache::thrift::protocol::TType _etype194;
+            xfer += iprot->readListBegin(_etype194, _size191);
+            this->syncs.resize(_size191);
+            uint32_t _i195;
+            for (_i195 = 0; _i195 < _size191; ++_i195)
             {
-              xfer += this->syncs[_i193].read(iprot);
+              xfer += this->syncs[_i195].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5587,6 +5769,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->leaving.clear();
+            uint32_t _size196;
+            ::apache::thrift::protocol::TType _etype199;
+            xfer += iprot->readListBegin(_etype199, _size196);
+            this->leaving.resize(_size196);
+            uint32_t _i200;
+            for (_i200 = 0; _i200 < _size196; ++_i200)
+            {
+              xfer += this->leaving[_i200].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.leaving = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->rests.clear();
+            uint32_t _size201;
+            ::apache::thrift::protocol::TType _etype204;
+            xfer += iprot->readListBegin(_etype204, _size201);
+            this->rests.resize(_size201);
+            uint32_t _i205;
+            for (_i205 = 0; _i205 < _size201; ++_i205)
+            {
+              xfer += this->rests[_i205].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.rests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5615,10 +5837,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter194;
-    for (_iter194 = this->asks.begin(); _iter194 != this->asks.end(); ++_iter194)
+    std::vector<PlaceAsk> ::const_iterator _iter206;
+    for (_iter206 = this->asks.begin(); _iter206 != this->asks.end(); ++_iter206)
     {
-      xfer += (*_iter194).write(oprot);
+      xfer += (*_iter206).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5627,10 +5849,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter195;
-    for (_iter195 = this->answers.begin(); _iter195 != this->answers.end(); ++_iter195)
+    std::vector<PlaceAnswer> ::const_iterator _iter207;
+    for (_iter207 = this->answers.begin(); _iter207 != this->answers.end(); ++_iter207)
     {
-      xfer += (*_iter195).write(oprot);
+      xfer += (*_iter207).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5639,10 +5861,10 @@
   xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
-    std::vector<PlaceNote> ::const_iterator _iter196;
-    for (_iter196 = this->notes.begin(); _iter196 != this->notes.end(); ++_iter196)
+    std::vector<PlaceNote> ::const_iterator _iter208;
+    for (_iter208 = this->notes.begin(); _iter208 != this->notes.end(); ++_iter208)
     {
-      xfer += (*_iter196).write(oprot);
+      xfer += (*_iter208).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5651,10 +5873,34 @@
   xfer += oprot->writeFieldBegin("syncs", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->syncs.size()));
-    std::vector<PlaceSync> ::const_iterator _iter197;
-    for (_iter197 = this->syncs.begin(); _iter197 != this->syncs.end(); ++_iter197)
+    std::vector<PlaceSync> ::const_iterator _iter209;
+    for (_iter209 = this->syncs.begin(); _iter209 != this->syncs.end(); ++_iter209)
+    {
+      xfer += (*_iter209).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
+    std::vector<TargetMark> ::const_iterator _iter210;
+    for (_iter210 = this->leaving.begin(); _iter210 != this->leaving.end(); ++_iter210)
+    {
+      xfer += (*_iter210).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("rests", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rests.size()));
+    std::vector<TargetRest> ::const_iterator _iter211;
+    for (_iter211 = this->rests.begin(); _iter211 != this->rests.end(); ++_iter211)
     {
-      xfer += (*_iter197).write(oprot);
+      xfer += (*_iter211).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5673,26 +5919,32 @@
   swap(a.answers, b.answers);
   swap(a.notes, b.notes);
   swap(a.syncs, b.syncs);
+  swap(a.leaving, b.leaving);
+  swap(a.rests, b.rests);
   swap(a.__isset, b.__isset);
 }
 
-PlaceDatagram::PlaceDatagram(const PlaceDatagram& other198) {
-  sender = other198.sender;
-  incarnation = other198.incarnation;
-  asks = other198.asks;
-  answers = other198.answers;
-  notes = other198.notes;
-  syncs = other198.syncs;
-  __isset = other198.__isset;
-}
-PlaceDatagram& PlaceDatagram::operator=(const PlaceDatagram& other199) {
-  sender = other199.sender;
-  incarnation = other199.incarnation;
-  asks = other199.asks;
-  answers = other199.answers;
-  notes = other199.notes;
-  syncs = other199.syncs;
-  __isset = other199.__isset;
+PlaceDatagram::PlaceDatagram(const PlaceDatagram& other212) {
+  sender = other212.sender;
+  incarnation = other212.incarnation;
+  asks = other212.asks;
+  answers = other212.answers;
+  notes = other212.notes;
+  syncs = other212.syncs;
+  leaving = other212.leaving;
+  rests = other212.rests;
+  __isset = other212.__isset;
+}
+PlaceDatagram& PlaceDatagram::operator=(const PlaceDatagram& other213) {
+  sender = other213.sender;
+  incarnation = other213.incarnation;
+  asks = other213.asks;
+  answers = other213.answers;
+  notes = other213.notes;
+  syncs = other213.syncs;
+  leaving = other213.leaving;
+  rests = other213.rests;
+  __isset = other213.__isset;
   return *this;
 }
 void PlaceDatagram::printTo(std::ostream& out) const {
@@ -5704,6 +5956,8 @@
   out << ", " << "answers=" << to_string(answers);
   out << ", " << "notes=" << to_string(notes);
   out << ", " << "syncs=" << to_string(syncs);
+  out << ", " << "leaving=" << to_string(leaving);
+  out << ", " << "rests=" << to_string(rests);
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -81,6 +81,8 @@
 
 class PlaceSync;
 
+class TargetRest;
+
 class PlaceDatagram;
 
 typedef struct _HostRecord__isset {
@@ -169,10 +171,11 @@
 std::ostream& operator<<(std::ostream& out, const HostRecord& obj);
 
 typedef struct _TargetMark__isset {
-  _TargetMark__isset() : target(false), version(false), closed(false) {}
+  _TargetMark__isset() : target(false), version(false), closed(false), start(false) {}
   bool target :1;
   bool version :1;
   bool closed :1;
+  bool start :1;
 } _TargetMark__isset;
 
 class TargetMark : public virtual ::apache::thrift::TBase {
@@ -183,13 +186,15 @@
   TargetMark() noexcept
              : target(),
                version(0),
-               closed(0) {
+               closed(0),
+               start(0) {
   }
 
   virtual ~TargetMark() noexcept;
   std::string target;
   int64_t version;
   bool closed;
+  int64_t start;
 
   _TargetMark__isset __isset;
 
@@ -199,6 +204,8 @@
 
   void __set_closed(const bool val);
 
+  void __set_start(const int64_t val);
+
   bool operator == (const TargetMark & rhs) const
   {
     if (!(target == rhs.target))
@@ -207,6 +214,10 @@
       return false;
     if (!(closed == rhs.closed))
       return false;
+    if (__isset.start != rhs.__isset.start)
+      return false;
+    else if (__isset.start && !(start == rhs.start))
+      return false;
     return true;
   }
   bool operator != (const TargetMark &rhs) const {
@@ -1822,11 +1833,12 @@
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj);
 
 typedef struct _PlacedTarget__isset {
-  _PlacedTarget__isset() : name(false), address(false), reserve_tokens(false), version(false) {}
+  _PlacedTarget__isset() : name(false), address(false), reserve_tokens(false), version(false), born(false) {}
   bool name :1;
   bool address :1;
   bool reserve_tokens :1;
   bool version :1;
+  bool born :1;
 } _PlacedTarget__isset;
 
 class PlacedTarget : public virtual ::apache::thrift::TBase {
@@ -1838,7 +1850,8 @@
                : name(),
                  address(),
                  reserve_tokens(0),
-                 version(0) {
+                 version(0),
+                 born(0) {
   }
 
   virtual ~PlacedTarget() noexcept;
@@ -1846,6 +1859,7 @@
   std::string address;
   int32_t reserve_tokens;
   int64_t version;
+  int64_t born;
 
   _PlacedTarget__isset __isset;
 
@@ -1857,6 +1871,8 @@
 
   void __set_version(const int64_t val);
 
+  void __set_born(const int64_t val);
+
   bool operator == (const PlacedTarget & rhs) const
   {
     if (!(name == rhs.name))
@@ -1867,6 +1883,8 @@
       return false;
     if (!(version == rhs.version))
       return false;
+    if (!(born == rhs.born))
+      return false;
     return true;
   }
   bool operator != (const PlacedTarget &rhs) const {
@@ -2163,14 +2181,73 @@
 
 std::ostream& operator<<(std::ostream& out, const PlaceSync& obj);
 
+typedef struct _TargetRest__isset {
+  _TargetRest__isset() : service_name(false), target(false), rest_ms(false) {}
+  bool service_name :1;
+  bool target :1;
+  bool rest_ms :1;
+} _TargetRest__isset;
+
+class TargetRest : public virtual ::apache::thrift::TBase {
+ public:
+
+  TargetRest(const TargetRest&);
+  TargetRest& operator=(const TargetRest&);
+  TargetRest() noexcept
+             : service_name(),
+               target(),
+               rest_ms(0) {
+  }
+
+  virtual ~TargetRest() noexcept;
+  std::string service_name;
+  std::string target;
+  int32_t rest_ms;
+
+  _TargetRest__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_rest_ms(const int32_t val);
+
+  bool operator == (const TargetRest & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(rest_ms == rhs.rest_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const TargetRest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TargetRest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TargetRest &a, TargetRest &b);
+
+std::ostream& operator<<(std::ostream& out, const TargetRest& obj);
+
 typedef struct _PlaceDatagram__isset {
-  _PlaceDatagram__isset() : sender(false), incarnation(false), asks(false), answers(false), notes(false), syncs(false) {}
+  _PlaceDatagram__isset() : sender(false), incarnation(false), asks(false), answers(false), notes(false), syncs(false), leaving(false), rests(false) {}
   bool sender :1;
   bool incarnation :1;
   bool asks :1;
   bool answers :1;
   bool notes :1;
   bool syncs :1;
+  bool leaving :1;
+  bool rests :1;
 } _PlaceDatagram__isset;
 
 class PlaceDatagram : public virtual ::apache::thrift::TBase {
@@ -2190,6 +2267,8 @@
   std::vector<PlaceAnswer>  answers;
   std::vector<PlaceNote>  notes;
   std::vector<PlaceSync>  syncs;
+  std::vector<TargetMark>  leaving;
+  std::vector<TargetRest>  rests;
 
   _PlaceDatagram__isset __isset;
 
@@ -2205,6 +2284,10 @@
 
   void __set_syncs(const std::vector<PlaceSync> & val);
 
+  void __set_leaving(const std::vector<TargetMark> & val);
+
+  void __set_rests(const std::vector<TargetRest> & val);
+
   bool operator == (const PlaceDatagram & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -2219,6 +2302,10 @@
       return false;
     if (!(syncs == rhs.syncs))
       return false;
+    if (!(leaving == rhs.leaving))
+      return false;
+    if (!(rests == rhs.rests))
+      return false;
     return true;
   }
   bool operator != (const PlaceDatagram &rhs) const {
--- a/src/wire/placement.cc
+++ b/src/wire/placement.cc
@@ -35,6 +35,7 @@
   out.address = target.address;
   out.reserve_tokens = Signed(target.reserve_tokens);
   out.version = static_cast<std::int64_t>(target.version);
+  out.born = static_cast<std::int64_t>(target.born);
   return out;
 }
 
@@ -42,7 +43,8 @@
   return {{in.name},
           in.address,
           Unsigned(in.reserve_tokens),
-          static_cast<std::uint64_t>(in.version)};
+          static_cast<std::uint64_t>(in.version),
+          static_cast<std::uint64_t>(in.born)};
 }
 
 PlaceAsk ToWire(const PlaceAskMessage& message, Time now) {
@@ -165,6 +167,19 @@
     if (!note.at.value.empty()) wire.__set_target(note.at.value);
   }
   for (const auto& sync : messages.syncs) out.syncs.push_back(ToWire(sync));
+  for (const auto& mark : messages.leaving) {
+    TargetMark& wire = out.leaving.emplace_back();
+    wire.target = mark.target.value;
+    wire.version = static_cast<std::int64_t>(mark.version);
+    wire.closed = mark.closed;
+    wire.__set_start(static_cast<std::int64_t>(mark.start));
+  }
+  for (const auto& rest : messages.rests) {
+    TargetRest& wire = out.rests.emplace_back();
+    wire.service_name = rest.service.value;
+    wire.target = rest.target.value;
+    wire.rest_ms = Ms(rest.rest);
+  }
   return EncodePlaceDatagram(out, key);
 }
 
@@ -212,6 +227,16 @@
       work.max_gap = FromMs(placed.max_gap_ms);
     }
   }
+  for (const auto& mark : in.leaving) {
+    out.leaving.push_back({{mark.target},
+                           static_cast<std::uint64_t>(mark.version),
+                           mark.closed,
+                           static_cast<std::uint64_t>(mark.start)});
+  }
+  for (const auto& rest : in.rests) {
+    out.rests.push_back(
+        {{rest.service_name}, {rest.target}, FromMs(rest.rest_ms)});
+  }
   return {};
 }
 
--- a/src/wire/placement.h
+++ b/src/wire/placement.h
@@ -7,6 +7,7 @@
 #include <system_error>
 #include <vector>
 
+#include "comfreyflow/membership.h"
 #include "comfreyflow/placer.h"
 #include "wire/codec.h"
 
@@ -38,6 +39,13 @@
   std::vector<RunningWork> running;
 };
 
+/// The target wants no request of the sender for `rest`.
+struct TargetRestMessage {
+  ServiceName service;
+  TargetName target;
+  Duration rest{};
+};
+
 struct PlaceMessages {
   HostName sender;
   Incarnation incarnation;
@@ -45,8 +53,11 @@
   std::vector<PlaceAnswerMessage> answers;
   std::vector<PlaceNoteMessage> notes;
   std::vector<PlaceSyncMessage> syncs;
+  std::vector<comfreyflow::TargetMark> leaving;  ///< By the targets' own word.
+  std::vector<TargetRestMessage> rests;
   bool empty() const {
-    return asks.empty() && answers.empty() && notes.empty() && syncs.empty();
+    return asks.empty() && answers.empty() && notes.empty() && syncs.empty() &&
+           leaving.empty() && rests.empty();
   }
 };
 
--- a/test/event-splitter-test.cc
+++ b/test/event-splitter-test.cc
@@ -41,3 +41,30 @@
   CHECK(splitter.last_id() == "9");
   CHECK(splitter.events() == 2);
 }
+
+TEST_CASE("what is no event comes out with the event behind it") {
+  EventSplitter splitter;
+  CHECK(splitter.Feed(": keep\n\n").empty());
+  CHECK(splitter.Feed("event: ping\n\nretry: 3\n\n").empty());
+  CHECK(splitter.events() == 0);
+  CHECK(splitter.ends_whole());
+  CHECK(splitter.Feed("id: 1\ndata: a\n\n: more\n\n") ==
+        ": keep\n\nevent: ping\n\nretry: 3\n\nid: 1\ndata: a\n\n");
+  CHECK(splitter.events() == 1);
+  CHECK(splitter.ends_whole());
+  CHECK(splitter.TakeRest() == ": more\n\n");
+  CHECK(splitter.Feed("da").empty());
+  CHECK_FALSE(splitter.ends_whole());
+}
+
+TEST_CASE("an event that does not end is told, and costs no more with length") {
+  EventSplitter splitter;
+  const std::string piece(64, 'x');
+  std::size_t fed = 0;
+  while (!splitter.too_long()) {
+    CHECK(splitter.Feed(piece).empty());
+    fed += piece.size();
+    REQUIRE(fed < 2 * EventSplitter::kMaxEventBytes);
+  }
+  CHECK(fed > EventSplitter::kMaxEventBytes);
+}
--- a/test/placer-test.cc
+++ b/test/placer-test.cc
@@ -481,3 +481,74 @@
   }
   CHECK(chosen.size() >= 4);
 }
+
+TEST_CASE("a target that rests for a host is granted to others, as the last") {
+  Placer placer = PlainPlacer(2, 4);
+  placer.SetHosts(2);
+  const Time until = kStart + seconds(1);
+  placer.Rest({"t0"}, {"h"}, until, kStart);
+  for (std::uint64_t i = 1; i <= 4; ++i) {
+    CHECK(Granted(placer, Job(i, kStart, 0), kStart).targets[0].name.value ==
+          "t1");
+  }
+  // Full: the other host may still send to the one that rests for the first.
+  CHECK(Granted(placer, Job(1, kStart, 0, "other"), kStart)
+            .targets[0]
+            .name.value == "t0");
+  placer.Ask(Job(5, kStart, 0), kStart);
+  CHECK(placer.TakeVerdicts().empty());
+  placer.Tick(until);
+  const auto verdicts = placer.TakeVerdicts();
+  REQUIRE(verdicts.size() == 1);
+  CHECK(std::get<PlaceGrant>(verdicts[0]).targets[0].name.value == "t0");
+}
+
+TEST_CASE("a host that all targets rest for refuses at once, or waits") {
+  Placer placer = PlainPlacer(2, 4);
+  const auto rest = [&placer](const char* host, Duration time) {
+    for (const char* target : {"t0", "t1"}) {
+      placer.Rest({target}, {host}, kStart + time, kStart);
+    }
+  };
+  const auto verdict = [&placer](const PlaceJob& job) {
+    placer.Ask(job, kStart);
+    return placer.TakeVerdicts();
+  };
+  SUBCASE("and its callers come to another host at once") {
+    placer.SetHosts(2);
+    rest("h", seconds(4));
+    const auto got = verdict(Job(1, kStart, 0));
+    REQUIRE(got.size() == 1);
+    const auto& refusal = std::get<PlaceRefusal>(got[0]);
+    CHECK(refusal.code == Errc::kOverloaded);
+    CHECK(refusal.retry_after == Duration::zero());
+    // What ran before can't be refused as not run; it waits.
+    PlaceJob again = Job(2, kStart, 0);
+    again.repeat = true;
+    CHECK(verdict(again).empty());
+  }
+  SUBCASE("when it alone may send, as long as there is time") {
+    rest("h", seconds(4));
+    CHECK(verdict(Job(1, kStart, 0)).empty());
+  }
+  SUBCASE("and not beyond the deadline") {
+    rest("h", seconds(20));
+    const auto got = verdict(Job(1, kStart, 0));
+    REQUIRE(got.size() == 1);
+    CHECK(std::get<PlaceRefusal>(got[0]).retry_after == seconds(20));
+  }
+  SUBCASE("when the rest is over within its objective") {
+    placer.SetHosts(2);
+    rest("h", milliseconds(200));
+    CHECK(verdict(Job(1, kStart, 0)).empty());
+  }
+}
+
+TEST_CASE("a later start of a target wants requests") {
+  Placer placer = PlainPlacer(1, 4);
+  placer.Rest({"t0"}, {"h"}, kStart + seconds(9), kStart);
+  auto targets = Targets(1, 4);
+  targets[0].born = 7;
+  placer.SetTargets(targets, kStart);
+  CHECK(Granted(placer, Job(1, kStart, 0), kStart).targets.size() == 1);
+}
--- a/test/platform/translation-test.cc
+++ b/test/platform/translation-test.cc
@@ -1,8 +1,10 @@
 // What the adapter reads and writes: settings, configuration, entries, headers.
 #include <doctest/doctest.h>
 
+#include <ctime>
 #include <nlohmann/json.hpp>
 
+#include "comfreyflow/target-rests.h"
 #include "platform/documents.h"
 #include "platform/edge.h"
 #include "platform/settings.h"
@@ -209,3 +211,54 @@
   CHECK(failed.status == 502);
   CHECK_FALSE(http::HasField(failed.fields, "retry-after"));
 }
+
+TEST_CASE("a target's word on itself is read from its answer") {
+  const auto edge = MakeEdge();
+  const auto read = [&edge](int status, http::Fields fields) {
+    http::Response response;
+    response.status = status;
+    response.fields = std::move(fields);
+    return edge.read_head(response);
+  };
+  for (const int status : {200, 421, 500, 503}) {
+    CHECK(read(status, {{"server-leaving", "1"}}).leaving);
+    CHECK_FALSE(read(status, {{"server-leaving", "0"}}).leaving);
+    CHECK_FALSE(read(status, {}).leaving);
+  }
+  struct Case {
+    const char* text;
+    std::optional<Duration> rest;
+  };
+  for (const Case& given :
+       std::vector<Case>{{"2", seconds(2)},
+                         {"0.25", milliseconds(250)},
+                         {"1.5 ", milliseconds(1500)},
+                         {"0", Duration::zero()},
+                         {"1e99", kLongestRest},
+                         {"99999999999999999999", kLongestRest},
+                         {"-1", std::nullopt},
+                         {"nan", std::nullopt},
+                         {"inf", std::nullopt},
+                         {"", std::nullopt},
+                         {"2 seconds", std::nullopt},
+                         {"soon", std::nullopt},
+                         {"Sun, 06 Nov 1994 08:49:37 GMT", Duration::zero()}}) {
+    CAPTURE(given.text);
+    const auto head = read(503, {{"retry-after", given.text}});
+    CHECK(head.rest == given.rest);
+    CHECK(head.rest_unreadable == !given.rest);
+    // Only a target that turns a request away asks for a rest.
+    CHECK_FALSE(read(500, {{"retry-after", given.text}}).rest);
+  }
+  const auto later = std::time(nullptr) + 60;
+  char date[64];
+  std::strftime(date, sizeof(date), "%a, %d %b %Y %T GMT", std::gmtime(&later));
+  const auto at = read(503, {{"retry-after", date}}).rest;
+  REQUIRE(at);
+  CHECK(*at > seconds(50));
+  CHECK(*at <= seconds(60));
+  const auto several = read(
+      503, {{"retry-after", "3"}, {"retry-after", "x"}, {"retry-after", "1"}});
+  CHECK(several.rest == seconds(3));
+  CHECK(several.rest_unreadable);
+}
--- a/test/rumours-test.cc
+++ b/test/rumours-test.cc
@@ -41,3 +41,19 @@
     CHECK(datagram.targets.size() == (i < kSends ? 1 : 0));
   }
 }
+
+TEST_CASE("a start that leaves by its own word is news at any version") {
+  Rumours rumours;
+  CHECK(rumours.Learn(Mark(1, 5), kSends, kStart));
+  TargetMark own = Mark(1, 4);
+  own.start = 77;
+  CHECK(rumours.Learn(own, kSends, kStart));
+  CHECK_FALSE(rumours.Learn(own, kSends, kStart));
+  // A later mark without a start keeps the one that is known.
+  CHECK(rumours.Learn(Mark(1, 6), kSends, kStart));
+  Datagram datagram;
+  rumours.Fill(datagram);
+  REQUIRE(datagram.targets.size() == 1);
+  CHECK(datagram.targets[0].start == 77);
+  CHECK(datagram.targets[0].version == 6);
+}
--- a/test/shell/wire-test.cc
+++ b/test/shell/wire-test.cc
@@ -5,6 +5,7 @@
 
 #include "comfreyflow/errors.h"
 #include "wire/codec.h"
+#include "wire/placement.h"
 
 using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
 using comfreyflow::wire::DecodeDatagram;
@@ -45,7 +46,8 @@
     datagram.wanted.push_back({static_cast<std::uint32_t>(random())});
   }
   for (std::uint64_t i = draw(4); i > 0; --i) {
-    datagram.targets.push_back({{"engine"}, random(), draw(1) == 1});
+    const std::uint64_t start = draw(1) == 1 ? random() : 0;
+    datagram.targets.push_back({{"engine"}, random(), draw(1) == 1, start});
     datagram.suspects.push_back(
         {random(), static_cast<std::uint32_t>(draw(9))});
   }
@@ -124,3 +126,22 @@
   CHECK(DecodeDatagram(EncodeDatagram(datagram, kKey), kKey, datagram) ==
         Errc::kCodec);
 }
+
+TEST_CASE("targets' own words survive the trip between hosts") {
+  wire::PlaceMessages messages;
+  messages.sender.value = "host1";
+  messages.incarnation.value = 3;
+  messages.leaving.push_back({{"a"}, 12, true, 1'764'000'000'000});
+  messages.rests.push_back(
+      {{"service"}, {"b"}, std::chrono::milliseconds(1500)});
+  CHECK_FALSE(messages.empty());
+  const Time now{std::chrono::hours(1)};
+  wire::PlaceMessages out;
+  CHECK_FALSE(wire::DecodePlacement(
+      wire::EncodePlacement(messages, {"key"}, now), {"key"}, now, out));
+  CHECK(out.leaving == messages.leaving);
+  REQUIRE(out.rests.size() == 1);
+  CHECK(out.rests[0].service.value == "service");
+  CHECK(out.rests[0].target.value == "b");
+  CHECK(out.rests[0].rest == std::chrono::milliseconds(1500));
+}
--- a/test/soak/promises-test.cc
+++ b/test/soak/promises-test.cc
@@ -239,3 +239,56 @@
   records.runs.clear();
   CHECK(Broken(records) == Promises{"RECOVER"});
 }
+
+TEST_CASE(
+    "a request for a target that told this host that it leaves is found") {
+  Records records = Sound();
+  records.words.push_back({"safe", 0, 1, kStart, std::nullopt});
+  CHECK(Broken(records).empty());
+  Sent later = records.sent[0];
+  later.id = "later";
+  later.at = kStart + milliseconds(2100);
+  later.ended = later.at + milliseconds(100);
+  Run run = records.runs[0];
+  run.id = "later";
+  run.at = later.at + milliseconds(5);
+  run.ended = later.ended;
+  records.sent.push_back(later);
+  records.runs.push_back(run);
+  CHECK(Broken(records) == Promises{"DRAIN"});
+  SUBCASE("not of a later start") { records.runs.back().born = 2; }
+  SUBCASE("not by another host") { records.sent.back().host = 1; }
+  SUBCASE("not sent in time") {
+    records.sent.back().at = kStart + milliseconds(1900);
+  }
+  SUBCASE("not by a host that was paused since") {
+    records.disturbances.push_back(
+        {Subject::kHost, 0, "pause", kStart + seconds(1), kStart + seconds(2)});
+  }
+  CHECK(Broken(records).empty());
+}
+
+TEST_CASE("a third request for a target that wants nothing is found") {
+  Records records = Sound();
+  records.words.push_back({"safe", 0, 1, kStart, seconds(2)});
+  const auto add = [&records](milliseconds after) {
+    Sent sent = records.sent[0];
+    sent.id = "r" + std::to_string(records.sent.size());
+    sent.at = kStart + after;
+    sent.ended = sent.at + milliseconds(50);
+    Run run = records.runs[0];
+    run.id = sent.id;
+    run.at = sent.at;
+    run.ended = sent.ended;
+    records.sent.push_back(sent);
+    records.runs.push_back(run);
+  };
+  add(milliseconds(100));  // On its way when the target said so.
+  add(milliseconds(400));
+  add(milliseconds(600));
+  add(milliseconds(700));
+  add(milliseconds(2100));
+  CHECK(Broken(records).empty());
+  add(milliseconds(1900));
+  CHECK(Broken(records) == Promises{"BUDGET"});
+}
--- a/test/target-book-test.cc
+++ b/test/target-book-test.cc
@@ -251,3 +251,99 @@
   CHECK(book.Removed({"b"}, kStart));
   CHECK_FALSE(book.Removed({"c"}, kStart));
 }
+
+TEST_CASE("a start that leaves by its own word stays closed while it lives") {
+  TargetBook book(kReturn);
+  const auto entry = [](std::uint64_t born, std::uint64_t version) {
+    TargetEntry out = Entry("a");
+    out.target.born = born;
+    out.target.version = version;
+    out.report = version;
+    return out;
+  };
+  book.Listed({entry(100, 5)}, kStart);
+  CHECK(book.ToldLeaving({{"a"}, 100, 4, {}}, kStart));
+  CHECK_FALSE(book.ToldLeaving({{"a"}, 100, 4, {}}, kStart));
+  CHECK(book.Leaving({"a"}));
+  const std::vector<TargetMark> marks = {{{"a"}, 5, true, 100}};
+  CHECK(book.TakeMarks() == marks);
+  SUBCASE("whatever the list says, for as long as it says it") {
+    Time now = kStart;
+    for (std::uint64_t version = 6; version < 200; ++version) {
+      now += std::chrono::minutes(1);
+      book.Put(entry(100, version));
+      book.Tick(now);
+      REQUIRE(book.Leaving({"a"}));
+    }
+  }
+  SUBCASE("over an outage and a lapse of its entry") {
+    book.KeeperLost(kStart);
+    book.Removed({"a"}, kStart);
+    book.KeeperBack(kStart + seconds(1));
+    book.Put(entry(100, 9));
+    CHECK(book.Leaving({"a"}));
+  }
+  SUBCASE("an entry that names no start does not open it") {
+    book.Put(entry(0, 9));
+    CHECK(book.Leaving({"a"}));
+  }
+  SUBCASE("an older start's entry does not open it") {
+    book.Put(entry(90, 4));
+    CHECK(book.Leaving({"a"}));
+  }
+  SUBCASE("a later start opens it, for good") {
+    book.Put(entry(200, 6));
+    CHECK_FALSE(book.Leaving({"a"}));
+    CHECK(book.told_leaving() == 0);
+    // The word of the start before comes late, from here or from a peer.
+    CHECK_FALSE(book.ToldLeaving({{"a"}, 100, 5, {}}, kStart));
+    CHECK_FALSE(book.Marked({{"a"}, 5, true, 100}, kStart));
+    CHECK_FALSE(book.Leaving({"a"}));
+  }
+  SUBCASE("a later start opens it on a host whose clock is behind") {
+    book.Put(entry(50, 6));
+    CHECK_FALSE(book.Leaving({"a"}));
+  }
+}
+
+TEST_CASE(
+    "a start that a peer or the holder knows first is closed when listed") {
+  TargetBook book(kReturn);
+  TargetEntry listed = Entry("a");
+  listed.target.born = 100;
+  listed.target.version = 5;
+  book.Listed({listed}, kStart);
+  SUBCASE("by a mark") { CHECK(book.Marked({{"a"}, 8, true, 200}, kStart)); }
+  SUBCASE("by its own answer") {
+    CHECK(book.ToldLeaving({{"a"}, 200, 8, {}}, kStart));
+  }
+  // The start before it is gone as well.
+  CHECK(book.Leaving({"a"}));
+  listed.target.born = 200;
+  listed.target.version = 9;
+  book.Put(listed);
+  CHECK(book.Leaving({"a"}));
+}
+
+TEST_CASE("an answer from another address closes only what is listed there") {
+  TargetBook book(kReturn);
+  book.Listed({Entry("a")}, kStart);
+  CHECK_FALSE(book.ToldLeaving({{"a"}, 0, 0, "10.0.0.9:1"}, kStart));
+  CHECK_FALSE(book.ToldLeaving({{"b"}, 0, 0, "10.0.0.1:1"}, kStart));
+  CHECK(book.ToldLeaving({{"a"}, 0, 0, "10.0.0.1:1"}, kStart));
+  CHECK(book.Leaving({"a"}));
+}
+
+TEST_CASE("closed starts that are listed no more are forgotten in the end") {
+  TargetBook book(kReturn);
+  Time now = kStart;
+  for (int i = 0; i < 20'000; ++i) {
+    now += seconds(1);
+    TargetEntry entry = Entry("t" + std::to_string(i));
+    entry.target.born = 1;
+    book.Put(entry);
+    REQUIRE(book.ToldLeaving({entry.target.name, 1, 0, {}}, now));
+    book.Removed(entry.target.name, now);
+    REQUIRE(book.told_leaving() <= 8192);
+  }
+}
