Long prompts: what can't begin before its caller leaves is refused, and starts in time

Engines of short streams held 11 streams, of 16 slots, which left fewer whole engines to long prompts.

The placer knows when a caller leaves (begin_by): it refuses what can't begin by then, starts nothing that can't, and puts a late long prompt first in its last 1.5 s. 13 streams are packed on an engine.

--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -47,6 +47,8 @@
   std::uint32_t priority = 1;
   Time arrival;
   Time deadline;
+  /// Its caller leaves if no event came by then; not later than the deadline.
+  Time begin_by = Time::max();
   Duration objective{};  ///< From arrival to the first event or answer.
   Duration max_gap{};    ///< Longest pause between its events that is in time.
   std::uint32_t number = 1;          ///< Of this ask for a target.
@@ -267,8 +269,14 @@
   bool InPool(const Target& target, const Work& work) const;
   static bool RestsFor(const Target& target, const HostName& host, Time at);
   static bool Rests(const Target& target, Time now);
-  /// Late, priority, end of the objective.
-  using Rank = std::tuple<bool, std::uint32_t, Time>;
+  /// What comes first: what would be lost soon, what can be in time, the rest.
+  enum class Urgency : std::uint8_t { kLastChance, kInTime, kLate };
+  /// Then priority, and the end of the objective.
+  using Rank = std::tuple<Urgency, std::uint32_t, Time>;
+  Urgency UrgencyOf(const Work& work, Time now) const;
+  static Time BeginBy(const PlaceJob& job);
+  bool TooLate(const Work& work, Time now) const;
+  Duration LeastTime(const Work& work) const;
   std::vector<std::pair<Rank, Work*>> RankWaiting(Time now);
   void PlaceWaiting(Time now);
   void DropOverdue(Time now);
--- a/include/comfreyflow/routes.h
+++ b/include/comfreyflow/routes.h
@@ -37,6 +37,9 @@
   Duration timeout{};    ///< Longest time to the final answer; 0: no limit.
   Duration objective{};  ///< Time to the answer, or to a stream's first event.
   Duration max_gap{};    ///< Longest pause between events that is in time.
+  /// Callers leave a stream on which nothing came for so long; 0: they wait for
+  /// its deadline.
+  Duration patience{};
   std::uint32_t priority = 1;      ///< 0 is the most urgent.
   std::uint32_t max_attempts = 1;  ///< Targets that may run one request.
   bool is_public = false;          ///< Needs no key.
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -17,7 +17,7 @@
 /// Unread short prompts on one engine at most, in reading time.
 constexpr Duration kReadBacklog = milliseconds(110);
 /// Streams packed on an engine before another one is opened.
-constexpr std::uint32_t kPackedStreams = 11;
+constexpr std::uint32_t kPackedStreams = 13;
 /// Share of an engine's memory that is planned for.
 constexpr double kMemoryShare = 0.95;
 /// Engines that read one prompt at most, the first one included.
@@ -48,6 +48,8 @@
 constexpr Duration kReadLimit = milliseconds(260);
 constexpr Duration kPaceMemory = std::chrono::seconds(3);
 constexpr double kTolerableErrors = 0.3;
+/// Least time in which a request can be served at all.
+constexpr Duration kLeastService = milliseconds(10);
 
 }  // namespace
 
@@ -78,6 +80,19 @@
   return job.stream && EnginesToHold(job) > kMaxReaders;
 }
 
+/// Shortest time to the first event or answer, on targets that are free.
+Duration Placer::LeastTime(const Work& work) const {
+  if (!engine_ || !work.job.stream) return kLeastService;
+  std::size_t engines = 0;
+  for (const auto& [name, target] : targets_) {
+    if (target.listed && !target.info.leaving && !target.replaced) ++engines;
+  }
+  const auto readers = static_cast<int>(
+      IsLong(work) ? std::clamp<std::size_t>(engines, 1, kMaxReaders) : 1);
+  return kLeastService + work.read / readers +
+         engine_->step * engine_->event_tokens;
+}
+
 /// Averages the demand of short prompts over about `kShortMemory`.
 void Placer::NoteShort(Duration read, Time now) {
   const Seconds memory(kShortMemory);
@@ -356,7 +371,11 @@
   };
   const std::size_t aimed =
       readers_for(duration_cast<Duration>(left * kAimedReadShare));
+  const auto begins = [&work, now](std::size_t count) {
+    return now + work.read / static_cast<int>(count) + kFirstEventMargin;
+  };
   for (std::size_t count = aimed; count <= most; ++count) {
+    if (begins(count) > BeginBy(work.job)) continue;
     auto readers = Readers(work, targets, count, most);
     if (!readers.empty()) return readers;
   }
@@ -366,8 +385,7 @@
            : readers_for(duration_cast<Duration>(left * kAcceptedReadShare));
   for (std::size_t count = aimed; count-- > least;) {
     if (count == 0) break;
-    const Duration time = work.read / static_cast<int>(count);
-    if (now + time + kFirstEventMargin > work.job.deadline) break;
+    if (begins(count) > BeginBy(work.job)) break;
     auto readers = Readers(work, targets, count, most);
     if (!readers.empty()) return readers;
   }
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -23,6 +23,8 @@
 constexpr Duration kAskLife = milliseconds(1200);
 /// Least time in which a request can be served at all.
 constexpr Duration kLeastService = milliseconds(10);
+/// A late prompt goes before others once it would be too late in this time.
+constexpr Duration kLastChance = milliseconds(1500);
 /// Wait for a first usable target before a request is refused.
 constexpr Duration kEmptyPoolWait = milliseconds(250);
 constexpr Duration kEmptyPoolRetry = milliseconds(500);
@@ -119,7 +121,7 @@
     works_.erase(job.id);
     return;
   }
-  if (TryPlace(work, now)) return;
+  if (!TooLate(work, now) && TryPlace(work, now)) return;
   if (RefuseWaiting(work, now)) {
     works_.erase(job.id);
     return;
@@ -281,7 +283,8 @@
   for (const auto& id : waiting_) {
     Work& work = works_.at(id);
     const Time due = work.job.arrival + work.job.objective;
-    ranked.emplace_back(Rank(due < now, work.job.priority, due), &work);
+    ranked.emplace_back(Rank(UrgencyOf(work, now), work.job.priority, due),
+                        &work);
   }
   std::stable_sort(
       ranked.begin(), ranked.end(),
@@ -307,7 +310,7 @@
       continue;
     }
     const bool skip = blocked && !work.is_long && work.read >= *blocked;
-    if (!skip && TryPlace(work, now)) continue;
+    if (!skip && !TooLate(work, now) && TryPlace(work, now)) continue;
     if (RefuseWaiting(work, now)) {
       works_.erase(id);
       continue;
@@ -387,9 +390,26 @@
          !Excluded(work, target.info.name);
 }
 
+Placer::Urgency Placer::UrgencyOf(const Work& work, Time now) const {
+  const Time due = work.job.arrival + work.job.objective;
+  if (due >= now) return Urgency::kInTime;
+  if (!work.is_long) return Urgency::kLate;
+  const bool last = now + LeastTime(work) + kLastChance >= BeginBy(work.job);
+  return last ? Urgency::kLastChance : Urgency::kLate;
+}
+
+/// Whether its caller would be gone by its first event, or its deadline over.
+bool Placer::TooLate(const Work& work, Time now) const {
+  return now + LeastTime(work) >= BeginBy(work.job);
+}
+
+Time Placer::BeginBy(const PlaceJob& job) {
+  return std::min(job.begin_by, job.deadline);
+}
+
 /// Whether no target can take the work before its deadline.
 bool Placer::Hopeless(const Work& work, Time now) const {
-  if (now + kLeastService >= work.job.deadline) return true;
+  if (TooLate(work, now)) return true;
   const bool any = std::any_of(
       targets_.begin(), targets_.end(), [this, &work](const auto& entry) {
         const Target& target = entry.second;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -128,6 +128,7 @@
     job.priority = priority_.value_or(route_->priority);
     job.arrival = arrival_;
     job.deadline = deadline_;
+    job.begin_by = BeginBy();
     job.objective = route_->objective;
     job.max_gap = route_->max_gap;
     job.repeat = progress_.tries > 0;
@@ -140,6 +141,13 @@
                              });
   }
 
+  /// When the caller leaves if it gets no event.
+  Time BeginBy() const {
+    if (route_->patience <= Duration::zero()) return deadline_;
+    const Time since = progress_.head_sent ? last_event_ : arrival_;
+    return std::min(deadline_, since + route_->patience);
+  }
+
   void Placed(const PlaceVerdict& verdict) {
     if (stage_ != Stage::kPlacing) return;
     if (const auto* refusal = std::get_if<PlaceRefusal>(&verdict)) {
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -4245,6 +4245,10 @@
 void PlaceAsk::__set_repeat(const bool val) {
   this->repeat = val;
 }
+
+void PlaceAsk::__set_begin_ms(const int32_t val) {
+  this->begin_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
 {
   obj.printTo(out);
@@ -4405,6 +4409,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->begin_ms);
+          this->__isset.begin_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4490,6 +4502,10 @@
   xfer += oprot->writeBool(this->repeat);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("begin_ms", ::apache::thrift::protocol::T_I32, 16);
+  xfer += oprot->writeI32(this->begin_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4512,6 +4528,7 @@
   swap(a.number, b.number);
   swap(a.excluded, b.excluded);
   swap(a.repeat, b.repeat);
+  swap(a.begin_ms, b.begin_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -4531,6 +4548,7 @@
   number = other144.number;
   excluded = other144.excluded;
   repeat = other144.repeat;
+  begin_ms = other144.begin_ms;
   __isset = other144.__isset;
 }
 PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other145) {
@@ -4549,6 +4567,7 @@
   number = other145.number;
   excluded = other145.excluded;
   repeat = other145.repeat;
+  begin_ms = other145.begin_ms;
   __isset = other145.__isset;
   return *this;
 }
@@ -4570,6 +4589,7 @@
   out << ", " << "number=" << to_string(number);
   out << ", " << "excluded=" << to_string(excluded);
   out << ", " << "repeat=" << to_string(repeat);
+  out << ", " << "begin_ms=" << to_string(begin_ms);
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -1693,7 +1693,7 @@
 std::ostream& operator<<(std::ostream& out, const Envelope& obj);
 
 typedef struct _PlaceAsk__isset {
-  _PlaceAsk__isset() : sequence(false), service_name(false), account(false), failure_domain(false), stream(false), prompt_tokens(false), output_tokens(false), priority(false), waited_ms(false), remaining_ms(false), objective_ms(false), max_gap_ms(false), number(false), excluded(false), repeat(false) {}
+  _PlaceAsk__isset() : sequence(false), service_name(false), account(false), failure_domain(false), stream(false), prompt_tokens(false), output_tokens(false), priority(false), waited_ms(false), remaining_ms(false), objective_ms(false), max_gap_ms(false), number(false), excluded(false), repeat(false), begin_ms(false) {}
   bool sequence :1;
   bool service_name :1;
   bool account :1;
@@ -1709,6 +1709,7 @@
   bool number :1;
   bool excluded :1;
   bool repeat :1;
+  bool begin_ms :1;
 } _PlaceAsk__isset;
 
 class PlaceAsk : public virtual ::apache::thrift::TBase {
@@ -1730,7 +1731,8 @@
              objective_ms(0),
              max_gap_ms(0),
              number(0),
-             repeat(0) {
+             repeat(0),
+             begin_ms(0) {
   }
 
   virtual ~PlaceAsk() noexcept;
@@ -1749,6 +1751,7 @@
   int32_t number;
   std::vector<std::string>  excluded;
   bool repeat;
+  int32_t begin_ms;
 
   _PlaceAsk__isset __isset;
 
@@ -1782,6 +1785,8 @@
 
   void __set_repeat(const bool val);
 
+  void __set_begin_ms(const int32_t val);
+
   bool operator == (const PlaceAsk & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -1814,6 +1819,8 @@
       return false;
     if (!(repeat == rhs.repeat))
       return false;
+    if (!(begin_ms == rhs.begin_ms))
+      return false;
     return true;
   }
   bool operator != (const PlaceAsk &rhs) const {
--- a/test/placer-test.cc
+++ b/test/placer-test.cc
@@ -552,3 +552,36 @@
   placer.SetTargets(targets, kStart);
   CHECK(Granted(placer, Job(1, kStart, 0), kStart).targets.size() == 1);
 }
+
+TEST_CASE("a prompt whose caller would have left by its first event") {
+  Placer placer = EnginePlacer(4);
+  PlaceJob job = Job(1, kStart, 300'000);
+  // Four engines read it in 2.5 s.
+  job.begin_by = kStart + seconds(2);
+  placer.Ask(job, kStart);
+  const auto verdicts = placer.TakeVerdicts();
+  REQUIRE(verdicts.size() == 1);
+  CHECK(std::get<PlaceRefusal>(verdicts[0]).code == Errc::kDeadlineInfeasible);
+}
+
+TEST_CASE("a late long prompt goes first when its caller would leave soon") {
+  const auto first_of = [](Duration patience) {
+    Placer placer = EnginePlacer(2);
+    const PlaceJob reads = Job(1, kStart, 200'000);
+    Granted(placer, reads, kStart);
+    PlaceJob late = Job(2, kStart, 60'000);
+    late.objective = milliseconds(500);
+    late.begin_by = kStart + patience;
+    placer.Ask(late, kStart);
+    const Time now = kStart + milliseconds(1000);
+    placer.Ask(late, now);
+    placer.Ask(Job(3, now, 60'000), now);
+    placer.TakeVerdicts();
+    placer.Ended(reads.id, WorkEnd::kDone, now);
+    const auto verdicts = placer.TakeVerdicts();
+    REQUIRE(verdicts.size() == 1);
+    return std::get<PlaceGrant>(verdicts[0]).id.sequence;
+  };
+  CHECK(first_of(seconds(9)) == 3);
+  CHECK(first_of(milliseconds(2500)) == 2);
+}
