Large fleets: fewer looks at the store, one configuration in an answer, read beside the loop

Hosts that hold no placer look 1.8 s after a change (peers tell of closed targets sooner), and half of the watches of a large fleet wait for the longest time. So configurations are looked at as before, only the last one of an answer is taken, and large answers and documents are read on a thread of their own.

--- a/include/comfreyflow/follow-plan.h
+++ b/include/comfreyflow/follow-plan.h
@@ -16,6 +16,17 @@
 
 namespace comfreyflow {
 
+/// What the pause between two watches of a host depends on.
+struct FleetPart {
+  std::size_t hosts = 1;  ///< That follow the same kinds.
+  /// Others are granted targets by this host, or each change tells the whole
+  /// kind anew, so that several in one answer would fill a small host's link.
+  bool looks_soon = false;
+};
+
+/// Shortest time from an answer that told of changes to the kind's next watch.
+Duration PauseBetweenWatches(const FleetPart& part);
+
 class FollowPlan {
  public:
   /// `seed` spreads the watches of hosts.
@@ -38,7 +49,7 @@
   std::optional<Step> Next(std::size_t kind, std::size_t hosts);
   Effect Listed(std::size_t kind, std::uint64_t version);
   Effect Changed(std::size_t kind, std::uint64_t version, bool any,
-                 std::size_t hosts);
+                 const FleetPart& part);
   /// Changes are missing: the kind is listed next.
   Effect Forgotten(std::size_t kind);
   /// No answer came, or a refusal.
--- a/include/comfreyflow/target-book.h
+++ b/include/comfreyflow/target-book.h
@@ -56,8 +56,9 @@
   /// Targets that leave or are gone from the list, since the last call; for the
   /// peers.
   std::vector<TargetMark> TakeMarks();
-  /// Whether the list has not told by now what a peer told some time ago.
-  bool Behind(Time now) const;
+  /// Whether the list has not told by now what a peer told some time ago; it is
+  /// looked at with such pauses.
+  bool Behind(Time now, Duration pause) const;
   /// The list's keeper does not answer, or answers again.
   void KeeperLost(Time now);
   void KeeperBack(Time now);
--- a/src/core/follow/follow-plan.cc
+++ b/src/core/follow/follow-plan.cc
@@ -21,7 +21,8 @@
 /// of them flat, up to a part of the time in which changes must be in force.
 constexpr Duration kPausePerHost = milliseconds(10);
 constexpr Duration kLeastPause = milliseconds(60);
-constexpr Duration kMostPause = milliseconds(600);
+constexpr Duration kMostPause = milliseconds(1800);
+constexpr Duration kMostPauseOfSoon = milliseconds(600);
 /// Mean time between two renewals of a kind's watches in the whole fleet.
 constexpr Duration kRenewalInFleet = milliseconds(200);
 
@@ -29,23 +30,28 @@
   return std::min(most, time * (1 << std::min(doublings, kMostDoublings)));
 }
 
-Duration PauseOf(std::size_t hosts) {
-  return std::clamp(static_cast<int>(hosts) * kPausePerHost, kLeastPause,
-                    kMostPause);
-}
-
 }  // namespace
 
+Duration PauseBetweenWatches(const FleetPart& part) {
+  return std::clamp(static_cast<int>(part.hosts) * kPausePerHost, kLeastPause,
+                    part.looks_soon ? kMostPauseOfSoon : kMostPause);
+}
+
 FollowPlan::FollowPlan(std::size_t kinds, std::uint64_t seed)
     : kinds_(kinds), random_(seed) {}
 
 /// Even over a range that begins at the least time, so that of many hosts whose
-/// watches began together some end soon.
+/// watches began together some end soon. Where the longest time binds, so many
+/// hosts take it that the others are enough.
 Duration FollowPlan::WatchTime(std::size_t hosts) {
-  const Duration mean =
-      std::clamp(static_cast<int>(hosts) * kRenewalInFleet, kLeastWatchTime,
-                 (kLeastWatchTime + kMostWatchTime) / 2);
+  constexpr Duration kMostMean = (kLeastWatchTime + kMostWatchTime) / 2;
+  const Duration wanted = static_cast<int>(hosts) * kRenewalInFleet;
+  const Duration mean = std::clamp(wanted, kLeastWatchTime, kMostMean);
   const Duration most = 2 * mean - kLeastWatchTime;
+  using Real = std::chrono::duration<double>;
+  const double needed =
+      std::min(1.0, Real(kMostWatchTime - kLeastWatchTime) / Real(wanted));
+  if (!std::bernoulli_distribution(needed)(random_)) return kMostWatchTime;
   std::uniform_int_distribution<Duration::rep> draw(kLeastWatchTime.count(),
                                                     most.count());
   return Duration(draw(random_));
@@ -89,12 +95,12 @@
 }
 
 FollowPlan::Effect FollowPlan::Changed(std::size_t index, std::uint64_t version,
-                                       bool any, std::size_t hosts) {
+                                       bool any, const FleetPart& part) {
   Kind& kind = kinds_[index];
   kind.version = std::max(kind.version, version);
   Effect effect = Answered(kind);
   // After an outage more may have changed than the first answer told.
-  if (any && !effect.back) effect.pause = PauseOf(hosts);
+  if (any && !effect.back) effect.pause = PauseBetweenWatches(part);
   return effect;
 }
 
--- a/src/core/targets/target-book.cc
+++ b/src/core/targets/target-book.cc
@@ -8,7 +8,8 @@
 namespace comfreyflow {
 namespace {
 
-/// The list tells what a peer told within this time, or its watch is broken.
+/// The list tells what a peer told within this time and the pause between two
+/// looks at it, or its watch is broken.
 constexpr Duration kListPatience = std::chrono::seconds(1);
 /// The list has told of what a peer told so long ago.
 constexpr Duration kMarkLife = std::chrono::minutes(5);
@@ -195,10 +196,11 @@
   return std::exchange(news_, {});
 }
 
-bool TargetBook::Behind(Time now) const {
-  return std::any_of(
-      unconfirmed_.begin(), unconfirmed_.end(),
-      [now](const auto& entry) { return now - entry.second > kListPatience; });
+bool TargetBook::Behind(Time now, Duration pause) const {
+  return std::any_of(unconfirmed_.begin(), unconfirmed_.end(),
+                     [now, pause](const auto& entry) {
+                       return now - entry.second > kListPatience + pause;
+                     });
 }
 
 void TargetBook::KeeperLost(Time) {
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -4,7 +4,6 @@
 #include <random>
 #include <utility>
 
-#include "comfreyflow/follow-plan.h"
 #include "node/clock.h"
 #include "node/log.h"
 
@@ -42,7 +41,7 @@
 
   void Step(std::size_t index) {
     if (stopped) return;
-    const auto step = plan.Next(index, hooks.hosts());
+    const auto step = plan.Next(index, hooks.part().hosts);
     if (!step) return;
     step->list ? List(index) : Watch(index, step->wait);
   }
@@ -75,6 +74,12 @@
     Go(index, effect);
   }
 
+  FleetPart PartFor(std::size_t index) const {
+    FleetPart part = hooks.part();
+    part.looks_soon = part.looks_soon || tracks[index].kind.one_document;
+    return part;
+  }
+
   void Watch(std::size_t index, Duration wait) {
     store.watch(tracks[index].kind.kind, plan.version(index), wait,
                 Taking<WatchAnswer>(index, &State::Changed));
@@ -91,7 +96,7 @@
     if (changes.error) return Failed(index, changes.error, changes.silent);
     track.confirmed = Now();
     const auto effect = plan.Changed(index, changes.version,
-                                     !changes.changes.empty(), hooks.hosts());
+                                     !changes.changes.empty(), PartFor(index));
     Tell(effect, index);
     for (const auto& change : changes.changes) track.kind.changed(change);
     if (track.kind.told && !changes.changes.empty()) track.kind.told();
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "comfreyflow/follow-plan.h"
 #include "gateway/object-store.h"
 
 namespace comfreyflow::gateway {
@@ -19,6 +20,8 @@
   std::function<void(const PlatformObject&)> changed;
   /// After all that one answer told; absent: nothing.
   std::function<void()> told;
+  /// Each change tells all of it.
+  bool one_document = false;
 };
 
 /// How far a kind is known here.
@@ -29,10 +32,9 @@
 };
 
 struct FollowerHooks {
-  std::function<void()> lost;  ///< The store does not answer.
-  std::function<void()> back;  ///< It does again.
-  /// Hosts that follow the same kinds.
-  std::function<std::size_t()> hosts;
+  std::function<void()> lost;       ///< The store does not answer.
+  std::function<void()> back;       ///< It does again.
+  std::function<FleetPart()> part;  ///< Of this host.
 };
 
 /// Lives on one I/O thread. While the store is away one kind alone tries
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -398,6 +398,8 @@
   state_->peers.SetListed(std::move(hosts));
 }
 
+bool Gateway::holds_placer() const { return state_->placement.holds(); }
+
 bool Gateway::ready() const {
   return state_->table != nullptr && state_->has_targets && !state_->stopping;
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -73,6 +73,8 @@
   void SetStoreReachable(bool reachable);
   void SetListedHosts(std::vector<ListedHost> hosts);
 
+  /// Whether this host places requests of others or its own.
+  bool holds_placer() const;
   /// Whether callers shall be sent here.
   bool ready() const;
   /// Addresses for callers of a failure domain.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -643,6 +643,14 @@
   return state_->Holder(service);
 }
 
+bool Placement::holds() const {
+  const Time now = Now();
+  return std::any_of(state_->holding.begin(), state_->holding.end(),
+                     [now](const auto& entry) {
+                       return now - entry.second.last_ask <= kHoldingLapse;
+                     });
+}
+
 std::map<ServiceName, Placer::Summary> Placement::Held() {
   return state_->Held(Now());
 }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -81,6 +81,8 @@
 
   /// The host that is asked for the service's targets now.
   HostName HolderOf(const ServiceName& service) const;
+  /// Whether a placer of this host is asked.
+  bool holds() const;
   /// What the placers that are asked here believe.
   std::map<ServiceName, Placer::Summary> Held();
   /// Loads as this host's own placer of the service counts them.
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -223,10 +223,22 @@
       answer.error = error;
       handler(std::move(answer));
     };
-    job->done = [handler, fill](const Result& result) {
-      Answer answer = Decode<Answer>(result, fill);
-      if constexpr (requires { answer.silent; }) answer.silent = result.silent;
-      handler(std::move(answer));
+    job->done = [self = shared_from_this(), handler,
+                 fill](const Result& result) {
+      const auto read = [fill](const Result& from) {
+        Answer answer = Decode<Answer>(from, fill);
+        if constexpr (requires { answer.silent; }) answer.silent = from.silent;
+        return answer;
+      };
+      const auto& offload = self->settings.offload;
+      if (!offload || result.body.size() < kLargeAnswerBytes) {
+        return handler(read(result));
+      }
+      offload([self, handler, read, result] {
+        auto answer = std::make_shared<Answer>(read(result));
+        asio::post(self->strand,
+                   [handler, answer] { handler(std::move(*answer)); });
+      });
     };
     return job;
   }
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -58,8 +58,14 @@
   Duration watch_grace = std::chrono::milliseconds(1000);
   /// A read whose answer was lost is sent again once, on a new connection.
   bool resend_reads = true;
+  /// Runs work away from the I/O thread; absent: answers are read on it. Used
+  /// for large ones, whose reading would hold up the relays of a small host.
+  std::function<void(std::function<void()>)> offload;
 };
 
+/// Answers from this size on are large.
+inline constexpr std::size_t kLargeAnswerBytes = 32 * 1024;
+
 /// Calls by what became of them, since the start.
 struct PlatformCounts {
   std::uint64_t reads = 0;
--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -552,3 +552,28 @@
     CHECK_MESSAGE(text.find(line) != std::string::npos, line);
   }
 }
+
+TEST_CASE(
+    "a large configuration is in force, the last of several told at once") {
+  Site site;
+  site.AddTarget("app", "i1");
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  for (const std::uint64_t version : {3, 4, 5}) {
+    site.PutConfig(version, [version](nlohmann::json& config) {
+      auto route = config["Routes"][0];
+      for (int i = 0; i < 1500; ++i) {
+        route["Name"] = "more" + std::to_string(i);
+        route["PathPrefix"] =
+            "/" + std::to_string(version) + "/" + std::to_string(i) + "/";
+        config["Routes"].push_back(route);
+      }
+    });
+  }
+  REQUIRE(site.Until([&] {
+    return site.Call(host, "GET", "/5/1499/x").response.status == 200;
+  }));
+  CHECK(site.Call(host, "GET", "/4/1499/x").response.status == 404);
+  CHECK(site.Call(host, "GET", "/safe/1").response.status == 200);
+}
--- a/test/shell/platform-client-test.cc
+++ b/test/shell/platform-client-test.cc
@@ -210,3 +210,42 @@
     CHECK_THROWS_AS(Caller{bad}, std::system_error);
   }
 }
+
+TEST_CASE("large answers are read beside the I/O thread, small ones on it") {
+  fakes::FakePlatform platform;
+  boost::asio::io_context io;
+  http::Client http(io);
+  std::vector<std::function<void()>> work;
+  PlatformSettings settings;
+  settings.address = platform.address();
+  settings.offload = [&work](std::function<void()> given) {
+    work.push_back(std::move(given));
+  };
+  PlatformClient client(io, http, settings);
+  const auto run = [&io] {
+    io.restart();
+    io.run();
+  };
+  const std::string large(kLargeAnswerBytes, 'x');
+  for (const auto& value : {std::string("small"), large}) {
+    client.Create("config", value.substr(0, 5), value, [](WriteAnswer) {});
+    run();
+  }
+  std::vector<std::size_t> got;
+  const auto take = [&got](const ReadAnswer& answer) {
+    got.push_back(answer.object.value.size());
+  };
+  client.Read("config", "small", take);
+  run();
+  CHECK(work.empty());
+  REQUIRE(got.size() == 1);
+  client.Read("config", "xxxxx", take);
+  run();
+  CHECK(got.size() == 1);
+  REQUIRE(work.size() == 1);
+  work[0]();
+  CHECK(got.size() == 1);  // Told on the I/O thread.
+  run();
+  REQUIRE(got.size() == 2);
+  CHECK(got[1] == large.size());
+}
