--- a/include/comfreyflow/routes.h
+++ b/include/comfreyflow/routes.h
@@ -63,6 +63,10 @@
   Duration helper_hop{};            ///< Added to a step of a shared prompt.
 };
 
+/// Shortest time in which an engine writes so many tokens behind a prompt.
+Duration WritingTime(const EngineModel& engine, std::uint32_t prompt_tokens,
+                     std::uint32_t output_tokens);
+
 struct RoutedService {
   ServiceName name;
   std::string health_path;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -141,11 +141,20 @@
                              });
   }
 
-  /// When the caller leaves if it gets no event.
+  /// When the caller leaves if it gets no event, or when its answer, by the
+  /// caller's own guess of its length, would not be whole by the deadline.
   Time BeginBy() const {
-    if (route_->patience <= Duration::zero()) return deadline_;
+    const RoutedService* service = table_->Service(service_);
+    const bool streams = route_->kind == RouteKind::kStream && batching_;
+    Time by = deadline_;
+    if (streams && !progress_.head_sent) {
+      by -= WritingTime(
+          *service->engine, caller_.prompt_tokens,
+          std::min(caller_.likely_output_tokens, caller_.max_output_tokens));
+    }
+    if (route_->patience <= Duration::zero()) return by;
     const Time since = progress_.head_sent ? last_event_ : arrival_;
-    return std::min(deadline_, since + route_->patience);
+    return std::min(by, since + route_->patience);
   }
 
   void Placed(const PlaceVerdict& verdict) {
--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -577,3 +577,21 @@
   CHECK(site.Call(host, "GET", "/4/1499/x").response.status == 404);
   CHECK(site.Call(host, "GET", "/safe/1").response.status == 200);
 }
+
+TEST_CASE("a stream that can't be written by its deadline is refused at once") {
+  Site site;
+  FakeTarget& target = site.AddTarget("model", "i1");
+  target.OnRequest(Streams(target, 3, 0));
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  // A token takes 1 ms, and there are 5 s.
+  const auto call = [&](const char* guess) {
+    return site.Call(
+        host, "POST", "/stream/1",
+        {{"x-token-count", "2000,9000"}, {"x-length-hint", guess}});
+  };
+  CHECK(call("6000").response.status == 503);
+  CHECK(target.requests().empty());
+  CHECK(call("3000").response.status == 200);
+}
