Placer: the least time of a request stands once; engines are counted for long prompts only

No change of behaviour: with hundreds waiting each was compared with all engines at each tick, also where only long prompts need their number.

--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -277,6 +277,7 @@
   static Time BeginBy(const PlaceJob& job);
   bool TooLate(const Work& work, Time now) const;
   Duration LeastTime(const Work& work) const;
+  std::size_t Engines() const;
   std::vector<std::pair<Rank, Work*>> RankWaiting(Time now);
   void PlaceWaiting(Time now);
   void DropOverdue(Time now);
@@ -291,6 +292,9 @@
   Target* Find(const TargetName& name);
   Target& Known(const TargetName& name);
 
+  /// Least time in which a request can be served at all.
+  static constexpr Duration kLeastService = std::chrono::milliseconds(10);
+
   PlacerSettings settings_;
   std::optional<EngineModel> engine_;
   std::map<TargetName, Target> targets_;
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -48,8 +48,6 @@
 constexpr Duration kReadLimit = milliseconds(260);
 constexpr Duration kPaceMemory = std::chrono::seconds(3);
 constexpr double kTolerableErrors = 0.3;
-/// Least time in which a request can be served at all.
-constexpr Duration kLeastService = milliseconds(10);
 
 }  // namespace
 
@@ -83,16 +81,21 @@
 /// Shortest time to the first event or answer, on targets that are free.
 Duration Placer::LeastTime(const Work& work) const {
   if (!engine_ || !work.job.stream) return kLeastService;
-  std::size_t engines = 0;
-  for (const auto& [name, target] : targets_) {
-    if (target.listed && !target.info.leaving && !target.replaced) ++engines;
-  }
-  const auto readers = static_cast<int>(
-      IsLong(work) ? std::clamp<std::size_t>(engines, 1, kMaxReaders) : 1);
-  return kLeastService + work.read / readers +
+  const std::size_t readers =
+      IsLong(work) ? std::clamp<std::size_t>(Engines(), 1, kMaxReaders) : 1;
+  return kLeastService + work.read / static_cast<int>(readers) +
          engine_->step * engine_->event_tokens;
 }
 
+/// Targets that take work, free or not.
+std::size_t Placer::Engines() const {
+  return static_cast<std::size_t>(
+      std::count_if(targets_.begin(), targets_.end(), [](const auto& entry) {
+        const Target& target = entry.second;
+        return target.listed && !target.info.leaving && !target.replaced;
+      }));
+}
+
 /// Averages the demand of short prompts over about `kShortMemory`.
 void Placer::NoteShort(Duration read, Time now) {
   const Seconds memory(kShortMemory);
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -21,8 +21,6 @@
 constexpr Duration kAdoptedSilence = std::chrono::seconds(2);
 /// A waiting request whose host stopped asking for it.
 constexpr Duration kAskLife = milliseconds(1200);
-/// Least time in which a request can be served at all.
-constexpr Duration kLeastService = milliseconds(10);
 /// A late prompt goes before others once it would be too late in this time.
 constexpr Duration kLastChance = milliseconds(1500);
 /// Wait for a first usable target before a request is refused.
