--- a/test/placer-load-test.cc
+++ b/test/placer-load-test.cc
@@ -6,10 +6,10 @@
 #include <random>
 
 #include "comfreyflow/placer.h"
+#include "placer-fixture.h"
 
 using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
 using std::chrono::duration_cast;
-using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -19,19 +19,6 @@
 constexpr Duration kTick = milliseconds(10);
 constexpr int kEngines = 18;
 
-EngineModel Engine() {
-  EngineModel engine;
-  engine.slots = 16;
-  engine.memory_tokens = 315'000;
-  engine.step = microseconds(850);
-  engine.step_per_sequence = microseconds(4);
-  engine.step_per_1k_context = microseconds(3);
-  engine.prefill_per_second = 177'000;
-  engine.prefill_per_1m_pairs = microseconds(184);
-  engine.event_tokens = 51;
-  return engine;
-}
-
 /// Requests of one kind.
 struct Kind {
   double per_second = 0;
@@ -66,13 +53,13 @@
 class Play {
  public:
   explicit Play(bool tell_patience) : tell_patience_(tell_patience) {
-    placer_.SetEngine(Engine());
+    placer_.SetEngine(TestEngine());
     std::vector<PoolTarget> targets;
     for (int i = 0; i < kEngines; ++i) {
       PoolTarget target;
       target.name.value = "t" + std::to_string(i);
       target.address = "10.0.0." + std::to_string(i) + ":1";
-      target.slots = Engine().slots;
+      target.slots = TestEngine().slots;
       targets.push_back(target);
     }
     placer_.SetTargets(targets, kStart);
@@ -120,7 +107,7 @@
       job.id = {{"h"}, {1}, ++last_};
       job.stream = true;
       job.prompt_tokens = static_cast<std::uint32_t>(size(random_));
-      job.output_tokens = kind.events * Engine().event_tokens;
+      job.output_tokens = kind.events * TestEngine().event_tokens;
       job.arrival = now;
       job.deadline = now + kind.deadline;
       job.objective = kind.objective;
@@ -166,7 +153,7 @@
       busy = std::max(busy, now) + part;
       read = std::max(read, busy);
     }
-    const Duration event = Engine().step * Engine().event_tokens;
+    const Duration event = TestEngine().step * TestEngine().event_tokens;
     request.placed = true;
     request.begins = read + event;
     request.ends = request.begins + event * request.kind->events;
--- a/test/placer-test.cc
+++ b/test/placer-test.cc
@@ -7,8 +7,8 @@
 #include <map>
 #include <set>
 
+#include "placer-fixture.h"
 using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
-using std::chrono::microseconds;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -16,19 +16,6 @@
 
 const Time kStart{std::chrono::hours(1)};
 
-EngineModel Engine() {
-  EngineModel engine;
-  engine.slots = 16;
-  engine.memory_tokens = 315'000;
-  engine.step = microseconds(850);
-  engine.step_per_sequence = microseconds(4);
-  engine.step_per_1k_context = microseconds(3);
-  engine.prefill_per_second = 177'000;
-  engine.prefill_per_1m_pairs = microseconds(184);
-  engine.event_tokens = 51;
-  return engine;
-}
-
 std::vector<PoolTarget> Targets(int count, std::uint32_t slots = 16) {
   std::vector<PoolTarget> targets;
   for (int i = 0; i < count; ++i) {
@@ -57,7 +44,7 @@
 
 Placer EnginePlacer(int engines) {
   Placer placer({});
-  placer.SetEngine(Engine());
+  placer.SetEngine(TestEngine());
   placer.SetTargets(Targets(engines), kStart);
   return placer;
 }
@@ -170,7 +157,7 @@
 
 TEST_CASE(
     "a prompt over one engine's memory gets a gang, however fast it reads") {
-  EngineModel fast = Engine();
+  EngineModel fast = TestEngine();
   fast.memory_tokens = 100'000;
   fast.prefill_per_second = 1'000'000;
   fast.prefill_per_1m_pairs = {};
@@ -331,7 +318,7 @@
 
 TEST_CASE("work heard of before the list of targets leaves no trace") {
   Placer placer({});
-  placer.SetEngine(Engine());
+  placer.SetEngine(TestEngine());
   const RunningWork told{{{"h"}, {1}, 7},
                          {{{"t1"}, "a", 0}, {{"t2"}, "b", 50'000}},
                          true,
@@ -474,7 +461,7 @@
     PlacerSettings settings;
     settings.seed = seed;
     Placer placer(settings);
-    placer.SetEngine(Engine());
+    placer.SetEngine(TestEngine());
     placer.SetTargets(Targets(20), kStart);
     chosen.insert(
         Granted(placer, Job(1, kStart, 3000), kStart).targets[0].name);
