--- a/test/placer-load-test.cc
+++ b/test/placer-load-test.cc
@@ -131,9 +131,8 @@
         if (at == open_.end()) continue;
         Served& outcome = outcomes_[at->second.kind];
         ++outcome.refused;
-        outcome.longest_wait_of_refused =
-            std::max(outcome.longest_wait_of_refused,
-                     Duration(now - at->second.job.arrival));
+        outcome.longest_wait_of_refused = std::max(
+            outcome.longest_wait_of_refused, now - at->second.job.arrival);
         open_.erase(at);
         continue;
       }
--- a/test/platform/endless-test.cc
+++ b/test/platform/endless-test.cc
@@ -20,7 +20,7 @@
 
 /// Writes `text` again and again, with a pause if one is given.
 void Pour(const RawTarget::Socket& socket, std::string text,
-          std::shared_ptr<Poured> poured, milliseconds pause) {
+          const std::shared_ptr<Poured>& poured, milliseconds pause) {
   const auto bytes = std::make_shared<std::string>(std::move(text));
   boost::asio::async_write(
       *socket, boost::asio::buffer(*bytes),
