An ask without a time to begin is not taken for one that is too late

Cause: begin_ms of an ask had no sign of absence, so that an ask from a host of the version before, in the middle of a rollout, read as 'must have begun by now' and was refused as hopeless. It is optional now. wire-test fails without (Time::max() came back as 24 days) and passes with it.

--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -47,7 +47,8 @@
   std::uint32_t priority = 1;
   Time arrival;
   Time deadline;
-  /// Its caller leaves if no event came by then; not later than the deadline.
+  /// Its caller leaves if no event came by then; max: it waits for its
+  /// deadline.
   Time begin_by = Time::max();
   Duration objective{};  ///< From arrival to the first event or answer.
   Duration max_gap{};    ///< Longest pause between its events that is in time.
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -217,7 +217,7 @@
   13: i32 number
   14: list<string> excluded
   15: bool repeat
-  16: i32 begin_ms
+  16: optional i32 begin_ms
 }
 
 // `reserve_tokens` of memory are set aside there for the request; `version` is
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -4248,6 +4248,7 @@
 
 void PlaceAsk::__set_begin_ms(const int32_t val) {
   this->begin_ms = val;
+__isset.begin_ms = true;
 }
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj)
 {
@@ -4502,10 +4503,11 @@
   xfer += oprot->writeBool(this->repeat);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("begin_ms", ::apache::thrift::protocol::T_I32, 16);
-  xfer += oprot->writeI32(this->begin_ms);
-  xfer += oprot->writeFieldEnd();
-
+  if (this->__isset.begin_ms) {
+    xfer += oprot->writeFieldBegin("begin_ms", ::apache::thrift::protocol::T_I32, 16);
+    xfer += oprot->writeI32(this->begin_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4589,7 +4591,7 @@
   out << ", " << "number=" << to_string(number);
   out << ", " << "excluded=" << to_string(excluded);
   out << ", " << "repeat=" << to_string(repeat);
-  out << ", " << "begin_ms=" << to_string(begin_ms);
+  out << ", " << "begin_ms="; (__isset.begin_ms ? (out << to_string(begin_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -1819,7 +1819,9 @@
       return false;
     if (!(repeat == rhs.repeat))
       return false;
-    if (!(begin_ms == rhs.begin_ms))
+    if (__isset.begin_ms != rhs.__isset.begin_ms)
+      return false;
+    else if (__isset.begin_ms && !(begin_ms == rhs.begin_ms))
       return false;
     return true;
   }
--- a/test/shell/wire-test.cc
+++ b/test/shell/wire-test.cc
@@ -145,3 +145,23 @@
   CHECK(out.rests[0].target.value == "b");
   CHECK(out.rests[0].rest == std::chrono::milliseconds(1500));
 }
+
+TEST_CASE("an ask tells when its request must have begun, or nothing of it") {
+  const Time now{std::chrono::hours(1)};
+  const auto trip = [now](Time begin_by) {
+    wire::PlaceMessages messages;
+    messages.sender.value = "host1";
+    wire::PlaceAskMessage& ask = messages.asks.emplace_back();
+    ask.job.deadline = now + std::chrono::seconds(15);
+    ask.job.begin_by = begin_by;
+    wire::PlaceMessages out;
+    CHECK_FALSE(wire::DecodePlacement(
+        wire::EncodePlacement(messages, {"key"}, now), {"key"}, now, out));
+    REQUIRE(out.asks.size() == 1);
+    return out.asks[0].job.begin_by;
+  };
+  const Time begin_by = now + std::chrono::seconds(12);
+  CHECK(trip(begin_by) == begin_by);
+  CHECK(trip(now) == now);
+  CHECK(trip(Time::max()) == Time::max());
+}
