--- a/src/gateway/edge.h
+++ b/src/gateway/edge.h
@@ -55,6 +55,9 @@
   /// It turned the request away and wants nothing of this host for so long.
   std::optional<Duration> rest;
   bool rest_unreadable = false;  ///< It named a time that can't be read.
+  /// Requests a second that it takes from all hosts together, while it says so.
+  std::optional<double> limit;
+  bool limit_unreadable = false;  ///< It named a limit that can't be read.
 };
 
 struct EdgeHooks {
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -338,6 +338,7 @@
                              caller_.id);
       }
     }
+    NoteLimit(target, told);
     if (!told.rest && !told.rest_unreadable) return;
     const Duration rest = told.rest.value_or(Duration::zero());
     LogLine(told.rest_unreadable ? Severity::kWarning : Severity::kInfo,
@@ -350,6 +351,17 @@
     context_.placement.ToldRest(service_, target, rest);
   }
 
+  void NoteLimit(const PlacedTarget& target, const TargetHead& told) {
+    if (!told.limit && !told.limit_unreadable) return;
+    LogLine(told.limit_unreadable ? Severity::kWarning : Severity::kInfo,
+            Event::kTargetLimited)
+        .With("request", caller_.id)
+        .With("target", target.name)
+        .With("born", target.born)
+        .With("rate", told.limit.value_or(0))
+        .With("unreadable", told.limit_unreadable);
+  }
+
   void Body(std::string_view bytes) {
     if (!streams_) return PlainBody(bytes);
     const std::string events = splitter_.Feed(bytes);
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -31,6 +31,8 @@
   kTargetMarked,
   kTargetLeft,
   kTargetRests,
+  kTargetLimited,
+  kTargetLimitEnded,
   kHostsListed,
   kHostObjectRemoved,
   kMemberChanged,
@@ -74,7 +76,7 @@
   std::string_view fields;  ///< Between single spaces; each may be absent.
 };
 
-inline constexpr std::array<EventSpec, 56> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 58> kEventSpecs = {{
     {"started", "a host process began", "host failure_domain store"},
     {"settings_invalid", "the settings can't be used; the process ends",
      "problem"},
@@ -122,6 +124,15 @@
      "a target turned a request away and wants nothing of this host for a "
      "while; unreadable: it named a time that can't be read",
      "request target born rest unreadable"},
+    {"target_limited",
+     "a target named, first or with another value, the requests a second that "
+     "it takes from all hosts together; host: that told it, if not the target "
+     "itself; unreadable: it named a limit that can't be read",
+     "request target born rate before host unreadable"},
+    {"target_limit_ended",
+     "a target names its limit no more; host: that told it, if not the target "
+     "itself",
+     "request target born rate host"},
     {"hosts_listed", "the store's list of hosts was read", "hosts"},
     {"host_object_removed", "a dead host's object was removed from the store",
      "host"},
--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -199,6 +199,11 @@
   return *this;
 }
 
+LogLine& LogLine::With(const char* key, double value) {
+  fields_->json[key] = value;
+  return *this;
+}
+
 LogLine& LogLine::With(const char* key, std::chrono::milliseconds value) {
   fields_->json[key] = value.count();
   return *this;
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -41,6 +41,7 @@
   }
   LogLine& With(const char* key, std::uint64_t value);
   LogLine& With(const char* key, bool value);
+  LogLine& With(const char* key, double value);
   LogLine& With(const char* key, std::chrono::milliseconds value);
   LogLine& With(const RequestId& request);
   LogLine& With(const AttemptId& attempt);
--- a/test/platform/target-word-test.cc
+++ b/test/platform/target-word-test.cc
@@ -2,84 +2,14 @@
 // they want nothing for a while.
 #include <doctest/doctest.h>
 
-#include "platform/stand-ins.h"
+#include "platform/two-targets.h"
 
 using namespace comfreyflow;            // NOLINT(google-build-using-namespace)
 using namespace comfreyflow::platform;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
 
 namespace {
-
-constexpr std::uint64_t kBorn = 1'000;
 const http::Fields kStreamFields = {{"x-token-count", "2000,100"}};
-
-void List(Site& site, const std::string& service, const FakeTarget& target,
-          std::uint64_t born, std::uint64_t report,
-          const std::string& state = "ready") {
-  auto entry = SampleEntry(service, target.address(), "z1", state);
-  entry["born"] = born;
-  entry["Seq"] = report;
-  site.store().Put("servers", target.name(), entry);
-}
-
-/// Answers as asked, with a header of its own.
-FakeTarget::Handler Says(const FakeTarget& target, const std::string& name,
-                         const std::string& value, int status = 200) {
-  return [&target, name, value, status](const http::ExchangePtr& exchange) {
-    http::Response answer = target.Head(exchange->request(), status);
-    answer.fields.push_back({name, value});
-    if (status == 503) answer.fields.push_back({"x-not-run", "1"});
-    answer.body = "answer of " + target.name();
-    exchange->Respond(std::move(answer));
-  };
-}
-
-FakeTarget::Handler Sound(const FakeTarget& target) {
-  return Says(target, "x-nothing", "1");
-}
-
-/// A service of two targets with starts, and a host.
-struct TwoTargets {
-  explicit TwoTargets(const std::string& service = "app")
-      : service(service),
-        first(site.AddTarget(service, "i1")),
-        second(site.AddTarget(service, "i2")) {
-    List(site, service, first, kBorn, 1);
-    List(site, service, second, kBorn, 1);
-    site.PutConfig(1);
-    host = site.AddHost();
-    REQUIRE(site.UntilReady(host));
-  }
-
-  /// Calls until the first target has had a request.
-  void UntilFirstAsked() {
-    const auto before = first.requests().size();
-    REQUIRE(site.Until([&] {
-      site.Call(host, "GET", "/safe/1");
-      return first.requests().size() > before;
-    }));
-  }
-
-  std::string Metric(const std::string& name) { return Metric(host, name); }
-  std::string Metric(std::size_t number, const std::string& name) {
-    const auto& settings = site.settings(number);
-    const std::string text =
-        site.Get(settings.ip + ":" + std::to_string(settings.metrics_port),
-                 "/metrics")
-            .response.body;
-    const auto at = text.find("\n" + name + " ");
-    if (at == std::string::npos) return "absent";
-    const auto begin = at + name.size() + 2;
-    return text.substr(begin, text.find('\n', begin) - begin);
-  }
-
-  Site site;
-  const std::string service;
-  FakeTarget& first;
-  FakeTarget& second;
-  std::size_t host = 0;
-};
-
 }  // namespace
 
 TEST_CASE("a target that says in an answer that it leaves gets nothing more") {
