Words on a limit are ordered, so that an end on its way ends no later limit

Two hosts that held a placer one after the other told each other, and all others, for seconds that the limit was over, while answers went on naming it: each broadcast ended what had been named since, and each naming was news that was told again. A host could not tell an old word from a new one.

A word now carries a count that grows with each change which some host saw in an answer; of two words the one with the higher count is later, whichever way they took, and a host that tells an older one is told the later. Ends are kept and told for 30 s.

Test: target-limits-test "a word that is told on for long brings no limit back".

--- a/include/comfreyflow/target-limits.h
+++ b/include/comfreyflow/target-limits.h
@@ -53,23 +53,38 @@
   std::map<HostName, Time> seen_;
 };
 
-/// Each limit is that of one start of a target, so that an answer of an earlier
-/// start does not bind a later one.
+/// What is known of the limit of one start of a target, so that an answer of an
+/// earlier start does not bind a later one.
+struct LimitWord {
+  TargetName target;
+  std::uint64_t born = 0;
+  /// Grows with each change that some host saw in an answer: of two words the
+  /// one with the higher count is later, however they travelled.
+  std::uint64_t count = 0;
+  std::optional<double> rate;  ///< Requests a second; absent: no limit.
+  bool operator==(const LimitWord&) const = default;
+};
+
 class TargetLimits {
  public:
-  /// The target itself named `rate` requests a second. Whether that is news.
+  /// The target named `rate` in an answer to this host. Whether that is news.
   bool Named(const TargetName& target, std::uint64_t born, double rate,
              Time now);
-  /// Another host heard it.
-  bool Heard(const TargetName& target, std::uint64_t born, double rate,
-             Time now);
   /// The target answered a request that was sent at `sent` without a limit.
   /// Whether that ends one: an answer to a request from before the limit was
   /// named may be older.
-  bool NotNamed(const TargetName& target, std::uint64_t born, Time sent);
-  /// The limit is over. Whether there was one.
-  bool End(const TargetName& target, std::uint64_t born);
-
+  bool NotNamed(const TargetName& target, std::uint64_t born, Time sent,
+                Time now);
+  enum class Heard : std::uint8_t { kNews, kKnown, kOlder };
+  /// Takes another host's word.
+  Heard Hear(const LimitWord& word, Time now);
+
+  /// What is known; absent: nothing.
+  std::optional<LimitWord> WordOf(const TargetName& target,
+                                  std::uint64_t born) const;
+  /// As `WordOf`; limits that ended long ago are left out.
+  std::optional<LimitWord> FreshWordOf(const TargetName& target,
+                                       std::uint64_t born, Time now) const;
   /// What the target named; absent: it is not limited.
   std::optional<double> RateOf(const TargetName& target,
                                std::uint64_t born) const;
@@ -88,34 +103,32 @@
   /// Others may have granted the last requests: turns are counted from now on.
   void Begin(Time now);
 
-  /// Calls `take(target, born, rate)` for each limit.
-  template <class Take>
-  void ForEach(Take take) const {
-    for (const auto& [target, starts] : limits_) {
-      for (const auto& [born, limit] : starts) take(target, born, limit.rate);
-    }
-  }
-  bool empty() const { return limits_.empty(); }
-  std::size_t size() const;
+  /// Limits in force.
+  std::size_t size() const { return in_force_; }
+  bool empty() const { return in_force_ == 0; }
 
  private:
   struct Limit {
-    double rate = 0;
-    Time named;        ///< By the target itself, or when first heard of.
+    std::uint64_t count = 0;
+    std::optional<double> rate;
+    Time named;  ///< By the target itself, or when first heard of.
+    Time changed;
     double level = 0;  ///< Requests that may be sent, as of `counted`.
     Time counted;
   };
 
   const Limit* Find(const TargetName& target, std::uint64_t born) const;
-  Limit* Find(const TargetName& target, std::uint64_t born);
-  bool Set(const TargetName& target, std::uint64_t born, double rate, Time now,
-           bool own_word);
+  const Limit* InForce(const TargetName& target, std::uint64_t born) const;
+  void Set(const LimitWord& word, Time now);
   double PartOf(const Limit& limit) const;
   double LevelOf(const Limit& limit, Time now) const;
   double FirstLevel(const TargetName& target) const;
   void DropOldest();
 
   std::map<TargetName, std::map<std::uint64_t, Limit>> limits_;
+  std::size_t known_ = 0;
+  /// Invariant: those of `limits_` with a rate.
+  std::size_t in_force_ = 0;
   LimitPart part_;
 };
 
--- a/src/core/targets/target-limits.cc
+++ b/src/core/targets/target-limits.cc
@@ -7,7 +7,6 @@
 #include <cmath>
 #include <iterator>
 #include <string>
-#include <utility>
 
 namespace comfreyflow {
 namespace {
@@ -18,7 +17,9 @@
 constexpr double kBurstSeconds = 0.25;
 /// A host that was cut off or died counts as one that may send for so long.
 constexpr Duration kFleetMemory = std::chrono::minutes(1);
-/// Beyond this, the limits named longest ago are forgotten; more targets than a
+/// That a limit is over is told for so long, as datagrams get lost.
+constexpr Duration kEndTold = std::chrono::seconds(30);
+/// Beyond this, what changed longest ago is forgotten; more targets than a
 /// fleet has.
 constexpr std::size_t kMostLimits = 4096;
 
@@ -46,57 +47,88 @@
 
 bool TargetLimits::Named(const TargetName& target, std::uint64_t born,
                          double rate, Time now) {
-  return Set(target, born, rate, now, true);
+  rate = std::clamp(rate, 0.0, kHighestLimit);
+  const Limit* known = Find(target, born);
+  const bool news = known == nullptr || known->rate != rate;
+  if (news) {
+    const std::uint64_t count = known == nullptr ? 0 : known->count;
+    Set({target, born, count + 1, rate}, now);
+  }
+  limits_[target][born].named = now;
+  return news;
 }
 
-bool TargetLimits::Heard(const TargetName& target, std::uint64_t born,
-                         double rate, Time now) {
-  return Set(target, born, rate, now, false);
+bool TargetLimits::NotNamed(const TargetName& target, std::uint64_t born,
+                            Time sent, Time now) {
+  const Limit* limit = InForce(target, born);
+  if (limit == nullptr || sent <= limit->named) return false;
+  Set({target, born, limit->count + 1, std::nullopt}, now);
+  return true;
 }
 
-bool TargetLimits::Set(const TargetName& target, std::uint64_t born,
-                       double rate, Time now, bool own_word) {
-  rate = std::clamp(rate, 0.0, kHighestLimit);
-  if (Limit* known = Find(target, born)) {
-    if (own_word) known->named = now;
-    if (known->rate == rate) return false;
-    known->level = LevelOf(*known, now);
-    known->counted = now;
-    known->rate = rate;
-    return true;
+/// Of words with one count, seen by two hosts at once, the lowest limit holds
+/// until the next answer.
+TargetLimits::Heard TargetLimits::Hear(const LimitWord& word, Time now) {
+  if (const Limit* known = Find(word.target, word.born)) {
+    constexpr double kNone = kHighestLimit + 1;
+    const double here = known->rate.value_or(kNone);
+    const double there = word.rate.value_or(kNone);
+    if (word.count == known->count && there == here) return Heard::kKnown;
+    const bool later = word.count > known->count ||
+                       (word.count == known->count && there < here);
+    if (!later) return Heard::kOlder;
+  }
+  Set(word, now);
+  return Heard::kNews;
+}
+
+void TargetLimits::Set(const LimitWord& word, Time now) {
+  const auto [at, added] = limits_[word.target].try_emplace(word.born, Limit{});
+  Limit& limit = at->second;
+  if (added) ++known_;
+  if (limit.rate) --in_force_;
+  if (word.rate) {
+    limit.level = limit.rate ? LevelOf(limit, now) : FirstLevel(word.target);
+    if (!limit.rate) limit.named = now;
+    ++in_force_;
   }
-  limits_[target][born] = {rate, now, FirstLevel(target), now};
+  limit.count = word.count;
+  limit.rate = word.rate;
+  limit.changed = now;
+  limit.counted = now;
   DropOldest();
-  return true;
 }
 
-bool TargetLimits::NotNamed(const TargetName& target, std::uint64_t born,
-                            Time sent) {
+std::optional<LimitWord> TargetLimits::WordOf(const TargetName& target,
+                                              std::uint64_t born) const {
   const Limit* limit = Find(target, born);
-  return limit != nullptr && sent > limit->named && End(target, born);
+  if (limit == nullptr) return std::nullopt;
+  return LimitWord{target, born, limit->count, limit->rate};
 }
 
-bool TargetLimits::End(const TargetName& target, std::uint64_t born) {
-  const auto at = limits_.find(target);
-  if (at == limits_.end() || at->second.erase(born) == 0) return false;
-  if (at->second.empty()) limits_.erase(at);
-  return true;
+std::optional<LimitWord> TargetLimits::FreshWordOf(const TargetName& target,
+                                                   std::uint64_t born,
+                                                   Time now) const {
+  const Limit* limit = Find(target, born);
+  if (limit == nullptr) return std::nullopt;
+  if (!limit->rate && now - limit->changed > kEndTold) return std::nullopt;
+  return LimitWord{target, born, limit->count, limit->rate};
 }
 
 std::optional<double> TargetLimits::RateOf(const TargetName& target,
                                            std::uint64_t born) const {
-  const Limit* limit = Find(target, born);
-  return limit == nullptr ? std::nullopt : std::optional(limit->rate);
+  const Limit* limit = InForce(target, born);
+  return limit == nullptr ? std::nullopt : limit->rate;
 }
 
 std::optional<double> TargetLimits::PartOf(const TargetName& target,
                                            std::uint64_t born) const {
-  const Limit* limit = Find(target, born);
+  const Limit* limit = InForce(target, born);
   return limit == nullptr ? std::nullopt : std::optional(PartOf(*limit));
 }
 
 double TargetLimits::PartOf(const Limit& limit) const {
-  return part_.share * std::max(limit.rate, kLowestLimit);
+  return part_.share * std::max(*limit.rate, kLowestLimit);
 }
 
 /// A whole limit keeps unused turns up to a burst. A part of one has its turn
@@ -114,7 +146,7 @@
 
 Time TargetLimits::NextAt(const TargetName& target, std::uint64_t born,
                           Time now) const {
-  const Limit* limit = Find(target, born);
+  const Limit* limit = InForce(target, born);
   if (limit == nullptr) return now;
   const double level = LevelOf(*limit, now);
   if (level >= 1) return now;
@@ -125,10 +157,10 @@
 
 void TargetLimits::Spend(const TargetName& target, std::uint64_t born,
                          double requests, Time now) {
-  Limit* limit = Find(target, born);
-  if (limit == nullptr) return;
-  limit->level = LevelOf(*limit, now) - requests;
-  limit->counted = now;
+  if (InForce(target, born) == nullptr) return;
+  Limit& limit = limits_[target][born];
+  limit.level = LevelOf(limit, now) - requests;
+  limit.counted = now;
 }
 
 void TargetLimits::SetPart(const LimitPart& part, Time now) {
@@ -136,6 +168,7 @@
   const bool parted = part.share < 1 && part_.share >= 1;
   for (auto& [target, starts] : limits_) {
     for (auto& [born, limit] : starts) {
+      if (!limit.rate) continue;
       limit.level = LevelOf(limit, now);
       limit.counted = now;
     }
@@ -147,6 +180,7 @@
 void TargetLimits::Begin(Time now) {
   for (auto& [target, starts] : limits_) {
     for (auto& [born, limit] : starts) {
+      if (!limit.rate) continue;
       const double level = LevelOf(limit, now);
       limit.level = level < 0 ? level : FirstLevel(target);
       limit.counted = now;
@@ -163,26 +197,23 @@
   return std::fmod(part_.phase + shift, 1.0);
 }
 
-std::size_t TargetLimits::size() const {
-  std::size_t count = 0;
-  for (const auto& [target, starts] : limits_) count += starts.size();
-  return count;
-}
-
 void TargetLimits::DropOldest() {
-  while (size() > kMostLimits) {
-    TargetName target;
+  while (known_ > kMostLimits) {
+    auto oldest = limits_.end();
     std::uint64_t start = 0;
     Time first = Time::max();
-    for (const auto& [name, starts] : limits_) {
-      for (const auto& [born, limit] : starts) {
-        if (limit.named >= first) continue;
-        first = limit.named;
-        target = name;
+    for (auto at = limits_.begin(); at != limits_.end(); ++at) {
+      for (const auto& [born, limit] : at->second) {
+        if (limit.changed >= first) continue;
+        first = limit.changed;
+        oldest = at;
         start = born;
       }
     }
-    End(target, start);
+    if (oldest->second.at(start).rate) --in_force_;
+    --known_;
+    oldest->second.erase(start);
+    if (oldest->second.empty()) limits_.erase(oldest);
   }
 }
 
@@ -194,9 +225,10 @@
   return start == at->second.end() ? nullptr : &start->second;
 }
 
-TargetLimits::Limit* TargetLimits::Find(const TargetName& target,
-                                        std::uint64_t born) {
-  return const_cast<Limit*>(std::as_const(*this).Find(target, born));
+const TargetLimits::Limit* TargetLimits::InForce(const TargetName& target,
+                                                 std::uint64_t born) const {
+  const Limit* limit = Find(target, born);
+  return limit != nullptr && limit->rate ? limit : nullptr;
 }
 
 }  // namespace comfreyflow
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -78,8 +78,6 @@
     Time share_due;
     Time limits_due;
     bool limits_changed = false;
-    /// Limits that ended and that other hosts have not heard of.
-    std::vector<wire::TargetLimitMessage> limits_over;
   };
 
   State(asio::io_context& io, PlacementSettings given)
@@ -178,20 +176,30 @@
     PlacerOf(service).limits().SetPart(PartOfLimits(view), now);
   }
 
-  /// Takes another host's word on a limit.
-  void HearLimit(const wire::TargetLimitMessage& word, const HostName& host,
+  /// Takes another host's word on a limit; one that is behind is told.
+  void HearLimit(const wire::TargetLimitMessage& told, const HostName& host,
                  Time now) {
-    TargetLimits& limits = PlacerOf(word.service).limits();
-    const auto before = limits.RateOf(word.target, word.born);
-    const bool news =
-        word.rate ? limits.Heard(word.target, word.born, *word.rate, now)
-                  : limits.End(word.target, word.born);
-    if (news) LimitChanged(word, before, host, "", now);
+    TargetLimits& limits = PlacerOf(told.service).limits();
+    const auto before = limits.RateOf(told.word.target, told.word.born);
+    switch (limits.Hear(told.word, now)) {
+      case TargetLimits::Heard::kNews:
+        return LimitChanged(told.service, told.word, before, host, "", now);
+      case TargetLimits::Heard::kKnown:
+        return;
+      case TargetLimits::Heard::kOlder:
+        To(host).limits.push_back(
+            {told.service, *limits.WordOf(told.word.target, told.word.born)});
+    }
   }
 
-  void LimitChanged(const wire::TargetLimitMessage& word,
+  void LimitChanged(const ServiceName& service, const LimitWord& word,
                     const std::optional<double>& before, const HostName& host,
                     const std::string& request, Time now) {
+    const auto at = holding.find(service);
+    if (at != holding.end() && IsAsked(at->second, now)) {
+      at->second.limits_changed = true;
+    }
+    if (!word.rate && !before) return;
     LogLine line(Severity::kInfo,
                  word.rate ? Event::kTargetLimited : Event::kTargetLimitEnded);
     line.With("target", word.target).With("born", word.born);
@@ -199,38 +207,27 @@
     if (!host.value.empty()) line.With("host", host);
     if (word.rate) line.With("rate", *word.rate);
     if (before) line.With(word.rate ? "before" : "rate", *before);
-    const auto at = holding.find(word.service);
-    if (at == holding.end() || !IsAsked(at->second, now)) return;
-    at->second.limits_changed = true;
-    if (!word.rate) at->second.limits_over.push_back(word);
   }
 
-  /// This host's own word on a limit, for the host that grants.
-  void TellLimit(const wire::TargetLimitMessage& word) {
-    const HostName holder = Holder(word.service);
-    if (holder != settings.self) To(holder).limits.push_back(word);
+  /// Tells the host that grants what this host knows of the target's limit.
+  void TellLimit(const ServiceName& service, const PlacedTarget& target) {
+    const HostName holder = Holder(service);
+    if (holder == settings.self) return;
+    const auto word =
+        PlacerOf(service).limits().WordOf(target.name, target.born);
+    if (word) To(holder).limits.push_back({service, *word});
   }
 
-  /// The limits of listed starts, as this host knows them.
-  std::vector<wire::TargetLimitMessage> LimitsOf(const ServiceName& service) {
-    std::vector<wire::TargetLimitMessage> out;
+  void TellLimits(const ServiceName& service, const HostName& host, Time now) {
+    if (host == settings.self) return;
     const TargetLimits& limits = PlacerOf(service).limits();
-    if (limits.empty()) return out;
+    std::size_t told = 0;
     for (const auto& target : targets[service]) {
-      const auto rate = limits.RateOf(target.name, target.born);
-      if (!rate) continue;
-      out.push_back({service, target.name, target.born, rate});
-      if (out.size() >= kLimitsPerDatagram) break;
+      const auto word = limits.FreshWordOf(target.name, target.born, now);
+      if (!word) continue;
+      To(host).limits.push_back({service, *word});
+      if (++told >= kLimitsPerDatagram) break;
     }
-    return out;
-  }
-
-  void TellLimits(const ServiceName& service, const HostName& host) {
-    if (host == settings.self) return;
-    const auto known = LimitsOf(service);
-    if (known.empty()) return;
-    auto& limits = To(host).limits;
-    limits.insert(limits.end(), known.begin(), known.end());
   }
 
   /// Hosts that would grant next, or go by themselves, know the limits.
@@ -240,14 +237,7 @@
       if (!state.limits_changed && now < state.limits_due) continue;
       state.limits_due = now + kLimitsPeriod;
       state.limits_changed = false;
-      const auto over = std::exchange(state.limits_over, {});
-      for (const auto& [name, peer] : peers) {
-        if (name == settings.self) continue;
-        TellLimits(service, name);
-        if (over.empty()) continue;
-        auto& limits = To(name).limits;
-        limits.insert(limits.end(), over.begin(), over.end());
-      }
+      for (const auto& [name, peer] : peers) TellLimits(service, name, now);
     }
   }
 
@@ -274,7 +264,7 @@
       rests.ForEach(now, [&](const TargetName& target, Duration left) {
         SendRest(own.service, holder, target, left);
       });
-      TellLimits(own.service, holder);
+      TellLimits(own.service, holder, now);
     }
     own.last_asked = now;
     if (holder == settings.self) {
@@ -763,25 +753,25 @@
                           const PlacedTarget& target, double rate,
                           const std::string& request) {
   const Time now = Now();
-  const wire::TargetLimitMessage word{service, target.name, target.born, rate};
   TargetLimits& limits = state_->PlacerOf(service).limits();
   const auto before = limits.RateOf(target.name, target.born);
   if (limits.Named(target.name, target.born, rate, now)) {
-    state_->LimitChanged(word, before, {}, request, now);
+    state_->LimitChanged(service, *limits.WordOf(target.name, target.born),
+                         before, {}, request, now);
   }
-  state_->TellLimit(word);
+  state_->TellLimit(service, target);
 }
 
 void Placement::ToldNoLimit(const ServiceName& service,
                             const PlacedTarget& target, Time sent,
                             const std::string& request) {
+  const Time now = Now();
   TargetLimits& limits = state_->PlacerOf(service).limits();
-  if (limits.empty()) return;
   const auto before = limits.RateOf(target.name, target.born);
-  if (!limits.NotNamed(target.name, target.born, sent)) return;
-  const wire::TargetLimitMessage word{service, target.name, target.born, {}};
-  state_->LimitChanged(word, before, {}, request, Now());
-  state_->TellLimit(word);
+  if (!limits.NotNamed(target.name, target.born, sent, now)) return;
+  state_->LimitChanged(service, *limits.WordOf(target.name, target.born),
+                       before, {}, request, now);
+  state_->TellLimit(service, target);
 }
 
 std::optional<ListedTarget> Placement::Listed(
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -274,12 +274,14 @@
 }
 
 // That start of the target takes so many requests a second from all hosts
-// together; `rate` is absent once it names no limit any more.
+// together; `rate` is absent once it names no limit any more. Of two words the
+// one with the higher count is later.
 struct TargetLimit {
   1: string service_name
   2: string target
   3: i64 born
   4: optional double rate
+  5: i64 count
 }
 
 struct PlaceDatagram {
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -5672,6 +5672,10 @@
   this->rate = val;
 __isset.rate = true;
 }
+
+void TargetLimit::__set_count(const int64_t val) {
+  this->count = val;
+}
 std::ostream& operator<<(std::ostream& out, const TargetLimit& obj)
 {
   obj.printTo(out);
@@ -5732,6 +5736,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->count);
+          this->__isset.count = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5766,6 +5778,10 @@
     xfer += oprot->writeDouble(this->rate);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("count", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->count);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5777,6 +5793,7 @@
   swap(a.target, b.target);
   swap(a.born, b.born);
   swap(a.rate, b.rate);
+  swap(a.count, b.count);
   swap(a.__isset, b.__isset);
 }
 
@@ -5785,6 +5802,7 @@
   target = other176.target;
   born = other176.born;
   rate = other176.rate;
+  count = other176.count;
   __isset = other176.__isset;
 }
 TargetLimit& TargetLimit::operator=(const TargetLimit& other177) {
@@ -5792,6 +5810,7 @@
   target = other177.target;
   born = other177.born;
   rate = other177.rate;
+  count = other177.count;
   __isset = other177.__isset;
   return *this;
 }
@@ -5802,6 +5821,7 @@
   out << ", " << "target=" << to_string(target);
   out << ", " << "born=" << to_string(born);
   out << ", " << "rate="; (__isset.rate ? (out << to_string(rate)) : (out << "<null>"));
+  out << ", " << "count=" << to_string(count);
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -2257,11 +2257,12 @@
 std::ostream& operator<<(std::ostream& out, const TargetRest& obj);
 
 typedef struct _TargetLimit__isset {
-  _TargetLimit__isset() : service_name(false), target(false), born(false), rate(false) {}
+  _TargetLimit__isset() : service_name(false), target(false), born(false), rate(false), count(false) {}
   bool service_name :1;
   bool target :1;
   bool born :1;
   bool rate :1;
+  bool count :1;
 } _TargetLimit__isset;
 
 class TargetLimit : public virtual ::apache::thrift::TBase {
@@ -2273,7 +2274,8 @@
               : service_name(),
                 target(),
                 born(0),
-                rate(0) {
+                rate(0),
+                count(0) {
   }
 
   virtual ~TargetLimit() noexcept;
@@ -2281,6 +2283,7 @@
   std::string target;
   int64_t born;
   double rate;
+  int64_t count;
 
   _TargetLimit__isset __isset;
 
@@ -2292,6 +2295,8 @@
 
   void __set_rate(const double val);
 
+  void __set_count(const int64_t val);
+
   bool operator == (const TargetLimit & rhs) const
   {
     if (!(service_name == rhs.service_name))
@@ -2304,6 +2309,8 @@
       return false;
     else if (__isset.rate && !(rate == rhs.rate))
       return false;
+    if (!(count == rhs.count))
+      return false;
     return true;
   }
   bool operator != (const TargetLimit &rhs) const {
--- a/src/wire/placement.cc
+++ b/src/wire/placement.cc
@@ -2,7 +2,6 @@
 #include "wire/placement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
 
 #include "comfreyflow/errors.h"
@@ -185,9 +184,10 @@
   for (const auto& limit : messages.limits) {
     TargetLimit& wire = out.limits.emplace_back();
     wire.service_name = limit.service.value;
-    wire.target = limit.target.value;
-    wire.born = static_cast<std::int64_t>(limit.born);
-    if (limit.rate) wire.__set_rate(*limit.rate);
+    wire.target = limit.word.target.value;
+    wire.born = static_cast<std::int64_t>(limit.word.born);
+    wire.count = static_cast<std::int64_t>(limit.word.count);
+    if (limit.word.rate) wire.__set_rate(*limit.word.rate);
   }
   return EncodePlaceDatagram(out, key);
 }
@@ -246,11 +246,12 @@
   for (const auto& limit : in.limits) {
     TargetLimitMessage& message = out.limits.emplace_back();
     message.service.value = limit.service_name;
-    message.target.value = limit.target;
-    message.born = static_cast<std::uint64_t>(limit.born);
+    message.word.target.value = limit.target;
+    message.word.born = static_cast<std::uint64_t>(limit.born);
+    message.word.count = static_cast<std::uint64_t>(limit.count);
     if (!limit.__isset.rate) continue;
-    if (!std::isfinite(limit.rate)) return Errc::kCodec;
-    message.rate = limit.rate;
+    if (!(limit.rate >= 0 && limit.rate <= kHighestLimit)) return Errc::kCodec;
+    message.word.rate = limit.rate;
   }
   return {};
 }
--- a/src/wire/placement.h
+++ b/src/wire/placement.h
@@ -2,7 +2,6 @@
 /// in the types of the decisions.
 #pragma once
 
-#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -47,13 +46,9 @@
   Duration rest{};
 };
 
-/// That start of the target takes `rate` requests a second from all hosts
-/// together; absent: it names no limit any more.
 struct TargetLimitMessage {
   ServiceName service;
-  TargetName target;
-  std::uint64_t born = 0;
-  std::optional<double> rate;
+  LimitWord word;
 };
 
 struct PlaceMessages {
