--- a/soak/planted-host.cc
+++ b/soak/planted-host.cc
@@ -183,6 +183,24 @@
   };
 }
 
+void IgnoreLimit(HostParts& parts) {
+  parts.edge.read_head = [read = parts.edge.read_head](const auto& response) {
+    gateway::TargetHead head = read(response);
+    head.limit.reset();
+    return head;
+  };
+}
+
+/// Takes a limit for what this host alone may send.
+void LimitEachHost(HostParts& parts) {
+  constexpr double kHosts = 6;
+  parts.edge.read_head = [read = parts.edge.read_head](const auto& response) {
+    gateway::TargetHead head = read(response);
+    if (head.limit) *head.limit *= kHosts;
+    return head;
+  };
+}
+
 using Plant = void (*)(HostParts&);
 
 /// In the order of `kPlanted`.
@@ -191,7 +209,8 @@
     PassKey,           ChangeAccount,       ChangePath,
     SkipEvent,         TakeAnyKey,          KeepMemory,
     IgnoreLeaving,     IgnoreConfiguration, KeepWatches,
-    IgnoreToldLeaving, IgnoreRetryAfter};
+    IgnoreToldLeaving, IgnoreRetryAfter,    IgnoreLimit,
+    LimitEachHost};
 
 Plant Find(const std::string& fault) {
   for (std::size_t i = 0; i < kPlanted.size(); ++i) {
--- a/soak/planted.h
+++ b/soak/planted.h
@@ -14,7 +14,7 @@
   Mix mix = Mix::kMixed;  ///< That shows it.
 };
 
-inline constexpr std::array<Planted, 14> kPlanted = {
+inline constexpr std::array<Planted, 16> kPlanted = {
     {{"repeats_failed", "TWICE"},
      {"promises_failed", "REFUSED"},
      {"drops_mark", "MIXED"},
@@ -28,6 +28,8 @@
      {"ignores_configuration", "CONFIG"},
      {"keeps_watches", "DRAIN", Mix::kLeaving},
      {"ignores_told_leaving", "DRAIN", Mix::kTold},
-     {"ignores_retry_after", "BUDGET", Mix::kTold}}};
+     {"ignores_retry_after", "BUDGET", Mix::kTold},
+     {"ignores_limit", "LIMIT", Mix::kLimited},
+     {"limits_each_host", "LIMIT", Mix::kLimited}}};
 
 }  // namespace comfreyflow::soak
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -50,6 +50,7 @@
     }
     for (const auto& run : records_.runs) CheckLeaving(run);
     for (const auto& word : records_.words) CheckWord(word);
+    for (std::size_t i = 0; i < records_.limits.size(); ++i) CheckLimit(i);
     CheckMemory();
     CheckRecovered();
     CheckPeers();
@@ -74,6 +75,8 @@
              static_cast<double>(records_.words.size()), "own words"},
             {"BUDGET", count("BUDGET rest"),
              static_cast<double>(records_.words.size()), "rests"},
+            {"LIMIT", count("LIMIT"), count("LIMIT named"), "named limits"},
+            {"LIMIT", count("LIMIT requests"), all, "requests under limits"},
             {"LEAK", count("LEAK"), static_cast<double>(records_.held.size()),
              "reservations"},
             {"RECOVER", count("RECOVER"), all, "requests"},
@@ -394,6 +397,61 @@
              (word.rest ? ", which wanted nothing" : ", which said it leaves"));
   }
 
+  /// LIMIT: what a target takes from all hosts together binds those that passed
+  /// its word on, unless they were stopped, started or paused since.
+  void CheckLimit(std::size_t number) {
+    const NamedLimit& limit = records_.limits[number];
+    if (!limit.first) return;
+    ++judged_["LIMIT named"];
+    const Time from = *limit.first + bounds_.limit_grace;
+    const Time end =
+        std::min(limit.until.value_or(records_.over), records_.over);
+    if (from + bounds_.limit_window > end) return;
+    ++judged_["LIMIT"];
+    std::vector<const Run*> counted;
+    for (const auto& [host, told] : ToldLimit(number)) {
+      for (const Run* run : RunsAt(host, limit.target)) {
+        if (run->born != limit.born || run->at < from || run->at >= end) {
+          continue;
+        }
+        if (run->at < told + bounds_.limit_told) continue;
+        if (!Disturbed(Subject::kHost, host, told, run->at)) {
+          counted.push_back(run);
+        }
+      }
+    }
+    judged_["LIMIT requests"] += counted.size();
+    std::sort(counted.begin(), counted.end(),
+              [](const Run* a, const Run* b) { return a->at < b->at; });
+    const double seconds =
+        std::chrono::duration<double>(bounds_.limit_window).count();
+    const auto most = static_cast<std::size_t>(
+        bounds_.limit_factor * limit.rate * seconds + bounds_.limit_slack);
+    for (std::size_t first = 0, last = 0; last < counted.size(); ++last) {
+      while (counted[last]->at - counted[first]->at > bounds_.limit_window) {
+        ++first;
+      }
+      const std::size_t got = last - first + 1;
+      if (got <= most) continue;
+      return Note("LIMIT", counted[last]->id,
+                  "target " + std::to_string(limit.target) +
+                      " with a limit of " + std::to_string(limit.rate) +
+                      " got " + std::to_string(got) + " in a window, " +
+                      std::to_string(most) + " allowed");
+    }
+  }
+
+  /// When each host passed an answer on that named the limit.
+  std::map<std::size_t, Time> ToldLimit(std::size_t number) const {
+    std::map<std::size_t, Time> out;
+    for (const auto& word : records_.limit_words) {
+      if (word.limit != number) continue;
+      const auto at = sent_.find(word.id);
+      if (at != sent_.end()) out.try_emplace(at->second->host, word.at);
+    }
+    return out;
+  }
+
   /// What reached the target from the host.
   const std::vector<const Run*>& RunsAt(std::size_t host, std::size_t target) {
     if (runs_at_.empty()) {
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -17,6 +17,14 @@
   /// long, and this many requests afterwards.
   Duration rest_slack = std::chrono::milliseconds(500);
   std::size_t rest_requests = 2;
+  /// A limit binds so long after it was first named: in any window its target
+  /// gets the factor of what it allows and the slack at most, of the hosts that
+  /// passed its word on by `limit_told` before.
+  Duration limit_grace = std::chrono::milliseconds(3000);
+  Duration limit_window = std::chrono::seconds(4);
+  Duration limit_told = std::chrono::milliseconds(500);
+  double limit_factor = 1.5;
+  double limit_slack = 5;
   Duration late_answer = std::chrono::milliseconds(500);
   /// From the order to stop until the process is ended by force.
   Duration stop = std::chrono::seconds(4);
--- a/soak/records.h
+++ b/soak/records.h
@@ -73,6 +73,23 @@
   std::optional<Duration> rest;
 };
 
+/// A limit that a start of a target names in its answers, for the requests of
+/// all hosts together.
+struct NamedLimit {
+  std::size_t target = 0;
+  std::uint64_t born = 1;
+  double rate = 0;            ///< Requests a second.
+  std::optional<Time> first;  ///< When an answer first named it.
+  std::optional<Time> until;
+};
+
+/// An answer that named a limit.
+struct LimitWord {
+  std::string id;         ///< Of the request.
+  std::size_t limit = 0;  ///< Of `Records::limits`.
+  Time at;
+};
+
 enum class Subject : std::uint8_t {
   kHost,        ///< The process was killed, started, stopped or paused.
   kStorePath,   ///< Between a host and the store.
@@ -105,6 +122,8 @@
   std::vector<KeyLife> keys;
   std::vector<Leaving> leaving;
   std::vector<Word> words;
+  std::vector<NamedLimit> limits;
+  std::deque<LimitWord> limit_words;
   std::vector<Disturbance> disturbances;
   std::vector<Held> held;
   /// Live hosts that each host knew when all had been quiet, itself included;
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -19,6 +19,8 @@
 constexpr Pace kMixedPace = {0.6, milliseconds(200), milliseconds(4000)};
 constexpr Pace kLeavingPace = {2.0, milliseconds(3000), milliseconds(30'000)};
 
+constexpr Pace kLimitedPace = {1.2, milliseconds(15'000), milliseconds(30'000)};
+
 /// Of `Mix::kLeaving`; what stands twice is drawn twice as often.
 constexpr std::array kLeavingTroubles = {
     Trouble::kStoreForgetsLinks, Trouble::kStoreForgetsHostLinks,
@@ -37,9 +39,22 @@
     Trouble::kTargetTells, Trouble::kTargetRests, Trouble::kHostPause,
     Trouble::kStoreDown};
 
-constexpr std::array kMixNames = {"mixed", "leaving", "told"};
+constexpr std::array kLimitedTroubles = {
+    Trouble::kTargetLimits,      Trouble::kTargetLimits,
+    Trouble::kTargetLimits,      Trouble::kTargetLimits,
+    Trouble::kTargetLimits,      Trouble::kTargetLimits,
+    Trouble::kTargetsLimit,      Trouble::kTargetsLimit,
+    Trouble::kServiceLimits,     Trouble::kHostKill,
+    Trouble::kHostKill,          Trouble::kHostStop,
+    Trouble::kHostPause,         Trouble::kHostPause,
+    Trouble::kStoreForgetsLinks, Trouble::kStorePathSilent,
+    Trouble::kTargetGoes,        Trouble::kTargetRests,
+    Trouble::kTargetErrors};
+
+constexpr std::array kMixNames = {"mixed", "leaving", "told", "limited"};
 
 const Pace& PaceOf(Mix mix) {
+  if (mix == Mix::kLimited) return kLimitedPace;
   return mix == Mix::kMixed ? kMixedPace : kLeavingPace;
 }
 
@@ -55,6 +70,9 @@
 /// What is drawn from, evenly.
 std::vector<Trouble> TroublesOf(Mix mix) {
   std::vector<Trouble> out;
+  if (mix == Mix::kLimited) {
+    return {kLimitedTroubles.begin(), kLimitedTroubles.end()};
+  }
   if (mix != Mix::kMixed) {
     out.assign(kLeavingTroubles.begin(), kLeavingTroubles.end());
   }
@@ -88,7 +106,9 @@
       "target_drains",       "target_goes",
       "targets_go",          "target_unreadable",
       "target_report_late",  "target_tells",
-      "target_rests",        "target_pours"};
+      "target_rests",        "target_pours",
+      "target_limits",       "targets_limit",
+      "service_limits"};
   return kNames.at(static_cast<std::size_t>(trouble));
 }
 
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -48,10 +48,14 @@
   kTargetTells,  ///< Says in its answers that it leaves; the list does not.
   kTargetRests,  ///< Turns requests away and says for how long.
   kTargetPours,  ///< Sends bytes that are no answer, without end.
+  // Below: only in `Mix::kLimited`.
+  kTargetLimits,   ///< Names the requests a second that it takes from all.
+  kTargetsLimit,   ///< A third of a service's targets do.
+  kServiceLimits,  ///< All of a service's targets do.
 };
 /// Those of `Mix::kMixed`, and all.
 inline constexpr int kMixedTroubles = 24;
-inline constexpr int kTroubles = 34;
+inline constexpr int kTroubles = 37;
 
 /// What a soak looks for.
 enum class Mix : std::uint8_t {
@@ -59,6 +63,7 @@
   kLeaving,  ///< Targets leave and connections go silent; hosts are in touch
              ///< for most of the time.
   kTold,     ///< As `kLeaving`; what targets say of themselves as well.
+  kLimited,  ///< Targets name limits while placers change hosts.
 };
 
 const char* ToString(Mix mix);
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -45,9 +45,10 @@
   platform::FakeTarget fake;
   Proxy path;
   Behaviour behaviour = Behaviour::kSound;
-  std::uint64_t born = 1;     ///< Changes with each start.
-  std::uint64_t reports = 1;  ///< Since its start.
-  bool tells = false;         ///< All its answers say that it leaves.
+  std::uint64_t born = 1;            ///< Changes with each start.
+  std::uint64_t reports = 1;         ///< Since its start.
+  bool tells = false;                ///< All its answers say that it leaves.
+  std::optional<std::size_t> limit;  ///< Of `Records::limits`.
   std::size_t orders_read = 0;
   std::vector<http::ExchangePtr> hanging;  ///< Never answered.
 };
@@ -91,6 +92,19 @@
   targets_.at(target)->tells = tells;
 }
 
+void Site::SetLimit(std::size_t number, std::optional<double> rate) {
+  Target& target = *targets_.at(number);
+  if (target.limit) records_.limits[*target.limit].until = Now();
+  target.limit.reset();
+  if (!rate) return;
+  target.limit = records_.limits.size();
+  records_.limits.push_back({number, target.born, *rate, {}, {}});
+}
+
+std::string Site::ServiceOf(std::size_t target) const {
+  return targets_.at(target)->service;
+}
+
 void Site::List(std::size_t number, const std::string& state) {
   Target& target = *targets_.at(number);
   PutEntry(target, state, ++target.reports);
@@ -103,6 +117,7 @@
 
 void Site::Restart(std::size_t number) {
   Target& target = *targets_.at(number);
+  SetLimit(number, std::nullopt);
   ++target.born;
   target.reports = 0;
   List(number, "ready");
@@ -179,11 +194,17 @@
 http::Response Site::Head(const Target& target, const http::Request& request,
                           int status) {
   http::Response head = target.fake.Head(request, status);
+  const std::string id(http::FieldValue(request.fields, "x-request-id"));
+  if (target.limit) {
+    NamedLimit& limit = records_.limits[*target.limit];
+    if (!limit.first) limit.first = Now();
+    head.fields.push_back({"server-limit", std::to_string(limit.rate)});
+    records_.limit_words.push_back({id, *target.limit, Now()});
+  }
   if (!target.tells) return head;
   head.fields.push_back({"server-leaving", "1"});
   records_.words.push_back(
-      {std::string(http::FieldValue(request.fields, "x-request-id")),
-       target.number, target.born, Now(), std::nullopt});
+      {id, target.number, target.born, Now(), std::nullopt});
   return head;
 }
 
--- a/soak/site.h
+++ b/soak/site.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio.hpp>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -52,6 +53,9 @@
   void ListUnreadable(std::size_t target);
   /// Whether all answers of the target say that it leaves.
   void SetTells(std::size_t target, bool tells);
+  /// The requests a second that all answers of the target name; absent: none.
+  void SetLimit(std::size_t target, std::optional<double> rate);
+  std::string ServiceOf(std::size_t target) const;
   /// The target starts anew under its name, and reports.
   void Restart(std::size_t target);
 
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -4,6 +4,7 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio.hpp>
 #include <functional>
 #include <memory>
@@ -43,6 +44,8 @@
 constexpr int kStormChanges = 5;
 constexpr Duration kStormGap = milliseconds(150);
 constexpr std::size_t kSeeds = 3;
+/// Limits that targets name, in requests a second.
+constexpr std::array kLimits = {1.0, 1.5, 3.0, 0.4};
 
 class Soak {
  public:
@@ -283,6 +286,30 @@
     });
   }
 
+  /// Names a limit, another one after half of the time, then none.
+  void Limit(std::size_t target, const Event& event) {
+    if (!limited_.insert(target).second) return;
+    const double first = kLimits[event.pick / 7 % kLimits.size()];
+    const double second = kLimits[event.pick / 31 % kLimits.size()];
+    site_.SetLimit(target, first);
+    At(event.life / 2, [this, target, second] {
+      if (!leaving_.contains(target)) site_.SetLimit(target, second);
+    });
+    At(event.life, [this, target] {
+      limited_.erase(target);
+      site_.SetLimit(target, std::nullopt);
+    });
+  }
+
+  /// Each `step`-th target of the service of `target`.
+  void LimitMany(std::size_t target, std::size_t step, const Event& event) {
+    std::size_t number = 0;
+    for (std::size_t i = 0; i < site_.targets(); ++i) {
+      if (site_.ServiceOf(i) != site_.ServiceOf(target)) continue;
+      if (number++ % step == 0) Limit(i, event);
+    }
+  }
+
   /// Another writer's bytes stand in the entry until the target reports again.
   void Overwrite(std::size_t target, Duration life) {
     if (!leaving_.insert(target).second) return;
@@ -348,6 +375,12 @@
     switch (event.trouble) {
       case Trouble::kTargetTells:
         return Tell(target, event.life);
+      case Trouble::kTargetLimits:
+        return Limit(target, event);
+      case Trouble::kTargetsLimit:
+        return LimitMany(target, 3, event);
+      case Trouble::kServiceLimits:
+        return LimitMany(target, 1, event);
       case Trouble::kTargetRests:
         return Misbehave(target, Behaviour::kRests, event);
       default:
@@ -490,6 +523,7 @@
   std::vector<std::unique_ptr<Proxy>> caller_paths_;
   std::vector<bool> restarting_;
   std::set<std::size_t> leaving_;  ///< Targets.
+  std::set<std::size_t> limited_;  ///< Targets.
   std::vector<std::string> story_;
 };
 
--- a/test/soak/promises-test.cc
+++ b/test/soak/promises-test.cc
@@ -292,3 +292,58 @@
   add(milliseconds(1900));
   CHECK(Broken(records) == Promises{"BUDGET"});
 }
+
+namespace {
+
+/// A target that names a limit of one a second and gets a request each `gap`
+/// from two hosts in turn, for ten seconds.
+Records Limited(Duration gap) {
+  Records records = Sound();
+  records.limits.push_back({7, 1, 1, kStart, std::nullopt});
+  int number = 0;
+  for (Time at = kStart; at < kStart + seconds(10); at += gap, ++number) {
+    Sent sent = records.sent[0];
+    sent.id = "limited" + std::to_string(number);
+    sent.host = static_cast<std::size_t>(number % 2);
+    sent.at = at;
+    sent.ended = at + milliseconds(20);
+    sent.path = "/p/" + sent.id;
+    sent.answer = AnswerOf(sent.path, "b");
+    Run run = records.runs[0];
+    run.id = sent.id;
+    run.target = 7;
+    run.at = at;
+    run.path = sent.path;
+    run.ended = sent.ended;
+    records.sent.push_back(sent);
+    records.runs.push_back(run);
+    records.limit_words.push_back({sent.id, 0, at});
+  }
+  return records;
+}
+
+}  // namespace
+
+TEST_CASE("a limit on the requests of all hosts is judged over their sum") {
+  // Eleven in four seconds are allowed.
+  CHECK(Broken(Limited(milliseconds(400))).empty());
+  CHECK(Broken(Limited(milliseconds(330))) == Promises{"LIMIT"});
+  SUBCASE("not for a host that was not told") {
+    Records records = Limited(milliseconds(330));
+    std::erase_if(records.limit_words, [](const LimitWord& word) {
+      return word.id.back() % 2 == 1;
+    });
+    CHECK(Broken(records).empty());
+  }
+  SUBCASE("not for a host that was paused since") {
+    Records records = Limited(milliseconds(330));
+    records.disturbances.push_back({Subject::kHost, 1, "host_pause",
+                                    kStart + seconds(2), kStart + seconds(3)});
+    CHECK(Broken(records).empty());
+  }
+  SUBCASE("not in its first seconds, nor once it is over") {
+    Records records = Limited(milliseconds(100));
+    records.limits[0].until = kStart + seconds(6);
+    CHECK(Broken(records).empty());
+  }
+}
