--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -173,7 +173,7 @@
     const FleetView view{std::max(fleet.size(now), peers.size()),
                          fleet.RankOf(settings.self), peers.size(),
                          state.askers.size(), holder == settings.self};
-    PlacerOf(service).limits().SetPart(PartOfLimits(view), now);
+    PlacerOf(service).SetPart(PartOfLimits(view), now);
   }
 
   /// Takes another host's word on a limit; one that is behind is told.
@@ -202,6 +202,7 @@
     if (!word.rate && !before) return;
     LogLine line(Severity::kInfo,
                  word.rate ? Event::kTargetLimited : Event::kTargetLimitEnded);
+    line.With("service", service);
     line.With("target", word.target).With("born", word.born);
     if (!request.empty()) line.With("request", request);
     if (!host.value.empty()) line.With("host", host);
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -362,6 +362,7 @@
     if (told.limit_unreadable) {
       LogLine(Severity::kWarning, Event::kTargetLimited)
           .With("request", caller_.id)
+          .With("service", service_)
           .With("target", target.name)
           .With("born", target.born)
           .With("unreadable", true);
@@ -667,6 +668,7 @@
     LogLine(severity, Event::kRequestEnded)
         .With("request", caller_.id)
         .With("route", route_ != nullptr ? route_->name : std::string())
+        .With("service", service_)
         .With("version", table_ ? table_->document().version : 0)
         .With("account", account_)
         .With(code)
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -128,11 +128,11 @@
      "a target named, first or with another value, the requests a second that "
      "it takes from all hosts together; host: that told it, if not the target "
      "itself; unreadable: it named a limit that can't be read",
-     "request target born rate before host unreadable"},
+     "request service target born rate before host unreadable"},
     {"target_limit_ended",
      "a target names its limit no more; host: that told it, if not the target "
      "itself",
-     "request target born rate host"},
+     "request service target born rate host"},
     {"hosts_listed", "the store's list of hosts was read", "hosts"},
     {"host_object_removed", "a dead host's object was removed from the store",
      "host"},
