--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -2,6 +2,8 @@
 #include <tclap/CmdLine.h>
 
 #include <algorithm>
+#include <functional>
+#include <map>
 #include <sstream>
 
 #include "ctl/commands.h"
@@ -9,9 +11,9 @@
 namespace comfreyflow::ctl {
 namespace {
 
-/// Lines that name the request, from all files, in order of time.
-std::vector<Json> LinesOf(const std::string& request,
-                          const std::vector<std::string>& texts) {
+/// Lines that `wanted` takes, from all files, in order of time.
+std::vector<Json> LinesOf(const std::vector<std::string>& texts,
+                          const std::function<bool(const Json&)>& wanted) {
   std::vector<Json> lines;
   for (const auto& text : texts) {
     std::istringstream in(text);
@@ -19,7 +21,7 @@
       const auto begin = line.find('{');
       if (begin == std::string::npos) continue;
       Json json = Json::parse(line.substr(begin), nullptr, false);
-      if (json.is_object() && json.value("request", "") == request) {
+      if (json.is_object() && wanted(json)) {
         lines.push_back(std::move(json));
       }
     }
@@ -38,6 +40,41 @@
   return nullptr;
 }
 
+/// The limits that targets of the service had named by that time, by target.
+std::vector<Json> LimitsThen(const std::vector<std::string>& texts,
+                             const std::string& service,
+                             const std::string& time) {
+  std::map<std::string, Json> last;
+  for (auto& line : LinesOf(texts, [&](const Json& json) {
+         const std::string event = json.value("event", "");
+         return (event == "target_limited" || event == "target_limit_ended") &&
+                json.value("service", "") == service &&
+                json.value("time", "") <= time && json.contains("rate");
+       })) {
+    const std::string target = line.value("target", "");
+    last[target] = std::move(line);
+  }
+  std::vector<Json> limits;
+  for (auto& [target, line] : last) {
+    if (line.value("event", "") == "target_limited") {
+      limits.push_back(std::move(line));
+    }
+  }
+  return limits;
+}
+
+/// The limits behind the refusal of a request.
+std::string LimitText(const std::vector<Json>& limits) {
+  if (limits.empty()) return " No target's limit is in these files.";
+  std::string text = " Limits then:";
+  for (const auto& limit : limits) {
+    text += " " + limit.value("target", "") + " " + limit["rate"].dump() +
+            " a second since " + limit.value("time", "") + ";";
+  }
+  text.back() = '.';
+  return text;
+}
+
 std::string Number(const Json& line, const char* key) {
   return std::to_string(line.value(key, std::int64_t{0}));
 }
@@ -93,13 +130,23 @@
       return report;
     }
   }
-  const auto lines = LinesOf(request.getValue(), texts);
+  const auto lines = LinesOf(texts, [&request](const Json& json) {
+    return json.value("request", "") == request.getValue();
+  });
   if (lines.empty()) {
     SetError(report, Errc::kObjectNotFound,
              "no line names " + request.getValue());
     return report;
   }
-  const std::string cause = Cause(lines);
+  std::string cause = Cause(lines);
+  const Json* end = Last(lines, "request_ended");
+  if (end != nullptr &&
+      end->value("code", "") == Info(Errc::kTargetsLimited).name) {
+    const auto limits =
+        LimitsThen(texts, end->value("service", ""), end->value("time", ""));
+    report.json["limits"] = limits;
+    cause += LimitText(limits);
+  }
   report.json["request"] = request.getValue();
   report.json["cause"] = cause;
   report.json["lines"] = lines;
--- a/test/shell/explain-test.cc
+++ b/test/shell/explain-test.cc
@@ -90,3 +90,20 @@
   CHECK(RunWith({"explain", "r2", log.path() + "-none"}).code == kExitFailed);
   CHECK(RunWith({"explain"}).code == kExitUsage);
 }
+
+TEST_CASE("a request that limits refused leads to the limits that did") {
+  const TempFile log(
+      R"({"time":"2026-01-01T00:00:01Z","event":"target_limited","request":"r5","service":"app","target":"i1","born":1,"rate":1.5}
+{"time":"2026-01-01T00:00:01Z","event":"target_limited","request":"r6","service":"app","target":"i2","born":1,"rate":3.0}
+{"time":"2026-01-01T00:00:02Z","event":"target_limit_ended","request":"r7","service":"app","target":"i2","born":1,"rate":3.0}
+{"time":"2026-01-01T00:00:01Z","event":"target_limited","request":"r6","service":"other","target":"i3","born":1,"rate":4.0}
+{"time":"2026-01-01T00:00:02Z","event":"target_limited","service":"app","target":"i4","unreadable":true}
+{"time":"2026-01-01T00:00:03Z","event":"request_ended","request":"r8","service":"app","code":"targets_limited","tries":0,"took":1}
+{"time":"2026-01-01T00:00:04Z","event":"target_limited","request":"r9","service":"app","target":"i1","born":1,"rate":9.0}
+)");
+  const Outcome outcome = RunWith({"explain", "r8", log.path()});
+  CHECK(outcome.code == 0);
+  CHECK(outcome.out.find("targets_limited after 1 ms. Limits then: i1 1.5 a "
+                         "second since 2026-01-01T00:00:01Z.\n") !=
+        std::string::npos);
+}
