Hosts that go by themselves share the slack for second sends

The same cause as with limits: a sum over all hosts that each placer kept for itself. A host that all ask has the whole slack as before.

--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -150,6 +150,9 @@
   /// that host, and taken by others only while no other target is free.
   void Rest(const TargetName& target, const HostName& host, Time until,
             Time now);
+  /// The part of what binds all hosts together that this host may grant: of
+  /// limits and of the slack for repeats.
+  void SetPart(const LimitPart& part, Time now);
   /// The limits that targets named; grants keep them.
   TargetLimits& limits() { return limits_; }
   const TargetLimits& limits() const { return limits_; }
@@ -317,6 +320,7 @@
   std::map<RequestId, Work> works_;
   std::vector<RequestId> waiting_;  ///< Of `works_`, those not placed.
   TargetLimits limits_;
+  double slack_share_ = 1;  ///< Of `repeat_slack`.
   std::deque<Bucket> buckets_;
   std::vector<PlaceVerdict> verdicts_;
   Time held_until_;
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -384,6 +384,11 @@
   return turn - now;
 }
 
+void Placer::SetPart(const LimitPart& part, Time now) {
+  slack_share_ = part.share;
+  limits_.SetPart(part, now);
+}
+
 void Placer::Rest(const TargetName& name, const HostName& host, Time until,
                   Time now) {
   Target* target = Find(name);
@@ -560,7 +565,8 @@
     requests += bucket.requests;
     repeats += bucket.repeats;
   }
-  return settings_.repeat_ratio * requests + settings_.repeat_slack - repeats;
+  const double slack = slack_share_ * settings_.repeat_slack;
+  return settings_.repeat_ratio * requests + slack - repeats;
 }
 
 Placer::Target& Placer::Known(const TargetName& name) {
--- a/test/placer-test.cc
+++ b/test/placer-test.cc
@@ -380,6 +380,28 @@
   CHECK(repeats >= 20);
 }
 
+TEST_CASE("hosts that go by themselves share the budget of repeats") {
+  constexpr std::size_t kHosts = 6;
+  PlacerSettings settings;
+  settings.repeat_slack = 50;
+  std::uint32_t repeats = 0;
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    Placer placer(settings);
+    placer.SetTargets(PoolTargets(3, 1000), kStart);
+    placer.SetPart(PartOfLimits({kHosts, host, 1, 1, true}), kStart);
+    for (std::uint64_t i = 1; i <= 100; ++i) {
+      PlaceJob job = Job(i, kStart, 0);
+      job.repeat = true;
+      placer.Ask(job, kStart);
+      for (const auto& verdict : placer.TakeVerdicts()) {
+        if (std::holds_alternative<PlaceGrant>(verdict)) ++repeats;
+      }
+    }
+  }
+  CHECK(repeats <= 50);
+  CHECK(repeats >= 40);
+}
+
 TEST_CASE("nothing is granted before the other hosts' work is known") {
   Placer placer = PlainPlacer(2, 6);
   placer.HoldUntil(kStart + milliseconds(120));
