--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -277,9 +277,17 @@
   void Refuse(const Work& work, Errc code, Duration retry_after);
   bool Hopeless(const Work& work, Time now) const;
   std::optional<Duration> ComeBackAfter(const Work& work, Time now) const;
-  std::optional<Duration> TurnTooLate(const Work& work, std::size_t ahead,
-                                      Time now) const;
-  bool RefuseWaiting(const Work& work, std::size_t ahead, Time now);
+  /// Turns of the targets that work may go to, all of which are limited.
+  struct Turns {
+    double rate = 0;  ///< A second.
+    Time first;
+  };
+  std::optional<Turns> TurnsFor(const Work& work, Time now) const;
+  std::optional<Duration> TurnTooLate(const Work& work,
+                                      const std::optional<Turns>& turns,
+                                      std::size_t ahead, Time now) const;
+  bool RefuseWaiting(const Work& work, const std::optional<Turns>& turns,
+                     std::size_t ahead, Time now);
   std::size_t WaitingBefore(const Work& work, Time now) const;
   bool HasTurn(const Target& target, Time now) const;
   bool IsLimited(const Target& target) const;
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -120,7 +120,7 @@
     return;
   }
   if (TryPlace(work, now)) return;
-  if (RefuseWaiting(work, WaitingBefore(work, now), now)) {
+  if (RefuseWaiting(work, TurnsFor(work, now), WaitingBefore(work, now), now)) {
     works_.erase(job.id);
     return;
   }
@@ -314,6 +314,8 @@
   // A short request that found no place shows that larger ones find none.
   std::optional<Duration> blocked;
   std::vector<RequestId> left;
+  const Work any;  // Without targets that it must not go to.
+  const auto turns_of_all = TurnsFor(any, now);
   for (const auto& [rank, found] : RankWaiting(now)) {
     Work& work = *found;
     const RequestId id = work.job.id;
@@ -323,7 +325,9 @@
     }
     const bool skip = blocked && !work.is_long && work.read >= *blocked;
     if (!skip && TryPlace(work, now)) continue;
-    if (RefuseWaiting(work, left.size(), now)) {
+    const auto turns =
+        work.job.excluded.empty() ? turns_of_all : TurnsFor(work, now);
+    if (RefuseWaiting(work, turns, left.size(), now)) {
       works_.erase(id);
       continue;
     }
@@ -339,12 +343,13 @@
 }
 
 /// Refuses work that no target takes in time; whether it did.
-bool Placer::RefuseWaiting(const Work& work, std::size_t ahead, Time now) {
+bool Placer::RefuseWaiting(const Work& work, const std::optional<Turns>& turns,
+                           std::size_t ahead, Time now) {
   if (Hopeless(work, now)) {
     Refuse(work, Errc::kDeadlineInfeasible, Duration::zero());
     return true;
   }
-  if (const auto turn = TurnTooLate(work, ahead, now)) {
+  if (const auto turn = TurnTooLate(work, turns, ahead, now)) {
     Refuse(work, Errc::kTargetsLimited, *turn);
     return true;
   }
@@ -363,23 +368,30 @@
          limits_.RateOf(target.info.name, target.info.born).has_value();
 }
 
-/// Where all targets of the work are limited and its turn, behind `ahead`
-/// others, comes too late: when that is.
-std::optional<Duration> Placer::TurnTooLate(const Work& work, std::size_t ahead,
-                                            Time now) const {
+std::optional<Placer::Turns> Placer::TurnsFor(const Work& work,
+                                              Time now) const {
   if (limits_.empty()) return std::nullopt;
-  double rate = 0;
-  Time first = Time::max();
+  Turns out{0, Time::max()};
   for (const auto& [name, target] : targets_) {
     if (!InPool(target, work)) continue;
     const auto part = limits_.PartOf(name, target.info.born);
     if (!part) return std::nullopt;
-    rate += *part;
-    first = std::min(first, limits_.NextAt(name, target.info.born, now));
+    out.rate += *part;
+    out.first =
+        std::min(out.first, limits_.NextAt(name, target.info.born, now));
   }
-  if (rate <= 0) return std::nullopt;
-  const std::chrono::duration<double> behind(static_cast<double>(ahead) / rate);
-  const Time turn = first + std::chrono::duration_cast<Duration>(behind);
+  if (out.rate <= 0) return std::nullopt;
+  return out;
+}
+
+/// If the work's turn, behind `ahead` others, comes too late: when it does.
+std::optional<Duration> Placer::TurnTooLate(const Work& work,
+                                            const std::optional<Turns>& turns,
+                                            std::size_t ahead, Time now) const {
+  if (!turns) return std::nullopt;
+  const std::chrono::duration<double> behind(static_cast<double>(ahead) /
+                                             turns->rate);
+  const Time turn = turns->first + std::chrono::duration_cast<Duration>(behind);
   if (turn + LeastTime(work) < BeginBy(work.job)) return std::nullopt;
   return turn - now;
 }
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -219,16 +219,24 @@
     if (word) To(holder).limits.push_back({service, *word});
   }
 
-  void TellLimits(const ServiceName& service, const HostName& host, Time now) {
-    if (host == settings.self) return;
+  /// What this host knows of the limits of listed targets.
+  std::vector<wire::TargetLimitMessage> LimitsOf(const ServiceName& service,
+                                                 Time now) {
+    std::vector<wire::TargetLimitMessage> out;
     const TargetLimits& limits = PlacerOf(service).limits();
-    std::size_t told = 0;
     for (const auto& target : targets[service]) {
       const auto word = limits.FreshWordOf(target.name, target.born, now);
-      if (!word) continue;
-      To(host).limits.push_back({service, *word});
-      if (++told >= kLimitsPerDatagram) break;
+      if (word) out.push_back({service, *word});
+      if (out.size() >= kLimitsPerDatagram) break;
     }
+    return out;
+  }
+
+  void TellLimits(const std::vector<wire::TargetLimitMessage>& known,
+                  const HostName& host) {
+    if (host == settings.self || known.empty()) return;
+    auto& limits = To(host).limits;
+    limits.insert(limits.end(), known.begin(), known.end());
   }
 
   /// Hosts that would grant next, or go by themselves, know the limits.
@@ -238,7 +246,8 @@
       if (!state.limits_changed && now < state.limits_due) continue;
       state.limits_due = now + kLimitsPeriod;
       state.limits_changed = false;
-      for (const auto& [name, peer] : peers) TellLimits(service, name, now);
+      const auto known = LimitsOf(service, now);
+      for (const auto& [name, peer] : peers) TellLimits(known, name);
     }
   }
 
@@ -265,7 +274,7 @@
       rests.ForEach(now, [&](const TargetName& target, Duration left) {
         SendRest(own.service, holder, target, left);
       });
-      TellLimits(own.service, holder, now);
+      TellLimits(LimitsOf(own.service, now), holder);
     }
     own.last_asked = now;
     if (holder == settings.self) {
