A holder that went on holding keeps its turns under a limit over a pause

A placer that had not been asked for 2 s counted turns anew with the next ask, as if another host had granted meanwhile: with one request each few seconds each waited for a whole turn, or was refused. Now only a host that was not the one that all ask begins anew. The share of the fleet is looked at twice a second instead of ten times, as it costs a walk over all hosts.

Test: target-limit-test "after a pause a request finds the turn..." (503 before, 200 after).

--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -47,6 +47,9 @@
 constexpr Duration kLately = seconds(1);
 /// Where few disturbances are drawn, keys change besides.
 constexpr Duration kKeyPause = seconds(4);
+/// In `Mix::kTold` a target in use says that it leaves, besides what is drawn.
+constexpr Duration kTellPause = seconds(4);
+constexpr Duration kTellLife = seconds(8);
 /// Limits that targets name, in requests a second.
 constexpr std::array kLimits = {1.0, 1.5, 3.0, 0.4};
 
@@ -72,6 +75,11 @@
          at += kKeyPause) {
       At(at, [this] { site_.ChangeKey(); });
     }
+    for (Duration at = kSettleTime;
+         settings_.mix == Mix::kTold && settings_.only.empty() && at < end;
+         at += kTellPause) {
+      At(at, [this, at] { Tell(InUse(at.count()), kTellLife); });
+    }
     const Duration last = end + LongestLife(settings_.mix) + seconds(1);
     At(last, [this] { records_.quiet_from = Now(); });
     At(last + settings_.quiet, [&callers, this] {
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -47,7 +47,7 @@
 constexpr std::size_t kLongestDatagram = 60 * 1024;
 constexpr std::size_t kWorksPerDatagram = 400;
 /// The part of limits that this host may grant is looked at this often.
-constexpr Duration kSharePeriod = milliseconds(100);
+constexpr Duration kSharePeriod = milliseconds(500);
 /// A holder tells all hosts the limits it knows at changes and this often, as
 /// datagrams get lost.
 constexpr Duration kLimitsPeriod = std::chrono::seconds(5);
@@ -76,6 +76,7 @@
     std::set<HostName> heard;         ///< Told their work since.
     std::map<HostName, Time> askers;  ///< When each asked last.
     Time share_due;
+    bool whole = false;  ///< Grants all of the limits, as of `share_due`.
     Time limits_due;
     bool limits_changed = false;
   };
@@ -150,8 +151,9 @@
       state.heard.clear();
       Placer& placer = PlacerOf(service);
       placer.HoldUntil(std::max(now + kSyncWait, settled));
+      const bool was_whole = state.whole;
       UpdateShare(service, state, now);
-      placer.limits().Begin(now);
+      if (!was_whole || !state.whole) placer.limits().Begin(now);
       LogLine(Severity::kInfo, Event::kPlacerTaken)
           .With("service", service)
           .With("peers", std::uint64_t{peers.size()});
@@ -173,7 +175,9 @@
     const FleetView view{std::max(fleet.size(now), peers.size()),
                          fleet.RankOf(settings.self), peers.size(),
                          state.askers.size(), holder == settings.self};
-    PlacerOf(service).SetPart(PartOfLimits(view), now);
+    const LimitPart part = PartOfLimits(view);
+    state.whole = part.share >= 1 && view.holds;
+    PlacerOf(service).SetPart(part, now);
   }
 
   /// Takes another host's word on a limit; one that is behind is told.
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -491,8 +491,10 @@
   request.target = path;
   request.body = body;
   request.fields = {{"host", "a.example"},
-                    {"x-request-id", "id" + std::to_string(++next_id_)},
-                    {"x-deadline-ms", "5000"}};
+                    {"x-request-id", "id" + std::to_string(++next_id_)}};
+  if (!http::HasField(fields, "x-deadline-ms")) {
+    request.fields.push_back({"x-deadline-ms", "5000"});
+  }
   if (!http::HasField(fields, "authorization")) {
     request.fields.push_back({"authorization", "Token key1"});
   }
--- a/test/platform/target-limit-test.cc
+++ b/test/platform/target-limit-test.cc
@@ -161,3 +161,21 @@
   two.UntilFirstAsked();
   CHECK(two.Metric("comfreyflow_targets_limited") == "0");
 }
+
+TEST_CASE("after a pause a request finds the turn that nobody took") {
+  TwoTargets two;
+  for (FakeTarget* target : {&two.first, &two.second}) {
+    target->OnRequest(Says(*target, "server-limit", "0.5"));
+  }
+  REQUIRE(two.site.Until([&] {
+    two.site.Call(two.host, "POST", "/unsafe/1", {{"x-deadline-ms", "400"}});
+    return two.Metric("comfreyflow_targets_limited") == "2";
+  }));
+  // Longer than a turn, and than a placer counts as asked.
+  const auto since = Clock::now();
+  two.site.Until(
+      [&] { return Clock::now() - since > std::chrono::seconds(5); });
+  const Answer answer =
+      two.site.Call(two.host, "POST", "/unsafe/1", {{"x-deadline-ms", "400"}});
+  CHECK(answer.response.status == 200);
+}
