A configuration that was announced is asked for without another announcement

A host waits 0.7 s for the store's own word before it asks a peer.

AnnouncedDocument waits once, from the first word on, and the host looks at it four times a second; hosts spread their asking over 0.4 s. Test: announced-document-test "words of peers that are behind the latest make no wait longer".

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "comfreyflow/addresses.h"
+#include "comfreyflow/announced-document.h"
 #include "comfreyflow/holder.h"
 #include "gateway/relay.h"
 #include "http/client.h"
@@ -47,6 +48,8 @@
 /// The store's own word on a new document is waited for so long before a peer
 /// is asked; in a large fleet each would be asked by all.
 constexpr Duration kStoreFirst = milliseconds(700);
+/// Hosts of a fleet ask at different times within this.
+constexpr Duration kAskSpread = milliseconds(400);
 
 PlacerSettings WithSeed(const GatewaySettings& settings) {
   PlacerSettings placer = settings.placer;
@@ -55,6 +58,12 @@
   return placer;
 }
 
+Duration PatienceOf(const HostName& host) {
+  const auto hash = XXH3_64bits(host.value.data(), host.value.size());
+  return kStoreFirst +
+         Duration(static_cast<Duration::rep>(hash % kAskSpread.count()));
+}
+
 std::function<std::uint64_t()> ListVersion(const GatewayHooks& hooks) {
   if (!hooks.targets_known) return nullptr;
   return [known = hooks.targets_known] { return known().version; };
@@ -96,7 +105,8 @@
         callers(io, {}, CallerHooks(), body_budget),
         peer_calls(io, {}, PeerCallHooks(), body_budget),
         stop_timer(io),
-        facts_timer(io) {
+        facts_timer(io),
+        announced(PatienceOf(settings.self.name)) {
     relays.random.seed(settings.self.incarnation.value ^
                        std::hash<std::string>()(settings.self.name.value));
   }
@@ -150,7 +160,8 @@
       if (hooks.view_changed) hooks.view_changed();
     };
     peer.config_announced = [this](const ConfigAnnounced& event) {
-      if (event.config.generation > version()) Announced(event);
+      announced.Heard(event.config.generation, event.host, version(), Now());
+      FetchAnnounced();
     };
     peer.target_marked = [this](const TargetMark& event) {
       if (hooks.target_marked) hooks.target_marked(event);
@@ -195,17 +206,15 @@
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (error) return;
           self->RefreshPeers();
+          self->FetchAnnounced();
           self->WatchFacts();
         });
   }
 
-  void Announced(const ConfigAnnounced& event) {
-    if (announced != event.config.generation) {
-      announced = std::max(announced, event.config.generation);
-      announced_at = Now();
-    }
-    const bool waits = store_reachable && Now() - announced_at < kStoreFirst;
-    if (!waits && !fetching) Fetch(event.host);
+  void FetchAnnounced() {
+    if (fetching) return;
+    const auto host = announced.Ask(version(), store_reachable, Now());
+    if (host) Fetch(*host);
   }
 
   void Fetch(const HostName& host) {
@@ -316,8 +325,7 @@
   asio::steady_timer stop_timer;
   asio::steady_timer facts_timer;
   bool fetching = false;
-  std::uint64_t announced = 0;  ///< Latest generation heard of.
-  Time announced_at;
+  AnnouncedDocument announced;
   bool has_targets = false;
   Time applied_at;  ///< When the configuration came into force.
   Time targets_at;  ///< When the list of targets changed.
