Limits are told to a holder once a datagram, not with each ask in it

Each request that had not asked the holder before, so every new one, gathered all limits of its service and put them into the datagram again: n asks of one turn of the loop carried n copies, beside a walk over all targets for each. Now once for each host and service until the datagrams leave.

--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <optional>
 #include <set>
+#include <utility>
 
 #include "comfreyflow/holder.h"
 #include "comfreyflow/target-rests.h"
@@ -278,7 +279,10 @@
       rests.ForEach(now, [&](const TargetName& target, Duration left) {
         SendRest(own.service, holder, target, left);
       });
-      TellLimits(LimitsOf(own.service, now), holder);
+      // Once for all asks of a datagram.
+      if (limits_sent.emplace(holder, own.service).second) {
+        TellLimits(LimitsOf(own.service, now), holder);
+      }
     }
     own.last_asked = now;
     if (holder == settings.self) {
@@ -443,6 +447,7 @@
   }
 
   void Flush() {
+    limits_sent.clear();
     for (auto& [host, messages] : std::exchange(outgoing, {})) {
       const auto at = peers.find(host);
       if (at == peers.end() || messages.empty()) continue;
@@ -649,6 +654,8 @@
   std::map<HostName, Time> silent_until;
   std::map<std::uint64_t, Own> own;
   std::map<HostName, wire::PlaceMessages> outgoing;
+  /// Hosts that `outgoing` tells all limits of a service.
+  std::set<std::pair<HostName, ServiceName>> limits_sent;
   FleetMemory fleet;
   std::uint64_t grants_past_limits = 0;
   TargetRests rests;                  ///< Of this host.
