--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -703,7 +703,12 @@
         .With("events", std::uint64_t{splitter_.events()})
         .With("first_event", duration_cast<milliseconds>(first_event_after_))
         .With("longest_pause", duration_cast<milliseconds>(longest_gap_))
-        .With("took", duration_cast<milliseconds>(Now() - arrival_));
+        .With("took", duration_cast<milliseconds>(Now() - arrival_))
+        .With("objective",
+              duration_cast<milliseconds>(
+                  route_ != nullptr ? route_->latency_objective : Duration()))
+        .With("max_gap", duration_cast<milliseconds>(
+                             route_ != nullptr ? route_->max_gap : Duration()));
     exchange_.reset();
     self_.reset();
   }
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -171,8 +171,8 @@
      "fingerprint target crashes"},
     {"request_ended", "a request got its only final answer",
      "request route version account code prompt_tokens tries ran events "
-     "first_event longest_pause took service outcome attempts output_tokens "
-     "took_ms"},
+     "first_event longest_pause took objective max_gap service outcome attempts "
+     "output_tokens took_ms"},
     {"lines_left_out",
      "lines of an event were dropped in an earlier second because they "
      "exceeded its budget",
