--- a/include/comfreyflow/announced-document.h
+++ b/include/comfreyflow/announced-document.h
@@ -5,6 +5,10 @@
 /// gives its own watch of the store a short time to deliver the document, so
 /// that the few hosts that already have it are not flooded with requests. A
 /// host whose watch delivers nothing waits no longer than that.
+///
+/// The store may be an older copy of itself. A host that starts then reads an
+/// earlier document than its peers have in force. It does not serve requests by
+/// that one for a limited time, within which it gets the document of a peer.
 #pragma once
 
 #include <cstdint>
@@ -24,9 +28,14 @@
   /// this host has `in_force`.
   void OnAnnouncement(std::uint64_t generation, const HostName& host,
                       std::uint64_t in_force, Time now);
+  /// Whether this host, which started with an earlier document than a peer has
+  /// in force, must not serve requests by it yet.
+  bool MustNotServe(std::uint64_t in_force, Time now);
   /// The peer to request the document from now, if any.
   std::optional<HostName> PeerToAsk(std::uint64_t in_force,
                                     bool store_reachable, Time now) const;
+  /// How long a host that starts waits for a document that a peer announced.
+  static constexpr Duration kMaxStartWait = std::chrono::seconds(3);
 
  private:
   const Duration store_wait_;
@@ -37,6 +46,9 @@
   /// do not extend it.
   std::uint64_t awaited_ = 0;
   Time awaited_since_;
+  /// When `MustNotServe` was first called with a document in force.
+  std::optional<Time> started_at_;
+  bool is_started_ = false;  ///< Documents in force are served from now on.
 };
 
 }  // namespace comfreyflow
--- a/include/comfreyflow/follow-plan.h
+++ b/include/comfreyflow/follow-plan.h
@@ -1,6 +1,6 @@
 /// Schedules a host's calls to the store for the object kinds that it follows:
 /// each kind is listed, then watched, and after an outage the host resumes with
-/// few calls.
+/// few calls. In a new era of the store all kinds are listed again.
 ///
 /// A watch's connection may break without an error, so every watch is renewed
 /// after a limited time. In a small fleet each host renews its watches often
@@ -14,6 +14,7 @@
 #include <random>
 #include <vector>
 
+#include "comfreyflow/store-version.h"
 #include "comfreyflow/types.h"
 
 namespace comfreyflow {
@@ -57,10 +58,10 @@
   /// reachable again.
   std::optional<Step> Next(std::size_t kind, std::size_t hosts);
   /// The kind was listed at `version`.
-  Effect Listed(std::size_t kind, std::uint64_t version);
+  Effect Listed(std::size_t kind, const StoreVersion& version);
   /// A watch was answered at `version`; `has_changes` if it contained changes.
-  Effect Changed(std::size_t kind, std::uint64_t version, bool has_changes,
-                 const FleetInfo& fleet);
+  Effect Changed(std::size_t kind, const StoreVersion& version,
+                 bool has_changes, const FleetInfo& fleet);
   /// The store no longer keeps all changes since the last known version; the
   /// kind is listed next.
   Effect HistoryExpired(std::size_t kind);
@@ -71,10 +72,20 @@
   /// it and makes the next call. Otherwise the open call returns without
   /// waiting.
   bool Behind(std::size_t kind);
+  /// The store is of another era. Returns the kinds whose open call has to be
+  /// abandoned and whose next step, a list, is due after the time given. Lists
+  /// that are under way go on. The lists of a large fleet are spread in time.
+  struct Relist {
+    std::size_t kind = 0;
+    Duration wait{};
+  };
+  std::vector<Relist> EraChanged(std::uint64_t era, std::size_t hosts);
 
   bool store_up() const { return failures_ < kOutageFailures; }
   bool listed(std::size_t kind) const { return kinds_[kind].listed; }
-  std::uint64_t version(std::size_t kind) const { return kinds_[kind].version; }
+  const StoreVersion& version(std::size_t kind) const {
+    return kinds_[kind].version;
+  }
 
  private:
   /// Consecutive failures of non-waiting calls that count as an outage.
@@ -82,6 +93,7 @@
 
   struct Kind {
     bool listed = false;
+    bool is_listing = false;  ///< The open call is a list.
     bool waits_for_store = false;
     /// The open call is a watch that waits for changes.
     bool is_watching = false;
@@ -90,7 +102,7 @@
     bool needs_check = false;
     /// Consecutive watches that got no answer.
     std::uint32_t failed_watches = 0;
-    std::uint64_t version = 0;
+    StoreVersion version;
   };
 
   /// Resets the failure state after any answer of the store.
@@ -101,6 +113,7 @@
   std::vector<Kind> kinds_;
   /// Consecutive failures of calls that did not wait.
   std::uint32_t failures_ = 0;
+  std::uint64_t era_ = 0;  ///< Lists of an earlier era are not accepted.
   /// The only kind that calls the store during an outage.
   std::size_t probing_kind_ = 0;
   std::mt19937_64 random_;
@@ -115,6 +128,9 @@
 /// that the connection is dead or the store is slow; a call on another
 /// connection shows which.
 inline constexpr Duration kWatchGrace = std::chrono::milliseconds(600);
+/// Mean time between two lists of a kind by the hosts of a fleet after a change
+/// of the store's era.
+inline constexpr Duration kRelistSpacing = std::chrono::milliseconds(2);
 /// Maximum time for which any watch waits.
 inline constexpr Duration kMaxWatchTime = std::chrono::seconds(30);
 
--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -16,6 +16,7 @@
 #include <variant>
 #include <vector>
 
+#include "comfreyflow/store-version.h"
 #include "comfreyflow/types.h"
 
 namespace comfreyflow {
@@ -88,12 +89,17 @@
 /// from a higher version on. Hosts pass marks on to each other by gossip.
 struct TargetMark {
   TargetName target;
-  std::uint64_t version = 0;
+  /// Era 0: the era in which the receiver knows the store.
+  StoreVersion version;
   bool closed = true;
   /// The start (run) of the target that has announced that it is leaving; the
   /// mark then applies to any version of the target's entry. If 0, the mark
   /// applies to entries up to `version`.
   std::uint64_t start = 0;
+  /// The start that wrote the entry, and the number of its report; 0: unknown.
+  /// They order entries of different eras of the store.
+  std::uint64_t entry_born = 0;
+  std::uint64_t entry_report = 0;
   bool operator==(const TargetMark&) const = default;
 };
 
@@ -123,6 +129,7 @@
   std::vector<MemberId> wanted;     ///< Members whose record the sender lacks.
   std::vector<TargetMark> targets;
   std::vector<SuspectMark> suspects;
+  std::uint64_t store_era = 0;  ///< As the sender knows it; 0: unknown.
 };
 
 /// Upper bound for the size of the datagram once it is encoded and signed.
@@ -144,8 +151,14 @@
   ConfigMark config;
 };
 
-using MembershipEvent =
-    std::variant<MemberChanged, ConfigAnnounced, TargetMark, SuspectMark>;
+/// A peer knows a later era of the platform's store than this host.
+struct StoreEraAnnounced {
+  HostName host;
+  std::uint64_t era = 0;
+};
+
+using MembershipEvent = std::variant<MemberChanged, ConfigAnnounced, TargetMark,
+                                     SuspectMark, StoreEraAnnounced>;
 
 struct MembershipOutput {
   std::vector<SendDatagram> datagrams;
@@ -196,6 +209,7 @@
 
   void SetFacts(const HostFacts& facts);
   void SetConfig(const ConfigMark& config);
+  void SetStoreEra(std::uint64_t era);
   void SetPlatformList(std::vector<ListedHost> hosts);
   /// These two pass a mark on to the other hosts.
   void ShareTarget(const TargetMark& mark);
--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -22,6 +22,7 @@
 
 #include "comfreyflow/errors.h"
 #include "comfreyflow/routes.h"
+#include "comfreyflow/store-version.h"
 #include "comfreyflow/target-limits.h"
 #include "comfreyflow/types.h"
 
@@ -35,8 +36,8 @@
   std::uint32_t slots = 1;
   /// Start identifier; changes when a target of this name restarts.
   std::uint64_t born = 0;
-  bool leaving = false;       ///< Accepts no new work.
-  std::uint64_t version = 0;  ///< Version of the list entry.
+  bool leaving = false;  ///< Accepts no new work.
+  StoreVersion version;  ///< Version of the list entry.
   bool operator==(const PoolTarget&) const = default;
 };
 
@@ -67,8 +68,8 @@
   std::string address;
   /// Tokens of memory to reserve there before the request is sent; 0: none.
   std::uint32_t reserve_tokens = 0;
-  std::uint64_t version = 0;  ///< Version of the list entry when chosen.
-  std::uint64_t born = 0;     ///< Start identifier in that list entry.
+  StoreVersion version;    ///< Version of the list entry when chosen.
+  std::uint64_t born = 0;  ///< Start identifier in that list entry.
   bool operator==(const PlacedTarget&) const = default;
 };
 
--- a/include/comfreyflow/target-book.h
+++ b/include/comfreyflow/target-book.h
@@ -1,6 +1,6 @@
 /// The targets that may get work, derived from a list that lags behind, loses
-/// entries while its store is unreachable and may contain entries of other
-/// writers.
+/// entries while its store is unreachable, may contain entries of other writers
+/// and may be replaced by an older copy of itself.
 #pragma once
 
 #include <map>
@@ -27,8 +27,8 @@
 struct LeavingReport {
   TargetName target;
   std::uint64_t born = 0;  ///< 0: the start that is known here.
-  /// Version of an entry of that start; 0: unknown.
-  std::uint64_t version = 0;
+  /// Version of an entry of that start; revision 0: unknown.
+  StoreVersion version;
   /// Address the answer came from; empty: from the target itself, whatever its
   /// address.
   std::string address;
@@ -67,9 +67,20 @@
   /// The store that keeps the list does not answer, or answers again.
   void StoreLost(Time now);
   void StoreBack(Time now);
+  /// The era of the store; that of marks and reports which name none.
+  void SetEra(std::uint64_t era) { era_ = era; }
+  /// Entries of live targets may be missing from the list for the settling
+  /// time, because the store came back from an older copy.
+  void SetSettling(Time now);
+  /// Whether a target that had an entry of this version was removed if the
+  /// list, of the version `list`, has no entry of it.
+  bool AbsenceMeansRemoved(const StoreVersion& entry, const StoreVersion& list,
+                           Time now) const;
   /// Drops entries that are still missing after the settling time. Returns when
   /// to call it again for the remaining ones, if at all.
   std::optional<Time> Tick(Time now);
+  /// Returns the targets that `Tick` dropped since the last call.
+  std::vector<TargetMark> TakeExpired();
   /// Returns true once after each change. A new version of an otherwise equal
   /// entry is not a change.
   bool TakeChanged();
@@ -86,14 +97,31 @@
   std::size_t self_reported_leaving() const { return leaving_starts_.size(); }
 
  private:
+  /// What closes a target: an entry in which it was leaving, its removal, or a
+  /// mark of a peer.
+  struct Closure {
+    StoreVersion version;
+    std::uint64_t born = 0;    ///< Of the last entry known; 0: unknown.
+    std::uint64_t report = 0;  ///< Of the last entry known; 0: unknown.
+    /// Applies to entries of its own era too, as a peer may know a later entry
+    /// than the list here. Otherwise the list itself tells within an era.
+    bool binds_own_era = false;
+    Time received_at;
+  };
+
   bool IsSettling(Time now) const;
 
   const Duration settling_time_;
+  /// Whether the entry precedes the known one, of the same start of the target
+  /// or of a later one.
   static bool IsOlder(const TargetEntry& entry, const TargetEntry& known);
 
-  /// Whether a peer closed the target at this version of its entry or a later
-  /// one.
-  bool ClosedByMark(const TargetEntry& entry) const;
+  /// Closes the target as of the entry that the mark describes. Returns false
+  /// if too many are closed.
+  bool CloseAsOf(const TargetMark& mark, bool binds_own_era);
+  /// Whether a closure applies to the entry.
+  bool IsClosed(const TargetEntry& entry);
+  static TargetMark MarkOf(const TargetEntry& entry);
   /// Whether the entry belongs to a start that reported itself that it is
   /// leaving. Forgets that report if the entry is of a later start.
   bool ClosedByOwnReport(const TargetEntry& entry);
@@ -101,28 +129,27 @@
   void ExpireOwnReports(Time now);
 
   std::map<TargetName, TargetEntry> entries_;
-  /// A mark of a peer: the target is closed as of a version of its entry.
-  struct ClosedMark {
-    std::uint64_t version = 0;
-    Time received_at;
-  };
-  std::map<TargetName, ClosedMark> marks_;
+  std::map<TargetName, Closure> closures_;
   /// A start that reported itself that it is leaving. Invariant: `version` is
   /// the highest version known of an entry of that start, so an entry of
-  /// another start is later if and only if its version is higher.
+  /// another start in the same era is later if and only if its version is
+  /// higher.
   struct LeavingStart {
     std::uint64_t born = 0;  ///< 0: unknown, taken from the next entry.
-    std::uint64_t version = 0;
+    StoreVersion version;
     Time received_at;
   };
   std::map<TargetName, LeavingStart> leaving_starts_;
   /// Targets closed only by a mark of a peer, and since when.
   std::map<TargetName, Time> unconfirmed_;
   std::vector<TargetMark> new_marks_;
+  std::vector<TargetMark> expired_;
   std::map<TargetName, Time> missing_;  ///< Since when each entry is missing.
   bool is_store_lost_ = false;
   bool was_store_lost_ = false;
-  Time store_back_at_;
+  Time store_back_at_;  ///< Or when its era changed.
+  std::uint64_t era_ = 0;
+  Time now_;  ///< Of the last call that named a time.
   bool is_changed_ = false;
 };
 
--- a/soak/planted-host.cc
+++ b/soak/planted-host.cc
@@ -127,7 +127,7 @@
                  std::function<void(WatchAnswer&)> change) {
   parts.wrap_store = [kind, change = std::move(change)](ObjectStore store) {
     store.watch = [watch = store.watch, kind, change](
-                      const std::string& asked, std::uint64_t version,
+                      const std::string& asked, const StoreVersion& version,
                       Duration wait, const gateway::WatchHandler& handler) {
       if (asked != kind) return watch(asked, version, wait, handler);
       watch(asked, version, wait, [change, handler](WatchAnswer changes) {
@@ -158,9 +158,9 @@
 /// Lets each watch wait for half a minute.
 void KeepWatches(HostParts& parts) {
   parts.wrap_store = [](ObjectStore store) {
-    store.watch = [watch = store.watch](const std::string& kind,
-                                        std::uint64_t version, Duration wait,
-                                        const gateway::WatchHandler& handler) {
+    store.watch = [watch = store.watch](
+                      const std::string& kind, const StoreVersion& version,
+                      Duration wait, const gateway::WatchHandler& handler) {
       constexpr Duration kWait = std::chrono::seconds(30);
       watch(kind, version, wait > Duration::zero() ? kWait : wait, handler);
     };
@@ -176,6 +176,9 @@
   };
 }
 
+/// Takes the store's revisions as if they only rose.
+void IgnoreEra(HostParts& parts) { parts.store_api.read_era = nullptr; }
+
 void IgnoreRetryAfter(HostParts& parts) {
   parts.edge.read_head = [read = parts.edge.read_head](const auto& response) {
     gateway::TargetHead head = read(response);
@@ -205,13 +208,23 @@
 using Plant = void (*)(HostParts&);
 
 /// In the order of `kPlanted`.
-constexpr std::array<Plant, kPlanted.size()> kPlants = {
-    RepeatFailed,      PromiseFailed,       DropMark,
-    PassKey,           ChangeAccount,       ChangePath,
-    SkipEvent,         TakeAnyKey,          KeepMemory,
-    IgnoreLeaving,     IgnoreConfiguration, KeepWatches,
-    IgnoreToldLeaving, IgnoreRetryAfter,    IgnoreLimit,
-    LimitEachHost};
+constexpr std::array<Plant, kPlanted.size()> kPlants = {RepeatFailed,
+                                                        PromiseFailed,
+                                                        DropMark,
+                                                        PassKey,
+                                                        ChangeAccount,
+                                                        ChangePath,
+                                                        SkipEvent,
+                                                        TakeAnyKey,
+                                                        KeepMemory,
+                                                        IgnoreLeaving,
+                                                        IgnoreConfiguration,
+                                                        KeepWatches,
+                                                        IgnoreToldLeaving,
+                                                        IgnoreRetryAfter,
+                                                        IgnoreLimit,
+                                                        LimitEachHost,
+                                                        IgnoreEra};
 
 Plant Find(const std::string& fault) {
   for (std::size_t i = 0; i < kPlanted.size(); ++i) {
--- a/soak/planted.h
+++ b/soak/planted.h
@@ -14,7 +14,7 @@
   Mix mix = Mix::kMixed;  ///< That shows it.
 };
 
-inline constexpr std::array<Planted, 16> kPlanted = {
+inline constexpr std::array<Planted, 17> kPlanted = {
     {{"repeats_failed", "TWICE"},
      {"promises_failed", "REFUSED"},
      {"drops_mark", "MIXED"},
@@ -30,6 +30,7 @@
      {"ignores_told_leaving", "DRAIN", Mix::kTold},
      {"ignores_retry_after", "BUDGET", Mix::kTold},
      {"ignores_limit", "LIMIT", Mix::kLimited},
-     {"limits_each_host", "LIMIT", Mix::kLimited}}};
+     {"limits_each_host", "LIMIT", Mix::kLimited},
+     {"ignores_era", "DRAIN", Mix::kRewound}}};
 
 }  // namespace comfreyflow::soak
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -49,6 +49,7 @@
       CheckKey(sent);
     }
     for (const auto& run : records_.runs) CheckLeaving(run);
+    CountRewinds();
     for (const auto& word : records_.words) CheckWord(word);
     for (std::size_t i = 0; i < records_.limits.size(); ++i) CheckLimit(i);
     CheckMemory();
@@ -71,6 +72,10 @@
             {"DENIED", count("DENIED"), all, "keys in force"},
             {"GONE", count("GONE"), all, "callers that left"},
             LeavingJudged(),
+            {"DRAIN", count("DRAIN rewound"), count("DRAIN rewinds"),
+             "targets known to leave before the store was rewound"},
+            {"CONFIG", count("CONFIG rewound"), all,
+             "keys known to be taken away before it was"},
             {"DRAIN", count("DRAIN told"), count("DRAIN words"), "own words"},
             {"BUDGET", count("BUDGET rest"), count("BUDGET words"), "rests"},
             {"LIMIT", count("LIMIT"), count("LIMIT named"), "named limits"},
@@ -142,6 +147,42 @@
            !Disturbed(Subject::kStorePath, host, at - bounds_.touch, at);
   }
 
+  /// Whether the host knew, when the store went away to come back from an older
+  /// copy, what was acknowledged `bound` before. It still knows it at `at`, out
+  /// of touch or not.
+  bool KnewBeforeRewind(std::size_t host, Time acknowledged, Duration bound,
+                        Time at) const {
+    return std::any_of(
+        records_.rewinds.begin(), records_.rewinds.end(),
+        [&](const Rewind& rewind) {
+          return rewind.from <= at && at <= rewind.until + bounds_.touch &&
+                 acknowledged + bound <= rewind.from &&
+                 InTouch(host, rewind.from - Duration(1)) &&
+                 !Disturbed(Subject::kHost, host, rewind.from, at);
+        });
+  }
+
+  /// Counts what hosts knew of leaving targets when the store went away.
+  void CountRewinds() {
+    std::size_t hosts = 0;
+    for (const auto& sent : records_.sent) {
+      hosts = std::max(hosts, sent.host + 1);
+    }
+    for (const auto& rewind : records_.rewinds) {
+      for (const auto& leaving : records_.leaving) {
+        if (leaving.from + bounds_.drain > rewind.from) continue;
+        if (leaving.until && *leaving.until <= rewind.until) continue;
+        for (std::size_t host = 0; host < hosts; ++host) {
+          ++judged_["DRAIN rewinds"];
+          if (KnewBeforeRewind(host, leaving.from, bounds_.drain,
+                               rewind.until)) {
+            ++judged_["DRAIN rewound"];
+          }
+        }
+      }
+    }
+  }
+
   bool TargetsDisturbed(const Sent& sent, Time to) const {
     return std::any_of(RunsOf(sent).begin(), RunsOf(sent).end(),
                        [&](const Run* run) {
@@ -334,7 +375,12 @@
     const bool added = sent.at > life->added + bounds_.config;
     const bool removed =
         life->removed && sent.at > *life->removed + bounds_.config;
-    if (!InTouch(sent.host, sent.at)) return;
+    const bool in_touch = InTouch(sent.host, sent.at);
+    const bool knew_removal =
+        removed && !in_touch &&
+        KnewBeforeRewind(sent.host, *life->removed, bounds_.config, sent.at);
+    if (knew_removal) ++judged_["CONFIG rewound"];
+    if (!in_touch && !knew_removal) return;
     if (!removed && added && !life->removed) {
       ++judged_["DENIED"];
       if (sent.status == kUnauthorized) {
@@ -357,7 +403,11 @@
       if (leaving.target != run.target) continue;
       if (run.at <= leaving.from + bounds_.drain) continue;
       if (leaving.until && run.at >= *leaving.until) continue;
-      if (!InTouch(at->second->host, run.at)) continue;
+      const std::size_t host = at->second->host;
+      if (!InTouch(host, run.at) &&
+          !KnewBeforeRewind(host, leaving.from, bounds_.drain, run.at)) {
+        continue;
+      }
       const auto late =
           std::chrono::duration_cast<milliseconds>(run.at - leaving.from);
       Note("DRAIN", run.id,
--- a/soak/records.h
+++ b/soak/records.h
@@ -107,6 +107,13 @@
   std::optional<Time> gone;   ///< When the host's process ended.
 };
 
+/// The store came back from an older copy. What a host knew when it went away
+/// still binds that host.
+struct Rewind {
+  Time from;   ///< The store went away.
+  Time until;  ///< It was back.
+};
+
 /// Memory that a host had set aside at a target.
 struct Held {
   std::string id;
@@ -125,6 +132,7 @@
   std::vector<NamedLimit> limits;
   std::deque<LimitWord> limit_words;
   std::vector<Disturbance> disturbances;
+  std::vector<Rewind> rewinds;
   std::vector<Held> held;
   /// Live hosts that each host knew when all had been quiet, itself included;
   /// empty: not asked.
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -51,10 +51,26 @@
     Trouble::kTargetGoes,        Trouble::kTargetRests,
     Trouble::kTargetErrors};
 
-constexpr std::array kMixNames = {"mixed", "leaving", "told", "limited"};
+/// So that hosts are in touch between two drills, and two come within seconds
+/// at times.
+constexpr Pace kRewoundPace = {1.5, milliseconds(4000), milliseconds(12'000)};
+
+constexpr std::array kRewoundTroubles = {
+    Trouble::kStoreRewinds,     Trouble::kStoreRewinds,
+    Trouble::kStoreRewinds,     Trouble::kTargetDrains,
+    Trouble::kTargetGoes,       Trouble::kTargetDrains,
+    Trouble::kTargetGoes,       Trouble::kTargetsGo,
+    Trouble::kTargetReportLate, Trouble::kHostKill,
+    Trouble::kHostStop,         Trouble::kHostPause,
+    Trouble::kStorePathSilent,  Trouble::kStoreSlow,
+    Trouble::kKeyChange};
+
+constexpr std::array kMixNames = {"mixed", "leaving", "told", "limited",
+                                  "rewound"};
 
 const Pace& PaceOf(Mix mix) {
   if (mix == Mix::kLimited) return kLimitedPace;
+  if (mix == Mix::kRewound) return kRewoundPace;
   return mix == Mix::kMixed ? kMixedPace : kLeavingPace;
 }
 
@@ -62,8 +78,12 @@
 constexpr Duration kLongestReset = std::chrono::seconds(1);
 
 Duration LifeOf(Mix mix, Trouble trouble, Duration drawn) {
-  const bool brief = mix != Mix::kMixed && (trouble == Trouble::kStoreReset ||
-                                            trouble == Trouble::kHostPause);
+  const bool is_path =
+      trouble == Trouble::kStoreReset ||
+      (mix == Mix::kRewound && (trouble == Trouble::kStorePathSilent ||
+                                trouble == Trouble::kStoreSlow));
+  const bool brief =
+      mix != Mix::kMixed && (is_path || trouble == Trouble::kHostPause);
   return brief ? std::min(drawn, kLongestReset) : drawn;
 }
 
@@ -73,6 +93,9 @@
   if (mix == Mix::kLimited) {
     return {kLimitedTroubles.begin(), kLimitedTroubles.end()};
   }
+  if (mix == Mix::kRewound) {
+    return {kRewoundTroubles.begin(), kRewoundTroubles.end()};
+  }
   if (mix != Mix::kMixed) {
     out.assign(kLeavingTroubles.begin(), kLeavingTroubles.end());
   }
@@ -108,7 +131,7 @@
       "target_report_late",  "target_tells",
       "target_rests",        "target_pours",
       "target_limits",       "targets_limit",
-      "service_limits"};
+      "service_limits",      "store_rewinds"};
   return kNames.at(static_cast<std::size_t>(trouble));
 }
 
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -52,10 +52,12 @@
   kTargetLimits,   ///< Names the requests a second that it takes from all.
   kTargetsLimit,   ///< A third of a service's targets do.
   kServiceLimits,  ///< All of a service's targets do.
+  // Below: only in `Mix::kRewound`.
+  kStoreRewinds,  ///< Is away for a moment and comes back from an older copy.
 };
 /// Those of `Mix::kMixed`, and all.
 inline constexpr int kMixedTroubles = 24;
-inline constexpr int kTroubles = 37;
+inline constexpr int kTroubles = 38;
 
 /// What a soak looks for.
 enum class Mix : std::uint8_t {
@@ -64,6 +66,8 @@
              ///< for most of the time.
   kTold,     ///< As `kLeaving`; what targets say of themselves as well.
   kLimited,  ///< Targets name limits while placers change hosts.
+  kRewound,  ///< The store comes back from older copies while targets leave,
+             ///< keys change and hosts are restarted.
 };
 
 const char* ToString(Mix mix);
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -47,6 +47,7 @@
   Behaviour behaviour = Behaviour::kSound;
   std::uint64_t born = 1;            ///< Changes with each start.
   std::uint64_t reports = 1;         ///< Since its start.
+  std::string state;                 ///< Of its entry; empty: it has none.
   bool tells = false;                ///< All its answers say that it leaves.
   std::optional<std::size_t> limit;  ///< Of `Records::limits`.
   std::size_t orders_read = 0;
@@ -107,6 +108,7 @@
 
 void Site::List(std::size_t number, const std::string& state) {
   Target& target = *targets_.at(number);
+  target.state = state;
   PutEntry(target, state, ++target.reports);
 }
 
@@ -139,11 +141,12 @@
 }
 
 void Site::Unlist(std::size_t target) {
+  targets_.at(target)->state.clear();
   const std::string& name = targets_.at(target)->fake.name();
   if (store_.Has("servers", name)) store_.Remove("servers", name);
 }
 
-void Site::PutConfig() {
+Json Site::Config() const {
   Json accounts = Json::array();
   for (std::size_t i = 0; i < kAccounts; ++i) {
     Json keys = Json::array();
@@ -154,9 +157,30 @@
     }
     accounts.push_back({{"Name", AccountOf(i)}, {"ApiKeys", keys}});
   }
-  Json config = platform::SampleConfig(version_ += 3);
+  Json config = platform::SampleConfig(version_);
   config["Tenants"] = std::move(accounts);
-  store_.Put("config", "main", config);
+  return config;
+}
+
+void Site::PutConfig() {
+  version_ += 3;
+  store_.Put("config", "main", Config());
+}
+
+void Site::WriteConfigAgain() { store_.Put("config", "main", Config()); }
+
+void Site::WriteEntryAgain(std::size_t number) {
+  const std::string state = targets_.at(number)->state;
+  state.empty() ? Unlist(number) : List(number, state);
+}
+
+void Site::Rewind(const platform::FakeStore::Copy& copy, bool catches_up) {
+  const std::uint64_t revision = store_.revision();
+  store_.Restore(copy);
+  if (!catches_up) return;
+  ChangeKey();
+  for (std::size_t i = 0; i < targets_.size(); ++i) WriteEntryAgain(i);
+  while (store_.revision() <= revision) store_.Put("other", "object", Json());
 }
 
 void Site::ChangeKey() {
--- a/soak/site.h
+++ b/soak/site.h
@@ -59,6 +59,14 @@
   /// The target starts anew under its name, and reports.
   void Restart(std::size_t target);
 
+  /// The store comes back from a copy. In some drills what is written in the
+  /// new era passes the revision that the store had before anyone reaches it.
+  void Rewind(const platform::FakeStore::Copy& copy, bool catches_up);
+  /// Writes the configuration in force again.
+  void WriteConfigAgain();
+  /// The target writes its report again; the entry of one that is gone expires.
+  void WriteEntryAgain(std::size_t target);
+
   /// A new configuration in which an account's key is another one.
   void ChangeKey();
   /// A key for the next request: mostly one in force.
@@ -71,6 +79,7 @@
 
   void PutEntry(const Target& target, const std::string& state,
                 std::uint64_t report);
+  nlohmann::json Config() const;
   void PutConfig();
   http::Response Head(const Target& target, const http::Request& request,
                       int status);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -6,10 +6,13 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio.hpp>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <set>
+#include <utility>
 
 #include "http/client.h"
 #include "node/clock.h"
@@ -43,6 +46,14 @@
 constexpr std::size_t kTogether = 3;
 constexpr int kStormChanges = 5;
 constexpr Duration kStormGap = milliseconds(150);
+/// How long a store that is rewound is away, and how old its copy is.
+constexpr Duration kShortestAway = milliseconds(200);
+constexpr Duration kLongestAway = milliseconds(2000);
+constexpr Duration kYoungestCopy = milliseconds(500);
+constexpr Duration kOldestCopy = milliseconds(10'000);
+constexpr Duration kCopyPause = milliseconds(250);
+/// Targets and the operator write again within this time of its return.
+constexpr Duration kWritingAgain = milliseconds(1800);
 constexpr std::size_t kSeeds = 3;
 constexpr Duration kLately = seconds(1);
 /// Where few disturbances are drawn, keys change besides.
@@ -100,6 +111,7 @@
 
   void Tick() {
     io_.run_for(kTick);
+    if (settings_.mix == Mix::kRewound) KeepCopy();
     site_.ReadOrders();
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       if (hosts_[i]->Running() || restarting_[i]) continue;
@@ -361,6 +373,52 @@
     }
   }
 
+  /// Keeps copies of the store, as old as a drill may need.
+  void KeepCopy() {
+    if (!copies_.empty() && Now() - copies_.back().first < kCopyPause) return;
+    copies_.emplace_back(Now(), site_.store().TakeCopy());
+    while (Now() - copies_.front().first > kOldestCopy) copies_.pop_front();
+  }
+
+  /// The youngest copy that is at least so old.
+  const platform::FakeStore::Copy& CopyOf(Duration age) const {
+    const auto at = std::find_if(
+        copies_.rbegin(), copies_.rend(),
+        [age](const auto& copy) { return Now() - copy.first >= age; });
+    return at == copies_.rend() ? copies_.front().second : at->second;
+  }
+
+  void RewindStore(const Event& event) {
+    if (std::exchange(is_rewinding_, true)) return;
+    std::mt19937_64 random(event.pick);
+    const auto draw = [&random](Duration least, Duration most) {
+      return Duration(std::uniform_int_distribution<Duration::rep>(
+          least.count(), most.count())(random));
+    };
+    const Duration away = draw(kShortestAway, kLongestAway);
+    const Duration age = draw(kYoungestCopy, kOldestCopy);
+    const bool catches_up = random() % 2 == 0;
+    const PathFault fault =
+        random() % 2 == 0 ? PathFault::kSilent : PathFault::kReset;
+    records_.rewinds.push_back({Now(), Now() + away});
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      Note(Subject::kStorePath, i, event.trouble, away);
+      site_.store_path(i).Set(fault);
+    }
+    At(away, [this, copy = CopyOf(age), catches_up] {
+      site_.Rewind(copy, catches_up);
+      is_rewinding_ = false;
+      for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        site_.store_path(i).Set(PathFault::kNone);
+      }
+    });
+    At(away + draw({}, kWritingAgain), [this] { site_.WriteConfigAgain(); });
+    for (std::size_t i = 0; i < site_.targets(); ++i) {
+      At(away + draw({}, kWritingAgain),
+         [this, i] { site_.WriteEntryAgain(i); });
+    }
+  }
+
   void Down(const Event& event) {
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       Note(Subject::kStorePath, i, event.trouble, event.life);
@@ -373,6 +431,7 @@
     const std::size_t host = event.pick % hosts_.size();
     const std::size_t target = event.pick % site_.targets();
     story_.push_back(Describe(event, host, target));
+    if (event.trouble == Trouble::kStoreRewinds) return RewindStore(event);
     if (event.trouble <= Trouble::kHostsKill) return CarryHost(event, host);
     if (event.trouble <= Trouble::kStoreAnswersLost) {
       return CarryStore(event, host);
@@ -554,6 +613,8 @@
   std::vector<std::unique_ptr<HostProcess>> hosts_;
   std::vector<std::unique_ptr<Proxy>> caller_paths_;
   std::vector<bool> restarting_;
+  std::deque<std::pair<Time, platform::FakeStore::Copy>> copies_;
+  bool is_rewinding_ = false;
   std::set<std::size_t> leaving_;  ///< Targets.
   std::set<std::size_t> limited_;  ///< Targets.
   std::vector<std::string> story_;
--- a/src/core/follow/announced-document.cc
+++ b/src/core/follow/announced-document.cc
@@ -2,6 +2,12 @@
 #include "comfreyflow/announced-document.h"
 
 namespace comfreyflow {
+namespace {
+
+/// A host hears from its peers within this time of its start.
+constexpr Duration kJoinTime = std::chrono::milliseconds(500);
+
+}  // namespace
 
 void AnnouncedDocument::OnAnnouncement(std::uint64_t generation,
                                        const HostName& host,
@@ -16,12 +22,21 @@
   host_ = host;
 }
 
+bool AnnouncedDocument::MustNotServe(std::uint64_t in_force, Time now) {
+  if (is_started_ || in_force == 0) return false;
+  if (!started_at_) started_at_ = now;
+  const bool is_behind = latest_ > in_force;
+  is_started_ = now - *started_at_ >= (is_behind ? kMaxStartWait : kJoinTime);
+  return is_behind && !is_started_;
+}
+
 std::optional<HostName> AnnouncedDocument::PeerToAsk(std::uint64_t in_force,
                                                      bool store_reachable,
                                                      Time now) const {
   if (latest_ <= in_force) return std::nullopt;
+  const bool is_starting = started_at_ && !is_started_;
   const bool waits_for_store =
-      store_reachable && now - awaited_since_ < store_wait_;
+      store_reachable && !is_starting && now - awaited_since_ < store_wait_;
   return waits_for_store ? std::nullopt : std::optional(host_);
 }
 
--- a/src/core/follow/follow-plan.cc
+++ b/src/core/follow/follow-plan.cc
@@ -70,7 +70,8 @@
     kind.waits_for_store = true;
     return std::nullopt;
   }
-  if (!kind.listed) return Step{true, {}};
+  kind.is_listing = !kind.listed;
+  if (kind.is_listing) return Step{true, {}};
   // A call that checks whether the store answers must not wait for changes.
   if (failures_ > 0 || kind.needs_check) return Step{};
   kind.is_watching = true;
@@ -93,14 +94,16 @@
 }
 
 FollowPlan::Effect FollowPlan::Listed(std::size_t index,
-                                      std::uint64_t version) {
+                                      const StoreVersion& version) {
   Kind& kind = kinds_[index];
-  kind.listed = true;
+  kind.is_listing = false;
+  kind.listed = version.era >= era_;
   kind.version = version;
   return Answered(kind);
 }
 
-FollowPlan::Effect FollowPlan::Changed(std::size_t index, std::uint64_t version,
+FollowPlan::Effect FollowPlan::Changed(std::size_t index,
+                                       const StoreVersion& version,
                                        bool has_changes,
                                        const FleetInfo& fleet) {
   Kind& kind = kinds_[index];
@@ -122,6 +125,7 @@
 
 FollowPlan::Effect FollowPlan::Failed(std::size_t index) {
   Kind& kind = kinds_[index];
+  kind.is_listing = false;
   Effect effect;
   // Perhaps only this watch's connection failed: a call on another connection
   // shows whether the store is reachable.
@@ -148,6 +152,23 @@
   return effect;
 }
 
+std::vector<FollowPlan::Relist> FollowPlan::EraChanged(std::uint64_t era,
+                                                       std::size_t hosts) {
+  era_ = era;
+  const Duration spread = static_cast<int>(hosts) * kRelistSpacing;
+  std::uniform_int_distribution<Duration::rep> draw(0, spread.count());
+  std::vector<Relist> out;
+  for (std::size_t i = 0; i < kinds_.size(); ++i) {
+    Kind& kind = kinds_[i];
+    kind.listed = false;
+    kind.is_watching = false;
+    kind.needs_check = false;
+    const bool has_next_step = kind.is_listing || kind.waits_for_store;
+    if (!has_next_step) out.push_back({i, Duration(draw(random_))});
+  }
+  return out;
+}
+
 bool FollowPlan::Behind(std::size_t index) {
   if (!std::exchange(kinds_[index].is_watching, false)) return false;
   kinds_[index].needs_check = true;
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -110,6 +110,7 @@
   void PingContacts(Time now, MembershipOutput& out);
   std::vector<std::string> ContactAddresses() const;
   void ApplyDatagram(const Datagram& datagram, Time now, MembershipOutput& out);
+  TargetMark WithEra(TargetMark mark) const;
   void ApplyMarks(const Datagram& datagram, Time now, MembershipOutput& out);
   void SendAnswer(const Datagram& datagram, const std::string& from,
                   bool exchange_view, Time now, MembershipOutput& out);
@@ -132,6 +133,7 @@
   /// Members that peers claim to be live but whose records this host lacks.
   std::set<MemberId> missing_records;
   ConfigMark config;
+  std::uint64_t store_era = 0;
   std::uint64_t sequence = 0;
   /// Extra pings to send at the next tick, because there is something that
   /// peers have to learn soon.
@@ -151,6 +153,7 @@
   datagram.sequence = ++sequence;
   datagram.facts = table.self().facts;
   datagram.config = config;
+  datagram.store_era = store_era;
   return datagram;
 }
 
@@ -318,9 +321,16 @@
   }
 }
 
+TargetMark Membership::State::WithEra(TargetMark mark) const {
+  // Hosts of older builds send no era.
+  if (mark.version.era == 0) mark.version.era = store_era;
+  return mark;
+}
+
 void Membership::State::ApplyMarks(const Datagram& datagram, Time now,
                                    MembershipOutput& out) {
-  for (const TargetMark& mark : datagram.targets) {
+  for (const TargetMark& received : datagram.targets) {
+    const TargetMark mark = WithEra(received);
     if (!marks.Merge(mark, MaxMarkSends(), now)) continue;
     out.events.emplace_back(mark);
     announcements_left = kAnnouncementPings;
@@ -329,7 +339,12 @@
     if (marks.Merge(mark, MaxMarkSends(), now)) out.events.emplace_back(mark);
   }
   const Member* sender = table.Find(datagram.sender);
-  if (sender == nullptr || datagram.config == config) return;
+  if (sender == nullptr) return;
+  if (datagram.store_era > store_era) {
+    out.events.emplace_back(
+        StoreEraAnnounced{sender->record.name, datagram.store_era});
+  }
+  if (datagram.config == config) return;
   out.events.emplace_back(
       ConfigAnnounced{sender->record.name, datagram.config});
 }
@@ -499,13 +514,19 @@
   state_->table.self().facts.generation = config.generation;
 }
 
+void Membership::SetStoreEra(std::uint64_t era) {
+  if (era > state_->store_era) state_->announcements_left = kAnnouncementPings;
+  state_->store_era = era;
+}
+
 void Membership::SetPlatformList(std::vector<ListedHost> hosts) {
   state_->listed_hosts = std::move(hosts);
 }
 
 void Membership::ShareTarget(const TargetMark& mark) {
   State& state = *state_;
-  if (state.marks.Merge(mark, state.MaxMarkSends(), state.last_tick_at)) {
+  if (state.marks.Merge(state.WithEra(mark), state.MaxMarkSends(),
+                        state.last_tick_at)) {
     state.announcements_left = kAnnouncementPings;
   }
 }
--- a/src/core/membership/size.cc
+++ b/src/core/membership/size.cc
@@ -76,7 +76,7 @@
 }
 
 std::size_t SizeBound(const Datagram& datagram) {
-  std::size_t bytes = kFrameBytes + 2 * kIdBytes + 4 * kHashBytes + kListBytes;
+  std::size_t bytes = kFrameBytes + 2 * kIdBytes + 5 * kHashBytes + kListBytes;
   for (const MemberClaim& claim : datagram.claims) {
     bytes += ClaimBytes(claim, datagram.facts);
   }
@@ -86,7 +86,7 @@
   }
   bytes += kIdBytes * datagram.wanted.size() + kListBytes;
   for (const TargetMark& mark : datagram.targets) {
-    bytes += StringBytes(mark.target.value) + 2 * kHashBytes + 2 * kFieldBytes;
+    bytes += StringBytes(mark.target.value) + 5 * kHashBytes + 2 * kFieldBytes;
   }
   const std::size_t suspect_bytes = kHashBytes + kIdBytes + kFieldBytes;
   return bytes + suspect_bytes * datagram.suspects.size();
--- a/src/core/targets/target-book.cc
+++ b/src/core/targets/target-book.cc
@@ -11,10 +11,10 @@
 /// The list must reflect a change reported by a peer within this time plus the
 /// interval between two polls of the list. Otherwise its watch is broken.
 constexpr Duration kMaxListDelay = std::chrono::seconds(1);
-/// After this time the list reflects what a mark of a peer reported, so the
-/// mark is dropped.
-constexpr Duration kMarkLifetime = std::chrono::minutes(5);
-constexpr std::size_t kMaxMarks = 4000;
+/// After this time the list reflects what closed a target, and a copy of the
+/// store is not as old as this.
+constexpr Duration kClosureLifetime = std::chrono::minutes(5);
+constexpr std::size_t kMaxClosures = 4000;
 /// A start whose entry was removed may still run for some seconds, and its
 /// entry may reappear while the store has problems.
 constexpr Duration kOwnReportLifetime = std::chrono::hours(1);
@@ -22,6 +22,16 @@
 /// first.
 constexpr std::size_t kMaxOwnReports = 8192;
 
+/// Whether one start of a target, or a version of its entry, is later than
+/// another. Versions order the entries of one era. Across eras they do not, as
+/// a copy of the store may list an earlier start; the times of the starts do.
+bool IsLaterStart(std::uint64_t born, const StoreVersion& version,
+                  std::uint64_t other_born, const StoreVersion& other) {
+  const bool has_births = born != 0 && other_born != 0;
+  if (version.era != other.era && has_births) return born > other_born;
+  return version > other;
+}
+
 }  // namespace
 
 bool TargetBook::IsSettling(Time now) const {
@@ -30,6 +40,7 @@
 }
 
 void TargetBook::SetList(const std::vector<TargetEntry>& entries, Time now) {
+  now_ = now;
   std::set<TargetName> listed_names;
   for (const auto& entry : entries) {
     listed_names.insert(entry.target.name);
@@ -43,27 +54,40 @@
 }
 
 bool TargetBook::IsOlder(const TargetEntry& entry, const TargetEntry& known) {
+  const std::uint64_t born = entry.target.born;
+  const std::uint64_t known_born = known.target.born;
   // Without a start identifier a lower number may belong to a new start.
-  return entry.target.born != 0 && entry.target.born == known.target.born &&
-         entry.report != 0 && entry.report < known.report;
+  if (born == 0 || known_born == 0) return false;
+  if (born == known_born)
+    return entry.report != 0 && entry.report < known.report;
+  return entry.target.version.era != known.target.version.era &&
+         born < known_born;
 }
 
 bool TargetBook::Put(const TargetEntry& new_entry) {
   TargetEntry entry = new_entry;
   const TargetName& name = entry.target.name;
-  missing_.erase(name);
   TargetEntry& known = entries_[name];
   if (IsOlder(entry, known)) {
-    known.target.version = entry.target.version;
+    if (entry.target.born != known.target.born) {
+      Removed(name, now_);  // The start that is known is not listed.
+    } else {
+      missing_.erase(name);
+      known.target.version = entry.target.version;
+    }
     return false;
   }
-  if (entry.target.leaving && !known.target.leaving) {
-    new_marks_.push_back({name, entry.target.version, true});
-  }
-  if (ClosedByMark(entry)) {
+  missing_.erase(name);
+  const bool says_leaving = entry.target.leaving;
+  if (says_leaving && !known.target.leaving)
+    new_marks_.push_back(MarkOf(entry));
+  if (IsClosed(entry)) {
     entry.target.leaving = true;
   } else {
-    marks_.erase(name);
+    closures_.erase(name);
+  }
+  if (says_leaving) {
+    CloseAsOf(MarkOf(entry), false);
   }
   if (ClosedByOwnReport(entry)) entry.target.leaving = true;
   unconfirmed_.erase(name);
@@ -76,6 +100,7 @@
 }
 
 bool TargetBook::Removed(const TargetName& name, Time now) {
+  now_ = now;
   const auto at = entries_.find(name);
   if (at == entries_.end()) return false;
   // A target that was leaving has left. Only the entry of a working target can
@@ -93,14 +118,53 @@
   unconfirmed_.erase(name);
   const auto at = entries_.find(name);
   if (at == entries_.end()) return;
-  new_marks_.push_back({name, at->second.target.version, true});
+  new_marks_.push_back(MarkOf(at->second));
+  CloseAsOf(MarkOf(at->second), false);
   entries_.erase(at);
   is_changed_ = true;
 }
 
-bool TargetBook::ClosedByMark(const TargetEntry& entry) const {
-  const auto at = marks_.find(entry.target.name);
-  return at != marks_.end() && entry.target.version <= at->second.version;
+TargetMark TargetBook::MarkOf(const TargetEntry& entry) {
+  return {entry.target.name, entry.target.version, true, 0,
+          entry.target.born, entry.report};
+}
+
+bool TargetBook::CloseAsOf(const TargetMark& mark, bool binds_own_era) {
+  if (closures_.size() >= kMaxClosures && !closures_.contains(mark.target))
+    return false;
+  Closure& closure = closures_[mark.target];
+  closure.received_at = now_;
+  closure.binds_own_era = closure.binds_own_era || binds_own_era;
+  if (closure.born == mark.entry_born) {
+    closure.report = std::max(closure.report, mark.entry_report);
+  } else if (mark.entry_born != 0 &&
+             IsLaterStart(mark.entry_born, mark.version, closure.born,
+                          closure.version)) {
+    closure.born = mark.entry_born;
+    closure.report = mark.entry_report;
+  }
+  closure.version = std::max(closure.version, mark.version);
+  return true;
+}
+
+bool TargetBook::IsClosed(const TargetEntry& entry) {
+  const auto at = closures_.find(entry.target.name);
+  if (at == closures_.end()) return false;
+  Closure& closure = at->second;
+  if (entry.target.version.era == closure.version.era) {
+    return closure.binds_own_era && entry.target.version <= closure.version;
+  }
+  const std::uint64_t born = entry.target.born;
+  const bool has_births = born != 0 && closure.born != 0;
+  const bool has_reports = has_births && born == closure.born &&
+                           entry.report != 0 && closure.report != 0;
+  if (has_reports) return entry.report <= closure.report;
+  if (has_births && born != closure.born) return born < closure.born;
+  // Nothing tells whether the entry was written before or after: it is taken
+  // for the copy's until it changes.
+  closure.version = entry.target.version;
+  closure.binds_own_era = true;
+  return true;
 }
 
 bool TargetBook::ClosedByOwnReport(const TargetEntry& entry) {
@@ -114,7 +178,8 @@
     left.version = std::max(left.version, entry.target.version);
     return true;
   }
-  if (entry.target.version <= left.version) return true;
+  if (!IsLaterStart(born, entry.target.version, left.born, left.version))
+    return true;
   leaving_starts_.erase(at);
   return false;
 }
@@ -127,7 +192,10 @@
     if (left.born == 0) left.born = listed.born;
     const bool is_same_start = listed.born == left.born || listed.born == 0;
     // The report is of a start before the listed one.
-    if (!is_same_start && left.version <= listed.version) return false;
+    if (!is_same_start &&
+        !IsLaterStart(left.born, left.version, listed.born, listed.version)) {
+      return false;
+    }
     if (is_same_start) left.version = std::max(left.version, listed.version);
   }
   const auto known = leaving_starts_.find(left.target);
@@ -144,7 +212,10 @@
   return true;
 }
 
-bool TargetBook::RecordLeaving(const LeavingReport& report, Time now) {
+bool TargetBook::RecordLeaving(const LeavingReport& received, Time now) {
+  now_ = now;
+  LeavingReport report = received;
+  if (report.version.era == 0) report.version.era = era_;
   const auto at = entries_.find(report.target);
   const bool is_other_address =
       !report.address.empty() &&
@@ -175,8 +246,11 @@
   }
 }
 
-bool TargetBook::ApplyMark(const TargetMark& mark, Time now) {
-  if (!mark.closed) return false;
+bool TargetBook::ApplyMark(const TargetMark& received, Time now) {
+  now_ = now;
+  if (!received.closed) return false;
+  TargetMark mark = received;
+  if (mark.version.era == 0) mark.version.era = era_;
   if (mark.start != 0) {
     return CloseStart({mark.target, mark.start, mark.version, {}}, now);
   }
@@ -186,11 +260,9 @@
   const bool is_removed =
       at != entries_.end() && mark.version == at->second.target.version;
   if (is_removed && IsSettling(now)) return false;
-  if (marks_.size() >= kMaxMarks) return false;
-  ClosedMark& closed = marks_[mark.target];
-  closed = {std::max(closed.version, mark.version), now};
+  if (!CloseAsOf(mark, true)) return false;
   if (at == entries_.end() || at->second.target.leaving ||
-      !ClosedByMark(at->second)) {
+      !IsClosed(at->second)) {
     return false;
   }
   at->second.target.leaving = true;
@@ -203,6 +275,10 @@
   return std::exchange(new_marks_, {});
 }
 
+std::vector<TargetMark> TargetBook::TakeExpired() {
+  return std::exchange(expired_, {});
+}
+
 bool TargetBook::IsListBehind(Time now, Duration pause) const {
   return std::any_of(unconfirmed_.begin(), unconfirmed_.end(),
                      [now, pause](const auto& entry) {
@@ -210,26 +286,48 @@
                      });
 }
 
-void TargetBook::StoreLost(Time) {
+void TargetBook::StoreLost(Time now) {
+  now_ = now;
   is_store_lost_ = true;
   was_store_lost_ = true;
 }
 
 void TargetBook::StoreBack(Time now) {
+  now_ = now;
   if (!is_store_lost_) return;
   is_store_lost_ = false;
   store_back_at_ = now;
 }
 
+void TargetBook::SetSettling(Time now) {
+  now_ = now;
+  was_store_lost_ = true;
+  store_back_at_ = now;
+}
+
+bool TargetBook::AbsenceMeansRemoved(const StoreVersion& entry,
+                                     const StoreVersion& list, Time now) const {
+  if (list.revision == 0) return false;
+  const bool is_earlier_era = entry.era != 0 && entry.era < list.era;
+  if (is_earlier_era) return !IsSettling(now);
+  return entry.era <= list.era && entry.revision <= list.revision;
+}
+
 std::optional<Time> TargetBook::Tick(Time now) {
-  std::erase_if(marks_, [now](const auto& entry) {
-    return now - entry.second.received_at > kMarkLifetime;
+  now_ = now;
+  std::erase_if(closures_, [now](const auto& entry) {
+    return now - entry.second.received_at > kClosureLifetime;
   });
   ExpireOwnReports(now);
   if (missing_.empty() || is_store_lost_) return std::nullopt;
   if (IsSettling(now)) return store_back_at_ + settling_time_;
   for (const auto& [name, since] : missing_) {
-    entries_.erase(name);
+    const auto at = entries_.find(name);
+    if (at != entries_.end()) {
+      expired_.push_back(MarkOf(at->second));
+      CloseAsOf(MarkOf(at->second), false);
+      entries_.erase(at);
+    }
     unconfirmed_.erase(name);
   }
   missing_.clear();
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -93,7 +93,8 @@
     if (changes.history_expired) {
       LogLine(Severity::kInfo, Event::kStoreHistoryGone)
           .With("kind", track.kind.kind)
-          .With("version", plan.version(index));
+          .With("version", plan.version(index).revision)
+          .With("era", plan.version(index).era);
       return Continue(index, plan.HistoryExpired(index));
     }
     if (changes.error)
@@ -114,13 +115,28 @@
         .With("kind", tracks[index].kind.kind)
         .With(ToErrc(error))
         .With("silent", timed_out)
-        .With("version", plan.version(index))
+        .With("version", plan.version(index).revision)
+        .With("era", plan.version(index).era)
         .With("age", AgeOf(index));
     const auto effect = plan.Failed(index);
     ReportStoreState(effect, index);
     Continue(index, effect);
   }
 
+  void OnEraChange(std::uint64_t era) {
+    for (const auto& relist : plan.EraChanged(era, hooks.fleet_part().hosts)) {
+      Track& track = tracks[relist.kind];
+      ++track.call_number;
+      LogLine(Severity::kInfo, Event::kStoreRelisted)
+          .With("kind", track.kind.kind)
+          .With("version", plan.version(relist.kind).revision)
+          .With("before", plan.version(relist.kind).era)
+          .With("era", era)
+          .With("wait", std::chrono::duration_cast<milliseconds>(relist.wait));
+      ScheduleStep(relist.kind, relist.wait);
+    }
+  }
+
   void ReportStoreState(const FollowPlan::Effect& effect, std::size_t index) {
     if (effect.store_lost) {
       LogLine(Severity::kWarning, Event::kStoreLost)
@@ -186,7 +202,8 @@
     LogLine(Severity::kInfo, Event::kStoreCallFailed)
         .With("kind", kind)
         .With("behind", true)
-        .With("version", state_->plan.version(i))
+        .With("version", state_->plan.version(i).revision)
+        .With("era", state_->plan.version(i).era)
         .With("age", state_->AgeOf(i));
     state_->Step(i);
   }
@@ -202,6 +219,8 @@
   return statuses;
 }
 
+void Follower::OnEraChange(std::uint64_t era) { state_->OnEraChange(era); }
+
 bool Follower::store_up() const { return state_->plan.store_up(); }
 
 }  // namespace comfreyflow::gateway
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -28,8 +28,8 @@
 /// How current this host's copy of a kind is.
 struct KindStatus {
   std::string kind;
-  std::uint64_t version = 0;  ///< Store version at the last answer.
-  Time confirmed_at;          ///< Time of that answer.
+  StoreVersion version;  ///< Store version at the last answer.
+  Time confirmed_at;     ///< Time of that answer.
 };
 
 struct FollowerHooks {
@@ -51,6 +51,8 @@
   void Start();
   /// Requests the kind again at once because it is known to lag the store.
   void RefreshStale(const std::string& kind);
+  /// Lists all kinds again, because the store is of another era.
+  void OnEraChange(std::uint64_t era);
   bool store_up() const;
   std::vector<KindStatus> KindStatuses() const;
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -67,13 +67,6 @@
                                   hash % kDocumentRequestSpread.count()));
 }
 
-std::function<std::uint64_t()> TargetListVersion(const GatewayHooks& hooks) {
-  if (!hooks.target_list_status) return nullptr;
-  return [list_status = hooks.target_list_status] {
-    return list_status().version;
-  };
-}
-
 double SecondsSince(Time time) {
   return std::chrono::duration<double>(Now() - time).count();
 }
@@ -90,14 +83,14 @@
         placement(io, {settings.self.name, settings.self.incarnation,
                        settings.self.failure_domain, settings.placement,
                        settings.key, WithSeed(settings),
-                       TargetListVersion(hooks), hooks.target_marked}),
+                       hooks.is_target_removed, hooks.target_marked}),
         relay_context{
             io,
             client,
             placement,
             hooks.edge,
             settings.self.failure_domain,
-            [this] { return table; },
+            [this] { return ServedTable(); },
             [this](const CrashEvidence& evidence) { BroadcastCrash(evidence); },
             metrics,
             hooks.target_list_status,
@@ -119,6 +112,12 @@
         std::hash<std::string>()(settings.self.name.value));
   }
 
+  /// The table for new requests; none while this host must not serve the one
+  /// in force.
+  std::shared_ptr<const RouteTable> ServedTable() {
+    return announced.MustNotServe(version(), Now()) ? nullptr : table;
+  }
+
   // ---- Callers ----
 
   http::ServerHooks CallerServerHooks() {
@@ -168,6 +167,8 @@
       RefreshPeers();
       if (hooks.view_changed) hooks.view_changed();
     };
+    peer.store_era = hooks.store_era;
+    peer.store_era_announced = hooks.store_era_announced;
     peer.config_announced = [this](const ConfigAnnounced& event) {
       announced.OnAnnouncement(event.config.generation, event.host, version(),
                                Now());
@@ -425,7 +426,7 @@
 }
 
 bool Gateway::ready() const {
-  return state_->table != nullptr && state_->has_targets &&
+  return state_->ServedTable() != nullptr && state_->has_targets &&
          !state_->is_stopping;
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -39,6 +39,13 @@
   std::function<void(const std::string& text)> document_from_peer;
   /// Returns how current the target list is; if empty, the log does not say.
   std::function<KindStatus()> target_list_status;
+  /// Whether a target that this host does not list, and that was granted at
+  /// this version of its entry, was removed; may be empty.
+  std::function<bool(const StoreVersion& entry)> is_target_removed;
+  /// The era of the store that this host knows; may be empty.
+  std::function<std::uint64_t()> store_era;
+  /// Called when a peer knows a later era of the store; may be empty.
+  std::function<void(const StoreEraAnnounced&)> store_era_announced;
   /// Called when a peer reports that a target accepts no new work.
   std::function<void(const TargetMark&)> target_marked;
   /// Called when a target reports, in its answer to `request`, that it accepts
--- a/src/gateway/object-store.cc
+++ b/src/gateway/object-store.cc
@@ -26,6 +26,9 @@
     result->error = page.error;
     result->timed_out = page.timed_out;
     if (result->error == Errc::kObjectNotFound) result->error = {};
+    // Pages of two eras make no list of either.
+    if (!result->error && page.version.era != result->version.era)
+      result->error = Errc::kPlatformUnavailable;
     const bool more = page.more && !page.items.empty();
     std::move(page.items.begin(), page.items.end(),
               std::back_inserter(result->items));
@@ -61,7 +64,7 @@
     ListRemaining(client, kind, std::make_shared<ListAnswer>(),
                   std::move(handler));
   };
-  store.watch = [client](const std::string& kind, std::uint64_t version,
+  store.watch = [client](const std::string& kind, const StoreVersion& version,
                          Duration wait, const WatchHandler& handler) {
     client->Watch(kind, version, wait, handler);
   };
@@ -71,7 +74,7 @@
   };
   store.remove = [client](const std::string& kind, const std::string& name,
                           WriteHandler handler) {
-    client->Remove(kind, name, 0,
+    client->Remove(kind, name, {},
                    [handler = std::move(handler)](const WriteAnswer& answer) {
                      handler(answer.error);
                    });
--- a/src/gateway/object-store.h
+++ b/src/gateway/object-store.h
@@ -21,7 +21,7 @@
   std::function<void(const std::string& kind, ListHandler)> list;
   /// Reports the changes after `version`, or none if `wait` passes without a
   /// change.
-  std::function<void(const std::string& kind, std::uint64_t version,
+  std::function<void(const std::string& kind, const StoreVersion& version,
                      Duration wait, WatchHandler)>
       watch;
   /// Creates an object; fails with `kVersionConflict` if it exists. If the
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -32,6 +32,8 @@
           if (error || self->is_stopped) return;
           self->membership.SetFacts(self->hooks.facts());
           self->membership.SetConfig(self->hooks.config_mark());
+          if (self->hooks.store_era)
+            self->membership.SetStoreEra(self->hooks.store_era());
           self->Execute(self->membership.Tick(Now()));
           self->Tick();
         });
@@ -54,6 +56,9 @@
   void OnEvent(const ConfigAnnounced& event) { hooks.config_announced(event); }
   void OnEvent(const TargetMark& event) { hooks.target_marked(event); }
   void OnEvent(const SuspectMark& event) { hooks.suspect_marked(event); }
+  void OnEvent(const StoreEraAnnounced& event) {
+    if (hooks.store_era_announced) hooks.store_era_announced(event);
+  }
 
   const std::string address;
   Membership membership;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -20,6 +20,9 @@
   std::function<void(const ConfigAnnounced&)> config_announced;
   std::function<void(const TargetMark&)> target_marked;
   std::function<void(const SuspectMark&)> suspect_marked;
+  /// The era of the store that this host knows; may be empty.
+  std::function<std::uint64_t()> store_era;
+  std::function<void(const StoreEraAnnounced&)> store_era_announced;
 };
 
 /// Used on one I/O thread only.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -359,12 +359,11 @@
   /// leaving, has been removed, or asked this host to back off, and the holder
   /// does not know this yet.
   const PlacedTarget* FindUnfitTarget(const PlaceGrant& grant) const {
-    const std::uint64_t known =
-        settings.list_version ? settings.list_version() : 0;
     for (const auto& target : grant.targets) {
       const auto at = listed_targets.find(target.name);
-      const bool is_removed =
-          at == listed_targets.end() && known > 0 && target.version <= known;
+      const bool is_removed = at == listed_targets.end() &&
+                              settings.is_removed &&
+                              settings.is_removed(target.version);
       const bool is_leaving = at != listed_targets.end() && at->second;
       if (is_removed || is_leaving ||
           RemainingBackOff(target) > Duration::zero())
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -42,9 +42,9 @@
   std::string address;  ///< `ip:port` to bind.
   wire::FleetKey key;
   PlacerSettings placer;
-  /// Returns the store version of the target list that this host has; may be
-  /// empty if that version is not known.
-  std::function<std::uint64_t()> list_version;
+  /// Returns whether a target that this host does not list, and that was
+  /// granted at this version of its entry, was removed; may be empty.
+  std::function<bool(const StoreVersion& entry)> is_removed;
   /// Called when another host forwards a target's report that it accepts no new
   /// work; may be empty.
   std::function<void(const TargetMark&)> target_marked;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -181,8 +181,9 @@
         .With("estimate", duration_cast<milliseconds>(grant_.estimate))
         .With("holder", context_.placement.HolderOf(service_))
         .With("prompt_tokens", std::uint64_t{caller_.prompt_tokens})
-        .With("entry_version", grant_.targets.front().version)
-        .With("list_version", list_status.version)
+        .With("entry_version", grant_.targets.front().version.revision)
+        .With("list_version", list_status.version.revision)
+        .With("era", list_status.version.era)
         .With("list_age",
               duration_cast<milliseconds>(now - list_status.confirmed_at))
         .With("out_of_turns", std::uint64_t{grant_.out_of_permits});
@@ -354,7 +355,7 @@
                            caller_.id);
       // A different target answered at that address.
       if (report.wrong_target && report.at_fault != target.name.value) {
-        context_.target_left({{report.at_fault}, 0, 0, target.address},
+        context_.target_left({{report.at_fault}, 0, {}, target.address},
                              caller_.id);
       }
     }
--- a/src/node/claim-actor.cc
+++ b/src/node/claim-actor.cc
@@ -26,7 +26,7 @@
 }
 
 StoreItem ItemOf(const PlatformObject& object) {
-  return {object.name, object.version, object.value};
+  return {object.name, object.version.revision, object.value};
 }
 
 }  // namespace
@@ -64,7 +64,7 @@
     std::uint64_t op) const {
   return [self = deps_.self, op](const WriteAnswer& answer) {
     StoreAnswered event{op, ResultOf(answer), {}};
-    event.items.push_back({"", answer.version, ""});
+    event.items.push_back({"", answer.version.revision, ""});
     self->Send(ClaimPosted{std::move(event)});
   };
 }
@@ -90,7 +90,7 @@
 }
 
 void ClaimActor::Do(const StoreUpdate& command) {
-  deps_.platform->Update(kObjectKind, command.name, command.version,
+  deps_.platform->Update(kObjectKind, command.name, {0, command.version},
                          command.value, WriteResultHandler(command.op));
 }
 
@@ -107,7 +107,7 @@
 }
 
 void ClaimActor::Do(const StoreDelete& command) {
-  deps_.platform->Remove(kObjectKind, command.name, command.version,
+  deps_.platform->Remove(kObjectKind, command.name, {0, command.version},
                          WriteResultHandler(command.op));
 }
 
--- a/src/node/config-actor.cc
+++ b/src/node/config-actor.cc
@@ -15,7 +15,7 @@
 constexpr const char* kObjectKind = "config";
 
 StoredConfig StoredOf(const PlatformObject& object) {
-  return {object.version, object.value};
+  return {object.version.revision, object.value};
 }
 
 void Post(const ActorRefPtr& self, ConfigEvent event) {
@@ -48,21 +48,21 @@
     if (put.if_version == 0) {
       platform_->Create(kObjectKind, environment_, put.text, handler);
     } else {
-      platform_->Update(kObjectKind, environment_, put.if_version, put.text,
-                        handler);
+      platform_->Update(kObjectKind, environment_, {0, put.if_version},
+                        put.text, handler);
     }
   }
 
   void OnWritten(const WriteAnswer& answer) {
     if (answer.state == WriteState::kApplied) {
-      return RunStep(update_.OnPut(PutReply::kDone, answer.version));
+      return RunStep(update_.OnPut(PutReply::kDone, answer.version.revision));
     }
     const bool conflict = answer.error == Errc::kVersionConflict ||
                           answer.error == Errc::kObjectNotFound;
     const bool refused = answer.state == WriteState::kRefused;
     if (refused && !conflict) return Complete(ToErrc(answer.error), 0);
     RunStep(update_.OnPut(refused ? PutReply::kConflict : PutReply::kNoAnswer,
-                          answer.version));
+                          answer.version.revision));
   }
 
   void Do(const ReadBack&) {
@@ -157,7 +157,7 @@
 }
 
 void ConfigActor::Do(const WatchStoredConfig& command) {
-  deps_.platform->Watch(kObjectKind, command.since, kWatchTime,
+  deps_.platform->Watch(kObjectKind, {0, command.since}, kWatchTime,
                         [self = deps_.self, environment = deps_.environment](
                             const WatchAnswer& answer) {
                           if (answer.error) {
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -21,6 +21,8 @@
   kStoreLost,
   kStoreBack,
   kStoreHistoryGone,
+  kStoreEra,
+  kStoreRelisted,
   kStoreCallFailed,
   kDocumentApplied,
   kDocumentFetched,
@@ -76,7 +78,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 58> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 60> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -96,11 +98,21 @@
     {"store_history_gone",
      "the store no longer has some changes of a watched kind; the kind is "
      "listed again",
-     "kind version"},
+     "kind version era"},
+    {"store_era",
+     "the store came back from an older copy of itself: its era changed; host: "
+     "a peer knows a later era, which this host has yet to see; outdated: an "
+     "answer of an earlier era came late and is not used; unreadable: answers "
+     "name an era that can't be read, and count as of the known one",
+     "before era host outdated unreadable"},
+    {"store_relisted",
+     "a kind is listed again after the time wait, because the era of the store "
+     "changed; version: of this host's copy, in the era before",
+     "kind version before era wait"},
     {"store_call_failed",
      "a list or watch call failed; silent: it timed out; behind: it was "
      "aborted because a peer has a newer version",
-     "kind code silent behind version age"},
+     "kind code silent behind version era age"},
     {"document_applied", "a configuration was applied",
      "version before routes keys"},
     {"document_fetched",
@@ -114,22 +126,24 @@
      "from a report that precedes the last one, and is ignored; closed: this "
      "host sends it no requests, possibly because of a report by a peer or by "
      "the target itself",
-     "target service address leaving closed version older"},
+     "target service address leaving closed version era older"},
     {"target_removed",
      "an entry was removed from the target list; kept: the target stays in "
-     "use, as the entry may have expired during an outage of the store",
-     "target version kept"},
+     "use, as the entry may have expired during an outage of the store or be "
+     "missing in an older copy of it; overdue: it was kept and did not come "
+     "back in time",
+     "target version era kept overdue"},
     {"target_unreadable",
      "an entry of the target list describes no usable target", "target"},
     {"target_marked",
      "a peer reported, before this host's target list did, that a target "
      "accepts no new requests; born: the start of the target to which the "
      "report applies, as the target gave it",
-     "target version born list_version"},
+     "target version born list_version era"},
     {"target_left",
      "a target reported in a response that it is leaving; it gets no requests "
      "from this host until the list has a later start of it",
-     "request target born version list_version"},
+     "request target born version list_version era"},
     {"target_rests",
      "a target rejected a request and asked this host to back off; rest: for "
      "how long; unreadable: the time could not be parsed",
@@ -161,7 +175,7 @@
      "target holder rest"},
     {"placed", "a request was granted a target",
      "request target targets try waited estimate holder prompt_tokens "
-     "entry_version list_version list_age out_of_turns"},
+     "entry_version list_version era list_age out_of_turns"},
     {"reservation_refused", "a target rejected the reservation of memory",
      "target status held"},
     {"try_failed", "an attempt ended without a complete answer",
@@ -171,7 +185,8 @@
      "fingerprint target crashes"},
     {"request_ended", "a request got its only final answer",
      "request route version account code prompt_tokens tries ran events "
-     "first_event longest_pause took objective max_gap service outcome attempts "
+     "first_event longest_pause took objective max_gap service outcome "
+     "attempts "
      "output_tokens took_ms"},
     {"lines_left_out",
      "lines of an event were dropped in an earlier second because they "
--- a/src/node/node-deps.cc
+++ b/src/node/node-deps.cc
@@ -199,7 +199,8 @@
     });
   };
   deps.hooks.share_closed = [this](const ShareClosed& share) {
-    membership->Send(TargetMarkChanged{{share.target, NewMarkVersion(), true}});
+    membership->Send(
+        TargetMarkChanged{{share.target, {0, NewMarkVersion()}, true}});
   };
   if (platform) {
     deps.hooks.request_claim = [this](const WantClaim& want) {
--- a/src/node/node-peers.cc
+++ b/src/node/node-peers.cc
@@ -87,7 +87,7 @@
       if (!target.leaving) continue;
       entry->Send(EntryPosted{TargetClosed{{target.name}}});
       membership->Send(TargetMarkChanged{
-          {{target.name}, IncarnationFromClock().value, true}});
+          {{target.name}, {0, IncarnationFromClock().value}, true}});
     }
   };
   return deps;
@@ -313,7 +313,7 @@
     }
     if (report.closing) {
       membership->Send(TargetMarkChanged{
-          {report.target, IncarnationFromClock().value, true}});
+          {report.target, {0, IncarnationFromClock().value}, true}});
     }
     entry->Send(EntryPosted{LoadReported{report}});
   };
--- a/src/node/orders-actor.cc
+++ b/src/node/orders-actor.cc
@@ -63,7 +63,7 @@
 OrderEvent EventOf(const ReadAnswer& answer) {
   if (answer.error == Errc::kObjectNotFound) return LeaseRead{};
   if (answer.error) return LeaseUnanswered{};
-  LeaseRead read{.version = answer.object.version};
+  LeaseRead read{.version = answer.object.version.revision};
   // A value that cannot be parsed as a lease has no holder and may be
   // overwritten.
   if (!ParseLease(answer.object.value, read.value)) read.value = {};
@@ -71,7 +71,8 @@
 }
 
 OrderEvent EventOf(const WriteAnswer& answer) {
-  if (answer.state == WriteState::kApplied) return LeaseWritten{answer.version};
+  if (answer.state == WriteState::kApplied)
+    return LeaseWritten{answer.version.revision};
   const bool lost_race = answer.state == WriteState::kRefused &&
                          (answer.error == Errc::kVersionConflict ||
                           answer.error == Errc::kObjectNotFound);
@@ -213,8 +214,8 @@
   if (command.if_version == 0) {
     deps_.platform->Create(kLeaseKind, LeaseName(service), text, on_written);
   } else {
-    deps_.platform->Update(kLeaseKind, LeaseName(service), command.if_version,
-                           text, on_written);
+    deps_.platform->Update(kLeaseKind, LeaseName(service),
+                           {0, command.if_version}, text, on_written);
   }
 }
 
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -5,6 +5,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <utility>
 
 #include "http/address.h"
 #include "node/clock.h"
@@ -31,6 +32,7 @@
   int status = 0;
   bool sent = false;  ///< Part of the request may have reached the platform.
   bool timed_out = false;  ///< No answer came in time.
+  std::uint64_t era = 0;   ///< Of the store when the answer came.
   std::string body;
 };
 
@@ -87,10 +89,26 @@
   return answer;
 }
 
-WriteAnswer DecodeWrite(const Result& result, std::uint64_t version) {
+void SetEra(ReadAnswer& answer, std::uint64_t era) {
+  answer.object.version.era = era;
+}
+
+void SetEra(ListAnswer& answer, std::uint64_t era) {
+  answer.version.era = era;
+  for (auto& item : answer.items) item.version.era = era;
+}
+
+void SetEra(WatchAnswer& answer, std::uint64_t era) {
+  answer.version.era = era;
+  for (auto& change : answer.changes) change.version.era = era;
+}
+
+void SetEra(HostsAnswer&, std::uint64_t) {}
+
+WriteAnswer DecodeWrite(const Result& result, std::uint64_t revision) {
   WriteAnswer answer;
   answer.error = StatusError(result.status);
-  answer.version = version;
+  answer.version = {result.era, revision};
   const bool no_answer = result.status == 0 && result.sent;
   const bool outcome_unknown = result.status >= kFirstServerError &&
                                result.status != kServiceUnavailable;
@@ -169,14 +187,53 @@
                [self = shared_from_this(), job, is_retry](
                    http::CallEnd end, const http::Response& response) {
                  Result result{end.code == Errc::kOk ? response.status : 0,
-                               end.sent, end.code == Errc::kTargetUnresponsive,
+                               end.sent,
+                               end.code == Errc::kTargetUnresponsive,
+                               {},
                                response.body};
-                 asio::post(self->strand, [self, job, is_retry, result] {
-                   self->End(job, is_retry, result);
+                 AnswerEra era;
+                 if (result.status != 0 && self->api.read_era)
+                   era = self->api.read_era(response.fields);
+                 asio::post(self->strand, [self, job, is_retry, result, era] {
+                   self->End(job, is_retry, self->WithEra(result, era));
                  });
                });
   }
 
+  /// Takes the era of an answer. An answer of an earlier era counts as lost:
+  /// what it says may not hold any more.
+  Result WithEra(Result result, const AnswerEra& answer) {
+    if (result.status == 0) return result;
+    const std::uint64_t before = era.current();
+    const StoreEra::Change change = era.Observe(answer.era, Now());
+    if (answer.is_unreadable) Count(&PlatformCounts::unreadable_eras);
+    if (answer.is_unreadable && !std::exchange(has_unreadable_era, true))
+      Notify({EraNotice::Kind::kUnreadable, before, 0});
+    if (answer.era) has_unreadable_era = false;
+    if (change == StoreEra::Change::kOutdated) {
+      Count(&PlatformCounts::outdated);
+      Notify({EraNotice::Kind::kOutdated, before, *answer.era});
+      result.status = 0;
+      result.sent = true;
+      result.body.clear();
+    } else if (change != StoreEra::Change::kNone) {
+      Notify({EraNotice::Kind::kChanged, before, era.current()});
+    } else if (era.current() != before) {
+      Notify({EraNotice::Kind::kFirst, before, era.current()});
+    }
+    result.era = era.current();
+    return result;
+  }
+
+  void Notify(const EraNotice& notice) const {
+    if (settings.on_era) settings.on_era(notice);
+  }
+
+  /// Whether the version can be the condition of a write.
+  bool IsOfThisEra(const StoreVersion& version) const {
+    return version.revision == 0 || version.era == era.current();
+  }
+
   void End(const JobPtr& job, bool is_retry, const Result& result) {
     const bool answer_lost = result.status == 0 && result.sent;
     if (answer_lost && !is_retry && settings.resend_reads &&
@@ -197,7 +254,7 @@
     job->request = std::move(request);
     job->timeout = settings.call_timeout;
     job->refused = [handler](std::error_code error) {
-      handler({WriteState::kRefused, error, 0});
+      handler({WriteState::kRefused, error, {}});
     };
     job->done = [handler, read = api.read_version](const Result& result) {
       handler(DecodeWrite(result, read(result.body)));
@@ -205,12 +262,24 @@
     Run(job);
   }
 
+  /// Makes a write on the condition of a version, unless the version is of
+  /// another era than the store's. The same revision may then be that of
+  /// another value.
+  void Conditional(const StoreVersion& version, const WriteHandler& handler,
+                   std::function<void()> write) {
+    asio::post(strand, [self = shared_from_this(), version, handler,
+                        write = std::move(write)] {
+      if (self->IsOfThisEra(version)) return write();
+      handler({WriteState::kRefused, Errc::kVersionConflict, {}});
+    });
+  }
+
   /// Sends a write with a value, or refuses it if the value couldn't be
   /// encoded.
   void Put(http::Request request, const WriteHandler& handler) {
     if (!request.body.empty()) return Write(std::move(request), handler);
     asio::post(strand, [handler] {
-      handler({WriteState::kRefused, Errc::kCodec, 0});
+      handler({WriteState::kRefused, Errc::kCodec, {}});
     });
   }
 
@@ -230,6 +299,7 @@
                  fill](const Result& result) {
       const auto read = [fill](const Result& from) {
         Answer answer = Decode<Answer>(from, fill);
+        SetEra(answer, from.era);
         if constexpr (requires { answer.timed_out; })
           answer.timed_out = from.timed_out;
         return answer;
@@ -252,6 +322,8 @@
   http::Client& http;
   asio::strand<asio::io_context::executor_type> strand;
   PlatformGate gate;
+  StoreEra era;                     ///< Used on the strand, as the next one.
+  bool has_unreadable_era = false;  ///< Of the last answer with an era.
   std::mutex mutex;  ///< Guards `counts`, which any thread may read.
   PlatformCounts counts;
 };
@@ -273,15 +345,20 @@
 }
 
 void PlatformClient::Update(const std::string& kind, const std::string& name,
-                            std::uint64_t version, const std::string& value,
+                            const StoreVersion& version,
+                            const std::string& value,
                             const WriteHandler& handler) {
-  core_->Put(core_->api.update(kind, name, version, value), handler);
+  core_->Conditional(version, handler, [=, core = core_] {
+    core->Put(core->api.update(kind, name, version.revision, value), handler);
+  });
 }
 
 void PlatformClient::Remove(const std::string& kind, const std::string& name,
-                            std::uint64_t version,
+                            const StoreVersion& version,
                             const WriteHandler& handler) {
-  core_->Write(core_->api.remove(kind, name, version), handler);
+  core_->Conditional(version, handler, [=, core = core_] {
+    core->Write(core->api.remove(kind, name, version.revision), handler);
+  });
 }
 
 void PlatformClient::Read(const std::string& kind, const std::string& name,
@@ -300,21 +377,22 @@
                                         core_->api.read_list));
 }
 
-void PlatformClient::Watch(const std::string& kind, std::uint64_t since,
+void PlatformClient::Watch(const std::string& kind, const StoreVersion& since,
                            Duration timeout, const WatchHandler& handler) {
   const auto job = core_->ReadJob<WatchAnswer>(
-      core_->api.watch(kind, since, timeout), handler, core_->api.read_watch);
+      core_->api.watch(kind, since.revision, timeout), handler,
+      core_->api.read_watch);
   job->call = PlatformCall::kWatch;
   const bool waits = timeout > Duration::zero();
   job->timeout = waits ? timeout + core_->settings.watch_grace
                        : core_->settings.call_timeout;
-  job->probe = core_->api.watch(kind, since, Duration::zero());
+  job->probe = core_->api.watch(kind, since.revision, Duration::zero());
   job->done = [handler, done = job->done,
                version = core_->api.read_version](const Result& result) {
     if (result.status != kGone) return done(result);
     WatchAnswer answer;
     answer.history_expired = true;
-    answer.version = version(result.body);
+    answer.version = {result.era, version(result.body)};
     handler(std::move(answer));
   };
   core_->Run(job);
--- a/src/platform/client.h
+++ b/src/platform/client.h
@@ -26,10 +26,10 @@
 
 struct WriteAnswer {
   WriteState state = WriteState::kRefused;
-  std::error_code error;      ///< `kVersionConflict`, `kObjectNotFound`,
-                              ///< `kPlatformUnavailable`,
-                              ///< `kPlatformRateLimited`, `kCodec`.
-  std::uint64_t version = 0;  ///< Of the object; 0 if the answer has none.
+  std::error_code error;  ///< `kVersionConflict`, `kObjectNotFound`,
+                          ///< `kPlatformUnavailable`,
+                          ///< `kPlatformRateLimited`, `kCodec`.
+  StoreVersion version;   ///< Of the object; revision 0 if unknown.
 };
 
 /// A host or target as the platform's list shows it. The list may be out of
@@ -50,6 +50,20 @@
   std::vector<PlatformMember> targets;
 };
 
+/// What an answer told of the store's era.
+struct EraNotice {
+  enum class Kind : std::uint8_t {
+    kFirst,       ///< The first answer named it.
+    kChanged,     ///< The store was replaced by an older copy of itself.
+    kOutdated,    ///< The answer is of an earlier era and is not used.
+    kUnreadable,  ///< The answer's era is the first that can't be read since
+                  ///< one that could.
+  };
+  Kind kind = Kind::kFirst;
+  std::uint64_t before = 0;  ///< The era that was known.
+  std::uint64_t era = 0;     ///< That of the answer; 0 if unreadable.
+};
+
 struct PlatformSettings {
   std::string address;  ///< `ip:port`
   PlatformLimits limits;
@@ -64,6 +78,8 @@
   /// delay the relayed requests on a small host. If absent, all answers are
   /// parsed on the I/O thread.
   std::function<void(std::function<void()>)> offload;
+  /// Called on an I/O thread before the answer is delivered; may be empty.
+  std::function<void(const EraNotice&)> on_era;
 };
 
 /// Answers of at least this size are parsed by `PlatformSettings::offload`.
@@ -76,7 +92,9 @@
   /// Calls that were not sent because of the budget or an outage.
   std::uint64_t refused_locally = 0;
   std::uint64_t failed = 0;
-  std::uint64_t answers_lost = 0;  ///< Writes that got no answer.
+  std::uint64_t answers_lost = 0;     ///< Writes that got no answer.
+  std::uint64_t outdated = 0;         ///< Answers of an earlier era, not used.
+  std::uint64_t unreadable_eras = 0;  ///< Answers whose era is unreadable.
 };
 
 /// Thread-safe. Each handler is called exactly once, on an I/O thread, even if
@@ -99,20 +117,21 @@
   PlatformClient(boost::asio::io_context& io, http::Client& http,
                  PlatformSettings settings, ObjectApi api = DefaultObjectApi());
 
-  /// Values are UTF-8 text of up to one megabyte.
+  /// Values are UTF-8 text of up to one megabyte. A write on the condition of
+  /// a version of another era than the store's is refused without a call.
   void Create(const std::string& kind, const std::string& name,
               const std::string& value, const WriteHandler& handler);
   void Update(const std::string& kind, const std::string& name,
-              std::uint64_t version, const std::string& value,
+              const StoreVersion& version, const std::string& value,
               const WriteHandler& handler);
   void Remove(const std::string& kind, const std::string& name,
-              std::uint64_t version, const WriteHandler& handler);
+              const StoreVersion& version, const WriteHandler& handler);
   void Read(const std::string& kind, const std::string& name,
             const ReadHandler& handler);
   void List(const ListQuery& query, const ListHandler& handler);
   /// Waits for changes after version `since`, for at most `timeout`.
-  void Watch(const std::string& kind, std::uint64_t since, Duration timeout,
-             const WatchHandler& handler);
+  void Watch(const std::string& kind, const StoreVersion& since,
+             Duration timeout, const WatchHandler& handler);
   void Hosts(const HostsHandler& handler);
   void State(PlatformCall call, const StateHandler& handler);
   PlatformCounts Counts() const;
--- a/src/platform/object-api.h
+++ b/src/platform/object-api.h
@@ -4,10 +4,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <system_error>
 #include <vector>
 
+#include "comfreyflow/store-version.h"
 #include "comfreyflow/types.h"
 #include "http/message.h"
 
@@ -15,7 +17,7 @@
 
 struct PlatformObject {
   std::string name;
-  std::uint64_t version = 0;
+  StoreVersion version;
   std::string value;     ///< As its writer wrote it; may be malformed.
   bool deleted = false;  ///< Set only in the changes of a watch.
 };
@@ -34,24 +36,31 @@
 
 struct ListAnswer {
   std::error_code error;
-  bool timed_out = false;     ///< No answer came in time.
-  std::uint64_t version = 0;  ///< Version from which to watch.
-  bool more = false;          ///< The list continues after the last item.
+  bool timed_out = false;  ///< No answer came in time.
+  StoreVersion version;    ///< Version from which to watch.
+  bool more = false;       ///< The list continues after the last item.
   std::vector<PlatformObject> items;
 };
 
 struct WatchAnswer {
   std::error_code error;
-  bool timed_out = false;     ///< No answer came in time.
-  std::uint64_t version = 0;  ///< Version from which to watch next.
+  bool timed_out = false;  ///< No answer came in time.
+  StoreVersion version;    ///< Version from which to watch next.
   /// The store no longer keeps all changes since the version that was asked
   /// for; list the kind again.
   bool history_expired = false;
   std::vector<PlatformObject> changes;
 };
 
-/// A wire format of an object store. The `read_` functions parse the body of a
-/// successful answer and throw `std::exception` if it is malformed.
+/// The era that the head of an answer names.
+struct AnswerEra {
+  std::optional<std::uint64_t> era;
+  bool is_unreadable = false;
+};
+
+/// A wire format of an object store. The `read_` functions for bodies parse a
+/// successful answer and throw `std::exception` if it is malformed. They set
+/// revisions only; the client adds the era.
 struct ObjectApi {
   /// Returns a request without a body if the value can't be encoded.
   std::function<http::Request(const std::string& kind, const std::string& name,
@@ -76,6 +85,8 @@
   std::function<void(const std::string& body, ReadAnswer& out)> read_object;
   std::function<void(const std::string& body, ListAnswer& out)> read_list;
   std::function<void(const std::string& body, WatchAnswer& out)> read_watch;
+  /// The era in the head of any answer; empty if the store has no eras.
+  std::function<AnswerEra(const http::Fields& fields)> read_era;
 };
 
 /// The default wire format, described in docs/PLATFORM-API.md.
--- a/src/platform/own-object-api.cc
+++ b/src/platform/own-object-api.cc
@@ -95,7 +95,9 @@
 }
 
 PlatformObject ParseObject(const Json& item) {
-  return {item.at("name"), item.at("version"), item.at("value"),
+  return {item.at("name"),
+          {0, item.at("version")},
+          item.at("value"),
           item.value("deleted", false)};
 }
 
@@ -115,19 +117,19 @@
 
 void ReadObject(const std::string& body, ReadAnswer& out) {
   const Json json = Json::parse(body);
-  out.object.version = json.at("version");
+  out.object.version.revision = json.at("version");
   out.object.value = json.at("value");
 }
 
 void ReadList(const std::string& body, ListAnswer& out) {
   const Json json = Json::parse(body);
-  out.version = json.at("version");
+  out.version.revision = json.at("version");
   out.items = ParseObjects(json.at("items"));
 }
 
 void ReadWatch(const std::string& body, WatchAnswer& out) {
   const Json json = Json::parse(body);
-  out.version = json.at("version");
+  out.version.revision = json.at("version");
   out.changes = ParseObjects(json.at("changes"));
 }
 
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -205,6 +205,8 @@
     suspect.fingerprint = static_cast<std::int64_t>(suspect_mark.fingerprint);
     suspect.crashes = static_cast<std::int32_t>(suspect_mark.crashes);
   }
+  if (datagram.store_era != 0)
+    out.__set_store_era(static_cast<std::int64_t>(datagram.store_era));
   out.__isset.records = !out.records.empty();
   out.__isset.wanted = !out.wanted.empty();
   out.__isset.targets = !out.targets.empty();
@@ -236,6 +238,7 @@
     out.suspects.push_back({static_cast<std::uint64_t>(mark.fingerprint),
                             static_cast<std::uint32_t>(mark.crashes)});
   }
+  out.store_era = static_cast<std::uint64_t>(in.store_era);
   return DecodeClaims(in, out);
 }
 
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -17,6 +17,9 @@
   2: i64 version
   3: bool closed
   4: optional i64 start
+  5: optional i64 era
+  6: optional i64 entry_born
+  7: optional i64 entry_report
 }
 
 struct SuspectMark {
@@ -45,6 +48,7 @@
   14: optional list<i32> wanted
   15: optional list<TargetMark> targets
   16: optional list<SuspectMark> suspects
+  17: optional i64 store_era
 }
 
 // ---- Calls between hosts over TCP ------------------------------------------
@@ -228,6 +232,7 @@
   3: i32 reserve_tokens
   4: i64 version
   5: i64 born
+  6: optional i64 era
 }
 
 // The answer to an ask. `code` is 0 for a grant, else an error's number.
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -246,6 +246,21 @@
   this->start = val;
 __isset.start = true;
 }
+
+void TargetMark::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
+
+void TargetMark::__set_entry_born(const int64_t val) {
+  this->entry_born = val;
+__isset.entry_born = true;
+}
+
+void TargetMark::__set_entry_report(const int64_t val) {
+  this->entry_report = val;
+__isset.entry_report = true;
+}
 std::ostream& operator<<(std::ostream& out, const TargetMark& obj)
 {
   obj.printTo(out);
@@ -306,6 +321,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->entry_born);
+          this->__isset.entry_born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->entry_report);
+          this->__isset.entry_report = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -340,6 +379,21 @@
     xfer += oprot->writeI64(this->start);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.entry_born) {
+    xfer += oprot->writeFieldBegin("entry_born", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->entry_born);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.entry_report) {
+    xfer += oprot->writeFieldBegin("entry_report", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->entry_report);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -351,6 +405,9 @@
   swap(a.version, b.version);
   swap(a.closed, b.closed);
   swap(a.start, b.start);
+  swap(a.era, b.era);
+  swap(a.entry_born, b.entry_born);
+  swap(a.entry_report, b.entry_report);
   swap(a.__isset, b.__isset);
 }
 
@@ -359,6 +416,9 @@
   version = other2.version;
   closed = other2.closed;
   start = other2.start;
+  era = other2.era;
+  entry_born = other2.entry_born;
+  entry_report = other2.entry_report;
   __isset = other2.__isset;
 }
 TargetMark& TargetMark::operator=(const TargetMark& other3) {
@@ -366,6 +426,9 @@
   version = other3.version;
   closed = other3.closed;
   start = other3.start;
+  era = other3.era;
+  entry_born = other3.entry_born;
+  entry_report = other3.entry_report;
   __isset = other3.__isset;
   return *this;
 }
@@ -376,6 +439,9 @@
   out << ", " << "version=" << to_string(version);
   out << ", " << "closed=" << to_string(closed);
   out << ", " << "start="; (__isset.start ? (out << to_string(start)) : (out << "<null>"));
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
+  out << ", " << "entry_born="; (__isset.entry_born ? (out << to_string(entry_born)) : (out << "<null>"));
+  out << ", " << "entry_report="; (__isset.entry_report ? (out << to_string(entry_report)) : (out << "<null>"));
   out << ")";
 }
 
@@ -565,6 +631,11 @@
   this->suspects = val;
 __isset.suspects = true;
 }
+
+void Datagram::__set_store_era(const int64_t val) {
+  this->store_era = val;
+__isset.store_era = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -805,6 +876,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->store_era);
+          this->__isset.store_era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -948,6 +1027,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.store_era) {
+    xfer += oprot->writeFieldBegin("store_era", ::apache::thrift::protocol::T_I64, 17);
+    xfer += oprot->writeI64(this->store_era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -971,6 +1055,7 @@
   swap(a.wanted, b.wanted);
   swap(a.targets, b.targets);
   swap(a.suspects, b.suspects);
+  swap(a.store_era, b.store_era);
   swap(a.__isset, b.__isset);
 }
 
@@ -991,6 +1076,7 @@
   wanted = other48.wanted;
   targets = other48.targets;
   suspects = other48.suspects;
+  store_era = other48.store_era;
   __isset = other48.__isset;
 }
 Datagram& Datagram::operator=(const Datagram& other49) {
@@ -1010,6 +1096,7 @@
   wanted = other49.wanted;
   targets = other49.targets;
   suspects = other49.suspects;
+  store_era = other49.store_era;
   __isset = other49.__isset;
   return *this;
 }
@@ -1032,6 +1119,7 @@
   out << ", " << "wanted="; (__isset.wanted ? (out << to_string(wanted)) : (out << "<null>"));
   out << ", " << "targets="; (__isset.targets ? (out << to_string(targets)) : (out << "<null>"));
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
+  out << ", " << "store_era="; (__isset.store_era ? (out << to_string(store_era)) : (out << "<null>"));
   out << ")";
 }
 
@@ -4619,6 +4707,11 @@
 void PlacedTarget::__set_born(const int64_t val) {
   this->born = val;
 }
+
+void PlacedTarget::__set_era(const int64_t val) {
+  this->era = val;
+__isset.era = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlacedTarget& obj)
 {
   obj.printTo(out);
@@ -4687,6 +4780,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4724,6 +4825,11 @@
   xfer += oprot->writeI64(this->born);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.era) {
+    xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->era);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4736,6 +4842,7 @@
   swap(a.reserve_tokens, b.reserve_tokens);
   swap(a.version, b.version);
   swap(a.born, b.born);
+  swap(a.era, b.era);
   swap(a.__isset, b.__isset);
 }
 
@@ -4745,6 +4852,7 @@
   reserve_tokens = other146.reserve_tokens;
   version = other146.version;
   born = other146.born;
+  era = other146.era;
   __isset = other146.__isset;
 }
 PlacedTarget& PlacedTarget::operator=(const PlacedTarget& other147) {
@@ -4753,6 +4861,7 @@
   reserve_tokens = other147.reserve_tokens;
   version = other147.version;
   born = other147.born;
+  era = other147.era;
   __isset = other147.__isset;
   return *this;
 }
@@ -4764,6 +4873,7 @@
   out << ", " << "reserve_tokens=" << to_string(reserve_tokens);
   out << ", " << "version=" << to_string(version);
   out << ", " << "born=" << to_string(born);
+  out << ", " << "era="; (__isset.era ? (out << to_string(era)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -173,11 +173,14 @@
 std::ostream& operator<<(std::ostream& out, const HostRecord& obj);
 
 typedef struct _TargetMark__isset {
-  _TargetMark__isset() : target(false), version(false), closed(false), start(false) {}
+  _TargetMark__isset() : target(false), version(false), closed(false), start(false), era(false), entry_born(false), entry_report(false) {}
   bool target :1;
   bool version :1;
   bool closed :1;
   bool start :1;
+  bool era :1;
+  bool entry_born :1;
+  bool entry_report :1;
 } _TargetMark__isset;
 
 class TargetMark : public virtual ::apache::thrift::TBase {
@@ -189,7 +192,10 @@
              : target(),
                version(0),
                closed(0),
-               start(0) {
+               start(0),
+               era(0),
+               entry_born(0),
+               entry_report(0) {
   }
 
   virtual ~TargetMark() noexcept;
@@ -197,6 +203,9 @@
   int64_t version;
   bool closed;
   int64_t start;
+  int64_t era;
+  int64_t entry_born;
+  int64_t entry_report;
 
   _TargetMark__isset __isset;
 
@@ -208,6 +217,12 @@
 
   void __set_start(const int64_t val);
 
+  void __set_era(const int64_t val);
+
+  void __set_entry_born(const int64_t val);
+
+  void __set_entry_report(const int64_t val);
+
   bool operator == (const TargetMark & rhs) const
   {
     if (!(target == rhs.target))
@@ -220,6 +235,18 @@
       return false;
     else if (__isset.start && !(start == rhs.start))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
+    if (__isset.entry_born != rhs.__isset.entry_born)
+      return false;
+    else if (__isset.entry_born && !(entry_born == rhs.entry_born))
+      return false;
+    if (__isset.entry_report != rhs.__isset.entry_report)
+      return false;
+    else if (__isset.entry_report && !(entry_report == rhs.entry_report))
+      return false;
     return true;
   }
   bool operator != (const TargetMark &rhs) const {
@@ -289,7 +316,7 @@
 std::ostream& operator<<(std::ostream& out, const SuspectMark& obj);
 
 typedef struct _Datagram__isset {
-  _Datagram__isset() : kind(false), sender(false), sequence(false), subject(false), generation(false), load(false), config_generation(false), config_hash(false), claim_ids(false), claim_marks(false), claim_loads(false), claim_lags(false), records(false), wanted(false), targets(false), suspects(false) {}
+  _Datagram__isset() : kind(false), sender(false), sequence(false), subject(false), generation(false), load(false), config_generation(false), config_hash(false), claim_ids(false), claim_marks(false), claim_loads(false), claim_lags(false), records(false), wanted(false), targets(false), suspects(false), store_era(false) {}
   bool kind :1;
   bool sender :1;
   bool sequence :1;
@@ -306,6 +333,7 @@
   bool wanted :1;
   bool targets :1;
   bool suspects :1;
+  bool store_era :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -322,7 +350,8 @@
              load(0),
              config_generation(0),
              config_hash(0),
-             claim_loads() {
+             claim_loads(),
+             store_era(0) {
   }
 
   virtual ~Datagram() noexcept;
@@ -342,6 +371,7 @@
   std::vector<int32_t>  wanted;
   std::vector<TargetMark>  targets;
   std::vector<SuspectMark>  suspects;
+  int64_t store_era;
 
   _Datagram__isset __isset;
 
@@ -377,6 +407,8 @@
 
   void __set_suspects(const std::vector<SuspectMark> & val);
 
+  void __set_store_era(const int64_t val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -423,6 +455,10 @@
       return false;
     else if (__isset.suspects && !(suspects == rhs.suspects))
       return false;
+    if (__isset.store_era != rhs.__isset.store_era)
+      return false;
+    else if (__isset.store_era && !(store_era == rhs.store_era))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
@@ -1844,12 +1880,13 @@
 std::ostream& operator<<(std::ostream& out, const PlaceAsk& obj);
 
 typedef struct _PlacedTarget__isset {
-  _PlacedTarget__isset() : name(false), address(false), reserve_tokens(false), version(false), born(false) {}
+  _PlacedTarget__isset() : name(false), address(false), reserve_tokens(false), version(false), born(false), era(false) {}
   bool name :1;
   bool address :1;
   bool reserve_tokens :1;
   bool version :1;
   bool born :1;
+  bool era :1;
 } _PlacedTarget__isset;
 
 class PlacedTarget : public virtual ::apache::thrift::TBase {
@@ -1862,7 +1899,8 @@
                  address(),
                  reserve_tokens(0),
                  version(0),
-                 born(0) {
+                 born(0),
+                 era(0) {
   }
 
   virtual ~PlacedTarget() noexcept;
@@ -1871,6 +1909,7 @@
   int32_t reserve_tokens;
   int64_t version;
   int64_t born;
+  int64_t era;
 
   _PlacedTarget__isset __isset;
 
@@ -1884,6 +1923,8 @@
 
   void __set_born(const int64_t val);
 
+  void __set_era(const int64_t val);
+
   bool operator == (const PlacedTarget & rhs) const
   {
     if (!(name == rhs.name))
@@ -1896,6 +1937,10 @@
       return false;
     if (!(born == rhs.born))
       return false;
+    if (__isset.era != rhs.__isset.era)
+      return false;
+    else if (__isset.era && !(era == rhs.era))
+      return false;
     return true;
   }
   bool operator != (const PlacedTarget &rhs) const {
--- a/src/wire/placement.cc
+++ b/src/wire/placement.cc
@@ -38,7 +38,9 @@
   out.name = target.name.value;
   out.address = target.address;
   out.reserve_tokens = ToInt32(target.reserve_tokens);
-  out.version = static_cast<std::int64_t>(target.version);
+  out.version = static_cast<std::int64_t>(target.version.revision);
+  if (target.version.era != 0)
+    out.__set_era(static_cast<std::int64_t>(target.version.era));
   out.born = static_cast<std::int64_t>(target.born);
   return out;
 }
@@ -47,7 +49,8 @@
   return {{in.name},
           in.address,
           ToUint32(in.reserve_tokens),
-          static_cast<std::uint64_t>(in.version),
+          {static_cast<std::uint64_t>(in.era),
+           static_cast<std::uint64_t>(in.version)},
           static_cast<std::uint64_t>(in.born)};
 }
 
--- a/test/announced-document-test.cc
+++ b/test/announced-document-test.cc
@@ -60,3 +60,31 @@
   announced.OnAnnouncement(2, {"a"}, 3, kStart);
   CHECK_FALSE(announced.PeerToAsk(3, false, kStart + seconds(9)));
 }
+
+TEST_CASE("a host that starts with an earlier document does not serve it") {
+  AnnouncedDocument announced(kStoreWait);
+  CHECK_FALSE(announced.MustNotServe(0, kStart));
+  CHECK_FALSE(announced.MustNotServe(3, kStart));
+  announced.OnAnnouncement(6, {"a"}, 3, kStart + milliseconds(100));
+  CHECK(announced.MustNotServe(3, kStart + milliseconds(100)));
+  CHECK(announced.PeerToAsk(3, true, kStart + milliseconds(100)) ==
+        HostName{"a"});
+  SUBCASE("until the announced one is in force") {
+    CHECK_FALSE(announced.MustNotServe(6, kStart + milliseconds(200)));
+  }
+  SUBCASE("nor for ever, if no peer has the announced one") {
+    CHECK(announced.MustNotServe(3, kStart + milliseconds(2900)));
+    CHECK_FALSE(
+        announced.MustNotServe(3, kStart + AnnouncedDocument::kMaxStartWait));
+  }
+}
+
+TEST_CASE(
+    "a host that has started serves while a later document is on its way") {
+  AnnouncedDocument announced(kStoreWait);
+  CHECK_FALSE(announced.MustNotServe(3, kStart));
+  CHECK_FALSE(announced.MustNotServe(3, kStart + seconds(1)));
+  announced.OnAnnouncement(6, {"a"}, 3, kStart + seconds(1));
+  CHECK_FALSE(announced.MustNotServe(3, kStart + seconds(1)));
+  CHECK_FALSE(announced.PeerToAsk(3, true, kStart + seconds(1)));
+}
--- a/test/fakes/fake-platform.cc
+++ b/test/fakes/fake-platform.cc
@@ -255,6 +255,21 @@
   call->Reply(200, hosts_.front().list);
 }
 
+void FakePlatform::KeepCopy() {
+  copy_ = kinds_;
+  for (auto& [name, kind] : copy_) kind.watches.clear();
+}
+
+void FakePlatform::RestoreCopy() {
+  for (auto& [name, kind] : kinds_) {
+    for (Watch& watch : kind.watches) {
+      watch.timer->cancel();
+      watch.call->Break();
+    }
+  }
+  kinds_ = copy_;
+}
+
 void FakePlatform::ChangeFaults(const CallPtr& call, const Json& faults) {
   for (const auto& [key, value] : faults.items()) {
     if (key == "outage") {
@@ -269,6 +284,10 @@
       lose_answers_ = value;
     } else if (key == "lose_requests") {
       lose_requests_ = value;
+    } else if (key == "keep_copy") {
+      KeepCopy();
+    } else if (key == "restore_copy") {
+      RestoreCopy();
     } else if (key == "break_watches") {
       for (auto& [name, kind] : kinds_) {
         for (Watch& watch : kind.watches) {
--- a/test/fakes/fake-platform.h
+++ b/test/fakes/fake-platform.h
@@ -21,7 +21,9 @@
 /// `slow_ms`: delay of each answer; `lose_answers` N: the next N writes take
 /// effect and their connections break; `lose_requests` N: the next N writes
 /// break and take no effect; `break_watches` true: open watches go silent for
-/// good; `hosts_lag_ms`: age at which a list of hosts becomes visible.
+/// good; `hosts_lag_ms`: age at which a list of hosts becomes visible;
+/// `keep_copy` true: keeps a copy of all objects; `restore_copy` true: the
+/// store holds that copy again, and gives versions out from there on.
 ///
 /// Beside the object API: `PUT /hosts` sets the list, `GET /counts` counts
 /// calls by kind.
@@ -72,10 +74,13 @@
   void ServeWatch(const CallPtr& call, const std::string& kind);
   void AnswerWatches(Kind& kind);
   void ServeHosts(const CallPtr& call);
+  void KeepCopy();
+  void RestoreCopy();
   void ChangeFaults(const CallPtr& call, const Json& faults);
 
   FakePlatformSettings settings_;
   std::map<std::string, Kind> kinds_;
+  std::map<std::string, Kind> copy_;  ///< Without watches.
   std::deque<HostsList> hosts_;
   Json counts_;
   std::chrono::steady_clock::time_point second_;
--- a/test/follow-plan-test.cc
+++ b/test/follow-plan-test.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <map>
 
 using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
@@ -19,7 +20,7 @@
   FollowPlan plan(2, seed);
   for (const std::size_t kind : {kTargets, kDocument}) {
     REQUIRE(plan.Next(kind, 1)->list);
-    plan.Listed(kind, 5);
+    plan.Listed(kind, {0, 5});
   }
   return plan;
 }
@@ -36,7 +37,7 @@
       REQUIRE(step);
       CHECK_FALSE(step->list);
       CHECK(step->wait + kWatchGrace + kCheckInterval <= kConnectedAfter);
-      plan.Changed(kTargets, 5, false, {hosts});
+      plan.Changed(kTargets, {0, 5}, false, {hosts});
     }
   }
 }
@@ -76,7 +77,7 @@
   }
   // The next call does not wait; its answer shows that the store is reachable.
   CHECK(plan.Next(kTargets, 6)->wait == Duration::zero());
-  const auto effect = plan.Changed(kTargets, 9, true, {6});
+  const auto effect = plan.Changed(kTargets, {0, 9}, true, {6});
   CHECK_FALSE(effect.store_recovered);
   CHECK(plan.store_up());
   CHECK(plan.Next(kTargets, 6)->wait > Duration::zero());
@@ -96,7 +97,7 @@
   CHECK_FALSE(plan.Next(kTargets, 6));
   CHECK(plan.Next(kDocument, 6)->wait == Duration::zero());
   CHECK(plan.Failed(kDocument).pause <= milliseconds(600));
-  const auto effect = plan.Changed(kDocument, 7, true, {6});
+  const auto effect = plan.Changed(kDocument, {0, 7}, true, {6});
   CHECK(effect.store_recovered);
   CHECK(effect.pause == Duration::zero());
   CHECK(effect.resumed == std::vector<std::size_t>{kTargets});
@@ -113,11 +114,11 @@
     CHECK(*effect.pause <= milliseconds(600));
     before = *effect.pause;
     plan.Next(kTargets, 6);
-    plan.Changed(kTargets, 5, false, {6});
+    plan.Changed(kTargets, {0, 5}, false, {6});
   }
   CHECK(before == milliseconds(600));
   plan.Next(kTargets, 6);
-  plan.Changed(kTargets, 5, false, {6});
+  plan.Changed(kTargets, {0, 5}, false, {6});
   plan.Next(kTargets, 6);
   CHECK(plan.Failed(kTargets).pause == Duration::zero());
 }
@@ -129,7 +130,7 @@
   CHECK(plan.Behind(kTargets));
   CHECK(plan.Next(kTargets, 83)->wait == Duration::zero());
   CHECK_FALSE(plan.Behind(kTargets));
-  plan.Changed(kTargets, 9, true, {83});
+  plan.Changed(kTargets, {0, 9}, true, {83});
   CHECK(plan.Next(kTargets, 83)->wait > Duration::zero());
 }
 
@@ -188,3 +189,73 @@
   CHECK(early >= 16);
   CHECK(at_maximum > kHosts / 2);
 }
+
+TEST_CASE("in a new era each kind is listed again, whatever its revision") {
+  FollowPlan plan(2, 1);
+  for (const std::size_t kind : {kTargets, kDocument}) {
+    REQUIRE(plan.Next(kind, 6)->list);
+    plan.Listed(kind, {1, 5});
+  }
+  REQUIRE_FALSE(plan.Next(kTargets, 6)->list);
+  const auto relists = plan.EraChanged(2, 6);
+  REQUIRE(relists.size() == 2);
+  for (const auto& relist : relists) {
+    CHECK(relist.wait <= 6 * kRelistSpacing);
+    CHECK(plan.Next(relist.kind, 6)->list);
+  }
+  SUBCASE("a list of the earlier era is not accepted") {
+    CHECK(plan.Listed(kTargets, {1, 9}).pause == Duration::zero());
+    CHECK(plan.Next(kTargets, 6)->list);
+  }
+  SUBCASE("a list of the new era is, at a lower revision") {
+    plan.Listed(kTargets, {2, 3});
+    CHECK_FALSE(plan.Next(kTargets, 6)->list);
+    CHECK(plan.version(kTargets) == StoreVersion{2, 3});
+  }
+}
+
+TEST_CASE("a list that shows the new era is not made twice") {
+  FollowPlan plan(2, 1);
+  REQUIRE(plan.Next(kTargets, 6)->list);
+  REQUIRE(plan.Next(kDocument, 6)->list);
+  plan.Listed(kDocument, {1, 5});
+  const auto relists = plan.EraChanged(2, 6);
+  REQUIRE(relists.size() == 1);
+  CHECK(relists.front().kind == kDocument);
+  plan.Listed(kTargets, {2, 5});
+  CHECK_FALSE(plan.Next(kTargets, 6)->list);
+}
+
+TEST_CASE("the lists of a large fleet in a new era are spread in time") {
+  constexpr std::size_t kHosts = 295;
+  constexpr Duration kSlot = milliseconds(50);
+  std::map<Duration::rep, int> calls;
+  for (std::size_t host = 0; host < kHosts; ++host) {
+    FollowPlan plan = Listed(host + 1);
+    for (const auto& relist : plan.EraChanged(2, kHosts)) {
+      CHECK(relist.wait <= milliseconds(600));
+      ++calls[relist.wait / kSlot];
+    }
+  }
+  // 1,000 calls a second on average; the store of a large fleet bears 6,000.
+  for (const auto& [slot, count] : calls) CHECK(count <= 150);
+}
+
+TEST_CASE("a kind that waits for the store is listed when it answers") {
+  FollowPlan plan = Listed();
+  plan.Behind(kTargets);
+  for (int i = 0; i < 3; ++i) {
+    plan.Next(kTargets, 6);
+    plan.Behind(kTargets);
+    plan.Next(kTargets, 6);
+    plan.Failed(kTargets);
+  }
+  REQUIRE_FALSE(plan.store_up());
+  CHECK_FALSE(plan.Next(kDocument, 6));
+  CHECK(plan.EraChanged(2, 6).size() == 1);
+  CHECK(plan.Next(kTargets, 6)->list);
+  const auto effect = plan.Listed(kTargets, {2, 1});
+  CHECK(effect.store_recovered);
+  REQUIRE(effect.resumed.size() == 1);
+  CHECK(plan.Next(kDocument, 6)->list);
+}
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -215,7 +215,7 @@
   GossipNet net({.hosts = 32, .loss = 0.02, .seed = 10});
   StartAll(net, seconds(30));
   for (auto& events : net.events()) events.clear();
-  net.node(0).ShareTarget({{"engine-1"}, 7, true});
+  net.node(0).ShareTarget({{"engine-1"}, {0, 7}, true});
   net.node(1).ShareSuspect({42, 2});
   net.Run(seconds(4));
   for (int i = 0; i < 32; ++i) {
@@ -224,12 +224,52 @@
     CHECK(CountEvents<SuspectMark>(net.events()[i]) == (i == 1 ? 0 : 1));
   }
   for (auto& events : net.events()) events.clear();
-  net.node(3).ShareTarget({{"engine-1"}, 6, false});
+  net.node(3).ShareTarget({{"engine-1"}, {0, 6}, false});
   net.Run(seconds(4));
   for (int i = 0; i < 32; ++i)
     CHECK(CountEvents<TargetMark>(net.events()[i]) == 0);
 }
 
+TEST_CASE("a new era of the store reaches every host within two seconds") {
+  GossipNet net({.hosts = 64, .loss = 0.02, .seed = 12});
+  StartAll(net, seconds(30));
+  for (int i = 0; i < 64; ++i) net.node(i).SetStoreEra(4);
+  for (auto& events : net.events()) events.clear();
+  net.node(0).SetStoreEra(5);
+  const auto has_heard = [&net](int host) {
+    const auto& events = net.events()[host];
+    return std::any_of(events.begin(), events.end(), [](const auto& event) {
+      const auto* heard = std::get_if<StoreEraAnnounced>(&event);
+      return heard != nullptr && heard->era == 5;
+    });
+  };
+  // Each host that has heard of it sees it in its next call to the store.
+  const Duration took = net.RunUntil(
+      [&] {
+        int known = 1;
+        for (int i = 1; i < 64; ++i) {
+          if (!has_heard(i)) continue;
+          net.node(i).SetStoreEra(5);
+          ++known;
+        }
+        return known == 64;
+      },
+      seconds(10));
+  CHECK(took <= seconds(2));
+}
+
+TEST_CASE("a mark without an era is newer than one of the era before") {
+  GossipNet net({.hosts = 4, .loss = 0, .seed = 3});
+  StartAll(net, seconds(10));
+  for (int i = 0; i < 4; ++i) net.node(i).SetStoreEra(2);
+  net.node(0).ShareTarget({{"engine-1"}, {1, 90}, true});
+  net.Run(seconds(3));
+  for (auto& events : net.events()) events.clear();
+  net.node(1).ShareTarget({{"engine-1"}, {0, 40}, true});
+  net.Run(seconds(3));
+  CHECK(CountEvents<TargetMark>(net.events()[2]) == 1);
+}
+
 TEST_CASE("a host exchanges less than four kilobytes a second on average") {
   for (const int hosts : {8, 128}) {
     CAPTURE(hosts);
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -160,6 +160,24 @@
   for (auto& waiting : std::exchange(waiting_, {})) waiting.exchange->Abort();
 }
 
+void FakeStore::Restore(const Copy& copy) {
+  objects_ = copy.objects;
+  revision_ = copy.revision;
+  ++era_;
+  std::erase_if(events_, [this](const Event& event) {
+    return event.revision > revision_;
+  });
+  forgotten_ = std::min(forgotten_, revision_);
+  for (auto& waiting : std::exchange(waiting_, {})) waiting.exchange->Abort();
+}
+
+http::Response FakeStore::Reply(int status, const Json& body) const {
+  http::Response response = JsonAnswer(status, body);
+  const std::string era = era_text_.value_or(std::to_string(era_));
+  if (!era.empty()) response.fields.push_back({"store-era", era});
+  return response;
+}
+
 void FakeStore::Note(const std::string& kind, const Json& object,
                      bool removed) {
   events_.push_back(
@@ -176,65 +194,66 @@
     }
   }
   if (events.empty()) return false;
-  waiting.exchange->Respond(JsonAnswer(
-      200, {{"events", std::move(events)}, {"CurrentRev", revision_}}));
+  waiting.exchange->Respond(
+      Reply(200, {{"events", std::move(events)}, {"CurrentRev", revision_}}));
   return true;
 }
 
 void FakeStore::Handle(http::ExchangePtr exchange) {
   const http::Request& request = exchange->request();
   ++calls_;
-  if (down_) return exchange->Respond(JsonAnswer(503, Json::object()));
+  if (down_) return exchange->Respond(Reply(503, Json::object()));
   const auto parts = Parts(request.path);
   const std::string kind = parts.size() > 1 ? parts[1] : "";
   const std::string since = http::QueryValue(request.query, "Watch");
   if (request.method == "POST") {
     if (refused_writes_ > 0) {
       --refused_writes_;
-      return exchange->Respond(JsonAnswer(503, Json::object()));
+      return exchange->Respond(Reply(503, Json::object()));
     }
     const Json body = Json::parse(request.body);
     const std::string name = body["Meta"]["Name"];
     if (Has(kind, name)) {
-      return exchange->Respond(JsonAnswer(409, objects_[kind][name]));
+      return exchange->Respond(Reply(409, objects_[kind][name]));
     }
     Put(kind, name, body["Spec"]);
     if (lost_answers_ > 0) {
       --lost_answers_;
       return exchange->Abort();
     }
-    return exchange->Respond(JsonAnswer(201, objects_[kind][name]));
+    return exchange->Respond(Reply(201, objects_[kind][name]));
   }
   if (request.method == "DELETE") {
     if (Has(kind, parts.back())) Remove(kind, parts.back());
-    return exchange->Respond(JsonAnswer(200, Json::object()));
+    return exchange->Respond(Reply(200, Json::object()));
   }
   if (!since.empty()) {
     const Waiting waiting{kind, std::stoull(since), std::move(exchange)};
-    if (waiting.since < forgotten_) {
-      return waiting.exchange->Respond(JsonAnswer(410, Json::object()));
+    if (waiting.since < forgotten_ || waiting.since > revision_) {
+      return waiting.exchange->Respond(Reply(410, Json::object()));
     }
     if (Answer(waiting)) return;
     if (http::QueryValue(request.query, "WaitMs") != "0") {
       return waiting_.push_back(waiting);
     }
-    return waiting.exchange->Respond(JsonAnswer(
-        200, {{"events", Json::array()}, {"CurrentRev", revision_}}));
+    return waiting.exchange->Respond(
+        Reply(200, {{"events", Json::array()}, {"CurrentRev", revision_}}));
   }
   if (parts.size() > 2) {
     return exchange->Respond(Has(kind, parts[2])
-                                 ? JsonAnswer(200, objects_[kind][parts[2]])
-                                 : JsonAnswer(404, Json::object()));
+                                 ? Reply(200, objects_[kind][parts[2]])
+                                 : Reply(404, Json::object()));
   }
+  ++lists_[kind];
   Json items = Json::array();
   const auto& objects = objects_[kind];
   auto at = objects.upper_bound(http::QueryValue(request.query, "After"));
   for (; at != objects.end() && items.size() < page_size_; ++at) {
     items.push_back(at->second);
   }
-  exchange->Respond(JsonAnswer(200, {{"Items", std::move(items)},
-                                     {"MorePages", at != objects.end()},
-                                     {"CurrentRev", revision_}}));
+  exchange->Respond(Reply(200, {{"Items", std::move(items)},
+                                {"MorePages", at != objects.end()},
+                                {"CurrentRev", revision_}}));
 }
 
 // ---- Target -----------------------------------------------------------------
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,27 @@
   /// Watches that wait now are never answered, nor are they cut.
   void LoseWatches();
 
+  /// What the store held at one moment.
+  struct Copy {
+    std::map<std::string, std::map<std::string, nlohmann::json>> objects;
+    std::uint64_t revision = 0;
+  };
+  Copy TakeCopy() const { return {objects_, revision_}; }
+  /// Replaces all objects by those of a copy and starts the next era, in which
+  /// revisions go on from the copy's. Waiting watches are cut.
+  void Restore(const Copy& copy);
+  std::uint64_t era() const { return era_; }
+  std::uint64_t revision() const { return revision_; }
+  /// Sends this text as the era in all answers; none is sent if it is empty.
+  void SetEraText(std::optional<std::string> text) {
+    era_text_ = std::move(text);
+  }
+  /// Number of lists of a kind that were answered.
+  std::size_t lists(const std::string& kind) const {
+    const auto at = lists_.find(kind);
+    return at == lists_.end() ? 0 : at->second;
+  }
+
  private:
   struct Waiting {
     std::string kind;
@@ -74,6 +96,8 @@
   void Note(const std::string& kind, const nlohmann::json& object,
             bool removed);
   bool Answer(const Waiting& waiting);
+  /// An answer with the store's era.
+  http::Response Reply(int status, const nlohmann::json& body) const;
 
   std::shared_ptr<http::BodyBudget> budget_;
   std::map<std::string, std::map<std::string, nlohmann::json>> objects_;
@@ -86,6 +110,9 @@
   int refused_writes_ = 0;
   std::size_t calls_ = 0;
   std::uint64_t forgotten_ = 0;  ///< Changes up to here are gone.
+  std::uint64_t era_ = 1;
+  std::optional<std::string> era_text_;  ///< Sent in place of `era_`.
+  std::map<std::string, std::size_t> lists_;
   bool down_ = false;
   boost::asio::io_context& io_;
   http::Server server_;
--- a/test/platform/store-test.cc
+++ b/test/platform/store-test.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <vector>
 
 #include "gateway/object-store.h"
 #include "platform/stand-ins.h"
@@ -31,7 +32,7 @@
   ListAnswer List(const std::string& kind) {
     return Wait<ListAnswer>([&](auto done) { store.list(kind, done); });
   }
-  WatchAnswer Watch(const std::string& kind, std::uint64_t version) {
+  WatchAnswer Watch(const std::string& kind, const StoreVersion& version) {
     return Wait<WatchAnswer>([&](auto done) {
       store.watch(kind, version, std::chrono::seconds(5), done);
     });
@@ -116,3 +117,85 @@
   CHECK(list.items[1].value.empty());
   CHECK(list.items[2].value == "not an object");
 }
+
+TEST_CASE("answers carry the store's era, and a rise is told before them") {
+  PlatformSettings settings;
+  std::vector<EraNotice> notices;
+  settings.on_era = [&](const EraNotice& notice) { notices.push_back(notice); };
+  StoreFixture fixture(settings);
+  fixture.fake.Put("config", "main", {{"n", 1}});
+  CHECK(fixture.List("config").version == StoreVersion{1, 2});
+  fixture.fake.Restore(fixture.fake.TakeCopy());
+  const ListAnswer list = fixture.List("config");
+  CHECK(list.version == StoreVersion{2, 2});
+  CHECK(list.items.at(0).version == StoreVersion{2, 2});
+  REQUIRE(notices.size() == 2);
+  CHECK(notices[0].kind == EraNotice::Kind::kFirst);
+  CHECK(notices[1].kind == EraNotice::Kind::kChanged);
+  CHECK(notices[1].before == 1);
+  CHECK(notices[1].era == 2);
+}
+
+TEST_CASE("the era is read from refusals too") {
+  PlatformSettings settings;
+  std::uint64_t era = 0;
+  settings.on_era = [&](const EraNotice& notice) { era = notice.era; };
+  StoreFixture fixture(settings);
+  const auto copy = fixture.fake.TakeCopy();
+  SUBCASE("503") { fixture.fake.SetDown(true); }
+  SUBCASE("409") { fixture.fake.Put("hosts", "a", {{"n", 1}}); }
+  SUBCASE("410") {}
+  fixture.fake.SetEraText("7");
+  if (fixture.fake.Has("hosts", "a")) {
+    CHECK(fixture.Create("hosts", "a") == Errc::kVersionConflict);
+  } else {
+    fixture.Watch("config", {1, 900});
+  }
+  CHECK(era == 7);
+}
+
+TEST_CASE("a late answer of an earlier era is not used") {
+  PlatformSettings settings;
+  settings.limits.outage_after = 100;
+  StoreFixture fixture(settings);
+  fixture.fake.SetEraText("5");
+  CHECK_FALSE(fixture.List("config").error);
+  fixture.fake.SetEraText("4");
+  CHECK(fixture.List("config").error == Errc::kPlatformUnavailable);
+  // Whether the write took effect is not known: the object is read.
+  CHECK(fixture.Create("hosts", "a") == Errc::kPlatformUnavailable);
+  CHECK(fixture.client->Counts().answers_lost == 1);
+  CHECK(fixture.client->Counts().outdated == 3);
+  fixture.fake.SetEraText("5");
+  CHECK_FALSE(fixture.List("config").error);
+}
+
+TEST_CASE("a write on the condition of another era's version is not sent") {
+  StoreFixture fixture;
+  fixture.fake.Put("config", "main", {{"n", 1}});
+  const StoreVersion before = fixture.List("config").version;
+  fixture.fake.Restore(fixture.fake.TakeCopy());
+  fixture.List("config");
+  const std::size_t calls = fixture.fake.calls();
+  const auto written = fixture.Wait<WriteAnswer>([&](auto done) {
+    fixture.client->Update("config", "main", before, R"({"n":2})", done);
+  });
+  CHECK(written.state == WriteState::kRefused);
+  CHECK(written.error == Errc::kVersionConflict);
+  CHECK(fixture.fake.calls() == calls);
+}
+
+TEST_CASE("a list whose pages are of two eras fails") {
+  StoreFixture fixture;
+  for (int i = 0; i < 4; ++i) {
+    fixture.fake.Put("servers", "s" + std::to_string(i), {{"n", i}});
+  }
+  fixture.fake.SetPageSize(2);
+  std::optional<ListAnswer> list;
+  fixture.store.list("servers", [&](const ListAnswer& a) { list = a; });
+  while (fixture.fake.calls() < 1) fixture.io.run_one();
+  fixture.fake.Restore(fixture.fake.TakeCopy());
+  while (!list) fixture.io.run_one();
+  CHECK(list->error == Errc::kPlatformUnavailable);
+  CHECK_FALSE(fixture.List("servers").error);
+}
--- a/test/rumours-test.cc
+++ b/test/rumours-test.cc
@@ -14,7 +14,7 @@
 constexpr int kMaxSends = 2;
 
 TargetMark Mark(int target, std::uint64_t version = 1) {
-  return {{"target" + std::to_string(target)}, version, true};
+  return {{"target" + std::to_string(target)}, {0, version}, true};
 }
 
 }  // namespace
@@ -58,5 +58,5 @@
   marks.AddTo(datagram);
   REQUIRE(datagram.targets.size() == 1);
   CHECK(datagram.targets[0].start == 77);
-  CHECK(datagram.targets[0].version == 6);
+  CHECK(datagram.targets[0].version.revision == 6);
 }
--- a/test/shell/fakes-test.cc
+++ b/test/shell/fakes-test.cc
@@ -185,3 +185,23 @@
   platform.SetFaults({{"outage", true}});
   CHECK(Fetch(platform.address(), "GET", path).status == 503);
 }
+
+TEST_CASE("the platform gives versions out again after it came from a copy") {
+  fakes::FakePlatform platform;
+  const std::string path = "/objects/claims/slot";
+  const auto create = [&](const std::string& name) {
+    return Fetch(platform.address(), "PUT", path + name, R"({"value":"x"})",
+                 {{"if-none-match", "*"}});
+  };
+  CHECK(create("1").status == 200);
+  platform.SetFaults({{"keep_copy", true}});
+  CHECK(Json::parse(create("2").body)["version"] == 2);
+  CHECK(create("2").status == 409);
+  platform.SetFaults({{"restore_copy", true}});
+  CHECK(Fetch(platform.address(), "GET", path + "1").status == 200);
+  CHECK(Fetch(platform.address(), "GET", path + "2").status == 404);
+  CHECK(Fetch(platform.address(), "GET", "/watch/claims?since=2").status ==
+        410);
+  // What was acknowledged before is granted to another writer.
+  CHECK(Json::parse(create("2").body)["version"] == 2);
+}
--- a/test/shell/follower-test.cc
+++ b/test/shell/follower-test.cc
@@ -17,12 +17,12 @@
       ++lists[kind];
       ListAnswer answer;
       if (is_store_down) answer.error = Errc::kPlatformUnavailable;
-      answer.version = 5;
-      answer.items = {{"a", 1, "x"}, {"b", 2, "y"}};
+      answer.version = {0, 5};
+      answer.items = {{"a", {0, 1}, "x"}, {"b", {0, 2}, "y"}};
       Post([handler, answer] { handler(answer); });
     };
-    store.watch = [this](const std::string& kind, std::uint64_t, Duration wait,
-                         WatchHandler handler) {
+    store.watch = [this](const std::string& kind, const StoreVersion&,
+                         Duration wait, WatchHandler handler) {
       ++watches[kind];
       if (is_store_down || wait == Duration::zero()) {
         WatchAnswer answer;
@@ -83,9 +83,9 @@
   CHECK(fixture.batches == 2);
   CHECK(fixture.received_objects == 4);
   WatchAnswer changes;
-  changes.version = 9;
+  changes.version = {0, 9};
   for (int i = 0; i < 100; ++i) {
-    changes.changes.push_back({"n" + std::to_string(i), 9, "v"});
+    changes.changes.push_back({"n" + std::to_string(i), {0, 9}, "v"});
   }
   fixture.Answer("one", changes);
   CHECK(fixture.received_objects == 104);
--- a/test/shell/platform-client-test.cc
+++ b/test/shell/platform-client-test.cc
@@ -36,16 +36,18 @@
         [&](auto done) { client_.Create("config", name, value, done); });
   }
   WriteAnswer Update(const std::string& name, std::uint64_t version) {
-    return Wait<WriteAnswer>(
-        [&](auto done) { client_.Update("config", name, version, "u", done); });
+    return Wait<WriteAnswer>([&](auto done) {
+      client_.Update("config", name, {0, version}, "u", done);
+    });
   }
   ReadAnswer Read(const std::string& name) {
     return Wait<ReadAnswer>(
         [&](auto done) { client_.Read("config", name, done); });
   }
   WatchAnswer Watch(std::uint64_t since, Duration timeout) {
-    return Wait<WatchAnswer>(
-        [&](auto done) { client_.Watch("config", since, timeout, done); });
+    return Wait<WatchAnswer>([&](auto done) {
+      client_.Watch("config", {0, since}, timeout, done);
+    });
   }
 
  private:
@@ -70,16 +72,17 @@
   const std::string name = "a/b c?\"&ü";
   CHECK(caller.Create(name, "v\n\"1\"").state == WriteState::kApplied);
   CHECK(caller.Read(name).object.value == "v\n\"1\"");
-  CHECK(caller.Update(name, 1).version == 2);
-  CHECK(caller.Create("other", "x").version == 3);
+  CHECK(caller.Update(name, 1).version.revision == 2);
+  CHECK(caller.Create("other", "x").version.revision == 3);
   const auto list = caller.Wait<ListAnswer>([&](auto done) {
     caller.client().List({"config", "a/", "a/b", 10}, done);
   });
-  CHECK(list.version == 3);
+  CHECK(list.version.revision == 3);
   REQUIRE(list.items.size() == 1);
   CHECK(list.items[0].name == name);
-  const auto removed = caller.Wait<WriteAnswer>(
-      [&](auto done) { caller.client().Remove("config", name, 2, done); });
+  const auto removed = caller.Wait<WriteAnswer>([&](auto done) {
+    caller.client().Remove("config", name, {0, 2}, done);
+  });
   CHECK(removed.state == WriteState::kApplied);
   CHECK(caller.Read(name).error == Errc::kObjectNotFound);
 }
@@ -92,7 +95,7 @@
   const WriteAnswer conflict = caller.Create("a", "2");
   CHECK(conflict.state == WriteState::kRefused);
   CHECK(conflict.error == Errc::kVersionConflict);
-  CHECK(conflict.version == 1);
+  CHECK(conflict.version.revision == 1);
   CHECK(caller.Update("a", 7).error == Errc::kVersionConflict);
   CHECK(caller.Update("none", 1).error == Errc::kObjectNotFound);
   const WriteAnswer binary = caller.Create("b", "\xff\xfe");
@@ -165,7 +168,7 @@
   const WatchAnswer changed = caller.Watch(0, std::chrono::seconds(5));
   REQUIRE(changed.changes.size() == 1);
   CHECK(changed.changes[0].value == "1");
-  CHECK(changed.version == 1);
+  CHECK(changed.version.revision == 1);
   for (const char* name : {"b", "c", "d"}) other.Create(name, "1");
   const WatchAnswer missed = caller.Watch(1, std::chrono::seconds(5));
   CHECK(missed.history_expired);
--- a/test/shell/wire-test.cc
+++ b/test/shell/wire-test.cc
@@ -47,10 +47,16 @@
   }
   for (std::uint64_t i = draw(4); i > 0; --i) {
     const std::uint64_t start = draw(1) == 1 ? random() : 0;
-    datagram.targets.push_back({{"engine"}, random(), draw(1) == 1, start});
+    datagram.targets.push_back({{"engine"},
+                                {draw(3), random()},
+                                draw(1) == 1,
+                                start,
+                                draw(1) * random(),
+                                draw(1) * random()});
     datagram.suspects.push_back(
         {random(), static_cast<std::uint32_t>(draw(9))});
   }
+  datagram.store_era = draw(1) * (random() >> 1);
   return datagram;
 }
 
@@ -64,6 +70,7 @@
   CHECK(a.wanted == b.wanted);
   CHECK(a.targets == b.targets);
   CHECK(a.suspects == b.suspects);
+  CHECK(a.store_era == b.store_era);
   REQUIRE(a.claims.size() == b.claims.size());
   for (std::size_t i = 0; i < a.claims.size(); ++i) {
     CHECK(a.claims[i].id == b.claims[i].id);
@@ -131,7 +138,7 @@
   wire::PlaceMessages messages;
   messages.sender.value = "host1";
   messages.incarnation.value = 3;
-  messages.leaving.push_back({{"a"}, 12, true, 1'764'000'000'000});
+  messages.leaving.push_back({{"a"}, {3, 12}, true, 1'764'000'000'000});
   messages.back_offs.push_back(
       {{"service"}, {"b"}, std::chrono::milliseconds(1500)});
   CHECK_FALSE(messages.empty());
@@ -165,3 +172,44 @@
   CHECK(trip(now) == now);
   CHECK(trip(Time::max()) == Time::max());
 }
+
+TEST_CASE("grants and running work keep the era of a target's entry") {
+  const Time now{std::chrono::hours(1)};
+  const PlacedTarget target{{"a"}, "10.0.0.1:1", 7, {4, 90}, 100};
+  PlaceGrant grant;
+  grant.targets = {target};
+  wire::PlaceMessages messages;
+  messages.sender.value = "host1";
+  messages.answers.emplace_back().decision = grant;
+  messages.syncs.push_back({{"s"}, {}});
+  messages.syncs[0].running.emplace_back().targets = {target};
+  wire::PlaceMessages out;
+  REQUIRE_FALSE(wire::DecodePlacement(
+      wire::EncodePlacement(messages, {"key"}, now), {"key"}, now, out));
+  const auto* read = std::get_if<PlaceGrant>(&out.answers.at(0).decision);
+  REQUIRE(read != nullptr);
+  CHECK(read->targets.at(0) == target);
+  CHECK(out.syncs.at(0).running.at(0).targets.at(0) == target);
+}
+
+TEST_CASE("a host of an older build, which sends no era, is understood") {
+  wire::PlaceDatagram datagram;
+  datagram.sender = "host1";
+  wire::TargetMark& mark = datagram.leaving.emplace_back();
+  mark.target = "a";
+  mark.version = 12;
+  mark.closed = true;
+  wire::PlacedTarget& target =
+      datagram.answers.emplace_back().targets.emplace_back();
+  target.name = "a";
+  target.version = 12;
+  const Time now{std::chrono::hours(1)};
+  wire::PlaceMessages out;
+  REQUIRE_FALSE(wire::DecodePlacement(
+      wire::EncodePlaceDatagram(datagram, {"key"}), {"key"}, now, out));
+  CHECK(out.leaving.at(0).version == StoreVersion{0, 12});
+  CHECK(out.leaving.at(0).entry_born == 0);
+  const auto* grant = std::get_if<PlaceGrant>(&out.answers.at(0).decision);
+  REQUIRE(grant != nullptr);
+  CHECK(grant->targets.at(0).version == StoreVersion{0, 12});
+}
--- a/test/target-book-test.cc
+++ b/test/target-book-test.cc
@@ -99,10 +99,10 @@
   book.Put(Entry("a", true));
   CHECK(book.TakeChanged());
   TargetEntry later = Entry("a", true);
-  later.target.version = 7;
+  later.target.version.revision = 7;
   book.Put(later);
   CHECK_FALSE(book.TakeChanged());
-  CHECK(book.Pool().at({"s"}).front().version == 7);
+  CHECK(book.Pool().at({"s"}).front().version.revision == 7);
 }
 
 TEST_CASE("a report that arrives late does not reopen a leaving target") {
@@ -173,7 +173,7 @@
     "a mark of a peer closes a target before the list of this host does") {
   const auto entry = [](const std::string& name, std::uint64_t version) {
     TargetEntry out = Entry(name);
-    out.target.version = version;
+    out.target.version.revision = version;
     return out;
   };
   const auto leaving = [](const TargetBook& book) {
@@ -183,10 +183,10 @@
   book.SetList({entry("a", 5)}, kStart);
   book.TakeChanged();
   SUBCASE("closes at a later version of its entry") {
-    CHECK(book.ApplyMark({{"a"}, 8, true}, kStart));
+    CHECK(book.ApplyMark({{"a"}, {0, 8}, true}, kStart));
     CHECK(book.TakeChanged());
     CHECK(leaving(book));
-    CHECK_FALSE(book.ApplyMark({{"a"}, 8, true}, kStart));
+    CHECK_FALSE(book.ApplyMark({{"a"}, {0, 8}, true}, kStart));
     // An entry from before the mark does not reopen the target, a later one
     // does.
     book.Put(entry("a", 7));
@@ -195,30 +195,30 @@
     CHECK_FALSE(leaving(book));
   }
   SUBCASE("closes at the version known here, as its entry was removed") {
-    CHECK(book.ApplyMark({{"a"}, 5, true}, kStart));
+    CHECK(book.ApplyMark({{"a"}, {0, 5}, true}, kStart));
     CHECK(leaving(book));
   }
   SUBCASE("marks expire after some minutes and are bounded in number") {
-    book.ApplyMark({{"a"}, 8, true}, kStart);
+    book.ApplyMark({{"a"}, {0, 8}, true}, kStart);
     for (int i = 0; i < 5000; ++i) {
-      book.ApplyMark({{"gone" + std::to_string(i)}, 3, true}, kStart);
+      book.ApplyMark({{"gone" + std::to_string(i)}, {0, 3}, true}, kStart);
     }
     const Time later = kStart + std::chrono::minutes(6);
     book.Tick(later);
     book.Put(entry("b", 5));
-    CHECK(book.ApplyMark({{"b"}, 6, true}, later));
+    CHECK(book.ApplyMark({{"b"}, {0, 6}, true}, later));
   }
   SUBCASE("does not close at an earlier version") {
-    CHECK_FALSE(book.ApplyMark({{"a"}, 4, true}, kStart));
+    CHECK_FALSE(book.ApplyMark({{"a"}, {0, 4}, true}, kStart));
     CHECK_FALSE(leaving(book));
   }
   SUBCASE("does not close if the entry expired in an outage") {
     book.StoreLost(kStart);
-    CHECK_FALSE(book.ApplyMark({{"a"}, 5, true}, kStart));
-    CHECK(book.ApplyMark({{"a"}, 6, true}, kStart));
+    CHECK_FALSE(book.ApplyMark({{"a"}, {0, 5}, true}, kStart));
+    CHECK(book.ApplyMark({{"a"}, {0, 6}, true}, kStart));
   }
   SUBCASE("shows that the list is behind") {
-    book.ApplyMark({{"a"}, 8, true}, kStart);
+    book.ApplyMark({{"a"}, {0, 8}, true}, kStart);
     CHECK_FALSE(book.IsListBehind(kStart + milliseconds(900), {}));
     CHECK(book.IsListBehind(kStart + milliseconds(1100), {}));
     CHECK_FALSE(book.IsListBehind(kStart + milliseconds(1100), seconds(1)));
@@ -230,17 +230,18 @@
 TEST_CASE("leaving and removed targets are reported to peers once") {
   TargetBook book(kSettlingTime);
   TargetEntry a = Entry("a");
-  a.target.version = 5;
+  a.target.version.revision = 5;
   TargetEntry b = Entry("b");
-  b.target.version = 6;
+  b.target.version.revision = 6;
   book.SetList({a, b}, kStart);
   CHECK(book.TakeMarks().empty());
   a.target.leaving = true;
-  a.target.version = 7;
+  a.target.version.revision = 7;
   book.Put(a);
   book.Put(a);
   book.Removed({"b"}, kStart);
-  const std::vector<TargetMark> marks = {{{"a"}, 7, true}, {{"b"}, 6, true}};
+  const std::vector<TargetMark> marks = {{{"a"}, {0, 7}, true},
+                                         {{"b"}, {0, 6}, true}};
   CHECK(book.TakeMarks() == marks);
   CHECK(book.TakeMarks().empty());
   // An expired entry does not mean that the target has ended.
@@ -266,15 +267,15 @@
   const auto entry = [](std::uint64_t born, std::uint64_t version) {
     TargetEntry out = Entry("a");
     out.target.born = born;
-    out.target.version = version;
+    out.target.version.revision = version;
     out.report = version;
     return out;
   };
   book.SetList({entry(100, 5)}, kStart);
-  CHECK(book.RecordLeaving({{"a"}, 100, 4, {}}, kStart));
-  CHECK_FALSE(book.RecordLeaving({{"a"}, 100, 4, {}}, kStart));
+  CHECK(book.RecordLeaving({{"a"}, 100, {0, 4}, {}}, kStart));
+  CHECK_FALSE(book.RecordLeaving({{"a"}, 100, {0, 4}, {}}, kStart));
   CHECK(book.Leaving({"a"}));
-  const std::vector<TargetMark> marks = {{{"a"}, 5, true, 100}};
+  const std::vector<TargetMark> marks = {{{"a"}, {0, 5}, true, 100}};
   CHECK(book.TakeMarks() == marks);
   SUBCASE("stays closed whatever the list says, for as long as it is listed") {
     Time now = kStart;
@@ -305,8 +306,8 @@
     CHECK_FALSE(book.Leaving({"a"}));
     CHECK(book.self_reported_leaving() == 0);
     // A late report about the earlier start, from this host or from a peer.
-    CHECK_FALSE(book.RecordLeaving({{"a"}, 100, 5, {}}, kStart));
-    CHECK_FALSE(book.ApplyMark({{"a"}, 5, true, 100}, kStart));
+    CHECK_FALSE(book.RecordLeaving({{"a"}, 100, {0, 5}, {}}, kStart));
+    CHECK_FALSE(book.ApplyMark({{"a"}, {0, 5}, true, 100}, kStart));
     CHECK_FALSE(book.Leaving({"a"}));
   }
   SUBCASE("a later start reopens it on a host whose clock is behind") {
@@ -321,18 +322,18 @@
   TargetBook book(kSettlingTime);
   TargetEntry listed = Entry("a");
   listed.target.born = 100;
-  listed.target.version = 5;
+  listed.target.version.revision = 5;
   book.SetList({listed}, kStart);
   SUBCASE("reported by a mark") {
-    CHECK(book.ApplyMark({{"a"}, 8, true, 200}, kStart));
+    CHECK(book.ApplyMark({{"a"}, {0, 8}, true, 200}, kStart));
   }
   SUBCASE("reported by its own answer") {
-    CHECK(book.RecordLeaving({{"a"}, 200, 8, {}}, kStart));
+    CHECK(book.RecordLeaving({{"a"}, 200, {0, 8}, {}}, kStart));
   }
   // The earlier start has ended as well.
   CHECK(book.Leaving({"a"}));
   listed.target.born = 200;
-  listed.target.version = 9;
+  listed.target.version.revision = 9;
   book.Put(listed);
   CHECK(book.Leaving({"a"}));
 }
@@ -342,9 +343,9 @@
     "from") {
   TargetBook book(kSettlingTime);
   book.SetList({Entry("a")}, kStart);
-  CHECK_FALSE(book.RecordLeaving({{"a"}, 0, 0, "10.0.0.9:1"}, kStart));
-  CHECK_FALSE(book.RecordLeaving({{"b"}, 0, 0, "10.0.0.1:1"}, kStart));
-  CHECK(book.RecordLeaving({{"a"}, 0, 0, "10.0.0.1:1"}, kStart));
+  CHECK_FALSE(book.RecordLeaving({{"a"}, 0, {0, 0}, "10.0.0.9:1"}, kStart));
+  CHECK_FALSE(book.RecordLeaving({{"b"}, 0, {0, 0}, "10.0.0.1:1"}, kStart));
+  CHECK(book.RecordLeaving({{"a"}, 0, {0, 0}, "10.0.0.1:1"}, kStart));
   CHECK(book.Leaving({"a"}));
 }
 
@@ -356,8 +357,191 @@
     TargetEntry entry = Entry("t" + std::to_string(i));
     entry.target.born = 1;
     book.Put(entry);
-    REQUIRE(book.RecordLeaving({entry.target.name, 1, 0, {}}, now));
+    REQUIRE(book.RecordLeaving({entry.target.name, 1, {0, 0}, {}}, now));
     book.Removed(entry.target.name, now);
     REQUIRE(book.self_reported_leaving() <= 8192);
   }
 }
+
+namespace {
+
+/// An entry of a start of the target "a" in an era of the store.
+TargetEntry EntryIn(std::uint64_t era, std::uint64_t revision,
+                    std::uint64_t born, std::uint64_t report,
+                    bool leaving = false) {
+  TargetEntry entry = Entry("a", leaving);
+  entry.target.version = {era, revision};
+  entry.target.born = born;
+  entry.report = report;
+  return entry;
+}
+
+/// A book whose store changed from era 1, with `before` as its list, to era 2.
+TargetBook BookAfterDrill(const std::vector<TargetEntry>& before) {
+  TargetBook book(kSettlingTime);
+  book.SetEra(1);
+  book.SetList(before, kStart);
+  book.SetEra(2);
+  book.SetSettling(kStart);
+  book.TakeMarks();
+  return book;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "a target that was leaving stays closed as an older copy lists it ready") {
+  TargetBook book = BookAfterDrill({EntryIn(1, 50, 100, 9, true)});
+  book.SetList({EntryIn(2, 40, 100, 8)}, kStart);
+  CHECK(book.Leaving({"a"}));
+  SUBCASE("also after the settling time") {
+    book.Tick(kStart + seconds(60));
+    book.SetList({EntryIn(2, 40, 100, 8)}, kStart + seconds(60));
+    CHECK(book.Leaving({"a"}));
+  }
+  SUBCASE("until a later report of that start") {
+    book.Put(EntryIn(2, 41, 100, 10));
+    CHECK_FALSE(book.Leaving({"a"}));
+  }
+  SUBCASE("until a later start") {
+    book.Put(EntryIn(2, 41, 200, 1));
+    CHECK_FALSE(book.Leaving({"a"}));
+  }
+}
+
+TEST_CASE(
+    "a target that was removed stays closed as an older copy lists it ready") {
+  TargetBook book(kSettlingTime);
+  book.SetEra(1);
+  book.SetList({EntryIn(1, 50, 100, 9)}, kStart);
+  book.Removed({"a"}, kStart);
+  book.SetEra(2);
+  book.SetSettling(kStart);
+  book.SetList({EntryIn(2, 40, 100, 9)}, kStart);
+  CHECK(book.Leaving({"a"}));
+  SUBCASE("also in a third era") {
+    book.SetEra(3);
+    book.SetSettling(kStart);
+    book.SetList({EntryIn(3, 30, 100, 7)}, kStart);
+    CHECK(book.Leaving({"a"}));
+  }
+  SUBCASE("until its own later word") {
+    book.Put(EntryIn(2, 41, 100, 10));
+    CHECK_FALSE(book.Leaving({"a"}));
+  }
+}
+
+TEST_CASE(
+    "an earlier start that an older copy lists does not replace a later") {
+  TargetBook book = BookAfterDrill({EntryIn(1, 50, 200, 3)});
+  book.SetList({EntryIn(2, 40, 100, 90)}, kStart);
+  CHECK_FALSE(book.Leaving({"a"}));
+  CHECK(book.Pool().at({"s"}).front().born == 200);
+  SUBCASE("and neither is used if the later one does not write again") {
+    book.Tick(kStart + kSettlingTime);
+    CHECK(InPool(book) == 0);
+    book.SetList({EntryIn(2, 40, 100, 90)}, kStart + seconds(3));
+    CHECK(book.Leaving({"a"}));
+  }
+  SUBCASE("and the later one stays once it has written again") {
+    book.Put(EntryIn(2, 41, 200, 4));
+    book.Tick(kStart + kSettlingTime);
+    CHECK(InPool(book) == 1);
+    CHECK_FALSE(book.Leaving({"a"}));
+  }
+}
+
+TEST_CASE("a target that an older copy lacks is used for the settling time") {
+  TargetBook book = BookAfterDrill({EntryIn(1, 50, 100, 9)});
+  book.SetList({}, kStart);
+  book.Tick(kStart + kSettlingTime - milliseconds(1));
+  CHECK(InPool(book) == 1);
+  book.Tick(kStart + kSettlingTime);
+  CHECK(InPool(book) == 0);
+  REQUIRE(book.TakeExpired().size() == 1);
+  CHECK(book.TakeExpired().empty());
+  SUBCASE("and again when it writes later") {
+    book.Put(EntryIn(2, 41, 100, 10));
+    CHECK_FALSE(book.Leaving({"a"}));
+  }
+}
+
+TEST_CASE("a mark of an earlier era does not close a target for ever") {
+  TargetBook book = BookAfterDrill({});
+  const TargetMark mark{{"a"}, {1, 50}, true, 0, 100, 9};
+  book.SetList({EntryIn(2, 40, 100, 8)}, kStart);
+  CHECK(book.ApplyMark(mark, kStart));
+  CHECK(book.Leaving({"a"}));
+  SUBCASE("a later report opens it, at a lower revision too") {
+    book.Put(EntryIn(2, 41, 100, 10));
+    CHECK_FALSE(book.Leaving({"a"}));
+    CHECK_FALSE(book.ApplyMark(mark, kStart));
+    CHECK_FALSE(book.Leaving({"a"}));
+  }
+  SUBCASE("a later start opens it") {
+    book.Put(EntryIn(2, 41, 200, 1));
+    CHECK_FALSE(book.ApplyMark(mark, kStart));
+    CHECK_FALSE(book.Leaving({"a"}));
+  }
+}
+
+TEST_CASE("a mark of a host that knows the new era binds one that does not") {
+  TargetBook book(kSettlingTime);
+  book.SetEra(1);
+  book.SetList({EntryIn(1, 50, 100, 9)}, kStart);
+  CHECK(book.ApplyMark({{"a"}, {2, 41}, true, 0, 100, 10}, kStart));
+  CHECK(book.Leaving({"a"}));
+}
+
+TEST_CASE("a mark without an era counts as of the era that is known here") {
+  TargetBook book = BookAfterDrill({});
+  book.SetList({EntryIn(2, 40, 100, 8)}, kStart);
+  CHECK_FALSE(book.ApplyMark({{"a"}, {0, 39}, true}, kStart));
+  CHECK(book.ApplyMark({{"a"}, {0, 41}, true}, kStart));
+}
+
+TEST_CASE("an entry without a start is taken for the copy's until it changes") {
+  TargetBook book = BookAfterDrill({EntryIn(1, 50, 0, 0, true)});
+  book.SetList({EntryIn(2, 40, 0, 0)}, kStart);
+  CHECK(book.Leaving({"a"}));
+  book.SetList({EntryIn(2, 40, 0, 0)}, kStart + seconds(9));
+  CHECK(book.Leaving({"a"}));
+  book.Put(EntryIn(2, 41, 0, 0));
+  CHECK_FALSE(book.Leaving({"a"}));
+}
+
+TEST_CASE("a start that reported its leaving stays closed in a later era") {
+  TargetBook book(kSettlingTime);
+  book.SetEra(1);
+  book.SetList({EntryIn(1, 50, 200, 9)}, kStart);
+  REQUIRE(book.RecordLeaving({{"a"}, 200, {1, 50}, {}}, kStart));
+  book.SetEra(2);
+  book.SetSettling(kStart);
+  SUBCASE("as does an earlier start, which the copy lists") {
+    book.SetList({EntryIn(2, 60, 100, 20)}, kStart);
+    CHECK(book.Leaving({"a"}));
+  }
+  SUBCASE("whatever it writes") {
+    book.SetList({EntryIn(2, 60, 200, 20)}, kStart);
+    CHECK(book.Leaving({"a"}));
+  }
+  SUBCASE("while a later start opens it at a lower revision") {
+    book.SetList({EntryIn(2, 45, 300, 1)}, kStart);
+    CHECK_FALSE(book.Leaving({"a"}));
+  }
+}
+
+TEST_CASE("absence from a list means removal only within one era or later") {
+  TargetBook book = BookAfterDrill({});
+  const Time settled = kStart + kSettlingTime;
+  CHECK_FALSE(book.AbsenceMeansRemoved({2, 40}, {}, settled));
+  CHECK(book.AbsenceMeansRemoved({2, 40}, {2, 40}, kStart));
+  CHECK_FALSE(book.AbsenceMeansRemoved({2, 41}, {2, 40}, settled));
+  // The entry may be missing in the copy.
+  CHECK_FALSE(book.AbsenceMeansRemoved({1, 30}, {2, 40}, kStart));
+  CHECK(book.AbsenceMeansRemoved({1, 90}, {2, 40}, settled));
+  // The host that granted it knows a later era than this one.
+  CHECK_FALSE(book.AbsenceMeansRemoved({3, 10}, {2, 40}, settled));
+  // A host of an older build names no era.
+  CHECK(book.AbsenceMeansRemoved({0, 40}, {2, 40}, kStart));
+}
