--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -11,7 +11,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -21,6 +20,7 @@
 #include <vector>
 
 #include "comfreyflow/errors.h"
+#include "comfreyflow/retry-window.h"
 #include "comfreyflow/routes.h"
 #include "comfreyflow/store-version.h"
 #include "comfreyflow/target-limits.h"
@@ -134,7 +134,10 @@
 
 class Placer {
  public:
-  explicit Placer(PlacerSettings settings) : settings_(settings) {}
+  explicit Placer(const PlacerSettings& settings)
+      : settings_(settings),
+        retry_window_({settings.retry_ratio, settings.retry_slack,
+                       settings.retry_window}) {}
 
   /// Sets the performance model of the engines; absent if the targets are plain
   /// servers.
@@ -271,12 +274,6 @@
     Time last_requested_at;
     PlaceGrant grant;
   };
-  struct Bucket {
-    Time begin;
-    std::uint32_t requests = 0;
-    std::uint32_t retries = 0;
-  };
-
   Duration PrefillTime(std::uint64_t tokens) const;
   bool IsLong(const Work& work) const;
   std::size_t EnginesToHold(const PlaceJob& job) const;
@@ -346,12 +343,11 @@
   void DropOverdue(Time now);
   void CloseToShort(Time now);
   void Count(Work& work, int sign);
+  void UpdatePace(const Work& work, Time now);
   void EndTrial(const Work& work);
   void UpdateHealth(const TargetName& name, WorkEnd end, Time now);
-  double RetriesLeft(Time now);
   void RecordShortDemand(Duration prefill_time, Time now);
   std::size_t EnginesForShort(Time now) const;
-  Bucket& CurrentBucket(Time now);
   Target* Find(const TargetName& name);
   Target& FindOrAdd(const TargetName& name);
 
@@ -365,8 +361,7 @@
   /// Requests in `works_` that are not placed.
   std::vector<RequestId> waiting_;
   TargetLimits limits_;
-  double retry_slack_share_ = 1;  ///< Part of `retry_slack` for this host.
-  std::deque<Bucket> buckets_;
+  RetryWindow retry_window_;
   std::vector<PlaceDecision> decisions_;
   Time held_until_;
   std::size_t hosts_ = 1;
