--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -2,14 +2,14 @@
 #include "gateway/placement.h"
 
 #include <algorithm>
-#include <array>
 #include <optional>
 #include <set>
 #include <utility>
 
 #include "comfreyflow/holder.h"
 #include "comfreyflow/target-rests.h"
-#include "http/address.h"
+#include "gateway/limit-exchange.h"
+#include "gateway/placement-socket.h"
 #include "node/clock.h"
 #include "node/log.h"
 
@@ -23,7 +23,6 @@
 using node::LogLine;
 using node::Severity;
 using std::chrono::milliseconds;
-using Udp = asio::ip::udp;
 
 /// An unanswered placement request is sent again after this time, which is a
 /// little over a round trip between failure domains.
@@ -49,14 +48,9 @@
 /// Number of reports still sent for a service after its last work has ended,
 /// because datagrams may be lost.
 constexpr int kIdleSyncRounds = 4;
-constexpr std::size_t kMaxDatagramBytes = 60 * 1024;
 constexpr std::size_t kMaxWorkItemsPerDatagram = 400;
 /// Period at which a holder recomputes its share of the target limits.
 constexpr Duration kLimitShareUpdatePeriod = milliseconds(500);
-/// A holder sends the limits it knows to all hosts after a change, and at least
-/// this often because datagrams may be lost.
-constexpr Duration kLimitsBroadcastPeriod = std::chrono::seconds(5);
-constexpr std::size_t kMaxLimitsPerDatagram = 600;
 
 }  // namespace
 
@@ -88,12 +82,13 @@
     Time share_update_at;
     /// Whether this host grants the full limits, as of the last update.
     bool grants_all_limits = false;
-    Time limits_broadcast_at;
-    bool limits_changed = false;
   };
 
   State(asio::io_context& io, PlacementSettings initial_settings)
-      : settings(std::move(initial_settings)), io(io), socket(io), timer(io) {}
+      : settings(std::move(initial_settings)),
+        io(io),
+        timer(io),
+        limits(settings.self, LimitHooks()) {}
 
   // ---- Local placers ----
 
@@ -195,83 +190,27 @@
     PlacerOf(service).SetPart(part, now);
   }
 
-  /// Applies a limit reported by another host. If that report is older than
-  /// what this host knows, the newer one is sent back.
-  void OnLimitReport(const wire::TargetLimitMessage& report,
-                     const HostName& host, Time now) {
-    TargetLimits& limits = PlacerOf(report.service).limits();
-    const auto before = limits.RateOf(report.report.target, report.report.born);
-    switch (limits.Merge(report.report, now)) {
-      case TargetLimits::MergeResult::kChanged:
-        return LimitChanged(report.service, report.report, before, host, "",
-                            now);
-      case TargetLimits::MergeResult::kUnchanged:
-        return;
-      case TargetLimits::MergeResult::kOutdated:
-        MessagesFor(host).limits.push_back(
-            {report.service,
-             *limits.ReportOf(report.report.target, report.report.born)});
-    }
-  }
-
-  void LimitChanged(const ServiceName& service, const LimitReport& report,
-                    const std::optional<double>& before, const HostName& host,
-                    const std::string& request, Time now) {
-    const auto at = holding.find(service);
-    if (at != holding.end() && IsActive(at->second, now)) {
-      at->second.limits_changed = true;
-    }
-    if (!report.rate && !before) return;
-    LogLine line(Severity::kInfo, report.rate ? Event::kTargetLimited
-                                              : Event::kTargetLimitEnded);
-    line.With("service", service);
-    line.With("target", report.target).With("born", report.born);
-    if (!request.empty()) line.With("request", request);
-    if (!host.value.empty()) line.With("host", host);
-    if (report.rate) line.With("rate", *report.rate);
-    if (before) line.With(report.rate ? "before" : "rate", *before);
-  }
-
-  /// Reports the target's limit, as known here, to the holder.
-  void ReportLimit(const ServiceName& service, const PlacedTarget& target) {
-    const HostName holder = HolderOf(service);
-    if (holder == settings.self) return;
-    const auto report =
-        PlacerOf(service).limits().ReportOf(target.name, target.born);
-    if (report) MessagesFor(holder).limits.push_back({service, *report});
-  }
-
-  /// Returns the recent limits of the service's listed targets.
-  std::vector<wire::TargetLimitMessage> RecentLimitsOf(
-      const ServiceName& service, Time now) {
-    std::vector<wire::TargetLimitMessage> out;
-    const TargetLimits& limits = PlacerOf(service).limits();
-    for (const auto& target : targets[service]) {
-      const auto report = limits.RecentReportOf(target.name, target.born, now);
-      if (report) out.push_back({service, *report});
-      if (out.size() >= kMaxLimitsPerDatagram) break;
-    }
-    return out;
-  }
-
-  void SendLimits(const std::vector<wire::TargetLimitMessage>& known,
-                  const HostName& host) {
-    if (host == settings.self || known.empty()) return;
-    auto& limits = MessagesFor(host).limits;
-    limits.insert(limits.end(), known.begin(), known.end());
-  }
-
-  /// Sends the limits to all hosts, so that a host which takes over as holder
-  /// or places requests locally knows them.
-  void BroadcastLimits(Time now) {
-    for (auto& [service, state] : holding) {
-      if (!IsActive(state, now)) continue;
-      if (!state.limits_changed && now < state.limits_broadcast_at) continue;
-      state.limits_broadcast_at = now + kLimitsBroadcastPeriod;
-      state.limits_changed = false;
-      const auto known = RecentLimitsOf(service, now);
-      for (const auto& [name, peer] : peers) SendLimits(known, name);
-    }
+  LimitExchangeHooks LimitHooks() {
+    LimitExchangeHooks hooks;
+    hooks.limits = [this](const ServiceName& service) -> TargetLimits& {
+      return PlacerOf(service).limits();
+    };
+    hooks.listed =
+        [this](const ServiceName& service) -> const std::vector<PoolTarget>& {
+      return targets[service];
+    };
+    hooks.holder = [this](const ServiceName& service) {
+      return HolderOf(service);
+    };
+    hooks.hosts = [this] {
+      std::vector<HostName> hosts;
+      for (const auto& [name, peer] : peers) hosts.push_back(name);
+      return hosts;
+    };
+    hooks.messages_for = [this](const HostName& host) -> wire::PlaceMessages& {
+      return MessagesFor(host);
+    };
+    return hooks;
   }
 
   /// Records that a host reported its running work. Once all peers have done
@@ -298,10 +237,7 @@
       back_offs.ForEach(now, [&](const TargetName& target, Duration left) {
         SendBackOff(request.service, holder, target, left);
       });
-      // Sent once per datagram, not with each placement request in it.
-      if (limits_sent.emplace(holder, request.service).second) {
-        SendLimits(RecentLimitsOf(request.service, now), holder);
-      }
+      limits.SendAll(request.service, holder, now);
     }
     request.last_request_at = now;
     if (holder == settings.self) {
@@ -464,45 +400,28 @@
   // ---- Datagrams ----
 
   wire::PlaceMessages& MessagesFor(const HostName& host) {
-    if (outgoing.empty()) {
-      asio::post(io, [self = shared_from_this()] { self->SendDatagrams(); });
-    }
-    auto& messages = outgoing[host];
-    messages.sender = settings.self;
-    messages.incarnation = settings.incarnation;
-    return messages;
-  }
-
-  void SendDatagrams() {
-    limits_sent.clear();
-    for (auto& [host, messages] : std::exchange(outgoing, {})) {
-      const auto at = peers.find(host);
-      if (at == peers.end() || messages.empty()) continue;
-      asio::ip::tcp::endpoint to;
-      if (http::ParseEndpoint(at->second.address, to)) continue;
-      const auto bytes = wire::EncodePlacement(messages, settings.key, Now());
-      // A failed send counts as a lost datagram: placement requests are sent
-      // again.
-      error_code ignored;
-      socket.send_to(asio::buffer(bytes),
-                     Udp::endpoint(to.address(), to.port()), 0, ignored);
-    }
-  }
-
-  void StartReceive() {
-    socket.async_receive_from(
-        asio::buffer(buffer), sender_endpoint,
-        [self = shared_from_this()](const error_code& error, std::size_t size) {
-          if (!self->socket.is_open()) return;
-          if (!error) self->OnDatagram({self->buffer.data(), size});
-          self->StartReceive();
-        });
-  }
-
-  void OnDatagram(std::string_view bytes) {
-    wire::PlaceMessages messages;
+    return socket->MessagesFor(host);
+  }
+
+  PlacementSocketHooks SocketHooks() {
+    PlacementSocketHooks hooks;
+    hooks.on_messages = [self = weak_from_this()](const auto& messages) {
+      if (const auto state = self.lock()) state->OnMessages(messages);
+    };
+    hooks.address_of = [self = weak_from_this()](const HostName& host) {
+      const auto state = self.lock();
+      if (!state) return std::string();
+      const auto at = state->peers.find(host);
+      return at == state->peers.end() ? std::string() : at->second.address;
+    };
+    hooks.on_send = [self = weak_from_this()] {
+      if (const auto state = self.lock()) state->limits.OnSend();
+    };
+    return hooks;
+  }
+
+  void OnMessages(const wire::PlaceMessages& messages) {
     const Time now = Now();
-    if (wire::DecodePlacement(bytes, settings.key, now, messages)) return;
     excluded_until.erase(messages.sender);
     for (const auto& mark : messages.leaving) {
       if (settings.target_marked) settings.target_marked(mark);
@@ -513,7 +432,7 @@
                    now + std::min(back_off.back_off, kMaxBackOff), now);
     }
     for (const auto& limit : messages.limits) {
-      OnLimitReport(limit, messages.sender, now);
+      limits.OnReport(limit, messages.sender, now);
     }
     std::set<ServiceName> affected_services;
     for (const auto& sync : messages.syncs) {
@@ -571,7 +490,7 @@
     is_ticking_fast = is_busy;
     timer.expires_after(is_busy ? kBusyTick : kIdleTick);
     timer.async_wait([self = shared_from_this()](const error_code& error) {
-      if (error || !self->socket.is_open()) return;
+      if (error || !self->socket->is_open()) return;
       self->Tick();
       self->ArmTimer();
     });
@@ -661,7 +580,9 @@
     next_sync_at = now + kSyncPeriod;
     LogState(now);
     for (const auto& [name, peer] : peers) fleet.MarkLive(name, now);
-    BroadcastLimits(now);
+    for (const auto& [service, state] : holding) {
+      if (IsActive(state, now)) limits.Broadcast(service, now);
+    }
     for (const auto& [sequence, request] : local_requests) {
       if (request.is_placed) sync_rounds[request.service] = kIdleSyncRounds;
     }
@@ -674,10 +595,8 @@
 
   const PlacementSettings settings;
   asio::io_context& io;
-  Udp::socket socket;
+  std::shared_ptr<PlacementSocket> socket;
   asio::steady_timer timer;
-  Udp::endpoint sender_endpoint;
-  std::array<char, kMaxDatagramBytes> buffer{};
   std::map<ServiceName, RoutedService> services;
   std::map<ServiceName, std::vector<PoolTarget>> targets;
   std::map<ServiceName, Placer> placers;
@@ -686,9 +605,7 @@
   std::map<HostName, PlacementPeer> peers;
   std::map<HostName, Time> excluded_until;
   std::map<std::uint64_t, LocalRequest> local_requests;
-  std::map<HostName, wire::PlaceMessages> outgoing;
-  /// Hosts and services for which `outgoing` already contains all limits.
-  std::set<std::pair<HostName, ServiceName>> limits_sent;
+  LimitExchange limits;
   RecentHosts fleet;
   std::uint64_t grants_past_limits = 0;
   TargetBackOffs back_offs;  ///< Back-offs that targets asked of this host.
@@ -702,27 +619,21 @@
 };
 
 Placement::Placement(asio::io_context& io, PlacementSettings settings)
-    : state_(std::make_shared<State>(io, std::move(settings))) {}
+    : state_(std::make_shared<State>(io, std::move(settings))) {
+  state_->socket = std::make_shared<PlacementSocket>(
+      io, state_->settings.self, state_->settings.incarnation,
+      state_->settings.key, state_->SocketHooks());
+}
 
 Placement::~Placement() {
-  error_code ignored;
-  state_->socket.close(ignored);
+  state_->socket->Close();
   state_->timer.cancel();
 }
 
 std::error_code Placement::Open() {
-  asio::ip::tcp::endpoint endpoint;
-  if (const auto error =
-          http::ParseEndpoint(state_->settings.address, endpoint)) {
+  if (const auto error = state_->socket->Open(state_->settings.address))
     return error;
-  }
-  const Udp::endpoint local(endpoint.address(), endpoint.port());
-  error_code error;
-  state_->socket.open(local.protocol(), error);
-  if (!error) state_->socket.bind(local, error);
-  if (error) return error;
   state_->settled_at = Now() + kStartupSettleTime;
-  state_->StartReceive();
   state_->ArmTimer();
   return {};
 }
@@ -808,26 +719,13 @@
 void Placement::LimitReported(const ServiceName& service,
                               const PlacedTarget& target, double rate,
                               const std::string& request) {
-  const Time now = Now();
-  TargetLimits& limits = state_->PlacerOf(service).limits();
-  const auto before = limits.RateOf(target.name, target.born);
-  if (limits.RecordLimit(target.name, target.born, rate, now)) {
-    state_->LimitChanged(service, *limits.ReportOf(target.name, target.born),
-                         before, {}, request, now);
-  }
-  state_->ReportLimit(service, target);
+  state_->limits.OnNamed(service, target, rate, request, Now());
 }
 
 void Placement::NoLimitReported(const ServiceName& service,
                                 const PlacedTarget& target, Time sent,
                                 const std::string& request) {
-  const Time now = Now();
-  TargetLimits& limits = state_->PlacerOf(service).limits();
-  const auto before = limits.RateOf(target.name, target.born);
-  if (!limits.RecordNoLimit(target.name, target.born, sent, now)) return;
-  state_->LimitChanged(service, *limits.ReportOf(target.name, target.born),
-                       before, {}, request, now);
-  state_->ReportLimit(service, target);
+  state_->limits.OnNoneNamed(service, target, sent, request, Now());
 }
 
 std::optional<ListedTarget> Placement::FindListed(
