--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -306,7 +306,9 @@
   const http::Request& request = exchange->request();
   if (request.path == "/order") {
     orders_.push_back(Json::parse(request.body));
-    return exchange->Respond(JsonAnswer(200, {{"Free", 1}}));
+    http::Response answer = JsonAnswer(200, {{"Free", 1}});
+    answer.fields = order_fields_;
+    return exchange->Respond(std::move(answer));
   }
   requests_.push_back({request.method,
                        request.path,
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -132,6 +132,10 @@
   const std::vector<http::Request>& requests() const { return requests_; }
   const std::vector<nlohmann::json>& orders() const { return orders_; }
   void OnRequest(Handler handler) { handler_ = std::move(handler); }
+  /// Fields of the answers to orders.
+  void SetOrderFields(http::Fields fields) {
+    order_fields_ = std::move(fields);
+  }
 
   /// Head of an answer of this target to the request.
   http::Response Head(const http::Request& request, int status = 200) const;
@@ -149,6 +153,7 @@
   std::shared_ptr<http::BodyBudget> budget_;
   std::vector<http::Request> requests_;
   std::vector<nlohmann::json> orders_;
+  http::Fields order_fields_;
   Handler handler_;
   http::Server server_;
 };
--- a/test/platform/target-limit-test.cc
+++ b/test/platform/target-limit-test.cc
@@ -179,3 +179,25 @@
       two.site.Call(two.host, "POST", "/unsafe/1", {{"x-deadline-ms", "400"}});
   CHECK(answer.response.status == 200);
 }
+
+TEST_CASE("an answer to an order about memory names a limit as well") {
+  Site site;
+  for (int i = 1; i < 14; ++i) {
+    site.AddTarget("model", "i" + std::to_string(i))
+        .SetOrderFields({{"server-limit", "2"}});
+  }
+  site.PutConfig(1, [](nlohmann::json& config) {
+    config["Services"][1]["Engine"]["KvTokens"] = 60000;
+  });
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  site.Send(host, "POST", "/stream/1", {{"x-token-count", "90000,100"}});
+  const auto& settings = site.settings(host);
+  CHECK(site.Until([&] {
+    const std::string text =
+        site.Get(settings.ip + ":" + std::to_string(settings.metrics_port),
+                 "/metrics")
+            .response.body;
+    return text.find("comfreyflow_targets_limited 1\n") != std::string::npos;
+  }));
+}
