Lists of an earlier era are neither delivered nor asked for again at once

Found by reading: a large list is parsed on a thread beside the loop, so the era may rise before it is delivered. The follower then gave the list of the old era to its users, and asked again without a pause. follower-test and follow-plan-test play both.

--- a/src/core/follow/follow-plan.cc
+++ b/src/core/follow/follow-plan.cc
@@ -99,7 +99,9 @@
   kind.is_listing = false;
   kind.listed = version.era >= era_;
   kind.version = version;
-  return Answered(kind);
+  Effect effect = Answered(kind);
+  if (!kind.listed) effect.pause = kFirstRetryDelay;
+  return effect;
 }
 
 FollowPlan::Effect FollowPlan::Changed(std::size_t index,
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -71,6 +71,8 @@
     track.confirmed_at = Now();
     const auto effect = plan.Listed(index, list.version);
     ReportStoreState(effect, index);
+    // A list of an earlier era is made again.
+    if (!plan.listed(index)) return Continue(index, effect);
     track.kind.on_listed(list.items);
     if (track.kind.on_batch_end) track.kind.on_batch_end();
     Continue(index, effect);
--- a/test/follow-plan-test.cc
+++ b/test/follow-plan-test.cc
@@ -204,7 +204,7 @@
     CHECK(plan.Next(relist.kind, 6)->list);
   }
   SUBCASE("a list of the earlier era is not accepted") {
-    CHECK(plan.Listed(kTargets, {1, 9}).pause == Duration::zero());
+    CHECK(plan.Listed(kTargets, {1, 9}).pause > Duration::zero());
     CHECK(plan.Next(kTargets, 6)->list);
   }
   SUBCASE("a list of the new era is, at a lower revision") {
--- a/test/shell/follower-test.cc
+++ b/test/shell/follower-test.cc
@@ -17,7 +17,7 @@
       ++lists[kind];
       ListAnswer answer;
       if (is_store_down) answer.error = Errc::kPlatformUnavailable;
-      answer.version = {0, 5};
+      answer.version = {era, 5};
       answer.items = {{"a", {0, 1}, "x"}, {"b", {0, 2}, "y"}};
       Post([handler, answer] { handler(answer); });
     };
@@ -65,6 +65,7 @@
   boost::asio::io_context io{1};
   ObjectStore store;
   bool is_store_down = false;
+  std::uint64_t era = 0;
   std::map<std::string, int> lists;
   std::map<std::string, int> watches;
   std::map<std::string, WatchHandler> open_watches;
@@ -129,3 +130,32 @@
   CHECK(fixture.recoveries == 1);
   CHECK(fixture.follower->store_up());
 }
+
+TEST_CASE("in a new era all kinds are listed again, and open watches ignored") {
+  FollowerFixture fixture;
+  REQUIRE(fixture.RunUntil([&] { return fixture.open_watches.size() == 2; }));
+  WatchHandler abandoned = fixture.open_watches["one"];
+  fixture.open_watches.clear();
+  fixture.era = 2;
+  fixture.follower->OnEraChange(2);
+  WatchAnswer late;
+  late.version = {1, 9};
+  late.changes.push_back({"late", {1, 9}, "v"});
+  abandoned(late);
+  REQUIRE(fixture.RunUntil([&] { return fixture.open_watches.size() == 2; }));
+  CHECK(fixture.lists["one"] == 2);
+  CHECK(fixture.lists["two"] == 2);
+  CHECK(fixture.received_objects == 8);
+  CHECK(fixture.follower->KindStatuses()[0].version == StoreVersion{2, 5});
+}
+
+TEST_CASE("a list of an earlier era is not delivered") {
+  FollowerFixture fixture;
+  // The lists are under way.
+  fixture.follower->OnEraChange(2);
+  REQUIRE(fixture.RunUntil([&] { return fixture.lists["one"] >= 2; }));
+  CHECK(fixture.received_objects == 0);
+  fixture.era = 2;
+  REQUIRE(fixture.RunUntil([&] { return fixture.open_watches.size() == 2; }));
+  CHECK(fixture.received_objects == 4);
+}
