--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -94,14 +94,20 @@
     breaches_.push_back({promise, request, std::move(detail)});
   }
 
-  /// Host-seconds in which a target had been leaving for longer than the bound,
-  /// and those of them at which the host was in touch.
-  Judged LeavingJudged() const {
-    constexpr Duration kSample = milliseconds(50);
+  /// Number of hosts, as far as requests were sent to them.
+  std::size_t HostCount() const {
     std::size_t hosts = 0;
     for (const auto& sent : records_.sent) {
       hosts = std::max(hosts, sent.host + 1);
     }
+    return hosts;
+  }
+
+  /// Host-seconds in which a target had been leaving for longer than the bound,
+  /// and those of them at which the host was in touch.
+  Judged LeavingJudged() const {
+    constexpr Duration kSample = milliseconds(50);
+    const std::size_t hosts = HostCount();
     Judged out{"DRAIN", 0, 0, "host-seconds of leaving"};
     const double step = std::chrono::duration<double>(kSample).count();
     for (const auto& leaving : records_.leaving) {
@@ -164,10 +170,7 @@
 
   /// Counts what hosts knew of leaving targets when the store went away.
   void CountRewinds() {
-    std::size_t hosts = 0;
-    for (const auto& sent : records_.sent) {
-      hosts = std::max(hosts, sent.host + 1);
-    }
+    const std::size_t hosts = HostCount();
     for (const auto& rewind : records_.rewinds) {
       for (const auto& leaving : records_.leaving) {
         if (leaving.from + bounds_.drain > rewind.from) continue;
