An announced era is judged by FollowPlan, not by the adapter

FollowPlan::EraAnnounced decides now and Follower carries it out. PlacerSettings holds RetryLimits in place of the same three fields. Tests read metrics by Site::Metric, which three of them had written for themselves.

--- a/include/comfreyflow/follow-plan.h
+++ b/include/comfreyflow/follow-plan.h
@@ -72,14 +72,20 @@
   /// it and makes the next call. Otherwise the open call returns without
   /// waiting.
   bool Behind(std::size_t kind);
-  /// The store is of another era. Returns the kinds whose open call has to be
-  /// abandoned and whose next step, a list, is due after the time given. Lists
-  /// that are under way go on. The lists of a large fleet are spread in time.
+  /// A kind whose open call has to be abandoned. Its next step, a list, is due
+  /// after `wait`.
   struct Relist {
     std::size_t kind = 0;
     Duration wait{};
   };
+  /// The store is of another era. Returns the kinds to list again; lists that
+  /// are under way go on. The lists of a large fleet are spread in time.
   std::vector<Relist> EraChanged(std::uint64_t era, std::size_t hosts);
+  /// A peer knows the store in this era, while its answers to this host name
+  /// the era `known` (0: none yet). Returns after which time to make a call
+  /// that shows it, if one is worth it. The calls of a large fleet are spread.
+  std::optional<Duration> EraAnnounced(std::uint64_t era, std::uint64_t known,
+                                       std::size_t hosts, Time now);
 
   bool store_up() const { return failures_ < kOutageFailures; }
   bool listed(std::size_t kind) const { return kinds_[kind].listed; }
@@ -107,6 +113,9 @@
 
   /// Resets the failure state after any answer of the store.
   Effect Answered(Kind& kind);
+  /// Draws a time by which this host's call is put off, so that the calls of
+  /// the fleet do not come at once.
+  Duration DrawSpread(std::size_t hosts);
   /// Draws the time for which the next watch waits.
   Duration WatchTime(std::size_t hosts);
 
@@ -114,6 +123,7 @@
   /// Consecutive failures of calls that did not wait.
   std::uint32_t failures_ = 0;
   std::uint64_t era_ = 0;  ///< Lists of an earlier era are not accepted.
+  Time next_era_check_;    ///< Earliest time of a call for a peer's word.
   /// The only kind that calls the store during an outage.
   std::size_t probing_kind_ = 0;
   std::mt19937_64 random_;
--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -122,11 +122,7 @@
 };
 
 struct PlacerSettings {
-  /// Limit on retries within `retry_window`: retry_ratio * requests in the
-  /// window + retry_slack.
-  double retry_ratio = 0.2;
-  double retry_slack = 50;
-  Duration retry_window = std::chrono::seconds(10);
+  RetryLimits retries;
   /// Seeds the order of otherwise equal targets, so that hosts which place
   /// requests independently of each other do not all choose the same target.
   std::uint64_t seed = 0;
@@ -135,9 +131,7 @@
 class Placer {
  public:
   explicit Placer(const PlacerSettings& settings)
-      : settings_(settings),
-        retry_window_({settings.retry_ratio, settings.retry_slack,
-                       settings.retry_window}) {}
+      : settings_(settings), retry_window_(settings.retries) {}
 
   /// Sets the performance model of the engines; absent if the targets are plain
   /// servers.
@@ -169,7 +163,7 @@
   void BackOff(const TargetName& target, const HostName& host, Time until,
                Time now);
   /// Sets the part of the fleet-wide budgets that this host may use: of the
-  /// targets' rate limits and of `retry_slack`.
+  /// targets' rate limits and of the slack for retries.
   void SetPart(const LimitPart& part, Time now);
   /// Rate limits named by the targets; no grant exceeds them.
   TargetLimits& limits() { return limits_; }
--- a/src/core/follow/follow-plan.cc
+++ b/src/core/follow/follow-plan.cc
@@ -17,6 +17,8 @@
 /// Shorter, because a host can't serve requests before its first list.
 constexpr Duration kMaxRetryDelayBeforeList = milliseconds(300);
 constexpr std::uint32_t kMaxDoublings = 8;
+/// Minimum time between two calls that check an era which peers announced.
+constexpr Duration kEraCheckInterval = std::chrono::seconds(1);
 /// Minimum time between two watches of a kind, so that a burst of changes
 /// arrives in few answers. It grows with the number of hosts, which keeps the
 /// call rate of the fleet constant, up to a fraction of the time within which
@@ -63,6 +65,12 @@
   return Duration(draw(random_));
 }
 
+Duration FollowPlan::DrawSpread(std::size_t hosts) {
+  const Duration spread = static_cast<int>(hosts) * kRelistSpacing;
+  std::uniform_int_distribution<Duration::rep> draw(0, spread.count());
+  return Duration(draw(random_));
+}
+
 std::optional<FollowPlan::Step> FollowPlan::Next(std::size_t index,
                                                  std::size_t hosts) {
   Kind& kind = kinds_[index];
@@ -157,8 +165,6 @@
 std::vector<FollowPlan::Relist> FollowPlan::EraChanged(std::uint64_t era,
                                                        std::size_t hosts) {
   era_ = era;
-  const Duration spread = static_cast<int>(hosts) * kRelistSpacing;
-  std::uniform_int_distribution<Duration::rep> draw(0, spread.count());
   std::vector<Relist> out;
   for (std::size_t i = 0; i < kinds_.size(); ++i) {
     Kind& kind = kinds_[i];
@@ -166,11 +172,21 @@
     kind.is_watching = false;
     kind.needs_check = false;
     const bool has_next_step = kind.is_listing || kind.waits_for_store;
-    if (!has_next_step) out.push_back({i, Duration(draw(random_))});
+    if (!has_next_step) out.push_back({i, DrawSpread(hosts)});
   }
   return out;
 }
 
+std::optional<Duration> FollowPlan::EraAnnounced(std::uint64_t era,
+                                                 std::uint64_t known,
+                                                 std::size_t hosts, Time now) {
+  if (era <= known || era > kMaxStoreEra || now < next_era_check_)
+    return std::nullopt;
+  if (known != 0 && era - known > kMaxEraRise) return std::nullopt;
+  next_era_check_ = now + kEraCheckInterval;
+  return DrawSpread(hosts);
+}
+
 bool FollowPlan::Behind(std::size_t index) {
   if (!std::exchange(kinds_[index].is_watching, false)) return false;
   kinds_[index].needs_check = true;
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -31,7 +31,8 @@
         std::vector<FollowedKind> kinds, FollowerHooks hooks)
       : store(std::move(object_store)),
         hooks(std::move(hooks)),
-        plan(kinds.size(), std::random_device{}()) {
+        plan(kinds.size(), std::random_device{}()),
+        era_timer(io) {
     for (auto& kind : kinds) {
       Track& track = tracks.emplace_back();
       track.kind = std::move(kind);
@@ -139,6 +140,32 @@
     }
   }
 
+  bool OnEraAnnounced(std::uint64_t era, std::uint64_t known) {
+    const auto wait =
+        plan.EraAnnounced(era, known, hooks.fleet_part().hosts, Now());
+    if (!wait) return false;
+    era_timer.expires_after(*wait);
+    era_timer.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& error) {
+          if (error || self->stopped) return;
+          for (std::size_t i = 0; i < self->tracks.size(); ++i) {
+            self->RefreshStale(i);
+          }
+        });
+    return true;
+  }
+
+  void RefreshStale(std::size_t index) {
+    if (!plan.Behind(index)) return;
+    LogLine(Severity::kInfo, Event::kStoreCallFailed)
+        .With("kind", tracks[index].kind.kind)
+        .With("behind", true)
+        .With("version", plan.version(index).revision)
+        .With("era", plan.version(index).era)
+        .With("age", AgeOf(index));
+    Step(index);
+  }
+
   void ReportStoreState(const FollowPlan::Effect& effect, std::size_t index) {
     if (effect.store_lost) {
       LogLine(Severity::kWarning, Event::kStoreLost)
@@ -179,6 +206,7 @@
   FollowerHooks hooks;
   std::vector<Track> tracks;
   FollowPlan plan;
+  asio::steady_timer era_timer;
   bool stopped = false;
 };
 
@@ -190,6 +218,7 @@
 Follower::~Follower() {
   state_->stopped = true;
   for (auto& track : state_->tracks) track.timer->cancel();
+  state_->era_timer.cancel();
 }
 
 void Follower::Start() {
@@ -198,16 +227,7 @@
 
 void Follower::RefreshStale(const std::string& kind) {
   for (std::size_t i = 0; i < state_->tracks.size(); ++i) {
-    if (state_->tracks[i].kind.kind != kind || !state_->plan.Behind(i)) {
-      continue;
-    }
-    LogLine(Severity::kInfo, Event::kStoreCallFailed)
-        .With("kind", kind)
-        .With("behind", true)
-        .With("version", state_->plan.version(i).revision)
-        .With("era", state_->plan.version(i).era)
-        .With("age", state_->AgeOf(i));
-    state_->Step(i);
+    if (state_->tracks[i].kind.kind == kind) state_->RefreshStale(i);
   }
 }
 
@@ -221,6 +241,10 @@
   return statuses;
 }
 
+bool Follower::OnEraAnnounced(std::uint64_t era, std::uint64_t known) {
+  return state_->OnEraAnnounced(era, known);
+}
+
 void Follower::OnEraChange(std::uint64_t era) { state_->OnEraChange(era); }
 
 bool Follower::store_up() const { return state_->plan.store_up(); }
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -51,6 +51,9 @@
   void Start();
   /// Requests the kind again at once because it is known to lag the store.
   void RefreshStale(const std::string& kind);
+  /// A peer knows the store in a later era than `known`, the one that this host
+  /// knows. Makes a call that shows it to this host. Returns whether it does.
+  bool OnEraAnnounced(std::uint64_t era, std::uint64_t known);
   /// Lists all kinds again, because the store is of another era.
   void OnEraChange(std::uint64_t era);
   bool store_up() const;
--- a/test/follow-plan-test.cc
+++ b/test/follow-plan-test.cc
@@ -259,3 +259,17 @@
   REQUIRE(effect.resumed.size() == 1);
   CHECK(plan.Next(kDocument, 6)->list);
 }
+
+TEST_CASE("a later era that a peer announced is checked once a second") {
+  FollowPlan plan = Listed();
+  const Time now{std::chrono::hours(1)};
+  CHECK_FALSE(plan.EraAnnounced(4, 4, 6, now));
+  CHECK_FALSE(plan.EraAnnounced(3, 4, 6, now));
+  CHECK_FALSE(plan.EraAnnounced(kMaxStoreEra + 1, 0, 6, now));
+  CHECK_FALSE(plan.EraAnnounced(4 + kMaxEraRise + 1, 4, 6, now));
+  const auto wait = plan.EraAnnounced(5, 4, 6, now);
+  REQUIRE(wait);
+  CHECK(*wait <= 6 * kRelistSpacing);
+  CHECK_FALSE(plan.EraAnnounced(6, 4, 6, now + milliseconds(999)));
+  CHECK(plan.EraAnnounced(6, 4, 6, now + seconds(1)));
+}
--- a/test/placer-test.cc
+++ b/test/placer-test.cc
@@ -367,8 +367,8 @@
 
 TEST_CASE("retries stay within their budget in any window") {
   PlacerSettings settings;
-  settings.retry_ratio = 0.2;
-  settings.retry_slack = 5;
+  settings.retries.ratio = 0.2;
+  settings.retries.slack = 5;
   Placer placer(settings);
   placer.SetTargets(PoolTargets(3, 1000), kStart);
   std::uint32_t retries = 0;
@@ -392,7 +392,7 @@
 TEST_CASE("hosts that place independently share the retry budget") {
   constexpr std::size_t kHosts = 6;
   PlacerSettings settings;
-  settings.retry_slack = 50;
+  settings.retries.slack = 50;
   std::uint32_t retries = 0;
   for (std::size_t host = 0; host < kHosts; ++host) {
     Placer placer(settings);
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -559,4 +559,15 @@
   return *answer;
 }
 
+std::string Site::Metric(std::size_t number, const std::string& name) {
+  const HostSettings& settings = settings_.at(number);
+  const std::string text =
+      Get(settings.ip + ":" + std::to_string(settings.metrics_port), "/metrics")
+          .response.body;
+  const auto at = text.find("\n" + name + " ");
+  if (at == std::string::npos) return "absent";
+  const auto begin = at + name.size() + 2;
+  return text.substr(begin, text.find('\n', begin) - begin);
+}
+
 }  // namespace comfreyflow::platform
--- a/test/platform/store-era-test.cc
+++ b/test/platform/store-era-test.cc
@@ -61,13 +61,8 @@
         .Call(host, "GET", "/safe/x", {{"authorization", "Token " + key}})
         .response.status;
   }
-  std::string Metrics(std::size_t host) {
-    return site.Get(site.settings(host).ip + ":9464", "/metrics").response.body;
-  }
   bool HasEra(std::size_t host, std::uint64_t era) {
-    const std::string line =
-        "comfreyflow_store_era " + std::to_string(era) + "\n";
-    return Metrics(host).find(line) != std::string::npos;
+    return site.Metric(host, "comfreyflow_store_era") == std::to_string(era);
   }
 
   Site site;
--- a/test/platform/target-limit-test.cc
+++ b/test/platform/target-limit-test.cc
@@ -192,12 +192,6 @@
   const auto host = site.AddHost();
   REQUIRE(site.UntilReady(host));
   site.Send(host, "POST", "/stream/1", {{"x-token-count", "90000,100"}});
-  const auto& settings = site.settings(host);
-  CHECK(site.Until([&] {
-    const std::string text =
-        site.Get(settings.ip + ":" + std::to_string(settings.metrics_port),
-                 "/metrics")
-            .response.body;
-    return text.find("comfreyflow_targets_limited 1\n") != std::string::npos;
-  }));
+  CHECK(site.Until(
+      [&] { return site.Metric(host, "comfreyflow_targets_limited") == "1"; }));
 }
--- a/test/platform/two-targets.h
+++ b/test/platform/two-targets.h
@@ -62,15 +62,7 @@
 
   std::string Metric(const std::string& name) { return Metric(host, name); }
   std::string Metric(std::size_t number, const std::string& name) {
-    const auto& settings = site.settings(number);
-    const std::string text =
-        site.Get(settings.ip + ":" + std::to_string(settings.metrics_port),
-                 "/metrics")
-            .response.body;
-    const auto at = text.find("\n" + name + " ");
-    if (at == std::string::npos) return "absent";
-    const auto begin = at + name.size() + 2;
-    return text.substr(begin, text.find('\n', begin) - begin);
+    return site.Metric(number, name);
   }
 
   Site site;
