--- a/src/gateway/edge.h
+++ b/src/gateway/edge.h
@@ -4,9 +4,11 @@
 /// the adapter.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "comfreyflow/errors.h"
 #include "comfreyflow/routes.h"
@@ -24,6 +26,9 @@
   std::uint32_t max_output_tokens = 0;
   std::uint32_t likely_output_tokens = 0;  ///< The caller's estimate; 0: none.
   std::string last_event_id;  ///< Last event received, if it resumes a stream.
+  /// Parts of the prompt that other requests may share, in order. The part that
+  /// belongs to this request alone is not among them.
+  std::vector<std::uint64_t> shared_parts;
 };
 
 /// A target that takes over part of the prompt processing for another target.
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cinttypes>
 #include <utility>
 
 #include "comfreyflow/event-splitter.h"
@@ -39,6 +40,18 @@
 /// Largest urgency value on the wire, which is the least urgent.
 constexpr int kMaxUrgency = 9;
 
+/// Hexadecimal numbers, separated by commas.
+std::string ToHexList(const std::vector<std::uint64_t>& numbers) {
+  std::string out;
+  char text[20];
+  for (const auto number : numbers) {
+    std::snprintf(text, sizeof(text), "%s%016" PRIx64, out.empty() ? "" : ",",
+                  number);
+    out += text;
+  }
+  return out;
+}
+
 class Relay : public std::enable_shared_from_this<Relay> {
  public:
   Relay(RelayContext& context, http::ExchangePtr exchange)
@@ -557,6 +570,10 @@
         .With("sent", request_sent_)
         .With("not_run", failure.reported_not_run)
         .With("head_sent", progress_.head_sent)
+        .With("begun", attempt_started_)
+        .With("sent_for", duration_cast<milliseconds>(Now() - attempt_sent_at_))
+        .With("account", account_)
+        .With("parts", ToHexList(caller_.shared_parts))
         .With("try", std::uint64_t{progress_.attempts})
         .With("next", static_cast<std::uint64_t>(next));
     context_.placement.Ended(id_, end, cause_);
--- a/test/platform/translation-test.cc
+++ b/test/platform/translation-test.cc
@@ -186,6 +186,27 @@
   CHECK(read.key.empty());
 }
 
+TEST_CASE("the parts that prompts share are read, without the last one") {
+  const auto edge = MakeEdge();
+  const auto parts = [&edge](const std::string& list) {
+    http::Request request;
+    request.fields = {{"x-prefix-hash", list}};
+    return edge.read_request(request).shared_parts;
+  };
+  CHECK(parts("").empty());
+  CHECK(parts("ab:800").empty());
+  const auto two = parts("ab:800,cd:40, ef:9");
+  REQUIRE(two.size() == 2);
+  CHECK(two[0] != two[1]);
+  CHECK(parts("ab:1,ef:9")[0] == two[0]);
+  CHECK(parts(" ab ,ef:9")[0] == two[0]);
+  CHECK(parts(",,:4,").empty());
+  std::string long_list = "last:1";
+  for (int i = 0; i < 5000; ++i)
+    long_list.insert(0, "p" + std::to_string(i) + ":1,");
+  CHECK(parts(long_list).size() <= 32);
+}
+
 TEST_CASE(
     "a response is authentic only with x-seal and without content encoding") {
   const auto edge = MakeEdge();
