--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -285,6 +285,14 @@
   return head;
 }
 
+void FakeTarget::Crash() {
+  crashed_ = true;
+  server_.Close();
+  for (const auto& open : std::exchange(open_, {})) {
+    if (const auto exchange = open.lock()) exchange->Abort();
+  }
+}
+
 void FakeTarget::AbortLater(const http::ExchangePtr& exchange) const {
   constexpr milliseconds kTimeToWrite{50};
   const auto timer =
@@ -303,6 +311,9 @@
 }
 
 void FakeTarget::Handle(const http::ExchangePtr& exchange) {
+  if (crashed_) return exchange->Abort();
+  std::erase_if(open_, [](const auto& open) { return open.expired(); });
+  open_.push_back(exchange);
   const http::Request& request = exchange->request();
   if (request.path == "/order") {
     orders_.push_back(Json::parse(request.body));
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -139,6 +139,8 @@
 
   /// Head of an answer of this target to the request.
   http::Response Head(const http::Request& request, int status = 200) const;
+  /// Breaks all connections with open requests and takes no new ones.
+  void Crash();
   /// Breaks the connection off once what was written is out.
   void AbortLater(const http::ExchangePtr& exchange) const;
   /// Writes `count` events from `first` on; `End` or `Abort` follow.
@@ -155,6 +157,8 @@
   std::vector<nlohmann::json> orders_;
   http::Fields order_fields_;
   Handler handler_;
+  std::vector<std::weak_ptr<http::Exchange>> open_;
+  bool crashed_ = false;
   http::Server server_;
 };
 
