--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -83,7 +83,16 @@
         placement(io, {settings.self.name, settings.self.incarnation,
                        settings.self.failure_domain, settings.placement,
                        settings.key, WithSeed(settings),
-                       hooks.is_target_removed, hooks.target_marked}),
+                       hooks.is_target_removed, hooks.target_marked,
+                       [this](const HostName& sender,
+                              const wire::CrashNewsMessage& news) {
+                         crashes->OnNews(sender, news);
+                       }}),
+        crashes(std::make_shared<CrashWatch>(
+            io,
+            settings.self.incarnation.value ^
+                std::hash<std::string>()(settings.self.name.value),
+            CrashHooks())),
         relay_context{
             io,
             client,
@@ -91,6 +100,7 @@
             hooks.edge,
             settings.self.failure_domain,
             [this] { return ServedTable(); },
+            *crashes,
             [this](const CrashEvidence& evidence) { BroadcastCrash(evidence); },
             metrics,
             hooks.target_list_status,
@@ -275,7 +285,7 @@
   void BroadcastCrash(const CrashEvidence& evidence) {
     const auto crashed =
         relay_context.poison.CrashedTargets(evidence.fingerprint);
-    LogLine(Severity::kWarning, Event::kCrashSuspected)
+    LogLine(Severity::kWarning, Event::kRequestSuspected)
         .With("fingerprint", evidence.fingerprint)
         .With("target", evidence.target)
         .With("crashes", std::uint64_t{crashed.size()});
@@ -295,6 +305,19 @@
     }
   }
 
+  CrashWatchHooks CrashHooks() {
+    CrashWatchHooks crash;
+    crash.hosts = [this] { return placement.OtherHosts(); };
+    crash.send = [this](const wire::CrashNewsMessage& news,
+                        const std::vector<HostName>& hosts) {
+      placement.SendCrashNews(news, hosts);
+    };
+    crash.may_try = [this](const ServiceName& service) {
+      return placement.HolderOf(service) == settings.self.name;
+    };
+    return crash;
+  }
+
   std::uint64_t version() const {
     return table ? table->document().version : 0;
   }
@@ -331,6 +354,7 @@
   node::Metrics metrics;
   http::Client client;
   Placement placement;
+  std::shared_ptr<CrashWatch> crashes;
   RelayContext relay_context;
   Peers peers;
   std::shared_ptr<http::BodyBudget> body_budget;
@@ -357,7 +381,7 @@
     : state_(
           std::make_shared<State>(io, std::move(settings), std::move(hooks))) {}
 
-Gateway::~Gateway() = default;
+Gateway::~Gateway() { state_->crashes->Stop(); }
 
 std::error_code Gateway::Open() {
   if (const auto error =
@@ -369,6 +393,7 @@
     return error;
   }
   if (const auto error = state_->placement.Open()) return error;
+  state_->crashes->Start();
   if (const auto error = state_->peers.Open()) return error;
   state_->RefreshPeers();
   state_->PollFacts();
@@ -484,6 +509,23 @@
       "Limits known to this host that targets set for the requests of all "
       "hosts.",
       static_cast<double>(state.placement.limited_targets()));
+  const auto& crashes = *state.crashes;
+  add("comfreyflow_crash_verdicts",
+      "Verdicts on requests that crash targets and are not sent.",
+      static_cast<double>(crashes.ledger().verdicts().size()));
+  const auto count = [&more](const char* name, const char* help,
+                             std::uint64_t value) {
+    more.push_back({name, "counter", help, {{"", static_cast<double>(value)}}});
+  };
+  count("comfreyflow_crashes_confirmed_total",
+        "Crashes of targets that this host saw and confirmed.",
+        crashes.confirmed());
+  count("comfreyflow_crashes_unconfirmed_total",
+        "Broken connections to targets that did not turn out to be crashes.",
+        crashes.unconfirmed());
+  count("comfreyflow_crash_refusals_total",
+        "Requests that were not sent because they crash targets.",
+        crashes.refused());
   more.push_back(
       {"comfreyflow_grants_past_limits_total",
        "counter",
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -466,6 +466,8 @@
     }
     for (const auto& service : affected_services) DeliverDecisions(service);
     for (const auto& answer : messages.answers) OnPlacementAnswer(answer);
+    if (settings.crash_news && !messages.crash_news.empty())
+      settings.crash_news(messages.sender, messages.crash_news);
   }
 
   void OnPlacementAnswer(const wire::PlaceAnswerMessage& answer) {
@@ -756,6 +758,28 @@
   state_->BroadcastLeaving(mark);
 }
 
+void Placement::SendCrashNews(const wire::CrashNewsMessage& news,
+                              const std::vector<HostName>& hosts) {
+  const auto append = [](auto& to, const auto& from) {
+    to.insert(to.end(), from.begin(), from.end());
+  };
+  for (const auto& host : hosts) {
+    auto& out = state_->MessagesFor(host).crash_news;
+    append(out.crashes, news.crashes);
+    append(out.acquittals, news.acquittals);
+    append(out.verdicts, news.verdicts);
+    out.wanted = out.wanted || news.wanted;
+  }
+}
+
+std::vector<HostName> Placement::OtherHosts() const {
+  std::vector<HostName> hosts;
+  for (const auto& [name, peer] : state_->peers) {
+    if (name != state_->settings.self) hosts.push_back(name);
+  }
+  return hosts;
+}
+
 std::optional<TargetName> Placement::FindUnfitTarget(
     const PlaceGrant& grant) const {
   const PlacedTarget* unfit = state_->FindUnfitTarget(grant);
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -48,6 +48,9 @@
   /// Called when another host forwards a target's report that it accepts no new
   /// work; may be empty.
   std::function<void(const TargetMark&)> target_marked;
+  /// Called with what another host knows of crashes; may be empty.
+  std::function<void(const HostName& sender, const wire::CrashNewsMessage&)>
+      crash_news;
 };
 
 /// Used on one I/O thread only.
@@ -104,6 +107,11 @@
   /// Informs the holders that a target has reported that it accepts no new
   /// work.
   void BroadcastLeaving(const TargetMark& mark);
+  /// Sends what this host knows of crashes to the hosts.
+  void SendCrashNews(const wire::CrashNewsMessage& news,
+                     const std::vector<HostName>& hosts);
+  /// The other live hosts.
+  std::vector<HostName> OtherHosts() const;
   /// Returns a granted target that no longer accepts requests of this host, if
   /// there is one.
   std::optional<TargetName> FindUnfitTarget(const PlaceGrant& grant) const;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -35,6 +35,8 @@
 /// caller never takes a truncated answer for a complete one.
 constexpr std::size_t kMaxBufferedAnswerBytes = 1024 * 1024;
 constexpr int kServerErrors = 500;
+/// A target that has written an answer for this long does not crash on it.
+constexpr Duration kProofTime = std::chrono::milliseconds(250);
 /// Minimum Retry-After while this host has no configuration.
 constexpr Duration kNoConfigurationRetry = std::chrono::seconds(1);
 /// Largest urgency value on the wire, which is the least urgent.
@@ -83,11 +85,8 @@
     service_ = ChooseService(*route_, context_.random());
     const RoutedService* service = table_->Service(service_);
     targets_are_engines_ = service != nullptr && service->engine.has_value();
-    fingerprint_ = Fingerprint();
-    if (context_.poison.Decide(fingerprint_, arrival_) ==
-        PoisonDecision::kQuarantined) {
-      return Refuse(Errc::kQuarantined);
-    }
+    subjects_ = Subjects();
+    if (IsCondemned()) return Refuse(Errc::kQuarantined);
     id_ = context_.placement.NextId();
     deadline_timer_.Arm(ceil<milliseconds>(limit), weak_from_this(),
                         &Relay::OnDeadline);
@@ -119,12 +118,29 @@
     return true;
   }
 
-  std::uint64_t Fingerprint() const {
+  bool IsCondemned() {
+    const bool is_quarantined =
+        context_.poison.Decide(subjects_.request, Now()) ==
+        PoisonDecision::kQuarantined;
+    return is_quarantined ||
+           context_.crashes.IsCondemned(service_, subjects_, caller_.id);
+  }
+
+  RequestSubjects Subjects() const {
     const auto& request = exchange_->request();
     const auto hash = [](const std::string& text, std::uint64_t seed) {
       return XXH3_64bits_withSeed(text.data(), text.size(), seed);
     };
-    return hash(request.body, hash(request.target, hash(account_.value, 0)));
+    RequestSubjects subjects;
+    subjects.account = hash(account_.value, 0);
+    subjects.request =
+        hash(request.body, hash(request.target, subjects.account));
+    const std::uint64_t service = hash(service_.value, 0);
+    for (const auto part : caller_.shared_parts) {
+      subjects.parts.push_back(
+          XXH3_64bits_withSeed(&part, sizeof(part), service));
+    }
+    return subjects;
   }
 
   // ---- Placement ----
@@ -182,6 +198,11 @@
     grant_ = std::get<PlaceGrant>(decision);
     const Time now = Now();
     if (now >= deadline_) return OnDeadline();
+    // The verdict may be younger than the request.
+    if (IsCondemned()) {
+      context_.placement.Ended(id_, WorkEnd::kCancelled);
+      return OnCondemned();
+    }
     const KindStatus list_status = context_.target_list_status
                                        ? context_.target_list_status()
                                        : KindStatus{};
@@ -241,6 +262,12 @@
     Send(Now());
   }
 
+  void OnCondemned() {
+    if (progress_.head_sent) return AbortResponse(Errc::kQuarantined);
+    if (stored_answer_) return ForwardStoredAnswer();
+    RespondWithFailure(Errc::kQuarantined, {});
+  }
+
   /// Requests another grant. The request has not been sent to any target.
   void OnReservationFailed(const TargetName& refused) {
     EndReservations();
@@ -269,6 +296,7 @@
     if (++progress_.attempts > 1) context_.metrics.Retried();
     context_.metrics.QueueWait(now - arrival_);
     attempt_started_ = false;
+    attempt_proven_ = false;
     request_sent_ = false;
     target_head_ = {};
     target_response_ = {};
@@ -435,7 +463,11 @@
     RecordEventGap();
     if (!attempt_started_) {
       attempt_started_ = true;
+      attempt_started_at_ = last_event_at_;
       context_.placement.Started(id_);
+    } else if (!attempt_proven_ && HasProvenSound()) {
+      attempt_proven_ = true;
+      context_.crashes.OnAnswered(subjects_);
     }
     ArmResponseTimer(true);
     ForwardEvents(events);
@@ -500,6 +532,7 @@
     }
     std::string comments = splitter_.TakeUnfinished();
     if (!comments.empty()) exchange_->Write(std::move(comments));
+    context_.crashes.OnAnswered(subjects_);
     context_.placement.Ended(id_, WorkEnd::kDone);
     exchange_->End();
     Finish(Errc::kOk);
@@ -527,6 +560,7 @@
       }
       return OnAttemptFailed(WorkEnd::kTargetError, Errc::kTargetFailed);
     }
+    context_.crashes.OnAnswered(subjects_);
     if (progress_.head_sent) {
       context_.placement.Ended(id_, WorkEnd::kDone);
       exchange_->End();
@@ -557,6 +591,7 @@
     last_failure_ = code;
     progress_.remaining = deadline_ - Now();
     splitter_.DropUnfinished();
+    const bool was_suspect = context_.crashes.IsSuspect(subjects_);
     RecordCrash(end);
     const NextStep next = AfterFailure(*route_, failure, progress_);
     cause_ = CauseOf(failure);
@@ -577,7 +612,7 @@
         .With("try", std::uint64_t{progress_.attempts})
         .With("next", static_cast<std::uint64_t>(next));
     context_.placement.Ended(id_, end, cause_);
-    TakeNextStep(next, code);
+    TakeNextStep(next, code, was_suspect && end == WorkEnd::kBroken);
   }
 
   /// The granted target that the refusal names, otherwise the first one.
@@ -590,20 +625,26 @@
     return grant_.targets.front().name;
   }
 
+  /// Whether the target has written this answer for long enough to show that
+  /// the request does not crash it.
+  bool HasProvenSound() const {
+    return attempt_started_ && Now() - attempt_started_at_ >= kProofTime;
+  }
+
   void RecordCrash(WorkEnd end) {
-    const Time now = Now();
-    const bool crashed = end == WorkEnd::kBroken && request_sent_;
-    if (!crashed) return;
-    const CrashEvidence evidence{fingerprint_, grant_.targets.front().name};
-    if (context_.poison.AddEvidence(evidence, now))
+    if (end != WorkEnd::kBroken || !request_sent_) return;
+    const PlacedTarget& target = grant_.targets.front();
+    const CrashEvidence evidence{subjects_.request, target.name};
+    if (context_.poison.AddEvidence(evidence, Now()))
       context_.share_crash(evidence);
+    if (HasProvenSound()) return;
+    context_.crashes.OnConnectionBroken(service_, target, subjects_);
   }
 
-  void TakeNextStep(NextStep next, Errc code) {
+  void TakeNextStep(NextStep next, Errc code, bool may_crash_again) {
     switch (next) {
       case NextStep::kRetry:
-        if (context_.poison.Decide(fingerprint_, Now()) ==
-            PoisonDecision::kQuarantined) {
+        if (may_crash_again || IsCondemned()) {
           return progress_.head_sent ? AbortResponse(code)
                                      : RespondWithFailure(code, {});
         }
@@ -743,7 +784,7 @@
   ServiceName service_;
   /// The service's targets are batching engines.
   bool targets_are_engines_ = false;
-  std::uint64_t fingerprint_ = 0;
+  RequestSubjects subjects_;
   RequestId id_;
   const Time arrival_;
   Time deadline_;
@@ -771,6 +812,8 @@
   Time attempt_sent_at_;
   bool request_sent_ = false;
   bool attempt_started_ = false;
+  Time attempt_started_at_;      ///< When its first event arrived.
+  bool attempt_proven_ = false;  ///< The target wrote for a while.
   bool is_event_stream_ = false;
   TargetName cause_;  ///< Target that caused the last failure.
   TargetHead target_head_;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -10,6 +10,7 @@
 #include "comfreyflow/poison.h"
 #include "comfreyflow/routes.h"
 #include "comfreyflow/target-book.h"
+#include "gateway/crash-watch.h"
 #include "gateway/edge.h"
 #include "gateway/follower.h"
 #include "gateway/placement.h"
@@ -28,6 +29,7 @@
   EdgeHooks edge;
   FailureDomain domain;
   std::function<std::shared_ptr<const RouteTable>()> table;
+  CrashWatch& crashes;
   std::function<void(const CrashEvidence&)> share_crash;
   node::Metrics& metrics;
   std::function<KindStatus()> target_list_status;
@@ -35,6 +37,8 @@
   /// no new work.
   std::function<void(const LeavingReport&, const std::string& request)>
       target_left;
+  /// Whole requests on which connections broke, whether the target crashed or
+  /// not.
   /// A broken connection is weaker evidence of a crash than a target's own
   /// crash report, so more crashes are required here than where targets report
   /// them.
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -45,7 +45,11 @@
   kPlaced,
   kReservationRefused,
   kTryFailed,
+  kRequestSuspected,
   kCrashSuspected,
+  kCrashCondemned,
+  kCrashLifted,
+  kCrashRefused,
   kRequestEnded,
   kLinesLeftOut,
   kLinesLost,
@@ -78,7 +82,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 60> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 64> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -179,10 +183,30 @@
     {"reservation_refused", "a target rejected the reservation of memory",
      "target status held"},
     {"try_failed", "an attempt ended without a complete answer",
-     "request target cause end status sent not_run head_sent try next"},
-    {"crash_suspected",
-     "a connection broke during a request, possibly because the target crashed",
+     "request target cause end status sent not_run head_sent begun sent_for "
+     "account parts try next"},
+    {"request_suspected",
+     "a connection broke during a request, possibly because the target "
+     "crashed; crashes: targets at which this whole request met that",
      "fingerprint target crashes"},
+    {"crash_suspected",
+     "a connection broke before a target had answered; confirmed: the target "
+     "then refused a connection, so that it has crashed; one line for each "
+     "request that it was about to answer; crashes: those remembered here",
+     "service target born requests confirmed fingerprint parts crashes"},
+    {"crash_condemned",
+     "requests that contain all of these subjects (parts of prompts or whole "
+     "requests, as hashes) are no longer sent, because they crash targets; "
+     "first, age: time since the first and the last crash; host: the peer that "
+     "reported it, if any",
+     "subjects accounts targets first age host"},
+    {"crash_lifted",
+     "such requests are sent again, because a target answered one",
+     "subjects accounts targets first age host"},
+    {"crash_refused",
+     "a request was not sent because of crash_condemned; targets: some that "
+     "crashed; age: time since the last crash",
+     "request service subjects targets age trials"},
     {"request_ended", "a request got its only final answer",
      "request route version account code prompt_tokens tries ran events "
      "first_event longest_pause took objective max_gap service outcome "
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -289,6 +289,47 @@
   5: i64 count
 }
 
+// The contents of a request, as hashes.
+struct RequestSubjects {
+  1: i64 request
+  2: i64 account
+  3: list<i64> parts
+}
+
+// A start of a target crashed while it was about to answer these requests.
+struct CrashReport {
+  1: string service_name
+  2: string target
+  3: i64 born
+  4: i32 age_ms
+  5: list<RequestSubjects> requests
+}
+
+// A request that contained the subject was answered so long ago.
+struct Acquittal {
+  1: i64 subject
+  2: i32 age_ms
+}
+
+// Requests that contain all subjects crash targets.
+struct CrashVerdict {
+  1: list<i64> subjects
+  2: list<i64> accounts
+  3: i32 first_crash_age_ms
+  4: i32 last_crash_age_ms
+  5: list<string> targets
+  6: i32 trials
+  7: i32 next_trial_ms
+}
+
+struct CrashNews {
+  1: list<CrashReport> crashes
+  2: list<Acquittal> acquittals
+  3: list<CrashVerdict> verdicts
+  // The sender asks for the receiver's verdicts and recent crashes.
+  4: bool wanted
+}
+
 struct PlaceDatagram {
   1: string sender
   2: i64 incarnation
@@ -299,4 +340,5 @@
   7: list<TargetMark> leaving
   8: list<TargetRest> rests
   9: list<TargetLimit> limits
+  10: optional CrashNews crash_news
 }
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -5936,6 +5936,946 @@
 }
 
 
+RequestSubjects::~RequestSubjects() noexcept {
+}
+
+
+void RequestSubjects::__set_request(const int64_t val) {
+  this->request = val;
+}
+
+void RequestSubjects::__set_account(const int64_t val) {
+  this->account = val;
+}
+
+void RequestSubjects::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+std::ostream& operator<<(std::ostream& out, const RequestSubjects& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RequestSubjects::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->parts.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
+            {
+              xfer += iprot->readI64(this->parts[_i182]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RequestSubjects::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RequestSubjects");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->account);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter183;
+    for (_iter183 = this->parts.begin(); _iter183 != this->parts.end(); ++_iter183)
+    {
+      xfer += oprot->writeI64((*_iter183));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RequestSubjects &a, RequestSubjects &b) {
+  using ::std::swap;
+  swap(a.request, b.request);
+  swap(a.account, b.account);
+  swap(a.parts, b.parts);
+  swap(a.__isset, b.__isset);
+}
+
+RequestSubjects::RequestSubjects(const RequestSubjects& other184) {
+  request = other184.request;
+  account = other184.account;
+  parts = other184.parts;
+  __isset = other184.__isset;
+}
+RequestSubjects& RequestSubjects::operator=(const RequestSubjects& other185) {
+  request = other185.request;
+  account = other185.account;
+  parts = other185.parts;
+  __isset = other185.__isset;
+  return *this;
+}
+void RequestSubjects::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RequestSubjects(";
+  out << "request=" << to_string(request);
+  out << ", " << "account=" << to_string(account);
+  out << ", " << "parts=" << to_string(parts);
+  out << ")";
+}
+
+
+CrashReport::~CrashReport() noexcept {
+}
+
+
+void CrashReport::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void CrashReport::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void CrashReport::__set_born(const int64_t val) {
+  this->born = val;
+}
+
+void CrashReport::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void CrashReport::__set_requests(const std::vector<RequestSubjects> & val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashReport::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->born);
+          this->__isset.born = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->requests.clear();
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->requests.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
+            {
+              xfer += this->requests[_i190].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashReport::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashReport");
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("born", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->born);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
+    std::vector<RequestSubjects> ::const_iterator _iter191;
+    for (_iter191 = this->requests.begin(); _iter191 != this->requests.end(); ++_iter191)
+    {
+      xfer += (*_iter191).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashReport &a, CrashReport &b) {
+  using ::std::swap;
+  swap(a.service_name, b.service_name);
+  swap(a.target, b.target);
+  swap(a.born, b.born);
+  swap(a.age_ms, b.age_ms);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+CrashReport::CrashReport(const CrashReport& other192) {
+  service_name = other192.service_name;
+  target = other192.target;
+  born = other192.born;
+  age_ms = other192.age_ms;
+  requests = other192.requests;
+  __isset = other192.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other193) {
+  service_name = other193.service_name;
+  target = other193.target;
+  born = other193.born;
+  age_ms = other193.age_ms;
+  requests = other193.requests;
+  __isset = other193.__isset;
+  return *this;
+}
+void CrashReport::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashReport(";
+  out << "service_name=" << to_string(service_name);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "born=" << to_string(born);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
+Acquittal::~Acquittal() noexcept {
+}
+
+
+void Acquittal::__set_subject(const int64_t val) {
+  this->subject = val;
+}
+
+void Acquittal::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const Acquittal& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Acquittal::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->subject);
+          this->__isset.subject = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Acquittal::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Acquittal");
+
+  xfer += oprot->writeFieldBegin("subject", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->subject);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Acquittal &a, Acquittal &b) {
+  using ::std::swap;
+  swap(a.subject, b.subject);
+  swap(a.age_ms, b.age_ms);
+  swap(a.__isset, b.__isset);
+}
+
+Acquittal::Acquittal(const Acquittal& other194) noexcept {
+  subject = other194.subject;
+  age_ms = other194.age_ms;
+  __isset = other194.__isset;
+}
+Acquittal& Acquittal::operator=(const Acquittal& other195) noexcept {
+  subject = other195.subject;
+  age_ms = other195.age_ms;
+  __isset = other195.__isset;
+  return *this;
+}
+void Acquittal::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Acquittal(";
+  out << "subject=" << to_string(subject);
+  out << ", " << "age_ms=" << to_string(age_ms);
+  out << ")";
+}
+
+
+CrashVerdict::~CrashVerdict() noexcept {
+}
+
+
+void CrashVerdict::__set_subjects(const std::vector<int64_t> & val) {
+  this->subjects = val;
+}
+
+void CrashVerdict::__set_accounts(const std::vector<int64_t> & val) {
+  this->accounts = val;
+}
+
+void CrashVerdict::__set_first_crash_age_ms(const int32_t val) {
+  this->first_crash_age_ms = val;
+}
+
+void CrashVerdict::__set_last_crash_age_ms(const int32_t val) {
+  this->last_crash_age_ms = val;
+}
+
+void CrashVerdict::__set_targets(const std::vector<std::string> & val) {
+  this->targets = val;
+}
+
+void CrashVerdict::__set_trials(const int32_t val) {
+  this->trials = val;
+}
+
+void CrashVerdict::__set_next_trial_ms(const int32_t val) {
+  this->next_trial_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashVerdict& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashVerdict::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->subjects.clear();
+            uint32_t _size196;
+            ::apache::thrift::protocol::TType _etype199;
+            xfer += iprot->readListBegin(_etype199, _size196);
+            this->subjects.resize(_size196);
+            uint32_t _i200;
+            for (_i200 = 0; _i200 < _size196; ++_i200)
+            {
+              xfer += iprot->readI64(this->subjects[_i200]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.subjects = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accounts.clear();
+            uint32_t _size201;
+            ::apache::thrift::protocol::TType _etype204;
+            xfer += iprot->readListBegin(_etype204, _size201);
+            this->accounts.resize(_size201);
+            uint32_t _i205;
+            for (_i205 = 0; _i205 < _size201; ++_i205)
+            {
+              xfer += iprot->readI64(this->accounts[_i205]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->first_crash_age_ms);
+          this->__isset.first_crash_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->last_crash_age_ms);
+          this->__isset.last_crash_age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->targets.clear();
+            uint32_t _size206;
+            ::apache::thrift::protocol::TType _etype209;
+            xfer += iprot->readListBegin(_etype209, _size206);
+            this->targets.resize(_size206);
+            uint32_t _i210;
+            for (_i210 = 0; _i210 < _size206; ++_i210)
+            {
+              xfer += iprot->readString(this->targets[_i210]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.targets = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->trials);
+          this->__isset.trials = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->next_trial_ms);
+          this->__isset.next_trial_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashVerdict::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashVerdict");
+
+  xfer += oprot->writeFieldBegin("subjects", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->subjects.size()));
+    std::vector<int64_t> ::const_iterator _iter211;
+    for (_iter211 = this->subjects.begin(); _iter211 != this->subjects.end(); ++_iter211)
+    {
+      xfer += oprot->writeI64((*_iter211));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->accounts.size()));
+    std::vector<int64_t> ::const_iterator _iter212;
+    for (_iter212 = this->accounts.begin(); _iter212 != this->accounts.end(); ++_iter212)
+    {
+      xfer += oprot->writeI64((*_iter212));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("first_crash_age_ms", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->first_crash_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last_crash_age_ms", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->last_crash_age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->targets.size()));
+    std::vector<std::string> ::const_iterator _iter213;
+    for (_iter213 = this->targets.begin(); _iter213 != this->targets.end(); ++_iter213)
+    {
+      xfer += oprot->writeString((*_iter213));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("trials", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->trials);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("next_trial_ms", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->next_trial_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashVerdict &a, CrashVerdict &b) {
+  using ::std::swap;
+  swap(a.subjects, b.subjects);
+  swap(a.accounts, b.accounts);
+  swap(a.first_crash_age_ms, b.first_crash_age_ms);
+  swap(a.last_crash_age_ms, b.last_crash_age_ms);
+  swap(a.targets, b.targets);
+  swap(a.trials, b.trials);
+  swap(a.next_trial_ms, b.next_trial_ms);
+  swap(a.__isset, b.__isset);
+}
+
+CrashVerdict::CrashVerdict(const CrashVerdict& other214) {
+  subjects = other214.subjects;
+  accounts = other214.accounts;
+  first_crash_age_ms = other214.first_crash_age_ms;
+  last_crash_age_ms = other214.last_crash_age_ms;
+  targets = other214.targets;
+  trials = other214.trials;
+  next_trial_ms = other214.next_trial_ms;
+  __isset = other214.__isset;
+}
+CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other215) {
+  subjects = other215.subjects;
+  accounts = other215.accounts;
+  first_crash_age_ms = other215.first_crash_age_ms;
+  last_crash_age_ms = other215.last_crash_age_ms;
+  targets = other215.targets;
+  trials = other215.trials;
+  next_trial_ms = other215.next_trial_ms;
+  __isset = other215.__isset;
+  return *this;
+}
+void CrashVerdict::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashVerdict(";
+  out << "subjects=" << to_string(subjects);
+  out << ", " << "accounts=" << to_string(accounts);
+  out << ", " << "first_crash_age_ms=" << to_string(first_crash_age_ms);
+  out << ", " << "last_crash_age_ms=" << to_string(last_crash_age_ms);
+  out << ", " << "targets=" << to_string(targets);
+  out << ", " << "trials=" << to_string(trials);
+  out << ", " << "next_trial_ms=" << to_string(next_trial_ms);
+  out << ")";
+}
+
+
+CrashNews::~CrashNews() noexcept {
+}
+
+
+void CrashNews::__set_crashes(const std::vector<CrashReport> & val) {
+  this->crashes = val;
+}
+
+void CrashNews::__set_acquittals(const std::vector<Acquittal> & val) {
+  this->acquittals = val;
+}
+
+void CrashNews::__set_verdicts(const std::vector<CrashVerdict> & val) {
+  this->verdicts = val;
+}
+
+void CrashNews::__set_wanted(const bool val) {
+  this->wanted = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashNews& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashNews::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->crashes.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
+            {
+              xfer += this->crashes[_i220].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->acquittals.clear();
+            uint32_t _size221;
+            ::apache::thrift::protocol::TType _etype224;
+            xfer += iprot->readListBegin(_etype224, _size221);
+            this->acquittals.resize(_size221);
+            uint32_t _i225;
+            for (_i225 = 0; _i225 < _size221; ++_i225)
+            {
+              xfer += this->acquittals[_i225].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.acquittals = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->verdicts.clear();
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->verdicts.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
+            {
+              xfer += this->verdicts[_i230].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.verdicts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->wanted);
+          this->__isset.wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashNews::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashNews");
+
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<CrashReport> ::const_iterator _iter231;
+    for (_iter231 = this->crashes.begin(); _iter231 != this->crashes.end(); ++_iter231)
+    {
+      xfer += (*_iter231).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("acquittals", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acquittals.size()));
+    std::vector<Acquittal> ::const_iterator _iter232;
+    for (_iter232 = this->acquittals.begin(); _iter232 != this->acquittals.end(); ++_iter232)
+    {
+      xfer += (*_iter232).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
+    std::vector<CrashVerdict> ::const_iterator _iter233;
+    for (_iter233 = this->verdicts.begin(); _iter233 != this->verdicts.end(); ++_iter233)
+    {
+      xfer += (*_iter233).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_BOOL, 4);
+  xfer += oprot->writeBool(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashNews &a, CrashNews &b) {
+  using ::std::swap;
+  swap(a.crashes, b.crashes);
+  swap(a.acquittals, b.acquittals);
+  swap(a.verdicts, b.verdicts);
+  swap(a.wanted, b.wanted);
+  swap(a.__isset, b.__isset);
+}
+
+CrashNews::CrashNews(const CrashNews& other234) {
+  crashes = other234.crashes;
+  acquittals = other234.acquittals;
+  verdicts = other234.verdicts;
+  wanted = other234.wanted;
+  __isset = other234.__isset;
+}
+CrashNews& CrashNews::operator=(const CrashNews& other235) {
+  crashes = other235.crashes;
+  acquittals = other235.acquittals;
+  verdicts = other235.verdicts;
+  wanted = other235.wanted;
+  __isset = other235.__isset;
+  return *this;
+}
+void CrashNews::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashNews(";
+  out << "crashes=" << to_string(crashes);
+  out << ", " << "acquittals=" << to_string(acquittals);
+  out << ", " << "verdicts=" << to_string(verdicts);
+  out << ", " << "wanted=" << to_string(wanted);
+  out << ")";
+}
+
+
 PlaceDatagram::~PlaceDatagram() noexcept {
 }
 
@@ -5975,6 +6915,11 @@
 void PlaceDatagram::__set_limits(const std::vector<TargetLimit> & val) {
   this->limits = val;
 }
+
+void PlaceDatagram::__set_crash_news(const CrashNews& val) {
+  this->crash_news = val;
+__isset.crash_news = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceDatagram& obj)
 {
   obj.printTo(out);
@@ -6023,14 +6968,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->asks.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->asks.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
             {
-              xfer += this->asks[_i182].read(iprot);
+              xfer += this->asks[_i240].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6043,14 +6988,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size183;
-            ::apache::thrift::protocol::TType _etype186;
-            xfer += iprot->readListBegin(_etype186, _size183);
-            this->answers.resize(_size183);
-            uint32_t _i187;
-            for (_i187 = 0; _i187 < _size183; ++_i187)
+            uint32_t _size241;
+            ::apache::thrift::protocol::TType _etype244;
+            xfer += iprot->readListBegin(_etype244, _size241);
+            this->answers.resize(_size241);
+            uint32_t _i245;
+            for (_i245 = 0; _i245 < _size241; ++_i245)
             {
-              xfer += this->answers[_i187].read(iprot);
+              xfer += this->answers[_i245].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6063,14 +7008,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notes.clear();
-            uint32_t _size188;
-            ::apache::thrift::protocol::TType _etype191;
-            xfer += iprot->readListBegin(_etype191, _size188);
-            this->notes.resize(_size188);
-            uint32_t _i192;
-            for (_i192 = 0; _i192 < _size188; ++_i192)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            this->notes.resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              xfer += this->notes[_i192].read(iprot);
+              xfer += this->notes[_i250].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6083,14 +7028,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->syncs.clear();
-            uint32_t _size193;
-            ::apache::thrift::protocol::TType _etype196;
-            xfer += iprot->readListBegin(_etype196, _size193);
-            this->syncs.resize(_size193);
-            uint32_t _i197;
-            for (_i197 = 0; _i197 < _size193; ++_i197)
+            uint32_t _size251;
+            ::apache::thrift::protocol::TType _etype254;
+            xfer += iprot->readListBegin(_etype254, _size251);
+            this->syncs.resize(_size251);
+            uint32_t _i255;
+            for (_i255 = 0; _i255 < _size251; ++_i255)
             {
-              xfer += this->syncs[_i197].read(iprot);
+              xfer += this->syncs[_i255].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6103,14 +7048,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size198;
-            ::apache::thrift::protocol::TType _etype201;
-            xfer += iprot->readListBegin(_etype201, _size198);
-            this->leaving.resize(_size198);
-            uint32_t _i202;
-            for (_i202 = 0; _i202 < _size198; ++_i202)
+            uint32_t _size256;
+            ::apache::thrift::protocol::TType _etype259;
+            xfer += iprot->readListBegin(_etype259, _size256);
+            this->leaving.resize(_size256);
+            uint32_t _i260;
+            for (_i260 = 0; _i260 < _size256; ++_i260)
             {
-              xfer += this->leaving[_i202].read(iprot);
+              xfer += this->leaving[_i260].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6123,14 +7068,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rests.clear();
-            uint32_t _size203;
-            ::apache::thrift::protocol::TType _etype206;
-            xfer += iprot->readListBegin(_etype206, _size203);
-            this->rests.resize(_size203);
-            uint32_t _i207;
-            for (_i207 = 0; _i207 < _size203; ++_i207)
+            uint32_t _size261;
+            ::apache::thrift::protocol::TType _etype264;
+            xfer += iprot->readListBegin(_etype264, _size261);
+            this->rests.resize(_size261);
+            uint32_t _i265;
+            for (_i265 = 0; _i265 < _size261; ++_i265)
             {
-              xfer += this->rests[_i207].read(iprot);
+              xfer += this->rests[_i265].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6143,14 +7088,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size208;
-            ::apache::thrift::protocol::TType _etype211;
-            xfer += iprot->readListBegin(_etype211, _size208);
-            this->limits.resize(_size208);
-            uint32_t _i212;
-            for (_i212 = 0; _i212 < _size208; ++_i212)
+            uint32_t _size266;
+            ::apache::thrift::protocol::TType _etype269;
+            xfer += iprot->readListBegin(_etype269, _size266);
+            this->limits.resize(_size266);
+            uint32_t _i270;
+            for (_i270 = 0; _i270 < _size266; ++_i270)
             {
-              xfer += this->limits[_i212].read(iprot);
+              xfer += this->limits[_i270].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6159,6 +7104,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->crash_news.read(iprot);
+          this->__isset.crash_news = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -6187,10 +7140,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter213;
-    for (_iter213 = this->asks.begin(); _iter213 != this->asks.end(); ++_iter213)
+    std::vector<PlaceAsk> ::const_iterator _iter271;
+    for (_iter271 = this->asks.begin(); _iter271 != this->asks.end(); ++_iter271)
     {
-      xfer += (*_iter213).write(oprot);
+      xfer += (*_iter271).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6199,10 +7152,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter214;
-    for (_iter214 = this->answers.begin(); _iter214 != this->answers.end(); ++_iter214)
+    std::vector<PlaceAnswer> ::const_iterator _iter272;
+    for (_iter272 = this->answers.begin(); _iter272 != this->answers.end(); ++_iter272)
     {
-      xfer += (*_iter214).write(oprot);
+      xfer += (*_iter272).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6211,10 +7164,10 @@
   xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
-    std::vector<PlaceNote> ::const_iterator _iter215;
-    for (_iter215 = this->notes.begin(); _iter215 != this->notes.end(); ++_iter215)
+    std::vector<PlaceNote> ::const_iterator _iter273;
+    for (_iter273 = this->notes.begin(); _iter273 != this->notes.end(); ++_iter273)
     {
-      xfer += (*_iter215).write(oprot);
+      xfer += (*_iter273).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6223,10 +7176,10 @@
   xfer += oprot->writeFieldBegin("syncs", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->syncs.size()));
-    std::vector<PlaceSync> ::const_iterator _iter216;
-    for (_iter216 = this->syncs.begin(); _iter216 != this->syncs.end(); ++_iter216)
+    std::vector<PlaceSync> ::const_iterator _iter274;
+    for (_iter274 = this->syncs.begin(); _iter274 != this->syncs.end(); ++_iter274)
     {
-      xfer += (*_iter216).write(oprot);
+      xfer += (*_iter274).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6235,10 +7188,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<TargetMark> ::const_iterator _iter217;
-    for (_iter217 = this->leaving.begin(); _iter217 != this->leaving.end(); ++_iter217)
+    std::vector<TargetMark> ::const_iterator _iter275;
+    for (_iter275 = this->leaving.begin(); _iter275 != this->leaving.end(); ++_iter275)
     {
-      xfer += (*_iter217).write(oprot);
+      xfer += (*_iter275).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6247,10 +7200,10 @@
   xfer += oprot->writeFieldBegin("rests", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rests.size()));
-    std::vector<TargetRest> ::const_iterator _iter218;
-    for (_iter218 = this->rests.begin(); _iter218 != this->rests.end(); ++_iter218)
+    std::vector<TargetRest> ::const_iterator _iter276;
+    for (_iter276 = this->rests.begin(); _iter276 != this->rests.end(); ++_iter276)
     {
-      xfer += (*_iter218).write(oprot);
+      xfer += (*_iter276).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6259,15 +7212,20 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<TargetLimit> ::const_iterator _iter219;
-    for (_iter219 = this->limits.begin(); _iter219 != this->limits.end(); ++_iter219)
+    std::vector<TargetLimit> ::const_iterator _iter277;
+    for (_iter277 = this->limits.begin(); _iter277 != this->limits.end(); ++_iter277)
     {
-      xfer += (*_iter219).write(oprot);
+      xfer += (*_iter277).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.crash_news) {
+    xfer += oprot->writeFieldBegin("crash_news", ::apache::thrift::protocol::T_STRUCT, 10);
+    xfer += this->crash_news.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -6284,32 +7242,35 @@
   swap(a.leaving, b.leaving);
   swap(a.rests, b.rests);
   swap(a.limits, b.limits);
+  swap(a.crash_news, b.crash_news);
   swap(a.__isset, b.__isset);
 }
 
-PlaceDatagram::PlaceDatagram(const PlaceDatagram& other220) {
-  sender = other220.sender;
-  incarnation = other220.incarnation;
-  asks = other220.asks;
-  answers = other220.answers;
-  notes = other220.notes;
-  syncs = other220.syncs;
-  leaving = other220.leaving;
-  rests = other220.rests;
-  limits = other220.limits;
-  __isset = other220.__isset;
-}
-PlaceDatagram& PlaceDatagram::operator=(const PlaceDatagram& other221) {
-  sender = other221.sender;
-  incarnation = other221.incarnation;
-  asks = other221.asks;
-  answers = other221.answers;
-  notes = other221.notes;
-  syncs = other221.syncs;
-  leaving = other221.leaving;
-  rests = other221.rests;
-  limits = other221.limits;
-  __isset = other221.__isset;
+PlaceDatagram::PlaceDatagram(const PlaceDatagram& other278) {
+  sender = other278.sender;
+  incarnation = other278.incarnation;
+  asks = other278.asks;
+  answers = other278.answers;
+  notes = other278.notes;
+  syncs = other278.syncs;
+  leaving = other278.leaving;
+  rests = other278.rests;
+  limits = other278.limits;
+  crash_news = other278.crash_news;
+  __isset = other278.__isset;
+}
+PlaceDatagram& PlaceDatagram::operator=(const PlaceDatagram& other279) {
+  sender = other279.sender;
+  incarnation = other279.incarnation;
+  asks = other279.asks;
+  answers = other279.answers;
+  notes = other279.notes;
+  syncs = other279.syncs;
+  leaving = other279.leaving;
+  rests = other279.rests;
+  limits = other279.limits;
+  crash_news = other279.crash_news;
+  __isset = other279.__isset;
   return *this;
 }
 void PlaceDatagram::printTo(std::ostream& out) const {
@@ -6324,6 +7285,7 @@
   out << ", " << "leaving=" << to_string(leaving);
   out << ", " << "rests=" << to_string(rests);
   out << ", " << "limits=" << to_string(limits);
+  out << ", " << "crash_news="; (__isset.crash_news ? (out << to_string(crash_news)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -85,6 +85,16 @@
 
 class TargetLimit;
 
+class RequestSubjects;
+
+class CrashReport;
+
+class Acquittal;
+
+class CrashVerdict;
+
+class CrashNews;
+
 class PlaceDatagram;
 
 typedef struct _HostRecord__isset {
@@ -2374,8 +2384,327 @@
 
 std::ostream& operator<<(std::ostream& out, const TargetLimit& obj);
 
+typedef struct _RequestSubjects__isset {
+  _RequestSubjects__isset() : request(false), account(false), parts(false) {}
+  bool request :1;
+  bool account :1;
+  bool parts :1;
+} _RequestSubjects__isset;
+
+class RequestSubjects : public virtual ::apache::thrift::TBase {
+ public:
+
+  RequestSubjects(const RequestSubjects&);
+  RequestSubjects& operator=(const RequestSubjects&);
+  RequestSubjects() noexcept
+                  : request(0),
+                    account(0) {
+  }
+
+  virtual ~RequestSubjects() noexcept;
+  int64_t request;
+  int64_t account;
+  std::vector<int64_t>  parts;
+
+  _RequestSubjects__isset __isset;
+
+  void __set_request(const int64_t val);
+
+  void __set_account(const int64_t val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  bool operator == (const RequestSubjects & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    if (!(account == rhs.account))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    return true;
+  }
+  bool operator != (const RequestSubjects &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RequestSubjects & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RequestSubjects &a, RequestSubjects &b);
+
+std::ostream& operator<<(std::ostream& out, const RequestSubjects& obj);
+
+typedef struct _CrashReport__isset {
+  _CrashReport__isset() : service_name(false), target(false), born(false), age_ms(false), requests(false) {}
+  bool service_name :1;
+  bool target :1;
+  bool born :1;
+  bool age_ms :1;
+  bool requests :1;
+} _CrashReport__isset;
+
+class CrashReport : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashReport(const CrashReport&);
+  CrashReport& operator=(const CrashReport&);
+  CrashReport() noexcept
+              : service_name(),
+                target(),
+                born(0),
+                age_ms(0) {
+  }
+
+  virtual ~CrashReport() noexcept;
+  std::string service_name;
+  std::string target;
+  int64_t born;
+  int32_t age_ms;
+  std::vector<RequestSubjects>  requests;
+
+  _CrashReport__isset __isset;
+
+  void __set_service_name(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_born(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_requests(const std::vector<RequestSubjects> & val);
+
+  bool operator == (const CrashReport & rhs) const
+  {
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(born == rhs.born))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashReport &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashReport & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashReport &a, CrashReport &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashReport& obj);
+
+typedef struct _Acquittal__isset {
+  _Acquittal__isset() : subject(false), age_ms(false) {}
+  bool subject :1;
+  bool age_ms :1;
+} _Acquittal__isset;
+
+class Acquittal : public virtual ::apache::thrift::TBase {
+ public:
+
+  Acquittal(const Acquittal&) noexcept;
+  Acquittal& operator=(const Acquittal&) noexcept;
+  Acquittal() noexcept
+            : subject(0),
+              age_ms(0) {
+  }
+
+  virtual ~Acquittal() noexcept;
+  int64_t subject;
+  int32_t age_ms;
+
+  _Acquittal__isset __isset;
+
+  void __set_subject(const int64_t val);
+
+  void __set_age_ms(const int32_t val);
+
+  bool operator == (const Acquittal & rhs) const
+  {
+    if (!(subject == rhs.subject))
+      return false;
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const Acquittal &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Acquittal & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Acquittal &a, Acquittal &b);
+
+std::ostream& operator<<(std::ostream& out, const Acquittal& obj);
+
+typedef struct _CrashVerdict__isset {
+  _CrashVerdict__isset() : subjects(false), accounts(false), first_crash_age_ms(false), last_crash_age_ms(false), targets(false), trials(false), next_trial_ms(false) {}
+  bool subjects :1;
+  bool accounts :1;
+  bool first_crash_age_ms :1;
+  bool last_crash_age_ms :1;
+  bool targets :1;
+  bool trials :1;
+  bool next_trial_ms :1;
+} _CrashVerdict__isset;
+
+class CrashVerdict : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashVerdict(const CrashVerdict&);
+  CrashVerdict& operator=(const CrashVerdict&);
+  CrashVerdict() noexcept
+               : first_crash_age_ms(0),
+                 last_crash_age_ms(0),
+                 trials(0),
+                 next_trial_ms(0) {
+  }
+
+  virtual ~CrashVerdict() noexcept;
+  std::vector<int64_t>  subjects;
+  std::vector<int64_t>  accounts;
+  int32_t first_crash_age_ms;
+  int32_t last_crash_age_ms;
+  std::vector<std::string>  targets;
+  int32_t trials;
+  int32_t next_trial_ms;
+
+  _CrashVerdict__isset __isset;
+
+  void __set_subjects(const std::vector<int64_t> & val);
+
+  void __set_accounts(const std::vector<int64_t> & val);
+
+  void __set_first_crash_age_ms(const int32_t val);
+
+  void __set_last_crash_age_ms(const int32_t val);
+
+  void __set_targets(const std::vector<std::string> & val);
+
+  void __set_trials(const int32_t val);
+
+  void __set_next_trial_ms(const int32_t val);
+
+  bool operator == (const CrashVerdict & rhs) const
+  {
+    if (!(subjects == rhs.subjects))
+      return false;
+    if (!(accounts == rhs.accounts))
+      return false;
+    if (!(first_crash_age_ms == rhs.first_crash_age_ms))
+      return false;
+    if (!(last_crash_age_ms == rhs.last_crash_age_ms))
+      return false;
+    if (!(targets == rhs.targets))
+      return false;
+    if (!(trials == rhs.trials))
+      return false;
+    if (!(next_trial_ms == rhs.next_trial_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashVerdict &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashVerdict & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashVerdict &a, CrashVerdict &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashVerdict& obj);
+
+typedef struct _CrashNews__isset {
+  _CrashNews__isset() : crashes(false), acquittals(false), verdicts(false), wanted(false) {}
+  bool crashes :1;
+  bool acquittals :1;
+  bool verdicts :1;
+  bool wanted :1;
+} _CrashNews__isset;
+
+class CrashNews : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashNews(const CrashNews&);
+  CrashNews& operator=(const CrashNews&);
+  CrashNews() noexcept
+            : wanted(0) {
+  }
+
+  virtual ~CrashNews() noexcept;
+  std::vector<CrashReport>  crashes;
+  std::vector<Acquittal>  acquittals;
+  std::vector<CrashVerdict>  verdicts;
+  bool wanted;
+
+  _CrashNews__isset __isset;
+
+  void __set_crashes(const std::vector<CrashReport> & val);
+
+  void __set_acquittals(const std::vector<Acquittal> & val);
+
+  void __set_verdicts(const std::vector<CrashVerdict> & val);
+
+  void __set_wanted(const bool val);
+
+  bool operator == (const CrashNews & rhs) const
+  {
+    if (!(crashes == rhs.crashes))
+      return false;
+    if (!(acquittals == rhs.acquittals))
+      return false;
+    if (!(verdicts == rhs.verdicts))
+      return false;
+    if (!(wanted == rhs.wanted))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashNews &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashNews & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashNews &a, CrashNews &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashNews& obj);
+
 typedef struct _PlaceDatagram__isset {
-  _PlaceDatagram__isset() : sender(false), incarnation(false), asks(false), answers(false), notes(false), syncs(false), leaving(false), rests(false), limits(false) {}
+  _PlaceDatagram__isset() : sender(false), incarnation(false), asks(false), answers(false), notes(false), syncs(false), leaving(false), rests(false), limits(false), crash_news(false) {}
   bool sender :1;
   bool incarnation :1;
   bool asks :1;
@@ -2385,6 +2714,7 @@
   bool leaving :1;
   bool rests :1;
   bool limits :1;
+  bool crash_news :1;
 } _PlaceDatagram__isset;
 
 class PlaceDatagram : public virtual ::apache::thrift::TBase {
@@ -2407,6 +2737,7 @@
   std::vector<TargetMark>  leaving;
   std::vector<TargetRest>  rests;
   std::vector<TargetLimit>  limits;
+  CrashNews crash_news;
 
   _PlaceDatagram__isset __isset;
 
@@ -2428,6 +2759,8 @@
 
   void __set_limits(const std::vector<TargetLimit> & val);
 
+  void __set_crash_news(const CrashNews& val);
+
   bool operator == (const PlaceDatagram & rhs) const
   {
     if (!(sender == rhs.sender))
@@ -2448,6 +2781,10 @@
       return false;
     if (!(limits == rhs.limits))
       return false;
+    if (__isset.crash_news != rhs.__isset.crash_news)
+      return false;
+    else if (__isset.crash_news && !(crash_news == rhs.crash_news))
+      return false;
     return true;
   }
   bool operator != (const PlaceDatagram &rhs) const {
--- a/src/wire/placement.cc
+++ b/src/wire/placement.cc
@@ -161,6 +161,90 @@
   return out;
 }
 
+std::int64_t ToInt64(std::uint64_t value) {
+  return static_cast<std::int64_t>(value);
+}
+
+std::uint64_t ToUint64(std::int64_t value) {
+  return static_cast<std::uint64_t>(value);
+}
+
+CrashNews ToWire(const CrashNewsMessage& news, Time now) {
+  CrashNews out;
+  out.wanted = news.wanted;
+  for (const auto& crash : news.crashes) {
+    CrashReport& report = out.crashes.emplace_back();
+    report.service_name = crash.service.value;
+    report.target = crash.target.value;
+    report.born = ToInt64(crash.born);
+    report.age_ms = ToMs(now - crash.at);
+    for (const auto& request : crash.requests) {
+      RequestSubjects& subjects = report.requests.emplace_back();
+      subjects.request = ToInt64(request.request);
+      subjects.account = ToInt64(request.account);
+      for (const auto part : request.parts)
+        subjects.parts.push_back(ToInt64(part));
+    }
+  }
+  for (const auto& acquittal : news.acquittals) {
+    Acquittal& wire_acquittal = out.acquittals.emplace_back();
+    wire_acquittal.subject = ToInt64(acquittal.subject);
+    wire_acquittal.age_ms = ToMs(now - acquittal.at);
+  }
+  for (const auto& verdict : news.verdicts) {
+    CrashVerdict& wire_verdict = out.verdicts.emplace_back();
+    for (const auto subject : verdict.subjects)
+      wire_verdict.subjects.push_back(ToInt64(subject));
+    for (const auto account : verdict.accounts)
+      wire_verdict.accounts.push_back(ToInt64(account));
+    wire_verdict.first_crash_age_ms = ToMs(now - verdict.first_crash);
+    wire_verdict.last_crash_age_ms = ToMs(now - verdict.last_crash);
+    for (const auto& target : verdict.targets)
+      wire_verdict.targets.push_back(target.value);
+    wire_verdict.trials = ToInt32(verdict.trials);
+    wire_verdict.next_trial_ms = ToMs(verdict.next_trial - now);
+  }
+  return out;
+}
+
+CrashNewsMessage FromWire(const CrashNews& in, Time now) {
+  CrashNewsMessage out;
+  out.wanted = in.wanted;
+  for (const auto& report : in.crashes) {
+    comfreyflow::CrashReport& crash = out.crashes.emplace_back();
+    crash.service.value = report.service_name;
+    crash.target.value = report.target;
+    crash.born = ToUint64(report.born);
+    crash.at = now - FromMs(report.age_ms);
+    for (const auto& subjects : report.requests) {
+      comfreyflow::RequestSubjects& request = crash.requests.emplace_back();
+      request.request = ToUint64(subjects.request);
+      request.account = ToUint64(subjects.account);
+      for (const auto part : subjects.parts)
+        request.parts.push_back(ToUint64(part));
+    }
+  }
+  for (const auto& acquittal : in.acquittals) {
+    out.acquittals.push_back(
+        {ToUint64(acquittal.subject), now - FromMs(acquittal.age_ms)});
+  }
+  for (const auto& wire_verdict : in.verdicts) {
+    comfreyflow::CrashVerdict& verdict = out.verdicts.emplace_back();
+    for (const auto subject : wire_verdict.subjects)
+      verdict.subjects.push_back(ToUint64(subject));
+    std::sort(verdict.subjects.begin(), verdict.subjects.end());
+    for (const auto account : wire_verdict.accounts)
+      verdict.accounts.insert(ToUint64(account));
+    verdict.first_crash = now - FromMs(wire_verdict.first_crash_age_ms);
+    verdict.last_crash = now - FromMs(wire_verdict.last_crash_age_ms);
+    for (const auto& target : wire_verdict.targets)
+      verdict.targets.push_back({target});
+    verdict.trials = ToUint32(wire_verdict.trials);
+    verdict.next_trial = now + FromMs(wire_verdict.next_trial_ms);
+  }
+  return out;
+}
+
 }  // namespace
 
 std::string EncodePlacement(const PlaceMessages& messages, const FleetKey& key,
@@ -199,6 +283,8 @@
     wire_limit.count = static_cast<std::int64_t>(limit.report.count);
     if (limit.report.rate) wire_limit.__set_rate(*limit.report.rate);
   }
+  if (!messages.crash_news.empty())
+    out.__set_crash_news(ToWire(messages.crash_news, now));
   return EncodePlaceDatagram(out, key);
 }
 
@@ -263,6 +349,7 @@
     if (!(limit.rate >= 0 && limit.rate <= kMaxLimit)) return Errc::kCodec;
     message.report.rate = limit.rate;
   }
+  if (in.__isset.crash_news) out.crash_news = FromWire(in.crash_news, now);
   return {};
 }
 
--- a/src/wire/placement.h
+++ b/src/wire/placement.h
@@ -7,6 +7,7 @@
 #include <system_error>
 #include <vector>
 
+#include "comfreyflow/crash-ledger.h"
 #include "comfreyflow/membership.h"
 #include "comfreyflow/placer.h"
 #include "wire/codec.h"
@@ -57,6 +58,18 @@
   LimitReport report;
 };
 
+/// What the sender knows of crashes and their causes.
+struct CrashNewsMessage {
+  std::vector<comfreyflow::CrashReport> crashes;
+  std::vector<comfreyflow::Acquittal> acquittals;
+  std::vector<comfreyflow::CrashVerdict> verdicts;
+  /// The sender asks for the receiver's verdicts and recent crashes.
+  bool wanted = false;
+  bool empty() const {
+    return crashes.empty() && acquittals.empty() && verdicts.empty() && !wanted;
+  }
+};
+
 /// The contents of one datagram.
 struct PlaceMessages {
   HostName sender;
@@ -68,10 +81,11 @@
   std::vector<comfreyflow::TargetMark> leaving;  ///< As the targets announced.
   std::vector<TargetBackOffMessage> back_offs;
   std::vector<TargetLimitMessage> limits;
+  CrashNewsMessage crash_news;
   bool empty() const {
     return requests.empty() && answers.empty() && notes.empty() &&
            syncs.empty() && leaving.empty() && back_offs.empty() &&
-           limits.empty();
+           limits.empty() && crash_news.empty();
   }
 };
 
