Do not write an error into a stream that broke off

Cause: the bytes of any answer that is no event stream were forwarded as soon as the caller had a head, which is meant for large plain answers, and a 404 or a plain 200 ended the stream as complete. Now only a large answer that this attempt began is forwarded; any other plain answer after a stream's head fails the attempt.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -448,10 +448,10 @@
   }
 
   void OnPlainBody(std::string_view bytes) {
-    if (progress_.head_sent) return exchange_->Write(std::string(bytes));
+    if (forwards_plain_) return exchange_->Write(std::string(bytes));
     body_ += bytes;
     if (body_.size() <= kMaxBufferedAnswerBytes) return;
-    const bool is_verified = target_head_.authentic &&
+    const bool is_verified = !progress_.head_sent && target_head_.authentic &&
                              target_head_.request_id == caller_.id &&
                              !target_head_.reported_not_run;
     if (!is_verified)
@@ -502,6 +502,7 @@
   /// Forwards an answer that is too large to buffer as it arrives.
   void ForwardLargeAnswer() {
     progress_.head_sent = true;
+    forwards_plain_ = true;
     stage_ = Stage::kStreaming;
     exchange_->StartStream(context_.edge.write_head(target_response_));
     exchange_->Write(std::exchange(body_, {}));
@@ -560,6 +561,9 @@
       }
       return OnAttemptFailed(WorkEnd::kTargetError, Errc::kTargetFailed);
     }
+    // An answer that is no stream can't continue one.
+    if (progress_.head_sent && !forwards_plain_)
+      return OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
     context_.crashes.OnAnswered(subjects_);
     if (progress_.head_sent) {
       context_.placement.Ended(id_, WorkEnd::kDone);
@@ -815,7 +819,8 @@
   Time attempt_started_at_;      ///< When its first event arrived.
   bool attempt_proven_ = false;  ///< The target wrote for a while.
   bool is_event_stream_ = false;
-  TargetName cause_;  ///< Target that caused the last failure.
+  bool forwards_plain_ = false;  ///< A large answer is forwarded unbuffered.
+  TargetName cause_;             ///< Target that caused the last failure.
   TargetHead target_head_;
   http::Response target_response_;
   std::string body_;
