--- a/src/core/poison/crash-ledger.cc
+++ b/src/core/poison/crash-ledger.cc
@@ -208,15 +208,13 @@
 
 bool CrashLedger::IsExplained(const CrashReport& crash,
                               SubjectId subject) const {
-  return std::any_of(
-      verdicts_.begin(), verdicts_.end(), [&](const auto& entry) {
-        const auto& [subjects, verdict] = entry;
-        if (std::binary_search(subjects.begin(), subjects.end(), subject))
-          return false;
-        return std::any_of(
-            crash.requests.begin(), crash.requests.end(),
-            [&](const auto& request) { return Matches(verdict, request); });
-      });
+  for (const auto& [subjects, verdict] : verdicts_) {
+    if (std::binary_search(subjects.begin(), subjects.end(), subject)) continue;
+    for (const auto& request : crash.requests) {
+      if (Matches(verdict, request)) return true;
+    }
+  }
+  return false;
 }
 
 CrashLedger::Occasions CrashLedger::CountOccasions(SubjectId subject) const {
--- a/test/crash-ledger-test.cc
+++ b/test/crash-ledger-test.cc
@@ -97,10 +97,9 @@
 
 TEST_CASE("the loss of many targets at one moment condemns nothing") {
   CrashLedger ledger;
-  for (int i = 0; i < 60; ++i) {
-    const Time at = kStart + milliseconds(3) * i;
-    ledger.AddCrash(Crash(at, {Request({kShared, SubjectId(100 + i % 4)})}),
-                    at);
+  for (SubjectId i = 0; i < 60; ++i) {
+    const Time at = kStart + milliseconds(3 * i);
+    ledger.AddCrash(Crash(at, {Request({kShared, 100 + i % 4})}), at);
   }
   const Time now = kStart + seconds(1);
   CHECK(ledger.verdicts().empty());
--- a/test/platform/translation-test.cc
+++ b/test/platform/translation-test.cc
@@ -231,6 +231,9 @@
       edge.write_failure(Errc::kDraining, milliseconds(250), "r");
   CHECK(refused.status == 503);
   CHECK(http::FieldValue(refused.fields, "retry-after") == "0.250");
+  const auto quarantined = edge.write_failure(Errc::kQuarantined, {}, "r");
+  CHECK(quarantined.status == 503);
+  CHECK_FALSE(http::HasField(quarantined.fields, "retry-after"));
   const auto failed = edge.write_failure(Errc::kTargetFailed, {}, "r");
   CHECK(failed.status == 502);
   CHECK_FALSE(http::HasField(failed.fields, "retry-after"));
