Log the parts of prompts by the same hashes everywhere

try_failed had hashes of the parts alone, crash_suspected, crash_condemned and crash_refused hashes of part and service, so that the lines could not be matched.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -612,7 +612,7 @@
         .With("begun", attempt_started_)
         .With("sent_for", duration_cast<milliseconds>(Now() - attempt_sent_at_))
         .With("account", account_)
-        .With("parts", ToHexList(caller_.shared_parts))
+        .With("parts", ToHexList(subjects_.parts))
         .With("try", std::uint64_t{progress_.attempts})
         .With("next", static_cast<std::uint64_t>(next));
     context_.placement.Ended(id_, end, cause_);
