--- a/test/platform/answer-end-test.cc
+++ b/test/platform/answer-end-test.cc
@@ -16,7 +16,8 @@
 /// answer the first request with `first` and later ones with `later`, and then
 /// close the connection.
 struct RawSite {
-  RawSite(const std::string& service, std::string first, std::string later) {
+  RawSite(const std::string& service, const std::string& first,
+          const std::string& later) {
     const auto handler = [this, first, later](const RawTarget::Socket& socket,
                                               const std::string& bytes) {
       const auto id = HeaderIn(bytes, "x-request-id");
