Log each request that the end of a planned stop cuts

A host that ended with open requests said how many, not which, nor how far they had come, so a request that waited for a target could not be told from one that a target was answering. One line for each, with its stage and times.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -330,7 +330,7 @@
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (error) return;
           const Duration since = Now() - self->stop_started_at;
-          const bool is_idle = self->relay_context.open_requests == 0 &&
+          const bool is_idle = self->relay_context.open_requests.empty() &&
                                self->caller_server.unanswered() == 0 &&
                                since > self->settings.stop_time * kMinStopShare;
           if (!is_idle && since < self->settings.stop_time * kAbortShare) {
@@ -338,8 +338,11 @@
           }
           LogLine(Severity::kInfo, Event::kStopped)
               .With("open_requests",
-                    std::uint64_t{self->relay_context.open_requests})
+                    std::uint64_t{self->relay_context.open_requests.size()})
               .With("took", std::chrono::duration_cast<milliseconds>(since));
+          for (const auto* open : self->relay_context.open_requests) {
+            open->LogCut();
+          }
           self->peers.Leave();
           self->hooks.stopped();
         });
@@ -479,7 +482,7 @@
   if (state_->is_stopping) return;
   LogLine(Severity::kInfo, Event::kStopping)
       .With("open_requests",
-            std::uint64_t{state_->relay_context.open_requests});
+            std::uint64_t{state_->relay_context.open_requests.size()});
   state_->is_stopping = true;
   state_->stop_started_at = Now();
   state_->RefreshPeers();
@@ -550,8 +553,8 @@
     more.push_back(std::move(reading));
   }
   return state.metrics.Render(
-      {state.relay_context.open_requests, state.relay_context.open_requests,
-       state.body_budget->used()},
+      {state.relay_context.open_requests.size(),
+       state.relay_context.open_requests.size(), state.body_budget->used()},
       more);
 }
 
@@ -591,13 +594,13 @@
               {"ready", ready()},
               {"stopping", state_->is_stopping},
               {"store_reachable", state_->store_reachable},
-              {"open_requests", state_->relay_context.open_requests},
+              {"open_requests", state_->relay_context.open_requests.size()},
               {"hosts", std::move(hosts)},
               {"services", std::move(services)}};
 }
 
 std::size_t Gateway::open_requests() const {
-  return state_->relay_context.open_requests;
+  return state_->relay_context.open_requests.size();
 }
 
 }  // namespace comfreyflow::gateway
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -54,7 +54,7 @@
   return out;
 }
 
-class Relay : public std::enable_shared_from_this<Relay> {
+class Relay : public OpenRequest, public std::enable_shared_from_this<Relay> {
  public:
   Relay(RelayContext& context, http::ExchangePtr exchange)
       : context_(context),
@@ -62,9 +62,9 @@
         arrival_(Now()),
         deadline_timer_(context.io.get_executor()),
         response_timer_(context.io.get_executor()) {
-    ++context_.open_requests;
+    context_.open_requests.insert(this);
   }
-  ~Relay() { --context_.open_requests; }
+  ~Relay() override { context_.open_requests.erase(this); }
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
 
@@ -97,6 +97,21 @@
     RequestPlacement();
   }
 
+  void LogCut() const override {
+    const Time now = Now();
+    const bool is_sent = stage_ == Stage::kSent || stage_ == Stage::kStreaming;
+    LogLine(Severity::kWarning, Event::kRequestCut)
+        .With("request", caller_.id)
+        .With("route", route_ != nullptr ? route_->name : std::string())
+        .With("target", is_sent ? grant_.targets.front().name : TargetName())
+        .With("stage", ToString(stage_))
+        .With("took", duration_cast<milliseconds>(now - arrival_))
+        .With("sent_for",
+              is_sent ? duration_cast<milliseconds>(now - attempt_sent_at_)
+                      : milliseconds())
+        .With("left", duration_cast<milliseconds>(deadline_ - now));
+  }
+
  private:
   enum class Stage : std::uint8_t {
     kPlacing,
@@ -106,6 +121,22 @@
     kFinished
   };
 
+  static const char* ToString(Stage stage) {
+    switch (stage) {
+      case Stage::kPlacing:
+        return "placing";
+      case Stage::kReserving:
+        return "reserving";
+      case Stage::kSent:
+        return "sent";
+      case Stage::kStreaming:
+        return "streaming";
+      case Stage::kFinished:
+        break;
+    }
+    return "finished";
+  }
+
   bool AuthenticateKey() {
     if (!table_->document().needs_keys || route_->is_public) return true;
     const KeyHolder* holder = table_->Holder(caller_.key);
@@ -231,8 +262,8 @@
     for (std::size_t i = 1; i < grant_.targets.size(); ++i) {
       const auto& target = grant_.targets[i];
       if (target.reserve_tokens == 0) continue;
-      requested.push_back(
-          {target, ToString(AttemptId{id_, ++reservation_count_})});
+      requested.push_back({target, comfreyflow::ToString(
+                                       AttemptId{id_, ++reservation_count_})});
     }
     if (requested.empty()) return Send(Now());
     stage_ = Stage::kReserving;
@@ -603,7 +634,7 @@
         .With("request", caller_.id)
         .With("target", grant_.targets.front().name)
         .With("cause", cause_)
-        .With("end", ToString(end))
+        .With("end", comfreyflow::ToString(end))
         .With("status",
               static_cast<std::uint64_t>(std::max(0, target_head_.status)))
         .With("sent", request_sent_)
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <random>
+#include <set>
 
 #include "comfreyflow/poison.h"
 #include "comfreyflow/routes.h"
@@ -20,6 +21,14 @@
 
 namespace comfreyflow::gateway {
 
+/// A request that has no final answer yet.
+class OpenRequest {
+ public:
+  virtual ~OpenRequest() = default;
+  /// Logs that the request is cut by the end of the process.
+  virtual void LogCut() const = 0;
+};
+
 /// State shared by all relays of a host. It outlives the relays and is used on
 /// one I/O thread only.
 struct RelayContext {
@@ -46,7 +55,7 @@
                  .suspect_time = std::chrono::seconds(60),
                  .quarantine_time = std::chrono::seconds(60)}};
   std::mt19937_64 random{};
-  std::size_t open_requests = 0;  ///< Requests that have no final answer yet.
+  std::set<OpenRequest*> open_requests{};
 };
 
 /// Starts a relay, which destroys itself after the request's final answer.
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -17,6 +17,7 @@
   kSettingsReloaded,
   kStopping,
   kStopped,
+  kRequestCut,
   kExited,
   kStoreLost,
   kStoreBack,
@@ -82,7 +83,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 64> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 65> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -96,6 +97,11 @@
      "SIGHUP or a changed settings file triggered a reload", "cause problem"},
     {"stopping", "a planned shutdown started", "open_requests"},
     {"stopped", "a planned shutdown is complete", "open_requests took"},
+    {"request_cut",
+     "a request was open when a planned shutdown ended; stage: placing, "
+     "reserving, sent or streaming; sent_for: time since it was sent to the "
+     "target; left: time until its deadline",
+     "request route target stage took sent_for left"},
     {"exited", "the process ends on its own", ""},
     {"store_lost", "the store does not answer", "kind"},
     {"store_back", "the store answers again", ""},
