--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -295,10 +295,14 @@
 
 void FakeTarget::AbortLater(const http::ExchangePtr& exchange) const {
   constexpr milliseconds kTimeToWrite{50};
-  const auto timer =
-      std::make_shared<boost::asio::steady_timer>(io_, kTimeToWrite);
-  timer->async_wait([timer, exchange](const boost::system::error_code&) {
-    exchange->Abort();
+  After(kTimeToWrite, [exchange] { exchange->Abort(); });
+}
+
+void FakeTarget::After(milliseconds delay, std::function<void()> action) const {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
+  timer->async_wait([timer, action = std::move(action)](
+                        const boost::system::error_code& error) {
+    if (!error) action();
   });
 }
 
@@ -485,7 +489,7 @@
   settings.gossip_port = kGossipPort;
   settings.placement_port = kGossipPort + 1;
   settings.store = store_->AddAddress();
-  settings.stop_time = std::chrono::seconds(2);
+  settings.stop_time = stop_time_;
   settings.retry_ratio = 0.2;
   settings.retry_slack = 100;
   settings.retry_window = std::chrono::seconds(10);
@@ -522,8 +526,11 @@
   request.method = method;
   request.target = path;
   request.body = body;
-  request.fields = {{"host", "a.example"},
-                    {"x-request-id", "id" + std::to_string(++next_id_)}};
+  request.fields = {{"host", "a.example"}};
+  if (!http::HasField(fields, "x-request-id")) {
+    request.fields.push_back(
+        {"x-request-id", "id" + std::to_string(++next_id_)});
+  }
   if (!http::HasField(fields, "x-deadline-ms")) {
     request.fields.push_back({"x-deadline-ms", "5000"});
   }
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -143,6 +143,9 @@
   void Crash();
   /// Breaks the connection off once what was written is out.
   void AbortLater(const http::ExchangePtr& exchange) const;
+  /// Calls `action` after `delay`.
+  void After(std::chrono::milliseconds delay,
+             std::function<void()> action) const;
   /// Writes `count` events from `first` on; `End` or `Abort` follow.
   static void WriteEvents(const http::ExchangePtr& exchange, int first,
                           int count);
@@ -220,6 +223,8 @@
   /// `SampleConfig`, changed.
   void PutConfig(std::uint64_t version,
                  const std::function<void(nlohmann::json&)>& change = {});
+  /// Time from the stop of a host to its end, for hosts that start from now on.
+  void SetStopTime(Duration time) { stop_time_ = time; }
   /// Starts a host; returns its number.
   std::size_t AddHost();
   Host& host(std::size_t number) { return *hosts_.at(number); }
@@ -259,6 +264,7 @@
   std::vector<std::unique_ptr<RawTarget>> raw_targets_;
   std::vector<HostSettings> settings_;
   std::vector<std::unique_ptr<Host>> hosts_;
+  Duration stop_time_ = std::chrono::seconds(2);
   int next_id_ = 0;
 };
 
--- /dev/null
+++ b/test/platform/stop-test.cc
@@ -0,0 +1,194 @@
+// Planned stops of a host, as its callers see them.
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <vector>
+
+#include "node/log.h"
+#include "platform/stand-ins.h"
+
+using namespace comfreyflow;            // NOLINT(google-build-using-namespace)
+using namespace comfreyflow::platform;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+const http::Fields kStreamFields = {{"x-token-count", "2000,100"}};
+
+/// Work under way when a host stopped, as its last log line says.
+std::optional<std::uint64_t> open_at_stop;
+
+const bool kTapped = [] {
+  node::SetLogTap([](node::Event event, const std::string& line) {
+    if (event != node::Event::kStopped) return;
+    open_at_stop =
+        nlohmann::json::parse(line).at("open_requests").get<std::uint64_t>();
+  });
+  return true;
+}();
+
+milliseconds WorkTime(const http::Request& request) {
+  return milliseconds(
+      std::stoi(std::string(http::FieldValue(request.fields, "x-work-ms"))));
+}
+
+/// Answers after the time that the request names.
+void AnswersAfterWork(FakeTarget& target) {
+  target.OnRequest([&target](const http::ExchangePtr& exchange) {
+    target.After(WorkTime(exchange->request()), [&target, exchange] {
+      exchange->Respond(target.Head(exchange->request()));
+    });
+  });
+}
+
+void WriteUntil(FakeTarget& target, const http::ExchangePtr& exchange,
+                Clock::time_point end, int next) {
+  constexpr milliseconds kPause{200};
+  FakeTarget::WriteEvents(exchange, next, 1);
+  if (Clock::now() >= end) return exchange->End();
+  target.After(kPause, [&target, exchange, end, next] {
+    WriteUntil(target, exchange, end, next + 1);
+  });
+}
+
+/// Streams events for the time that the request names.
+void StreamsDuringWork(FakeTarget& target) {
+  target.OnRequest([&target](const http::ExchangePtr& exchange) {
+    http::Response head = target.Head(exchange->request());
+    head.content_type = "text/event-stream";
+    exchange->StartStream(std::move(head));
+    WriteUntil(target, exchange, Clock::now() + WorkTime(exchange->request()),
+               1);
+  });
+}
+
+void SetSlots(Site& site, const char* service, const FakeTarget& target,
+              int slots) {
+  auto entry = SampleEntry(service, target.address(), "z1", "ready");
+  entry["Slots"] = slots;
+  site.store().Put("servers", target.name(), entry);
+}
+
+struct LateRequest {
+  std::shared_ptr<Answer> answer;
+  std::string id;
+  milliseconds sent_after;  ///< Since the stop began.
+  milliseconds work;
+};
+
+bool WasReceived(const FakeTarget& target, const std::string& id) {
+  const auto& requests = target.requests();
+  return std::any_of(
+      requests.begin(), requests.end(), [&id](const http::Request& request) {
+        return http::FieldValue(request.fields, "x-request-id") == id;
+      });
+}
+
+}  // namespace
+
+TEST_CASE("a request that comes late in a planned stop is cut unanswered") {
+  constexpr milliseconds kStopTime{4000};
+  constexpr milliseconds kPardonedStart = kStopTime * 3 / 8;
+  constexpr milliseconds kPardonedEnd = kStopTime * 5 / 6;
+  constexpr milliseconds kReadTime{200};
+  Site site;
+  site.SetStopTime(kStopTime);
+  FakeTarget& app = site.AddTarget("app", "i1");
+  FakeTarget& model = site.AddTarget("model", "i2");
+  AnswersAfterWork(app);
+  StreamsDuringWork(model);
+  site.PutConfig(1, [](nlohmann::json& config) {
+    config["Routes"][1]["TimeoutMs"] = 1500;
+    config["Services"][1]["Engine"]["Slots"] = 400;
+  });
+  SetSlots(site, "app", app, 400);
+  SetSlots(site, "model", model, 400);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  open_at_stop.reset();
+  site.host(host).Stop();
+  const auto began = Clock::now();
+  const auto since = [began] {
+    return std::chrono::duration_cast<milliseconds>(Clock::now() - began);
+  };
+  std::vector<LateRequest> sent;
+  const auto send = [&](const char* path, milliseconds work) {
+    const std::string id = "late" + std::to_string(sent.size());
+    http::Fields fields = kStreamFields;
+    fields.push_back({"x-work-ms", std::to_string(work.count())});
+    fields.push_back({"x-request-id", id});
+    const auto at = since();
+    sent.push_back({site.Send(host, "POST", path, fields), id, at, work});
+  };
+  milliseconds next{0};
+  REQUIRE(site.Until([&] {
+    if (since() >= next && !site.stopped()) {
+      next += milliseconds(100);
+      for (const int work : {50, 500, 1500, 3000}) {
+        send("/unsafe/1", milliseconds(work));
+        send("/stream/1", milliseconds(work));
+      }
+    }
+    return site.stopped();
+  }));
+  const auto end = since();
+  CHECK(open_at_stop.value() == 0);
+  std::size_t whole = 0;
+  for (const auto& request : sent) {
+    const Answer& answer = *request.answer;
+    const bool ran =
+        WasReceived(app, request.id) || WasReceived(model, request.id);
+    const bool is_pardoned = request.sent_after <= kPardonedStart &&
+                             request.sent_after + request.work >= kPardonedEnd;
+    CAPTURE(request.id);
+    CAPTURE(request.sent_after.count());
+    CAPTURE(request.work.count());
+    const bool is_unread =
+        !ran && !answer.ended && request.sent_after + kReadTime >= end;
+    if (!is_pardoned && !is_unread) CHECK(answer.whole);
+    if (answer.whole && answer.response.status == 503) {
+      CHECK_FALSE(ran);
+      CHECK(http::HasField(answer.response.fields, "retry-after"));
+    }
+    if (answer.whole && answer.response.status == 200) ++whole;
+  }
+  CHECK(whole > 50);
+}
+
+TEST_CASE("a request that waits for a target when a host ends is not refused") {
+  Site site;
+  site.SetStopTime(seconds(1));
+  FakeTarget& target = site.AddTarget("model", "i1");
+  std::vector<http::ExchangePtr> open;
+  target.OnRequest(
+      [&open](const http::ExchangePtr& exchange) { open.push_back(exchange); });
+  SetSlots(site, "model", target, 1);
+  site.PutConfig(1, [](nlohmann::json& config) {
+    config["Services"][1]["Engine"]["Slots"] = 1;
+  });
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  std::vector<LateRequest> sent;
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "waiting" + std::to_string(i);
+    http::Fields fields = kStreamFields;
+    fields.push_back({"x-request-id", id});
+    sent.push_back({site.Send(host, "POST", "/stream/1", fields), id, {}, {}});
+  }
+  REQUIRE(site.Until([&] { return !target.requests().empty(); }));
+  site.Get(site.settings(host).readiness, "/readyz");
+  site.host(host).Stop();
+  REQUIRE(site.Until([&] { return site.stopped(); }));
+  std::size_t waited = 0;
+  for (const auto& request : sent) {
+    if (WasReceived(target, request.id)) continue;
+    ++waited;
+    const http::Response& response = request.answer->response;
+    CHECK(request.answer->whole);
+    CHECK(response.status == 503);
+    CHECK(http::HasField(response.fields, "retry-after"));
+  }
+  CHECK(waited > 0);
+}
