Accept during a planned stop only what ends in time, and answer the rest

Callers saw requests that arrived late in a planned stop passed on and then cut without an answer, unsafe ones among them, and requests that waited for a target cut unrun.

Cause: what is accepted was decided by shares of the stop time alone (0.8, streams 0.4), not by how long a request may take, and at 8/9 the loop ended under whatever was open.

StopPlan decides in virtual time: a request is accepted if its deadline ends before open requests are answered, and in the first 3/8 also if its answer is expected by then, a silence of its target of 1.5 s included. A grant is checked again. At 8/9 open requests get their final answer: 503 if none was sent, 502 host_stopped if a target may have run it, an abort in the middle of a stream. The process exits once these are written. Idle connections are closed when the stop begins, so that callers move.

The test of open streams in host-test now has a stop of 8 s, as the platform gives; with 2 s a stream that may take 0.5 s beside a silence is refused.

--- a/include/comfreyflow/errors.h
+++ b/include/comfreyflow/errors.h
@@ -73,6 +73,7 @@
   kObjectNotFound,
   kStaleFence,
   kNotSteward,
+  kHostStopped,
   kInternal,
 };
 
--- a/src/core/errors.cc
+++ b/src/core/errors.cc
@@ -75,6 +75,7 @@
     {Errc::kObjectNotFound, {"object_not_found", 404, kNotRun, false, "The store has no such object."}},
     {Errc::kStaleFence, {"stale_fence", 409, kNotRun, false, "The order carries an outdated fencing number."}},
     {Errc::kNotSteward, {"not_steward", 409, kNotRun, true, "This host is not the steward of the target."}},
+    {Errc::kHostStopped, {"host_stopped", 502, kUnknown, true, "The host stopped before the target had answered; the request may have run."}},
     {Errc::kInternal, {"internal", 500, kUnknown, false, "An unexpected error occurred on the host."}},
 });
 // clang-format on
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -30,18 +30,7 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr std::chrono::milliseconds kPeerTimeout{1000};
-/// While a host stops, it accepts new requests during this share of the stop
-/// time, and new streams only during the shorter one because they last longer.
-constexpr double kAcceptRequestsShare = 0.8;
-constexpr double kAcceptStreamsShare = 0.4;
-/// Requests still running after this share of the stop time are aborted, so
-/// that the process exits well before it is killed.
-constexpr double kAbortShare = 8.0 / 9;
-/// Callers cache an address list for a few seconds. After this share of the
-/// stop time no further requests are expected, and a host without open requests
-/// exits.
-constexpr double kMinStopShare = 0.75;
-constexpr Duration kStopTick = milliseconds(100);
+constexpr Duration kStopTick = milliseconds(50);
 constexpr Duration kFactsPollPeriod = milliseconds(250);
 /// Number of addresses returned to a caller: enough for the caller to find a
 /// working host, and few enough that hosts with more capacity are returned more
@@ -104,6 +93,7 @@
             [this](const CrashEvidence& evidence) { BroadcastCrash(evidence); },
             metrics,
             hooks.target_list_status,
+            stop,
             [this](const LeavingReport& left, const std::string& request) {
               if (hooks.target_left) hooks.target_left(left, request);
             }},
@@ -134,38 +124,22 @@
     http::ServerHooks server;
     server.admit_head = [](const http::Request&) { return Errc::kOk; };
     server.handle = [this](http::ExchangePtr exchange) {
-      if (!Accepts(exchange->request())) {
-        exchange->Respond(hooks.edge.write_failure(
-            Errc::kDraining, {},
-            hooks.edge.read_request(exchange->request()).id));
-        return;
-      }
       StartRelay(relay_context, std::move(exchange));
     };
-    server.keep_connections = [this] { return !is_stopping; };
+    server.keep_connections = [this] { return !stop.is_stopping(); };
     server.error_response = [this](Errc code) {
       return hooks.edge.write_failure(code, {}, "");
     };
     return server;
   }
 
-  bool Accepts(const http::Request& request) const {
-    if (!is_stopping) return true;
-    const Duration since = Now() - stop_started_at;
-    if (since > settings.stop_time * kAcceptRequestsShare) return false;
-    const auto caller = hooks.edge.read_request(request);
-    const Route* route =
-        table ? table->Match(caller.host, request.path) : nullptr;
-    const bool streams = route != nullptr && route->kind == RouteKind::kStream;
-    return !streams || since < settings.stop_time * kAcceptStreamsShare;
-  }
-
   // ---- Peers ----
 
   PeersHooks PeerHooks() {
     PeersHooks peer;
     peer.facts = [this] {
-      return HostFacts{version(), 0, is_stopping, IsDetached(), was_detached};
+      return HostFacts{version(), 0, stop.is_stopping(), IsDetached(),
+                       was_detached};
     };
     peer.config_mark = [this] { return mark; };
     peer.changed = [this](const MemberChanged& event) {
@@ -203,8 +177,8 @@
                          member.state == MemberState::kSuspect;
       if (!self && !alive) continue;
       // The facts of a host are not known yet when its record first arrives.
-      const bool unable =
-          self ? is_stopping || !table || !has_targets : member.facts.draining;
+      const bool unable = self ? stop.is_stopping() || !table || !has_targets
+                               : member.facts.draining;
       views.push_back(
           {name, unable, self ? IsDetached() : member.facts.detached});
       live.push_back({name, member.record.peers, member.record.incarnation,
@@ -324,33 +298,62 @@
 
   // ---- Planned stop ----
 
+  void BeginStop() {
+    stop.Begin(Now());
+    RefreshPeers();
+    ForEachOpen(&OpenRequest::OnStopBegun);
+    caller_server.CloseIdle();
+    StopTick();
+  }
+
+  /// Calls `action` for each open request. It may end others, too.
+  void ForEachOpen(void (OpenRequest::*action)()) {
+    auto& open = relay_context.open_requests;
+    for (auto* request : std::vector(open.begin(), open.end())) {
+      if (open.contains(request)) (request->*action)();
+    }
+  }
+
   void StopTick() {
     stop_timer.expires_after(kStopTick);
     stop_timer.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
-          if (error) return;
-          const Duration since = Now() - self->stop_started_at;
-          const bool is_idle = self->relay_context.open_requests.empty() &&
-                               self->caller_server.unanswered() == 0 &&
-                               since > self->settings.stop_time * kMinStopShare;
-          if (!is_idle && since < self->settings.stop_time * kAbortShare) {
-            return self->StopTick();
-          }
-          LogLine(Severity::kInfo, Event::kStopped)
-              .With("open_requests",
-                    std::uint64_t{self->relay_context.open_requests.size()})
-              .With("took", std::chrono::duration_cast<milliseconds>(since));
-          for (const auto* open : self->relay_context.open_requests) {
-            open->LogCut();
-          }
-          self->peers.Leave();
-          self->hooks.stopped();
+          if (!error) self->AdvanceStop(Now());
         });
   }
 
+  void AdvanceStop(Time now) {
+    const bool is_idle =
+        relay_context.open_requests.empty() && caller_server.unanswered() == 0;
+    if (now >= stop.ExitBy() || (is_closed && is_idle)) return Exit(now);
+    if (now >= stop.AnswerBy() || (is_idle && now >= stop.IdleFrom())) Close();
+    StopTick();
+  }
+
+  /// Answers what is open. Connections that come from now on are refused, and
+  /// requests that were read meanwhile are answered before the exit.
+  void Close() {
+    if (std::exchange(is_closed, true)) return;
+    caller_server.Close();
+    caller_server.CloseIdle();
+    ForEachOpen(&OpenRequest::OnStopEnding);
+  }
+
+  void Exit(Time now) {
+    LogLine(Severity::kInfo, Event::kStopped)
+        .With("open_requests",
+              std::uint64_t{relay_context.open_requests.size()})
+        .With("unanswered", std::uint64_t{caller_server.unanswered()})
+        .With("took",
+              std::chrono::duration_cast<milliseconds>(stop.Elapsed(now)));
+    peers.Leave();
+    hooks.stopped();
+  }
+
   asio::io_context& io;
   const GatewaySettings settings;
   const GatewayHooks hooks;
+  StopPlan stop{settings.stop_time};
   std::shared_ptr<const RouteTable> table;
   std::string document_text;
   ConfigMark mark;
@@ -370,13 +373,12 @@
   bool has_targets = false;
   Time applied_at;          ///< When the current configuration came into force.
   Time targets_changed_at;  ///< When the target list last changed.
-  bool is_stopping = false;
+  bool is_closed = false;   ///< Open requests were answered to stop.
   bool store_reachable = false;
   bool was_store_reachable = false;
   HolderEligibility eligibility;
   /// This host lost the store while most other hosts kept it.
   bool was_detached = false;
-  Time stop_started_at;
 };
 
 Gateway::Gateway(asio::io_context& io, GatewaySettings settings,
@@ -455,7 +457,7 @@
 
 bool Gateway::ready() const {
   return state_->ServedTable() != nullptr && state_->has_targets &&
-         !state_->is_stopping;
+         !state_->stop.is_stopping();
 }
 
 std::vector<std::string> Gateway::Addresses(const FailureDomain&) const {
@@ -479,14 +481,11 @@
 }
 
 void Gateway::Stop() {
-  if (state_->is_stopping) return;
+  if (state_->stop.is_stopping()) return;
   LogLine(Severity::kInfo, Event::kStopping)
       .With("open_requests",
             std::uint64_t{state_->relay_context.open_requests.size()});
-  state_->is_stopping = true;
-  state_->stop_started_at = Now();
-  state_->RefreshPeers();
-  state_->StopTick();
+  state_->BeginStop();
 }
 
 std::string Gateway::MetricsText(std::vector<node::MetricFamily> more) const {
@@ -592,7 +591,7 @@
   return Json{{"host", state_->settings.self.name.value},
               {"version", version()},
               {"ready", ready()},
-              {"stopping", state_->is_stopping},
+              {"stopping", state_->stop.is_stopping()},
               {"store_reachable", state_->store_reachable},
               {"open_requests", state_->relay_context.open_requests.size()},
               {"hosts", std::move(hosts)},
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -37,6 +37,8 @@
 constexpr int kServerErrors = 500;
 /// A target that has written an answer for this long does not crash on it.
 constexpr Duration kProofTime = std::chrono::milliseconds(250);
+/// An engine decodes this much slower beside other requests than alone.
+constexpr int kDecodeFactor = 2;
 /// Minimum Retry-After while this host has no configuration.
 constexpr Duration kNoConfigurationRetry = std::chrono::seconds(1);
 /// Largest urgency value on the wire, which is the least urgent.
@@ -85,6 +87,7 @@
     service_ = ChooseService(*route_, context_.random());
     const RoutedService* service = table_->Service(service_);
     targets_are_engines_ = service != nullptr && service->engine.has_value();
+    if (!IsInTimeToStop()) return Refuse(Errc::kDraining);
     subjects_ = Subjects();
     if (IsCondemned()) return Refuse(Errc::kQuarantined);
     id_ = context_.placement.NextId();
@@ -97,19 +100,28 @@
     RequestPlacement();
   }
 
-  void LogCut() const override {
-    const Time now = Now();
-    const bool is_sent = stage_ == Stage::kSent || stage_ == Stage::kStreaming;
-    LogLine(Severity::kWarning, Event::kRequestCut)
-        .With("request", caller_.id)
-        .With("route", route_ != nullptr ? route_->name : std::string())
-        .With("target", is_sent ? grant_.targets.front().name : TargetName())
-        .With("stage", ToString(stage_))
-        .With("took", duration_cast<milliseconds>(now - arrival_))
-        .With("sent_for",
-              is_sent ? duration_cast<milliseconds>(now - attempt_sent_at_)
-                      : milliseconds())
-        .With("left", duration_cast<milliseconds>(deadline_ - now));
+  void OnStopBegun() override {
+    const bool may_go_elsewhere = stage_ == Stage::kPlacing &&
+                                  progress_.attempts_run == 0 &&
+                                  !progress_.head_sent;
+    if (!may_go_elsewhere || context_.stop.MaySend(Work(), Now())) return;
+    context_.placement.Ended(id_, WorkEnd::kCancelled);
+    RespondWithFailure(Errc::kDraining, {});
+  }
+
+  void OnStopEnding() override {
+    if (stage_ == Stage::kFinished) return;
+    LogCut();
+    if (call_) {
+      call_->Cancel();
+      call_.reset();
+      if (request_sent_) ++progress_.attempts_run;
+    }
+    context_.placement.Ended(id_, WorkEnd::kCancelled);
+    if (progress_.head_sent) return AbortResponse(Errc::kHostStopped);
+    if (stored_answer_) return ForwardStoredAnswer();
+    RespondWithFailure(
+        progress_.attempts_run == 0 ? Errc::kDraining : Errc::kHostStopped, {});
   }
 
  private:
@@ -149,6 +161,60 @@
     return true;
   }
 
+  // ---- Planned stop ----
+
+  /// What is left of the request's work. Before its target is known, the first
+  /// event is expected at the latency objective.
+  LateWork Work() const {
+    return {deadline_ - Now(), route_->latency_objective + DecodeTime()};
+  }
+
+  /// Expected time from the first event of a stream to its end.
+  Duration DecodeTime() const {
+    if (!StreamsFromEngine()) return {};
+    const std::uint32_t likely = caller_.likely_output_tokens > 0
+                                     ? caller_.likely_output_tokens
+                                     : caller_.max_output_tokens;
+    return kDecodeFactor *
+           MinDecodeTime(*table_->Service(service_)->engine,
+                         caller_.prompt_tokens,
+                         std::min(likely, caller_.max_output_tokens));
+  }
+
+  /// Decides whether a request that arrives during a stop is accepted.
+  bool IsInTimeToStop() const {
+    if (!context_.stop.is_stopping()) return true;
+    const Time now = Now();
+    const LateWork work = Work();
+    const bool is_accepted = context_.stop.Accepts(work, now);
+    LogLine(Severity::kInfo, Event::kLateRequest)
+        .With("request", caller_.id)
+        .With("route", route_->name)
+        .With("elapsed",
+              duration_cast<milliseconds>(context_.stop.Elapsed(now)))
+        .With("limit", duration_cast<milliseconds>(work.limit))
+        .With("estimate", duration_cast<milliseconds>(work.estimate))
+        .With("left",
+              duration_cast<milliseconds>(context_.stop.AnswerBy() - now))
+        .With("accepted", is_accepted);
+    return is_accepted;
+  }
+
+  void LogCut() const {
+    const Time now = Now();
+    const bool is_sent = stage_ == Stage::kSent || stage_ == Stage::kStreaming;
+    LogLine(Severity::kWarning, Event::kRequestCut)
+        .With("request", caller_.id)
+        .With("route", route_->name)
+        .With("target", is_sent ? grant_.targets.front().name : TargetName())
+        .With("stage", ToString(stage_))
+        .With("took", duration_cast<milliseconds>(now - arrival_))
+        .With("sent_for",
+              is_sent ? duration_cast<milliseconds>(now - attempt_sent_at_)
+                      : milliseconds())
+        .With("left", duration_cast<milliseconds>(deadline_ - now));
+  }
+
   bool IsCondemned() {
     const bool is_quarantined =
         context_.poison.Decide(subjects_.request, Now()) ==
@@ -229,6 +295,11 @@
     grant_ = std::get<PlaceGrant>(decision);
     const Time now = Now();
     if (now >= deadline_) return OnDeadline();
+    const LateWork work{deadline_ - now, grant_.estimate + DecodeTime()};
+    if (progress_.attempts_run == 0 && !context_.stop.MaySend(work, now)) {
+      context_.placement.Ended(id_, WorkEnd::kCancelled);
+      return RespondWithFailure(Errc::kDraining, {});
+    }
     // The verdict may be younger than the request.
     if (IsCondemned()) {
       context_.placement.Ended(id_, WorkEnd::kCancelled);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -10,6 +10,7 @@
 
 #include "comfreyflow/poison.h"
 #include "comfreyflow/routes.h"
+#include "comfreyflow/stop-plan.h"
 #include "comfreyflow/target-book.h"
 #include "gateway/crash-watch.h"
 #include "gateway/edge.h"
@@ -25,8 +26,11 @@
 class OpenRequest {
  public:
   virtual ~OpenRequest() = default;
-  /// Logs that the request is cut by the end of the process.
-  virtual void LogCut() const = 0;
+  /// A planned stop began. Refuses the request if it was sent to no target and
+  /// its answer is not expected in time.
+  virtual void OnStopBegun() = 0;
+  /// Gives the request its final answer, because the process is about to exit.
+  virtual void OnStopEnding() = 0;
 };
 
 /// State shared by all relays of a host. It outlives the relays and is used on
@@ -42,6 +46,7 @@
   std::function<void(const CrashEvidence&)> share_crash;
   node::Metrics& metrics;
   std::function<KindStatus()> target_list_status;
+  const StopPlan& stop;
   /// Called when a target reports, in its answer to `request`, that it accepts
   /// no new work.
   std::function<void(const LeavingReport&, const std::string& request)>
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -111,4 +111,6 @@
   });
 }
 
+void Server::CloseIdle() { state_->shared->connections.CloseIdle(); }
+
 }  // namespace comfreyflow::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -81,6 +81,8 @@
   std::size_t unanswered() const;
   /// Takes no new connections; open ones go on.
   void Close();
+  /// Closes the connections on which no request is being read or answered.
+  void CloseIdle();
 
  private:
   struct State;
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -32,7 +32,8 @@
 tcp::socket& Lowest(TlsStream& stream) { return stream.next_layer(); }
 
 template <class Stream>
-class Session : public std::enable_shared_from_this<Session<Stream>> {
+class Session : public OpenConnection,
+                public std::enable_shared_from_this<Session<Stream>> {
  public:
   using Self = std::shared_ptr<Session>;
 
@@ -41,7 +42,20 @@
       : tls_(std::move(tls)),
         stream_(std::move(stream)),
         timer_(stream_.get_executor()),
-        context_(std::move(context)) {}
+        context_(std::move(context)) {
+    context_->connections.Add(this);
+  }
+  ~Session() override { context_->connections.Remove(this); }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
+
+  void CloseIfIdle() override {
+    const auto self = this->weak_from_this().lock();
+    if (!self) return;
+    asio::post(stream_.get_executor(), [self] {
+      if (self->AwaitsRequest()) self->Close();
+    });
+  }
 
   void Start() {
     asio::dispatch(stream_.get_executor(),
@@ -121,6 +135,13 @@
 
   Self Shared() { return this->shared_from_this(); }
 
+  /// Whether no byte of a request has come since the last answer.
+  bool AwaitsRequest() {
+    if (phase_ != Phase::kIdle || !parser_) return false;
+    error_code error;
+    return Lowest(stream_).available(error) == 0 || error;
+  }
+
   // ---- Receiving ----
 
   void Begin() {
@@ -479,6 +500,21 @@
 
 }  // namespace
 
+void OpenConnections::Add(OpenConnection* connection) {
+  const std::lock_guard lock(mutex_);
+  open_.insert(connection);
+}
+
+void OpenConnections::Remove(OpenConnection* connection) {
+  const std::lock_guard lock(mutex_);
+  open_.erase(connection);
+}
+
+void OpenConnections::CloseIdle() {
+  const std::lock_guard lock(mutex_);
+  for (auto* connection : open_) connection->CloseIfIdle();
+}
+
 void StartSession(tcp::socket socket,
                   std::shared_ptr<const SessionContext> context) {
   std::make_shared<Session<tcp::socket>>(std::move(socket), nullptr,
--- a/src/http/session.h
+++ b/src/http/session.h
@@ -5,11 +5,34 @@
 #include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <memory>
+#include <mutex>
+#include <set>
 
 #include "http/server.h"
 
 namespace comfreyflow::http::detail {
 
+/// One open connection, as the server sees it.
+class OpenConnection {
+ public:
+  virtual ~OpenConnection() = default;
+  /// Closes the connection unless a request is being read or answered. From any
+  /// thread.
+  virtual void CloseIfIdle() = 0;
+};
+
+/// The open connections of a server. Safe to use from any thread.
+class OpenConnections {
+ public:
+  void Add(OpenConnection* connection);
+  void Remove(OpenConnection* connection);
+  void CloseIdle();
+
+ private:
+  std::mutex mutex_;
+  std::set<OpenConnection*> open_;
+};
+
 /// What all sessions of a server share.
 struct SessionContext {
   ServerLimits limits;
@@ -17,6 +40,7 @@
   std::shared_ptr<BodyBudget> budget;
   /// Requests whose answer is not yet written to the end.
   mutable std::atomic<std::size_t> unanswered = 0;
+  mutable OpenConnections connections;
 };
 
 void StartSession(boost::asio::ip::tcp::socket socket,
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -17,6 +17,7 @@
   kSettingsReloaded,
   kStopping,
   kStopped,
+  kLateRequest,
   kRequestCut,
   kExited,
   kStoreLost,
@@ -83,7 +84,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 65> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 66> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -96,11 +97,18 @@
     {"settings_reloaded",
      "SIGHUP or a changed settings file triggered a reload", "cause problem"},
     {"stopping", "a planned shutdown started", "open_requests"},
-    {"stopped", "a planned shutdown is complete", "open_requests took"},
+    {"stopped", "a planned shutdown is complete",
+     "open_requests unanswered took"},
+    {"late_request",
+     "a request arrived during a planned shutdown; elapsed: time since the "
+     "shutdown started; limit, estimate: time until its final answer at the "
+     "latest and until its complete answer as expected; left: time until open "
+     "requests are answered; accepted: it was not refused",
+     "request route elapsed limit estimate left accepted"},
     {"request_cut",
-     "a request was open when a planned shutdown ended; stage: placing, "
-     "reserving, sent or streaming; sent_for: time since it was sent to the "
-     "target; left: time until its deadline",
+     "a request was open when a planned shutdown ended, and got its final "
+     "answer; stage: placing, reserving, sent or streaming; sent_for: time "
+     "since it was sent to the target; left: time until its deadline",
      "request route target stage took sent_for left"},
     {"exited", "the process ends on its own", ""},
     {"store_lost", "the store does not answer", "kind"},
--- a/test/platform/host-test.cc
+++ b/test/platform/host-test.cc
@@ -414,6 +414,7 @@
 
 TEST_CASE("a planned stop ends open streams whole and says not ready at once") {
   Site site;
+  site.SetStopTime(std::chrono::seconds(8));
   FakeTarget& target = site.AddTarget("model", "i1");
   http::ExchangePtr open;
   target.OnRequest([&](const http::ExchangePtr& exchange) {
