Keep a request at its silent target until another one is granted

Callers saw streams cut and lookups failed seconds before their deadline, although their target was sound and went on after a second.

Cause: after a time without data an attempt was ended at once, also where the route allowed no other target, where none was free, or where the last one had been used; nothing was left then but to abort.

Another target is now requested beside the running attempt, only if one may run the request. Data from the silent target cancels that; a grant moves the request; a refusal leaves it where it is until its deadline. target_silent and silence_borne say so in the log.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -244,8 +244,18 @@
 
   void RequestPlacement() {
     stage_ = Stage::kPlacing;
+    context_.placement.Place(service_, MakeJob(id_, excluded_),
+                             [self = weak_from_this()](const PlaceDecision& v) {
+                               if (const auto relay = self.lock()) {
+                                 relay->OnPlacementDecision(v);
+                               }
+                             });
+  }
+
+  PlaceJob MakeJob(const RequestId& id,
+                   std::vector<TargetName> excluded) const {
     PlaceJob job;
-    job.id = id_;
+    job.id = id;
     job.account = account_;
     job.domain = context_.domain;
     job.stream = StreamsFromEngine();
@@ -258,13 +268,8 @@
     job.objective = route_->latency_objective;
     job.max_gap = route_->max_gap;
     job.is_retry = progress_.attempts > 0;
-    job.excluded = excluded_;
-    context_.placement.Place(service_, job,
-                             [self = weak_from_this()](const PlaceDecision& v) {
-                               if (const auto relay = self.lock()) {
-                                 relay->OnPlacementDecision(v);
-                               }
-                             });
+    job.excluded = std::move(excluded);
+    return job;
   }
 
   bool StreamsFromEngine() const {
@@ -305,6 +310,11 @@
       context_.placement.Ended(id_, WorkEnd::kCancelled);
       return OnCondemned();
     }
+    LogPlaced(now);
+    ReserveMemory();
+  }
+
+  void LogPlaced(Time now) const {
     const KindStatus list_status = context_.target_list_status
                                        ? context_.target_list_status()
                                        : KindStatus{};
@@ -323,7 +333,6 @@
         .With("list_age",
               duration_cast<milliseconds>(now - list_status.confirmed_at))
         .With("out_of_turns", std::uint64_t{grant_.out_of_permits});
-    ReserveMemory();
   }
 
   /// Reserves memory at the helpers for which the grant asks for it, then sends
@@ -399,6 +408,7 @@
     context_.metrics.QueueWait(now - arrival_);
     attempt_started_ = false;
     attempt_proven_ = false;
+    is_target_silent_ = false;
     request_sent_ = false;
     target_head_ = {};
     target_response_ = {};
@@ -488,6 +498,7 @@
     }
     if (!targets_are_engines_ || !is_event_stream_)
       context_.placement.Started(id_);
+    if (!is_event_stream_) OnProgress();
   }
 
   /// Applies what a target reports about itself in the head of an answer,
@@ -562,6 +573,7 @@
   }
 
   void OnEvents(const std::string& events) {
+    OnProgress();
     RecordEventGap();
     if (!attempt_started_) {
       attempt_started_ = true;
@@ -680,18 +692,24 @@
     Finish(Errc::kOk);
   }
 
+  AttemptFailure MakeFailure(bool reported_not_run) const {
+    AttemptFailure failure;
+    failure.sent = request_sent_;
+    failure.reported_not_run = reported_not_run;
+    failure.may_resume = Repeatable(*route_) && route_->resumable &&
+                         (!progress_.head_sent || !splitter_.last_id().empty());
+    return failure;
+  }
+
   void OnAttemptFailed(WorkEnd end, Errc code) {
+    CancelSecondPlacement();
     if (call_) call_->Cancel();
     call_.reset();
     EndReservations();
     ++attempt_number_;
     response_timer_.Disarm();
-    AttemptFailure failure;
-    failure.sent = request_sent_;
-    failure.reported_not_run =
-        end == WorkEnd::kRefused || end == WorkEnd::kWrongTarget;
-    failure.may_resume = Repeatable(*route_) && route_->resumable &&
-                         (!progress_.head_sent || !splitter_.last_id().empty());
+    const AttemptFailure failure =
+        MakeFailure(end == WorkEnd::kRefused || end == WorkEnd::kWrongTarget);
     if (failure.sent && !failure.reported_not_run) ++progress_.attempts_run;
     if (failure.reported_not_run || !failure.sent) code = Errc::kTargetRefused;
     last_failure_ = code;
@@ -701,6 +719,13 @@
     RecordCrash(end);
     const NextStep next = AfterFailure(*route_, failure, progress_);
     cause_ = CauseOf(failure);
+    LogTryFailed(end, failure, next);
+    context_.placement.Ended(id_, end, cause_);
+    TakeNextStep(next, code, was_suspect && end == WorkEnd::kBroken);
+  }
+
+  void LogTryFailed(WorkEnd end, const AttemptFailure& failure,
+                    NextStep next) const {
     LogLine(Severity::kWarning, Event::kTryFailed)
         .With("request", caller_.id)
         .With("target", grant_.targets.front().name)
@@ -717,8 +742,6 @@
         .With("parts", ToHexList(subjects_.parts))
         .With("try", std::uint64_t{progress_.attempts})
         .With("next", static_cast<std::uint64_t>(next));
-    context_.placement.Ended(id_, end, cause_);
-    TakeNextStep(next, code, was_suspect && end == WorkEnd::kBroken);
   }
 
   /// The granted target that the refusal names, otherwise the first one.
@@ -774,10 +797,106 @@
                         &Relay::OnTargetTimeout);
   }
 
+  /// The target has sent nothing for longer than usual, but may be sound.
+  /// Another target is requested if one may run the request, and this attempt
+  /// goes on until one is granted.
   void OnTargetTimeout() {
     if (stage_ != Stage::kSent && stage_ != Stage::kStreaming) return;
-    if (!call_) return;
-    OnAttemptFailed(WorkEnd::kTimedOut, Errc::kTargetUnresponsive);
+    if (!call_ || second_placement_) return;
+    is_target_silent_ = true;
+    const bool may_retry = MayRetryAfterSilence();
+    LogLine(Severity::kWarning, Event::kTargetSilent)
+        .With("request", caller_.id)
+        .With("target", grant_.targets.front().name)
+        .With("head_sent", progress_.head_sent)
+        .With("begun", attempt_started_)
+        .With("sent_for", duration_cast<milliseconds>(Now() - attempt_sent_at_))
+        .With("try", std::uint64_t{progress_.attempts})
+        .With("elsewhere", may_retry);
+    if (may_retry) RequestSecondPlacement();
+  }
+
+  bool MayRetryAfterSilence() {
+    const AttemptFailure failure = MakeFailure(false);
+    RelayProgress progress = progress_;
+    if (failure.sent) ++progress.attempts_run;
+    progress.remaining = deadline_ - Now();
+    return AfterFailure(*route_, failure, progress) == NextStep::kRetry &&
+           !IsCondemned();
+  }
+
+  void RequestSecondPlacement() {
+    second_placement_ = context_.placement.NextId();
+    std::vector<TargetName> excluded = excluded_;
+    excluded.push_back(grant_.targets.front().name);
+    context_.placement.Place(
+        service_, MakeJob(*second_placement_, std::move(excluded)),
+        [self = weak_from_this()](const PlaceDecision& decision) {
+          if (const auto relay = self.lock()) {
+            relay->OnSecondPlacementDecision(decision);
+          }
+        });
+  }
+
+  void OnSecondPlacementDecision(const PlaceDecision& decision) {
+    if (!second_placement_) return;
+    if (const auto* refusal = std::get_if<PlaceRefusal>(&decision)) {
+      second_placement_.reset();
+      LogLine(Severity::kInfo, Event::kSilenceBorne)
+          .With("request", caller_.id)
+          .With("target", grant_.targets.front().name)
+          .With(refusal->code);
+      return ArmResponseTimer(attempt_started_);
+    }
+    const auto& grant = std::get<PlaceGrant>(decision);
+    const Time now = Now();
+    const LateWork work{deadline_ - now, grant.estimate + DecodeTime()};
+    if (!MayRetryAfterSilence() || !context_.stop.MaySend(work, now)) {
+      return CancelSecondPlacement();
+    }
+    MoveTo(grant, now);
+  }
+
+  /// Gives up the silent target and sends the request to the granted one.
+  void MoveTo(const PlaceGrant& grant, Time now) {
+    const RequestId id = *second_placement_;
+    second_placement_.reset();
+    call_->Cancel();
+    call_.reset();
+    EndReservations();
+    ++attempt_number_;
+    const AttemptFailure failure = MakeFailure(false);
+    if (failure.sent) ++progress_.attempts_run;
+    last_failure_ =
+        failure.sent ? Errc::kTargetUnresponsive : Errc::kTargetRefused;
+    progress_.remaining = deadline_ - now;
+    splitter_.DropUnfinished();
+    cause_ = grant_.targets.front().name;
+    LogTryFailed(WorkEnd::kTimedOut, failure, NextStep::kRetry);
+    context_.placement.Ended(id_, WorkEnd::kTimedOut, cause_);
+    excluded_.push_back(cause_);
+    id_ = id;
+    grant_ = grant;
+    LogPlaced(now);
+    ReserveMemory();
+  }
+
+  void CancelSecondPlacement() {
+    if (!second_placement_) return;
+    context_.placement.Ended(*second_placement_, WorkEnd::kCancelled);
+    second_placement_.reset();
+  }
+
+  /// The target sent something that the caller waits for.
+  void OnProgress() {
+    is_target_silent_ = false;
+    CancelSecondPlacement();
+  }
+
+  /// How the work of an attempt ended that is given up for another reason than
+  /// the target's answer.
+  WorkEnd GivenUp() const {
+    return is_target_silent_ ? WorkEnd::kTimedOut : WorkEnd::kCancelled;
   }
 
   void OnDeadline() {
@@ -790,7 +909,7 @@
     }
     if (stage_ == Stage::kPlacing || stage_ == Stage::kReserving ||
         attempt_in_progress) {
-      context_.placement.Ended(id_, WorkEnd::kCancelled);
+      context_.placement.Ended(id_, GivenUp());
     }
     if (progress_.head_sent) return AbortResponse(Errc::kDeadlineExceeded);
     if (stored_answer_) return ForwardStoredAnswer();
@@ -803,7 +922,7 @@
     if (stage_ == Stage::kFinished) return;
     if (call_) call_->Cancel();
     call_.reset();
-    context_.placement.Ended(id_, WorkEnd::kCancelled);
+    context_.placement.Ended(id_, GivenUp());
     Finish(Errc::kCancelled);
   }
 
@@ -848,6 +967,7 @@
 
   void Finish(Errc code) {
     stage_ = Stage::kFinished;
+    CancelSecondPlacement();
     EndReservations();
     ++attempt_number_;
     deadline_timer_.Cancel();
@@ -916,6 +1036,9 @@
   std::uint64_t attempt_number_ =
       0;  ///< Hooks of earlier attempts are ignored.
   Time attempt_sent_at_;
+  bool is_target_silent_ = false;  ///< It has sent nothing for long.
+  /// Requested beside the current attempt while its target is silent.
+  std::optional<RequestId> second_placement_;
   bool request_sent_ = false;
   bool attempt_started_ = false;
   Time attempt_started_at_;      ///< When its first event arrived.
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -46,6 +46,8 @@
   kGrantDeclined,
   kPlaced,
   kReservationRefused,
+  kTargetSilent,
+  kSilenceBorne,
   kTryFailed,
   kRequestSuspected,
   kCrashSuspected,
@@ -84,7 +86,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 66> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 68> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -196,6 +198,14 @@
      "entry_version list_version era list_age out_of_turns"},
     {"reservation_refused", "a target rejected the reservation of memory",
      "target status held"},
+    {"target_silent",
+     "a target has sent nothing for longer than usual; elsewhere: another "
+     "target is requested, otherwise the request stays with this one",
+     "request target head_sent begun sent_for try elsewhere"},
+    {"silence_borne",
+     "no other target takes a request whose target is silent; it stays with "
+     "this one",
+     "request target code"},
     {"try_failed", "an attempt ended without a complete answer",
      "request target cause end status sent not_run head_sent begun sent_for "
      "account parts try next"},
