--- a/test/platform/silence-test.cc
+++ b/test/platform/silence-test.cc
@@ -68,3 +68,29 @@
   CHECK(answer.response.status == 200);
   CHECK(target.requests().size() == 1);
 }
+
+TEST_CASE("a stream stays with a target that is silent for good") {
+  Site site;
+  FakeTarget& first = site.AddTarget("model", "i1");
+  FakeTarget& second = site.AddTarget("model", "i2");
+  std::vector<http::ExchangePtr> open;
+  for (FakeTarget* target : {&first, &second}) {
+    target->OnRequest([&open, target](const http::ExchangePtr& exchange) {
+      open.push_back(exchange);
+      http::Response head = target->Head(exchange->request());
+      head.content_type = "text/event-stream";
+      exchange->StartStream(std::move(head));
+      const bool is_first = open.size() == 1;
+      FakeTarget::WriteEvents(exchange, is_first ? 1 : 3, is_first ? 2 : 1);
+      if (!is_first) exchange->End();
+    });
+  }
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  const Answer answer = site.Call(host, "POST", "/stream/1", kStreamFields);
+  CHECK(answer.whole);
+  CHECK(open.size() == 2);
+  const auto& resumed = open.back()->request();
+  CHECK(http::FieldValue(resumed.fields, "last-event-id") == "2");
+}
--- a/test/platform/stop-test.cc
+++ b/test/platform/stop-test.cc
@@ -192,3 +192,48 @@
   }
   CHECK(waited > 0);
 }
+
+TEST_CASE("an unsafe request that still runs when a host ends is cut") {
+  Site site;
+  site.SetStopTime(seconds(1));
+  FakeTarget& target = site.AddTarget("app", "i1");
+  std::vector<http::ExchangePtr> open;
+  target.OnRequest(
+      [&open](const http::ExchangePtr& exchange) { open.push_back(exchange); });
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  const auto answer = site.Send(host, "POST", "/unsafe/1");
+  REQUIRE(site.Until([&] { return !open.empty(); }));
+  open_at_stop.reset();
+  site.host(host).Stop();
+  REQUIRE(site.Until([&] { return site.stopped(); }));
+  CHECK(open_at_stop.value() == 0);
+  CHECK(answer->whole);
+  CHECK(answer->response.status == 502);
+  CHECK_FALSE(http::HasField(answer->response.fields, "retry-after"));
+  CHECK(answer->response.body.find("host_stopped") != std::string::npos);
+}
+
+TEST_CASE("a stream that still runs when a host ends looks complete") {
+  Site site;
+  site.SetStopTime(seconds(1));
+  FakeTarget& target = site.AddTarget("model", "i1");
+  std::vector<http::ExchangePtr> open;
+  target.OnRequest([&](const http::ExchangePtr& exchange) {
+    open.push_back(exchange);
+    http::Response head = target.Head(exchange->request());
+    head.content_type = "text/event-stream";
+    exchange->StartStream(std::move(head));
+    FakeTarget::WriteEvents(exchange, 1, 2);
+  });
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  const auto answer = site.Send(host, "POST", "/stream/1", kStreamFields);
+  REQUIRE(site.Until([&] { return !open.empty(); }));
+  site.host(host).Stop();
+  REQUIRE(site.Until([&] { return site.stopped(); }));
+  REQUIRE(site.Until([&] { return answer->ended; }));
+  CHECK_FALSE(answer->whole);
+}
