Don't move a request to another target after its attempt has ended

Callers saw the host process end.

Cause: the end of an attempt is told to the placer before the request is finished.

platform-stop-review-test, "a caller leaves as the end of its attempt frees another target": segmentation fault before, passes now.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -840,6 +840,8 @@
 
   void OnSecondPlacementDecision(const PlaceDecision& decision) {
     if (!second_placement_) return;
+    // The end of the current attempt may have freed the granted target.
+    if (!call_) return CancelSecondPlacement();
     if (const auto* refusal = std::get_if<PlaceRefusal>(&decision)) {
       second_placement_.reset();
       LogLine(Severity::kInfo, Event::kSilenceBorne)
