Take each byte of a plain answer as a sign of life of its target

Callers' lookups were run twice and answered late although their answer was arriving.

Cause: the timer for a silent target runs from the send of a plain request and only the answer's head stopped a placement elsewhere, so that a body that took longer than the timer was given up for another target while its bytes came.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -561,6 +561,8 @@
   }
 
   void OnPlainBody(std::string_view bytes) {
+    OnProgress();
+    if (Repeatable(*route_)) ArmResponseTimer(false);
     if (forwards_plain_) return exchange_->Write(std::string(bytes));
     body_ += bytes;
     if (body_.size() <= kMaxBufferedAnswerBytes) return;
