--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -96,7 +96,7 @@
     RecordShortDemand(work.prefill_time, now);
   if (!job.is_retry) {
     if (job.excluded.empty()) retry_window_.RecordRequest(now);
-  } else if (!retry_window_.TakeRetry(now)) {
+  } else if (retry_window_.Left(now) < 1) {
     Refuse(work, Errc::kOverloaded, Duration::zero());
     works_.erase(job.id);
     return;
--- a/src/core/placer/queue.cc
+++ b/src/core/placer/queue.cc
@@ -82,6 +82,11 @@
       works_.erase(id);
       continue;
     }
+    if (work.job.is_retry && retry_window_.Left(now) < 1) {
+      Refuse(work, Errc::kOverloaded, Duration::zero());
+      works_.erase(id);
+      continue;
+    }
     const bool skip = blocked && !work.is_long && work.prefill_time >= *blocked;
     if (!skip && TryPlace(work, now)) continue;
     const auto permits =
