A run that does not continue its stream is refused, not joined

Callers got events twice, with a gap, or of another run: nothing compared the first event of a resumed run with the id after which it was asked to go on. A target that started again, repeated the last event or skipped one was forwarded as it came, and the stream looked complete.

StreamContinuity decides it, without a network: ids that have counted up by one must go on with the next number, other numbers must be greater, any other id must be unlike the last, and events of this response are not followed by one without id. The run is then given up before any of it is forwarded, and the stream is tried again elsewhere, or aborted. A stream that a caller resumes is held to its Last-Event-Id in the same way.

--- a/src/core/relay/event-splitter.cc
+++ b/src/core/relay/event-splitter.cc
@@ -36,15 +36,45 @@
   return line;
 }
 
+/// What a block of lines says.
+struct Block {
+  bool is_event = false;
+  std::optional<std::string_view> id;
+};
+
+Block ParseBlock(std::string_view text) {
+  Block block;
+  std::size_t at = 0;
+  while (at < text.size()) {
+    const auto end = std::min(text.find('\n', at), text.size());
+    std::string_view line = text.substr(at, end - at);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    const auto id = FieldValue(line, "id");
+    if (id) block.id = id;
+    block.is_event = block.is_event || id || FieldValue(line, "data");
+    at = end + 1;
+  }
+  return block;
+}
+
 }  // namespace
 
+void EventSplitter::StartRun(std::string_view caller_last_id) {
+  DropUnfinished();
+  is_refused_ = false;
+  refused_id_.clear();
+  continuity_.StartRun(caller_last_id);
+}
+
 std::string EventSplitter::Feed(std::string_view bytes) {
+  if (is_refused_) return {};
   unfinished_ += bytes;
   const std::string_view text = unfinished_;
   std::size_t complete = 0;  // End of the last complete event.
   for (std::size_t end = FindBlockEnd(text, scanned_);
        end != std::string_view::npos; end = FindBlockEnd(text, scanned_)) {
-    if (ParseBlock(text.substr(start_, end - start_))) complete = end;
+    if (TakeBlock(text.substr(start_, end - start_))) complete = end;
+    if (is_refused_) break;
     start_ = end;
     scanned_ = end;
   }
@@ -65,21 +95,17 @@
 
 void EventSplitter::DropUnfinished() { TakeUnfinished(); }
 
-/// Returns whether the block is an event, and records its id.
-bool EventSplitter::ParseBlock(std::string_view block) {
-  bool is_event = false;
-  std::size_t at = 0;
-  while (at < block.size()) {
-    const auto end = std::min(block.find('\n', at), block.size());
-    std::string_view line = block.substr(at, end - at);
-    if (line.ends_with('\r')) line.remove_suffix(1);
-    const auto id = FieldValue(line, "id");
-    if (id) last_id_ = std::string(*id);
-    is_event = is_event || id || FieldValue(line, "data");
-    at = end + 1;
+/// Returns whether the block is an event of the stream.
+bool EventSplitter::TakeBlock(std::string_view text) {
+  const Block block = ParseBlock(text);
+  if (!block.is_event) return false;
+  if (!continuity_.Accept(block.id)) {
+    is_refused_ = true;
+    refused_id_ = block.id.value_or("");
+    return false;
   }
-  if (is_event) ++events_;
-  return is_event;
+  ++events_;
+  return true;
 }
 
 }  // namespace comfreyflow
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -332,6 +332,8 @@
     target_head_ = {};
     target_response_ = {};
     body_.clear();
+    const bool may_resume = Repeatable(*route_) && route_->resumable;
+    splitter_.StartRun(may_resume ? caller_.last_event_id : "");
     ForwardHead forward;
     forward.target = grant_.targets.front().name.value;
     forward.account = account_.value;
@@ -473,11 +475,24 @@
     if (!is_event_stream_) return OnPlainBody(bytes);
     const std::string events = splitter_.Feed(bytes);
     if (!events.empty()) OnEvents(events);
+    if (splitter_.is_refused()) return OnRunRefused();
     if (splitter_.too_long()) {
       OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
     }
   }
 
+  /// The target does not continue the stream where the caller's events end.
+  void OnRunRefused() {
+    constexpr std::size_t kMaxLoggedId = 64;
+    LogLine(Severity::kWarning, Event::kResumeRefused)
+        .With("request", caller_.id)
+        .With("target", grant_.targets.front().name)
+        .With("last_id", splitter_.last_id().substr(0, kMaxLoggedId))
+        .With("next_id", splitter_.refused_id().substr(0, kMaxLoggedId))
+        .With("try", std::uint64_t{progress_.attempts});
+    OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
+  }
+
   void OnPlainBody(std::string_view bytes) {
     if (forwards_plain_) return exchange_->Write(std::string(bytes));
     body_ += bytes;
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -45,6 +45,7 @@
   kGrantDeclined,
   kPlaced,
   kReservationRefused,
+  kResumeRefused,
   kTryFailed,
   kRequestSuspected,
   kCrashSuspected,
@@ -83,7 +84,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 65> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 66> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -188,6 +189,10 @@
      "entry_version list_version era list_age out_of_turns"},
     {"reservation_refused", "a target rejected the reservation of memory",
      "target status held"},
+    {"resume_refused",
+     "a target did not continue a stream after the last event that the caller "
+     "has (last_id), but with next_id; nothing of it was forwarded",
+     "request target last_id next_id try"},
     {"try_failed", "an attempt ended without a complete answer",
      "request target cause end status sent not_run head_sent begun sent_for "
      "account parts try next"},
--- a/test/event-splitter-test.cc
+++ b/test/event-splitter-test.cc
@@ -70,3 +70,27 @@
   }
   CHECK(fed > EventSplitter::kMaxEventBytes);
 }
+
+TEST_CASE("a refused event is returned, or what follows it") {
+  EventSplitter splitter;
+  splitter.StartRun("");
+  const std::string first = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  CHECK(splitter.Feed(first + "id: 3\nda") == first);
+  splitter.StartRun("");
+  CHECK(
+      splitter.Feed(": keep\n\nid: 1\ndata: a\n\nid: 3\ndata: c\n\n").empty());
+  CHECK(splitter.is_refused());
+  CHECK(splitter.refused_id() == "1");
+  CHECK(splitter.Feed("id: 3\ndata: c\n\n").empty());
+  CHECK(splitter.last_id() == "2");
+  CHECK(splitter.events() == 2);
+  splitter.StartRun("");
+  CHECK_FALSE(splitter.is_refused());
+  CHECK(splitter.Feed("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+}
+
+TEST_CASE("the last of several ids of an event is not its id") {
+  EventSplitter splitter;
+  splitter.Feed("id: 1\nid: 2\ndata: a\n\n");
+  CHECK(splitter.last_id() == "2");
+}
--- a/test/platform/stream-order-test.cc
+++ b/test/platform/stream-order-test.cc
@@ -231,6 +231,25 @@
   std::size_t host = 0;
 };
 
+/// Runs that don't go on behind event 3.
+struct WrongRun {
+  std::string name;
+  std::string text;
+};
+
+const WrongRun kWrongRuns[] = {
+    {"starts again", EventTexts(1, kEvents)},
+    {"repeats the last event", EventTexts(3, kEvents)},
+    {"repeats two events", EventTexts(2, kEvents)},
+    {"has no ids", "data: word4\n\ndata: word5\n\ndata: word6\n\n"},
+    {"has an empty id", "id:\ndata: word4\n\n" + EventTexts(5, kEvents)},
+};
+
+const WrongRun kRunsUnlikeTheirStream[] = {
+    {"skips an event", EventTexts(5, kEvents)},
+    {"has other ids", "id: a4\ndata: word4\n\nid: a5\ndata: word5\n\n"},
+};
+
 }  // namespace
 
 TEST_CASE("a plain answer of a second target is written into a stream") {
@@ -255,6 +274,31 @@
   MESSAGE("streams out of order: ", faulty);
 }
 
+TEST_CASE("a resumed run that does not go on is joined to its stream") {
+  const auto check = [](const WrongRun& run) {
+    CAPTURE(run.name);
+    ResumedSite resumed(EventTexts(1, 3) + "id: 4\nda", run.text);
+    const Answer answer = resumed.Call();
+    CHECK(answer.response.body == EventTexts(1, kEvents));
+    CHECK(answer.whole);
+    CHECK(resumed.last_event_ids == std::vector<std::string>{"", "3", "3"});
+  };
+  for (const auto& run : kWrongRuns) check(run);
+  for (const auto& run : kRunsUnlikeTheirStream) check(run);
+}
+
+TEST_CASE("a stream that its caller resumes begins at an event that it has") {
+  for (const auto& run : kWrongRuns) {
+    if (run.name == "has no ids" || run.name == "has an empty id") continue;
+    CAPTURE(run.name);
+    ResumedSite resumed(run.text, run.text);
+    const Answer answer = resumed.Call({{"last-event-id", "3"}});
+    CHECK(answer.response.body == EventTexts(4, kEvents));
+    CHECK(answer.whole);
+    CHECK(resumed.last_event_ids == std::vector<std::string>{"3", "3", "3"});
+  }
+}
+
 TEST_CASE("a caller's retry at another host repeats or skips events") {
   ResumedSite resumed(EventTexts(1, 3) + "id: 4\nda", "id: 4\nda");
   resumed.site.PutConfig(
