A stream is not resumed behind an event without id

Callers got events twice: after an event without id the stream was resumed behind the last id before it, so that the next target sent that event again. A stream whose last event has no id is aborted now, as one whose id was reset already was; its caller may resume it.

--- a/include/comfreyflow/event-splitter.h
+++ b/include/comfreyflow/event-splitter.h
@@ -42,6 +42,8 @@
   /// Id of the last complete event that has one; before the first, that of the
   /// caller's last event, or empty.
   const std::string& last_id() const { return continuity_.last_id(); }
+  /// Whether another run can continue after the last complete event.
+  bool can_resume() const { return continuity_.can_resume(); }
   /// Whether this run was refused, as it does not continue the stream.
   bool is_refused() const { return is_refused_; }
   /// Id of the refused event, if it has one.
--- a/include/comfreyflow/stream-continuity.h
+++ b/include/comfreyflow/stream-continuity.h
@@ -30,6 +30,9 @@
   /// Id of the last event that has one, after which another run is to continue;
   /// empty if there is none.
   const std::string& last_id() const { return last_id_; }
+  /// Whether `last_id` is the id of the last event. Otherwise, a resumed run
+  /// would repeat the events after `last_id`.
+  bool can_resume() const { return is_last_identified_; }
 
  private:
   bool Follows(std::string_view id) const;
@@ -37,8 +40,9 @@
   void Record(std::string_view id);
 
   std::string last_id_;
-  bool has_events_ = false;      ///< Accepted any event.
-  bool is_run_checked_ = true;   ///< This run's first id was accepted.
+  bool has_events_ = false;          ///< Accepted any event.
+  bool is_last_identified_ = false;  ///< The last accepted event has an id.
+  bool is_run_checked_ = true;       ///< This run's first id was accepted.
   bool resumes_events_ = false;  ///< Events of another run precede this run.
   std::uint32_t steps_of_one_ = 0;
   bool has_other_step_ = false;
--- a/src/core/relay/stream-continuity.cc
+++ b/src/core/relay/stream-continuity.cc
@@ -43,6 +43,7 @@
     is_run_checked_ = has_id;
   }
   has_events_ = true;
+  is_last_identified_ = has_id;
   if (id) Record(*id);
   return true;
 }
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -635,7 +635,7 @@
     failure.reported_not_run =
         end == WorkEnd::kRefused || end == WorkEnd::kWrongTarget;
     failure.may_resume = Repeatable(*route_) && route_->resumable &&
-                         (!progress_.head_sent || !splitter_.last_id().empty());
+                         (!progress_.head_sent || splitter_.can_resume());
     if (failure.sent && !failure.reported_not_run) ++progress_.attempts_run;
     if (failure.reported_not_run || !failure.sent) code = Errc::kTargetRefused;
     last_failure_ = code;
--- a/test/platform/stream-order-test.cc
+++ b/test/platform/stream-order-test.cc
@@ -349,6 +349,19 @@
   }
 }
 
+TEST_CASE("a stream is resumed behind an event without id and repeats it") {
+  for (const std::string event : {"data: b\n\n", "id:\ndata: b\n\n"}) {
+    CAPTURE(event);
+    const std::string first = "id: 1\ndata: a\n\n" + event;
+    ResumedSite resumed(first + "id: 2\nda", first + EventTexts(2, 3));
+    const Answer answer = resumed.Call();
+    CHECK_FALSE(answer.whole);
+    // Events that wait to be written when a stream is aborted are dropped.
+    CHECK(first.starts_with(answer.response.body));
+    CHECK(resumed.last_event_ids.size() == 1);
+  }
+}
+
 TEST_CASE("a stream without length that is reset between events looks whole") {
   for (const bool resumable : {true, false}) {
     CAPTURE(resumable);
--- a/test/stream-continuity-test.cc
+++ b/test/stream-continuity-test.cc
@@ -97,3 +97,18 @@
   for (const char* id : {"5", "3", "3", "x", "1"}) CHECK(stream.Accept(id));
   CHECK(stream.last_id() == "1");
 }
+
+TEST_CASE("a stream is resumed behind an event that has no id") {
+  StreamContinuity stream;
+  stream.StartRun("");
+  CHECK_FALSE(stream.can_resume());
+  CHECK(stream.Accept("1"));
+  CHECK(stream.can_resume());
+  CHECK(stream.Accept(std::nullopt));
+  CHECK_FALSE(stream.can_resume());
+  CHECK(stream.Accept("2"));
+  CHECK(stream.can_resume());
+  CHECK(stream.Accept(""));
+  CHECK_FALSE(stream.can_resume());
+  CHECK(stream.last_id().empty());
+}
