Refuse a request that waits in a planned stop once it can't be sent any more

Callers waited for an answer until the end of the stop, too late to go elsewhere.

Cause: whether a request that waits for a target could still end in time was decided once, as the stop began, and again only at a grant, so that one that no grant could send any more waited for up to half of the stop time.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -301,7 +301,7 @@
   void BeginStop() {
     stop.Begin(Now());
     RefreshPeers();
-    ForEachOpen(&OpenRequest::OnStopBegun);
+    ForEachOpen(&OpenRequest::OnStopTick);
     caller_server.CloseIdle();
     StopTick();
   }
@@ -327,6 +327,7 @@
         relay_context.open_requests.empty() && caller_server.unanswered() == 0;
     if (now >= stop.ExitBy() || (is_closed && is_idle)) return Exit(now);
     if (now >= stop.AnswerBy() || (is_idle && now >= stop.IdleFrom())) Close();
+    if (!is_closed) ForEachOpen(&OpenRequest::OnStopTick);
     StopTick();
   }
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -100,7 +100,7 @@
     RequestPlacement();
   }
 
-  void OnStopBegun() override {
+  void OnStopTick() override {
     const bool may_go_elsewhere = stage_ == Stage::kPlacing &&
                                   progress_.attempts_run == 0 &&
                                   !progress_.head_sent;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -26,9 +26,9 @@
 class OpenRequest {
  public:
   virtual ~OpenRequest() = default;
-  /// A planned stop began. Refuses the request if it was sent to no target and
-  /// its answer is not expected in time.
-  virtual void OnStopBegun() = 0;
+  /// Called from the begin of a planned stop on. Refuses the request if it was
+  /// sent to no target and its answer is not expected in time any more.
+  virtual void OnStopTick() = 0;
   /// Gives the request its final answer, because the process is about to exit.
   virtual void OnStopEnding() = 0;
 };
