Close an idle connection only if no byte of a request was read

Callers saw a connection end without an answer although the host had read their request, so that those that may run once were lost.

Cause: bytes that a host had received in the same turn of its loop as it closed idle connections were gone from the socket while their handler still waited, so that the connection looked idle. The read is cancelled now, and what it had already read is handled. The session isn't destroyed any more while the set of connections is locked, which would have waited for itself with several threads.

--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -50,11 +50,11 @@
   Session& operator=(const Session&) = delete;
 
   void CloseIfIdle() override {
-    const auto self = this->weak_from_this().lock();
+    auto self = this->weak_from_this().lock();
     if (!self) return;
-    asio::post(stream_.get_executor(), [self] {
-      if (self->AwaitsRequest()) self->Close();
-    });
+    const auto executor = stream_.get_executor();
+    // Not destroyed in here, as the set of connections is locked.
+    asio::post(executor, [self = std::move(self)] { self->EndWaiting(); });
   }
 
   void Start() {
@@ -135,13 +135,6 @@
 
   Self Shared() { return this->shared_from_this(); }
 
-  /// Whether no byte of a request has come since the last answer.
-  bool AwaitsRequest() {
-    if (phase_ != Phase::kIdle || !parser_) return false;
-    error_code error;
-    return Lowest(stream_).available(error) == 0 || error;
-  }
-
   // ---- Receiving ----
 
   void Begin() {
@@ -166,15 +159,38 @@
     lease_ = context_->budget->Lease();
     if (buffer_.size() > 0) return ReadHead();
     Arm(context_->limits.idle_timeout);
+    AwaitRequest();
+  }
+
+  void AwaitRequest() {
     stream_.async_read_some(
         buffer_.prepare(kAheadBytes),
         [self = Shared()](const error_code& error, std::size_t size) {
-          if (self->Stopped(error)) return;
-          self->buffer_.commit(size);
-          self->ReadHead();
+          self->OnFirstBytes(error, size);
         });
   }
 
+  void OnFirstBytes(const error_code& error, std::size_t size) {
+    const bool was_waiting = std::exchange(closes_if_idle_, false) &&
+                             error == asio::error::operation_aborted;
+    if (was_waiting && phase_ == Phase::kIdle && !timed_out_) {
+      error_code ignored;
+      if (Lowest(stream_).available(ignored) > 0) return AwaitRequest();
+      return Close();
+    }
+    if (Stopped(error)) return;
+    buffer_.commit(size);
+    ReadHead();
+  }
+
+  /// Cancels the read of the next request. Bytes that were read already are
+  /// still handled.
+  void EndWaiting() {
+    if (phase_ != Phase::kIdle || !parser_) return;
+    closes_if_idle_ = true;
+    Lowest(stream_).cancel();
+  }
+
   void ReadHead() {
     phase_ = Phase::kReceiving;
     Arm(context_->limits.receive_timeout);
@@ -496,6 +512,7 @@
   bool ending_ = false;
   bool next_request_waits_ = false;
   bool timed_out_ = false;
+  bool closes_if_idle_ = false;  ///< If no byte of a request has come.
 };
 
 }  // namespace
--- a/test/platform/stop-review-test.cc
+++ b/test/platform/stop-review-test.cc
@@ -212,6 +212,13 @@
   asio::post(io, [&server] { server.CloseIdle(); });
   io.run_for(milliseconds(50));
   const bool was_read = received == 1;
+  tcp::socket idle(caller_io);
+  idle.connect({asio::ip::address_v4::loopback(), server.port()});
+  io.run_for(milliseconds(50));
+  server.CloseIdle();
+  io.run_for(milliseconds(50));
+  CHECK(idle.available() == 0);
+  idle.non_blocking(true);
   // A connection that is closed with unread bytes is reset, one whose bytes
   // were read ends.
   boost::system::error_code error;
@@ -219,4 +226,6 @@
   caller.read_some(asio::buffer(answer), error);
   CHECK((was_read || error == asio::error::connection_reset));
   CHECK((was_read || error));
+  idle.read_some(asio::buffer(answer), error);
+  CHECK(error == asio::error::eof);
 }
