Keep a silent target's attempt until another target answers

Callers saw a stream cut although its silent target went on: it was given up at the grant of another target, which then refused the request, and no further one was there.

The request is now sent to the other target beside the silent one. The first that sends a part of an answer has it, the other is cancelled; if the other refuses, fails or can't reserve memory, the request stays where it was.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -384,6 +384,10 @@
     EndReservations();
     context_.placement.Ended(id_, WorkEnd::kCancelled);
     excluded_.push_back(refused);
+    if (parked_) {
+      ReturnToParked();
+      return ArmResponseTimer(attempt_started_);
+    }
     RequestPlacement();
   }
 
@@ -413,8 +417,7 @@
     target_head_ = {};
     target_response_ = {};
     body_.clear();
-    const bool may_resume = Repeatable(*route_) && route_->resumable;
-    splitter_.StartRun(may_resume ? caller_.last_event_id : "");
+    StartRun();
     ForwardHead forward;
     forward.target = grant_.targets.front().name.value;
     forward.account = account_.value;
@@ -450,22 +453,21 @@
   }
 
   http::CallHooks MakeCallHooks() {
-    const std::uint64_t number = ++attempt_number_;
+    const std::uint64_t number = ++attempts_opened_;
+    attempt_number_ = number;
     const auto guarded = [self = weak_from_this(), number](auto action) {
       const auto relay = self.lock();
-      if (relay && relay->attempt_number_ == number &&
-          relay->stage_ != Stage::kFinished) {
-        action(*relay);
-      }
+      if (!relay || relay->stage_ == Stage::kFinished) return;
+      if (relay->IsParked(number)) relay->ReturnToParked();
+      if (relay->attempt_number_ == number) action(*relay);
     };
     http::CallHooks hooks;
-    hooks.on_sent = [guarded] {
-      guarded([](Relay& relay) { relay.request_sent_ = true; });
+    hooks.on_sent = [self = weak_from_this(), number] {
+      if (const auto relay = self.lock()) relay->OnSent(number);
     };
-    hooks.is_mine = [guarded](const http::Response& head) {
-      bool matches = true;
-      guarded([&](Relay& relay) { matches = relay.AnswersThisRequest(head); });
-      return matches;
+    hooks.is_mine = [self = weak_from_this()](const http::Response& head) {
+      const auto relay = self.lock();
+      return !relay || relay->AnswersThisRequest(head);
     };
     hooks.on_head = [guarded](const http::Response& head) {
       guarded([&head](Relay& relay) { relay.OnHead(head); });
@@ -473,12 +475,22 @@
     hooks.on_body = [guarded](std::string_view bytes) {
       guarded([bytes](Relay& relay) { relay.OnBody(bytes); });
     };
-    hooks.on_end = [guarded](http::CallEnd end) {
+    hooks.on_end = [guarded, self = weak_from_this(),
+                    number](http::CallEnd end) {
+      const auto relay = self.lock();
+      if (relay && end.code != Errc::kOk && relay->IsParked(number)) {
+        return relay->OnParkedBroken(end.code);
+      }
       guarded([end](Relay& relay) { relay.OnCallEnd(end); });
     };
     return hooks;
   }
 
+  void OnSent(std::uint64_t number) {
+    if (attempt_number_ == number) request_sent_ = true;
+    if (IsParked(number)) parked_->is_sent = true;
+  }
+
   bool AnswersThisRequest(const http::Response& head) const {
     const auto report = context_.edge.read_head(head);
     return report.request_id.empty() || report.request_id == caller_.id;
@@ -487,8 +499,7 @@
   void OnHead(const http::Response& head) {
     target_head_ = context_.edge.read_head(head);
     target_response_ = head;
-    const bool success =
-        target_head_.status >= 200 && target_head_.status < 300;
+    const bool success = IsSuccess();
     is_event_stream_ =
         success && target_head_.authentic && target_head_.event_stream;
     ApplyTargetReport(grant_.targets.front(), target_head_);
@@ -500,7 +511,7 @@
     }
     if (!targets_are_engines_ || !is_event_stream_)
       context_.placement.Started(id_);
-    if (!is_event_stream_) OnProgress();
+    if (!is_event_stream_ && IsSuccess()) OnProgress();
   }
 
   /// Applies what a target reports about itself in the head of an answer,
@@ -575,8 +586,12 @@
     OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
   }
 
+  bool IsSuccess() const {
+    return target_head_.status >= 200 && target_head_.status < 300;
+  }
+
   void OnPlainBody(std::string_view bytes) {
-    OnProgress();
+    if (IsSuccess()) OnProgress();
     if (Repeatable(*route_)) ArmResponseTimer(false);
     if (forwards_plain_) return exchange_->Write(std::string(bytes));
     body_ += bytes;
@@ -676,8 +691,7 @@
           target_head_.wrong_target ? WorkEnd::kWrongTarget : WorkEnd::kRefused,
           Errc::kTargetRefused);
     }
-    const bool success =
-        target_head_.status >= 200 && target_head_.status < 300;
+    const bool success = IsSuccess();
     if (success &&
         (!target_head_.authentic || target_head_.request_id != caller_.id)) {
       return OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
@@ -723,7 +737,7 @@
     if (call_) call_->Cancel();
     call_.reset();
     EndReservations();
-    ++attempt_number_;
+    attempt_number_ = 0;
     response_timer_.Disarm();
     const AttemptFailure failure =
         MakeFailure(end == WorkEnd::kRefused || end == WorkEnd::kWrongTarget);
@@ -738,6 +752,11 @@
     cause_ = CauseOf(failure);
     LogTryFailed(end, failure, next);
     context_.placement.Ended(id_, end, cause_);
+    if (parked_) {
+      excluded_.push_back(cause_);
+      ReturnToParked();
+      return ArmResponseTimer(attempt_started_);
+    }
     TakeNextStep(next, code, was_suspect && end == WorkEnd::kBroken);
   }
 
@@ -779,11 +798,14 @@
 
   void RecordCrash(WorkEnd end) {
     if (end != WorkEnd::kBroken || !request_sent_) return;
-    const PlacedTarget& target = grant_.targets.front();
+    RecordCrashAt(grant_.targets.front(), HasProvenSound());
+  }
+
+  void RecordCrashAt(const PlacedTarget& target, bool is_proven) {
     const CrashEvidence evidence{subjects_.request, target.name};
     if (context_.poison.AddEvidence(evidence, Now()))
       context_.share_crash(evidence);
-    if (HasProvenSound()) return;
+    if (is_proven) return;
     context_.crashes.OnConnectionBroken(service_, target, subjects_);
   }
 
@@ -821,7 +843,7 @@
     if (stage_ != Stage::kSent && stage_ != Stage::kStreaming) return;
     if (!call_ || second_placement_) return;
     is_target_silent_ = true;
-    const bool may_retry = MayRetryAfterSilence();
+    const bool may_retry = !parked_ && MayRetryAfterSilence();
     LogLine(Severity::kWarning, Event::kTargetSilent)
         .With("request", caller_.id)
         .With("target", grant_.targets.front().name)
@@ -873,33 +895,89 @@
     if (!MayRetryAfterSilence() || !context_.stop.MaySend(work, now)) {
       return CancelSecondPlacement();
     }
-    MoveTo(grant, now);
+    SendBeside(grant, now);
   }
 
-  /// Gives up the silent target and sends the request to the granted one.
-  void MoveTo(const PlaceGrant& grant, Time now) {
-    const RequestId id = *second_placement_;
+  /// Sends the request to the granted target, too. The silent one keeps it
+  /// until the other one answers.
+  void SendBeside(const PlaceGrant& grant, Time now) {
+    id_ = *second_placement_;
     second_placement_.reset();
-    call_->Cancel();
-    call_.reset();
-    EndReservations();
-    ++attempt_number_;
-    const AttemptFailure failure = MakeFailure(false);
-    if (failure.sent) ++progress_.attempts_run;
-    last_failure_ =
-        failure.sent ? Errc::kTargetUnresponsive : Errc::kTargetRefused;
-    progress_.remaining = deadline_ - now;
-    splitter_.DropUnfinished();
-    cause_ = grant_.targets.front().name;
-    LogTryFailed(WorkEnd::kTimedOut, failure, NextStep::kRetry);
-    context_.placement.Ended(id_, WorkEnd::kTimedOut, cause_);
-    excluded_.push_back(cause_);
-    id_ = id;
+    response_timer_.Disarm();
+    excluded_.push_back(grant_.targets.front().name);
+    if (request_sent_) ++progress_.attempts_run;
+    parked_.emplace();
+    SwapParked();
+    parked_->unfinished = splitter_.TakeUnfinished();
+    last_failure_ = Errc::kTargetUnresponsive;
+    attempt_number_ = 0;
     grant_ = grant;
     LogPlaced(now);
     ReserveMemory();
   }
 
+  bool IsParked(std::uint64_t number) const {
+    return parked_ && parked_->number == number;
+  }
+
+  /// Exchanges the state of the current attempt with that in `parked_`.
+  void SwapParked() {
+    Parked& parked = *parked_;
+    std::swap(attempt_number_, parked.number);
+    std::swap(grant_, parked.grant);
+    std::swap(reservations_, parked.reservations);
+    std::swap(requested_reservations_, parked.requested_reservations);
+    std::swap(call_, parked.call);
+    std::swap(attempt_sent_at_, parked.sent_at);
+    std::swap(request_sent_, parked.is_sent);
+    std::swap(attempt_started_, parked.has_started);
+    std::swap(attempt_started_at_, parked.started_at);
+    std::swap(attempt_proven_, parked.is_proven);
+    std::swap(is_event_stream_, parked.is_event_stream);
+    std::swap(target_head_, parked.head);
+    std::swap(target_response_, parked.response);
+    std::swap(body_, parked.body);
+  }
+
+  /// The silent target goes on, or the other one failed.
+  void ReturnToParked() {
+    context_.placement.Ended(id_, WorkEnd::kCancelled);
+    if (call_) {
+      call_->Cancel();
+      if (request_sent_) ++progress_.attempts_run;
+    }
+    SwapParked();
+    const std::string unfinished = std::move(parked_->unfinished);
+    parked_.reset();
+    if (request_sent_) --progress_.attempts_run;
+    is_target_silent_ = true;
+    stage_ = progress_.head_sent ? Stage::kStreaming : Stage::kSent;
+    StartRun();
+    splitter_.Feed(unfinished);
+    LogLine(Severity::kInfo, Event::kSilenceBorne)
+        .With("request", caller_.id)
+        .With("target", grant_.targets.front().name)
+        .With(last_failure_);
+  }
+
+  void OnParkedBroken(Errc code) {
+    if (WorkEndOf(code) == WorkEnd::kBroken && parked_->is_sent) {
+      RecordCrashAt(parked_->grant.targets.front(), parked_->is_proven);
+    }
+    DropParked();
+  }
+
+  void DropParked() {
+    if (!parked_) return;
+    if (parked_->call) parked_->call->Cancel();
+    parked_.reset();
+  }
+
+  void StartRun() {
+    const bool may_resume = Repeatable(*route_) && route_->resumable;
+    splitter_.StartRun(may_resume ? caller_.last_event_id : "");
+  }
+
   void CancelSecondPlacement() {
     if (!second_placement_) return;
     context_.placement.Ended(*second_placement_, WorkEnd::kCancelled);
@@ -910,12 +988,7 @@
   void OnProgress() {
     is_target_silent_ = false;
     CancelSecondPlacement();
-  }
-
-  /// How the work of an attempt ended that is given up for another reason than
-  /// the target's answer.
-  WorkEnd GivenUp() const {
-    return is_target_silent_ ? WorkEnd::kTimedOut : WorkEnd::kCancelled;
+    DropParked();
   }
 
   void OnDeadline() {
@@ -928,7 +1001,7 @@
     }
     if (stage_ == Stage::kPlacing || stage_ == Stage::kReserving ||
         attempt_in_progress) {
-      context_.placement.Ended(id_, GivenUp());
+      context_.placement.Ended(id_, WorkEnd::kCancelled);
     }
     if (progress_.head_sent) return AbortResponse(Errc::kDeadlineExceeded);
     if (stored_answer_) return ForwardStoredAnswer();
@@ -941,7 +1014,7 @@
     if (stage_ == Stage::kFinished) return;
     if (call_) call_->Cancel();
     call_.reset();
-    context_.placement.Ended(id_, GivenUp());
+    context_.placement.Ended(id_, WorkEnd::kCancelled);
     Finish(Errc::kCancelled);
   }
 
@@ -987,8 +1060,9 @@
   void Finish(Errc code) {
     stage_ = Stage::kFinished;
     CancelSecondPlacement();
+    DropParked();
     EndReservations();
-    ++attempt_number_;
+    attempt_number_ = 0;
     deadline_timer_.Cancel();
     response_timer_.Cancel();
     context_.metrics.Finished(code);
@@ -1045,6 +1119,27 @@
   /// A target's error response, forwarded if no later attempt succeeds.
   std::optional<http::Response> stored_answer_;
 
+  /// An attempt at a silent target that goes on while the request is sent to
+  /// another one, which has sent no part of an answer.
+  struct Parked {
+    std::uint64_t number = 0;
+    PlaceGrant grant;
+    std::unique_ptr<Reservations> reservations;
+    std::vector<Reservation> requested_reservations;
+    std::shared_ptr<http::Call> call;
+    Time sent_at;
+    bool is_sent = false;
+    bool has_started = false;
+    Time started_at;
+    bool is_proven = false;
+    bool is_event_stream = false;
+    TargetHead head;
+    http::Response response;
+    std::string body;
+    std::string unfinished;  ///< Start of an event.
+  };
+  std::optional<Parked> parked_;
+
   // The current attempt.
   PlaceGrant grant_;
   std::unique_ptr<Reservations> reservations_;
@@ -1052,8 +1147,9 @@
   std::vector<Reservation> requested_reservations_;
   std::uint32_t reservation_count_ = 0;
   std::shared_ptr<http::Call> call_;
-  std::uint64_t attempt_number_ =
-      0;  ///< Hooks of earlier attempts are ignored.
+  std::uint64_t attempts_opened_ = 0;
+  /// Of the current attempt; hooks of others are ignored. 0: none.
+  std::uint64_t attempt_number_ = 0;
   Time attempt_sent_at_;
   bool is_target_silent_ = false;  ///< It has sent nothing for long.
   /// Requested beside the current attempt while its target is silent.
