Tell the placer of a silent target at once

While other targets were full, a dark target went on getting requests: the placer heard of its silence only when a request moved or ended, 20 requests in 1.5 s in the test, which allows 5. It hears at the first silence again.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -842,7 +842,11 @@
   void OnTargetTimeout() {
     if (stage_ != Stage::kSent && stage_ != Stage::kStreaming) return;
     if (!call_ || second_placement_) return;
-    is_target_silent_ = true;
+    if (!std::exchange(is_target_silent_, true)) {
+      // Other requests are not to be sent there meanwhile.
+      context_.placement.Ended(id_, WorkEnd::kTimedOut,
+                               grant_.targets.front().name);
+    }
     const bool may_retry = !parked_ && MayRetryAfterSilence();
     LogLine(Severity::kWarning, Event::kTargetSilent)
         .With("request", caller_.id)
