Don't blame a granted target for the silence of the one before it

Cause: the mark of a silent target stayed set while the next target's memory was being reserved; an end by deadline or by the caller in that time was counted as the new target's failure and closed it, though it had been sent nothing.

Read only: no test shows it. platform-stop-, -silence- and -host-test passed.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -338,6 +338,7 @@
   /// Reserves memory at the helpers for which the grant asks for it, then sends
   /// the request.
   void ReserveMemory() {
+    is_target_silent_ = false;
     std::vector<Reservation> requested;
     for (std::size_t i = 1; i < grant_.targets.size(); ++i) {
       const auto& target = grant_.targets[i];
@@ -408,7 +409,6 @@
     context_.metrics.QueueWait(now - arrival_);
     attempt_started_ = false;
     attempt_proven_ = false;
-    is_target_silent_ = false;
     request_sent_ = false;
     target_head_ = {};
     target_response_ = {};
