Bound a host's planned stop and answer what is open at its end

Callers of comfreyflowd saw their answers cut without a word at a planned stop: a drain ended only when nothing was open, so a stream with a deadline of half an hour outlasted the supervisor's patience, and SIGKILL closed all connections. Late requests were taken whatever their deadlines. Callers kept their connections to the stopping host.

[limits] stop_time bounds the stop. A request that may outlast it is refused at once with draining, not run, Retry-After: by its deadline, or for a repeatable completion by twice its estimate plus a silence. What is open two seconds before the end gets draining as its final answer with its true outcome, and is cancelled at its target. Answers of a stopping host close their connections. Draining is final: the end of a cut-off that raced with it could admit requests again.

--- a/include/comfreyflow/dispatcher.h
+++ b/include/comfreyflow/dispatcher.h
@@ -98,6 +98,9 @@
   /// each admitted request.
   AdmissionDecision Arrived(const RequestInfo& info, Time now);
   void Done(const RequestId& id);
+  /// Estimated time until the answer to an arriving request is complete if it
+  /// uses all its output tokens and no target has its prompt cached.
+  Duration AnswerTime(const RequestInfo& info, Time now);
 
   /// Queues an admitted request for its next attempt. Exactly one `Dispatched`
   /// or `Unplaced` follows, unless `Leave` is called first. A suspect may have
--- a/include/comfreyflow/drain.h
+++ b/include/comfreyflow/drain.h
@@ -15,7 +15,8 @@
   kLeaving,   ///< No longer in address answers, still accepts requests.
   kRefusing,  ///< Refuses new requests with `kDraining`; open requests
               ///< continue.
-  kDone,      ///< No request is open; the process may exit.
+  kDone,      ///< No request is open, or the time is over; the process may
+              ///< exit.
 };
 
 /// State machine of a drain. A host never returns to an earlier phase.
@@ -24,10 +25,12 @@
   /// Records that this host or a peer sent an address answer that names this
   /// host. Callers may use the answer until `expires`.
   void AddressAnswerSent(Time expires);
-  /// Starts the drain. `peer_update_time` is the maximum time until all peers
-  /// omit this host from their address answers. `answer_lifetime` is how long
-  /// callers may use an address answer.
-  void Stop(Time now, Duration peer_update_time, Duration answer_lifetime);
+  /// Starts the drain, which ends at `exit_by` at the latest.
+  /// `peer_update_time` is the maximum time until all peers omit this host from
+  /// their address answers. `answer_lifetime` is how long callers may use an
+  /// address answer.
+  void Stop(Time now, Duration peer_update_time, Duration answer_lifetime,
+            Time exit_by);
   /// Advances and returns the phase. `open_requests` is the number of requests
   /// without a final answer.
   DrainPhase Advance(std::size_t open_requests, Time now);
@@ -40,6 +43,7 @@
   DrainPhase phase_ = DrainPhase::kServing;
   Time answers_expire_at_{};  ///< Latest expiry of an address answer with this
                               ///< host.
+  Time exit_by_ = Time::max();
 };
 
 }  // namespace comfreyflow
--- a/include/comfreyflow/entry.h
+++ b/include/comfreyflow/entry.h
@@ -119,13 +119,22 @@
   double weight = 1;
 };
 
-/// New requests are refused with `reason` until `ResumeAdmitting`.
+/// New requests are refused with `reason` until `ResumeAdmitting`; with
+/// `kDraining` for good.
 struct StopAdmitting {
   Errc reason = Errc::kDraining;
 };
 
 struct ResumeAdmitting {};
 
+/// The host ends. Requests whose answers could come after `answer_by` are
+/// refused with `kDraining`: by their deadlines, or by an estimate if they are
+/// repeatable. Requests that are open then are ended with `kDraining`, and no
+/// further ones are admitted.
+struct StopBegan {
+  Time answer_by;
+};
+
 /// Time has passed. To be sent at least every `kEntryTickPeriod`.
 struct Tick {};
 
@@ -134,7 +143,7 @@
                  ChunkArrived, StreamHeartbeat, StreamEnded, StreamFailed,
                  CallerDisconnected, TargetUpdated, TargetRemoved, TargetClosed,
                  LoadReported, PrefixReported, SuspectReported, SuspectCleared,
-                 LimitChanged, StopAdmitting, ResumeAdmitting, Tick>;
+                 LimitChanged, StopAdmitting, ResumeAdmitting, StopBegan, Tick>;
 
 // ---- Commands -------------------------------------------------------------
 
--- a/include/comfreyflow/settings.h
+++ b/include/comfreyflow/settings.h
@@ -54,6 +54,10 @@
   Duration silence_limit = std::chrono::seconds(3);
   /// How long callers may cache an answer of `GET /v1/addresses`.
   Duration address_life = std::chrono::seconds(10);
+  /// Maximum time from the start of a planned stop to the exit of the process.
+  /// To be set below the time after which the supervisor kills it, 90 s with
+  /// systemd's defaults.
+  Duration stop_time = std::chrono::seconds(80);
 };
 
 struct HostSettingsResult {
--- a/src/core/dispatch/dispatcher.cc
+++ b/src/core/dispatch/dispatcher.cc
@@ -33,6 +33,13 @@
   return admission_.Arrived(info, load, now);
 }
 
+Duration Dispatcher::AnswerTime(const RequestInfo& info, Time now) {
+  const RateModel& rates = admission_.rates();
+  return QueueWait(info.account, router_.Classify(info), now) +
+         rates.Prefill(info.prompt_tokens) +
+         rates.Decode(info.max_output_tokens);
+}
+
 void Dispatcher::Done(const RequestId& id) { admission_.Ended(id); }
 
 Duration Dispatcher::QueueWait(const AccountName& account, PromptClass length,
--- a/src/core/entry/arrival.cc
+++ b/src/core/entry/arrival.cc
@@ -9,9 +9,10 @@
 using detail::Phase;
 using detail::Request;
 
-Errc Entry::State::CheckArrival(const RequestArrived& event) const {
+Errc Entry::State::CheckArrival(const RequestArrived& event) {
   const RequestInfo& info = event.info;
   if (!admitting) return stop_reason;
+  if (StopsBefore(info)) return Errc::kDraining;
   if (info.deadline <= now) return Errc::kDeadlineInvalid;
   if (!info.repeatable) {
     if (event.idempotency_key.empty()) return Errc::kIdempotencyKeyMissing;
--- a/src/core/entry/entry.cc
+++ b/src/core/entry/entry.cc
@@ -158,11 +158,35 @@
 }
 
 void Entry::State::On(const StopAdmitting& event) {
+  if (!admitting && stop_reason == Errc::kDraining) return;
   admitting = false;
   stop_reason = event.reason;
 }
 
-void Entry::State::On(const ResumeAdmitting&) { admitting = true; }
+void Entry::State::On(const ResumeAdmitting&) {
+  if (stop_reason != Errc::kDraining) admitting = true;
+}
+
+void Entry::State::On(const StopBegan& event) { answer_by = event.answer_by; }
+
+bool Entry::State::StopsBefore(const RequestInfo& info) {
+  if (!answer_by || info.deadline <= *answer_by) return false;
+  const bool has_estimate = info.max_output_tokens > 0;
+  // A request that may run only once can't be sent again if it is ended here.
+  if (!info.repeatable || !has_estimate) return true;
+  // Leaves time for an attempt that fails or falls silent at its end.
+  const Duration limit =
+      2 * dispatcher.AnswerTime(info, now) + settings.attempt.silence_limit;
+  return now + limit > *answer_by;
+}
+
+void Entry::State::EndAllRequests(Errc code) {
+  std::vector<std::uint64_t> open;
+  for (const auto& [deadline, sequence] : deadlines) open.push_back(sequence);
+  for (const std::uint64_t sequence : open) {
+    GiveUp(requests.at(sequence), code);
+  }
+}
 
 void Entry::State::On(const Tick&) {
   while (!deadlines.empty() &&
@@ -170,6 +194,10 @@
     Request& request = requests.at(deadlines.begin()->second);
     GiveUp(request, Errc::kDeadlineExceeded);
   }
+  if (answer_by && *answer_by <= now + kEntryTickPeriod) {
+    On(StopAdmitting{Errc::kDraining});
+    EndAllRequests(Errc::kDraining);
+  }
   const std::vector<std::uint64_t> streams(streaming_requests.begin(),
                                            streaming_requests.end());
   for (const std::uint64_t sequence : streams) {
--- a/src/core/entry/state.h
+++ b/src/core/entry/state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <unordered_map>
@@ -39,6 +40,7 @@
   void On(const LimitChanged& event);
   void On(const StopAdmitting& event);
   void On(const ResumeAdmitting& event);
+  void On(const StopBegan& event);
   void On(const Tick& event);
 
   /// Stops new work for the target. Returns true if it was open before.
@@ -57,7 +59,7 @@
   // Arrival (arrival.cc).
   /// Returns the reason to refuse a request before any state is kept for it, or
   /// `kOk`.
-  Errc CheckArrival(const RequestArrived& event) const;
+  Errc CheckArrival(const RequestArrived& event);
   void Refuse(const RequestId& id, Errc code, Duration retry_after);
   /// Ends a request whose key is claimed by another request, which ran or may
   /// have run.
@@ -88,6 +90,11 @@
   /// Ends all requests with the fingerprint if it is in quarantine.
   void EndQuarantinedRequests(std::uint64_t fingerprint);
 
+  /// Whether the answer to an arriving request could come too late because the
+  /// host ends.
+  bool StopsBefore(const RequestInfo& info);
+  void EndAllRequests(Errc code);
+
   // Final answers (attempts.cc).
   /// Returns a final answer without token usage. If the error may succeed on a
   /// retry, `retry_after` defaults to `kDefaultRetryAfter`.
@@ -116,6 +123,8 @@
   std::map<TargetName, std::uint64_t> reported_epochs;
   bool admitting = true;
   Errc stop_reason = Errc::kDraining;
+  /// Set once the host ends; all requests have their final answers by then.
+  std::optional<Time> answer_by;
   EntryCommands output;
   Time now;
 };
--- a/src/core/settings/settings.cc
+++ b/src/core/settings/settings.cc
@@ -106,6 +106,8 @@
   out.address_life =
       reader.DurationValue("address_life", out.address_life, milliseconds(100),
                            std::chrono::minutes(10));
+  out.stop_time =
+      reader.DurationValue("stop_time", out.stop_time, seconds(1), hours(24));
   if (out.body_memory_bytes < 2 * out.body_bytes) {
     reader.Report("body_memory_bytes", ProblemKind::kConflictingValue,
                   "expected at least twice body_bytes");
--- a/src/node/node-deps.cc
+++ b/src/node/node-deps.cc
@@ -20,6 +20,10 @@
 /// Time within which all peers omit a draining host from their address answers.
 constexpr Duration kPeerUpdateTime = std::chrono::seconds(3);
 constexpr Duration kDrainCheckPeriod = milliseconds(50);
+/// The end of a planned stop is kept free for writing the last answers: this
+/// share of the stop's time, up to the maximum.
+constexpr int kWriteShare = 4;
+constexpr Duration kMaxWriteTime = std::chrono::seconds(2);
 
 milliseconds Milliseconds(Duration time) {
   return std::chrono::duration_cast<milliseconds>(time);
@@ -276,12 +280,17 @@
 }
 
 void Node::State::StartDrain() {
+  const Time now = comfreyflow::detail::Now();
   {
     const std::lock_guard lock(drain_mutex);
     if (drain.phase() != DrainPhase::kServing) return;
-    drain.Stop(comfreyflow::detail::Now(), kPeerUpdateTime,
-               settings().address_life);
+    drain.Stop(now, kPeerUpdateTime, settings().address_life,
+               now + settings().stop_time);
   }
+  is_draining = true;
+  const Duration write_time =
+      std::min(kMaxWriteTime, settings().stop_time / kWriteShare);
+  entry->Send(EntryPosted{StopBegan{now + settings().stop_time - write_time}});
   LogEvent(Severity::kInfo, Event::kDrainBegan);
   ScheduleDrain();
 }
--- a/src/node/node-state.h
+++ b/src/node/node-state.h
@@ -136,6 +136,7 @@
   mutable std::mutex drain_mutex;
   comfreyflow::Drain drain;  ///< Guarded by `drain_mutex`.
   boost::asio::steady_timer drain_timer{io};
+  std::atomic<bool> is_draining = false;
   std::atomic<bool> is_refusing = false;
   /// Why no requests are admitted; `kOk` if they are.
   std::atomic<Errc> stop_reason = Errc::kOk;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -83,6 +83,8 @@
   };
   hooks.handle = [this](const auto& exchange) { caller_api->Handle(exchange); };
   hooks.error_response = [this](Errc code) { return caller_api->Error(code); };
+  // Callers of a stopping host look for another one before their next request.
+  hooks.keep_connections = [this] { return !is_draining; };
   http::Server::TlsSource source;
   if (tls) source = [this] { return tls->context(); };
   callers = std::make_unique<http::Server>(io, CallerLimits(settings()),
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -38,8 +38,8 @@
 
   /// Opens the listeners and starts the actors.
   std::error_code Start();
-  /// Starts a graceful shutdown; `on_exit` is called when the last stream has
-  /// ended.
+  /// Starts a graceful shutdown; `on_exit` is called when the last answer has
+  /// been written, `HostSettings::stop_time` from now at the latest.
   void Drain();
   /// Reloads the TLS files if they changed.
   void ReloadTls();
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -232,6 +232,91 @@
             .size() == 1);
 }
 
+TEST_CASE("a request that may outlast a planned stop is taken") {
+  constexpr Time kAnswerBy = kStart + seconds(20);
+  struct Case {
+    const char* what;
+    bool repeatable;
+    std::uint32_t output_tokens;
+    Duration since_start;
+    Duration deadline;
+    bool is_taken;
+  };
+  const Case cases[] = {
+      {"brief", true, 100, seconds(0), seconds(60), true},
+      {"brief, near the end", true, 100, seconds(15), seconds(60), false},
+      {"long", true, 1'000, seconds(0), seconds(60), false},
+      {"long, ended by its deadline", true, 1'000, seconds(0), seconds(20),
+       true},
+      {"runs once", false, 100, seconds(0), seconds(21), false},
+      {"runs once, in time", false, 100, seconds(0), seconds(20), true},
+      {"without estimate", true, 0, seconds(0), seconds(21), false},
+  };
+  for (const Case& late : cases) {
+    CAPTURE(late.what);
+    Fixture f;
+    f.entry.Handle(StopBegan{kAnswerBy}, kStart);
+    RequestArrived arrival = Arrival(1, late.repeatable);
+    arrival.info.max_output_tokens = late.output_tokens;
+    arrival.info.arrival = kStart + late.since_start;
+    arrival.info.deadline = arrival.info.arrival + late.deadline;
+    const auto finishes =
+        Only<Finish>(f.entry.Handle(arrival, arrival.info.arrival));
+    CHECK(finishes.empty() == late.is_taken);
+    if (finishes.empty()) continue;
+    CHECK(finishes.front().code == Errc::kDraining);
+    CHECK(finishes.front().outcome == Outcome::kNotRun);
+    CHECK(finishes.front().retry_after > Duration::zero());
+  }
+}
+
+TEST_CASE("requests that are open at the end of a planned stop get no answer") {
+  constexpr Duration kStopTime = seconds(10);
+  Fixture f;
+  f.Grant(f.entry.Handle(Arrival(1), kStart));
+  f.entry.Handle(ChunkArrived{f.attempt, 0, 4, 1}, kStart);
+  f.Grant(f.entry.Handle(Arrival(2), kStart));
+  const auto claim = One<WantClaim>(f.entry.Handle(Arrival(3, false), kStart));
+  f.Grant(f.entry.Handle(ClaimAnswered{claim.request, ClaimVerdict::kClaimed},
+                         kStart));
+  f.entry.Handle(Arrival(4), kStart);
+  f.entry.Handle(StopBegan{kStart + kStopTime}, kStart);
+  // Heartbeats keep the streams from being taken for silent.
+  for (Time now = kStart; now < kStart + kStopTime - seconds(1);
+       now += seconds(1)) {
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+      const AttemptId attempt{{{"h"}, {1}, i}, 1};
+      f.entry.Handle(StreamHeartbeat{attempt}, now);
+    }
+    CHECK(Only<Finish>(f.entry.Handle(Tick{}, now)).empty());
+  }
+  const auto ended = f.entry.Handle(Tick{}, kStart + kStopTime);
+  const auto finishes = Only<Finish>(ended);
+  REQUIRE(finishes.size() == 4);
+  const Outcome outcomes[] = {Outcome::kFailed, Outcome::kUnknown,
+                              Outcome::kUnknown, Outcome::kNotRun};
+  for (std::size_t i = 0; i < finishes.size(); ++i) {
+    CHECK(finishes[i].request.sequence == i + 1);
+    CHECK(finishes[i].code == Errc::kDraining);
+    CHECK(finishes[i].outcome == outcomes[i]);
+  }
+  CHECK(Only<CancelAttempt>(ended).size() == 3);
+  CHECK(One<RecordOutcome>(ended).outcome == Outcome::kUnknown);
+  CHECK(f.entry.open_requests() == 0);
+  CHECK(One<Finish>(f.entry.Handle(Arrival(5), kStart + kStopTime)).code ==
+        Errc::kDraining);
+}
+
+TEST_CASE("a host that stops admits requests again after it was cut off") {
+  Fixture f;
+  f.entry.Handle(StopAdmitting{Errc::kCutOff}, kStart);
+  f.entry.Handle(StopAdmitting{Errc::kDraining}, kStart);
+  f.entry.Handle(StopAdmitting{Errc::kCutOff}, kStart);
+  f.entry.Handle(ResumeAdmitting{}, kStart);
+  CHECK(One<Finish>(f.entry.Handle(Arrival(1), kStart)).code ==
+        Errc::kDraining);
+}
+
 TEST_CASE("a closed target gets no new work") {
   Fixture f;
   f.entry.Handle(TargetClosed{{"e1"}}, kStart);
--- a/test/explore/host.cc
+++ b/test/explore/host.cc
@@ -158,7 +158,9 @@
 }
 
 void Host::Stop() {
-  if (alive()) drain_.Stop(world_.network.now(), kGossipLag, kAnswerLife);
+  if (alive()) {
+    drain_.Stop(world_.network.now(), kGossipLag, kAnswerLife, Time::max());
+  }
 }
 
 /// Goes on with a planned stop; the process exits at its end.
--- a/test/promises-test.cc
+++ b/test/promises-test.cc
@@ -257,7 +257,7 @@
   Drain drain;
   drain.AddressAnswerSent(kStart + 60s);
   CHECK(drain.Advance(3, kStart) == DrainPhase::kServing);
-  drain.Stop(kStart + 50s, 2s, 30s);
+  drain.Stop(kStart + 50s, 2s, 30s, Time::max());
   CHECK_FALSE(drain.in_answers());
   CHECK(drain.Advance(3, kStart + 81s) == DrainPhase::kLeaving);
   CHECK(drain.accepts());
@@ -267,6 +267,17 @@
   CHECK(drain.Advance(0, kStart + 2h) == DrainPhase::kDone);
 }
 
+TEST_CASE("a drain with open requests lasts beyond the time for it") {
+  Drain drain;
+  drain.Stop(kStart, 2s, 30s, kStart + 80s);
+  CHECK(drain.Advance(1, kStart + 79s) == DrainPhase::kRefusing);
+  CHECK(drain.Advance(1, kStart + 80s) == DrainPhase::kDone);
+  Drain early;
+  early.Stop(kStart, 2s, 30s, kStart + 10s);
+  CHECK(early.Advance(1, kStart + 9s) == DrainPhase::kLeaving);
+  CHECK(early.Advance(1, kStart + 10s) == DrainPhase::kDone);
+}
+
 TEST_CASE("a resume token is valid only for its account, body and lifetime") {
   const WallTime now{std::chrono::milliseconds(1'000'000)};
   const ResumeToken token{Listed("h~x", 3), {"acc.ount"}, {"t-1"}, 42, 17,
--- a/test/settings-test.cc
+++ b/test/settings-test.cc
@@ -59,6 +59,7 @@
        "receive_timeout"},
       {"receive_timeout = 250ms", "receive_timeout = 1ms", "limits",
        "receive_timeout"},
+      {"receive_timeout = 250ms", "stop_time = 10ms", "limits", "stop_time"},
       {"receive_timeout = 250ms", "body_bytes = many", "limits", "body_bytes"},
       {"receive_timeout = 250ms", "body_memory_bytes = 2048", "limits",
        "body_memory_bytes"},
