Resume elsewhere what a stopping host ended

A caller that used CallerSession (comfreyflowctl complete) gave up when its stream ended with an error, although it held a resume token. Now that a planned stop ends streams by the error draining, such a stream goes on at the next host with the token, as after a broken connection. Other errors end it as before. operator-test shows it; without the branch it fails, as a failed outcome is not sent again.

--- a/include/comfreyflow/caller-session.h
+++ b/include/comfreyflow/caller-session.h
@@ -34,6 +34,7 @@
   Outcome outcome = Outcome::kUnknown;
   bool retry = false;  ///< Whether a retry may succeed.
   Duration retry_after{};
+  bool is_draining = false;  ///< The host ended the answer because it stops.
 };
 
 struct CallerSessionSettings {
@@ -67,6 +68,7 @@
   std::uint32_t resumes() const { return resumes_; }
 
  private:
+  std::optional<CallerOpen> Resume(Time now);
   std::optional<CallerOpen> Next(Duration wait, Time now);
 
   CallerSessionSettings settings_;
--- a/src/core/caller/caller-session.cc
+++ b/src/core/caller/caller-session.cc
@@ -27,21 +27,24 @@
     case Kind::kUnreachable:
       return Next(settings_.retry_wait, now);
     case Kind::kError:
+      if (end.is_draining && !resume_token_.empty()) return Resume(now);
       if (end.outcome != Outcome::kNotRun || !end.retry) return std::nullopt;
       return Next(std::max(end.retry_after, settings_.retry_wait), now);
     case Kind::kBroken:
       break;
   }
-  if (!resume_token_.empty()) {
-    ++resumes_;
-    return Next(Duration::zero(), now);
-  }
+  if (!resume_token_.empty()) return Resume(now);
   // Without a token the answer can only be received from its start, so text
   // that was already received rules out a resend.
   if (!settings_.may_resend || offset_ > 0) return std::nullopt;
   return Next(settings_.retry_wait, now);
 }
 
+std::optional<CallerOpen> CallerSession::Resume(Time now) {
+  ++resumes_;
+  return Next(Duration::zero(), now);
+}
+
 std::optional<CallerOpen> CallerSession::Next(Duration wait, Time now) {
   if (settings_.hosts.empty() || opens_ >= settings_.max_opens) {
     return std::nullopt;
--- a/src/ctl/completion-run.cc
+++ b/src/ctl/completion-run.cc
@@ -161,7 +161,8 @@
     }
     if (error_.is_object()) {
       return {Kind::kError, OutcomeOf(error_), error_.value("retry", false),
-              milliseconds(error_.value("retry_after_ms", 0))};
+              milliseconds(error_.value("retry_after_ms", 0)),
+              error_.value("code", "") == Info(Errc::kDraining).name};
     }
     return {end.sent ? Kind::kBroken : Kind::kUnreachable};
   }
--- a/test/operator-test.cc
+++ b/test/operator-test.cc
@@ -88,6 +88,29 @@
   CHECK(session.resumes() == 1);
 }
 
+TEST_CASE("an answer that a stopping host ended is not resumed elsewhere") {
+  for (const bool is_draining : {false, true}) {
+    CallerSession session = Session();
+    session.Start();
+    session.OnResumeToken("t1");
+    session.OnText(40);
+    const auto next = session.Ended(
+        {Kind::kError, Outcome::kFailed, true, seconds(1), is_draining},
+        kStart);
+    REQUIRE(next.has_value() == is_draining);
+    if (!next) continue;
+    CHECK(next->host == "b");
+    CHECK(next->resume_token == "t1");
+    CHECK(next->offset == 40);
+  }
+  CallerSession without_token = Session();
+  without_token.Start();
+  CHECK_FALSE(
+      without_token
+          .Ended({Kind::kError, Outcome::kFailed, true, {}, true}, kStart)
+          .has_value());
+}
+
 TEST_CASE(
     "a request with an unknown outcome is resent only if resending is "
     "allowed") {
