--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -90,6 +90,17 @@
               {"Tenants", {{{"Name", "account1"}, {"ApiKeys", {"key1"}}}}}};
 }
 
+void SetRouteTimes(Json& config, milliseconds limit, milliseconds objective) {
+  for (auto& route : config["Routes"]) {
+    route["TimeoutMs"] = limit.count();
+    route["TargetLatencyMs"] = objective.count();
+  }
+}
+
+void SetAccountKey(Json& config, const std::string& key) {
+  config["Tenants"][0]["ApiKeys"] = {key};
+}
+
 Json SampleEntry(const std::string& service, const std::string& address,
                  const std::string& failure_domain, const std::string& state) {
   return Json{{"Service", service},
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -26,6 +26,11 @@
 /// The configuration of tests: a route of each kind, a plain service and one of
 /// engines, one account.
 nlohmann::json SampleConfig(std::uint64_t version);
+/// Sets the time limit and the objective of all routes of a configuration.
+void SetRouteTimes(nlohmann::json& config, std::chrono::milliseconds limit,
+                   std::chrono::milliseconds objective);
+/// Replaces the keys of the account of a configuration.
+void SetAccountKey(nlohmann::json& config, const std::string& key);
 /// A target's entry in the store.
 nlohmann::json SampleEntry(const std::string& service,
                            const std::string& address,
