Wait for a silent engine when no other attempt may follow

A request that may run once, or that was on its last attempt, was ended with target_silent after silence_limit (3 s) without an event, though its engine went on and nothing else was allowed to try: two timers, that of the attempt and the HTTP client's. A retry refused for lack of budget did the same. Now silence ends an attempt only if another one may follow; the last one has until its deadline.

Before: an engine that stands still for 2.5 s (limit 1.5 s) cost its caller the rest of the answer (failures-test); promises-test and entry-test fail for the single steps.

--- a/include/comfreyflow/attempt.h
+++ b/include/comfreyflow/attempt.h
@@ -13,7 +13,7 @@
 
 struct AttemptSettings {
   /// The maximum gap between events of a stream. After it the target counts as
-  /// unresponsive and the attempt ends.
+  /// unresponsive, and the attempt ends if another one may follow.
   Duration silence_limit = std::chrono::seconds(3);
   /// A gap of this length between two events or ticks means that the local host
   /// was paused. The time without events is then not attributed to the target.
--- a/src/core/attempts/attempt.cc
+++ b/src/core/attempts/attempt.cc
@@ -102,6 +102,8 @@
   last_event_at_ = now;
   if (stage_ == Stage::kIdle) return {};
   if (now - last_activity_at_ < settings_.silence_limit) return {};
+  // The target may be sound, so the last attempt goes on to the deadline.
+  if (!MayRetry(now)) return {};
   return EndAttempt(Errc::kTargetUnresponsive, now);
 }
 
--- a/src/core/entry/entry.cc
+++ b/src/core/entry/entry.cc
@@ -203,7 +203,10 @@
   for (const std::uint64_t sequence : streams) {
     const auto at = requests.find(sequence);
     if (at == requests.end()) continue;
-    ApplyStep(at->second, at->second.attempt.Check(now));
+    const AttemptStep step = at->second.attempt.Check(now);
+    // Without another attempt nothing is gained by the end of this one.
+    const bool retries = step.action == AttemptAction::kRetry;
+    if (!retries || budget.left() >= 1) ApplyStep(at->second, step);
   }
   while (!retry_times.empty() && retry_times.begin()->first <= now) {
     Request& request = requests.at(retry_times.begin()->second);
--- a/src/node/target-links.cc
+++ b/src/node/target-links.cc
@@ -184,6 +184,11 @@
   options.answer_bytes = std::numeric_limits<std::uint64_t>::max();
   options.fresh_connection = !call->info.repeatable || open.attempt.number > 1;
   for (std::size_t rank = addresses.size(); rank-- > 0;) {
+    // The entry role decides what the silence of the first engine means.
+    if (rank == 0) {
+      options.progress_timeout =
+          Milliseconds(open.expires - comfreyflow::detail::Now());
+    }
     auto stream =
         std::make_shared<EngineStream>(open.attempt, rank == 0, sink_);
     links.push_back(client_.Open(addresses[rank],
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -317,6 +317,22 @@
         Errc::kDraining);
 }
 
+TEST_CASE("a silent target is given up without budget for another attempt") {
+  Fixture f;
+  EntrySettings settings;
+  settings.retry = {.per_success = 0, .capacity = 0};
+  f.entry = Entry(settings);
+  f.entry.Handle(TargetUpdated{Engine("e1")}, kStart);
+  f.entry.Handle(TargetUpdated{Engine("e2")}, kStart);
+  f.Grant(f.entry.Handle(Arrival(1), kStart));
+  for (Time now = kStart; now < kStart + seconds(5); now += milliseconds(10)) {
+    CHECK(Only<Finish>(f.entry.Handle(Tick{}, now)).empty());
+  }
+  const auto end =
+      f.entry.Handle(StreamEnded{f.attempt, 0}, kStart + seconds(5));
+  CHECK(One<Finish>(end).outcome == Outcome::kDone);
+}
+
 TEST_CASE("a closed target gets no new work") {
   Fixture f;
   f.entry.Handle(TargetClosed{{"e1"}}, kStart);
--- a/test/promises-test.cc
+++ b/test/promises-test.cc
@@ -162,6 +162,19 @@
   CHECK(now == kStart + 8s);
 }
 
+TEST_CASE("silence ends an attempt that no other one may follow") {
+  Attempt attempt(Request(false), 0);
+  const AttemptId id = Run(attempt, kStart);
+  for (Time now = kStart; now < kStart + 9s; now += 10ms) {
+    CHECK(attempt.Check(now).action == AttemptAction::kNone);
+  }
+  CHECK(attempt.On(ChunkArrived{id, 0, 10, 1}, kStart + 9s).action ==
+        AttemptAction::kForward);
+  const AttemptStep end = attempt.Check(kStart + 10s);
+  CHECK(end.action == AttemptAction::kSettle);
+  CHECK(end.code == Errc::kDeadlineExceeded);
+}
+
 TEST_CASE("retries stay within their budget and prefer other failure domains") {
   RetryBudget budget({0.1, 2});
   CHECK(budget.Take());
--- a/test/shell/failures-test.cc
+++ b/test/shell/failures-test.cc
@@ -107,6 +107,23 @@
   CHECK(all.find("data: [DONE]") != std::string::npos);
 }
 
+TEST_CASE("an engine's pause ends a request that may not be sent again") {
+  Fleet fleet(1);
+  fakes::FakePlatform platform;
+  HostSettings settings = fleet.MakeSettings("h1");
+  settings.platform = platform.address();
+  TestHost host(settings);
+  const std::string body = Prompt("a plan to run once", 150, true);
+  RawCaller caller(host.callers());
+  caller.Send(StreamRequest(
+      body, {{"x-repeatable", "false"}, {"idempotency-key", "k1"}}));
+  caller.ReadUntil("data: {");
+  fleet.busy().SetFaults({{"freeze_ms", 2'500}});
+  const std::string all = caller.ReadAll();
+  CHECK(StreamText(all) == WholeText(body));
+  CHECK(all.find("data: [DONE]") != std::string::npos);
+}
+
 TEST_CASE("repeated and missing chunks do not reach the caller") {
   Fleet fleet(10);
   for (auto* engine : {&fleet.first, &fleet.second}) {
