--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -325,7 +325,9 @@
   void AdvanceStop(Time now) {
     const bool is_idle =
         relay_context.open_requests.empty() && caller_server.unanswered() == 0;
-    if (now >= stop.ExitBy() || (is_closed && is_idle)) return Exit(now);
+    // The memory of helpers is released by calls that follow the answers.
+    const bool is_done = is_closed && is_idle && client.open_calls() == 0;
+    if (now >= stop.ExitBy() || is_done) return Exit(now);
     if (now >= stop.AnswerBy() || (is_idle && now >= stop.IdleFrom())) Close();
     if (!is_closed) ForEachOpen(&OpenRequest::OnStopTick);
     StopTick();
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -100,6 +101,10 @@
 
   asio::io_context& io() { return io_; }
 
+  void CallOpened() { ++open_calls_; }
+  void CallEnded() { --open_calls_; }
+  std::size_t open_calls() const { return open_calls_; }
+
   std::optional<tcp::socket> Take(const std::string& address,
                                   std::chrono::milliseconds idle_limit) {
     const auto now = Clock::now();
@@ -146,6 +151,7 @@
   };
 
   asio::io_context& io_;
+  std::atomic<std::size_t> open_calls_ = 0;
   mutable std::mutex mutex_;
   std::map<std::string, std::vector<Idle>> idle_;
 };
@@ -162,7 +168,12 @@
         hooks_(std::move(hooks)),
         strand_(asio::make_strand(pool_->io())),
         socket_(strand_),
-        timer_(strand_) {}
+        timer_(strand_) {
+    pool_->CallOpened();
+  }
+  ~Operation() override { pool_->CallEnded(); }
+  Operation(const Operation&) = delete;
+  Operation& operator=(const Operation&) = delete;
 
   void Start(Request request) {
     started_ = Clock::now();
@@ -413,6 +424,8 @@
   return Open(address, std::move(request), options, std::move(hooks));
 }
 
+std::size_t Client::open_calls() const { return pool_->open_calls(); }
+
 std::size_t Client::idle_connections() const { return pool_->size(); }
 
 }  // namespace comfreyflow::http
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -76,6 +76,8 @@
                               CallOptions options, ReplyHook hook);
 
   /// Connections kept for later calls.
+  /// Number of calls that have not ended.
+  std::size_t open_calls() const;
   std::size_t idle_connections() const;
 
  private:
