--- a/src/http/address.cc
+++ b/src/http/address.cc
@@ -14,6 +14,8 @@
   auto host = address.substr(0, colon);
   if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
     host = host.substr(1, host.size() - 2);
+  } else if (host.find(':') != std::string::npos) {
+    return invalid;
   }
   std::uint16_t port = 0;
   const char* end = address.data() + address.size();
--- a/src/platform/object-api.h
+++ b/src/platform/object-api.h
@@ -16,9 +16,11 @@
 namespace comfreyflow {
 
 struct PlatformObject {
-  std::string name;
+  std::string name;  ///< Empty if it could not be read.
   StoreVersion version;
-  std::string value;     ///< As its writer wrote it; may be malformed.
+  /// As its writer wrote it; may be malformed. Empty if the object could not be
+  /// read.
+  std::string value;
   bool deleted = false;  ///< Set only in the changes of a watch.
 };
 
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -41,6 +41,11 @@
   return response;
 }
 
+/// Stands in a stored object for a text that JSON may not be able to hold.
+std::string TextMark(std::size_t number) {
+  return "@text" + std::to_string(number) + "@";
+}
+
 std::vector<std::string> Parts(const std::string& path) {
   std::vector<std::string> parts;
   std::size_t at = 1;
@@ -141,6 +146,12 @@
   Note(kind, object, false);
 }
 
+void FakeStore::PutText(const std::string& kind, const std::string& name,
+                        const std::string& text) {
+  texts_.push_back(text);
+  Put(kind, name, TextMark(texts_.size() - 1));
+}
+
 void FakeStore::Remove(const std::string& kind, const std::string& name) {
   const Json object = objects_[kind][name];
   objects_[kind].erase(name);
@@ -173,6 +184,14 @@
 
 http::Response FakeStore::Reply(int status, const Json& body) const {
   http::Response response = JsonAnswer(status, body);
+  for (std::size_t i = 0; i < texts_.size(); ++i) {
+    const std::string mark = '"' + TextMark(i) + '"';
+    std::size_t at = 0;
+    while ((at = response.body.find(mark, at)) != std::string::npos) {
+      response.body.replace(at, mark.size(), texts_[i]);
+      at += texts_[i].size();
+    }
+  }
   const std::string era = era_text_.value_or(std::to_string(era_));
   if (!era.empty()) response.fields.push_back({"store-era", era});
   return response;
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -42,6 +42,9 @@
   std::string AddAddress();
   void Put(const std::string& kind, const std::string& name,
            const nlohmann::json& spec);
+  /// Puts an object whose `Spec` is sent as this text, which may be no JSON.
+  void PutText(const std::string& kind, const std::string& name,
+               const std::string& text);
   void Remove(const std::string& kind, const std::string& name);
   bool Has(const std::string& kind, const std::string& name) const;
   /// While it is down each call is answered 503, waiting watches too.
@@ -113,6 +116,7 @@
   std::uint64_t era_ = 1;
   std::optional<std::string> era_text_;  ///< Sent in place of `era_`.
   std::map<std::string, std::size_t> lists_;
+  std::vector<std::string> texts_;  ///< Sent in place of marks in answers.
   bool down_ = false;
   boost::asio::io_context& io_;
   http::Server server_;
