Lists go on behind odd names

A list of several pages continues behind the last name of a page. A name with a space or an ampersand broke the request's address, and one of a megabyte made it larger than a server reads, so that the list failed or was cut short there. Now that objects without a readable name are passed on, a page of such objects alone would have been listed without end.

--- a/src/gateway/object-store.cc
+++ b/src/gateway/object-store.cc
@@ -2,6 +2,7 @@
 // lists by page and may lose the answer to a write.
 #include "gateway/object-store.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -10,6 +11,34 @@
 
 using ClientPtr = std::shared_ptr<PlatformClient>;
 
+/// The name behind which a list continues; empty if no item has a name.
+std::string LastName(const std::vector<PlatformObject>& items) {
+  const auto last =
+      std::find_if(items.rbegin(), items.rend(),
+                   [](const auto& item) { return !item.name.empty(); });
+  return last == items.rend() ? "" : last->name;
+}
+
+/// Adds a page to the list. Returns whether another page follows.
+bool AddPage(ListAnswer page, const std::string& from, ListAnswer& list) {
+  // The version of the first page is kept: a watch from there also reports the
+  // changes made while later pages were listed.
+  if (list.items.empty()) list.version = page.version;
+  list.error = page.error;
+  list.timed_out = page.timed_out;
+  if (list.error == Errc::kObjectNotFound) list.error = {};
+  // Pages of two eras make no list of either.
+  if (!list.error && page.version.era != list.version.era)
+    list.error = Errc::kPlatformUnavailable;
+  const bool more = page.more && !page.items.empty() && !list.error;
+  // Without a later name the same page would be listed again and again.
+  const std::string last = LastName(page.items);
+  if (more && (last.empty() || last == from)) list.error = Errc::kCodec;
+  std::move(page.items.begin(), page.items.end(),
+            std::back_inserter(list.items));
+  return more && !list.error;
+}
+
 /// Requests the next page after the items in `result`, until the list is
 /// complete.
 void ListRemaining(const ClientPtr& client, const std::string& kind,
@@ -17,22 +46,10 @@
                    ListHandler handler) {
   ListQuery query;
   query.kind = kind;
-  if (!result->items.empty()) query.from = result->items.back().name;
-  client->List(query, [client, kind, result,
+  query.from = LastName(result->items);
+  client->List(query, [client, kind, result, from = query.from,
                        handler = std::move(handler)](ListAnswer page) mutable {
-    // The version of the first page is kept: a watch from there also reports
-    // the changes made while later pages were listed.
-    if (result->items.empty()) result->version = page.version;
-    result->error = page.error;
-    result->timed_out = page.timed_out;
-    if (result->error == Errc::kObjectNotFound) result->error = {};
-    // Pages of two eras make no list of either.
-    if (!result->error && page.version.era != result->version.era)
-      result->error = Errc::kPlatformUnavailable;
-    const bool more = page.more && !page.items.empty();
-    std::move(page.items.begin(), page.items.end(),
-              std::back_inserter(result->items));
-    if (more && !result->error) {
+    if (AddPage(std::move(page), from, *result)) {
       return ListRemaining(client, kind, result, std::move(handler));
     }
     handler(std::move(*result));
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -1,4 +1,4 @@
-// Look-ups in HTTP messages.
+// Look-ups in HTTP messages, and the encoding of their addresses.
 #include "http/message.h"
 
 #include <charconv>
@@ -6,6 +6,10 @@
 namespace comfreyflow::http {
 namespace {
 
+constexpr std::string_view kHexDigits = "0123456789ABCDEF";
+constexpr std::string_view kUnreserved =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.~";
+
 std::string Decode(std::string_view text) {
   std::string out;
   for (std::size_t i = 0; i < text.size(); ++i) {
@@ -38,6 +42,20 @@
   return false;
 }
 
+std::string PercentEncode(std::string_view text, std::string_view kept) {
+  std::string out;
+  for (const char c : text) {
+    if (kUnreserved.find(c) != std::string_view::npos ||
+        kept.find(c) != std::string_view::npos) {
+      out += c;
+    } else {
+      const auto byte = static_cast<unsigned char>(c);
+      out += {'%', kHexDigits[byte / 16], kHexDigits[byte % 16]};
+    }
+  }
+  return out;
+}
+
 std::string QueryValue(std::string_view query, std::string_view name) {
   while (!query.empty()) {
     const auto end = query.find('&');
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -43,6 +43,9 @@
   std::string body;
 };
 
+/// Encodes all bytes but letters, digits, `-_.~` and those in `kept`.
+std::string PercentEncode(std::string_view text, std::string_view kept = "");
+
 /// Decoded value of `name` in a query such as `a=1&b=2`, or empty.
 std::string QueryValue(std::string_view query, std::string_view name);
 
--- a/src/platform/own-object-api.cc
+++ b/src/platform/own-object-api.cc
@@ -8,21 +8,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::string_view kHexDigits = "0123456789ABCDEF";
-
-std::string PercentEncode(const std::string& text) {
-  const std::string unreserved = "-_.~";
-  std::string out;
-  for (const char c : text) {
-    const auto byte = static_cast<unsigned char>(c);
-    if (std::isalnum(byte) || unreserved.find(c) != std::string::npos) {
-      out += c;
-    } else {
-      out += {'%', kHexDigits[byte / 16], kHexDigits[byte % 16]};
-    }
-  }
-  return out;
-}
+using http::PercentEncode;
 
 /// The body of a write; empty if the value is not valid UTF-8.
 std::string ValueBody(const std::string& value) {
--- a/test/platform/store-test.cc
+++ b/test/platform/store-test.cc
@@ -15,10 +15,11 @@
 namespace {
 
 struct StoreFixture {
-  explicit StoreFixture(PlatformSettings settings = {}) {
+  explicit StoreFixture(PlatformSettings settings = {},
+                        const ObjectApi& api = StoreApi()) {
     settings.address = fake.address();
     settings.resend_reads = false;
-    client = std::make_shared<PlatformClient>(io, http, settings, StoreApi());
+    client = std::make_shared<PlatformClient>(io, http, settings, api);
     store = gateway::MakeObjectStore(client);
   }
 
@@ -72,6 +73,36 @@
   CHECK(changes.version > list.version);
 }
 
+TEST_CASE("a list goes on behind names that no address or datagram can hold") {
+  StoreFixture fixture;
+  const std::string long_name(1024 * 1024, 'd');
+  const std::vector<std::string> names = {"a",       "b c&After=z", "c%41+#",
+                                          long_name, "e:1",         "z"};
+  for (const auto& name : names) fixture.fake.Put("servers", name, {{"n", 1}});
+  fixture.fake.SetPageSize(1);
+  const ListAnswer list = fixture.List("servers");
+  CHECK_FALSE(list.error);
+  REQUIRE(list.items.size() == names.size());
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    const bool is_long = names[i] == long_name;
+    CHECK((list.items[i].name == names[i]) == !is_long);
+    CHECK(list.items[i].value.empty() == is_long);
+  }
+}
+
+TEST_CASE("a list whose page has no later name fails and is not endless") {
+  for (const char* name : {"", "a"}) {
+    ObjectApi api = StoreApi();
+    api.read_list = [name](const std::string&, ListAnswer& out) {
+      out.items.push_back({name});
+      out.more = true;
+    };
+    StoreFixture fixture({}, api);
+    CHECK(fixture.List("servers").error == Errc::kCodec);
+    CHECK(fixture.fake.calls() <= 2);
+  }
+}
+
 TEST_CASE("an object is created exactly once, even if the answer is lost") {
   StoreFixture fixture;
   CHECK_FALSE(fixture.Create("hosts", "a"));
