An odd number in a configuration or in settings is rejected, not converted

A number out of range in a configuration, such as TimeoutMs of 1e300 or Priority of -1, was converted to whatever the type made of it and came into force; settings did the same for ports and times. Text nested deeply ended the process: values are copied and written out by recursion. A settings file is also read while the host serves, when it changes.

A fraction of a count is ignored as before. Numbers of settings that are wrong are named in `problem`.

--- a/src/json/bounded-json.cc
+++ b/src/json/bounded-json.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <string>
 
 namespace comfreyflow::json {
 namespace {
@@ -134,6 +135,16 @@
   return number;
 }
 
+double NumberField(const Json& json, const char* key, double default_value,
+                   double max) {
+  const auto at = json.find(key);
+  if (at == json.end()) return default_value;
+  const double value = at->is_number() ? at->get<double>() : -1;
+  if (value >= 0 && value <= max) return value;
+  throw FieldError(std::string(key) + " is not a number from 0 to " +
+                   std::to_string(max));
+}
+
 std::optional<Members> SplitObject(std::string_view text) {
   Scanner scanner(text);
   Members out;
--- a/src/json/bounded-json.h
+++ b/src/json/bounded-json.h
@@ -2,10 +2,13 @@
 /// place, nested without bound or hold numbers that no type can hold.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <stdexcept>
 #include <string_view>
 #include <vector>
 
@@ -29,6 +32,28 @@
 std::optional<std::uint64_t> WholeNumber(const nlohmann::json& json,
                                          std::uint64_t max);
 
+/// A field is missing, out of range or can't be used; the text says which one.
+class FieldError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+/// Returns a field of an object, or the default if it is absent. Throws
+/// `FieldError` if it is not a number from 0 to `max`.
+double NumberField(const nlohmann::json& json, const char* key,
+                   double default_value, double max);
+
+/// The same for a count, of which a fraction is ignored.
+template <class Count>
+Count CountField(const nlohmann::json& json, const char* key,
+                 Count default_value) {
+  constexpr std::uint64_t kMax = std::min(
+      std::uint64_t{std::numeric_limits<Count>::max()}, kMaxExactInteger);
+  if (!json.contains(key)) return default_value;
+  return static_cast<Count>(
+      NumberField(json, key, 0, static_cast<double>(kMax)));
+}
+
 /// Texts of the members of an object by their names as written. Of members
 /// with one name the last one counts.
 using Members = std::map<std::string_view, std::string_view>;
--- a/test/platform/translation-test.cc
+++ b/test/platform/translation-test.cc
@@ -10,6 +10,7 @@
 #include "platform/documents.h"
 #include "platform/edge.h"
 #include "platform/settings.h"
+#include "platform/stand-ins.h"
 
 using namespace comfreyflow;            // NOLINT(google-build-using-namespace)
 using namespace comfreyflow::platform;  // NOLINT(google-build-using-namespace)
@@ -116,6 +117,101 @@
   CHECK(document.version == 7);
 }
 
+TEST_CASE("a configuration with an odd number or deep nesting is rejected") {
+  const std::string deep =
+      std::string(450'000, '[') + std::string(450'000, ']');
+  const std::string valid = SampleConfig(7).dump();
+  std::vector<std::string> odd = {deep};
+  // A pointer to a number, and whether a fraction of it is ignored.
+  const std::pair<const char*, bool> numbers[] = {
+      {"/Version", false},
+      {"/Routes/0/TimeoutMs", true},
+      {"/Routes/0/TargetLatencyMs", true},
+      {"/Routes/0/MaxGapMs", true},
+      {"/Routes/0/Priority", true},
+      {"/Routes/0/Attempts", true},
+      {"/Services/1/MaxConns", true},
+      {"/Services/1/Engine/Slots", true},
+      {"/Services/1/Engine/KvTokens", true},
+      {"/Services/1/Engine/Stride", true},
+      {"/Services/1/Engine/step_ms", true},
+      {"/Services/1/Engine/read_per_s", true},
+      {"/Limits/MaxHeaderBytes", true},
+      {"/Limits/MaxBodyBytes", true},
+      {"/Limits/HeaderTimeoutMs", true},
+      {"/Limits/IdleTimeoutMs", true},
+      {"/Tenants/0/Priority", true}};
+  RouteDocument document;
+  for (const auto& [pointer, may_be_fraction] : numbers) {
+    const auto with = [&, at = pointer](const std::string& text) {
+      auto json = nlohmann::json::parse(valid);
+      json[nlohmann::json::json_pointer(at)] = "@";
+      std::string out = json.dump();
+      return out.replace(out.find("\"@\""), 3, text);
+    };
+    CAPTURE(pointer);
+    CHECK_FALSE(ReadDocument(with("3"), document));
+    CHECK_FALSE(ReadDocument(with("3.0"), document));
+    CHECK(!ReadDocument(with("3.5"), document) == may_be_fraction);
+    for (const char* text :
+         {"-1", "1e300", "1e999", "\"3\"", "[]", "\"\xff\""}) {
+      // A priority of another type is ignored.
+      const bool is_number = text[0] == '-' || text[0] == '1';
+      const bool is_ignored = std::string_view(pointer).starts_with("/Tenants");
+      if (is_ignored && !is_number && text != std::string("\"\xff\"")) {
+        CHECK_FALSE(ReadDocument(with(text), document));
+        continue;
+      }
+      odd.push_back(with(text));
+    }
+    odd.push_back(with(deep));
+  }
+  for (const auto& text : odd) {
+    CAPTURE(text.substr(0, 1000));
+    document.version = 1;
+    CHECK(ReadDocument(text, document) == Errc::kConfigInvalid);
+    CHECK(document.version == 1);
+  }
+}
+
+TEST_CASE("settings with an odd number or deep nesting are rejected") {
+  const std::string deep =
+      std::string(450'000, '[') + std::string(450'000, ']');
+  for (const char* pointer :
+       {"/PortRange/0", "/Platform/ReadsPerS", "/Platform/WritesPerS",
+        "/Bounds/GraceS", "/Bounds/DrainMs", "/Bounds/RetryRatio",
+        "/Bounds/RetrySlack", "/Bounds/RetryWindowS", "/Limits/CpuShare",
+        "/Limits/Cores", "/Limits/MemoryMb", "/Zones"}) {
+    const bool is_number = std::string_view(pointer) != "/Zones";
+    for (const std::string& text :
+         {std::string("-1"), std::string("1e300"), std::string("1e999"),
+          std::string("\"\xff\""), deep}) {
+      if (!is_number && (text == "-1" || text == "1e300")) continue;
+      CAPTURE(pointer);
+      CAPTURE(text.substr(0, 60));
+      auto json = nlohmann::json::parse(kSettings);
+      json[nlohmann::json::json_pointer(pointer)] = "@";
+      std::string settings_text = json.dump();
+      settings_text.replace(settings_text.find("\"@\""), 3, text);
+      HostSettings settings;
+      std::string problem;
+      CHECK(ParseSettings(settings_text, settings, problem) ==
+            Errc::kSettingsInvalid);
+      CHECK_FALSE(problem.empty());
+      CHECK(problem.size() < 1000);
+    }
+  }
+  for (const char* port : {"0", "65535", "70000", "7340.5"}) {
+    auto json = nlohmann::json::parse(kSettings);
+    json["PortRange"][0] = nlohmann::json::parse(port);
+    HostSettings settings;
+    std::string problem;
+    CHECK(ParseSettings(json.dump(), settings, problem) ==
+          Errc::kSettingsInvalid);
+    CHECK(problem.find("PortRange") != std::string::npos);
+  }
+}
+
 TEST_CASE("malformed target entries are rejected") {
   TargetEntry entry;
   const std::string valid =
