A caller's body or an engine's event nested deeply ends no host

Found while looking for the cause of the odd entries elsewhere: one completion request with a part whose "type" is nested 100,000 levels deep ended the host of the caller by a stack overflow, as the value was copied; extra fields of messages were written out to the engine by recursion. An engine's event with such a "done" did the same.

Bodies, events and reports of targets are now parsed up to a depth of 64. A deeper body is refused as malformed JSON, a deeper event fails its stream, a deeper report counts as none. The default object API only reads such values and throws, before as after.

--- a/src/core/errors.cc
+++ b/src/core/errors.cc
@@ -25,7 +25,7 @@
     {Errc::kBodyTooLarge, {"body_too_large", 413, kNotRun, false, "The body is over the host's limit for one request."}},
     {Errc::kHeadersTooLarge, {"headers_too_large", 431, kNotRun, false, "The header section is over the limit."}},
     {Errc::kMalformedHttp, {"malformed_http", 400, kNotRun, false, "The bytes received are not an HTTP/1.1 request."}},
-    {Errc::kMalformedJson, {"malformed_json", 400, kNotRun, false, "The body is not valid JSON."}},
+    {Errc::kMalformedJson, {"malformed_json", 400, kNotRun, false, "The body is not valid JSON, or nested too deeply."}},
     {Errc::kMalformedRequest, {"malformed_request", 400, kNotRun, false, "A field or header is missing or has a wrong type or value."}},
     {Errc::kRequestTimeout, {"request_timeout", 408, kNotRun, true, "The complete request was not received in time."}},
     {Errc::kNotFound, {"not_found", 404, kNotRun, false, "No resource exists at this path."}},
--- a/src/node/completion.cc
+++ b/src/node/completion.cc
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "json/bounded-json.h"
+
 namespace comfreyflow::node {
 namespace {
 
@@ -73,7 +75,7 @@
 
 Errc ParseCompletion(std::string_view body, CompletionForm form,
                      Completion& out, std::string& field) {
-  Json json = Json::parse(body, nullptr, false);
+  Json json = json::Parse(body);
   if (json.is_discarded()) return Errc::kMalformedJson;
   const auto malformed = [&field](const char* name) {
     field = name;
@@ -101,7 +103,7 @@
 }
 
 CompletionForm FormOf(std::string_view body) {
-  const Json json = Json::parse(body, nullptr, false);
+  const Json json = json::Parse(body);
   const bool chat = json.is_object() && json.contains("messages");
   return chat ? CompletionForm::kChat : CompletionForm::kText;
 }
--- a/src/node/completion.h
+++ b/src/node/completion.h
@@ -28,7 +28,8 @@
 inline constexpr std::uint32_t kMaxTokensLimit = 1'000'000;
 
 /// Parses a body. Returns `kMalformedJson` or `kMalformedRequest` if it is
-/// invalid; for `kMalformedRequest`, `field` names the first invalid field.
+/// invalid; for `kMalformedRequest`, `field` names the first invalid field. A
+/// body nested deeper than `json::kMaxDepth` counts as malformed JSON.
 Errc ParseCompletion(std::string_view body, CompletionForm form,
                      Completion& out, std::string& field);
 
--- a/src/node/engine-stream.cc
+++ b/src/node/engine-stream.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "json/bounded-json.h"
 #include "node/clock.h"
 #include "node/prompt.h"
 
@@ -26,7 +27,7 @@
 /// Whether the engine's error response states that it did not start the
 /// request.
 bool ReportsNotRun(const std::string& body) {
-  const Json json = Json::parse(body, nullptr, false);
+  const Json json = json::Parse(body);
   if (!json.is_object()) return false;
   const auto error = json.find("error");
   if (error == json.end() || !error->is_object()) return false;
@@ -70,10 +71,12 @@
 
 void EngineStream::OnData(std::string_view data) {
   if (ended_) return;
-  const Json json = Json::parse(data, nullptr, false);
+  const Json json = json::Parse(data);
   if (!json.is_object()) return Fail(Errc::kTargetFailed, false, false);
   if (json.contains("error")) return Fail(Errc::kTargetFailed, false, false);
-  const bool done = json.value("done", Json(false)) == Json(true);
+  const auto flag = json.find("done");
+  const bool done =
+      flag != json.end() && flag->is_boolean() && flag->get<bool>();
   if (!streams_) return;
   const auto offset = NumberOrZero(json, "offset");
   if (done) {
--- a/src/node/target-poll.cc
+++ b/src/node/target-poll.cc
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "json/bounded-json.h"
+
 namespace comfreyflow::node {
 namespace {
 
@@ -66,7 +68,7 @@
                  if (end.code != Errc::kOk || answer.status != 200) {
                    return done(nullptr);
                  }
-                 const Json json = Json::parse(answer.body, nullptr, false);
+                 const Json json = json::Parse(answer.body);
                  done(json.is_object() ? &json : nullptr);
                });
 }
--- a/test/platform/translation-test.cc
+++ b/test/platform/translation-test.cc
@@ -142,10 +142,12 @@
       {"/Limits/IdleTimeoutMs", true},
       {"/Tenants/0/Priority", true}};
   RouteDocument document;
-  for (const auto& [pointer, may_be_fraction] : numbers) {
-    const auto with = [&, at = pointer](const std::string& text) {
+  for (const auto& number : numbers) {
+    const char* const pointer = number.first;
+    const bool may_be_fraction = number.second;
+    const auto with = [&valid, pointer](const std::string& text) {
       auto json = nlohmann::json::parse(valid);
-      json[nlohmann::json::json_pointer(at)] = "@";
+      json[nlohmann::json::json_pointer(pointer)] = "@";
       std::string out = json.dump();
       return out.replace(out.find("\"@\""), 3, text);
     };
