A host's object without a gossip address hides no host and counts as none

An object of kind comfreyflow-hosts whose "gossip" names no address, such as a port of 70000, was counted and handed to the membership as a host. Tests with odd objects of hosts and odd configurations in a whole process join the ones of entries.

--- a/test/platform/odd-entry-test.cc
+++ b/test/platform/odd-entry-test.cc
@@ -268,8 +268,15 @@
 /// Targets that `target_unreadable` named, each time.
 std::vector<std::string> named_unreadable;
 
+std::uint64_t rejected_documents = 0;
+/// Numbers of hosts that `hosts_listed` named.
+std::vector<std::uint64_t> listed_hosts;
+
 const bool kTapped = [] {
   node::SetLogTap([](node::Event event, const std::string& line) {
+    if (event == node::Event::kDocumentInvalid) ++rejected_documents;
+    if (event == node::Event::kHostsListed)
+      listed_hosts.push_back(nlohmann::json::parse(line)["hosts"]);
     if (event != node::Event::kTargetUnreadable) return;
     named_unreadable.push_back(nlohmann::json::parse(line)["target"]);
   });
@@ -400,3 +407,51 @@
     REQUIRE(is_reached(changed));
   }
 }
+
+TEST_CASE(
+    "an odd configuration is rejected, and a later one comes into force") {
+  for (const std::string& odd :
+       {Arrays(400'000), std::string(R"({"Version":1e999})"),
+        std::string("{\"Version\":2,\"a\":\"\xff\"}"), std::string("7")}) {
+    CAPTURE(odd.substr(0, 60));
+    rejected_documents = 0;
+    Site site;
+    site.AddTarget("app", "i1");
+    site.PutConfig(1);
+    const auto host = site.AddHost();
+    REQUIRE(site.UntilReady(host));
+    site.store().PutText("config", "main", odd);
+    REQUIRE(site.Until([&] { return rejected_documents > 0; }));
+    CHECK(site.Call(host, "GET", "/safe/1").response.status == 200);
+    site.PutConfig(3, [](nlohmann::json& config) {
+      config["Routes"][0]["PathPrefix"] = "/later/";
+    });
+    CHECK(site.Until([&] {
+      return site.Call(host, "GET", "/later/1").response.status == 200;
+    }));
+    CHECK(rejected_documents == 1);
+  }
+}
+
+TEST_CASE("odd objects of hosts hide no other host") {
+  listed_hosts.clear();
+  Site site;
+  site.AddTarget("app", "i1");
+  site.PutConfig(1);
+  int number = 0;
+  for (const std::string& odd :
+       {Arrays(100'000), R"({"gossip":)" + Arrays(100'000) + '}',
+        std::string(R"({"gossip":"127.0.0.1:7","n":1e999})"),
+        std::string("{\"gossip\":\"\xff\"}"), std::string("null"),
+        std::string(R"({"gossip":"127.0.0.1:70000"})"),
+        std::string(R"({"gossip":7})")}) {
+    site.store().PutText("comfreyflow-hosts", "a" + std::to_string(number++),
+                         odd);
+  }
+  const auto one = site.AddHost();
+  REQUIRE(site.UntilReady(one));
+  const auto two = site.AddHost();
+  REQUIRE(site.UntilReady(two));
+  REQUIRE(site.Until([] { return listed_hosts.size() == 2; }));
+  CHECK(listed_hosts == std::vector<std::uint64_t>{0, 1});
+}
