--- a/src/node/events.h
+++ b/src/node/events.h
@@ -144,7 +144,10 @@
      "back in time",
      "target version era kept overdue"},
     {"target_unreadable",
-     "an entry of the target list describes no usable target", "target"},
+     "an entry of the target list describes no usable target; logged once "
+     "until it is readable or removed; target: empty if its name could not be "
+     "read",
+     "target"},
     {"target_marked",
      "a peer reported, before this host's target list did, that a target "
      "accepts no new requests; born: the start of the target to which the "
