Tell a silent target from one that sends no events

A target that sends comments, or parts of an event that never ends, is not silent, and keeping the request there only wastes the caller's time.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -565,6 +565,7 @@
   }
 
   void OnBody(std::string_view bytes) {
+    last_byte_at_ = Now();
     if (!is_event_stream_) return OnPlainBody(bytes);
     const std::string events = splitter_.Feed(bytes);
     if (!events.empty()) OnEvents(events);
@@ -842,6 +843,9 @@
   void OnTargetTimeout() {
     if (stage_ != Stage::kSent && stage_ != Stage::kStreaming) return;
     if (!call_ || second_placement_) return;
+    if (SendsOnlyNoise()) {
+      return OnAttemptFailed(WorkEnd::kTimedOut, Errc::kTargetUnresponsive);
+    }
     if (!std::exchange(is_target_silent_, true)) {
       // Other requests are not to be sent there meanwhile.
       context_.placement.Ended(id_, WorkEnd::kTimedOut,
@@ -859,6 +863,14 @@
     if (may_retry) RequestSecondPlacement();
   }
 
+  /// Whether bytes that make no event have come until lately. A target that
+  /// does that is not silent, and not sound.
+  bool SendsOnlyNoise() const {
+    const Duration limit =
+        StallTimeout(*route_, attempt_started_, grant_.estimate);
+    return is_event_stream_ && Now() - last_byte_at_ < limit / 2;
+  }
+
   bool MayRetryAfterSilence() {
     const AttemptFailure failure = MakeFailure(false);
     RelayProgress progress = progress_;
@@ -1155,6 +1167,7 @@
   /// Of the current attempt; hooks of others are ignored. 0: none.
   std::uint64_t attempt_number_ = 0;
   Time attempt_sent_at_;
+  Time last_byte_at_;              ///< Of the answer's body.
   bool is_target_silent_ = false;  ///< It has sent nothing for long.
   /// Requested beside the current attempt while its target is silent.
   std::optional<RequestId> second_placement_;
