Soak: judge the end of a planned stop by when a request was sent

The judge let each cut at the end of a stop pass whose target was at work in the last sixth of the time to stop, whenever the request was sent, and each that had reached no target. A request that is taken 6 s after SIGTERM and cut a second later broke nothing.

A cut at the end of a stop is now allowed only if the request was sent within 3 s of the first SIGTERM and its target was still at work in the last sixth, or if it reached no target and was sent at most 200 ms before the close, or when the process had ended. A second SIGTERM to a host that stops begins no new stop.

Each run prints how often LOST was judged around stops, reloads and configurations and ORDER for streams and resumed streams, and names those that were judged never. Two promises for odd entries: ENDS, no host process ends by itself, and USED, targets beside such an entry serve on.

--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -18,6 +18,10 @@
   return sent.status >= 200 && sent.status < 300;
 }
 
+bool IsStream(const Sent& sent) {
+  return sent.kind == Kind::kStream && Success(sent);
+}
+
 /// Statuses that say that the request has not run and never will.
 bool Promises(int status) {
   return status == 408 || status == 421 || status == 429 || status == 503;
@@ -36,9 +40,11 @@
       CheckAnswer(sent);
       CheckRuns(sent);
       CheckCut(sent);
+      CountAround(sent);
     }
     for (const auto& run : records_.runs) CheckAsked(run);
     CheckRepeats();
+    CheckEnds();
   }
 
   void Timed() {
@@ -52,6 +58,7 @@
     CountRewinds();
     for (const auto& word : records_.words) CheckWord(word);
     for (std::size_t i = 0; i < records_.limits.size(); ++i) CheckLimit(i);
+    for (const auto& odd : records_.odd_entries) CheckBeside(odd);
     CheckMemory();
     CheckRecovered();
     CheckPeers();
@@ -59,12 +66,23 @@
 
   std::vector<Breach> TakeBreaches() { return std::move(breaches_); }
 
+  /// Requires `Untimed`.
+  std::vector<Judged> UntimedCounts() const {
+    return {
+        {"LOST", Count("LOST stop"), Count("stop"), "requests open in a stop"},
+        {"LOST", Count("LOST late"), Count("late"),
+         "requests that no stop may cut"},
+        {"LOST", Count("LOST reload"), Count("reload"),
+         "requests around reloads"},
+        {"LOST", Count("LOST config"), Count("config"),
+         "requests around configurations"},
+        {"ORDER", Count("ORDER"), Count("streams"), "streams"},
+        {"ORDER", Count("ORDER resumed"), Count("resumed"), "resumed streams"}};
+  }
+
   /// Requires `Timed`.
-  std::vector<Judged> Counts() const {
-    const auto count = [this](const char* name) {
-      const auto at = judged_.find(name);
-      return at == judged_.end() ? 0.0 : static_cast<double>(at->second);
-    };
+  std::vector<Judged> TimedCounts() const {
+    const auto count = [this](const char* name) { return Count(name); };
     const auto all = static_cast<double>(records_.sent.size());
     return {{"LOST", count("LOST"), all, "streams"},
             {"CONFIG", count("CONFIG time"), all, "answers in time"},
@@ -81,6 +99,8 @@
             {"LIMIT", count("LIMIT"), count("LIMIT named"), "named limits"},
             {"LIMIT", count("LIMIT requests"), count("LIMIT all"),
              "requests under limits"},
+            {"USED", count("USED"),
+             static_cast<double>(records_.odd_entries.size()), "odd entries"},
             {"LEAK", count("LEAK"), static_cast<double>(records_.held.size()),
              "reservations"},
             {"RECOVER", count("RECOVER"), all, "requests"},
@@ -94,6 +114,11 @@
     breaches_.push_back({promise, request, std::move(detail)});
   }
 
+  double Count(const std::string& name) const {
+    const auto at = judged_.find(name);
+    return at == judged_.end() ? 0.0 : static_cast<double>(at->second);
+  }
+
   /// Number of hosts, as far as requests were sent to them.
   std::size_t HostCount() const {
     std::size_t hosts = 0;
@@ -198,7 +223,8 @@
   /// not look whole.
   void CheckAnswer(const Sent& sent) {
     if (sent.status == 0) return;
-    if (sent.kind == Kind::kStream && Success(sent)) {
+    if (IsStream(sent)) {
+      CountStream(sent);
       const std::string all = EventsOf(sent.id);
       const bool right =
           sent.whole ? sent.answer == all : all.starts_with(sent.answer);
@@ -227,58 +253,197 @@
     }
   }
 
+  void CountStream(const Sent& sent) {
+    ++judged_["ORDER"];
+    if (WasResumed(sent)) ++judged_["ORDER resumed"];
+  }
+
+  bool WasResumed(const Sent& sent) const {
+    const auto& runs = RunsOf(sent);
+    return std::any_of(runs.begin(), runs.end(),
+                       [](const Run* run) { return run->resumed; });
+  }
+
   /// LOST: no answer is cut but by a disturbance or the caller.
   void CheckCut(const Sent& sent) {
-    const bool stream = sent.kind == Kind::kStream && Success(sent);
-    if (!stream && WasCut(sent)) NoteCut(sent);
+    if (!WasCut(sent)) return;
+    if (!IsStream(sent)) return NoteCut(sent);
+    if (StopThatCut(sent) && !StreamEnded(sent)) NoteCut(sent);
   }
 
-  /// LOST for streams, which silence ends too: on a busy machine the host may
-  /// take its own slowness for a target's.
+  /// LOST for streams away from the end of a stop: on a busy machine the host
+  /// may take its own slowness for that of a target that is gone.
   void CheckStreamCut(const Sent& sent) {
-    const bool stream = sent.kind == Kind::kStream && Success(sent);
-    if (stream && sent.ended && sent.whole) ++judged_["LOST"];
-    if (!stream || !WasCut(sent)) return;
-    const Time end = *sent.ended;
-    if (TargetsDisturbed(sent, end)) return;
+    if (!IsStream(sent)) return;
+    if (sent.ended && sent.whole) ++judged_["LOST"];
+    if (!WasCut(sent) || TargetsDisturbed(sent, *sent.ended)) return;
     ++judged_["LOST"];
-    if (end - sent.at + milliseconds(100) >= sent.deadline) return;
-    NoteCut(sent);
+    if (!StopThatCut(sent) && !StreamEnded(sent)) NoteCut(sent);
+  }
+
+  /// Whether something else than the host ended the stream.
+  bool StreamEnded(const Sent& sent) const {
+    const Time end = *sent.ended;
+    return TargetsDisturbed(sent, end) ||
+           end - sent.at + milliseconds(100) >= sent.deadline;
+  }
+
+  /// Whether the way of the answer was disturbed, stops apart.
+  bool AnswerDisturbed(const Sent& sent) const {
+    return Disturbed(Subject::kHost, sent.host, sent.at - milliseconds(200),
+                     *sent.ended, false) ||
+           Disturbed(Subject::kCallerPath, sent.host, sent.at - bounds_.touch,
+                     *sent.ended);
   }
 
   bool WasCut(const Sent& sent) const {
     if (sent.left || !sent.ended || sent.whole) return false;
-    const Time end = *sent.ended;
-    return !Disturbed(Subject::kHost, sent.host, sent.at - milliseconds(200),
-                      end, false) &&
-           !Disturbed(Subject::kCallerPath, sent.host, sent.at - bounds_.touch,
-                      end) &&
-           !StopEnded(sent, end);
+    return !AnswerDisturbed(sent) && !MayBeCut(sent);
   }
 
   void NoteCut(const Sent& sent) {
     Note("LOST", sent.id,
          "cut at host " + std::to_string(sent.host) + ", status " +
-             std::to_string(sent.status));
+             std::to_string(sent.status) + ", " + Around(sent));
   }
 
-  /// Whether the end of a planned stop cut the request, and was free to: it was
-  /// not passed on yet, or its target was still at work in the last sixth of
-  /// the time to stop.
-  bool StopEnded(const Sent& sent, Time to) const {
+  /// The planned stop at whose end the request was cut.
+  const Disturbance* StopThatCut(const Sent& sent) const {
     constexpr Duration kClose = milliseconds(100);
+    for (const auto& d : records_.disturbances) {
+      if (!IsStopOf(d, sent.host)) continue;
+      if (sent.at > d.until.value_or(records_.over)) continue;
+      if (*sent.ended + kClose >= *d.gone) return &d;
+    }
+    return nullptr;
+  }
+
+  static bool IsStopOf(const Disturbance& d, std::size_t host) {
+    return d.subject == Subject::kHost && d.planned && d.number == host &&
+           d.gone.has_value();
+  }
+
+  /// Whether the end of a planned stop cut the request, and was free to.
+  bool MayBeCut(const Sent& sent) const {
+    const Disturbance* stop = StopThatCut(sent);
+    if (stop == nullptr) return false;
+    const auto& runs = RunsOf(sent);
+    if (runs.empty()) {
+      return sent.at >= *stop->gone ||
+             *sent.ended - sent.at <= bounds_.loss_slack;
+    }
+    if (sent.at > stop->from + bounds_.stop_sent) return false;
+    return std::any_of(runs.begin(), runs.end(), [&](const Run* run) {
+      const Time worked = run->ended.value_or(*sent.ended);
+      return 6 * (worked - stop->from) >= 5 * bounds_.stop;
+    });
+  }
+
+  /// The moment of the cut, beside what is planned.
+  std::string Around(const Sent& sent) const {
+    const auto ms = [](Duration time) {
+      return std::to_string(
+                 std::chrono::duration_cast<milliseconds>(time).count()) +
+             " ms";
+    };
+    std::string out = ms(*sent.ended - sent.at) + " after it was sent";
+    if (RunsOf(sent).empty()) out += ", reached no target";
+    for (const auto& d : records_.disturbances) {
+      if (!OpenIn(sent, d)) continue;
+      out += ", sent " + ms(sent.at - d.from) +
+             " after SIGTERM, process gone " + ms(*d.gone - d.from) +
+             " after it";
+    }
+    return out;
+  }
+
+  static bool OpenIn(const Sent& sent, const Disturbance& d) {
+    return IsStopOf(d, sent.host) && sent.at<*d.gone&& * sent.ended> d.from;
+  }
+
+  /// Counts the requests that were open while something planned was done.
+  void CountAround(const Sent& sent) {
+    if (sent.kind == Kind::kStream) {
+      ++judged_["streams"];
+      if (WasResumed(sent)) ++judged_["resumed"];
+    }
+    if (sent.left || !sent.ended) return;
+    const bool is_judged =
+        !AnswerDisturbed(sent) && (sent.whole || !MayBeCut(sent));
+    const auto count = [&](bool is_around, const std::string& what) {
+      if (!is_around) return;
+      ++judged_[what];
+      if (is_judged) ++judged_["LOST " + what];
+    };
+    count(OpenInStop(sent, Duration::min()), "stop");
+    count(OpenInStop(sent, bounds_.stop_sent), "late");
+    count(OpenInReload(sent), "reload");
+    count(OpenBesideConfig(sent), "config");
+  }
+
+  /// `after`: only what was sent later than this after the order to stop.
+  bool OpenInStop(const Sent& sent, Duration after) const {
     return std::any_of(records_.disturbances.begin(),
                        records_.disturbances.end(), [&](const Disturbance& d) {
-                         if (!d.planned || d.number != sent.host || !d.gone)
-                           return false;
-                         if (sent.at > d.until.value_or(records_.over))
-                           return false;
-                         if (to + kClose < *d.gone) return false;
-                         return RunsOf(sent).empty() ||
-                                6 * (*d.gone - d.from) >= 5 * bounds_.stop;
+                         return OpenIn(sent, d) && sent.at - d.from > after;
                        });
   }
 
+  bool OpenInReload(const Sent& sent) const {
+    return std::any_of(records_.reloads.begin(), records_.reloads.end(),
+                       [&](const Reload& reload) {
+                         return reload.host == sent.host &&
+                                OpenBeside(sent, reload.at, bounds_.config);
+                       });
+  }
+
+  bool OpenBesideConfig(const Sent& sent) const {
+    return std::any_of(
+        records_.configs.begin(), records_.configs.end(),
+        [&](Time at) { return OpenBeside(sent, at, bounds_.config_change); });
+  }
+
+  /// Whether the request was sent until `slack` after the moment and ended
+  /// behind it.
+  static bool OpenBeside(const Sent& sent, Time at, Duration slack) {
+    return sent.at <= at + slack && *sent.ended >= at;
+  }
+
+  /// ENDS: no process ends by itself.
+  void CheckEnds() {
+    for (const auto& end : records_.ends) {
+      Note("ENDS", "",
+           "the process of host " + std::to_string(end.host) +
+               " ended by itself, status " + std::to_string(end.status));
+    }
+  }
+
+  /// USED: an odd entry costs none of the targets beside it.
+  void CheckBeside(const OddEntry& odd) {
+    constexpr std::size_t kLeastRequests = 20;
+    std::size_t all = 0;
+    std::size_t served = 0;
+    for (const auto& sent : records_.sent) {
+      const KeyLife* life = LifeOf(sent.key);
+      if (sent.at < odd.from + bounds_.config || sent.at > odd.until ||
+          sent.left || !sent.ended || life == nullptr || life->removed ||
+          !InTouch(sent.host, sent.at)) {
+        continue;
+      }
+      ++all;
+      if (Success(sent) && sent.whole) ++served;
+    }
+    if (all < kLeastRequests) return;
+    ++judged_["USED"];
+    if (static_cast<double>(served) >=
+        bounds_.recovered_share * static_cast<double>(all)) {
+      return;
+    }
+    Note("USED", "",
+         std::to_string(served) + " of " + std::to_string(all) +
+             " served beside an entry with " + odd.what);
+  }
+
   /// UNASKED, ROUTE: targets get what a caller sent, under its account.
   void CheckAsked(const Run& run) {
     const auto at = sent_.find(run.id);
@@ -615,10 +780,16 @@
   return "answer to " + path + " with " + body;
 }
 
-std::vector<Judged> CountJudged(const Records& records, const Bounds& bounds) {
+std::vector<Judged> CountJudged(const Records& records, const Bounds& bounds,
+                                bool timed) {
   Judge judge(records, bounds);
+  judge.Untimed();
+  std::vector<Judged> out = judge.UntimedCounts();
+  if (!timed) return out;
   judge.Timed();
-  return judge.Counts();
+  const std::vector<Judged> more = judge.TimedCounts();
+  out.insert(out.end(), more.begin(), more.end());
+  return out;
 }
 
 std::vector<Breach> Check(const Records& records, const Bounds& bounds,
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -28,6 +28,12 @@
   Duration late_answer = std::chrono::milliseconds(500);
   /// From the order to stop until the process is ended by force.
   Duration stop = std::chrono::seconds(4);
+  /// What was sent later than this after the order to stop is never cut.
+  Duration stop_sent = std::chrono::seconds(3);
+  /// A request that reached no target may be cut so long after it was sent.
+  Duration loss_slack = std::chrono::milliseconds(200);
+  /// A configuration disturbs no request sent so long after its writing.
+  Duration config_change = std::chrono::milliseconds(3000);
   Duration left = std::chrono::milliseconds(500);
   /// From the last disturbance until requests are served again.
   Duration recover = std::chrono::seconds(12);
@@ -46,7 +52,7 @@
   std::string detail;
 };
 
-/// How often a promise that names a time was judged at all.
+/// How often a promise was judged at all.
 struct Judged {
   std::string promise;
   double judged = 0;  ///< In `unit`.
@@ -54,7 +60,9 @@
   const char* unit = "";
 };
 
-std::vector<Judged> CountJudged(const Records& records, const Bounds& bounds);
+/// Of LOST and ORDER; `timed`: also of promises that name a time.
+std::vector<Judged> CountJudged(const Records& records, const Bounds& bounds,
+                                bool timed);
 
 /// `timed`: also promises that name a time, which a busy machine can break.
 std::vector<Breach> Check(const Records& records, const Bounds& bounds,
--- a/soak/records.h
+++ b/soak/records.h
@@ -45,6 +45,7 @@
   std::string body;
   std::string account;
   bool key_seen = false;      ///< The caller's key reached the target.
+  bool resumed = false;       ///< Goes on behind events of another run.
   std::optional<Time> ended;  ///< Answered, or its connection closed.
 };
 
@@ -114,6 +115,26 @@
   Time until;  ///< It was back.
 };
 
+/// SIGHUP to a host.
+struct Reload {
+  std::size_t host = 0;
+  Time at;
+};
+
+/// A host's process ended, and nobody had ended it.
+struct HostEnd {
+  std::size_t host = 0;
+  Time at;
+  int status = 0;  ///< As `waitpid` tells it.
+};
+
+/// An entry beside those of the targets that no reader expects.
+struct OddEntry {
+  std::string what;
+  Time from;
+  Time until;
+};
+
 /// Memory that a host had set aside at a target.
 struct Held {
   std::string id;
@@ -133,6 +154,10 @@
   std::deque<LimitWord> limit_words;
   std::vector<Disturbance> disturbances;
   std::vector<Rewind> rewinds;
+  std::vector<Reload> reloads;
+  std::vector<Time> configs;  ///< When each configuration was written.
+  std::vector<HostEnd> ends;
+  std::vector<OddEntry> odd_entries;
   std::vector<Held> held;
   /// Live hosts that each host knew when all had been quiet, itself included;
   /// empty: not asked.
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -164,6 +164,7 @@
 
 void Site::PutConfig() {
   version_ += 3;
+  records_.configs.push_back(Now());
   store_.Put("config", "main", Config());
 }
 
@@ -268,6 +269,7 @@
   run.body = request.body;
   run.account = http::FieldValue(request.fields, "x-tenant");
   run.key_seen = http::HasField(request.fields, "authorization");
+  run.resumed = http::HasField(request.fields, "last-event-id");
   exchange->OnGone([this, number] {
     Run& ended = records_.runs[number];
     if (!ended.ended) ended.ended = Now();
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -223,8 +223,13 @@
     hosts_[host]->Signal(SIGKILL);
   }
 
+  /// The time to stop runs from the first SIGTERM on.
   void Stop(std::size_t host) {
-    Note(Subject::kHost, host, Trouble::kHostStop, std::nullopt).planned = true;
+    if (restarting_[host]) return;
+    if (OpenAt(host).empty()) {
+      Note(Subject::kHost, host, Trouble::kHostStop, std::nullopt).planned =
+          true;
+    }
     hosts_[host]->Signal(SIGTERM);
   }
 
@@ -510,6 +515,7 @@
       case Trouble::kHostPause:
         return Pause(host, event.life);
       case Trouble::kHostReload:
+        records_.reloads.push_back({host, Now()});
         return hosts_[host]->Signal(SIGHUP);
       default:
         for (std::size_t i = 0; i < hosts_.size(); i += 2) {
@@ -600,7 +606,7 @@
     }
     out.disturbances = story_.size();
     out.breaches = Check(records_, {}, settings_.timed);
-    if (settings_.timed) out.judged = CountJudged(records_, {});
+    out.judged = CountJudged(records_, {}, settings_.timed);
     out.story = std::move(story_);
     return out;
   }
--- a/test/soak/promises-test.cc
+++ b/test/soak/promises-test.cc
@@ -142,28 +142,196 @@
   CHECK(Broken(records) == Promises{"LOST"});
 }
 
-TEST_CASE("the end of a planned stop may cut what it had all the time for") {
+namespace {
+
+/// One request, cut by the end of a planned stop of four seconds that began
+/// `before` ahead of it; its target was at work to the end.
+Records CutByStop(Duration before, Kind kind = Kind::kUnsafe) {
   Records records = Sound();
+  const std::size_t at = kind == Kind::kStream ? kStreamAt : kUnsafeAt;
+  records.sent = {records.sent[at]};
+  records.runs = {records.runs[at]};
   Sent& sent = records.sent[0];
   sent.whole = false;
-  sent.status = 0;
+  sent.answer = kind == Kind::kStream ? EventOf(sent.id, 1) : "";
+  sent.status = kind == Kind::kStream ? 200 : 0;
   Disturbance stop;
   stop.planned = true;
-  stop.from = kStart - milliseconds(3400);
+  stop.from = kStart - before;
+  sent.ended = stop.from + milliseconds(3555);
+  sent.deadline = seconds(9);
   stop.gone = sent.ended;
+  stop.until = *sent.ended + seconds(3);
+  records.runs[0].ended = sent.ended;
   records.disturbances = {stop};
-  CHECK(Broken(records).empty());
-  records.disturbances[0].from = kStart - milliseconds(100);
+  records.quiet_from = records.over;
+  return records;
+}
+
+double JudgedIn(const Records& records, const std::string& unit) {
+  for (const auto& judged : CountJudged(records, {}, false)) {
+    if (judged.unit == unit) return judged.judged;
+  }
+  return -1;
+}
+
+}  // namespace
+
+TEST_CASE("the end of a planned stop may cut what it had all the time for") {
+  CHECK(Broken(CutByStop(milliseconds(2900))).empty());
+  CHECK(Broken(CutByStop(milliseconds(2900), Kind::kStream)).empty());
+}
+
+TEST_CASE("a request that was sent late in a planned stop and cut is found") {
+  CHECK(Broken(CutByStop(milliseconds(3100)), false) == Promises{"LOST"});
+  CHECK(Broken(CutByStop(milliseconds(3100), Kind::kStream), false) ==
+        Promises{"LOST"});
+}
+
+TEST_CASE("a second SIGTERM does not pardon cuts of what was sent late") {
+  Records records = CutByStop(milliseconds(3100));
+  records.disturbances.push_back(records.disturbances[0]);
+  records.disturbances[1].from = kStart - milliseconds(100);
   CHECK(Broken(records) == Promises{"LOST"});
-  // Not passed on, or sent when the process had ended.
-  records.runs.erase(records.runs.begin());
-  CHECK(Broken(records).empty());
-  records.disturbances[0].gone = kStart - milliseconds(10);
+}
+
+TEST_CASE("a stop that ends early and cuts what is open is found") {
+  Records records = CutByStop(milliseconds(100));
+  for (const auto moment : {&records.sent[0].ended, &records.runs[0].ended,
+                            &records.disturbances[0].gone}) {
+    *moment = kStart + milliseconds(3000);
+  }
+  CHECK(Broken(records) == Promises{"LOST"});
+}
+
+TEST_CASE(
+    "an answer that was made before a stop's last sixth and lost counts") {
+  Records records = CutByStop(milliseconds(2900));
+  records.runs[0].ended = kStart + milliseconds(300);
+  CHECK(Broken(records) == Promises{"LOST"});
+}
+
+TEST_CASE("a request that waited for a target when a stop ended is found") {
+  Records records = CutByStop(milliseconds(3300));
+  records.runs.clear();
+  CHECK(Broken(records) == Promises{"LOST"});
+  SUBCASE("not if it was sent just before the close") {
+    records.sent[0].at = *records.sent[0].ended - milliseconds(150);
+  }
+  SUBCASE("not if the process had ended") {
+    records.sent[0].at = *records.sent[0].ended + milliseconds(10);
+    records.sent[0].ended = records.sent[0].at + milliseconds(400);
+  }
   CHECK(Broken(records).empty());
-  records.disturbances[0].until = kStart - milliseconds(5);
+}
+
+TEST_CASE("a refused connection counts once the next process is there") {
+  Records records = CutByStop(milliseconds(3300));
+  records.runs.clear();
+  records.disturbances[0].until = *records.sent[0].ended + seconds(1);
+  records.sent[0].at = *records.sent[0].ended + seconds(2);
+  records.sent[0].ended = records.sent[0].at + milliseconds(5);
   CHECK(Broken(records) == Promises{"LOST"});
 }
 
+TEST_CASE("a request that is cut early in a planned stop is found") {
+  Records records = CutByStop(milliseconds(100));
+  records.sent[0].ended = kStart + milliseconds(500);
+  records.runs[0].ended = records.sent[0].ended;
+  CHECK(Broken(records) == Promises{"LOST"});
+}
+
+TEST_CASE("a stream that is cut while its target is silent is found") {
+  Records records = Sound();
+  Sent& sent = records.sent[kStreamAt];
+  sent.deadline = seconds(9);
+  sent.ended = kStart + milliseconds(1400);
+  records.runs[kStreamAt].ended = sent.ended;
+  sent.whole = false;
+  sent.answer = EventOf("stream", 1);
+  CHECK(Broken(records) == Promises{"LOST"});
+  SUBCASE("in a planned stop") {
+    Disturbance stop;
+    stop.planned = true;
+    stop.from = kStart - seconds(1);
+    stop.gone = kStart + seconds(3);
+    records.disturbances = {stop};
+    CHECK(Broken(records) == Promises{"LOST"});
+  }
+  SUBCASE("not if its target was disturbed") {
+    records.disturbances = {
+        {Subject::kTarget, 0, "dark", kStart, kStart + seconds(1)}};
+    CHECK(Broken(records).empty());
+  }
+}
+
+TEST_CASE("a cut beside SIGHUP or a configuration is found and counted") {
+  Records records = Sound();
+  CHECK(JudgedIn(records, "requests around reloads") == 0);
+  records.reloads = {{0, kStart - seconds(1)}, {1, kStart}};
+  records.configs = {kStart - milliseconds(2500)};
+  CHECK(JudgedIn(records, "requests around reloads") == 3);
+  CHECK(JudgedIn(records, "requests around configurations") == 3);
+  records.reloads[0].at = kStart - milliseconds(2100);
+  CHECK(JudgedIn(records, "requests around reloads") == 0);
+  records.sent[0].whole = false;
+  records.sent[0].status = 0;
+  CHECK(Broken(records, false) == Promises{"LOST"});
+}
+
+TEST_CASE("cuts that are allowed do not count as judged stops") {
+  const Records pardoned = CutByStop(milliseconds(2900));
+  CHECK(JudgedIn(pardoned, "requests open in a stop") == 0);
+  const Records late = CutByStop(milliseconds(3100));
+  CHECK(JudgedIn(late, "requests open in a stop") == 1);
+  CHECK(JudgedIn(late, "requests that no stop may cut") == 1);
+  Records killed = CutByStop(milliseconds(3100));
+  killed.disturbances.push_back(
+      {Subject::kHost, 0, "host_kill", kStart, kStart + seconds(1)});
+  CHECK(JudgedIn(killed, "requests open in a stop") == 0);
+  CHECK(JudgedIn(Sound(), "requests open in a stop") == 0);
+}
+
+TEST_CASE("a run that resumed no stream does not count as one that did") {
+  Records records = Sound();
+  CHECK(JudgedIn(records, "streams") == 1);
+  CHECK(JudgedIn(records, "resumed streams") == 0);
+  records.runs[kStreamAt].resumed = true;
+  CHECK(JudgedIn(records, "resumed streams") == 1);
+}
+
+TEST_CASE("a resumed stream that starts again or repeats an event is found") {
+  Records records = Sound();
+  Sent& sent = records.sent[kStreamAt];
+  const std::string all = sent.answer;
+  sent.answer = EventOf("stream", 1) + EventOf("stream", 2) + all;
+  CHECK(Broken(records, false) == Promises{"ORDER"});
+  sent.answer = EventOf("stream", 1) + all;
+  CHECK(Broken(records, false) == Promises{"ORDER"});
+}
+
+TEST_CASE("a host process that ends by itself is found") {
+  Records records = Sound();
+  records.ends = {{3, kStart, 6}};
+  CHECK(Broken(records, false) == Promises{"ENDS"});
+}
+
+TEST_CASE("an odd entry that costs the targets beside it is found") {
+  Records records = Sound();
+  records.odd_entries = {
+      {"a port out of range", kStart - seconds(3), kStart + seconds(1)}};
+  const Sent sent = records.sent[kUnsafeAt];
+  for (int i = 0; i < 100; ++i) {
+    records.sent.push_back(sent);
+    records.sent.back().id = "refused" + std::to_string(i);
+    records.sent.back().status = 503;
+  }
+  records.quiet_from = records.over;
+  CHECK(Broken(records) == Promises{"USED"});
+  records.sent.resize(records.sent.size() - 95);
+  CHECK(Broken(records).empty());
+}
+
 TEST_CASE("keys are judged by hosts in touch") {
   Records records = Sound();
   records.keys[0].removed = kStart - seconds(3);
@@ -217,7 +385,7 @@
   Records records = Sound();
   records.leaving = {{0, kStart - seconds(6), kStart - seconds(2)}};
   const auto count = [&records](const std::string& promise) {
-    for (const auto& judged : CountJudged(records, {})) {
+    for (const auto& judged : CountJudged(records, {}, true)) {
       if (judged.promise == promise) return judged;
     }
     return Judged{};
