Soak: a mix of stops beside long work, silences, reloads and configurations

No target of the soak worked longer than half a second or fell silent and went on, and callers left a stopping host with its next address answer, so that no host took a request late in a stop that it could not finish.

Mix `stops` stops hosts in series (one of twelve at a time, eight seconds to stop), with SIGHUPs, keys and time limits changed, a few target errors and resets; sound targets fall silent for 1.0 to 1.4 s, also in the last third of each stop, which excuses no host. A tenth of the requests go to slow routes, plain and streams, whose targets work 2 to 6 s within a deadline of 9 s, and half of them to any host that was ever listed, until its process is gone.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -16,7 +16,9 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kDeadline{3000};
-constexpr milliseconds kPatience{4500};
+constexpr milliseconds kSlowDeadline{9000};
+/// Beyond the deadline.
+constexpr milliseconds kPatience{1500};
 constexpr milliseconds kResolvePeriod{700};
 constexpr milliseconds kResolveTimeout{1000};
 constexpr milliseconds kLongestRest{40};
@@ -77,6 +79,11 @@
         next.push_back(static_cast<std::size_t>(at - paths.addresses.begin()));
       }
     }
+    for (const std::size_t host : next) {
+      const bool is_new =
+          std::find(known.begin(), known.end(), host) == known.end();
+      if (is_new) known.push_back(host);
+    }
     if (!next.empty()) hosts = std::move(next);
   }
 
@@ -105,40 +112,52 @@
     const std::size_t number = records.sent.size();
     Sent& sent = records.sent.emplace_back();
     sent.id = "soak-" + std::to_string(number);
-    sent.host = hosts[Pick(hosts.size())];
+    const bool slow = Draw(paths.slow_share);
+    sent.host = PickHost();
     sent.key = paths.pick_key();
-    sent.deadline = kDeadline;
+    sent.deadline = slow ? kSlowDeadline : kDeadline;
     sent.at = Now();
-    http::Request request = Fill(sent);
+    http::Request request = Fill(sent, slow ? kSlowPrefix : "/");
     http::CallOptions options;
     options.connect_timeout = kResolveTimeout;
-    options.progress_timeout = kPatience;
+    options.progress_timeout =
+        std::chrono::duration_cast<milliseconds>(sent.deadline) + kPatience;
     auto call = client.Open(paths.paths[sent.host], std::move(request), options,
                             Hooks(number));
     ++open;
     if (Share() < kLeaverShare) LeaveLater(number, std::move(call));
   }
 
-  http::Request Fill(Sent& sent) {
+  bool Draw(double share) { return share > 0 && Share() < share; }
+
+  std::size_t PickHost() {
+    if (Draw(paths.stale_share)) return known[Pick(known.size())];
+    return hosts[Pick(hosts.size())];
+  }
+
+  http::Request Fill(Sent& sent, const std::string& prefix) {
     http::Request request;
-    request.fields = {{"host", kHostHeader},
-                      {"x-request-id", sent.id},
-                      {"x-deadline-ms", std::to_string(kDeadline.count())},
-                      {"authorization", "Token " + sent.key}};
+    request.fields = {
+        {"host", kHostHeader},
+        {"x-request-id", sent.id},
+        {"x-deadline-ms",
+         std::to_string(
+             std::chrono::duration_cast<milliseconds>(sent.deadline).count())},
+        {"authorization", "Token " + sent.key}};
     const double kind = Share();
     if (kind < 0.5) {
       sent.kind = Kind::kStream;
-      sent.path = "/stream/" + sent.id;
+      sent.path = prefix + "stream/" + sent.id;
       sent.body = "prompt of " + sent.id;
       request.fields.push_back({"x-token-count", Share() < kLargePromptShare
                                                      ? kLargePrompt
                                                      : kShortPrompt});
     } else if (kind < 0.75) {
       sent.kind = Kind::kUnsafe;
-      sent.path = "/unsafe/" + sent.id + "?q=%2f";
+      sent.path = prefix + "unsafe/" + sent.id + "?q=%2f";
       sent.body = "order of " + sent.id;
     } else {
-      sent.path = "/safe/" + sent.id;
+      sent.path = prefix + "safe/" + sent.id;
     }
     request.method = sent.kind == Kind::kSafe ? "GET" : "POST";
     request.target = sent.path;
@@ -190,6 +209,7 @@
   http::Client client;
   asio::steady_timer resolve_timer;
   std::vector<std::size_t> hosts;  ///< Of the last address answer.
+  std::vector<std::size_t> known;  ///< Of all address answers.
   int open = 0;
   bool stopped = false;
 };
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -21,6 +21,10 @@
   std::vector<std::string> addresses;
   std::vector<std::string> paths;
   std::function<std::string()> pick_key;
+  /// Shares of requests for slow work, and of those to a host of any address
+  /// answer so far.
+  double slow_share = 0;
+  double stale_share = 0;
 };
 
 /// Lives on one I/O thread; `records` outlives it.
--- a/soak/host-process.cc
+++ b/soak/host-process.cc
@@ -19,7 +19,6 @@
 constexpr int kGossipPort = 7340;
 constexpr int kLastPort = 7355;
 constexpr int kControlPort = 8229;
-constexpr int kStopSeconds = 4;
 constexpr int kMemoryMb = 260;
 constexpr mode_t kLogMode = 0644;
 
@@ -56,7 +55,9 @@
       {"Seeds", seeds},
       {"Platform", {{"Addr", plan_.store}}},
       {"Bounds",
-       {{"GraceS", kStopSeconds},
+       {{"GraceS",
+         std::chrono::duration_cast<std::chrono::seconds>(plan_.stop_time)
+             .count()},
         {"RetryRatio", 0.2},
         {"RetrySlack", 100},
         {"RetryWindowS", 10}}},
--- a/soak/host-process.h
+++ b/soak/host-process.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "comfreyflow/types.h"
+
 namespace comfreyflow::soak {
 
 struct HostPlan {
@@ -17,6 +19,7 @@
   std::string store;               ///< `ip:port`
   std::vector<std::string> seeds;  ///< `ip`
   std::string fault;  ///< Planted one, for a program that takes it.
+  Duration stop_time = std::chrono::seconds(4);
 };
 
 inline constexpr int kCallerPort = 8227;
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -65,12 +65,29 @@
     Trouble::kStorePathSilent,  Trouble::kStoreSlow,
     Trouble::kKeyChange};
 
-constexpr std::array kMixNames = {"mixed", "leaving", "told", "limited",
-                                  "rewound"};
+/// Some stops overlap, and each is over before the quiet time.
+constexpr Pace kStopsPace = {0.8, milliseconds(1000), milliseconds(12'000)};
+
+constexpr std::array kStopsTroubles = {
+    Trouble::kHostStop,      Trouble::kHostStop,     Trouble::kHostStop,
+    Trouble::kHostStop,      Trouble::kHostReload,   Trouble::kHostReload,
+    Trouble::kHostReload,    Trouble::kKeyChange,    Trouble::kTimeoutChange,
+    Trouble::kTimeoutChange, Trouble::kTargetPauses, Trouble::kTargetPauses,
+    Trouble::kTargetPauses,  Trouble::kTargetPauses, Trouble::kTargetErrors,
+    Trouble::kTargetReset};
+
+constexpr Duration kStopTime = std::chrono::seconds(4);
+constexpr Duration kLongStopTime = std::chrono::seconds(8);
+constexpr Duration kShortestSilence = milliseconds(1000);
+constexpr Duration kLongestSilence = milliseconds(1400);
+
+constexpr std::array kMixNames = {"mixed",   "leaving", "told",
+                                  "limited", "rewound", "stops"};
 
 const Pace& PaceOf(Mix mix) {
   if (mix == Mix::kLimited) return kLimitedPace;
   if (mix == Mix::kRewound) return kRewoundPace;
+  if (mix == Mix::kStops) return kStopsPace;
   return mix == Mix::kMixed ? kMixedPace : kLeavingPace;
 }
 
@@ -78,6 +95,10 @@
 constexpr Duration kLongestReset = std::chrono::seconds(1);
 
 Duration LifeOf(Mix mix, Trouble trouble, Duration drawn) {
+  if (trouble == Trouble::kTargetPauses) {
+    return kShortestSilence + drawn % (kLongestSilence - kShortestSilence);
+  }
+  if (mix == Mix::kStops) return std::min(drawn, kLongestReset);
   const bool is_path =
       trouble == Trouble::kStoreReset ||
       (mix == Mix::kRewound && (trouble == Trouble::kStorePathSilent ||
@@ -96,6 +117,9 @@
   if (mix == Mix::kRewound) {
     return {kRewoundTroubles.begin(), kRewoundTroubles.end()};
   }
+  if (mix == Mix::kStops) {
+    return {kStopsTroubles.begin(), kStopsTroubles.end()};
+  }
   if (mix != Mix::kMixed) {
     out.assign(kLeavingTroubles.begin(), kLeavingTroubles.end());
   }
@@ -131,7 +155,8 @@
       "target_report_late",  "target_tells",
       "target_rests",        "target_pours",
       "target_limits",       "targets_limit",
-      "service_limits",      "store_rewinds"};
+      "service_limits",      "store_rewinds",
+      "target_pauses",       "timeout_change"};
   return kNames.at(static_cast<std::size_t>(trouble));
 }
 
@@ -146,6 +171,10 @@
   return std::nullopt;
 }
 
+Duration StopTimeOf(Mix mix) {
+  return mix == Mix::kStops ? kLongStopTime : kStopTime;
+}
+
 Duration LongestLife(Mix mix) { return PaceOf(mix).longest_life; }
 
 std::optional<Trouble> TroubleOf(const std::string& name) {
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -54,10 +54,13 @@
   kServiceLimits,  ///< All of a service's targets do.
   // Below: only in `Mix::kRewound`.
   kStoreRewinds,  ///< Is away for a moment and comes back from an older copy.
+  // Below: only in `Mix::kStops`.
+  kTargetPauses,   ///< A sound target sends nothing for about a second.
+  kTimeoutChange,  ///< A configuration with other time limits.
 };
 /// Those of `Mix::kMixed`, and all.
 inline constexpr int kMixedTroubles = 24;
-inline constexpr int kTroubles = 38;
+inline constexpr int kTroubles = 40;
 
 /// What a soak looks for.
 enum class Mix : std::uint8_t {
@@ -68,8 +71,13 @@
   kLimited,  ///< Targets name limits while placers change hosts.
   kRewound,  ///< The store comes back from older copies while targets leave,
              ///< keys change and hosts are restarted.
+  kStops,    ///< Hosts are stopped in series beside long work, pauses of sound
+             ///< targets, reloads and configurations.
 };
 
+/// From the order to stop until the environment would end a process by force.
+Duration StopTimeOf(Mix mix);
+
 const char* ToString(Mix mix);
 std::optional<Mix> MixOf(const std::string& name);
 
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -13,9 +13,20 @@
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
+constexpr std::uint64_t kVersionStep = 3;
 constexpr milliseconds kFirstEvent{8};
 constexpr milliseconds kBetweenEvents{15};
 constexpr milliseconds kPlainWork{4};
+constexpr milliseconds kShortestWork{2000};
+constexpr milliseconds kLongestWork{6000};
+/// Of slow routes: a stream's longest pause is a sixth of the longest work.
+constexpr int kSlowTimeoutMs = 10'000;
+constexpr int kSlowPlainMs = 7000;
+constexpr int kSlowEventMs = 1500;
+/// Each configuration has time limits longer by a multiple of this, which
+/// returns to zero in the third.
+constexpr int kTimeoutStepMs = 500;
+constexpr std::uint64_t kTimeoutSteps = 3;
 constexpr std::size_t kAccounts = 2;
 /// A key is picked mostly when all hosts had time to hear of it.
 constexpr std::chrono::seconds kKnownAfter{3};
@@ -27,6 +38,35 @@
 constexpr std::size_t kPouredBytes = 16 * 1024;
 constexpr milliseconds kBetweenPours{5};
 
+bool IsSlow(const Run& run) { return run.path.starts_with(kSlowPrefix); }
+
+/// How long a target works on a slow request.
+milliseconds WorkOf(const Run& run) {
+  const auto hash = std::hash<std::string>()(run.id);
+  const auto spread =
+      static_cast<std::size_t>((kLongestWork - kShortestWork).count());
+  return kShortestWork + milliseconds(hash % spread);
+}
+
+milliseconds EventPause(const Run& run) {
+  return IsSlow(run) ? WorkOf(run) / EventCountOf(run.id) : kBetweenEvents;
+}
+
+/// A route of slow work beside each route.
+void AddSlowRoutes(Json& routes) {
+  const Json fast = routes;
+  for (Json route : fast) {
+    const bool streams = route["Kind"] == "stream";
+    route["Name"] = "slow-" + route["Name"].get<std::string>();
+    route["PathPrefix"] =
+        kSlowPrefix + route["PathPrefix"].get<std::string>().substr(1);
+    route["TimeoutMs"] = kSlowTimeoutMs;
+    route["TargetLatencyMs"] = streams ? kSlowEventMs : kSlowPlainMs;
+    route["MaxGapMs"] = kSlowEventMs;
+    routes.push_back(std::move(route));
+  }
+}
+
 std::string AccountOf(std::uint64_t number) {
   return "account" + std::to_string(number % kAccounts);
 }
@@ -50,6 +90,7 @@
   std::string state;                 ///< Of its entry; empty: it has none.
   bool tells = false;                ///< All its answers say that it leaves.
   std::optional<std::size_t> limit;  ///< Of `Records::limits`.
+  Time silent_until;
   std::size_t orders_read = 0;
   std::vector<http::ExchangePtr> hanging;  ///< Never answered.
 };
@@ -89,6 +130,22 @@
   if (behaviour == Behaviour::kSound) targets_.at(target)->hanging.clear();
 }
 
+void Site::Pause(std::size_t target, Duration time) {
+  targets_.at(target)->silent_until = Now() + time;
+}
+
+void Site::Later(Target& target, Duration delay, std::function<void()> action) {
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, delay);
+  timer->async_wait([this, timer, &target, action = std::move(action)](
+                        const boost::system::error_code&) mutable {
+    const Duration silence = target.silent_until - Now();
+    if (silence > Duration::zero()) {
+      return Later(target, silence, std::move(action));
+    }
+    action();
+  });
+}
+
 void Site::SetTells(std::size_t target, bool tells) {
   targets_.at(target)->tells = tells;
 }
@@ -158,12 +215,17 @@
     accounts.push_back({{"Name", AccountOf(i)}, {"ApiKeys", keys}});
   }
   Json config = platform::SampleConfig(version_);
+  AddSlowRoutes(config["Routes"]);
+  const auto step = static_cast<int>(version_ / kVersionStep % kTimeoutSteps);
+  for (Json& route : config["Routes"]) {
+    route["TimeoutMs"] = route["TimeoutMs"].get<int>() + step * kTimeoutStepMs;
+  }
   config["Tenants"] = std::move(accounts);
   return config;
 }
 
 void Site::PutConfig() {
-  version_ += 3;
+  version_ += kVersionStep;
   records_.configs.push_back(Now());
   store_.Put("config", "main", Config());
 }
@@ -305,10 +367,8 @@
   if (target.service == kEngineService) {
     return Stream(target, exchange, number);
   }
-  const auto timer =
-      std::make_shared<boost::asio::steady_timer>(io_, kPlainWork);
-  timer->async_wait([this, timer, &target, exchange,
-                     number](const boost::system::error_code&) {
+  const milliseconds work = IsSlow(run) ? WorkOf(run) : kPlainWork;
+  Later(target, work, [this, &target, exchange, number] {
     http::Response response = Head(target, exchange->request(), 200);
     Run& ended = records_.runs[number];
     response.body = AnswerOf(ended.path, ended.body);
@@ -336,13 +396,11 @@
 void Site::Stream(Target& target, const http::ExchangePtr& exchange,
                   std::size_t run) {
   struct Progress {
-    explicit Progress(boost::asio::io_context& io) : timer(io) {}
-    boost::asio::steady_timer timer;
     int next = 1;
     bool begun = false;
     std::function<void()> step;
   };
-  const auto progress = std::make_shared<Progress>(io_);
+  const auto progress = std::make_shared<Progress>();
   const auto& fields = exchange->request().fields;
   const auto last = http::FieldValue(fields, "last-event-id");
   if (!last.empty()) progress->next = std::stoi(std::string(last)) + 1;
@@ -361,13 +419,9 @@
       return exchange->End();
     }
     exchange->Write(EventOf(record.id, self->next++));
-    self->timer.expires_after(kBetweenEvents);
-    self->timer.async_wait(
-        [self](const boost::system::error_code&) { self->step(); });
+    Later(target, EventPause(record), [self] { self->step(); });
   };
-  progress->timer.expires_after(kFirstEvent);
-  progress->timer.async_wait(
-      [progress](const boost::system::error_code&) { progress->step(); });
+  Later(target, kFirstEvent, [progress] { progress->step(); });
 }
 
 void Site::ReadOrders() {
--- a/soak/site.h
+++ b/soak/site.h
@@ -28,6 +28,8 @@
 inline constexpr const char* kPlainService = "app";
 inline constexpr const char* kEngineService = "model";
 inline constexpr const char* kHostHeader = "a.example";
+/// Paths that begin so are of routes whose targets work for seconds.
+inline constexpr const char* kSlowPrefix = "/slow-";
 
 /// Lives on one I/O thread; `records` outlives it.
 class Site {
@@ -51,6 +53,8 @@
   void ListLate(std::size_t target, const std::string& state);
   /// Another writer's bytes as its entry.
   void ListUnreadable(std::size_t target);
+  /// The target sends nothing for so long and then goes on.
+  void Pause(std::size_t target, Duration time);
   /// Whether all answers of the target say that it leaves.
   void SetTells(std::size_t target, bool tells);
   /// The requests a second that all answers of the target name; absent: none.
@@ -69,6 +73,8 @@
 
   /// A new configuration in which an account's key is another one.
   void ChangeKey();
+  /// A new configuration with other time limits.
+  void ChangeTimeouts() { PutConfig(); }
   /// A key for the next request: mostly one in force.
   std::string PickKey();
   /// Takes note of orders about memory.
@@ -77,6 +83,8 @@
  private:
   struct Target;
 
+  /// Calls `action` after `delay`, once the target sends again.
+  void Later(Target& target, Duration delay, std::function<void()> action);
   void PutEntry(const Target& target, const std::string& state,
                 std::uint64_t report);
   nlohmann::json Config() const;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -61,6 +61,13 @@
 /// In `Mix::kTold` a target in use says that it leaves, besides what is drawn.
 constexpr Duration kTellPause = seconds(4);
 constexpr Duration kTellLife = seconds(8);
+/// What callers of `Mix::kStops` do.
+constexpr double kSlowShare = 0.1;
+constexpr double kStaleShare = 0.5;
+/// In `Mix::kStops` one host of so many stops at once.
+constexpr std::size_t kHostsAStop = 12;
+/// Targets fall silent once in the last third of a stop.
+constexpr Duration kLateSilence = milliseconds(1200);
 /// Limits that targets name, in requests a second.
 constexpr std::array kLimits = {1.0, 1.5, 3.0, 0.4};
 
@@ -188,6 +195,7 @@
       plan.name = "host" + std::to_string(i);
       plan.failure_domain = "z" + std::to_string(i % 3);
       plan.ip = platform::LoopbackIp(i);
+      plan.stop_time = StopTimeOf(settings_.mix);
       plan.store = site_.AddStorePath().address();
       for (std::size_t k = 0; k < std::min(kSeeds, count); ++k) {
         plan.seeds.push_back(platform::LoopbackIp(k));
@@ -206,6 +214,10 @@
       paths.paths.push_back(caller_paths_[i]->address());
     }
     paths.pick_key = [this] { return site_.PickKey(); };
+    if (settings_.mix == Mix::kStops) {
+      paths.slow_share = kSlowShare;
+      paths.stale_share = kStaleShare;
+    }
     return paths;
   }
 
@@ -233,6 +245,21 @@
     hosts_[host]->Signal(SIGTERM);
   }
 
+  /// Hosts next to each other stop while targets fall silent late.
+  void StopBesideSilence(const Event& event, std::size_t host) {
+    for (std::size_t i = 0; i <= hosts_.size() / kHostsAStop; ++i) {
+      Stop((host + i) % hosts_.size());
+    }
+    const Duration stop = StopTimeOf(settings_.mix);
+    const Duration late =
+        Duration(static_cast<Duration::rep>(event.pick / 2)) % (stop / 6);
+    At(2 * stop / 3 + late, [this, pick = event.pick] {
+      for (std::size_t i = 0; i < kTogether; ++i) {
+        site_.Pause(InUse(pick + i), kLateSilence);
+      }
+    });
+  }
+
   void Pause(std::size_t host, Duration life) {
     Note(Subject::kHost, host, Trouble::kHostPause, life);
     hosts_[host]->Signal(SIGSTOP);
@@ -437,6 +464,10 @@
     const std::size_t target = event.pick % site_.targets();
     story_.push_back(Describe(event, host, target));
     if (event.trouble == Trouble::kStoreRewinds) return RewindStore(event);
+    if (event.trouble == Trouble::kTimeoutChange) return site_.ChangeTimeouts();
+    if (event.trouble == Trouble::kTargetPauses) {
+      return site_.Pause(InUse(event.pick), event.life);
+    }
     if (event.trouble <= Trouble::kHostsKill) return CarryHost(event, host);
     if (event.trouble <= Trouble::kStoreAnswersLost) {
       return CarryStore(event, host);
@@ -511,7 +542,8 @@
       case Trouble::kHostKill:
         return Kill(host, event.trouble);
       case Trouble::kHostStop:
-        return Stop(host);
+        if (settings_.mix != Mix::kStops) return Stop(host);
+        return StopBesideSilence(event, host);
       case Trouble::kHostPause:
         return Pause(host, event.life);
       case Trouble::kHostReload:
@@ -605,8 +637,10 @@
       sent.left ? ++out.left : ++out.statuses[sent.status];
     }
     out.disturbances = story_.size();
-    out.breaches = Check(records_, {}, settings_.timed);
-    out.judged = CountJudged(records_, {}, settings_.timed);
+    Bounds bounds;
+    bounds.stop = StopTimeOf(settings_.mix);
+    out.breaches = Check(records_, bounds, settings_.timed);
+    out.judged = CountJudged(records_, bounds, settings_.timed);
     out.story = std::move(story_);
     return out;
   }
