Soak: odd entries beside the targets, and three planted faults

Mix `odd` lists, beside the targets, an entry that no reader expects: very deep nesting, a number out of range, port 70000, a byte that is no UTF-8. A target leaves meanwhile. Judged are ENDS (a host process ended and the soak had not ended it), USED (targets beside it serve on) and DRAIN (the list is followed). The stand-in of the store sends given bytes in place of a string for it.

The entry with deep nesting ends each host, status 11, again after each start.

Planted: takes_late (LOST, takes its time to stop for twice as long as it is), joins_runs (ORDER, resumes a stream without Last-Event-Id), dies_of_entry (ENDS). Resets and errors of mix `stops` hit targets in use.

--- a/soak/main.cc
+++ b/soak/main.cc
@@ -149,7 +149,8 @@
       false, "", "NAME", line);
   std::vector<std::string> mixes = {
       ToString(Mix::kMixed),   ToString(Mix::kLeaving), ToString(Mix::kTold),
-      ToString(Mix::kLimited), ToString(Mix::kRewound), ToString(Mix::kStops)};
+      ToString(Mix::kLimited), ToString(Mix::kRewound), ToString(Mix::kStops),
+      ToString(Mix::kOdd)};
   TCLAP::ValuesConstraint<std::string> known_mixes(mixes);
   TCLAP::ValueArg<std::string> mix("", "mix", "what is done to the hosts",
                                    false, mixes.front(), &known_mixes, line);
--- a/soak/planted-host.cc
+++ b/soak/planted-host.cc
@@ -2,10 +2,12 @@
 // and a soak that does not find it is of no use.
 #include <array>
 #include <boost/asio.hpp>
+#include <csignal>
 #include <cstdlib>
 #include <functional>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 #include "node/log.h"
@@ -176,6 +178,57 @@
   };
 }
 
+/// Lets a stream that goes on begin again.
+void JoinRuns(HostParts& parts) {
+  ChangeRequests(parts, [](const auto&, auto&, auto& out) {
+    std::erase_if(out.fields,
+                  [](const auto& f) { return f.name == "last-event-id"; });
+  });
+}
+
+void DieIfDeep(const std::string& body) {
+  constexpr std::size_t kDepth = 1000;
+  if (body.find(std::string(kDepth, '[')) != std::string::npos) std::abort();
+}
+
+void DieOfEntry(HostParts& parts) {
+  ObjectApi& api = parts.store_api;
+  api.read_list = [read = api.read_list](const auto& body, auto& out) {
+    DieIfDeep(body);
+    read(body, out);
+  };
+  api.read_watch = [read = api.read_watch](const auto& body, auto& out) {
+    DieIfDeep(body);
+    read(body, out);
+  };
+}
+
+/// Its parts are sound; see `EarlyEnd`.
+void TakeLate(HostParts& /*parts*/) {}
+
+/// The host takes its time to stop for twice as long as it is, so that it takes
+/// requests to the end, which cuts them.
+class EarlyEnd {
+ public:
+  EarlyEnd(boost::asio::io_context& io, platform::HostSettings& settings)
+      : io_(io), signals_(io, SIGTERM), timer_(io) {
+    const Duration granted = settings.stop_time;
+    settings.stop_time *= 2;
+    signals_.async_wait(
+        [this, granted](const boost::system::error_code& error, int) {
+          if (error) return;
+          timer_.expires_after(granted * 8 / 9);
+          timer_.async_wait(
+              [this](const boost::system::error_code&) { io_.stop(); });
+        });
+  }
+
+ private:
+  boost::asio::io_context& io_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer timer_;
+};
+
 /// Takes the store's revisions as if they only rose.
 void IgnoreEra(HostParts& parts) { parts.store_api.read_era = nullptr; }
 
@@ -208,23 +261,14 @@
 using Plant = void (*)(HostParts&);
 
 /// In the order of `kPlanted`.
-constexpr std::array<Plant, kPlanted.size()> kPlants = {RepeatFailed,
-                                                        PromiseFailed,
-                                                        DropMark,
-                                                        PassKey,
-                                                        ChangeAccount,
-                                                        ChangePath,
-                                                        SkipEvent,
-                                                        TakeAnyKey,
-                                                        KeepMemory,
-                                                        IgnoreLeaving,
-                                                        IgnoreConfiguration,
-                                                        KeepWatches,
-                                                        IgnoreToldLeaving,
-                                                        IgnoreRetryAfter,
-                                                        IgnoreLimit,
-                                                        LimitEachHost,
-                                                        IgnoreEra};
+constexpr std::array<Plant, kPlanted.size()> kPlants = {
+    RepeatFailed,      PromiseFailed,       DropMark,
+    PassKey,           ChangeAccount,       ChangePath,
+    SkipEvent,         TakeAnyKey,          KeepMemory,
+    IgnoreLeaving,     IgnoreConfiguration, KeepWatches,
+    IgnoreToldLeaving, IgnoreRetryAfter,    IgnoreLimit,
+    LimitEachHost,     IgnoreEra,           TakeLate,
+    JoinRuns,          DieOfEntry};
 
 Plant Find(const std::string& fault) {
   for (std::size_t i = 0; i < kPlanted.size(); ++i) {
@@ -251,6 +295,8 @@
   HostParts parts;
   plant(parts);
   boost::asio::io_context io(1);
+  std::optional<EarlyEnd> early_end;
+  if (plant == TakeLate) early_end.emplace(io, settings);
   platform::Host host(io, settings, path, std::move(parts));
   if (host.Start()) return EXIT_FAILURE;
   io.run();
--- a/soak/planted.h
+++ b/soak/planted.h
@@ -14,7 +14,7 @@
   Mix mix = Mix::kMixed;  ///< That shows it.
 };
 
-inline constexpr std::array<Planted, 17> kPlanted = {
+inline constexpr std::array<Planted, 20> kPlanted = {
     {{"repeats_failed", "TWICE"},
      {"promises_failed", "REFUSED"},
      {"drops_mark", "MIXED"},
@@ -31,6 +31,9 @@
      {"ignores_retry_after", "BUDGET", Mix::kTold},
      {"ignores_limit", "LIMIT", Mix::kLimited},
      {"limits_each_host", "LIMIT", Mix::kLimited},
-     {"ignores_era", "DRAIN", Mix::kRewound}}};
+     {"ignores_era", "DRAIN", Mix::kRewound},
+     {"takes_late", "LOST", Mix::kStops},
+     {"joins_runs", "ORDER", Mix::kStops},
+     {"dies_of_entry", "ENDS", Mix::kOdd}}};
 
 }  // namespace comfreyflow::soak
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -36,6 +36,7 @@
   }
 
   void Untimed() {
+    CheckEnds();
     for (const auto& sent : records_.sent) {
       CheckAnswer(sent);
       CheckRuns(sent);
@@ -44,7 +45,6 @@
     }
     for (const auto& run : records_.runs) CheckAsked(run);
     CheckRepeats();
-    CheckEnds();
   }
 
   void Timed() {
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -65,6 +65,17 @@
     Trouble::kStorePathSilent,  Trouble::kStoreSlow,
     Trouble::kKeyChange};
 
+/// So that hosts are in touch while an odd entry stands.
+constexpr Pace kOddPace = {1.5, milliseconds(4000), milliseconds(10'000)};
+
+constexpr std::array kOddTroubles = {
+    Trouble::kTargetOddEntry,   Trouble::kTargetOddEntry,
+    Trouble::kTargetOddEntry,   Trouble::kTargetDrains,
+    Trouble::kTargetGoes,       Trouble::kTargetDrains,
+    Trouble::kTargetUnreadable, Trouble::kTargetReportLate,
+    Trouble::kHostKill,         Trouble::kHostStop,
+    Trouble::kStoreForgets,     Trouble::kKeyChange};
+
 /// Some stops overlap, and each is over before the quiet time.
 constexpr Pace kStopsPace = {0.8, milliseconds(1000), milliseconds(12'000)};
 
@@ -74,20 +85,21 @@
     Trouble::kHostReload,    Trouble::kKeyChange,    Trouble::kTimeoutChange,
     Trouble::kTimeoutChange, Trouble::kTargetPauses, Trouble::kTargetPauses,
     Trouble::kTargetPauses,  Trouble::kTargetPauses, Trouble::kTargetErrors,
-    Trouble::kTargetReset};
+    Trouble::kTargetReset,   Trouble::kTargetReset};
 
 constexpr Duration kStopTime = std::chrono::seconds(4);
 constexpr Duration kLongStopTime = std::chrono::seconds(8);
 constexpr Duration kShortestSilence = milliseconds(1000);
 constexpr Duration kLongestSilence = milliseconds(1400);
 
-constexpr std::array kMixNames = {"mixed",   "leaving", "told",
-                                  "limited", "rewound", "stops"};
+constexpr std::array kMixNames = {"mixed",   "leaving", "told", "limited",
+                                  "rewound", "stops",   "odd"};
 
 const Pace& PaceOf(Mix mix) {
   if (mix == Mix::kLimited) return kLimitedPace;
   if (mix == Mix::kRewound) return kRewoundPace;
   if (mix == Mix::kStops) return kStopsPace;
+  if (mix == Mix::kOdd) return kOddPace;
   return mix == Mix::kMixed ? kMixedPace : kLeavingPace;
 }
 
@@ -120,6 +132,7 @@
   if (mix == Mix::kStops) {
     return {kStopsTroubles.begin(), kStopsTroubles.end()};
   }
+  if (mix == Mix::kOdd) return {kOddTroubles.begin(), kOddTroubles.end()};
   if (mix != Mix::kMixed) {
     out.assign(kLeavingTroubles.begin(), kLeavingTroubles.end());
   }
@@ -156,7 +169,8 @@
       "target_rests",        "target_pours",
       "target_limits",       "targets_limit",
       "service_limits",      "store_rewinds",
-      "target_pauses",       "timeout_change"};
+      "target_pauses",       "timeout_change",
+      "target_odd_entry"};
   return kNames.at(static_cast<std::size_t>(trouble));
 }
 
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -57,10 +57,12 @@
   // Below: only in `Mix::kStops`.
   kTargetPauses,   ///< A sound target sends nothing for about a second.
   kTimeoutChange,  ///< A configuration with other time limits.
+  // Below: only in `Mix::kOdd`.
+  kTargetOddEntry,  ///< An entry that no reader expects, beside the others.
 };
 /// Those of `Mix::kMixed`, and all.
 inline constexpr int kMixedTroubles = 24;
-inline constexpr int kTroubles = 40;
+inline constexpr int kTroubles = 41;
 
 /// What a soak looks for.
 enum class Mix : std::uint8_t {
@@ -73,6 +75,7 @@
              ///< keys change and hosts are restarted.
   kStops,    ///< Hosts are stopped in series beside long work, pauses of sound
              ///< targets, reloads and configurations.
+  kOdd,      ///< As `kLeaving`, beside odd entries.
 };
 
 /// From the order to stop until the environment would end a process by force.
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -2,6 +2,7 @@
 #include "soak/site.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "node/clock.h"
@@ -38,6 +39,33 @@
 constexpr std::size_t kPouredBytes = 16 * 1024;
 constexpr milliseconds kBetweenPours{5};
 
+/// Between the names of two targets.
+constexpr const char* kOddName = "target1-odd";
+/// Deeper than a parser that recurses has stack for.
+constexpr std::size_t kOddDepth = 100'000;
+
+struct OddText {
+  std::string what;
+  std::string text;
+};
+
+/// An entry of a plain target, one field of which is odd.
+OddText OddEntryOf(std::size_t kind) {
+  const std::string service = std::string("{\"Service\":\"") + kPlainService +
+                              "\",\"State\":\"ready\",";
+  const std::string rest = R"("Addr":"127.0.0.1:9","Zone":"z0","Slots":8)";
+  const std::array<OddText, 4> texts = {
+      {{"a number out of range",
+        service + R"("Addr":"127.0.0.1:9","Zone":"z0","Slots":1e999})"},
+       {"very deep nesting", service + rest +
+                                 ",\"Note\":" + std::string(kOddDepth, '[') +
+                                 std::string(kOddDepth, ']') + '}'},
+       {"a port out of range",
+        service + R"("Addr":"127.0.0.1:70000","Zone":"z0","Slots":8})"},
+       {"a byte that is no UTF-8", service + rest + ",\"Note\":\"\xff\"}"}}};
+  return texts[kind % texts.size()];
+}
+
 bool IsSlow(const Run& run) { return run.path.starts_with(kSlowPrefix); }
 
 /// How long a target works on a slow request.
@@ -187,6 +215,15 @@
   store_.Put("servers", target.fake.name(), Json{{"Service", 7}});
 }
 
+std::string Site::ListOdd(std::size_t kind) {
+  const OddText odd = OddEntryOf(kind);
+  store_.SendAs(odd.what, odd.text);
+  store_.Put("servers", kOddName, odd.what);
+  return odd.what;
+}
+
+void Site::UnlistOdd() { store_.Remove("servers", kOddName); }
+
 void Site::PutEntry(const Target& target, const std::string& state,
                     std::uint64_t report) {
   Json entry =
--- a/soak/site.h
+++ b/soak/site.h
@@ -55,6 +55,10 @@
   void ListUnreadable(std::size_t target);
   /// The target sends nothing for so long and then goes on.
   void Pause(std::size_t target, Duration time);
+  /// An odd entry of another writer beside those of the targets, a kind each
+  /// number; returns what is odd about it.
+  std::string ListOdd(std::size_t kind);
+  void UnlistOdd();
   /// Whether all answers of the target say that it leaves.
   void SetTells(std::size_t target, bool tells);
   /// The requests a second that all answers of the target name; absent: none.
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -2,6 +2,7 @@
 #include "soak/soak.h"
 
 #include <signal.h>
+#include <sys/wait.h>
 
 #include <algorithm>
 #include <array>
@@ -140,7 +141,20 @@
     return out;
   }
 
+  /// Whether no signal of the soak ended the host's last process.
+  bool EndedByItself(std::size_t host) {
+    const int status = hosts_[host]->status();
+    const int signal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
+    // A process that has just started does not handle signals yet.
+    if (signal == SIGTERM || signal == SIGHUP) return false;
+    if (OpenAt(host).empty()) return true;
+    return signal != SIGKILL && status != 0;
+  }
+
   void NoteGone(std::size_t host) {
+    if (EndedByItself(host)) {
+      records_.ends.push_back({host, Now(), hosts_[host]->status()});
+    }
     for (Disturbance* disturbance : OpenAt(host)) disturbance->gone = Now();
   }
 
@@ -383,6 +397,21 @@
     });
   }
 
+  /// An entry beside the others that no reader expects, one at a time and each
+  /// kind in turn. A target that leaves meanwhile shows who follows the list.
+  void ListOddEntry(const Event& event) {
+    if (std::exchange(has_odd_entry_, true)) return;
+    const std::size_t kind = settings_.seed + records_.odd_entries.size();
+    records_.odd_entries.push_back(
+        {site_.ListOdd(kind), Now(), Now() + event.life});
+    At(event.life / 4,
+       [this, event] { Depart(InUse(event.pick), true, 3 * event.life / 4); });
+    At(event.life, [this] {
+      site_.UnlistOdd();
+      has_odd_entry_ = false;
+    });
+  }
+
   /// A moment's disturbance: what connects anew works.
   void ForgetLinks(std::size_t host, Trouble trouble) {
     Note(Subject::kStorePath, host, trouble, Duration::zero());
@@ -468,12 +497,14 @@
     if (event.trouble == Trouble::kTargetPauses) {
       return site_.Pause(InUse(event.pick), event.life);
     }
+    if (event.trouble == Trouble::kTargetOddEntry) return ListOddEntry(event);
     if (event.trouble <= Trouble::kHostsKill) return CarryHost(event, host);
     if (event.trouble <= Trouble::kStoreAnswersLost) {
       return CarryStore(event, host);
     }
     if (event.trouble <= Trouble::kTargetLapses) {
-      return CarryTarget(event, target);
+      const bool in_use = settings_.mix == Mix::kStops;
+      return CarryTarget(event, in_use ? InUse(event.pick) : target);
     }
     if (event.trouble <= Trouble::kCallersSlow) return CarryOther(event, host);
     if (event.trouble <= Trouble::kTargetReportLate) {
@@ -655,6 +686,7 @@
   std::vector<bool> restarting_;
   std::deque<std::pair<Time, platform::FakeStore::Copy>> copies_;
   bool is_rewinding_ = false;
+  bool has_odd_entry_ = false;
   std::set<std::size_t> leaving_;  ///< Targets.
   std::set<std::size_t> limited_;  ///< Targets.
   std::vector<std::string> story_;
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -173,6 +173,13 @@
 
 http::Response FakeStore::Reply(int status, const Json& body) const {
   http::Response response = JsonAnswer(status, body);
+  for (const auto& [text, bytes] : sent_as_) {
+    const std::string quoted = Json(text).dump();
+    for (auto at = response.body.find(quoted); at != std::string::npos;
+         at = response.body.find(quoted, at + bytes.size())) {
+      response.body.replace(at, quoted.size(), bytes);
+    }
+  }
   const std::string era = era_text_.value_or(std::to_string(era_));
   if (!era.empty()) response.fields.push_back({"store-era", era});
   return response;
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -73,6 +73,10 @@
   void SetEraText(std::optional<std::string> text) {
     era_text_ = std::move(text);
   }
+  /// Sends `bytes` wherever a specification is the string `text`.
+  void SendAs(const std::string& text, std::string bytes) {
+    sent_as_[text] = std::move(bytes);
+  }
   /// Number of lists of a kind that were answered.
   std::size_t lists(const std::string& kind) const {
     const auto at = lists_.find(kind);
@@ -112,6 +116,7 @@
   std::uint64_t forgotten_ = 0;  ///< Changes up to here are gone.
   std::uint64_t era_ = 1;
   std::optional<std::string> era_text_;  ///< Sent in place of `era_`.
+  std::map<std::string, std::string> sent_as_;
   std::map<std::string, std::size_t> lists_;
   bool down_ = false;
   boost::asio::io_context& io_;
