--- a/soak/main.cc
+++ b/soak/main.cc
@@ -163,6 +163,7 @@
   line.parse(argc, argv);
   SoakSettings settings;
   settings.program = program.getValue();
+  settings.fault = fault.getValue();
   settings.directory = directory.getValue();
   settings.seed = seed.getValue();
   settings.hosts = hosts.getValue();
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -307,15 +307,18 @@
              std::to_string(sent.status) + ", " + Around(sent));
   }
 
-  /// The planned stop at whose end the request was cut.
+  /// The planned stop at whose end the request was cut: of the process that
+  /// was gone last, the first order.
   const Disturbance* StopThatCut(const Sent& sent) const {
     constexpr Duration kClose = milliseconds(100);
+    const Disturbance* last = nullptr;
     for (const auto& d : records_.disturbances) {
       if (!IsStopOf(d, sent.host)) continue;
       if (sent.at > d.until.value_or(records_.over)) continue;
-      if (*sent.ended + kClose >= *d.gone) return &d;
+      if (*sent.ended + kClose < *d.gone) continue;
+      if (last == nullptr || *d.gone > *last->gone) last = &d;
     }
-    return nullptr;
+    return last;
   }
 
   static bool IsStopOf(const Disturbance& d, std::size_t host) {
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -503,8 +503,8 @@
       return CarryStore(event, host);
     }
     if (event.trouble <= Trouble::kTargetLapses) {
-      const bool in_use = settings_.mix == Mix::kStops;
-      return CarryTarget(event, in_use ? InUse(event.pick) : target);
+      if (settings_.mix != Mix::kStops) return CarryTarget(event, target);
+      return CarryInUse(event);
     }
     if (event.trouble <= Trouble::kCallersSlow) return CarryOther(event, host);
     if (event.trouble <= Trouble::kTargetReportLate) {
@@ -608,6 +608,14 @@
     }
   }
 
+  /// Resets several targets at once, so that streams are resumed.
+  void CarryInUse(const Event& event) {
+    const bool resets = event.trouble == Trouble::kTargetReset;
+    for (std::size_t i = 0; i < (resets ? kTogether : 1); ++i) {
+      CarryTarget(event, InUse(event.pick + i));
+    }
+  }
+
   void CarryTarget(const Event& event, std::size_t target) {
     switch (event.trouble) {
       case Trouble::kTargetDark:
--- a/test/soak/promises-test.cc
+++ b/test/soak/promises-test.cc
@@ -195,6 +195,18 @@
   CHECK(Broken(records) == Promises{"LOST"});
 }
 
+TEST_CASE("a stop right after a restart is not taken for the one before") {
+  Records records = CutByStop(milliseconds(2900));
+  Disturbance before = records.disturbances[0];
+  before.from -= seconds(8);
+  *before.gone = before.from + milliseconds(3555);
+  before.until = kStart + milliseconds(10);
+  records.disturbances.insert(records.disturbances.begin(), before);
+  CHECK(Broken(records).empty());
+  records.disturbances[1].from = kStart - milliseconds(3100);
+  CHECK(Broken(records) == Promises{"LOST"});
+}
+
 TEST_CASE("a stop that ends early and cuts what is open is found") {
   Records records = CutByStop(milliseconds(100));
   for (const auto moment : {&records.sent[0].ended, &records.runs[0].ended,
