--- a/soak/main.cc
+++ b/soak/main.cc
@@ -148,8 +148,9 @@
       "", "planted", "check that this fault, planted in the host, is found",
       false, "", "NAME", line);
   std::vector<std::string> mixes = {
-      ToString(Mix::kMixed), ToString(Mix::kLeaving), ToString(Mix::kTold),
-      ToString(Mix::kLimited), ToString(Mix::kRewound)};
+      ToString(Mix::kMixed),   ToString(Mix::kLeaving), ToString(Mix::kTold),
+      ToString(Mix::kLimited), ToString(Mix::kRewound), ToString(Mix::kStops),
+      ToString(Mix::kOdd)};
   TCLAP::ValuesConstraint<std::string> known_mixes(mixes);
   TCLAP::ValueArg<std::string> mix("", "mix", "what is done to the hosts",
                                    false, mixes.front(), &known_mixes, line);
@@ -162,6 +163,7 @@
   line.parse(argc, argv);
   SoakSettings settings;
   settings.program = program.getValue();
+  settings.fault = fault.getValue();
   settings.directory = directory.getValue();
   settings.seed = seed.getValue();
   settings.hosts = hosts.getValue();
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -65,12 +65,41 @@
     Trouble::kStorePathSilent,  Trouble::kStoreSlow,
     Trouble::kKeyChange};
 
-constexpr std::array kMixNames = {"mixed", "leaving", "told", "limited",
-                                  "rewound"};
+/// So that hosts are in touch while an odd entry stands.
+constexpr Pace kOddPace = {1.5, milliseconds(4000), milliseconds(10'000)};
+
+constexpr std::array kOddTroubles = {
+    Trouble::kTargetOddEntry,   Trouble::kTargetOddEntry,
+    Trouble::kTargetOddEntry,   Trouble::kTargetDrains,
+    Trouble::kTargetGoes,       Trouble::kTargetDrains,
+    Trouble::kTargetUnreadable, Trouble::kTargetReportLate,
+    Trouble::kHostKill,         Trouble::kHostStop,
+    Trouble::kStoreForgets,     Trouble::kKeyChange};
+
+/// Some stops overlap, and each is over before the quiet time.
+constexpr Pace kStopsPace = {0.8, milliseconds(1000), milliseconds(12'000)};
+
+constexpr std::array kStopsTroubles = {
+    Trouble::kHostStop,      Trouble::kHostStop,     Trouble::kHostStop,
+    Trouble::kHostStop,      Trouble::kHostReload,   Trouble::kHostReload,
+    Trouble::kHostReload,    Trouble::kKeyChange,    Trouble::kTimeoutChange,
+    Trouble::kTimeoutChange, Trouble::kTargetPauses, Trouble::kTargetPauses,
+    Trouble::kTargetPauses,  Trouble::kTargetPauses, Trouble::kTargetErrors,
+    Trouble::kTargetReset,   Trouble::kTargetReset};
+
+constexpr Duration kStopTime = std::chrono::seconds(4);
+constexpr Duration kLongStopTime = std::chrono::seconds(8);
+constexpr Duration kShortestSilence = milliseconds(1000);
+constexpr Duration kLongestSilence = milliseconds(1400);
+
+constexpr std::array kMixNames = {"mixed",   "leaving", "told", "limited",
+                                  "rewound", "stops",   "odd"};
 
 const Pace& PaceOf(Mix mix) {
   if (mix == Mix::kLimited) return kLimitedPace;
   if (mix == Mix::kRewound) return kRewoundPace;
+  if (mix == Mix::kStops) return kStopsPace;
+  if (mix == Mix::kOdd) return kOddPace;
   return mix == Mix::kMixed ? kMixedPace : kLeavingPace;
 }
 
@@ -78,6 +107,10 @@
 constexpr Duration kLongestReset = std::chrono::seconds(1);
 
 Duration LifeOf(Mix mix, Trouble trouble, Duration drawn) {
+  if (trouble == Trouble::kTargetPauses) {
+    return kShortestSilence + drawn % (kLongestSilence - kShortestSilence);
+  }
+  if (mix == Mix::kStops) return std::min(drawn, kLongestReset);
   const bool is_path =
       trouble == Trouble::kStoreReset ||
       (mix == Mix::kRewound && (trouble == Trouble::kStorePathSilent ||
@@ -96,6 +129,10 @@
   if (mix == Mix::kRewound) {
     return {kRewoundTroubles.begin(), kRewoundTroubles.end()};
   }
+  if (mix == Mix::kStops) {
+    return {kStopsTroubles.begin(), kStopsTroubles.end()};
+  }
+  if (mix == Mix::kOdd) return {kOddTroubles.begin(), kOddTroubles.end()};
   if (mix != Mix::kMixed) {
     out.assign(kLeavingTroubles.begin(), kLeavingTroubles.end());
   }
@@ -131,7 +168,9 @@
       "target_report_late",  "target_tells",
       "target_rests",        "target_pours",
       "target_limits",       "targets_limit",
-      "service_limits",      "store_rewinds"};
+      "service_limits",      "store_rewinds",
+      "target_pauses",       "timeout_change",
+      "target_odd_entry"};
   return kNames.at(static_cast<std::size_t>(trouble));
 }
 
@@ -146,6 +185,10 @@
   return std::nullopt;
 }
 
+Duration StopTimeOf(Mix mix) {
+  return mix == Mix::kStops ? kLongStopTime : kStopTime;
+}
+
 Duration LongestLife(Mix mix) { return PaceOf(mix).longest_life; }
 
 std::optional<Trouble> TroubleOf(const std::string& name) {
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -2,6 +2,7 @@
 #include "soak/soak.h"
 
 #include <signal.h>
+#include <sys/wait.h>
 
 #include <algorithm>
 #include <array>
@@ -61,6 +62,13 @@
 /// In `Mix::kTold` a target in use says that it leaves, besides what is drawn.
 constexpr Duration kTellPause = seconds(4);
 constexpr Duration kTellLife = seconds(8);
+/// What callers of `Mix::kStops` do.
+constexpr double kSlowShare = 0.1;
+constexpr double kStaleShare = 0.5;
+/// In `Mix::kStops` one host of so many stops at once.
+constexpr std::size_t kHostsAStop = 12;
+/// Targets fall silent once in the last third of a stop.
+constexpr Duration kLateSilence = milliseconds(1200);
 /// Limits that targets name, in requests a second.
 constexpr std::array kLimits = {1.0, 1.5, 3.0, 0.4};
 
@@ -133,7 +141,20 @@
     return out;
   }
 
+  /// Whether no signal of the soak ended the host's last process.
+  bool EndedByItself(std::size_t host) {
+    const int status = hosts_[host]->status();
+    const int signal = WIFSIGNALED(status) ? WTERMSIG(status) : 0;
+    // A process that has just started does not handle signals yet.
+    if (signal == SIGTERM || signal == SIGHUP) return false;
+    if (OpenAt(host).empty()) return true;
+    return signal != SIGKILL && status != 0;
+  }
+
   void NoteGone(std::size_t host) {
+    if (EndedByItself(host)) {
+      records_.ends.push_back({host, Now(), hosts_[host]->status()});
+    }
     for (Disturbance* disturbance : OpenAt(host)) disturbance->gone = Now();
   }
 
@@ -188,6 +209,7 @@
       plan.name = "host" + std::to_string(i);
       plan.failure_domain = "z" + std::to_string(i % 3);
       plan.ip = platform::LoopbackIp(i);
+      plan.stop_time = StopTimeOf(settings_.mix);
       plan.store = site_.AddStorePath().address();
       for (std::size_t k = 0; k < std::min(kSeeds, count); ++k) {
         plan.seeds.push_back(platform::LoopbackIp(k));
@@ -206,6 +228,10 @@
       paths.paths.push_back(caller_paths_[i]->address());
     }
     paths.pick_key = [this] { return site_.PickKey(); };
+    if (settings_.mix == Mix::kStops) {
+      paths.slow_share = kSlowShare;
+      paths.stale_share = kStaleShare;
+    }
     return paths;
   }
 
@@ -223,11 +249,31 @@
     hosts_[host]->Signal(SIGKILL);
   }
 
+  /// The time to stop runs from the first SIGTERM on.
   void Stop(std::size_t host) {
-    Note(Subject::kHost, host, Trouble::kHostStop, std::nullopt).planned = true;
+    if (restarting_[host]) return;
+    if (OpenAt(host).empty()) {
+      Note(Subject::kHost, host, Trouble::kHostStop, std::nullopt).planned =
+          true;
+    }
     hosts_[host]->Signal(SIGTERM);
   }
 
+  /// Hosts next to each other stop while targets fall silent late.
+  void StopBesideSilence(const Event& event, std::size_t host) {
+    for (std::size_t i = 0; i <= hosts_.size() / kHostsAStop; ++i) {
+      Stop((host + i) % hosts_.size());
+    }
+    const Duration stop = StopTimeOf(settings_.mix);
+    const Duration late =
+        Duration(static_cast<Duration::rep>(event.pick / 2)) % (stop / 6);
+    At(2 * stop / 3 + late, [this, pick = event.pick] {
+      for (std::size_t i = 0; i < kTogether; ++i) {
+        site_.Pause(InUse(pick + i), kLateSilence);
+      }
+    });
+  }
+
   void Pause(std::size_t host, Duration life) {
     Note(Subject::kHost, host, Trouble::kHostPause, life);
     hosts_[host]->Signal(SIGSTOP);
@@ -351,6 +397,21 @@
     });
   }
 
+  /// An entry beside the others that no reader expects, one at a time and each
+  /// kind in turn. A target that leaves meanwhile shows who follows the list.
+  void ListOddEntry(const Event& event) {
+    if (std::exchange(has_odd_entry_, true)) return;
+    const std::size_t kind = settings_.seed + records_.odd_entries.size();
+    records_.odd_entries.push_back(
+        {site_.ListOdd(kind), Now(), Now() + event.life});
+    At(event.life / 4,
+       [this, event] { Depart(InUse(event.pick), true, 3 * event.life / 4); });
+    At(event.life, [this] {
+      site_.UnlistOdd();
+      has_odd_entry_ = false;
+    });
+  }
+
   /// A moment's disturbance: what connects anew works.
   void ForgetLinks(std::size_t host, Trouble trouble) {
     Note(Subject::kStorePath, host, trouble, Duration::zero());
@@ -432,12 +493,18 @@
     const std::size_t target = event.pick % site_.targets();
     story_.push_back(Describe(event, host, target));
     if (event.trouble == Trouble::kStoreRewinds) return RewindStore(event);
+    if (event.trouble == Trouble::kTimeoutChange) return site_.ChangeTimeouts();
+    if (event.trouble == Trouble::kTargetPauses) {
+      return site_.Pause(InUse(event.pick), event.life);
+    }
+    if (event.trouble == Trouble::kTargetOddEntry) return ListOddEntry(event);
     if (event.trouble <= Trouble::kHostsKill) return CarryHost(event, host);
     if (event.trouble <= Trouble::kStoreAnswersLost) {
       return CarryStore(event, host);
     }
     if (event.trouble <= Trouble::kTargetLapses) {
-      return CarryTarget(event, target);
+      if (settings_.mix != Mix::kStops) return CarryTarget(event, target);
+      return CarryInUse(event);
     }
     if (event.trouble <= Trouble::kCallersSlow) return CarryOther(event, host);
     if (event.trouble <= Trouble::kTargetReportLate) {
@@ -506,10 +573,12 @@
       case Trouble::kHostKill:
         return Kill(host, event.trouble);
       case Trouble::kHostStop:
-        return Stop(host);
+        if (settings_.mix != Mix::kStops) return Stop(host);
+        return StopBesideSilence(event, host);
       case Trouble::kHostPause:
         return Pause(host, event.life);
       case Trouble::kHostReload:
+        records_.reloads.push_back({host, Now()});
         return hosts_[host]->Signal(SIGHUP);
       default:
         for (std::size_t i = 0; i < hosts_.size(); i += 2) {
@@ -539,6 +608,14 @@
     }
   }
 
+  /// Resets several targets at once, so that streams are resumed.
+  void CarryInUse(const Event& event) {
+    const bool resets = event.trouble == Trouble::kTargetReset;
+    for (std::size_t i = 0; i < (resets ? kTogether : 1); ++i) {
+      CarryTarget(event, InUse(event.pick + i));
+    }
+  }
+
   void CarryTarget(const Event& event, std::size_t target) {
     switch (event.trouble) {
       case Trouble::kTargetDark:
@@ -599,8 +676,10 @@
       sent.left ? ++out.left : ++out.statuses[sent.status];
     }
     out.disturbances = story_.size();
-    out.breaches = Check(records_, {}, settings_.timed);
-    if (settings_.timed) out.judged = CountJudged(records_, {});
+    Bounds bounds;
+    bounds.stop = StopTimeOf(settings_.mix);
+    out.breaches = Check(records_, bounds, settings_.timed);
+    out.judged = CountJudged(records_, bounds, settings_.timed);
     out.story = std::move(story_);
     return out;
   }
@@ -615,6 +694,7 @@
   std::vector<bool> restarting_;
   std::deque<std::pair<Time, platform::FakeStore::Copy>> copies_;
   bool is_rewinding_ = false;
+  bool has_odd_entry_ = false;
   std::set<std::size_t> leaving_;  ///< Targets.
   std::set<std::size_t> limited_;  ///< Targets.
   std::vector<std::string> story_;
