Soak: a large prompt that its host still serves may hold memory at the end

The judge had a place for that, but no caller ever said that its prompt was large, and any large prompt would have excused all memory. Callers say so now, and only memory of the host that serves such a prompt is excused.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -149,9 +149,9 @@
       sent.kind = Kind::kStream;
       sent.path = prefix + "stream/" + sent.id;
       sent.body = "prompt of " + sent.id;
-      request.fields.push_back({"x-token-count", Share() < kLargePromptShare
-                                                     ? kLargePrompt
-                                                     : kShortPrompt});
+      sent.large = Share() < kLargePromptShare;
+      request.fields.push_back(
+          {"x-token-count", sent.large ? kLargePrompt : kShortPrompt});
     } else if (kind < 0.75) {
       sent.kind = Kind::kUnsafe;
       sent.path = prefix + "unsafe/" + sent.id + "?q=%2f";
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -708,7 +708,8 @@
       }
       const auto used = std::any_of(
           records_.sent.begin(), records_.sent.end(), [&](const Sent& sent) {
-            return sent.large &&
+            const std::string holder = "host" + std::to_string(sent.host) + "~";
+            return sent.large && held.id.starts_with(holder) &&
                    sent.ended.value_or(records_.over) + bounds_.free_memory >
                        records_.over;
           });
--- a/test/soak/promises-test.cc
+++ b/test/soak/promises-test.cc
@@ -383,6 +383,14 @@
   records = Sound();
   records.held = {{"id", 0, records.over - seconds(1), seconds(9), false}};
   CHECK(Broken(records) == Promises{"LEAK"});
+  // Only a large prompt that its host still serves may hold it.
+  records.held[0].id = "host1~id";
+  Sent& large = records.sent[kStreamAt];
+  large.large = true;
+  records.over = *large.ended + seconds(1);
+  CHECK(Broken(records) == Promises{"LEAK"});
+  records.held[0].id = "host" + std::to_string(large.host) + "~id";
+  CHECK(Broken(records).empty());
   records.held[0].released = true;
   CHECK(Broken(records).empty());
 }
