--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -56,6 +56,26 @@
   return out;
 }
 
+/// An attempt at a silent target that goes on while the request is sent to
+/// another one, which has sent no part of an answer.
+struct ParkedAttempt {
+  std::uint64_t number = 0;
+  PlaceGrant grant;
+  std::unique_ptr<Reservations> reservations;
+  std::vector<Reservation> requested_reservations;
+  std::shared_ptr<http::Call> call;
+  Time sent_at;
+  bool is_sent = false;
+  bool has_started = false;
+  Time started_at;
+  bool is_proven = false;
+  bool is_event_stream = false;
+  TargetHead head;
+  http::Response response;
+  std::string body;
+  std::string unfinished;  ///< Start of an event.
+};
+
 class Relay : public OpenRequest, public std::enable_shared_from_this<Relay> {
  public:
   Relay(RelayContext& context, http::ExchangePtr exchange)
@@ -938,7 +958,7 @@
 
   /// Exchanges the state of the current attempt with that in `parked_`.
   void SwapParked() {
-    Parked& parked = *parked_;
+    ParkedAttempt& parked = *parked_;
     std::swap(attempt_number_, parked.number);
     std::swap(grant_, parked.grant);
     std::swap(reservations_, parked.reservations);
@@ -1135,26 +1155,7 @@
   /// A target's error response, forwarded if no later attempt succeeds.
   std::optional<http::Response> stored_answer_;
 
-  /// An attempt at a silent target that goes on while the request is sent to
-  /// another one, which has sent no part of an answer.
-  struct Parked {
-    std::uint64_t number = 0;
-    PlaceGrant grant;
-    std::unique_ptr<Reservations> reservations;
-    std::vector<Reservation> requested_reservations;
-    std::shared_ptr<http::Call> call;
-    Time sent_at;
-    bool is_sent = false;
-    bool has_started = false;
-    Time started_at;
-    bool is_proven = false;
-    bool is_event_stream = false;
-    TargetHead head;
-    http::Response response;
-    std::string body;
-    std::string unfinished;  ///< Start of an event.
-  };
-  std::optional<Parked> parked_;
+  std::optional<ParkedAttempt> parked_;
 
   // The current attempt.
   PlaceGrant grant_;
