Tests of stops and silences in one file each; a host that can't be reached isn't ready

The review's cases join the tests of their subjects, with one SetSlots. The check that a waiting request is refused before the end of a stop no longer reads the clock: no request was cut by then. Site::UntilReady took a failed connection for the answer 200; a test could begin before its host had a configuration.

--- a/test/placer-test.cc
+++ b/test/placer-test.cc
@@ -593,3 +593,20 @@
   // 31 s of prefill, which 8 engines can't do in 3 s.
   CHECK(engines(3, 550'000) > 8);
 }
+
+TEST_CASE("retries that were never granted use up the retry budget") {
+  Placer placer = PlainPlacer(1, 16);
+  for (std::uint64_t i = 1; i <= 10; ++i)
+    Granted(placer, Job(i, kStart, 0), kStart);
+  const double before = placer.Summarize(kStart).retries_left;
+  const TargetName only = placer.Loads().front().name;
+  for (std::uint64_t i = 101; i <= 110; ++i) {
+    PlaceJob retry = Job(i, kStart, 0);
+    retry.is_retry = true;
+    retry.excluded = {only};
+    placer.Submit(retry, kStart);
+    CHECK(placer.TakeDecisions().empty());
+    placer.Ended(retry.id, WorkEnd::kCancelled, kStart + milliseconds(10));
+  }
+  CHECK(placer.Summarize(kStart + milliseconds(10)).retries_left == before);
+}
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -505,6 +505,13 @@
   store_->Put("config", "main", config);
 }
 
+void Site::SetSlots(const std::string& service, const FakeTarget& target,
+                    int slots) {
+  Json entry = SampleEntry(service, target.address(), "z1", "ready");
+  entry["Slots"] = slots;
+  store_->Put("servers", target.name(), entry);
+}
+
 std::size_t Site::AddHost() {
   HostSettings settings;
   settings.name = "host" + std::to_string(hosts_.size());
@@ -543,7 +550,8 @@
 
 bool Site::UntilReady(std::size_t number) {
   return Until([this, number] {
-    return Get(settings_[number].readiness, "/readyz").response.status == 200;
+    const Answer answer = Get(settings_[number].readiness, "/readyz");
+    return answer.whole && answer.response.status == 200;
   });
 }
 
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -227,6 +227,9 @@
   FakeTarget& AddTarget(const std::string& service, const std::string& name);
   void List(const std::string& service, const FakeTarget& target,
             const std::string& state = "ready");
+  /// Lists the target as ready for so many requests at once.
+  void SetSlots(const std::string& service, const FakeTarget& target,
+                int slots);
   RawTarget& AddRawTarget(const std::string& service, const std::string& name,
                           RawTarget::Handler handler);
   /// `SampleConfig`, changed.
--- a/test/platform/stop-test.cc
+++ b/test/platform/stop-test.cc
@@ -1,9 +1,12 @@
 // Planned stops of a host, as its callers see them.
 #include <doctest/doctest.h>
 
+#include <boost/asio.hpp>
 #include <chrono>
 #include <vector>
 
+#include "http/body-budget.h"
+#include "http/server.h"
 #include "node/log.h"
 #include "platform/stand-ins.h"
 
@@ -19,9 +22,12 @@
 
 /// Work under way when a host stopped, as its last log line says.
 std::optional<std::uint64_t> open_at_stop;
+/// Lines that tell of requests which the end of a stop cut.
+std::size_t requests_cut = 0;
 
 const bool kTapped = [] {
   node::SetLogTap([](node::Event event, const std::string& line) {
+    if (event == node::Event::kRequestCut) ++requests_cut;
     if (event != node::Event::kStopped) return;
     open_at_stop =
         nlohmann::json::parse(line).at("open_requests").get<std::uint64_t>();
@@ -64,13 +70,6 @@
   });
 }
 
-void SetSlots(Site& site, const char* service, const FakeTarget& target,
-              int slots) {
-  auto entry = SampleEntry(service, target.address(), "z1", "ready");
-  entry["Slots"] = slots;
-  site.store().Put("servers", target.name(), entry);
-}
-
 struct LateRequest {
   std::shared_ptr<Answer> answer;
   std::string id;
@@ -103,8 +102,8 @@
     config["Routes"][1]["TimeoutMs"] = 1500;
     config["Services"][1]["Engine"]["Slots"] = 400;
   });
-  SetSlots(site, "app", app, 400);
-  SetSlots(site, "model", model, 400);
+  site.SetSlots("app", app, 400);
+  site.SetSlots("model", model, 400);
   const auto host = site.AddHost();
   REQUIRE(site.UntilReady(host));
   open_at_stop.reset();
@@ -164,7 +163,7 @@
   std::vector<http::ExchangePtr> open;
   target.OnRequest(
       [&open](const http::ExchangePtr& exchange) { open.push_back(exchange); });
-  SetSlots(site, "model", target, 1);
+  site.SetSlots("model", target, 1);
   site.PutConfig(1, [](nlohmann::json& config) {
     config["Services"][1]["Engine"]["Slots"] = 1;
   });
@@ -237,3 +236,70 @@
   REQUIRE(site.Until([&] { return answer->ended; }));
   CHECK_FALSE(answer->whole);
 }
+
+TEST_CASE("a request waits in a planned stop after its time to be sent") {
+  constexpr milliseconds kStopTime{4000};
+  Site site;
+  site.SetStopTime(kStopTime);
+  FakeTarget& target = site.AddTarget("app", "i1");
+  std::vector<http::ExchangePtr> open;
+  target.OnRequest(
+      [&open](const http::ExchangePtr& exchange) { open.push_back(exchange); });
+  site.SetSlots("app", target, 1);
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  site.Send(host, "POST", "/unsafe/1");
+  REQUIRE(site.Until([&] { return open.size() == 1; }));
+  const auto waiting = site.Send(host, "POST", "/unsafe/1");
+  site.Get(site.settings(host).readiness, "/readyz");
+  site.host(host).Stop();
+  requests_cut = 0;
+  REQUIRE(site.Until([&] { return waiting->ended; }));
+  CHECK(waiting->whole);
+  CHECK(waiting->response.status == 503);
+  // Refused before the end of the stop, not cut by it.
+  CHECK(requests_cut == 0);
+}
+
+TEST_CASE("a request is read and dropped as its idle connection is closed") {
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  asio::io_context io{1};
+  std::size_t received = 0;
+  http::ServerHooks hooks;
+  hooks.admit_head = [](const http::Request&) { return Errc::kOk; };
+  hooks.handle = [&received](const http::ExchangePtr& exchange) {
+    ++received;
+    exchange->Respond({});
+  };
+  hooks.error_response = [](Errc) { return http::Response{}; };
+  http::Server server(io, {}, hooks,
+                      std::make_shared<http::BodyBudget>(1 << 20));
+  REQUIRE_FALSE(server.Listen("127.0.0.1:0"));
+  asio::io_context caller_io;
+  tcp::socket caller(caller_io);
+  caller.connect({asio::ip::address_v4::loopback(), server.port()});
+  io.run_for(milliseconds(50));
+  asio::write(caller, asio::buffer(std::string(
+                          "POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n")));
+  asio::post(io, [&server] { server.CloseIdle(); });
+  io.run_for(milliseconds(50));
+  const bool was_read = received == 1;
+  tcp::socket idle(caller_io);
+  idle.connect({asio::ip::address_v4::loopback(), server.port()});
+  io.run_for(milliseconds(50));
+  server.CloseIdle();
+  io.run_for(milliseconds(50));
+  CHECK(idle.available() == 0);
+  idle.non_blocking(true);
+  // A connection that is closed with unread bytes is reset, one whose bytes
+  // were read ends.
+  boost::system::error_code error;
+  std::string answer(1, '\0');
+  caller.read_some(asio::buffer(answer), error);
+  CHECK((was_read || error == asio::error::connection_reset));
+  CHECK((was_read || error));
+  idle.read_some(asio::buffer(answer), error);
+  CHECK(error == asio::error::eof);
+}
--- a/test/stop-plan-test.cc
+++ b/test/stop-plan-test.cc
@@ -91,3 +91,13 @@
   CHECK(plan.ExitBy() - plan.AnswerBy() >= milliseconds(400));
   CHECK(kBegan + kStopTime - plan.ExitBy() >= milliseconds(300));
 }
+
+TEST_CASE("a request sent 3 s after the signal is accepted without certainty") {
+  constexpr Time kSignal{seconds(100)};
+  constexpr Duration kSeenLate = milliseconds(300);
+  StopPlan plan(seconds(8));
+  plan.Begin(kSignal + kSeenLate);
+  const LateWork stream{seconds(10), seconds(1)};
+  CHECK(plan.Accepts(stream, kSignal + milliseconds(2500)));
+  CHECK_FALSE(plan.Accepts(stream, kSignal + milliseconds(3100)));
+}
