Count a set-aside attempt as run once its request is sent

An attempt that was still connecting when its target counted as silent, and was sent while another one ran beside it, was not counted among those that may have run: at the deadline the caller could be told that nothing had run, and the count could fall below zero. Read only, no test shows it.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -508,7 +508,9 @@
 
   void OnSent(std::uint64_t number) {
     if (attempt_number_ == number) request_sent_ = true;
-    if (IsParked(number)) parked_->is_sent = true;
+    if (IsParked(number) && !std::exchange(parked_->is_sent, true)) {
+      ++progress_.attempts_run;
+    }
   }
 
   bool AnswersThisRequest(const http::Response& head) const {
