--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -465,6 +465,9 @@
     options.progress_timeout =
         ceil<milliseconds>(deadline_ - now) + std::chrono::seconds(1);
     if (!Repeatable(*route_)) options.idle_limit = kNonRetryableIdleLimit;
+    // A silent target may keep the request, but not the memory of helpers if
+    // its machine is gone.
+    options.probe_silence = !requested_reservations_.empty();
     call_ = context_.client.Open(
         grant_.targets.front().address,
         context_.edge.write_request(exchange_->request(), forward), options,
