--- a/src/gateway/crash-watch.cc
+++ b/src/gateway/crash-watch.cc
@@ -92,8 +92,10 @@
     return;
   }
   asio::ip::tcp::endpoint endpoint;
+  const std::string address =
+      hooks_.path ? hooks_.path(target.address) : target.address;
   if (checks_.size() >= kMaxConcurrentChecks ||
-      http::ParseEndpoint(target.address, endpoint)) {
+      http::ParseEndpoint(address, endpoint)) {
     return;
   }
   const auto check = std::make_shared<Check>(
--- a/src/gateway/crash-watch.h
+++ b/src/gateway/crash-watch.h
@@ -14,6 +14,7 @@
 
 #include "comfreyflow/crash-ledger.h"
 #include "comfreyflow/placer.h"
+#include "http/client.h"
 #include "wire/placement.h"
 
 namespace comfreyflow::gateway {
@@ -27,6 +28,8 @@
   /// Whether this host is the one that may try a condemned request of the
   /// service again.
   std::function<bool(const ServiceName&)> may_try;
+  /// Disturbs the paths to targets in tests; may be empty.
+  http::PathHook path;
 };
 
 /// Used on one I/O thread only.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -68,7 +68,7 @@
       : io(io),
         settings(std::move(initial_settings)),
         hooks(std::move(initial_hooks)),
-        client(io),
+        client(io, hooks.path),
         placement(io, {settings.self.name, settings.self.incarnation,
                        settings.self.failure_domain, settings.placement,
                        settings.key, WithSeed(settings),
@@ -289,6 +289,7 @@
     crash.may_try = [this](const ServiceName& service) {
       return placement.HolderOf(service) == settings.self.name;
     };
+    crash.path = hooks.path;
     return crash;
   }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "gateway/follower.h"
 #include "gateway/peers.h"
 #include "gateway/placement.h"
+#include "http/client.h"
 #include "node/metrics.h"
 
 namespace comfreyflow::gateway {
@@ -35,6 +36,8 @@
 
 struct GatewayHooks {
   EdgeHooks edge;
+  /// Disturbs the paths to targets in tests; may be empty.
+  http::PathHook path;
   /// Receives the route document that is in force on a peer.
   std::function<void(const std::string& text)> document_from_peer;
   /// Returns how current the target list is; if empty, the log does not say.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -97,10 +97,15 @@
 
 class Client::Pool {
  public:
-  explicit Pool(asio::io_context& io) : io_(io) {}
+  Pool(asio::io_context& io, PathHook path) : io_(io), path_(std::move(path)) {}
 
   asio::io_context& io() { return io_; }
 
+  /// The address to connect to.
+  std::string PathTo(const std::string& address) const {
+    return path_ ? path_(address) : address;
+  }
+
   void CallOpened() { ++open_calls_; }
   void CallEnded() { --open_calls_; }
   std::size_t open_calls() const { return open_calls_; }
@@ -151,6 +156,7 @@
   };
 
   asio::io_context& io_;
+  const PathHook path_;
   std::atomic<std::size_t> open_calls_ = 0;
   mutable std::mutex mutex_;
   std::map<std::string, std::vector<Idle>> idle_;
@@ -220,7 +226,7 @@
       }
     }
     tcp::endpoint endpoint;
-    if (ParseEndpoint(address_, endpoint)) {
+    if (ParseEndpoint(pool_->PathTo(address_), endpoint)) {
       return Finish(Errc::kTargetUnreachable);
     }
     Arm(options_.connect_timeout);
@@ -401,7 +407,8 @@
   bool done_ = false;  ///< No hook runs any more.
 };
 
-Client::Client(asio::io_context& io) : pool_(std::make_shared<Pool>(io)) {}
+Client::Client(asio::io_context& io, PathHook path)
+    : pool_(std::make_shared<Pool>(io, std::move(path))) {}
 Client::~Client() = default;
 
 std::shared_ptr<Call> Client::Open(const std::string& address, Request request,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -59,9 +59,13 @@
   virtual void Cancel() = 0;
 };
 
+/// Maps the address of a call to the one that is connected to, so that a path
+/// between two processes can be disturbed; absent: the same address.
+using PathHook = std::function<std::string(const std::string& address)>;
+
 class Client {
  public:
-  explicit Client(boost::asio::io_context& io);
+  explicit Client(boost::asio::io_context& io, PathHook path = {});
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
@@ -75,9 +79,9 @@
   std::shared_ptr<Call> Fetch(const std::string& address, Request request,
                               CallOptions options, ReplyHook hook);
 
-  /// Connections kept for later calls.
   /// Number of calls that have not ended.
   std::size_t open_calls() const;
+  /// Connections kept for later calls.
   std::size_t idle_connections() const;
 
  private:
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -292,8 +292,7 @@
     : io_(io),
       name_(std::move(name)),
       budget_(std::make_shared<http::BodyBudget>(kBudget)),
-      server_(io, {}, Hooks([this](const http::ExchangePtr& e) { Handle(e); }),
-              budget_) {
+      server_(io, {}, ServerHooks(), budget_) {
   server_.Listen(At(0));
   handler_ = [this](const http::ExchangePtr& exchange) {
     http::Response answer = Head(exchange->request());
@@ -302,6 +301,13 @@
   };
 }
 
+http::ServerHooks FakeTarget::ServerHooks() {
+  http::ServerHooks hooks =
+      Hooks([this](const http::ExchangePtr& exchange) { Handle(exchange); });
+  hooks.keep_connections = [this] { return keeps_connections_; };
+  return hooks;
+}
+
 std::string FakeTarget::address() const { return At(server_.port()); }
 
 http::Response FakeTarget::Head(const http::Request& request,
@@ -434,6 +440,23 @@
       });
 }
 
+// ---- Paths ------------------------------------------------------------------
+
+BlackHole::BlackHole(boost::asio::io_context& io) : acceptor_(io, Tcp::v4()) {
+  acceptor_.bind({boost::asio::ip::make_address(kLocal), 0});
+  acceptor_.listen(0);
+  constexpr int kFillers = 4;
+  for (int i = 0; i < kFillers; ++i) {
+    Tcp::socket& filler = fillers_.emplace_back(io, Tcp::v4());
+    filler.async_connect(acceptor_.local_endpoint(),
+                         [](const boost::system::error_code&) {});
+  }
+}
+
+std::string BlackHole::address() const {
+  return At(acceptor_.local_endpoint().port());
+}
+
 // ---- Site -------------------------------------------------------------------
 
 Site::Site() : client_(io_), store_(std::make_unique<FakeStore>(io_)) {}
@@ -453,9 +476,28 @@
 
 void Site::ListAt(const std::string& service, const std::string& name,
                   const std::string& address, const std::string& state) {
+  service_at_[address] = service;
   store_->Put("servers", name, SampleEntry(service, address, "z1", state));
 }
 
+void Site::SetPath(std::size_t host, const std::string& service,
+                   TargetPath path) {
+  if (!black_hole_) black_hole_ = std::make_unique<BlackHole>(io_);
+  paths_[{host, service}] = path;
+}
+
+std::string Site::PathTo(std::size_t host, const std::string& address) const {
+  const auto service = service_at_.find(address);
+  if (service == service_at_.end()) return address;
+  const auto path = paths_.find({host, service->second});
+  if (path == paths_.end() || path->second == TargetPath::kOpen) {
+    return address;
+  }
+  constexpr std::uint16_t kClosedPort = 1;
+  return path->second == TargetPath::kHangs ? black_hole_->address()
+                                            : At(kClosedPort);
+}
+
 RawTarget& Site::AddRawTarget(const std::string& service,
                               const std::string& name,
                               RawTarget::Handler handler) {
@@ -532,7 +574,11 @@
   settings.retry_window = std::chrono::seconds(10);
   settings.memory_bytes = kBudget;
   settings_.push_back(settings);
-  hosts_.push_back(std::make_unique<Host>(io_, settings, "/dev/null"));
+  HostParts parts;
+  parts.path = [this, host = hosts_.size()](const std::string& address) {
+    return PathTo(host, address);
+  };
+  hosts_.push_back(std::make_unique<Host>(io_, settings, "/dev/null", parts));
   hosts_.back()->Start();
   return hosts_.size() - 1;
 }
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -148,6 +148,8 @@
 
   /// Head of an answer of this target to the request.
   http::Response Head(const http::Request& request, int status = 200) const;
+  /// Takes one request on each connection from now on.
+  void CloseAfterAnswers() { keeps_connections_ = false; }
   /// Breaks all connections with open requests and takes no new ones.
   void Crash();
   /// Breaks the connection off once what was written is out.
@@ -160,6 +162,7 @@
                           int count);
 
  private:
+  http::ServerHooks ServerHooks();
   void Handle(const http::ExchangePtr& exchange);
 
   boost::asio::io_context& io_;
@@ -171,6 +174,7 @@
   Handler handler_;
   std::vector<std::weak_ptr<http::Exchange>> open_;
   bool crashed_ = false;
+  bool keeps_connections_ = true;
   http::Server server_;
 };
 
@@ -216,6 +220,25 @@
   http::Response response;
 };
 
+/// What a new connection from a host to a target meets.
+enum class TargetPath : std::uint8_t {
+  kOpen,
+  kHangs,    ///< It is neither accepted nor refused.
+  kRefused,  ///< It is refused at once.
+};
+
+/// An address at which connections are neither accepted nor refused.
+class BlackHole {
+ public:
+  explicit BlackHole(boost::asio::io_context& io);
+  std::string address() const;
+
+ private:
+  boost::asio::ip::tcp::acceptor acceptor_;
+  /// Fill the queue of connections that wait to be accepted.
+  std::vector<boost::asio::ip::tcp::socket> fillers_;
+};
+
 /// Store, targets and hosts on one loop, and a caller.
 class Site {
  public:
@@ -239,6 +262,9 @@
   void SetStopTime(Duration time) { stop_time_ = time; }
   /// Starts a host; returns its number.
   std::size_t AddHost();
+  /// Sets what new connections from the host to any target of a service meet.
+  /// Open ones go on.
+  void SetPath(std::size_t host, const std::string& service, TargetPath path);
   Host& host(std::size_t number) { return *hosts_.at(number); }
   const HostSettings& settings(std::size_t number) const {
     return settings_.at(number);
@@ -268,6 +294,8 @@
  private:
   void ListAt(const std::string& service, const std::string& name,
               const std::string& address, const std::string& state);
+  /// The address at which the host meets what listens at `address`.
+  std::string PathTo(std::size_t host, const std::string& address) const;
 
   boost::asio::io_context io_{1};
   http::Client client_;
@@ -276,6 +304,11 @@
   std::vector<std::unique_ptr<RawTarget>> raw_targets_;
   std::vector<HostSettings> settings_;
   std::vector<std::unique_ptr<Host>> hosts_;
+  /// Service of each target, by address.
+  std::map<std::string, std::string> service_at_;
+  /// Paths that are not open, by host and service.
+  std::map<std::pair<std::size_t, std::string>, TargetPath> paths_;
+  std::unique_ptr<BlackHole> black_hole_;
   Duration stop_time_ = std::chrono::seconds(2);
   int next_id_ = 0;
 };
