Send requests over another host while this one reaches no target

What callers saw: hosts that had lost their links to the targets answered nearly nobody, and hosts in touch refused a third of theirs.

Cause: a host had no way to a target but its own connections. Each connection that failed ended an attempt, cost a retry of the fleet's budget and closed the target at the placer for all hosts.

Now TargetPaths makes each call to a target. A connection that fails without a byte sent, or one that TargetReach expects to fail, goes over another host, which sends the request on and passes the answer back; the grant, the retry budget, the deadline and at most once stay with the host that has the caller. A host that is cut off itself, stops or does not list the address declines; there is no second hop. Frames are signed with the fleet's key.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,6 +10,7 @@
 #include "comfreyflow/announced-document.h"
 #include "comfreyflow/holder.h"
 #include "gateway/relay.h"
+#include "gateway/target-paths.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "node/clock.h"
@@ -77,14 +78,12 @@
                               const wire::CrashNewsMessage& news) {
                          crashes->OnNews(sender, news);
                        }}),
-        crashes(std::make_shared<CrashWatch>(
-            io,
-            settings.self.incarnation.value ^
-                std::hash<std::string>()(settings.self.name.value),
-            CrashHooks())),
+        paths(client, settings.self.name, settings.key, RandomSeed(),
+              PathsHooks()),
+        crashes(std::make_shared<CrashWatch>(io, RandomSeed(), CrashHooks())),
         relay_context{
             io,
-            client,
+            paths,
             placement,
             hooks.edge,
             settings.self.failure_domain,
@@ -107,9 +106,12 @@
         stop_timer(io),
         facts_timer(io),
         announced(DocumentRequestDelay(settings.self.name)) {
-    relay_context.random.seed(
-        settings.self.incarnation.value ^
-        std::hash<std::string>()(settings.self.name.value));
+    relay_context.random.seed(RandomSeed());
+  }
+
+  std::uint64_t RandomSeed() const {
+    return settings.self.incarnation.value ^
+           std::hash<std::string>()(settings.self.name.value);
   }
 
   /// The table for new requests; none while this host must not serve the one
@@ -239,6 +241,7 @@
     http::ServerHooks server;
     server.admit_head = [](const http::Request&) { return Errc::kOk; };
     server.handle = [this](const http::ExchangePtr& exchange) {
+      if (exchange->request().path == kCarryPath) return paths.Carry(exchange);
       http::Response response;
       if (exchange->request().path == kDocumentPath && table) {
         response.body = document_text;
@@ -279,6 +282,27 @@
     }
   }
 
+  TargetPathsHooks PathsHooks() {
+    TargetPathsHooks path;
+    path.carriers = [this] {
+      std::vector<CarrierHost> carriers;
+      for (const auto& [name, member] : peers.members()) {
+        if (name == settings.self.name || member.facts.draining ||
+            member.state != MemberState::kAlive) {
+          continue;
+        }
+        carriers.push_back({name, member.record.peers});
+      }
+      return carriers;
+    };
+    path.is_target = [this](const ServiceName& service,
+                            const std::string& address) {
+      return placement.IsListed(service, address);
+    };
+    path.may_carry = [this] { return !stop.is_stopping(); };
+    return path;
+  }
+
   CrashWatchHooks CrashHooks() {
     CrashWatchHooks crash;
     crash.hosts = [this] { return placement.OtherHosts(); };
@@ -364,6 +388,7 @@
   node::Metrics metrics;
   http::Client client;
   Placement placement;
+  TargetPaths paths;
   std::shared_ptr<CrashWatch> crashes;
   RelayContext relay_context;
   Peers peers;
@@ -532,6 +557,18 @@
   count("comfreyflow_crash_refusals_total",
         "Requests that were not sent because they crash targets.",
         crashes.refused());
+  add("comfreyflow_services_out_of_reach",
+      "Services whose targets this host does not reach by itself.",
+      static_cast<double>(state.paths.services_out_of_reach()));
+  add("comfreyflow_carrying",
+      "Requests of other hosts that this host sends to targets now.",
+      static_cast<double>(state.paths.carrying()));
+  count("comfreyflow_carried_by_others_total",
+        "Attempts of this host that other hosts sent to targets.",
+        state.paths.carried_by_others());
+  count("comfreyflow_carried_for_others_total",
+        "Requests of other hosts that this host sent to targets.",
+        state.paths.carried_for_others());
   more.push_back(
       {"comfreyflow_grants_past_limits_total",
        "counter",
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -742,6 +742,16 @@
   return std::nullopt;
 }
 
+bool Placement::IsListed(const ServiceName& service,
+                         const std::string& address) const {
+  const auto at = state_->targets.find(service);
+  return at != state_->targets.end() &&
+         std::any_of(at->second.begin(), at->second.end(),
+                     [&address](const PoolTarget& target) {
+                       return target.address == address;
+                     });
+}
+
 std::size_t Placement::limited_targets() const {
   std::size_t count = 0;
   for (const auto& [service, placer] : state_->placers) {
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -370,7 +370,8 @@
     stage_ = Stage::kReserving;
     requested_reservations_ = requested;
     reservations_ = std::make_unique<Reservations>(
-        context_.io, context_.client, context_.edge, std::move(requested),
+        context_.io, context_.paths, context_.edge, std::move(requested),
+        service_, caller_.id,
         [self = weak_from_this()](const PlacedTarget& target,
                                   const TargetHead& report) {
           if (const auto relay = self.lock())
@@ -438,10 +439,34 @@
     target_response_ = {};
     body_.clear();
     StartRun();
+    stage_ = progress_.head_sent ? Stage::kStreaming : Stage::kSent;
+    attempt_sent_at_ = now;
+    http::CallOptions options;
+    options.connect_timeout = kConnectTimeout;
+    options.progress_timeout =
+        ceil<milliseconds>(deadline_ - now) + std::chrono::seconds(1);
+    if (!Repeatable(*route_)) options.idle_limit = kNonRetryableIdleLimit;
+    // A silent target may keep the request, but not the memory of helpers if
+    // its machine is gone.
+    options.probe_silence = !requested_reservations_.empty();
+    const PlacedTarget& target = grant_.targets.front();
+    call_ = context_.paths.Open(
+        {service_, target.name, target.address, caller_.id,
+         [self = weak_from_this(), forward = MakeForwardHead()]() mutable {
+           const auto relay = self.lock();
+           if (!relay || !relay->exchange_) return http::Request{};
+           forward.remaining = relay->deadline_ - Now();
+           return relay->context_.edge.write_request(
+               relay->exchange_->request(), forward);
+         }},
+        options, MakeCallHooks());
+    if (Repeatable(*route_)) ArmResponseTimer(false);
+  }
+
+  ForwardHead MakeForwardHead() const {
     ForwardHead forward;
     forward.target = grant_.targets.front().name.value;
     forward.account = account_.value;
-    forward.remaining = deadline_ - now;
     forward.urgency = std::min<int>(
         static_cast<int>(priority_.value_or(route_->priority)) + 1,
         kMaxUrgency);
@@ -458,21 +483,7 @@
     }
     forward.last_event_id = splitter_.last_id().empty() ? caller_.last_event_id
                                                         : splitter_.last_id();
-    stage_ = progress_.head_sent ? Stage::kStreaming : Stage::kSent;
-    attempt_sent_at_ = now;
-    http::CallOptions options;
-    options.connect_timeout = kConnectTimeout;
-    options.progress_timeout =
-        ceil<milliseconds>(deadline_ - now) + std::chrono::seconds(1);
-    if (!Repeatable(*route_)) options.idle_limit = kNonRetryableIdleLimit;
-    // A silent target may keep the request, but not the memory of helpers if
-    // its machine is gone.
-    options.probe_silence = !requested_reservations_.empty();
-    call_ = context_.client.Open(
-        grant_.targets.front().address,
-        context_.edge.write_request(exchange_->request(), forward), options,
-        MakeCallHooks());
-    if (Repeatable(*route_)) ArmResponseTimer(false);
+    return forward;
   }
 
   http::CallHooks MakeCallHooks() {
@@ -682,6 +693,7 @@
 
   void OnCallEnd(const http::CallEnd& end) {
     call_.reset();
+    if (end.code != Errc::kOk) request_sent_ = end.sent;
     if (end.code != Errc::kOk)
       return OnAttemptFailed(WorkEndOf(end.code), end.code);
     if (is_event_stream_) return OnStreamEnd();
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -16,6 +16,7 @@
 #include "gateway/edge.h"
 #include "gateway/follower.h"
 #include "gateway/placement.h"
+#include "gateway/target-paths.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "node/metrics.h"
@@ -37,7 +38,7 @@
 /// one I/O thread only.
 struct RelayContext {
   boost::asio::io_context& io;
-  http::Client& client;
+  TargetPaths& paths;
   Placement& placement;
   EdgeHooks edge;
   FailureDomain domain;
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -37,17 +37,13 @@
 /// Sends a release until it is answered or the attempts are used up.
 class ReleaseLoop : public std::enable_shared_from_this<ReleaseLoop> {
  public:
-  ReleaseLoop(asio::io_context& io, http::Client& client, std::string address,
-              std::function<http::Request()> request)
-      : client_(client),
-        address_(std::move(address)),
-        request_(std::move(request)),
-        timer_(io) {}
+  ReleaseLoop(asio::io_context& io, TargetPaths& paths, TargetCall call)
+      : paths_(paths), call_(std::move(call)), timer_(io) {}
 
   void Send() {
     ++attempts_;
-    client_.Fetch(
-        address_, request_(), RequestOptions(),
+    paths_.Fetch(
+        call_, RequestOptions(),
         [self = shared_from_this()](http::CallEnd end, const http::Response&) {
           if (end.code != Errc::kOk) self->RetryLater();
         });
@@ -62,9 +58,8 @@
     });
   }
 
-  http::Client& client_;
-  const std::string address_;
-  const std::function<http::Request()> request_;
+  TargetPaths& paths_;
+  const TargetCall call_;
   asio::steady_timer timer_;
   int attempts_ = 0;
 };
@@ -72,12 +67,15 @@
 }  // namespace
 
 struct Reservations::State : std::enable_shared_from_this<State> {
-  State(asio::io_context& io, http::Client& client, const EdgeHooks& edge,
-        std::vector<Reservation> requested, ReportHandler on_report)
+  State(asio::io_context& io, TargetPaths& paths, const EdgeHooks& edge,
+        std::vector<Reservation> requested, ServiceName service,
+        std::string request_id, ReportHandler on_report)
       : io(io),
-        client(client),
+        paths(paths),
         edge(edge),
         requested(std::move(requested)),
+        service(std::move(service)),
+        request_id(std::move(request_id)),
         on_report(std::move(on_report)),
         timer(io) {}
 
@@ -89,19 +87,28 @@
 
   void SendReserve(const Reservation& reservation) {
     const PlacedTarget& target = reservation.target;
-    client.Fetch(target.address,
-                 edge.write_reserve(target.name.value, reservation.id,
-                                    target.reserve_tokens, kLeaseDuration),
-                 RequestOptions(),
-                 [self = shared_from_this(), target](
-                     http::CallEnd end, const http::Response& answer) {
-                   if (answer.status != 0) {
-                     self->on_report(target, self->edge.read_head(answer));
-                   }
-                   const bool granted = end.code == Errc::kOk &&
-                                        self->edge.read_reserved(answer);
-                   self->OnAnswer(target.name, granted, answer.status);
-                 });
+    paths.Fetch(CallOf(reservation,
+                       [&edge = edge, reservation] {
+                         return edge.write_reserve(
+                             reservation.target.name.value, reservation.id,
+                             reservation.target.reserve_tokens, kLeaseDuration);
+                       }),
+                RequestOptions(),
+                [self = shared_from_this(), target](
+                    http::CallEnd end, const http::Response& answer) {
+                  if (answer.status != 0) {
+                    self->on_report(target, self->edge.read_head(answer));
+                  }
+                  const bool granted =
+                      end.code == Errc::kOk && self->edge.read_reserved(answer);
+                  self->OnAnswer(target.name, granted, answer.status);
+                });
+  }
+
+  TargetCall CallOf(const Reservation& reservation,
+                    std::function<http::Request()> request) const {
+    return {service, reservation.target.name, reservation.target.address,
+            request_id, std::move(request)};
   }
 
   void OnAnswer(const TargetName& target, bool granted, int status) {
@@ -135,20 +142,23 @@
     is_released = true;
     timer.cancel();
     for (const auto& reservation : requested) {
-      std::make_shared<ReleaseLoop>(io, client, reservation.target.address,
-                                    [&edge = edge, reservation] {
-                                      return edge.write_release(
-                                          reservation.target.name.value,
-                                          reservation.id);
-                                    })
+      std::make_shared<ReleaseLoop>(io, paths,
+                                    CallOf(reservation,
+                                           [&edge = edge, reservation] {
+                                             return edge.write_release(
+                                                 reservation.target.name.value,
+                                                 reservation.id);
+                                           }))
           ->Send();
     }
   }
 
   asio::io_context& io;
-  http::Client& client;
+  TargetPaths& paths;
   const EdgeHooks& edge;
   const std::vector<Reservation> requested;
+  const ServiceName service;
+  const std::string request_id;  ///< For the log.
   const ReportHandler on_report;
   asio::steady_timer timer;
   ResultHandler on_result;
@@ -156,11 +166,13 @@
   bool is_released = false;
 };
 
-Reservations::Reservations(asio::io_context& io, http::Client& client,
+Reservations::Reservations(asio::io_context& io, TargetPaths& paths,
                            const EdgeHooks& edge,
                            std::vector<Reservation> requested,
+                           ServiceName service, std::string request_id,
                            ReportHandler on_report)
-    : state_(std::make_shared<State>(io, client, edge, std::move(requested),
+    : state_(std::make_shared<State>(io, paths, edge, std::move(requested),
+                                     std::move(service), std::move(request_id),
                                      std::move(on_report))) {}
 
 Reservations::~Reservations() { state_->Release(); }
--- a/src/gateway/reservations.h
+++ b/src/gateway/reservations.h
@@ -14,7 +14,7 @@
 
 #include "comfreyflow/placer.h"
 #include "gateway/edge.h"
-#include "http/client.h"
+#include "gateway/target-paths.h"
 
 namespace comfreyflow::gateway {
 
@@ -33,8 +33,9 @@
   using ReportHandler =
       std::function<void(const PlacedTarget&, const TargetHead&)>;
 
-  Reservations(boost::asio::io_context& io, http::Client& client,
+  Reservations(boost::asio::io_context& io, TargetPaths& paths,
                const EdgeHooks& edge, std::vector<Reservation> requested,
+               ServiceName service, std::string request_id,
                ReportHandler on_report);
   /// Releases every reservation that may be held.
   ~Reservations();
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -237,7 +237,8 @@
           error_code ignored;
           self->socket_.set_option(tcp::no_delay(true), ignored);
           self->socket_.set_option(UserTimeout(kUnacknowledgedMs), ignored);
-          self->Send();
+          if (self->hooks_.on_connected) self->hooks_.on_connected();
+          if (!self->done_) self->Send();
         });
   }
 
@@ -431,6 +432,35 @@
   return Open(address, std::move(request), options, std::move(hooks));
 }
 
+void Client::Connect(const std::string& address,
+                     std::chrono::milliseconds timeout,
+                     std::function<void(bool)> hook) {
+  tcp::endpoint endpoint;
+  if (ParseEndpoint(pool_->PathTo(address), endpoint)) return hook(false);
+  struct Attempt {
+    tcp::socket socket;
+    asio::steady_timer timer;
+  };
+  const auto attempt = std::make_shared<Attempt>(Attempt{
+      tcp::socket(pool_->io()), asio::steady_timer(pool_->io(), timeout)});
+  attempt->timer.async_wait([attempt](const error_code& error) {
+    error_code ignored;
+    if (!error) attempt->socket.close(ignored);
+  });
+  attempt->socket.async_connect(
+      endpoint, [pool = pool_, address, attempt,
+                 hook = std::move(hook)](const error_code& error) {
+        attempt->timer.cancel();
+        if (!error) {
+          error_code ignored;
+          attempt->socket.set_option(tcp::no_delay(true), ignored);
+          attempt->socket.set_option(UserTimeout(kUnacknowledgedMs), ignored);
+          pool->Put(address, std::move(attempt->socket), kIdleLife);
+        }
+        hook(!error);
+      });
+}
+
 std::size_t Client::open_calls() const { return pool_->open_calls(); }
 
 std::size_t Client::idle_connections() const { return pool_->size(); }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -42,6 +42,8 @@
 /// What a call tells. Hooks run on the I/O threads, one at a time for a call;
 /// none runs after `on_end`.
 struct CallHooks {
+  /// A new connection was made for the call.
+  std::function<void()> on_connected;
   std::function<void()> on_sent;  ///< Just before the first byte goes out.
   /// Whether an answer belongs to this call; absent: always. One that does not
   /// is read to its end and dropped, and the next one is read.
@@ -79,6 +81,11 @@
   std::shared_ptr<Call> Fetch(const std::string& address, Request request,
                               CallOptions options, ReplyHook hook);
 
+  /// Makes a connection and keeps it for later calls; tells whether it was
+  /// made in time.
+  void Connect(const std::string& address, std::chrono::milliseconds timeout,
+               std::function<void(bool)> hook);
+
   /// Number of calls that have not ended.
   std::size_t open_calls() const;
   /// Connections kept for later calls.
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -49,6 +49,11 @@
   kTargetSilent,
   kSilenceBorne,
   kResumeRefused,
+  kPathLost,
+  kPathBack,
+  kRequestCarried,
+  kCarryFailed,
+  kCarriedForHost,
   kTryFailed,
   kRequestSuspected,
   kCrashSuspected,
@@ -87,7 +92,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 69> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 74> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -237,6 +242,29 @@
      "caller "
      "has (last_id), but with next_id; nothing of it was forwarded",
      "request target last_id next_id try"},
+    {"path_lost",
+     "connections from this host to several targets of a service failed and "
+     "none was made since (after: time since the last one); its requests are "
+     "sent over other hosts",
+     "service targets after"},
+    {"path_back",
+     "this host made a connection to a target of a service that was out of its "
+     "reach",
+     "service address"},
+    {"request_carried",
+     "an attempt is sent to its target over another host; failing: targets of "
+     "the service to which connections failed lately; direct: its own "
+     "connection failed first",
+     "request service target host failing direct took"},
+    {"carry_failed",
+     "another host did not get an answer for an attempt; reason: declined, "
+     "unreachable (it made no connection to the target), gone (it did not "
+     "answer itself), broken or silent; sent: the target may have the request",
+     "request service target host reason sent"},
+    {"carried_for_host",
+     "this host sent, or refused to send, a request of another host to a "
+     "target; refused: why it did not",
+     "request host service address refused carrying"},
     {"try_failed", "an attempt ended without a complete answer",
      "request target cause end status sent not_run head_sent begun "
      "sent_for "
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -28,6 +28,9 @@
 constexpr std::string_view kDatagramContext = "comfreyflow datagram 1";
 constexpr std::string_view kEnvelopeContext = "comfreyflow envelope 1";
 constexpr std::string_view kPlacementContext = "comfreyflow placement 1";
+constexpr std::string_view kCarryContext = "comfreyflow carry 1";
+/// Bytes of the length of a carried request's head, behind the head.
+constexpr std::size_t kLengthBytes = 4;
 
 std::string Signature(std::string_view context, std::string_view bytes,
                       const FleetKey& key) {
@@ -295,4 +298,38 @@
   return {};
 }
 
+std::string EncodeCarry(const CarryHead& head, std::string_view body,
+                        const FleetKey& key) {
+  std::string bytes(body);
+  const std::string encoded = Serialize(head);
+  bytes += encoded;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    bytes += static_cast<char>(encoded.size() >> (8 * i) & 0xff);
+  }
+  bytes += Signature(kCarryContext, bytes, key);
+  return bytes;
+}
+
+std::error_code DecodeCarry(std::string_view bytes, const FleetKey& key,
+                            CarryHead& head, std::string_view& body) {
+  if (!VerifyAndStrip(kCarryContext, bytes, key)) return Errc::kBadSignature;
+  if (bytes.size() < kLengthBytes) return Errc::kCodec;
+  std::size_t size = 0;
+  for (std::size_t i = 0; i < kLengthBytes; ++i) {
+    const auto byte =
+        static_cast<unsigned char>(bytes[bytes.size() - kLengthBytes + i]);
+    size |= static_cast<std::size_t>(byte) << (8 * i);
+  }
+  bytes.remove_suffix(kLengthBytes);
+  if (size > bytes.size()) return Errc::kCodec;
+  CarryHead decoded;
+  if (auto error = Deserialize(bytes.substr(bytes.size() - size),
+                               kMaxMessageBytes, decoded)) {
+    return error;
+  }
+  head = std::move(decoded);
+  body = bytes.substr(0, bytes.size() - size);
+  return {};
+}
+
 }  // namespace comfreyflow::wire
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -42,4 +42,12 @@
 std::error_code DecodePlaceDatagram(std::string_view bytes, const FleetKey& key,
                                     PlaceDatagram& out);
 
+/// Returns the signed frame of a request that another host is to send to a
+/// target: the head, its length and the body.
+std::string EncodeCarry(const CarryHead& head, std::string_view body,
+                        const FleetKey& key);
+/// `body` points into `bytes`.
+std::error_code DecodeCarry(std::string_view bytes, const FleetKey& key,
+                            CarryHead& head, std::string_view& body);
+
 }  // namespace comfreyflow::wire
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -342,3 +342,24 @@
   9: list<TargetLimit> limits
   10: optional CrashNews crash_news
 }
+
+// ---- Requests that one host sends to a target over another host -------------
+
+struct CarriedField {
+  1: string name
+  2: string value
+}
+
+// The head of a carried request; the body follows it in the same frame.
+struct CarryHead {
+  1: string sender
+  2: string request
+  3: string service_name
+  4: string address
+  5: i64 progress_ms
+  6: i64 idle_limit_ms
+  7: bool probe_silence
+  8: string method
+  9: string target
+  10: list<CarriedField> fields
+}
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -7289,4 +7289,408 @@
   out << ")";
 }
 
+
+CarriedField::~CarriedField() noexcept {
+}
+
+
+void CarriedField::__set_name(const std::string& val) {
+  this->name = val;
+}
+
+void CarriedField::__set_value(const std::string& val) {
+  this->value = val;
+}
+std::ostream& operator<<(std::ostream& out, const CarriedField& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CarriedField::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->name);
+          this->__isset.name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->value);
+          this->__isset.value = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CarriedField::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CarriedField");
+
+  xfer += oprot->writeFieldBegin("name", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("value", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->value);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CarriedField &a, CarriedField &b) {
+  using ::std::swap;
+  swap(a.name, b.name);
+  swap(a.value, b.value);
+  swap(a.__isset, b.__isset);
+}
+
+CarriedField::CarriedField(const CarriedField& other280) {
+  name = other280.name;
+  value = other280.value;
+  __isset = other280.__isset;
+}
+CarriedField& CarriedField::operator=(const CarriedField& other281) {
+  name = other281.name;
+  value = other281.value;
+  __isset = other281.__isset;
+  return *this;
+}
+void CarriedField::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CarriedField(";
+  out << "name=" << to_string(name);
+  out << ", " << "value=" << to_string(value);
+  out << ")";
+}
+
+
+CarryHead::~CarryHead() noexcept {
+}
+
+
+void CarryHead::__set_sender(const std::string& val) {
+  this->sender = val;
+}
+
+void CarryHead::__set_request(const std::string& val) {
+  this->request = val;
+}
+
+void CarryHead::__set_service_name(const std::string& val) {
+  this->service_name = val;
+}
+
+void CarryHead::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void CarryHead::__set_progress_ms(const int64_t val) {
+  this->progress_ms = val;
+}
+
+void CarryHead::__set_idle_limit_ms(const int64_t val) {
+  this->idle_limit_ms = val;
+}
+
+void CarryHead::__set_probe_silence(const bool val) {
+  this->probe_silence = val;
+}
+
+void CarryHead::__set_method(const std::string& val) {
+  this->method = val;
+}
+
+void CarryHead::__set_target(const std::string& val) {
+  this->target = val;
+}
+
+void CarryHead::__set_fields(const std::vector<CarriedField> & val) {
+  this->fields = val;
+}
+std::ostream& operator<<(std::ostream& out, const CarryHead& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CarryHead::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->sender);
+          this->__isset.sender = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->request);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->service_name);
+          this->__isset.service_name = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->progress_ms);
+          this->__isset.progress_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->idle_limit_ms);
+          this->__isset.idle_limit_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->probe_silence);
+          this->__isset.probe_silence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->method);
+          this->__isset.method = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->target);
+          this->__isset.target = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->fields.clear();
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->fields.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
+            {
+              xfer += this->fields[_i286].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.fields = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CarryHead::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CarryHead");
+
+  xfer += oprot->writeFieldBegin("sender", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->sender);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->request);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("service_name", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->service_name);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("progress_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->progress_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("idle_limit_ms", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->idle_limit_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("probe_silence", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->probe_silence);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("method", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->method);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("target", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->target);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fields.size()));
+    std::vector<CarriedField> ::const_iterator _iter287;
+    for (_iter287 = this->fields.begin(); _iter287 != this->fields.end(); ++_iter287)
+    {
+      xfer += (*_iter287).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CarryHead &a, CarryHead &b) {
+  using ::std::swap;
+  swap(a.sender, b.sender);
+  swap(a.request, b.request);
+  swap(a.service_name, b.service_name);
+  swap(a.address, b.address);
+  swap(a.progress_ms, b.progress_ms);
+  swap(a.idle_limit_ms, b.idle_limit_ms);
+  swap(a.probe_silence, b.probe_silence);
+  swap(a.method, b.method);
+  swap(a.target, b.target);
+  swap(a.fields, b.fields);
+  swap(a.__isset, b.__isset);
+}
+
+CarryHead::CarryHead(const CarryHead& other288) {
+  sender = other288.sender;
+  request = other288.request;
+  service_name = other288.service_name;
+  address = other288.address;
+  progress_ms = other288.progress_ms;
+  idle_limit_ms = other288.idle_limit_ms;
+  probe_silence = other288.probe_silence;
+  method = other288.method;
+  target = other288.target;
+  fields = other288.fields;
+  __isset = other288.__isset;
+}
+CarryHead& CarryHead::operator=(const CarryHead& other289) {
+  sender = other289.sender;
+  request = other289.request;
+  service_name = other289.service_name;
+  address = other289.address;
+  progress_ms = other289.progress_ms;
+  idle_limit_ms = other289.idle_limit_ms;
+  probe_silence = other289.probe_silence;
+  method = other289.method;
+  target = other289.target;
+  fields = other289.fields;
+  __isset = other289.__isset;
+  return *this;
+}
+void CarryHead::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CarryHead(";
+  out << "sender=" << to_string(sender);
+  out << ", " << "request=" << to_string(request);
+  out << ", " << "service_name=" << to_string(service_name);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "progress_ms=" << to_string(progress_ms);
+  out << ", " << "idle_limit_ms=" << to_string(idle_limit_ms);
+  out << ", " << "probe_silence=" << to_string(probe_silence);
+  out << ", " << "method=" << to_string(method);
+  out << ", " << "target=" << to_string(target);
+  out << ", " << "fields=" << to_string(fields);
+  out << ")";
+}
+
 }} // namespace
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -97,6 +97,10 @@
 
 class PlaceDatagram;
 
+class CarriedField;
+
+class CarryHead;
+
 typedef struct _HostRecord__isset {
   _HostRecord__isset() : name(false), incarnation(false), failure_domain(false), gossip(false), peers(false), callers(false), capacity(false) {}
   bool name :1;
@@ -2803,6 +2807,161 @@
 
 std::ostream& operator<<(std::ostream& out, const PlaceDatagram& obj);
 
+typedef struct _CarriedField__isset {
+  _CarriedField__isset() : name(false), value(false) {}
+  bool name :1;
+  bool value :1;
+} _CarriedField__isset;
+
+class CarriedField : public virtual ::apache::thrift::TBase {
+ public:
+
+  CarriedField(const CarriedField&);
+  CarriedField& operator=(const CarriedField&);
+  CarriedField() noexcept
+               : name(),
+                 value() {
+  }
+
+  virtual ~CarriedField() noexcept;
+  std::string name;
+  std::string value;
+
+  _CarriedField__isset __isset;
+
+  void __set_name(const std::string& val);
+
+  void __set_value(const std::string& val);
+
+  bool operator == (const CarriedField & rhs) const
+  {
+    if (!(name == rhs.name))
+      return false;
+    if (!(value == rhs.value))
+      return false;
+    return true;
+  }
+  bool operator != (const CarriedField &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CarriedField & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CarriedField &a, CarriedField &b);
+
+std::ostream& operator<<(std::ostream& out, const CarriedField& obj);
+
+typedef struct _CarryHead__isset {
+  _CarryHead__isset() : sender(false), request(false), service_name(false), address(false), progress_ms(false), idle_limit_ms(false), probe_silence(false), method(false), target(false), fields(false) {}
+  bool sender :1;
+  bool request :1;
+  bool service_name :1;
+  bool address :1;
+  bool progress_ms :1;
+  bool idle_limit_ms :1;
+  bool probe_silence :1;
+  bool method :1;
+  bool target :1;
+  bool fields :1;
+} _CarryHead__isset;
+
+class CarryHead : public virtual ::apache::thrift::TBase {
+ public:
+
+  CarryHead(const CarryHead&);
+  CarryHead& operator=(const CarryHead&);
+  CarryHead() noexcept
+            : sender(),
+              request(),
+              service_name(),
+              address(),
+              progress_ms(0),
+              idle_limit_ms(0),
+              probe_silence(0),
+              method(),
+              target() {
+  }
+
+  virtual ~CarryHead() noexcept;
+  std::string sender;
+  std::string request;
+  std::string service_name;
+  std::string address;
+  int64_t progress_ms;
+  int64_t idle_limit_ms;
+  bool probe_silence;
+  std::string method;
+  std::string target;
+  std::vector<CarriedField>  fields;
+
+  _CarryHead__isset __isset;
+
+  void __set_sender(const std::string& val);
+
+  void __set_request(const std::string& val);
+
+  void __set_service_name(const std::string& val);
+
+  void __set_address(const std::string& val);
+
+  void __set_progress_ms(const int64_t val);
+
+  void __set_idle_limit_ms(const int64_t val);
+
+  void __set_probe_silence(const bool val);
+
+  void __set_method(const std::string& val);
+
+  void __set_target(const std::string& val);
+
+  void __set_fields(const std::vector<CarriedField> & val);
+
+  bool operator == (const CarryHead & rhs) const
+  {
+    if (!(sender == rhs.sender))
+      return false;
+    if (!(request == rhs.request))
+      return false;
+    if (!(service_name == rhs.service_name))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(progress_ms == rhs.progress_ms))
+      return false;
+    if (!(idle_limit_ms == rhs.idle_limit_ms))
+      return false;
+    if (!(probe_silence == rhs.probe_silence))
+      return false;
+    if (!(method == rhs.method))
+      return false;
+    if (!(target == rhs.target))
+      return false;
+    if (!(fields == rhs.fields))
+      return false;
+    return true;
+  }
+  bool operator != (const CarryHead &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CarryHead & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CarryHead &a, CarryHead &b);
+
+std::ostream& operator<<(std::ostream& out, const CarryHead& obj);
+
 }} // namespace
 
 #endif
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -648,6 +648,10 @@
   http::Request request;
   request.method = "GET";
   request.target = path;
+  return Fetch(address, std::move(request));
+}
+
+Answer Site::Fetch(const std::string& address, http::Request request) {
   http::CallOptions options;
   options.fresh_connection = true;
   const auto answer = std::make_shared<Answer>();
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -285,6 +285,8 @@
               const std::string& path, const http::Fields& fields = {},
               const std::string& body = "");
   Answer Get(const std::string& address, const std::string& path);
+  /// Sends a request as it is and waits for the answer.
+  Answer Fetch(const std::string& address, http::Request request);
   /// Value of a metric without labels of a host, or "absent".
   std::string Metric(std::size_t number, const std::string& name);
   /// Sends bytes on a connection of their own; all that came back until it was
