A failing test of retries granted by one holder after the other

Five hosts, targets that answer 500, the holder stopped four times: 212 repeats of 400 requests, allowed 180.

--- a/test/placer-test.cc
+++ b/test/placer-test.cc
@@ -389,6 +389,39 @@
   CHECK(retries >= 20);
 }
 
+TEST_CASE("retries that waited together are granted beyond the budget") {
+  constexpr std::uint64_t kSlots = 40;
+  PlacerSettings settings;
+  settings.retries.ratio = 0.2;
+  settings.retries.slack = 5;
+  Placer placer(settings);
+  placer.SetTargets(PoolTargets(1, kSlots), kStart);
+  for (std::uint64_t i = 1; i <= kSlots; ++i) {
+    Granted(placer, Job(i, kStart, 0), kStart);
+  }
+  const auto count_granted = [&placer] {
+    int granted = 0;
+    for (const auto& decision : placer.TakeDecisions()) {
+      granted += std::holds_alternative<PlaceGrant>(decision) ? 1 : 0;
+    }
+    return granted;
+  };
+  int granted = 0;
+  for (std::uint64_t i = 1; i <= kSlots; ++i) {
+    PlaceJob job = Job(kSlots + i, kStart, 0);
+    job.is_retry = true;
+    placer.Submit(job, kStart);
+    granted += count_granted();
+  }
+  for (std::uint64_t i = 1; i <= kSlots; ++i) {
+    placer.Ended({{"h"}, {1}, i}, WorkEnd::kDone, kStart + milliseconds(10));
+    placer.Tick(kStart + milliseconds(10));
+    granted += count_granted();
+  }
+  CHECK(granted <= 0.2 * kSlots + 5);
+  CHECK(granted >= 12);
+}
+
 TEST_CASE("hosts that place independently share the retry budget") {
   constexpr std::size_t kHosts = 6;
   PlacerSettings settings;
