--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -165,6 +165,8 @@
   /// Sets the part of the fleet-wide budgets that this host may use: of the
   /// targets' rate limits and of the slack for retries.
   void SetPart(const LimitPart& part, Time now);
+  /// What this host and others granted, for the budget of retries.
+  RetryWindow& retries() { return retry_window_; }
   /// Rate limits named by the targets; no grant exceeds them.
   TargetLimits& limits() { return limits_; }
   const TargetLimits& limits() const { return limits_; }
@@ -221,6 +223,8 @@
     /// Prefill time of all prompts without a first event.
     Duration prefill_backlog{};
     double retries_left = 0;  ///< What is left of the retry budget now.
+    /// Retries in its window that other holders granted.
+    std::uint64_t retries_elsewhere = 0;
     std::uint64_t memory = 0;
   };
   Summary Summarize(Time now);
--- a/include/comfreyflow/target-limits.h
+++ b/include/comfreyflow/target-limits.h
@@ -49,6 +49,8 @@
  public:
   void MarkLive(const HostName& host, Time now) { seen_[host] = now; }
   std::size_t size(Time now);
+  /// Hosts that were live at `since` or later.
+  std::vector<HostName> SeenSince(Time since) const;
   /// Position of the host in the order of names.
   std::size_t RankOf(const HostName& host) const;
 
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -240,7 +240,9 @@
       limits_.Consume(target.name, target.born, 1 + reservation_requests, now);
     }
   }
-  if (work.job.is_retry) retry_window_.TakeRetry(now);
+  if (work.job.is_retry) {
+    retry_window_.TakeRetry(work.job.id.host, work.job.id.incarnation, now);
+  }
   work.is_placed = true;
   work.placed_at = now;
   work.is_trial = targets.front()->failures > 0;
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -95,7 +95,9 @@
   if (engine_ && job.stream && !IsLong(work))
     RecordShortDemand(work.prefill_time, now);
   if (!job.is_retry) {
-    if (job.excluded.empty()) retry_window_.RecordRequest(now);
+    if (job.excluded.empty()) {
+      retry_window_.RecordRequest(job.id.host, job.id.incarnation, now);
+    }
   } else if (retry_window_.Left(now) < 1) {
     Refuse(work, Errc::kOverloaded, Duration::zero());
     works_.erase(job.id);
--- a/src/core/placer/summary.cc
+++ b/src/core/placer/summary.cc
@@ -20,6 +20,7 @@
   out.running = running();
   out.closing = closed_to_short_.size();
   out.retries_left = retry_window_.Left(now);
+  out.retries_elsewhere = retry_window_.RetriesElsewhere(now);
   if (engine_) out.reserve = EnginesForShort(now);
   for (const auto& [name, target] : targets_) {
     if (!IsAvailable(target)) continue;
--- a/src/core/targets/target-limits.cc
+++ b/src/core/targets/target-limits.cc
@@ -40,6 +40,14 @@
   return seen_.size();
 }
 
+std::vector<HostName> RecentHosts::SeenSince(Time since) const {
+  std::vector<HostName> hosts;
+  for (const auto& [host, seen_at] : seen_) {
+    if (seen_at >= since) hosts.push_back(host);
+  }
+  return hosts;
+}
+
 std::size_t RecentHosts::RankOf(const HostName& host) const {
   const auto end = seen_.lower_bound(host);
   return static_cast<std::size_t>(std::distance(seen_.begin(), end));
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -79,6 +79,10 @@
     std::set<HostName> synced_hosts;
     /// Time of the last placement request of each host.
     std::map<HostName, Time> last_request_by_host;
+    /// When this host became the holder.
+    Time taken_at;
+    /// When each host last told what other holders granted it.
+    std::map<HostName, Time> grants_told_at;
     Time share_update_at;
     /// Whether this host grants the full limits, as of the last update.
     bool grants_all_limits = false;
@@ -156,6 +160,7 @@
     state.last_request_by_host[sender] = now;
     if (!IsActive(state, now)) {
       state.synced_hosts.clear();
+      state.taken_at = now;
       Placer& placer = PlacerOf(service);
       placer.HoldUntil(std::max(now + kSyncTimeout, settled_at));
       const bool granted_all_limits = state.grants_all_limits;
@@ -188,6 +193,67 @@
     const LimitPart part = PartOfLimits(view);
     state.grants_all_limits = part.share >= 1 && view.is_holder;
     PlacerOf(service).SetPart(part, now);
+    UpdateUnknownShare(service, state, now);
+  }
+
+  /// What hosts got from earlier holders, and have not told, counts as used
+  /// until it has left the window of the retry budget.
+  void UpdateUnknownShare(const ServiceName& service, const Holding& state,
+                          Time now) {
+    const auto hosts = fleet.SeenSince(now - settings.placer.retries.window);
+    const auto unknown =
+        std::count_if(hosts.begin(), hosts.end(), [&](const HostName& host) {
+          if (host == settings.self) return false;
+          const auto told = state.grants_told_at.find(host);
+          if (told == state.grants_told_at.end()) return true;
+          return !peers.contains(host) && told->second < state.taken_at;
+        });
+    const bool is_settled =
+        now - state.taken_at > settings.placer.retries.window;
+    PlacerOf(service).retries().SetUnknownShare(
+        is_settled || hosts.empty()
+            ? 0
+            : static_cast<double>(unknown) / static_cast<double>(hosts.size()));
+  }
+
+  /// Applies what a host was granted by other holders, and what it knows of
+  /// hosts that have ended.
+  void OnGrantsTold(const wire::PlaceSyncMessage& sync, const HostName& host,
+                    Incarnation incarnation, Time now) {
+    RetryWindow& window = PlacerOf(sync.service).retries();
+    for (const auto& grants : sync.departed) window.AddDeparted(grants);
+    if (!sync.elsewhere) return;
+    window.SetElsewhere({host, incarnation, *sync.elsewhere});
+    Holding& state = holding[sync.service];
+    state.grants_told_at[host] = now;
+    UpdateUnknownShare(sync.service, state, now);
+  }
+
+  bool HasEnded(const HostName& host, Incarnation incarnation) const {
+    if (host == settings.self) return incarnation != settings.incarnation;
+    const auto at = peers.find(host);
+    return at == peers.end() || at->second.incarnation != incarnation;
+  }
+
+  std::vector<HostGrants> DepartedGrants(const ServiceName& service, Time now) {
+    const auto at = placers.find(service);
+    if (at == placers.end()) return {};
+    return at->second.retries().Departed(
+        [this](const HostName& host, Incarnation incarnation) {
+          return HasEnded(host, incarnation);
+        },
+        now);
+  }
+
+  Incarnation IncarnationOf(const HostName& host) const {
+    if (host == settings.self) return settings.incarnation;
+    const auto at = peers.find(host);
+    return at == peers.end() ? Incarnation{} : at->second.incarnation;
+  }
+
+  GrantLog& GrantsOf(const ServiceName& service) {
+    return grants.try_emplace(service, settings.placer.retries.window)
+        .first->second;
   }
 
   LimitExchangeHooks LimitHooks() {
@@ -280,6 +346,11 @@
             granted ? FindUnfitTarget(*granted) : nullptr) {
       return DeclineGrant(request, *unfit);
     }
+    if (granted != nullptr || !request.job.is_retry) {
+      GrantsOf(request.service)
+          .Record(request.placer_host, IncarnationOf(request.placer_host),
+                  request.job.is_retry, Now());
+    }
     const Callback done = std::exchange(request.done, nullptr);
     if (const auto* grant = std::get_if<PlaceGrant>(&decision)) {
       request.is_placed = true;
@@ -385,12 +456,20 @@
                          request.job.output_tokens, request.job.max_gap});
       if (running.size() >= kMaxWorkItemsPerDatagram) break;
     }
+    const Time now = Now();
+    auto elsewhere =
+        GrantsOf(service).GrantedByOthers(holder, IncarnationOf(holder), now);
+    told_holder[service] = {holder, IncarnationOf(holder)};
     if (holder == settings.self) {
-      PlacerOf(service).Adopt(settings.self, running, Now());
+      PlacerOf(service).retries().SetElsewhere(
+          {settings.self, settings.incarnation, std::move(elsewhere)});
+      PlacerOf(service).Adopt(settings.self, running, now);
       DeliverDecisions(service);
       return;
     }
-    MessagesFor(holder).syncs.push_back({service, std::move(running)});
+    MessagesFor(holder).syncs.push_back({service, std::move(running),
+                                         std::move(elsewhere),
+                                         DepartedGrants(service, now)});
   }
 
   RequestId IdOf(std::uint64_t sequence) const {
@@ -436,6 +515,7 @@
     }
     std::set<ServiceName> affected_services;
     for (const auto& sync : messages.syncs) {
+      OnGrantsTold(sync, messages.sender, messages.incarnation, now);
       PlacerOf(sync.service).Adopt(messages.sender, sync.running, now);
       OnSync(sync.service, messages.sender, now);
       affected_services.insert(sync.service);
@@ -574,6 +654,7 @@
                 std::chrono::duration_cast<milliseconds>(sum.prefill_backlog))
           .With("repeats_left",
                 static_cast<std::uint64_t>(std::max(0.0, sum.retries_left)))
+          .With("repeats_elsewhere", sum.retries_elsewhere)
           .With("memory", sum.memory);
     }
   }
@@ -588,10 +669,23 @@
     for (const auto& [sequence, request] : local_requests) {
       if (request.is_placed) sync_rounds[request.service] = kIdleSyncRounds;
     }
-    for (auto& [service, rounds] : sync_rounds) {
-      if (rounds == 0) continue;
-      --rounds;
-      SendSync(service, HolderOf(service));
+    for (auto& [service, log] : grants) {
+      const bool knows_departed = !DepartedGrants(service, now).empty();
+      if (log.has_retries(now) || knows_departed) {
+        sync_rounds[service] = kIdleSyncRounds;
+      }
+    }
+    std::set<ServiceName> names;
+    for (const auto& [service, pool] : targets) names.insert(service);
+    for (const auto& [service, rounds] : sync_rounds) names.insert(service);
+    for (const auto& service : names) {
+      const HostName holder = HolderOf(service);
+      // A new holder hears from hosts without requests, too.
+      const bool is_new =
+          told_holder[service] != std::pair(holder, IncarnationOf(holder));
+      if (sync_rounds[service] == 0 && !is_new) continue;
+      if (sync_rounds[service] > 0) --sync_rounds[service];
+      SendSync(service, holder);
     }
   }
 
@@ -615,6 +709,10 @@
   std::map<TargetName, bool> listed_targets;
   std::uint32_t placement_request_count = 0;
   std::map<ServiceName, int> sync_rounds;  ///< Reports still to send.
+  /// What the requests of this host were granted.
+  std::map<ServiceName, GrantLog> grants;
+  /// The holders that were last told of `grants`.
+  std::map<ServiceName, std::pair<HostName, Incarnation>> told_holder;
   std::uint64_t next_sequence = 0;
   Time next_sync_at;
   bool is_ticking_fast = false;
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -217,7 +217,8 @@
     {"placement", "every 500 ms at the holder of a placer",
      "service waiting running unread targets closed short_engines "
      "long_engines "
-     "reserve closing full poor limited reading repeats_left memory"},
+     "reserve closing full poor limited reading repeats_left repeats_elsewhere "
+     "memory"},
     {"grant_declined",
      "this host rejected a grant because it knows that the target is "
      "leaving "
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -266,9 +266,27 @@
 }
 
 // All placed work of the sender for one service.
+// Requests and retries of the sender that other holders granted so long ago.
+struct GrantCount {
+  1: i32 age_ms
+  2: i32 requests
+  3: i32 retries
+}
+
+// What one start of a host was granted that has ended.
+struct HostGrants {
+  1: string host
+  2: i64 incarnation
+  3: list<GrantCount> counts
+}
+
+// `elsewhere` and `departed` cover the window of the retry budget; hosts of older builds do
+// not send it.
 struct PlaceSync {
   1: string service_name
   2: list<PlacedWork> running
+  3: optional list<GrantCount> elsewhere
+  4: optional list<HostGrants> departed
 }
 
 // The target wants no request of the sender for so long.
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -5498,6 +5498,290 @@
 }
 
 
+GrantCount::~GrantCount() noexcept {
+}
+
+
+void GrantCount::__set_age_ms(const int32_t val) {
+  this->age_ms = val;
+}
+
+void GrantCount::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+
+void GrantCount::__set_retries(const int32_t val) {
+  this->retries = val;
+}
+std::ostream& operator<<(std::ostream& out, const GrantCount& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t GrantCount::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->retries);
+          this->__isset.retries = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t GrantCount::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("GrantCount");
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->retries);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(GrantCount &a, GrantCount &b) {
+  using ::std::swap;
+  swap(a.age_ms, b.age_ms);
+  swap(a.requests, b.requests);
+  swap(a.retries, b.retries);
+  swap(a.__isset, b.__isset);
+}
+
+GrantCount::GrantCount(const GrantCount& other166) noexcept {
+  age_ms = other166.age_ms;
+  requests = other166.requests;
+  retries = other166.retries;
+  __isset = other166.__isset;
+}
+GrantCount& GrantCount::operator=(const GrantCount& other167) noexcept {
+  age_ms = other167.age_ms;
+  requests = other167.requests;
+  retries = other167.retries;
+  __isset = other167.__isset;
+  return *this;
+}
+void GrantCount::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "GrantCount(";
+  out << "age_ms=" << to_string(age_ms);
+  out << ", " << "requests=" << to_string(requests);
+  out << ", " << "retries=" << to_string(retries);
+  out << ")";
+}
+
+
+HostGrants::~HostGrants() noexcept {
+}
+
+
+void HostGrants::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void HostGrants::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void HostGrants::__set_counts(const std::vector<GrantCount> & val) {
+  this->counts = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostGrants& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostGrants::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->counts.clear();
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->counts.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
+            {
+              xfer += this->counts[_i172].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.counts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t HostGrants::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostGrants");
+
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
+    std::vector<GrantCount> ::const_iterator _iter173;
+    for (_iter173 = this->counts.begin(); _iter173 != this->counts.end(); ++_iter173)
+    {
+      xfer += (*_iter173).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostGrants &a, HostGrants &b) {
+  using ::std::swap;
+  swap(a.host, b.host);
+  swap(a.incarnation, b.incarnation);
+  swap(a.counts, b.counts);
+  swap(a.__isset, b.__isset);
+}
+
+HostGrants::HostGrants(const HostGrants& other174) {
+  host = other174.host;
+  incarnation = other174.incarnation;
+  counts = other174.counts;
+  __isset = other174.__isset;
+}
+HostGrants& HostGrants::operator=(const HostGrants& other175) {
+  host = other175.host;
+  incarnation = other175.incarnation;
+  counts = other175.counts;
+  __isset = other175.__isset;
+  return *this;
+}
+void HostGrants::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostGrants(";
+  out << "host=" << to_string(host);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "counts=" << to_string(counts);
+  out << ")";
+}
+
+
 PlaceSync::~PlaceSync() noexcept {
 }
 
@@ -5509,6 +5793,16 @@
 void PlaceSync::__set_running(const std::vector<PlacedWork> & val) {
   this->running = val;
 }
+
+void PlaceSync::__set_elsewhere(const std::vector<GrantCount> & val) {
+  this->elsewhere = val;
+__isset.elsewhere = true;
+}
+
+void PlaceSync::__set_departed(const std::vector<HostGrants> & val) {
+  this->departed = val;
+__isset.departed = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceSync& obj)
 {
   obj.printTo(out);
@@ -5549,14 +5843,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->running.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->running.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->running[_i170].read(iprot);
+              xfer += this->running[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5565,6 +5859,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->elsewhere.clear();
+            uint32_t _size181;
+            ::apache::thrift::protocol::TType _etype184;
+            xfer += iprot->readListBegin(_etype184, _size181);
+            this->elsewhere.resize(_size181);
+            uint32_t _i185;
+            for (_i185 = 0; _i185 < _size181; ++_i185)
+            {
+              xfer += this->elsewhere[_i185].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.elsewhere = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->departed.clear();
+            uint32_t _size186;
+            ::apache::thrift::protocol::TType _etype189;
+            xfer += iprot->readListBegin(_etype189, _size186);
+            this->departed.resize(_size186);
+            uint32_t _i190;
+            for (_i190 = 0; _i190 < _size186; ++_i190)
+            {
+              xfer += this->departed[_i190].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.departed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5589,15 +5923,41 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<PlacedWork> ::const_iterator _iter171;
-    for (_iter171 = this->running.begin(); _iter171 != this->running.end(); ++_iter171)
+    std::vector<PlacedWork> ::const_iterator _iter191;
+    for (_iter191 = this->running.begin(); _iter191 != this->running.end(); ++_iter191)
     {
-      xfer += (*_iter171).write(oprot);
+      xfer += (*_iter191).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.elsewhere) {
+    xfer += oprot->writeFieldBegin("elsewhere", ::apache::thrift::protocol::T_LIST, 3);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->elsewhere.size()));
+      std::vector<GrantCount> ::const_iterator _iter192;
+      for (_iter192 = this->elsewhere.begin(); _iter192 != this->elsewhere.end(); ++_iter192)
+      {
+        xfer += (*_iter192).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.departed) {
+    xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 4);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
+      std::vector<HostGrants> ::const_iterator _iter193;
+      for (_iter193 = this->departed.begin(); _iter193 != this->departed.end(); ++_iter193)
+      {
+        xfer += (*_iter193).write(oprot);
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5607,18 +5967,24 @@
   using ::std::swap;
   swap(a.service_name, b.service_name);
   swap(a.running, b.running);
+  swap(a.elsewhere, b.elsewhere);
+  swap(a.departed, b.departed);
   swap(a.__isset, b.__isset);
 }
 
-PlaceSync::PlaceSync(const PlaceSync& other172) {
-  service_name = other172.service_name;
-  running = other172.running;
-  __isset = other172.__isset;
+PlaceSync::PlaceSync(const PlaceSync& other194) {
+  service_name = other194.service_name;
+  running = other194.running;
+  elsewhere = other194.elsewhere;
+  departed = other194.departed;
+  __isset = other194.__isset;
 }
-PlaceSync& PlaceSync::operator=(const PlaceSync& other173) {
-  service_name = other173.service_name;
-  running = other173.running;
-  __isset = other173.__isset;
+PlaceSync& PlaceSync::operator=(const PlaceSync& other195) {
+  service_name = other195.service_name;
+  running = other195.running;
+  elsewhere = other195.elsewhere;
+  departed = other195.departed;
+  __isset = other195.__isset;
   return *this;
 }
 void PlaceSync::printTo(std::ostream& out) const {
@@ -5626,6 +5992,8 @@
   out << "PlaceSync(";
   out << "service_name=" << to_string(service_name);
   out << ", " << "running=" << to_string(running);
+  out << ", " << "elsewhere="; (__isset.elsewhere ? (out << to_string(elsewhere)) : (out << "<null>"));
+  out << ", " << "departed="; (__isset.departed ? (out << to_string(departed)) : (out << "<null>"));
   out << ")";
 }
 
@@ -5739,17 +6107,17 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetRest::TargetRest(const TargetRest& other174) {
-  service_name = other174.service_name;
-  target = other174.target;
-  rest_ms = other174.rest_ms;
-  __isset = other174.__isset;
+TargetRest::TargetRest(const TargetRest& other196) {
+  service_name = other196.service_name;
+  target = other196.target;
+  rest_ms = other196.rest_ms;
+  __isset = other196.__isset;
 }
-TargetRest& TargetRest::operator=(const TargetRest& other175) {
-  service_name = other175.service_name;
-  target = other175.target;
-  rest_ms = other175.rest_ms;
-  __isset = other175.__isset;
+TargetRest& TargetRest::operator=(const TargetRest& other197) {
+  service_name = other197.service_name;
+  target = other197.target;
+  rest_ms = other197.rest_ms;
+  __isset = other197.__isset;
   return *this;
 }
 void TargetRest::printTo(std::ostream& out) const {
@@ -5907,21 +6275,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetLimit::TargetLimit(const TargetLimit& other176) {
-  service_name = other176.service_name;
-  target = other176.target;
-  born = other176.born;
-  rate = other176.rate;
-  count = other176.count;
-  __isset = other176.__isset;
-}
-TargetLimit& TargetLimit::operator=(const TargetLimit& other177) {
-  service_name = other177.service_name;
-  target = other177.target;
-  born = other177.born;
-  rate = other177.rate;
-  count = other177.count;
-  __isset = other177.__isset;
+TargetLimit::TargetLimit(const TargetLimit& other198) {
+  service_name = other198.service_name;
+  target = other198.target;
+  born = other198.born;
+  rate = other198.rate;
+  count = other198.count;
+  __isset = other198.__isset;
+}
+TargetLimit& TargetLimit::operator=(const TargetLimit& other199) {
+  service_name = other199.service_name;
+  target = other199.target;
+  born = other199.born;
+  rate = other199.rate;
+  count = other199.count;
+  __isset = other199.__isset;
   return *this;
 }
 void TargetLimit::printTo(std::ostream& out) const {
@@ -5999,14 +6367,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->parts.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size200;
+            ::apache::thrift::protocol::TType _etype203;
+            xfer += iprot->readListBegin(_etype203, _size200);
+            this->parts.resize(_size200);
+            uint32_t _i204;
+            for (_i204 = 0; _i204 < _size200; ++_i204)
             {
-              xfer += iprot->readI64(this->parts[_i182]);
+              xfer += iprot->readI64(this->parts[_i204]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6043,10 +6411,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter183;
-    for (_iter183 = this->parts.begin(); _iter183 != this->parts.end(); ++_iter183)
+    std::vector<int64_t> ::const_iterator _iter205;
+    for (_iter205 = this->parts.begin(); _iter205 != this->parts.end(); ++_iter205)
     {
-      xfer += oprot->writeI64((*_iter183));
+      xfer += oprot->writeI64((*_iter205));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6065,17 +6433,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestSubjects::RequestSubjects(const RequestSubjects& other184) {
-  request = other184.request;
-  account = other184.account;
-  parts = other184.parts;
-  __isset = other184.__isset;
+RequestSubjects::RequestSubjects(const RequestSubjects& other206) {
+  request = other206.request;
+  account = other206.account;
+  parts = other206.parts;
+  __isset = other206.__isset;
 }
-RequestSubjects& RequestSubjects::operator=(const RequestSubjects& other185) {
-  request = other185.request;
-  account = other185.account;
-  parts = other185.parts;
-  __isset = other185.__isset;
+RequestSubjects& RequestSubjects::operator=(const RequestSubjects& other207) {
+  request = other207.request;
+  account = other207.account;
+  parts = other207.parts;
+  __isset = other207.__isset;
   return *this;
 }
 void RequestSubjects::printTo(std::ostream& out) const {
@@ -6175,14 +6543,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->requests.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->requests.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += this->requests[_i190].read(iprot);
+              xfer += this->requests[_i212].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6227,10 +6595,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<RequestSubjects> ::const_iterator _iter191;
-    for (_iter191 = this->requests.begin(); _iter191 != this->requests.end(); ++_iter191)
+    std::vector<RequestSubjects> ::const_iterator _iter213;
+    for (_iter213 = this->requests.begin(); _iter213 != this->requests.end(); ++_iter213)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter213).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6251,21 +6619,21 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other192) {
-  service_name = other192.service_name;
-  target = other192.target;
-  born = other192.born;
-  age_ms = other192.age_ms;
-  requests = other192.requests;
-  __isset = other192.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other193) {
-  service_name = other193.service_name;
-  target = other193.target;
-  born = other193.born;
-  age_ms = other193.age_ms;
-  requests = other193.requests;
-  __isset = other193.__isset;
+CrashReport::CrashReport(const CrashReport& other214) {
+  service_name = other214.service_name;
+  target = other214.target;
+  born = other214.born;
+  age_ms = other214.age_ms;
+  requests = other214.requests;
+  __isset = other214.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other215) {
+  service_name = other215.service_name;
+  target = other215.target;
+  born = other215.born;
+  age_ms = other215.age_ms;
+  requests = other215.requests;
+  __isset = other215.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -6372,15 +6740,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Acquittal::Acquittal(const Acquittal& other194) noexcept {
-  subject = other194.subject;
-  age_ms = other194.age_ms;
-  __isset = other194.__isset;
+Acquittal::Acquittal(const Acquittal& other216) noexcept {
+  subject = other216.subject;
+  age_ms = other216.age_ms;
+  __isset = other216.__isset;
 }
-Acquittal& Acquittal::operator=(const Acquittal& other195) noexcept {
-  subject = other195.subject;
-  age_ms = other195.age_ms;
-  __isset = other195.__isset;
+Acquittal& Acquittal::operator=(const Acquittal& other217) noexcept {
+  subject = other217.subject;
+  age_ms = other217.age_ms;
+  __isset = other217.__isset;
   return *this;
 }
 void Acquittal::printTo(std::ostream& out) const {
@@ -6455,14 +6823,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->subjects.clear();
-            uint32_t _size196;
-            ::apache::thrift::protocol::TType _etype199;
-            xfer += iprot->readListBegin(_etype199, _size196);
-            this->subjects.resize(_size196);
-            uint32_t _i200;
-            for (_i200 = 0; _i200 < _size196; ++_i200)
+            uint32_t _size218;
+            ::apache::thrift::protocol::TType _etype221;
+            xfer += iprot->readListBegin(_etype221, _size218);
+            this->subjects.resize(_size218);
+            uint32_t _i222;
+            for (_i222 = 0; _i222 < _size218; ++_i222)
             {
-              xfer += iprot->readI64(this->subjects[_i200]);
+              xfer += iprot->readI64(this->subjects[_i222]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6475,14 +6843,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size201;
-            ::apache::thrift::protocol::TType _etype204;
-            xfer += iprot->readListBegin(_etype204, _size201);
-            this->accounts.resize(_size201);
-            uint32_t _i205;
-            for (_i205 = 0; _i205 < _size201; ++_i205)
+            uint32_t _size223;
+            ::apache::thrift::protocol::TType _etype226;
+            xfer += iprot->readListBegin(_etype226, _size223);
+            this->accounts.resize(_size223);
+            uint32_t _i227;
+            for (_i227 = 0; _i227 < _size223; ++_i227)
             {
-              xfer += iprot->readI64(this->accounts[_i205]);
+              xfer += iprot->readI64(this->accounts[_i227]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6511,14 +6879,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size206;
-            ::apache::thrift::protocol::TType _etype209;
-            xfer += iprot->readListBegin(_etype209, _size206);
-            this->targets.resize(_size206);
-            uint32_t _i210;
-            for (_i210 = 0; _i210 < _size206; ++_i210)
+            uint32_t _size228;
+            ::apache::thrift::protocol::TType _etype231;
+            xfer += iprot->readListBegin(_etype231, _size228);
+            this->targets.resize(_size228);
+            uint32_t _i232;
+            for (_i232 = 0; _i232 < _size228; ++_i232)
             {
-              xfer += iprot->readString(this->targets[_i210]);
+              xfer += iprot->readString(this->targets[_i232]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6563,10 +6931,10 @@
   xfer += oprot->writeFieldBegin("subjects", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->subjects.size()));
-    std::vector<int64_t> ::const_iterator _iter211;
-    for (_iter211 = this->subjects.begin(); _iter211 != this->subjects.end(); ++_iter211)
+    std::vector<int64_t> ::const_iterator _iter233;
+    for (_iter233 = this->subjects.begin(); _iter233 != this->subjects.end(); ++_iter233)
     {
-      xfer += oprot->writeI64((*_iter211));
+      xfer += oprot->writeI64((*_iter233));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6575,10 +6943,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<int64_t> ::const_iterator _iter212;
-    for (_iter212 = this->accounts.begin(); _iter212 != this->accounts.end(); ++_iter212)
+    std::vector<int64_t> ::const_iterator _iter234;
+    for (_iter234 = this->accounts.begin(); _iter234 != this->accounts.end(); ++_iter234)
     {
-      xfer += oprot->writeI64((*_iter212));
+      xfer += oprot->writeI64((*_iter234));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6595,10 +6963,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->targets.size()));
-    std::vector<std::string> ::const_iterator _iter213;
-    for (_iter213 = this->targets.begin(); _iter213 != this->targets.end(); ++_iter213)
+    std::vector<std::string> ::const_iterator _iter235;
+    for (_iter235 = this->targets.begin(); _iter235 != this->targets.end(); ++_iter235)
     {
-      xfer += oprot->writeString((*_iter213));
+      xfer += oprot->writeString((*_iter235));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6629,25 +6997,25 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashVerdict::CrashVerdict(const CrashVerdict& other214) {
-  subjects = other214.subjects;
-  accounts = other214.accounts;
-  first_crash_age_ms = other214.first_crash_age_ms;
-  last_crash_age_ms = other214.last_crash_age_ms;
-  targets = other214.targets;
-  trials = other214.trials;
-  next_trial_ms = other214.next_trial_ms;
-  __isset = other214.__isset;
-}
-CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other215) {
-  subjects = other215.subjects;
-  accounts = other215.accounts;
-  first_crash_age_ms = other215.first_crash_age_ms;
-  last_crash_age_ms = other215.last_crash_age_ms;
-  targets = other215.targets;
-  trials = other215.trials;
-  next_trial_ms = other215.next_trial_ms;
-  __isset = other215.__isset;
+CrashVerdict::CrashVerdict(const CrashVerdict& other236) {
+  subjects = other236.subjects;
+  accounts = other236.accounts;
+  first_crash_age_ms = other236.first_crash_age_ms;
+  last_crash_age_ms = other236.last_crash_age_ms;
+  targets = other236.targets;
+  trials = other236.trials;
+  next_trial_ms = other236.next_trial_ms;
+  __isset = other236.__isset;
+}
+CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other237) {
+  subjects = other237.subjects;
+  accounts = other237.accounts;
+  first_crash_age_ms = other237.first_crash_age_ms;
+  last_crash_age_ms = other237.last_crash_age_ms;
+  targets = other237.targets;
+  trials = other237.trials;
+  next_trial_ms = other237.next_trial_ms;
+  __isset = other237.__isset;
   return *this;
 }
 void CrashVerdict::printTo(std::ostream& out) const {
@@ -6715,14 +7083,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size216;
-            ::apache::thrift::protocol::TType _etype219;
-            xfer += iprot->readListBegin(_etype219, _size216);
-            this->crashes.resize(_size216);
-            uint32_t _i220;
-            for (_i220 = 0; _i220 < _size216; ++_i220)
+            uint32_t _size238;
+            ::apache::thrift::protocol::TType _etype241;
+            xfer += iprot->readListBegin(_etype241, _size238);
+            this->crashes.resize(_size238);
+            uint32_t _i242;
+            for (_i242 = 0; _i242 < _size238; ++_i242)
             {
-              xfer += this->crashes[_i220].read(iprot);
+              xfer += this->crashes[_i242].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6735,14 +7103,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acquittals.clear();
-            uint32_t _size221;
-            ::apache::thrift::protocol::TType _etype224;
-            xfer += iprot->readListBegin(_etype224, _size221);
-            this->acquittals.resize(_size221);
-            uint32_t _i225;
-            for (_i225 = 0; _i225 < _size221; ++_i225)
+            uint32_t _size243;
+            ::apache::thrift::protocol::TType _etype246;
+            xfer += iprot->readListBegin(_etype246, _size243);
+            this->acquittals.resize(_size243);
+            uint32_t _i247;
+            for (_i247 = 0; _i247 < _size243; ++_i247)
             {
-              xfer += this->acquittals[_i225].read(iprot);
+              xfer += this->acquittals[_i247].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6755,14 +7123,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size226;
-            ::apache::thrift::protocol::TType _etype229;
-            xfer += iprot->readListBegin(_etype229, _size226);
-            this->verdicts.resize(_size226);
-            uint32_t _i230;
-            for (_i230 = 0; _i230 < _size226; ++_i230)
+            uint32_t _size248;
+            ::apache::thrift::protocol::TType _etype251;
+            xfer += iprot->readListBegin(_etype251, _size248);
+            this->verdicts.resize(_size248);
+            uint32_t _i252;
+            for (_i252 = 0; _i252 < _size248; ++_i252)
             {
-              xfer += this->verdicts[_i230].read(iprot);
+              xfer += this->verdicts[_i252].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6799,10 +7167,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter231;
-    for (_iter231 = this->crashes.begin(); _iter231 != this->crashes.end(); ++_iter231)
+    std::vector<CrashReport> ::const_iterator _iter253;
+    for (_iter253 = this->crashes.begin(); _iter253 != this->crashes.end(); ++_iter253)
     {
-      xfer += (*_iter231).write(oprot);
+      xfer += (*_iter253).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6811,10 +7179,10 @@
   xfer += oprot->writeFieldBegin("acquittals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acquittals.size()));
-    std::vector<Acquittal> ::const_iterator _iter232;
-    for (_iter232 = this->acquittals.begin(); _iter232 != this->acquittals.end(); ++_iter232)
+    std::vector<Acquittal> ::const_iterator _iter254;
+    for (_iter254 = this->acquittals.begin(); _iter254 != this->acquittals.end(); ++_iter254)
     {
-      xfer += (*_iter232).write(oprot);
+      xfer += (*_iter254).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6823,10 +7191,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<CrashVerdict> ::const_iterator _iter233;
-    for (_iter233 = this->verdicts.begin(); _iter233 != this->verdicts.end(); ++_iter233)
+    std::vector<CrashVerdict> ::const_iterator _iter255;
+    for (_iter255 = this->verdicts.begin(); _iter255 != this->verdicts.end(); ++_iter255)
     {
-      xfer += (*_iter233).write(oprot);
+      xfer += (*_iter255).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6850,19 +7218,19 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNews::CrashNews(const CrashNews& other234) {
-  crashes = other234.crashes;
-  acquittals = other234.acquittals;
-  verdicts = other234.verdicts;
-  wanted = other234.wanted;
-  __isset = other234.__isset;
+CrashNews::CrashNews(const CrashNews& other256) {
+  crashes = other256.crashes;
+  acquittals = other256.acquittals;
+  verdicts = other256.verdicts;
+  wanted = other256.wanted;
+  __isset = other256.__isset;
 }
-CrashNews& CrashNews::operator=(const CrashNews& other235) {
-  crashes = other235.crashes;
-  acquittals = other235.acquittals;
-  verdicts = other235.verdicts;
-  wanted = other235.wanted;
-  __isset = other235.__isset;
+CrashNews& CrashNews::operator=(const CrashNews& other257) {
+  crashes = other257.crashes;
+  acquittals = other257.acquittals;
+  verdicts = other257.verdicts;
+  wanted = other257.wanted;
+  __isset = other257.__isset;
   return *this;
 }
 void CrashNews::printTo(std::ostream& out) const {
@@ -6968,14 +7336,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size236;
-            ::apache::thrift::protocol::TType _etype239;
-            xfer += iprot->readListBegin(_etype239, _size236);
-            this->asks.resize(_size236);
-            uint32_t _i240;
-            for (_i240 = 0; _i240 < _size236; ++_i240)
+            uint32_t _size258;
+            ::apache::thrift::protocol::TType _etype261;
+            xfer += iprot->readListBegin(_etype261, _size258);
+            this->asks.resize(_size258);
+            uint32_t _i262;
+            for (_i262 = 0; _i262 < _size258; ++_i262)
             {
-              xfer += this->asks[_i240].read(iprot);
+              xfer += this->asks[_i262].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6988,14 +7356,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size241;
-            ::apache::thrift::protocol::TType _etype244;
-            xfer += iprot->readListBegin(_etype244, _size241);
-            this->answers.resize(_size241);
-            uint32_t _i245;
-            for (_i245 = 0; _i245 < _size241; ++_i245)
+            uint32_t _size263;
+            ::apache::thrift::protocol::TType _etype266;
+            xfer += iprot->readListBegin(_etype266, _size263);
+            this->answers.resize(_size263);
+            uint32_t _i267;
+            for (_i267 = 0; _i267 < _size263; ++_i267)
             {
-              xfer += this->answers[_i245].read(iprot);
+              xfer += this->answers[_i267].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7008,14 +7376,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notes.clear();
-            uint32_t _size246;
-            ::apache::thrift::protocol::TType _etype249;
-            xfer += iprot->readListBegin(_etype249, _size246);
-            this->notes.resize(_size246);
-            uint32_t _i250;
-            for (_i250 = 0; _i250 < _size246; ++_i250)
+            uint32_t _size268;
+            ::apache::thrift::protocol::TType _etype271;
+            xfer += iprot->readListBegin(_etype271, _size268);
+            this->notes.resize(_size268);
+            uint32_t _i272;
+            for (_i272 = 0; _i272 < _size268; ++_i272)
             {
-              xfer += this->notes[_i250].read(iprot);
+              xfer += this->notes[_i272].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7028,14 +7396,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->syncs.clear();
-            uint32_t _size251;
-            ::apache::thrift::protocol::TType _etype254;
-            xfer += iprot->readListBegin(_etype254, _size251);
-            this->syncs.resize(_size251);
-            uint32_t _i255;
-            for (_i255 = 0; _i255 < _size251; ++_i255)
+            uint32_t _size273;
+            ::apache::thrift::protocol::TType _etype276;
+            xfer += iprot->readListBegin(_etype276, _size273);
+            this->syncs.resize(_size273);
+            uint32_t _i277;
+            for (_i277 = 0; _i277 < _size273; ++_i277)
             {
-              xfer += this->syncs[_i255].read(iprot);
+              xfer += this->syncs[_i277].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7048,14 +7416,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size256;
-            ::apache::thrift::protocol::TType _etype259;
-            xfer += iprot->readListBegin(_etype259, _size256);
-            this->leaving.resize(_size256);
-            uint32_t _i260;
-            for (_i260 = 0; _i260 < _size256; ++_i260)
+            uint32_t _size278;
+            ::apache::thrift::protocol::TType _etype281;
+            xfer += iprot->readListBegin(_etype281, _size278);
+            this->leaving.resize(_size278);
+            uint32_t _i282;
+            for (_i282 = 0; _i282 < _size278; ++_i282)
             {
-              xfer += this->leaving[_i260].read(iprot);
+              xfer += this->leaving[_i282].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7068,14 +7436,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rests.clear();
-            uint32_t _size261;
-            ::apache::thrift::protocol::TType _etype264;
-            xfer += iprot->readListBegin(_etype264, _size261);
-            this->rests.resize(_size261);
-            uint32_t _i265;
-            for (_i265 = 0; _i265 < _size261; ++_i265)
+            uint32_t _size283;
+            ::apache::thrift::protocol::TType _etype286;
+            xfer += iprot->readListBegin(_etype286, _size283);
+            this->rests.resize(_size283);
+            uint32_t _i287;
+            for (_i287 = 0; _i287 < _size283; ++_i287)
             {
-              xfer += this->rests[_i265].read(iprot);
+              xfer += this->rests[_i287].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7088,14 +7456,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size266;
-            ::apache::thrift::protocol::TType _etype269;
-            xfer += iprot->readListBegin(_etype269, _size266);
-            this->limits.resize(_size266);
-            uint32_t _i270;
-            for (_i270 = 0; _i270 < _size266; ++_i270)
+            uint32_t _size288;
+            ::apache::thrift::protocol::TType _etype291;
+            xfer += iprot->readListBegin(_etype291, _size288);
+            this->limits.resize(_size288);
+            uint32_t _i292;
+            for (_i292 = 0; _i292 < _size288; ++_i292)
             {
-              xfer += this->limits[_i270].read(iprot);
+              xfer += this->limits[_i292].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7140,10 +7508,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter271;
-    for (_iter271 = this->asks.begin(); _iter271 != this->asks.end(); ++_iter271)
+    std::vector<PlaceAsk> ::const_iterator _iter293;
+    for (_iter293 = this->asks.begin(); _iter293 != this->asks.end(); ++_iter293)
     {
-      xfer += (*_iter271).write(oprot);
+      xfer += (*_iter293).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7152,10 +7520,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter272;
-    for (_iter272 = this->answers.begin(); _iter272 != this->answers.end(); ++_iter272)
+    std::vector<PlaceAnswer> ::const_iterator _iter294;
+    for (_iter294 = this->answers.begin(); _iter294 != this->answers.end(); ++_iter294)
     {
-      xfer += (*_iter272).write(oprot);
+      xfer += (*_iter294).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7164,10 +7532,10 @@
   xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
-    std::vector<PlaceNote> ::const_iterator _iter273;
-    for (_iter273 = this->notes.begin(); _iter273 != this->notes.end(); ++_iter273)
+    std::vector<PlaceNote> ::const_iterator _iter295;
+    for (_iter295 = this->notes.begin(); _iter295 != this->notes.end(); ++_iter295)
     {
-      xfer += (*_iter273).write(oprot);
+      xfer += (*_iter295).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7176,10 +7544,10 @@
   xfer += oprot->writeFieldBegin("syncs", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->syncs.size()));
-    std::vector<PlaceSync> ::const_iterator _iter274;
-    for (_iter274 = this->syncs.begin(); _iter274 != this->syncs.end(); ++_iter274)
+    std::vector<PlaceSync> ::const_iterator _iter296;
+    for (_iter296 = this->syncs.begin(); _iter296 != this->syncs.end(); ++_iter296)
     {
-      xfer += (*_iter274).write(oprot);
+      xfer += (*_iter296).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7188,10 +7556,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<TargetMark> ::const_iterator _iter275;
-    for (_iter275 = this->leaving.begin(); _iter275 != this->leaving.end(); ++_iter275)
+    std::vector<TargetMark> ::const_iterator _iter297;
+    for (_iter297 = this->leaving.begin(); _iter297 != this->leaving.end(); ++_iter297)
     {
-      xfer += (*_iter275).write(oprot);
+      xfer += (*_iter297).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7200,10 +7568,10 @@
   xfer += oprot->writeFieldBegin("rests", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rests.size()));
-    std::vector<TargetRest> ::const_iterator _iter276;
-    for (_iter276 = this->rests.begin(); _iter276 != this->rests.end(); ++_iter276)
+    std::vector<TargetRest> ::const_iterator _iter298;
+    for (_iter298 = this->rests.begin(); _iter298 != this->rests.end(); ++_iter298)
     {
-      xfer += (*_iter276).write(oprot);
+      xfer += (*_iter298).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7212,10 +7580,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<TargetLimit> ::const_iterator _iter277;
-    for (_iter277 = this->limits.begin(); _iter277 != this->limits.end(); ++_iter277)
+    std::vector<TargetLimit> ::const_iterator _iter299;
+    for (_iter299 = this->limits.begin(); _iter299 != this->limits.end(); ++_iter299)
     {
-      xfer += (*_iter277).write(oprot);
+      xfer += (*_iter299).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7246,31 +7614,31 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceDatagram::PlaceDatagram(const PlaceDatagram& other278) {
-  sender = other278.sender;
-  incarnation = other278.incarnation;
-  asks = other278.asks;
-  answers = other278.answers;
-  notes = other278.notes;
-  syncs = other278.syncs;
-  leaving = other278.leaving;
-  rests = other278.rests;
-  limits = other278.limits;
-  crash_news = other278.crash_news;
-  __isset = other278.__isset;
-}
-PlaceDatagram& PlaceDatagram::operator=(const PlaceDatagram& other279) {
-  sender = other279.sender;
-  incarnation = other279.incarnation;
-  asks = other279.asks;
-  answers = other279.answers;
-  notes = other279.notes;
-  syncs = other279.syncs;
-  leaving = other279.leaving;
-  rests = other279.rests;
-  limits = other279.limits;
-  crash_news = other279.crash_news;
-  __isset = other279.__isset;
+PlaceDatagram::PlaceDatagram(const PlaceDatagram& other300) {
+  sender = other300.sender;
+  incarnation = other300.incarnation;
+  asks = other300.asks;
+  answers = other300.answers;
+  notes = other300.notes;
+  syncs = other300.syncs;
+  leaving = other300.leaving;
+  rests = other300.rests;
+  limits = other300.limits;
+  crash_news = other300.crash_news;
+  __isset = other300.__isset;
+}
+PlaceDatagram& PlaceDatagram::operator=(const PlaceDatagram& other301) {
+  sender = other301.sender;
+  incarnation = other301.incarnation;
+  asks = other301.asks;
+  answers = other301.answers;
+  notes = other301.notes;
+  syncs = other301.syncs;
+  leaving = other301.leaving;
+  rests = other301.rests;
+  limits = other301.limits;
+  crash_news = other301.crash_news;
+  __isset = other301.__isset;
   return *this;
 }
 void PlaceDatagram::printTo(std::ostream& out) const {
@@ -7382,15 +7750,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CarriedField::CarriedField(const CarriedField& other280) {
-  name = other280.name;
-  value = other280.value;
-  __isset = other280.__isset;
+CarriedField::CarriedField(const CarriedField& other302) {
+  name = other302.name;
+  value = other302.value;
+  __isset = other302.__isset;
 }
-CarriedField& CarriedField::operator=(const CarriedField& other281) {
-  name = other281.name;
-  value = other281.value;
-  __isset = other281.__isset;
+CarriedField& CarriedField::operator=(const CarriedField& other303) {
+  name = other303.name;
+  value = other303.value;
+  __isset = other303.__isset;
   return *this;
 }
 void CarriedField::printTo(std::ostream& out) const {
@@ -7549,14 +7917,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fields.clear();
-            uint32_t _size282;
-            ::apache::thrift::protocol::TType _etype285;
-            xfer += iprot->readListBegin(_etype285, _size282);
-            this->fields.resize(_size282);
-            uint32_t _i286;
-            for (_i286 = 0; _i286 < _size282; ++_i286)
+            uint32_t _size304;
+            ::apache::thrift::protocol::TType _etype307;
+            xfer += iprot->readListBegin(_etype307, _size304);
+            this->fields.resize(_size304);
+            uint32_t _i308;
+            for (_i308 = 0; _i308 < _size304; ++_i308)
             {
-              xfer += this->fields[_i286].read(iprot);
+              xfer += this->fields[_i308].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7621,10 +7989,10 @@
   xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fields.size()));
-    std::vector<CarriedField> ::const_iterator _iter287;
-    for (_iter287 = this->fields.begin(); _iter287 != this->fields.end(); ++_iter287)
+    std::vector<CarriedField> ::const_iterator _iter309;
+    for (_iter309 = this->fields.begin(); _iter309 != this->fields.end(); ++_iter309)
     {
-      xfer += (*_iter287).write(oprot);
+      xfer += (*_iter309).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7650,31 +8018,31 @@
   swap(a.__isset, b.__isset);
 }
 
-CarryHead::CarryHead(const CarryHead& other288) {
-  sender = other288.sender;
-  request = other288.request;
-  service_name = other288.service_name;
-  address = other288.address;
-  progress_ms = other288.progress_ms;
-  idle_limit_ms = other288.idle_limit_ms;
-  probe_silence = other288.probe_silence;
-  method = other288.method;
-  target = other288.target;
-  fields = other288.fields;
-  __isset = other288.__isset;
-}
-CarryHead& CarryHead::operator=(const CarryHead& other289) {
-  sender = other289.sender;
-  request = other289.request;
-  service_name = other289.service_name;
-  address = other289.address;
-  progress_ms = other289.progress_ms;
-  idle_limit_ms = other289.idle_limit_ms;
-  probe_silence = other289.probe_silence;
-  method = other289.method;
-  target = other289.target;
-  fields = other289.fields;
-  __isset = other289.__isset;
+CarryHead::CarryHead(const CarryHead& other310) {
+  sender = other310.sender;
+  request = other310.request;
+  service_name = other310.service_name;
+  address = other310.address;
+  progress_ms = other310.progress_ms;
+  idle_limit_ms = other310.idle_limit_ms;
+  probe_silence = other310.probe_silence;
+  method = other310.method;
+  target = other310.target;
+  fields = other310.fields;
+  __isset = other310.__isset;
+}
+CarryHead& CarryHead::operator=(const CarryHead& other311) {
+  sender = other311.sender;
+  request = other311.request;
+  service_name = other311.service_name;
+  address = other311.address;
+  progress_ms = other311.progress_ms;
+  idle_limit_ms = other311.idle_limit_ms;
+  probe_silence = other311.probe_silence;
+  method = other311.method;
+  target = other311.target;
+  fields = other311.fields;
+  __isset = other311.__isset;
   return *this;
 }
 void CarryHead::printTo(std::ostream& out) const {
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -79,6 +79,10 @@
 
 class PlacedWork;
 
+class GrantCount;
+
+class HostGrants;
+
 class PlaceSync;
 
 class TargetRest;
@@ -2209,10 +2213,125 @@
 
 std::ostream& operator<<(std::ostream& out, const PlacedWork& obj);
 
+typedef struct _GrantCount__isset {
+  _GrantCount__isset() : age_ms(false), requests(false), retries(false) {}
+  bool age_ms :1;
+  bool requests :1;
+  bool retries :1;
+} _GrantCount__isset;
+
+class GrantCount : public virtual ::apache::thrift::TBase {
+ public:
+
+  GrantCount(const GrantCount&) noexcept;
+  GrantCount& operator=(const GrantCount&) noexcept;
+  GrantCount() noexcept
+             : age_ms(0),
+               requests(0),
+               retries(0) {
+  }
+
+  virtual ~GrantCount() noexcept;
+  int32_t age_ms;
+  int32_t requests;
+  int32_t retries;
+
+  _GrantCount__isset __isset;
+
+  void __set_age_ms(const int32_t val);
+
+  void __set_requests(const int32_t val);
+
+  void __set_retries(const int32_t val);
+
+  bool operator == (const GrantCount & rhs) const
+  {
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    if (!(retries == rhs.retries))
+      return false;
+    return true;
+  }
+  bool operator != (const GrantCount &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const GrantCount & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(GrantCount &a, GrantCount &b);
+
+std::ostream& operator<<(std::ostream& out, const GrantCount& obj);
+
+typedef struct _HostGrants__isset {
+  _HostGrants__isset() : host(false), incarnation(false), counts(false) {}
+  bool host :1;
+  bool incarnation :1;
+  bool counts :1;
+} _HostGrants__isset;
+
+class HostGrants : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostGrants(const HostGrants&);
+  HostGrants& operator=(const HostGrants&);
+  HostGrants() noexcept
+             : host(),
+               incarnation(0) {
+  }
+
+  virtual ~HostGrants() noexcept;
+  std::string host;
+  int64_t incarnation;
+  std::vector<GrantCount>  counts;
+
+  _HostGrants__isset __isset;
+
+  void __set_host(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_counts(const std::vector<GrantCount> & val);
+
+  bool operator == (const HostGrants & rhs) const
+  {
+    if (!(host == rhs.host))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(counts == rhs.counts))
+      return false;
+    return true;
+  }
+  bool operator != (const HostGrants &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostGrants & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostGrants &a, HostGrants &b);
+
+std::ostream& operator<<(std::ostream& out, const HostGrants& obj);
+
 typedef struct _PlaceSync__isset {
-  _PlaceSync__isset() : service_name(false), running(false) {}
+  _PlaceSync__isset() : service_name(false), running(false), elsewhere(false), departed(false) {}
   bool service_name :1;
   bool running :1;
+  bool elsewhere :1;
+  bool departed :1;
 } _PlaceSync__isset;
 
 class PlaceSync : public virtual ::apache::thrift::TBase {
@@ -2227,6 +2346,8 @@
   virtual ~PlaceSync() noexcept;
   std::string service_name;
   std::vector<PlacedWork>  running;
+  std::vector<GrantCount>  elsewhere;
+  std::vector<HostGrants>  departed;
 
   _PlaceSync__isset __isset;
 
@@ -2234,12 +2355,24 @@
 
   void __set_running(const std::vector<PlacedWork> & val);
 
+  void __set_elsewhere(const std::vector<GrantCount> & val);
+
+  void __set_departed(const std::vector<HostGrants> & val);
+
   bool operator == (const PlaceSync & rhs) const
   {
     if (!(service_name == rhs.service_name))
       return false;
     if (!(running == rhs.running))
       return false;
+    if (__isset.elsewhere != rhs.__isset.elsewhere)
+      return false;
+    else if (__isset.elsewhere && !(elsewhere == rhs.elsewhere))
+      return false;
+    if (__isset.departed != rhs.__isset.departed)
+      return false;
+    else if (__isset.departed && !(departed == rhs.departed))
+      return false;
     return true;
   }
   bool operator != (const PlaceSync &rhs) const {
--- a/src/wire/placement.cc
+++ b/src/wire/placement.cc
@@ -143,7 +143,29 @@
   return true;
 }
 
-PlaceSync ToWire(const PlaceSyncMessage& message) {
+std::vector<GrantCount> ToWire(
+    const std::vector<comfreyflow::GrantCount>& counts, Time now) {
+  std::vector<GrantCount> out;
+  for (const auto& count : counts) {
+    GrantCount& wire_count = out.emplace_back();
+    wire_count.age_ms = ToMs(now - count.begin);
+    wire_count.requests = ToInt32(count.requests);
+    wire_count.retries = ToInt32(count.retries);
+  }
+  return out;
+}
+
+std::vector<comfreyflow::GrantCount> FromWire(const std::vector<GrantCount>& in,
+                                              Time now) {
+  std::vector<comfreyflow::GrantCount> out;
+  for (const auto& count : in) {
+    out.push_back({now - FromMs(count.age_ms), ToUint32(count.requests),
+                   ToUint32(count.retries)});
+  }
+  return out;
+}
+
+PlaceSync ToWire(const PlaceSyncMessage& message, Time now) {
   PlaceSync out;
   out.service_name = message.service.value;
   for (const auto& work : message.running) {
@@ -158,6 +180,18 @@
     placed.output_tokens = ToInt32(work.output_tokens);
     placed.max_gap_ms = ToMs(work.max_gap);
   }
+  if (message.elsewhere) {
+    out.__set_elsewhere(ToWire(*message.elsewhere, now));
+  }
+  if (message.departed.empty()) return out;
+  out.__isset.departed = true;
+  for (const auto& grants : message.departed) {
+    HostGrants& wire_grants = out.departed.emplace_back();
+    wire_grants.host = grants.host.value;
+    wire_grants.incarnation =
+        static_cast<std::int64_t>(grants.incarnation.value);
+    wire_grants.counts = ToWire(grants.counts, now);
+  }
   return out;
 }
 
@@ -265,7 +299,8 @@
       wire_note.__set_outcome(static_cast<std::int32_t>(note.end));
     if (!note.at.value.empty()) wire_note.__set_target(note.at.value);
   }
-  for (const auto& sync : messages.syncs) out.syncs.push_back(ToWire(sync));
+  for (const auto& sync : messages.syncs)
+    out.syncs.push_back(ToWire(sync, now));
   for (const auto& mark : messages.leaving) {
     out.leaving.push_back(wire::ToWire(mark));
   }
@@ -319,6 +354,15 @@
   for (const auto& sync : in.syncs) {
     PlaceSyncMessage& message = out.syncs.emplace_back();
     message.service.value = sync.service_name;
+    if (sync.__isset.elsewhere) {
+      message.elsewhere = FromWire(sync.elsewhere, now);
+    }
+    for (const auto& grants : sync.departed) {
+      message.departed.push_back(
+          {{grants.host},
+           {static_cast<std::uint64_t>(grants.incarnation)},
+           FromWire(grants.counts, now)});
+    }
     for (const auto& placed : sync.running) {
       RunningWork& work = message.running.emplace_back();
       work.id = request_id(placed.sequence);
--- a/src/wire/placement.h
+++ b/src/wire/placement.h
@@ -2,6 +2,7 @@
 /// the holder of a placer and receive its decisions.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
@@ -42,6 +43,11 @@
 struct PlaceSyncMessage {
   ServiceName service;
   std::vector<RunningWork> running;
+  /// What other holders than the receiver granted to the sender; absent: an
+  /// older build, which does not tell.
+  std::optional<std::vector<comfreyflow::GrantCount>> elsewhere = {};
+  /// What the sender knows of grants to hosts that have ended.
+  std::vector<comfreyflow::HostGrants> departed = {};
 };
 
 /// The target told the sender to send it no request for the duration
