Count an attempt as a retry only if an earlier one may have arrived

What callers saw: refusals as overloaded at all hosts of a service, some seconds after one host was cut off from its targets.

Cause: whatever followed the first grant counted as a retry, also if no byte had been sent before. Connections that are refused or hang used up the budget of the fleet, which is there for what targets get more than once.

RelayProgress::arrivals counts the attempts that may have reached a target; a request is a retry from the first of them on.

--- a/include/comfreyflow/relay-policy.h
+++ b/include/comfreyflow/relay-policy.h
@@ -17,10 +17,12 @@
 };
 
 /// Progress of a request. Invariant: `attempts_run` counts the targets that
-/// may have run it, `attempts` all to which it was sent.
+/// may have run it, `attempts` all that were granted for it, `arrivals` those
+/// that it may have reached.
 struct RelayProgress {
   std::uint32_t attempts = 0;
   std::uint32_t attempts_run = 0;
+  std::uint32_t arrivals = 0;
   bool head_sent = false;  ///< The caller received the response head.
   Duration remaining{};    ///< Time until the request's deadline.
 };
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -287,7 +287,7 @@
     job.first_event_deadline = StartBy();
     job.objective = route_->latency_objective;
     job.max_gap = route_->max_gap;
-    job.is_retry = progress_.attempts > 0;
+    job.is_retry = progress_.arrivals > 0 || (call_ && request_sent_);
     job.excluded = std::move(excluded);
     return job;
   }
@@ -779,6 +779,7 @@
     response_timer_.Disarm();
     const AttemptFailure failure =
         MakeFailure(end == WorkEnd::kRefused || end == WorkEnd::kWrongTarget);
+    if (failure.sent) ++progress_.arrivals;
     if (failure.sent && !failure.reported_not_run) ++progress_.attempts_run;
     if (failure.reported_not_run || !failure.sent) code = Errc::kTargetRefused;
     last_failure_ = code;
@@ -958,7 +959,10 @@
     second_placement_.reset();
     response_timer_.Disarm();
     excluded_.push_back(grant_.targets.front().name);
-    if (request_sent_) ++progress_.attempts_run;
+    if (request_sent_) {
+      ++progress_.attempts_run;
+      ++progress_.arrivals;
+    }
     parked_.emplace();
     SwapParked();
     parked_->unfinished = splitter_.TakeUnfinished();
--- a/test/platform/retry-budget-test.cc
+++ b/test/platform/retry-budget-test.cc
@@ -1,6 +1,7 @@
 // Repeats that targets get from all hosts together while placers move.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 #include <string>
@@ -67,3 +68,33 @@
   MESSAGE(repeats << " repeats of " << count << " requests");
   CHECK(repeats <= kRatio * count + kSlack);
 }
+
+TEST_CASE("attempts that reach no target use up the budget of retries") {
+  constexpr int kRequests = 30;
+  Site site;
+  FakeTarget& target = site.AddTarget("app", "a1");
+  target.OnRequest([&target](const http::ExchangePtr& exchange) {
+    target.After(milliseconds(50), [&target, exchange] {
+      exchange->Respond(target.Head(exchange->request()));
+    });
+  });
+  site.SetSlots("app", target, 4);
+  for (int i = 1; i <= 5; ++i) {
+    site.store().Put("servers", "dead" + std::to_string(i),
+                     SampleEntry("app", "127.0.0.1:1", "z1", "ready"));
+  }
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  std::vector<std::shared_ptr<Answer>> answers;
+  for (int i = 0; i < kRequests; ++i) {
+    answers.push_back(site.Send(host, "GET", "/safe/1"));
+  }
+  REQUIRE(site.Until([&answers] {
+    return std::all_of(answers.begin(), answers.end(),
+                       [](const auto& answer) { return answer->ended; });
+  }));
+  CHECK(std::stod(
+            site.Metric(host, "comfreyflow_repeats_left{service=\"app\"}")) ==
+        doctest::Approx(kSlack / 2 + kRatio * kRequests));
+}
