Remember failed connections longer, and drop all of them when a path is back

Cause: a failed connection was evidence for 1.5 s only, so that a host with few requests to a service tried again and again; a path that was back was believed target by target; two other hosts had to fail also where this host reached other targets of the service.

--- a/src/core/reach/target-reach.cc
+++ b/src/core/reach/target-reach.cc
@@ -9,8 +9,8 @@
 
 using std::chrono::milliseconds;
 
-/// A failed connection is evidence for this long.
-constexpr Duration kEvidenceLife = milliseconds(1500);
+/// A failed connection is evidence for this long. Probes end a belief sooner.
+constexpr Duration kEvidenceLife = std::chrono::seconds(5);
 /// Targets to which connections must fail before the path is held for the
 /// cause.
 constexpr std::size_t kTargetsForPath = 2;
@@ -21,9 +21,13 @@
 bool TargetReach::RecordReached(const ServiceName& service,
                                 const std::string& address, Time now) {
   Service& known = services_[service];
+  // The path failed, not the targets: they need not be probed one by one.
+  const bool is_path_back = IsServiceOutOfReach(service, now);
   known.reached_at = now;
   known.failed_at.erase(address);
-  return std::exchange(known.is_out_of_reach, false);
+  if (is_path_back) known.failed_at.clear();
+  known.is_out_of_reach = false;
+  return is_path_back;
 }
 
 bool TargetReach::RecordFailed(const ServiceName& service,
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -24,8 +24,10 @@
 constexpr milliseconds kCarrierConnectTimeout{200};
 /// Hosts that are asked to carry one attempt.
 constexpr std::size_t kMaxCarriers = 4;
-/// Hosts that made no connection to the target before it is held for the cause.
-constexpr std::size_t kCarriersForTarget = 2;
+/// Hosts that made no connection to the target before it is held for the cause:
+/// while this host reaches others of the service, and while it doesn't.
+constexpr std::size_t kCarriersForTarget = 1;
+constexpr std::size_t kCarriersForTargetWhenCut = 2;
 /// A host that failed to carry is asked last for this long, one that did carry
 /// is asked first.
 constexpr Duration kCarrierMemory = std::chrono::seconds(1);
@@ -128,7 +130,9 @@
     const auto carrier = tried_.size() < kMaxCarriers
                              ? paths_.Choose(call_.service, tried_)
                              : std::nullopt;
-    if (!carrier || unreachable_ >= kCarriersForTarget) {
+    const bool is_cut = paths_.reach_.IsServiceOutOfReach(call_.service, Now());
+    if (!carrier || unreachable_ >= (is_cut ? kCarriersForTargetWhenCut
+                                            : kCarriersForTarget)) {
       return TellEnd({Errc::kTargetUnreachable, false});
     }
     carrier_ = carrier->name;
