Ask other hosts before a refused connection counts as a crash

What callers saw: nothing yet; hosts that were cut off by resets told all others of crashes that had not happened, and three of them condemn a request.

Cause: a broken connection and a refused one were taken as proof that the target had crashed. Both also come from the way to it.

The new case of carry-test saw 1 confirmed with the old code and sees 0.

CrashWatch asks up to four hosts, one after the other, to connect to the target. It has crashed if none does. A real crash is confirmed by the first refusals within a round trip each; platform-part-crash-test is unchanged.

--- a/src/gateway/crash-watch.cc
+++ b/src/gateway/crash-watch.cc
@@ -100,6 +100,7 @@
   }
   const auto check = std::make_shared<Check>(
       Check{{service, target.name, target.born, Now(), {request}},
+            target.address,
             asio::ip::tcp::socket(io_),
             asio::steady_timer(io_)});
   checks_[key] = check;
@@ -116,14 +117,27 @@
   });
 }
 
-void CrashWatch::OnChecked(const CheckKey& key, bool has_crashed) {
+void CrashWatch::OnChecked(const CheckKey& key, bool is_refused) {
   const auto at = checks_.find(key);
   if (at == checks_.end()) return;
-  const auto check = at->second;
-  checks_.erase(at);
+  const auto& check = at->second;
   error_code ignored;
   check->socket.close(ignored);
   check->timer.cancel();
+  if (!is_refused) return Conclude(key, false);
+  // The refusal may come from the way to the target.
+  hooks_.ask_other(check->report.service, check->address,
+                   [self = weak_from_this(), key](bool is_reached) {
+                     const auto watch = self.lock();
+                     if (watch) watch->Conclude(key, !is_reached);
+                   });
+}
+
+void CrashWatch::Conclude(const CheckKey& key, bool has_crashed) {
+  const auto at = checks_.find(key);
+  if (at == checks_.end()) return;
+  const auto check = at->second;
+  checks_.erase(at);
   if (has_crashed) {
     ++confirmed_;
     return Record(check->report);
--- a/src/gateway/crash-watch.h
+++ b/src/gateway/crash-watch.h
@@ -28,6 +28,10 @@
   /// Whether this host is the one that may try a condemned request of the
   /// service again.
   std::function<bool(const ServiceName&)> may_try;
+  /// Tells whether another host reaches the target.
+  std::function<void(const ServiceName&, const std::string& address,
+                     std::function<void(bool is_reached)>)>
+      ask_other;
   /// Disturbs the paths to targets in tests; may be empty.
   http::PathHook path;
 };
@@ -43,7 +47,8 @@
 
   /// The connection to the target broke before it had answered the request, or
   /// soon after the answer began. A crash is recorded only if the target then
-  /// refuses a connection: a cut link or a closed connection is none.
+  /// refuses a connection and another host doesn't reach it either: a cut link
+  /// or a closed connection is none.
   void OnConnectionBroken(const ServiceName& service,
                           const PlacedTarget& target,
                           const RequestSubjects& request);
@@ -66,12 +71,14 @@
  private:
   struct Check {
     CrashReport report;
+    std::string address;
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer timer;
   };
   using CheckKey = std::pair<TargetName, std::uint64_t>;
 
-  void OnChecked(const CheckKey& key, bool has_crashed);
+  void OnChecked(const CheckKey& key, bool is_refused);
+  void Conclude(const CheckKey& key, bool has_crashed);
   void Record(const CrashReport& report);
   void LogChange(const LedgerChange& change, const HostName& source);
   /// Logs what changed and sends what other hosts may lack.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -241,9 +241,11 @@
     http::ServerHooks server;
     server.admit_head = [](const http::Request&) { return Errc::kOk; };
     server.handle = [this](const http::ExchangePtr& exchange) {
-      if (exchange->request().path == kCarryPath) return paths.Carry(exchange);
+      const std::string& path = exchange->request().path;
+      if (path == kCarryPath) return paths.Carry(exchange);
+      if (path == kReachPath) return paths.AnswerOther(exchange);
       http::Response response;
-      if (exchange->request().path == kDocumentPath && table) {
+      if (path == kDocumentPath && table) {
         response.body = document_text;
       } else {
         response.status = kNotFound;
@@ -313,6 +315,11 @@
     crash.may_try = [this](const ServiceName& service) {
       return placement.HolderOf(service) == settings.self.name;
     };
+    crash.ask_other = [this](const ServiceName& service,
+                             const std::string& address,
+                             std::function<void(bool)> hook) {
+      paths.AskOther(service, address, std::move(hook));
+    };
     crash.path = hooks.path;
     return crash;
   }
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -44,6 +44,8 @@
 constexpr std::string_view kSilent = "silent";
 /// The carrying host itself did not answer.
 constexpr std::string_view kGone = "gone";
+/// Says that a host made a connection to the target in question.
+constexpr std::string_view kReachedField = "reached";
 constexpr int kBadGatewayStatus = 502;
 
 std::string_view ReasonOf(Errc code) {
@@ -291,16 +293,10 @@
 
   void Start() {
     std::string_view body;
-    const auto error =
-        wire::DecodeCarry(exchange_->request().body, paths_.key_, head_, body);
-    if (error) return Decline(ToErrc(error));
+    const Errc error = paths_.ReadFrame(exchange_, head_, body);
+    if (error != Errc::kOk) return Decline(error);
+    if (paths_.carrying_ > kMaxCarried) return Decline(Errc::kOverloaded);
     const ServiceName service{head_.service_name};
-    if (!paths_.hooks_.may_carry() || paths_.carrying_ > kMaxCarried) {
-      return Decline(Errc::kOverloaded);
-    }
-    if (!paths_.hooks_.is_target(service, head_.address)) {
-      return Decline(Errc::kNoTarget);
-    }
     if (paths_.reach_.IsServiceOutOfReach(service, Now())) {
       paths_.Probe(service, head_.address);
       return Decline(Errc::kTargetUnreachable);
@@ -435,9 +431,77 @@
   std::make_shared<CarriedCall>(*this, exchange)->Start();
 }
 
-bool TargetPaths::IsOutOfReach(const ServiceName& service,
-                               const std::string& address) const {
-  return reach_.IsOutOfReach(service, address, Now());
+Errc TargetPaths::ReadFrame(const http::ExchangePtr& exchange,
+                            wire::CarryHead& head,
+                            std::string_view& body) const {
+  if (const auto error =
+          wire::DecodeCarry(exchange->request().body, key_, head, body)) {
+    return ToErrc(error);
+  }
+  if (!hooks_.may_carry()) return Errc::kDraining;
+  const bool is_target = hooks_.is_target({head.service_name}, head.address);
+  return is_target ? Errc::kOk : Errc::kNoTarget;
+}
+
+void TargetPaths::AskOther(const ServiceName& service,
+                           const std::string& address,
+                           std::function<void(bool is_reached)> hook) {
+  Ask(service, address, {}, std::move(hook));
+}
+
+/// Asks one host after the other, because some may be cut off as well.
+void TargetPaths::Ask(const ServiceName& service, const std::string& address,
+                      std::vector<HostName> asked,
+                      std::function<void(bool is_reached)> hook) {
+  const auto other =
+      asked.size() < kMaxCarriers ? Choose(service, asked) : std::nullopt;
+  if (!other) return hook(false);
+  asked.push_back(other->name);
+  wire::CarryHead head;
+  head.sender = self_.value;
+  head.service_name = service.value;
+  head.address = address;
+  http::Request request;
+  request.method = "POST";
+  request.path = kReachPath;
+  request.body = wire::EncodeCarry(head, {}, key_);
+  http::CallOptions options;
+  options.connect_timeout = kCarrierConnectTimeout;
+  options.total_timeout = 2 * kDirectConnectTimeout;
+  client_.Fetch(other->address, std::move(request), options,
+                [this, service, address, asked = std::move(asked),
+                 hook = std::move(hook)](const http::CallEnd& end,
+                                         const http::Response& answer) mutable {
+                  const bool is_reached =
+                      end.code == Errc::kOk &&
+                      http::HasField(answer.fields, kReachedField);
+                  if (is_reached) return hook(true);
+                  Ask(service, address, std::move(asked), std::move(hook));
+                });
+}
+
+void TargetPaths::AnswerOther(const http::ExchangePtr& exchange) {
+  wire::CarryHead head;
+  std::string_view body;
+  const Errc error = ReadFrame(exchange, head, body);
+  if (error != Errc::kOk) {
+    http::Response response;
+    response.status = Info(error).http_status;
+    return exchange->Respond(std::move(response));
+  }
+  const ServiceName service{head.service_name};
+  client_.Connect(
+      head.address, kDirectConnectTimeout,
+      [this, exchange, service, address = head.address](bool is_connected) {
+        http::Response response;
+        if (is_connected) {
+          OnReached(service, address);
+          response.fields.push_back({std::string(kReachedField), "1"});
+        } else {
+          OnFailed(service, address);
+        }
+        exchange->Respond(std::move(response));
+      });
 }
 
 std::size_t TargetPaths::services_out_of_reach() const {
--- a/src/gateway/target-paths.h
+++ b/src/gateway/target-paths.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -63,11 +64,12 @@
 
   /// Sends the request of another host to a target and its answer back.
   void Carry(const http::ExchangePtr& exchange);
-  /// Whether the target is out of reach, so that its refusal of a connection
-  /// proves nothing.
-  bool IsOutOfReach(const ServiceName& service,
-                    const std::string& address) const;
-
+  /// Tells whether another host makes a connection to the target; false if
+  /// none says so.
+  void AskOther(const ServiceName& service, const std::string& address,
+                std::function<void(bool is_reached)> hook);
+  /// Answers another host's `AskOther`.
+  void AnswerOther(const http::ExchangePtr& exchange);
   std::uint64_t carried_by_others() const { return carried_by_others_; }
   std::uint64_t carried_for_others() const { return carried_for_others_; }
   std::size_t carrying() const { return carrying_; }
@@ -77,6 +79,12 @@
   class PathCall;
   class CarriedCall;
 
+  void Ask(const ServiceName& service, const std::string& address,
+           std::vector<HostName> asked,
+           std::function<void(bool is_reached)> hook);
+  /// Reads a frame of another host that asks for something at a target.
+  Errc ReadFrame(const http::ExchangePtr& exchange, wire::CarryHead& head,
+                 std::string_view& body) const;
   void OnReached(const ServiceName& service, const std::string& address);
   void OnFailed(const ServiceName& service, const std::string& address);
   void Probe(const ServiceName& service, const std::string& address);
@@ -104,7 +112,9 @@
   std::size_t carrying_ = 0;  ///< Requests of others under way.
 };
 
-/// Path of the server for other hosts at which requests are carried.
+/// Paths of the server for other hosts: at which requests are carried, and at
+/// which a host asks whether this one reaches a target.
 inline constexpr const char* kCarryPath = "/peer/carry";
+inline constexpr const char* kReachPath = "/peer/reach";
 
 }  // namespace comfreyflow::gateway
--- a/test/platform/carry-test.cc
+++ b/test/platform/carry-test.cc
@@ -166,3 +166,19 @@
   CHECK(hosts.app.requests().size() == before);
   CHECK(Clock::now() - began < seconds(1));
 }
+
+TEST_CASE("a target is held for crashed that one host does not reach") {
+  TwoHosts hosts;
+  hosts.app.CloseAfterAnswers();
+  hosts.app.OnRequest(
+      [](const http::ExchangePtr& exchange) { exchange->Abort(); });
+  hosts.site.Call(hosts.cut, "POST", "/unsafe/1");
+  REQUIRE(hosts.site.Until([&hosts] {
+    return hosts.site.Metric(hosts.cut,
+                             "comfreyflow_crashes_unconfirmed_total") == "1" ||
+           hosts.site.Metric(hosts.cut,
+                             "comfreyflow_crashes_confirmed_total") == "1";
+  }));
+  CHECK(hosts.site.Metric(hosts.cut, "comfreyflow_crashes_confirmed_total") ==
+        "0");
+}
