A host carries nothing to a target that leaves or wants nothing of it

Callers saw nothing yet; found by reading. A carried request reaches a target from the carrying host, which checked only that the address is listed. A target that had told that host to back off, or that it knows to leave, got requests all the same, and its word in an answer that was passed on was not kept.

Evidence: the new case of carry-test, in which a target refuses the carrying host for 5 s: with the code before, the next request carried by that host arrives (2 requests for 1). Now the host declines, and keeps the back-off that it passes on. The part about targets that leave has no test.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -297,9 +297,17 @@
       }
       return carriers;
     };
-    path.is_target = [this](const ServiceName& service,
-                            const std::string& address) {
-      return placement.IsListed(service, address);
+    path.accepts = [this](const ServiceName& service,
+                          const std::string& address) {
+      return placement.FindAccepting(service, address).has_value();
+    };
+    path.answer_carried = [this](const ServiceName& service,
+                                 const std::string& address,
+                                 const http::Response& head) {
+      const TargetHead report = hooks.edge.read_head(head);
+      const auto target = placement.FindAccepting(service, address);
+      if (!report.back_off || !target) return;
+      placement.BackOffReported(service, *target, *report.back_off);
     };
     path.may_carry = [this] { return !stop.is_stopping(); };
     return path;
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -840,14 +840,18 @@
   return std::nullopt;
 }
 
-bool Placement::IsListed(const ServiceName& service,
-                         const std::string& address) const {
+std::optional<PlacedTarget> Placement::FindAccepting(
+    const ServiceName& service, const std::string& address) const {
   const auto at = state_->targets.find(service);
-  return at != state_->targets.end() &&
-         std::any_of(at->second.begin(), at->second.end(),
-                     [&address](const PoolTarget& target) {
-                       return target.address == address;
-                     });
+  if (at == state_->targets.end()) return std::nullopt;
+  for (const auto& target : at->second) {
+    if (target.address != address || target.leaving) continue;
+    const PlacedTarget placed{target.name, address, 0, target.version,
+                              target.born};
+    if (state_->RemainingBackOff(placed) > Duration::zero()) continue;
+    return placed;
+  }
+  return std::nullopt;
 }
 
 std::size_t Placement::limited_targets() const {
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -99,8 +99,10 @@
   /// Returns the listed target with that name and address.
   std::optional<ListedTarget> FindListed(const TargetName& name,
                                          const std::string& address) const;
-  /// Whether a target of the service is listed at that address.
-  bool IsListed(const ServiceName& service, const std::string& address) const;
+  /// Returns the target of the service at that address, unless it is leaving or
+  /// asked this host to back off.
+  std::optional<PlacedTarget> FindAccepting(const ServiceName& service,
+                                            const std::string& address) const;
   /// Number of target rate limits known to this host.
   std::size_t limited_targets() const;
   /// Number of grants to this host's requests made while other targets had no
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -360,6 +360,7 @@
 
   void OnHead(const http::Response& head) {
     has_head_ = true;
+    paths_.hooks_.answer_carried({head_.service_name}, head_.address, head);
     http::Response out = head;
     std::erase_if(out.fields, [](const http::Field& field) {
       return field.name == "transfer-encoding" ||
@@ -439,7 +440,7 @@
     return ToErrc(error);
   }
   if (!hooks_.may_carry()) return Errc::kDraining;
-  const bool is_target = hooks_.is_target({head.service_name}, head.address);
+  const bool is_target = hooks_.accepts({head.service_name}, head.address);
   return is_target ? Errc::kOk : Errc::kNoTarget;
 }
 
--- a/src/gateway/target-paths.h
+++ b/src/gateway/target-paths.h
@@ -31,8 +31,13 @@
 struct TargetPathsHooks {
   /// The other live hosts that are not stopping.
   std::function<std::vector<CarrierHost>()> carriers;
-  /// Whether the address is that of a listed target of the service.
-  std::function<bool(const ServiceName&, const std::string& address)> is_target;
+  /// Whether the address is that of a target of the service that accepts
+  /// requests of this host.
+  std::function<bool(const ServiceName&, const std::string& address)> accepts;
+  /// Called with the head of an answer that this host passes on.
+  std::function<void(const ServiceName&, const std::string& address,
+                     const http::Response& head)>
+      answer_carried;
   /// Whether this host sends requests of others on.
   std::function<bool()> may_carry;
 };
--- a/test/platform/carry-test.cc
+++ b/test/platform/carry-test.cc
@@ -182,3 +182,21 @@
   CHECK(hosts.site.Metric(hosts.cut, "comfreyflow_crashes_confirmed_total") ==
         "0");
 }
+
+TEST_CASE("a host sends on to a target that wants nothing of it") {
+  TwoHosts hosts;
+  hosts.app.CloseAfterAnswers();
+  int received = 0;
+  hosts.app.OnRequest([&](const http::ExchangePtr& exchange) {
+    ++received;
+    http::Response full = hosts.app.Head(exchange->request(), 503);
+    full.fields.push_back({"x-not-run", "1"});
+    full.fields.push_back({"retry-after", "5"});
+    exchange->Respond(std::move(full));
+  });
+  hosts.site.Call(hosts.carrier, "GET", "/safe/1");
+  REQUIRE(received == 1);
+  const Answer answer = hosts.site.Call(hosts.cut, "GET", "/safe/1");
+  CHECK(answer.response.status == 503);
+  CHECK(received == 1);
+}
