End an attempt whose carried answer belongs to another request

Callers saw nothing yet; found by reading. A host that carries passes on the first answer that it reads. If that answers another request (a target may send an earlier refusal once more), the asking host skipped it and waited for a next one on a connection on which none comes, until the deadline. Now the attempt ends as failed at once, and another target is asked where that is allowed. No test: the stand-ins don't send such an answer over a hop.

--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -162,11 +162,6 @@
     http::CallHooks hooks;
     const auto self = shared_from_this();
     hooks.on_sent = [self] { self->TellSent(); };
-    hooks.is_mine = [self](const http::Response& head) {
-      return http::HasField(head.fields, kFailedField) ||
-             !http::HasField(head.fields, kCarriedField) ||
-             !self->hooks_.is_mine || self->hooks_.is_mine(head);
-    };
     hooks.on_head = [self](const http::Response& head) {
       self->OnCarriedHead(head);
     };
@@ -213,7 +208,14 @@
       return;
     }
     paths_.OnCarrierWorked(call_.service, carrier_);
-    if (hooks_.on_head) hooks_.on_head(WithoutMark(head));
+    const http::Response answer = WithoutMark(head);
+    // The carrying host passes on what came first, which may answer another
+    // request.
+    if (hooks_.is_mine && !hooks_.is_mine(answer)) {
+      current_->Cancel();
+      return TellEnd({Errc::kTargetFailed, true});
+    }
+    if (hooks_.on_head) hooks_.on_head(answer);
   }
 
   static http::Response WithoutMark(http::Response head) {
