Hosts that decline to carry say nothing about the target

Callers saw nothing yet; found by reading. Where each host that was asked declined, the attempt ended as if the target were unreachable, which closes it at the placer for all hosts; and with all hosts cut off each attempt asked four others.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -706,6 +706,8 @@
         return WorkEnd::kUnreachable;
       case Errc::kTargetUnresponsive:
         return WorkEnd::kTimedOut;
+      case Errc::kOverloaded:  // No host could send it to the target.
+        return WorkEnd::kCancelled;
       default:
         return WorkEnd::kBroken;
     }
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -135,7 +135,10 @@
     const bool is_cut = paths_.reach_.IsServiceOutOfReach(call_.service, Now());
     if (!carrier || unreachable_ >= (is_cut ? kCarriersForTargetWhenCut
                                             : kCarriersForTarget)) {
-      return TellEnd({Errc::kTargetUnreachable, false});
+      // Hosts that decline say nothing about the target.
+      const bool is_unknown = unreachable_ == 0 && !tried_.empty();
+      return TellEnd(
+          {is_unknown ? Errc::kOverloaded : Errc::kTargetUnreachable, false});
     }
     carrier_ = carrier->name;
     tried_.push_back(carrier_);
@@ -566,7 +569,9 @@
   const auto& list = !unknown.empty() && (explores || worked.empty()) ? unknown
                      : !worked.empty()                                ? worked
                                                                       : failed;
-  if (list.empty()) return std::nullopt;
+  // Where all hosts are cut off they must not ask each other in turn.
+  const bool is_hopeless = &list == &failed && !tried.empty();
+  if (list.empty() || is_hopeless) return std::nullopt;
   return list[random_() % list.size()];
 }
 
