Ask two hosts before a target counts as unreachable

What callers saw: with most hosts cut off at once, requests at the others were late or refused for some seconds.

Cause: the word of one other host was enough where this one had reached the service lately. In the first second of a cut both may be cut off and not know it, and the placer closed a sound target for all.

--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -24,10 +24,9 @@
 constexpr milliseconds kCarrierConnectTimeout{200};
 /// Hosts that are asked to carry one attempt.
 constexpr std::size_t kMaxCarriers = 4;
-/// Hosts that made no connection to the target before it is held for the cause:
-/// while this host reaches others of the service, and while it doesn't.
-constexpr std::size_t kCarriersForTarget = 1;
-constexpr std::size_t kCarriersForTargetWhenCut = 2;
+/// Hosts that made no connection to the target before it is held for the cause.
+/// One of them may be cut off and not know it yet.
+constexpr std::size_t kCarriersForTarget = 2;
 /// A host that failed to carry is asked last for this long, one that did carry
 /// is asked first.
 constexpr Duration kCarrierMemory = std::chrono::seconds(1);
@@ -132,9 +131,7 @@
     const auto carrier = tried_.size() < kMaxCarriers
                              ? paths_.Choose(call_.service, tried_)
                              : std::nullopt;
-    const bool is_cut = paths_.reach_.IsServiceOutOfReach(call_.service, Now());
-    if (!carrier || unreachable_ >= (is_cut ? kCarriersForTargetWhenCut
-                                            : kCarriersForTarget)) {
+    if (!carrier || unreachable_ >= kCarriersForTarget) {
       // Hosts that decline say nothing about the target.
       const bool is_unknown = unreachable_ == 0 && !tried_.empty();
       return TellEnd(
