A host that has just started counts the slack of retries as used

Cause: a host that was killed and starts again holds placers for itself until it knows the others, and began with its whole slack, though it had been granted retries before its end; peers counted as the fleet only from the next half second on.

Now the slack counts as used for the first 2 s of a process that expects other hosts, and each known peer counts from the moment it is known.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -70,14 +70,15 @@
         settings(std::move(initial_settings)),
         hooks(std::move(initial_hooks)),
         client(io, hooks.path),
-        placement(io, {settings.self.name, settings.self.incarnation,
-                       settings.self.failure_domain, settings.placement,
-                       settings.key, WithSeed(settings),
-                       hooks.is_target_removed, hooks.target_marked,
-                       [this](const HostName& sender,
-                              const wire::CrashNewsMessage& news) {
-                         crashes->OnNews(sender, news);
-                       }}),
+        placement(
+            io, {settings.self.name, settings.self.incarnation,
+                 settings.self.failure_domain, settings.placement, settings.key,
+                 WithSeed(settings), !settings.seeds.empty(),
+                 hooks.is_target_removed, hooks.target_marked,
+                 [this](const HostName& sender,
+                        const wire::CrashNewsMessage& news) {
+                   crashes->OnNews(sender, news);
+                 }}),
         paths(client, settings.self.name, settings.key, RandomSeed(),
               PathsHooks()),
         crashes(std::make_shared<CrashWatch>(io, RandomSeed(), CrashHooks())),
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -43,6 +43,9 @@
 constexpr Duration kHoldingExpiry = std::chrono::seconds(2);
 /// Time after the start of a process until it knows its peers.
 constexpr Duration kStartupSettleTime = milliseconds(350);
+/// Time after the start of a process until it knows the fleet and has heard
+/// what the other hosts were granted.
+constexpr Duration kFleetLearningTime = std::chrono::seconds(2);
 constexpr Duration kBusyTick = milliseconds(10);
 constexpr Duration kIdleTick = milliseconds(250);
 /// Number of reports still sent for a service after its last work has ended,
@@ -200,6 +203,7 @@
   /// until it has left the window of the retry budget.
   void UpdateUnknownShare(const ServiceName& service, const Holding& state,
                           Time now) {
+    for (const auto& [name, peer] : peers) fleet.MarkLive(name, now);
     const auto hosts = fleet.SeenSince(now - settings.placer.retries.window);
     const auto unknown =
         std::count_if(hosts.begin(), hosts.end(), [&](const HostName& host) {
@@ -208,12 +212,18 @@
           if (told == state.grants_told_at.end()) return true;
           return !peers.contains(host) && told->second < state.taken_at;
         });
-    const bool is_settled =
-        now - state.taken_at > settings.placer.retries.window;
-    PlacerOf(service).retries().SetUnknownShare(
-        is_settled || hosts.empty()
-            ? 0
-            : static_cast<double>(unknown) / static_cast<double>(hosts.size()));
+    const Duration window = settings.placer.retries.window;
+    const bool is_settled = now - state.taken_at > window;
+    // A host that has just started doesn't know yet who else grants.
+    const bool knows_nothing =
+        settings.expects_peers && now - opened_at <= kFleetLearningTime;
+    double share = 0;
+    if (knows_nothing) {
+      share = 1;
+    } else if (!is_settled && !hosts.empty()) {
+      share = static_cast<double>(unknown) / static_cast<double>(hosts.size());
+    }
+    PlacerOf(service).retries().SetUnknownShare(share);
   }
 
   /// Applies what a host was granted by other holders, and what it knows of
@@ -697,6 +707,7 @@
   std::map<ServiceName, std::vector<PoolTarget>> targets;
   std::map<ServiceName, Placer> placers;
   std::map<ServiceName, Holding> holding;
+  Time opened_at;
   Time settled_at;  ///< Until then this host may not know all its peers.
   std::map<HostName, PlacementPeer> peers;
   std::map<HostName, Time> excluded_until;
@@ -733,7 +744,8 @@
 std::error_code Placement::Open() {
   if (const auto error = state_->socket->Open(state_->settings.address))
     return error;
-  state_->settled_at = Now() + kStartupSettleTime;
+  state_->opened_at = Now();
+  state_->settled_at = state_->opened_at + kStartupSettleTime;
   state_->ArmTimer();
   return {};
 }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -42,6 +42,9 @@
   std::string address;  ///< `ip:port` to bind.
   wire::FleetKey key;
   PlacerSettings placer;
+  /// Other hosts are configured: a host that has just started is not the whole
+  /// fleet.
+  bool expects_peers = false;
   /// Returns whether a target that this host does not list, and that was
   /// granted at this version of its entry, was removed; may be empty.
   std::function<bool(const StoreVersion& entry)> is_removed;
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -327,7 +327,7 @@
                                kMaxMessageBytes, decoded)) {
     return error;
   }
-  head = std::move(decoded);
+  head = decoded;
   body = bytes.substr(0, bytes.size() - size);
   return {};
 }
