Look for another host without copying the list of all hosts

Each direct call to a target copied names and addresses of all live hosts, and sorted them by what they did lately, only to learn whether there is one. The gateway now answers that by itself and stops at the first; Start no longer chooses a host twice.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -285,19 +285,28 @@
     }
   }
 
+  bool MayCarry(const HostName& name, const Member& member) const {
+    return name != settings.self.name && !member.facts.draining &&
+           member.state == MemberState::kAlive;
+  }
+
   TargetPathsHooks PathsHooks() {
     TargetPathsHooks path;
     path.carriers = [this] {
       std::vector<CarrierHost> carriers;
       for (const auto& [name, member] : peers.members()) {
-        if (name == settings.self.name || member.facts.draining ||
-            member.state != MemberState::kAlive) {
-          continue;
+        if (MayCarry(name, member)) {
+          carriers.push_back({name, member.record.peers});
         }
-        carriers.push_back({name, member.record.peers});
       }
       return carriers;
     };
+    path.has_carriers = [this] {
+      const auto& members = peers.members();
+      return std::any_of(members.begin(), members.end(), [this](const auto& m) {
+        return MayCarry(m.first, m.second);
+      });
+    };
     path.accepts = [this](const ServiceName& service,
                           const std::string& address) {
       return placement.FindAccepting(service, address).has_value();
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -78,7 +78,7 @@
   void Start() {
     const Time now = Now();
     if (paths_.reach_.IsOutOfReach(call_.service, call_.address, now) &&
-        HasCarrier()) {
+        paths_.hooks_.has_carriers()) {
       paths_.Probe(call_.service, call_.address);
       return StartCarried();
     }
@@ -93,11 +93,9 @@
   }
 
  private:
-  bool HasCarrier() { return paths_.Choose(call_.service, tried_).has_value(); }
-
   void StartDirect() {
     http::CallOptions options = options_;
-    if (HasCarrier()) {
+    if (paths_.hooks_.has_carriers()) {
       options.connect_timeout =
           std::min(options.connect_timeout, kDirectConnectTimeout);
     }
--- a/src/gateway/target-paths.h
+++ b/src/gateway/target-paths.h
@@ -31,6 +31,8 @@
 struct TargetPathsHooks {
   /// The other live hosts that are not stopping.
   std::function<std::vector<CarrierHost>()> carriers;
+  /// Whether there is any of them.
+  std::function<bool()> has_carriers;
   /// Whether the address is that of a target of the service that accepts
   /// requests of this host.
   std::function<bool(const ServiceName&, const std::string& address)> accepts;
