--- a/review/stand/small_site.py
+++ b/review/stand/small_site.py
@@ -404,7 +404,8 @@
 
 
 def limit_descriptors():
-    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+    most = min(MAX_FDS, resource.getrlimit(resource.RLIMIT_NOFILE)[1])
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
 
 
 class Host:
@@ -602,7 +603,7 @@
                                  "record.txt"), hosts)
         try:
             await site.start_store()
-            is_broken = await asyncio.wait_for(case(site), 110)
+            is_broken = await asyncio.wait_for(case(site), 116)
             site.record("rule broken" if is_broken else "rule held")
             return 1 if is_broken else 0
         except (Exception, asyncio.CancelledError) as error:
