--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -340,6 +340,7 @@
                                        : KindStatus{};
     LogLine(Severity::kInfo, Event::kPlaced)
         .With("request", caller_.id)
+        .With("service", service_)
         .With("target", grant_.targets.front().name)
         .With("targets", std::uint64_t{grant_.targets.size()})
         .With("try", std::uint64_t{progress_.attempts + 1})
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -225,7 +225,7 @@
      "or asked to back off (rest)",
      "target holder rest"},
     {"placed", "a request was granted a target",
-     "request target targets try waited estimate holder prompt_tokens "
+     "request service target targets try waited estimate holder prompt_tokens "
      "entry_version list_version era list_age out_of_turns"},
     {"reservation_refused", "a target rejected the reservation of memory",
      "target status held"},
