A grant to a host's killed process is not used by its next one

Callers' orders were run by engines of another service (ROUTE), and answered 200 by them, after one host had stood still while another was killed and started again.

Cause: an answer about placement named its asker by host and sequence, and sequences began at 1 with each process. The holder that woke up granted what the killed process had asked; the host's next process took the grants for its own requests with the same sequences.

Mend: the answer names the asker's incarnation, an optional field; the asker ignores answers to other processes. Sequences begin at the incarnation, so that an older holder's answers, which lack the field, fit no request of a later process either. A holder drops datagrams of former processes and ends their work with the first datagram of a later one. A target that is listed for another service is declined.

--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -55,6 +55,15 @@
 /// Period at which a holder recomputes its share of the target limits.
 constexpr Duration kLimitShareUpdatePeriod = milliseconds(500);
 
+/// Processes number their requests from their incarnation on, so that no two of
+/// a host use the same sequence: an older holder's answer names its asker by
+/// host and sequence only. A process stays below the next start's numbers with
+/// up to 2^20 requests per millisecond.
+std::uint64_t FirstSequence(Incarnation incarnation) {
+  constexpr int kSequenceBits = 20;
+  return incarnation.value << kSequenceBits;
+}
+
 }  // namespace
 
 struct Placement::State : std::enable_shared_from_this<State> {
@@ -121,6 +130,7 @@
       }
       wire::PlaceAnswerMessage answer;
       answer.sequence = id.sequence;
+      answer.asker = id.incarnation;
       answer.number =
           std::visit([](const auto& typed) { return typed.number; }, decision);
       answer.decision = std::move(decision);
@@ -353,7 +363,7 @@
     if (!request.done || number != request.job.number) return;
     const auto* granted = std::get_if<PlaceGrant>(&decision);
     if (const PlacedTarget* unfit =
-            granted ? FindUnfitTarget(*granted) : nullptr) {
+            granted ? FindUnfitTarget(request.service, *granted) : nullptr) {
       return DeclineGrant(request, *unfit);
     }
     if (granted != nullptr || !request.job.is_retry) {
@@ -374,15 +384,18 @@
 
   /// Returns a granted target that accepts no request of this host: it is
   /// leaving, has been removed, or asked this host to back off, and the holder
-  /// does not know this yet.
-  const PlacedTarget* FindUnfitTarget(const PlaceGrant& grant) const {
+  /// does not know this yet; or it is a target of another service.
+  const PlacedTarget* FindUnfitTarget(const ServiceName& service,
+                                      const PlaceGrant& grant) const {
     for (const auto& target : grant.targets) {
       const auto at = listed_targets.find(target.name);
       const bool is_removed = at == listed_targets.end() &&
                               settings.is_removed &&
                               settings.is_removed(target.version);
-      const bool is_leaving = at != listed_targets.end() && at->second;
-      if (is_removed || is_leaving ||
+      const bool is_leaving = at != listed_targets.end() && at->second.leaving;
+      const bool is_foreign =
+          at != listed_targets.end() && at->second.service != service;
+      if (is_removed || is_leaving || is_foreign ||
           RemainingBackOff(target) > Duration::zero())
         return &target;
     }
@@ -398,6 +411,8 @@
     const Duration back_off = RemainingBackOff(unfit);
     LogLine(Severity::kInfo, Event::kGrantDeclined)
         .With("target", unfit.name)
+        .With("service", request.service)
+        .With("listed", ListedServiceOf(unfit.name))
         .With("holder", request.placer_host)
         .With("rest", std::chrono::duration_cast<milliseconds>(back_off));
     if (back_off > Duration::zero()) {
@@ -409,6 +424,11 @@
     RequestPlacement(request);
   }
 
+  ServiceName ListedServiceOf(const TargetName& target) const {
+    const auto at = listed_targets.find(target);
+    return at == listed_targets.end() ? ServiceName() : at->second.service;
+  }
+
   void SendBackOff(const ServiceName& service, const HostName& holder,
                    const TargetName& target, Duration back_off) {
     if (holder == settings.self) {
@@ -432,7 +452,7 @@
     listed_targets.clear();
     for (const auto& [service, pool] : targets) {
       for (const auto& target : pool)
-        listed_targets[target.name] = target.leaving;
+        listed_targets[target.name] = {service, target.leaving};
     }
   }
 
@@ -509,8 +529,31 @@
     return hooks;
   }
 
+  /// Whether a process that its host has replaced sent the datagram. The work
+  /// of former processes ends with the first datagram of a later one, which may
+  /// arrive before the membership tells.
+  bool IsFromFormerProcess(const HostName& host, Incarnation incarnation) {
+    Incarnation& latest = latest_processes[host];
+    latest = std::max(latest, IncarnationOf(host));
+    if (incarnation < latest) {
+      LogLine(Severity::kInfo, Event::kPlacementOutdated)
+          .With("host", host)
+          .With("incarnation", incarnation.value)
+          .With("latest", latest.value);
+      return true;
+    }
+    if (incarnation > latest) Forget(host, incarnation);
+    latest = incarnation;
+    return false;
+  }
+
+  void Forget(const HostName& host, Incarnation incarnation) {
+    for (auto& [service, placer] : placers) placer.Forget(host, incarnation);
+  }
+
   void OnMessages(const wire::PlaceMessages& messages) {
     const Time now = Now();
+    if (IsFromFormerProcess(messages.sender, messages.incarnation)) return;
     excluded_until.erase(messages.sender);
     for (const auto& mark : messages.leaving) {
       if (settings.target_marked) settings.target_marked(mark);
@@ -549,18 +592,29 @@
       if (placer.waiting() >= waited && placer.waiting() > 0) {
         wire::PlaceAnswerMessage answer;
         answer.sequence = request.job.id.sequence;
+        answer.asker = messages.incarnation;
         answer.number = request.job.number;
         answer.is_queued = true;
         MessagesFor(messages.sender).answers.push_back(std::move(answer));
       }
     }
     for (const auto& service : affected_services) DeliverDecisions(service);
-    for (const auto& answer : messages.answers) OnPlacementAnswer(answer);
+    for (const auto& answer : messages.answers) {
+      OnPlacementAnswer(answer, messages.sender);
+    }
     if (settings.crash_news && !messages.crash_news.empty())
       settings.crash_news(messages.sender, messages.crash_news);
   }
 
-  void OnPlacementAnswer(const wire::PlaceAnswerMessage& answer) {
+  void OnPlacementAnswer(const wire::PlaceAnswerMessage& answer,
+                         const HostName& holder) {
+    if (answer.asker && *answer.asker != settings.incarnation) {
+      LogLine(Severity::kInfo, Event::kPlacementOutdated)
+          .With("host", holder)
+          .With("incarnation", answer.asker->value)
+          .With("latest", settings.incarnation.value);
+      return;
+    }
     const auto at = local_requests.find(answer.sequence);
     if (at == local_requests.end() || at->second.job.number != answer.number)
       return;
@@ -716,15 +770,20 @@
   RecentHosts fleet;
   std::uint64_t grants_past_limits = 0;
   TargetBackOffs back_offs;  ///< Back-offs that targets asked of this host.
-  /// All targets in `targets`, with whether each is leaving.
-  std::map<TargetName, bool> listed_targets;
+  struct Listing {
+    ServiceName service;
+    bool leaving = false;
+  };
+  std::map<TargetName, Listing> listed_targets;  ///< All in `targets`.
   std::uint32_t placement_request_count = 0;
   std::map<ServiceName, int> sync_rounds;  ///< Reports still to send.
   /// What the requests of this host were granted.
   std::map<ServiceName, GrantLog> grants;
   /// The holders that were last told of `grants`.
   std::map<ServiceName, std::pair<HostName, Incarnation>> told_holder;
-  std::uint64_t next_sequence = 0;
+  std::uint64_t last_sequence = FirstSequence(settings.incarnation);
+  /// The latest process of each host from which a datagram came.
+  std::map<HostName, Incarnation> latest_processes;
   Time next_sync_at;
   bool is_ticking_fast = false;
 };
@@ -776,6 +835,11 @@
   for (auto& peer : peers) next[peer.name] = std::move(peer);
   if (next == state_->peers) return;
   state_->peers = std::move(next);
+  // A host that comes back after its membership has ended may have a clock that
+  // is behind its former one.
+  std::erase_if(state_->latest_processes, [this](const auto& entry) {
+    return !state_->peers.contains(entry.first);
+  });
   for (auto& [service, placer] : state_->placers) {
     placer.SetHosts(state_->peers.size());
   }
@@ -785,12 +849,10 @@
 }
 
 void Placement::Forget(const HostName& host, Incarnation incarnation) {
-  for (auto& [name, placer] : state_->placers) {
-    placer.Forget(host, incarnation);
-  }
+  state_->Forget(host, incarnation);
 }
 
-RequestId Placement::NextId() { return state_->IdOf(++state_->next_sequence); }
+RequestId Placement::NextId() { return state_->IdOf(++state_->last_sequence); }
 
 void Placement::Place(const ServiceName& service, const PlaceJob& job,
                       Callback done) {
@@ -905,8 +967,8 @@
 }
 
 std::optional<TargetName> Placement::FindUnfitTarget(
-    const PlaceGrant& grant) const {
-  const PlacedTarget* unfit = state_->FindUnfitTarget(grant);
+    const ServiceName& service, const PlaceGrant& grant) const {
+  const PlacedTarget* unfit = state_->FindUnfitTarget(service, grant);
   return unfit == nullptr ? std::nullopt : std::optional(unfit->name);
 }
 
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -119,9 +119,10 @@
                      const std::vector<HostName>& hosts);
   /// The other live hosts.
   std::vector<HostName> OtherHosts() const;
-  /// Returns a granted target that no longer accepts requests of this host, if
-  /// there is one.
-  std::optional<TargetName> FindUnfitTarget(const PlaceGrant& grant) const;
+  /// Returns a target, granted to a request of the service, that accepts no
+  /// such requests of this host, if there is one.
+  std::optional<TargetName> FindUnfitTarget(const ServiceName& service,
+                                            const PlaceGrant& grant) const;
   /// Number of targets that currently ask this host to back off.
   std::size_t targets_backing_off() const;
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -391,7 +391,7 @@
 
   /// Sends the request unless a granted target became unavailable meanwhile.
   void SendAfterReservation() {
-    const auto unfit = context_.placement.FindUnfitTarget(grant_);
+    const auto unfit = context_.placement.FindUnfitTarget(service_, grant_);
     if (unfit) return OnReservationFailed(*unfit);
     Send(Now());
   }
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -44,6 +44,7 @@
   kPlacerSilent,
   kPlacement,
   kGrantDeclined,
+  kPlacementOutdated,
   kPlaced,
   kReservationRefused,
   kTargetSilent,
@@ -92,7 +93,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 74> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 75> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -220,10 +221,13 @@
      "reserve closing full poor limited reading repeats_left repeats_elsewhere "
      "memory"},
     {"grant_declined",
-     "this host rejected a grant because it knows that the target is "
-     "leaving "
-     "or asked to back off (rest)",
-     "target holder rest"},
+     "this host rejected a grant because it knows that the target is leaving, "
+     "asked to back off (rest), or is listed for another service (listed)",
+     "target service listed holder rest"},
+    {"placement_outdated",
+     "a datagram about placement was sent by, or answers, an earlier process "
+     "(incarnation) than the latest one of its host, and is ignored",
+     "host incarnation latest"},
     {"placed", "a request was granted a target",
      "request service target targets try waited estimate holder prompt_tokens "
      "entry_version list_version era list_age out_of_turns"},
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -245,6 +245,8 @@
   6: i32 retry_after_ms
   // Targets that had no turn left under the limits they named.
   7: i32 out_of_turns
+  // The process that asked; older builds do not send it.
+  8: optional i64 asker_incarnation
 }
 
 // Placed work began (outcome absent) or ended.
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -4909,6 +4909,11 @@
 void PlaceAnswer::__set_out_of_turns(const int32_t val) {
   this->out_of_turns = val;
 }
+
+void PlaceAnswer::__set_asker_incarnation(const int64_t val) {
+  this->asker_incarnation = val;
+__isset.asker_incarnation = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceAnswer& obj)
 {
   obj.printTo(out);
@@ -5005,6 +5010,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->asker_incarnation);
+          this->__isset.asker_incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -5058,6 +5071,11 @@
   xfer += oprot->writeI32(this->out_of_turns);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.asker_incarnation) {
+    xfer += oprot->writeFieldBegin("asker_incarnation", ::apache::thrift::protocol::T_I64, 8);
+    xfer += oprot->writeI64(this->asker_incarnation);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -5072,6 +5090,7 @@
   swap(a.estimate_ms, b.estimate_ms);
   swap(a.retry_after_ms, b.retry_after_ms);
   swap(a.out_of_turns, b.out_of_turns);
+  swap(a.asker_incarnation, b.asker_incarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -5083,6 +5102,7 @@
   estimate_ms = other154.estimate_ms;
   retry_after_ms = other154.retry_after_ms;
   out_of_turns = other154.out_of_turns;
+  asker_incarnation = other154.asker_incarnation;
   __isset = other154.__isset;
 }
 PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other155) {
@@ -5093,6 +5113,7 @@
   estimate_ms = other155.estimate_ms;
   retry_after_ms = other155.retry_after_ms;
   out_of_turns = other155.out_of_turns;
+  asker_incarnation = other155.asker_incarnation;
   __isset = other155.__isset;
   return *this;
 }
@@ -5106,6 +5127,7 @@
   out << ", " << "estimate_ms=" << to_string(estimate_ms);
   out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
   out << ", " << "out_of_turns=" << to_string(out_of_turns);
+  out << ", " << "asker_incarnation="; (__isset.asker_incarnation ? (out << to_string(asker_incarnation)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -1978,7 +1978,7 @@
 std::ostream& operator<<(std::ostream& out, const PlacedTarget& obj);
 
 typedef struct _PlaceAnswer__isset {
-  _PlaceAnswer__isset() : sequence(false), number(false), code(false), targets(false), estimate_ms(false), retry_after_ms(false), out_of_turns(false) {}
+  _PlaceAnswer__isset() : sequence(false), number(false), code(false), targets(false), estimate_ms(false), retry_after_ms(false), out_of_turns(false), asker_incarnation(false) {}
   bool sequence :1;
   bool number :1;
   bool code :1;
@@ -1986,6 +1986,7 @@
   bool estimate_ms :1;
   bool retry_after_ms :1;
   bool out_of_turns :1;
+  bool asker_incarnation :1;
 } _PlaceAnswer__isset;
 
 class PlaceAnswer : public virtual ::apache::thrift::TBase {
@@ -1999,7 +2000,8 @@
                 code(0),
                 estimate_ms(0),
                 retry_after_ms(0),
-                out_of_turns(0) {
+                out_of_turns(0),
+                asker_incarnation(0) {
   }
 
   virtual ~PlaceAnswer() noexcept;
@@ -2010,6 +2012,7 @@
   int32_t estimate_ms;
   int32_t retry_after_ms;
   int32_t out_of_turns;
+  int64_t asker_incarnation;
 
   _PlaceAnswer__isset __isset;
 
@@ -2027,6 +2030,8 @@
 
   void __set_out_of_turns(const int32_t val);
 
+  void __set_asker_incarnation(const int64_t val);
+
   bool operator == (const PlaceAnswer & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -2043,6 +2048,10 @@
       return false;
     if (!(out_of_turns == rhs.out_of_turns))
       return false;
+    if (__isset.asker_incarnation != rhs.__isset.asker_incarnation)
+      return false;
+    else if (__isset.asker_incarnation && !(asker_incarnation == rhs.asker_incarnation))
+      return false;
     return true;
   }
   bool operator != (const PlaceAnswer &rhs) const {
--- a/src/wire/placement.cc
+++ b/src/wire/placement.cc
@@ -104,6 +104,9 @@
   PlaceAnswer out;
   out.sequence = static_cast<std::int64_t>(message.sequence);
   out.number = ToInt32(message.number);
+  if (message.asker)
+    out.__set_asker_incarnation(
+        static_cast<std::int64_t>(message.asker->value));
   if (message.is_queued) return out;
   if (const auto* refusal = std::get_if<PlaceRefusal>(&message.decision)) {
     out.code = static_cast<std::int32_t>(refusal->code);
@@ -122,6 +125,8 @@
 bool FromWire(const PlaceAnswer& in, PlaceAnswerMessage& out) {
   out.sequence = static_cast<std::uint64_t>(in.sequence);
   out.number = ToUint32(in.number);
+  if (in.__isset.asker_incarnation)
+    out.asker = {static_cast<std::uint64_t>(in.asker_incarnation)};
   out.is_queued = in.code == 0 && in.targets.empty();
   if (in.code < 0 || in.code >= ErrorCount()) return false;
   if (in.code != 0) {
--- a/src/wire/placement.h
+++ b/src/wire/placement.h
@@ -24,7 +24,10 @@
 /// The answer to a placement request.
 struct PlaceAnswerMessage {
   std::uint64_t sequence = 0;  ///< Sequence of the request's `RequestId`.
-  std::uint32_t number = 1;    ///< `PlaceJob::number` of the placement request.
+  /// The process that requested the placement; absent: an older build, which
+  /// does not tell.
+  std::optional<Incarnation> asker = {};
+  std::uint32_t number = 1;  ///< `PlaceJob::number` of the placement request.
   /// The request is queued at the placer; `decision` has no meaning yet.
   bool is_queued = false;
   PlaceDecision decision;
--- /dev/null
+++ b/test/shell/placement-test.cc
@@ -0,0 +1,275 @@
+// What a host does with answers about placement that are late or not its own.
+#include "gateway/placement.h"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "node/clock.h"
+
+using namespace comfreyflow;           // NOLINT(google-build-using-namespace)
+using namespace comfreyflow::gateway;  // NOLINT(google-build-using-namespace)
+using comfreyflow::detail::Now;
+using std::chrono::milliseconds;
+using Udp = boost::asio::ip::udp;
+
+namespace {
+
+const wire::FleetKey kKey{"fleet-key-of-the-test"};
+const ServiceName kFirstService{"routes"};
+const ServiceName kSecondService{"orders"};
+
+/// A free address; the socket that found it is closed again.
+std::string FreeAddress() {
+  boost::asio::io_context io;
+  Udp::socket socket(io, {boost::asio::ip::address_v4::loopback(), 0});
+  return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
+}
+
+/// One process of a host on a loop of its own, which stands still until `Run`.
+class Process {
+ public:
+  Process(const PlacementPeer& self, const std::vector<PlacementPeer>& hosts) {
+    PlacementSettings settings;
+    settings.self = self.name;
+    settings.incarnation = self.incarnation;
+    settings.address = self.address;
+    settings.key = kKey;
+    placement_ = std::make_unique<Placement>(io_, settings);
+    REQUIRE(!placement_->Open());
+    std::map<ServiceName, std::vector<PoolTarget>> targets;
+    for (const auto& service : {kFirstService, kSecondService}) {
+      PoolTarget target;
+      target.name.value = service.value + "-target";
+      target.address = "127.0.0.1:1";
+      target.slots = 16;
+      targets[service].push_back(target);
+    }
+    placement_->SetTargets(targets);
+    placement_->SetPeers(hosts);
+  }
+
+  void Run(milliseconds time) {
+    io_.restart();
+    io_.run_for(time);
+  }
+  /// Runs until a request was granted a target, and calls `beside` in turn; ten
+  /// seconds at most.
+  void RunUntilGranted(const std::function<void()>& beside = [] {}) {
+    const Time end = Now() + std::chrono::seconds(10);
+    while (granted_.empty() && Now() < end) {
+      Run(milliseconds(5));
+      beside();
+    }
+  }
+
+  /// Requests a target; the sequence of the request.
+  std::uint64_t Place(const ServiceName& service) {
+    PlaceJob job;
+    job.id = placement_->NextId();
+    job.arrival = Now();
+    job.deadline = job.arrival + std::chrono::seconds(5);
+    job.objective = std::chrono::seconds(1);
+    placement_->Place(service, job, [this](const PlaceDecision& decision) {
+      const auto* grant = std::get_if<PlaceGrant>(&decision);
+      if (grant != nullptr) granted_.insert(grant->targets.front().name.value);
+    });
+    return job.id.sequence;
+  }
+
+  /// Names of all targets that requests of this process were granted.
+  const std::set<std::string>& granted() const { return granted_; }
+  Placement& placement() { return *placement_; }
+
+ private:
+  boost::asio::io_context io_;
+  std::unique_ptr<Placement> placement_;
+  std::set<std::string> granted_;
+};
+
+/// A host that asks, by its starts, and one that holds all placers because it
+/// started first.
+struct Hosts {
+  PlacementPeer Asker(std::uint64_t incarnation) const {
+    return {{"asker"}, asker_address, {incarnation}, 100, false};
+  }
+
+  const std::string asker_address = FreeAddress();
+  const PlacementPeer holder{{"holder"}, FreeAddress(), {1}};
+};
+
+/// The holder as bytes: notes what is asked of it and answers as a test says.
+class FakeHolder {
+ public:
+  explicit FakeHolder(const Hosts& hosts)
+      : name_(hosts.holder.name),
+        socket_(io_, At(hosts.holder.address)),
+        asker_(At(hosts.asker_address)) {
+    socket_.non_blocking(true);
+  }
+
+  std::vector<wire::PlaceRequestMessage> Asked() {
+    std::vector<wire::PlaceRequestMessage> asked;
+    std::vector<char> bytes(64 * 1024);
+    boost::system::error_code error;
+    for (;;) {
+      const auto size = socket_.receive(boost::asio::buffer(bytes), 0, error);
+      if (error) return asked;
+      wire::PlaceMessages messages;
+      REQUIRE(
+          !wire::DecodePlacement({bytes.data(), size}, kKey, Now(), messages));
+      asked.insert(asked.end(), messages.requests.begin(),
+                   messages.requests.end());
+    }
+  }
+
+  /// Grants the request a target of the service.
+  void Grant(std::uint64_t sequence, std::uint32_t number,
+             const ServiceName& service,
+             std::optional<Incarnation> asker = std::nullopt) {
+    PlaceGrant grant;
+    grant.number = number;
+    grant.targets.push_back({{service.value + "-target"}, "127.0.0.1:1"});
+    wire::PlaceAnswerMessage answer;
+    answer.sequence = sequence;
+    answer.number = number;
+    answer.asker = asker;
+    answer.decision = grant;
+    wire::PlaceMessages messages;
+    messages.sender = name_;
+    messages.incarnation = {1};
+    messages.answers.push_back(answer);
+    const auto bytes = wire::EncodePlacement(messages, kKey, Now());
+    socket_.send_to(boost::asio::buffer(bytes), asker_);
+  }
+
+ private:
+  static Udp::endpoint At(const std::string& address) {
+    const auto port = std::stoi(address.substr(address.find(':') + 1));
+    return {boost::asio::ip::address_v4::loopback(),
+            static_cast<std::uint16_t>(port)};
+  }
+
+  const HostName name_;
+  boost::asio::io_context io_;
+  Udp::socket socket_;
+  const Udp::endpoint asker_;
+};
+
+constexpr milliseconds kTurn{30};
+
+}  // namespace
+
+TEST_CASE("a grant to a killed process is used by the host's next process") {
+  const Hosts hosts;
+  Process holder(hosts.holder, {hosts.holder, hosts.Asker(1)});
+  holder.Run(milliseconds(400));
+  {
+    // The holder stands still while the first process asks and ends.
+    Process first(hosts.Asker(1), {hosts.holder, hosts.Asker(1)});
+    for (int i = 0; i < 4; ++i) first.Place(kFirstService);
+    first.Run(kTurn);
+  }
+  Process second(hosts.Asker(2), {hosts.holder, hosts.Asker(2)});
+  for (int i = 0; i < 4; ++i) second.Place(kSecondService);
+  second.Run(kTurn);
+  second.RunUntilGranted([&holder] { holder.Run(milliseconds(5)); });
+  CHECK(second.granted() == std::set<std::string>{"orders-target"});
+}
+
+TEST_CASE("an older holder's grant to a killed process is used by the next") {
+  // Such a holder doesn't say to which process it answers.
+  const Hosts hosts;
+  FakeHolder holder(hosts);
+  std::set<std::uint64_t> first_sequences;
+  {
+    Process first(hosts.Asker(1'000), {hosts.holder, hosts.Asker(1'000)});
+    for (int i = 0; i < 4; ++i) {
+      first_sequences.insert(first.Place(kFirstService));
+    }
+    first.Run(kTurn);
+  }
+  CHECK(holder.Asked().size() >= first_sequences.size());
+  Process second(hosts.Asker(1'001), {hosts.holder, hosts.Asker(1'001)});
+  for (int i = 0; i < 4; ++i) second.Place(kSecondService);
+  for (const auto sequence : first_sequences) {
+    for (std::uint32_t number = 1; number <= 4; ++number) {
+      holder.Grant(sequence, number, kFirstService);
+    }
+  }
+  // Sequences of a process of an older build.
+  for (std::uint64_t sequence = 1; sequence <= 4; ++sequence) {
+    for (std::uint32_t number = 1; number <= 4; ++number) {
+      holder.Grant(sequence, number, kFirstService);
+    }
+  }
+  second.Run(kTurn);
+  CHECK(second.granted().empty());
+  // It does answer this process, too.
+  for (const auto& asked : holder.Asked()) {
+    holder.Grant(asked.job.id.sequence, asked.job.number, kSecondService);
+  }
+  second.RunUntilGranted();
+  CHECK(second.granted() == std::set<std::string>{"orders-target"});
+}
+
+TEST_CASE("an answer for another process is used by its sequence alone") {
+  const Hosts hosts;
+  FakeHolder holder(hosts);
+  Process process(hosts.Asker(2), {hosts.holder, hosts.Asker(2)});
+  const auto sequence = process.Place(kSecondService);
+  holder.Grant(sequence, 1, kFirstService, Incarnation{1});
+  process.Run(kTurn);
+  CHECK(process.granted().empty());
+  holder.Grant(sequence, 1, kSecondService, Incarnation{2});
+  process.RunUntilGranted();
+  CHECK(process.granted() == std::set<std::string>{"orders-target"});
+}
+
+TEST_CASE("a granted target of another service is used") {
+  const Hosts hosts;
+  FakeHolder holder(hosts);
+  Process process(hosts.Asker(2), {hosts.holder, hosts.Asker(2)});
+  const auto sequence = process.Place(kSecondService);
+  holder.Grant(sequence, 1, kFirstService);
+  process.RunUntilGranted([&holder] {
+    for (const auto& asked : holder.Asked()) {
+      if (asked.job.number == 1) continue;
+      CHECK(asked.job.excluded == std::vector<TargetName>{{"routes-target"}});
+      holder.Grant(asked.job.id.sequence, asked.job.number, kSecondService);
+    }
+  });
+  CHECK(process.granted() == std::set<std::string>{"orders-target"});
+}
+
+TEST_CASE("a datagram of a killed process counts as work of the next one") {
+  const Hosts hosts;
+  Process holder(hosts.holder, {hosts.holder, hosts.Asker(1)});
+  holder.Run(milliseconds(400));
+  const auto running = [&holder] {
+    const auto placers = holder.placement().PlacerSummaries();
+    REQUIRE(placers.contains(kFirstService));
+    return placers.at(kFirstService).running;
+  };
+  {
+    Process first(hosts.Asker(1), {hosts.holder, hosts.Asker(1)});
+    for (int i = 0; i < 4; ++i) first.Place(kFirstService);
+    first.Run(kTurn);
+    holder.Run(kTurn);
+    while (running() < 4) holder.Run(kTurn);
+    CHECK(running() == 4);
+  }
+  // The holder hears of the next process by its first datagram.
+  Process second(hosts.Asker(2), {hosts.holder, hosts.Asker(2)});
+  second.Place(kSecondService);
+  second.Run(kTurn);
+  holder.Run(kTurn);
+  CHECK(running() == 0);
+}
--- a/test/shell/wire-test.cc
+++ b/test/shell/wire-test.cc
@@ -213,3 +213,34 @@
   REQUIRE(grant != nullptr);
   CHECK(grant->targets.at(0).version == StoreVersion{0, 12});
 }
+
+TEST_CASE("the answer of an older build counts as one to this process") {
+  // Written by the build before the asker's process was named.
+  constexpr std::string_view kHex =
+      "180e66726f6e742d6b6f6b7572612d321680b4f4fbc868190c192c160e15061500190c15"
+      "001500150000161015081500191c1808726f757465732d30180e31302e312e302e34303a"
+      "38303830150016d20116d00f0015001500150000190c190c190c190c190c0000ec801456"
+      "375a544dedb6af8f2bd517";
+  std::string bytes;
+  for (std::size_t i = 0; i < kHex.size(); i += 2) {
+    bytes += static_cast<char>(
+        std::stoi(std::string(kHex.substr(i, 2)), nullptr, 16));
+  }
+  wire::PlaceMessages out;
+  REQUIRE_FALSE(wire::DecodePlacement(bytes, kKey, {}, out));
+  REQUIRE(out.answers.size() == 2);
+  CHECK(out.answers[0].is_queued);
+  CHECK_FALSE(out.answers[0].asker.has_value());
+  CHECK(out.answers[1].sequence == 8);
+  CHECK_FALSE(out.answers[1].asker.has_value());
+  // Without the field the bytes are the same, so that an older build reads
+  // all others.
+  CHECK(wire::EncodePlacement(out, kKey, {}) == bytes);
+  out.answers[0].asker = Incarnation{0};
+  out.answers[1].asker = Incarnation{1'796'500'000'000};
+  wire::PlaceMessages named;
+  REQUIRE_FALSE(wire::DecodePlacement(wire::EncodePlacement(out, kKey, {}),
+                                      kKey, {}, named));
+  CHECK(named.answers[0].asker == Incarnation{0});
+  CHECK(named.answers[1].asker == Incarnation{1'796'500'000'000});
+}
