A second copy of a refusal does not move an order to another engine

Cause: an answer without the request's id counted as the request's own. An engine that wrote a bare refusal a second time on a kept connection, as the next order came there, was believed to have refused that one.

Mend: a connection is known by whether each answer on it named its call. Requests that must not run twice use new ones and such ones only. An answer that may be another's is neither a refusal nor an answer of theirs. A carrying host does the same and says so in a field that older builds leave out, whose unnamed answers aren't believed. Real refusals without an id still go on to another engine. `try_failed` tells `named` and `own`.

--- a/src/gateway/edge.h
+++ b/src/gateway/edge.h
@@ -12,6 +12,7 @@
 
 #include "comfreyflow/errors.h"
 #include "comfreyflow/routes.h"
+#include "http/client.h"
 #include "http/message.h"
 
 namespace comfreyflow::gateway {
@@ -71,6 +72,14 @@
   bool rate_limit_unreadable = false;  ///< The rate limit could not be parsed.
 };
 
+/// Which request the answer names: the one with this id, another one or none.
+inline http::AnswerOwner OwnerOf(const TargetHead& answer,
+                                 const std::string& request_id) {
+  if (answer.request_id.empty()) return http::AnswerOwner::kUnnamed;
+  return answer.request_id == request_id ? http::AnswerOwner::kThisCall
+                                         : http::AnswerOwner::kOtherCall;
+}
+
 struct EdgeHooks {
   std::function<CallerRequest(const http::Request&)> read_request;
   std::function<http::Request(const http::Request&, const ForwardHead&)>
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -311,6 +311,10 @@
                           const std::string& address) {
       return placement.FindAccepting(service, address).has_value();
     };
+    path.owner = [this](const http::Response& head,
+                        const std::string& request_id) {
+      return OwnerOf(hooks.edge.read_head(head), request_id);
+    };
     path.answer_carried = [this](const ServiceName& service,
                                  const std::string& address,
                                  const http::Response& head) {
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -438,6 +438,7 @@
     request_sent_ = false;
     target_head_ = {};
     target_response_ = {};
+    is_own_answer_ = false;
     body_.clear();
     StartRun();
     stage_ = progress_.head_sent ? Stage::kStreaming : Stage::kSent;
@@ -447,6 +448,9 @@
     options.progress_timeout =
         ceil<milliseconds>(deadline_ - now) + std::chrono::seconds(1);
     if (!Repeatable(*route_)) options.idle_limit = kNonRetryableIdleLimit;
+    // A second copy of an earlier refusal must not pass for one of this
+    // request.
+    options.named_answers_only = !Repeatable(*route_);
     // A silent target may keep the request, but not the memory of helpers if
     // its machine is gone.
     options.probe_silence = !requested_reservations_.empty();
@@ -500,9 +504,9 @@
     hooks.on_sent = [self = weak_from_this(), number] {
       if (const auto relay = self.lock()) relay->OnSent(number);
     };
-    hooks.is_mine = [self = weak_from_this()](const http::Response& head) {
+    hooks.owner = [self = weak_from_this()](const http::Response& head) {
       const auto relay = self.lock();
-      return !relay || relay->AnswersThisRequest(head);
+      return relay ? relay->OwnerOfAnswer(head) : http::AnswerOwner::kUnnamed;
     };
     hooks.on_head = [guarded](const http::Response& head) {
       guarded([&head](Relay& relay) { relay.OnHead(head); });
@@ -528,9 +532,8 @@
     }
   }
 
-  bool AnswersThisRequest(const http::Response& head) const {
-    const auto report = context_.edge.read_head(head);
-    return report.request_id.empty() || report.request_id == caller_.id;
+  http::AnswerOwner OwnerOfAnswer(const http::Response& head) const {
+    return OwnerOf(context_.edge.read_head(head), caller_.id);
   }
 
   void OnHead(const http::Response& head) {
@@ -698,6 +701,7 @@
     if (end.code != Errc::kOk)
       return OnAttemptFailed(WorkEndOf(end.code), end.code);
     if (is_event_stream_) return OnStreamEnd();
+    is_own_answer_ = end.is_own_answer;
     OnAnswerEnd();
   }
 
@@ -727,7 +731,14 @@
   }
 
   void OnAnswerEnd() {
-    if (target_head_.reported_not_run || target_head_.wrong_target) {
+    const bool is_refusal =
+        target_head_.reported_not_run || target_head_.wrong_target;
+    // What may answer another request says nothing about this one. A request
+    // that may run twice goes elsewhere after a refusal, whosever that is.
+    if (!is_own_answer_ && !(is_refusal && Repeatable(*route_))) {
+      return OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
+    }
+    if (is_refusal) {
       return OnAttemptFailed(
           target_head_.wrong_target ? WorkEnd::kWrongTarget : WorkEnd::kRefused,
           Errc::kTargetRefused);
@@ -813,6 +824,8 @@
               static_cast<std::uint64_t>(std::max(0, target_head_.status)))
         .With("sent", request_sent_)
         .With("not_run", failure.reported_not_run)
+        .With("named", !target_head_.request_id.empty())
+        .With("own", is_own_answer_)
         .With("head_sent", progress_.head_sent)
         .With("begun", attempt_started_)
         .With("sent_for", duration_cast<milliseconds>(Now() - attempt_sent_at_))
@@ -1205,6 +1218,7 @@
   TargetName cause_;             ///< Target that caused the last failure.
   TargetHead target_head_;
   http::Response target_response_;
+  bool is_own_answer_ = false;  ///< As in `http::CallEnd`.
   std::string body_;
   EventSplitter splitter_;
 };
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -35,6 +35,9 @@
 
 /// Marks the head of a target's answer that was carried.
 constexpr std::string_view kCarriedField = "carried";
+/// Says that a carried answer is that to this request even if it names none, as
+/// `http::CallEnd::is_own_answer`. Hosts of older builds do not say it.
+constexpr std::string_view kOwnField = "carried-own";
 /// Says in the answer of a carrying host why there is none of the target.
 constexpr std::string_view kFailedField = "carry-failed";
 constexpr std::string_view kDeclined = "declined";
@@ -105,7 +108,7 @@
       self->paths_.OnReached(self->call_.service, self->call_.address);
     };
     hooks.on_sent = [self] { self->TellSent(); };
-    hooks.is_mine = hooks_.is_mine;
+    hooks.owner = hooks_.owner;
     hooks.on_head = [self](const http::Response& head) {
       self->paths_.OnReached(self->call_.service, self->call_.address);
       if (!self->is_done_ && self->hooks_.on_head) self->hooks_.on_head(head);
@@ -201,31 +204,34 @@
     if (is_done_) return;
     const auto reason = http::FieldValue(head.fields, kFailedField);
     is_carried_ = reason.empty() && http::HasField(head.fields, kCarriedField);
+    is_own_answer_ = is_carried_ && http::HasField(head.fields, kOwnField);
     if (!is_carried_) {
       reason_ = reason.empty() ? kDeclined : std::string(reason);
       return;
     }
     paths_.OnCarrierWorked(call_.service, carrier_);
     const http::Response answer = WithoutMark(head);
-    // The carrying host passes on what came first, which may answer another
-    // request.
-    if (hooks_.is_mine && !hooks_.is_mine(answer)) {
+    const auto owner =
+        hooks_.owner ? hooks_.owner(answer) : http::AnswerOwner::kUnnamed;
+    // A host of an older build passes on what came first.
+    if (owner == http::AnswerOwner::kOtherCall) {
       current_->Cancel();
       return TellEnd({Errc::kTargetFailed, true});
     }
+    is_own_answer_ = is_own_answer_ || owner == http::AnswerOwner::kThisCall;
     if (hooks_.on_head) hooks_.on_head(answer);
   }
 
   static http::Response WithoutMark(http::Response head) {
     std::erase_if(head.fields, [](const http::Field& field) {
-      return field.name == kCarriedField;
+      return field.name == kCarriedField || field.name == kOwnField;
     });
     return head;
   }
 
   void OnCarriedEnd(const http::CallEnd& end) {
     if (is_done_) return;
-    if (is_carried_) return TellEnd(end);
+    if (is_carried_) return TellEnd({end.code, end.sent, is_own_answer_});
     // A carrying host that accepted the request and broke off may have sent it.
     const bool may_have_arrived = (reason_ == kGone && end.sent) ||
                                   reason_ == kBroken || reason_ == kSilent;
@@ -273,7 +279,8 @@
   HostName carrier_;
   std::string reason_;  ///< Why `carrier_` passed no answer on.
   bool has_tried_directly_ = false;
-  bool is_carried_ = false;  ///< The target's answer comes over `carrier_`.
+  bool is_carried_ = false;     ///< The target's answer comes over `carrier_`.
+  bool is_own_answer_ = false;  ///< As in `http::CallEnd`.
   bool is_done_ = false;
 };
 
@@ -337,9 +344,13 @@
     options.progress_timeout = milliseconds(head_.progress_ms);
     options.idle_limit = milliseconds(head_.idle_limit_ms);
     options.probe_silence = head_.probe_silence;
+    options.named_answers_only = true;
     http::CallHooks hooks;
     const auto self = shared_from_this();
     const ServiceName service{head_.service_name};
+    hooks.owner = [self](const http::Response& head) {
+      return self->paths_.hooks_.owner(head, self->head_.request);
+    };
     hooks.on_connected = [self, service] {
       self->paths_.OnReached(service, self->head_.address);
     };
@@ -366,9 +377,11 @@
       return field.name == "transfer-encoding" ||
              field.name == "content-length" || field.name == "connection" ||
              field.name == "keep-alive" || field.name == kCarriedField ||
-             field.name == kFailedField;
+             field.name == kOwnField || field.name == kFailedField;
     });
     out.fields.push_back({std::string(kCarriedField), "1"});
+    // Only connections with named answers are used for others.
+    out.fields.push_back({std::string(kOwnField), "1"});
     exchange_->StartStream(std::move(out));
   }
 
--- a/src/gateway/target-paths.h
+++ b/src/gateway/target-paths.h
@@ -36,6 +36,10 @@
   /// Whether the address is that of a target of the service that accepts
   /// requests of this host.
   std::function<bool(const ServiceName&, const std::string& address)> accepts;
+  /// Which request the answer names.
+  std::function<http::AnswerOwner(const http::Response& head,
+                                  const std::string& request_id)>
+      owner;
   /// Called with the head of an answer that this host passes on.
   std::function<void(const ServiceName&, const std::string& address,
                      const http::Response& head)>
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -110,29 +110,37 @@
   void CallEnded() { --open_calls_; }
   std::size_t open_calls() const { return open_calls_; }
 
-  std::optional<tcp::socket> Take(const std::string& address,
-                                  std::chrono::milliseconds idle_limit) {
+  /// A connection that is kept for later calls.
+  struct Kept {
+    tcp::socket socket;
+    bool only_named_answers = true;  ///< Each answer so far named its call.
+  };
+
+  std::optional<Kept> Take(const std::string& address,
+                           const CallOptions& options) {
     const auto now = Clock::now();
     const std::lock_guard lock(mutex_);
     auto& idle = idle_[address];
-    while (!idle.empty()) {
-      Idle last = std::move(idle.back());
-      idle.pop_back();
-      if (now < last.expires && now - last.since <= idle_limit &&
-          IsQuiet(last.socket)) {
-        return std::move(last.socket);
+    for (std::size_t i = idle.size(); i-- > 0;) {
+      const auto at = idle.begin() + static_cast<std::ptrdiff_t>(i);
+      if (options.named_answers_only && !at->kept.only_named_answers) continue;
+      Idle last = std::move(*at);
+      idle.erase(at);
+      if (now < last.expires && now - last.since <= options.idle_limit &&
+          IsQuiet(last.kept.socket)) {
+        return std::move(last.kept);
       }
     }
     return std::nullopt;
   }
 
-  void Put(const std::string& address, tcp::socket socket,
+  void Put(const std::string& address, Kept kept,
            std::chrono::milliseconds life) {
     const std::lock_guard lock(mutex_);
     auto& idle = idle_[address];
     if (idle.size() >= kIdlePerAddress) return;
     const auto now = Clock::now();
-    idle.push_back({std::move(socket), now, now + life});
+    idle.push_back({std::move(kept), now, now + life});
   }
 
   /// A connection to the address fell silent: the others may have as well.
@@ -150,7 +158,7 @@
 
  private:
   struct Idle {
-    tcp::socket socket;
+    Kept kept;
     Clock::time_point since;
     Clock::time_point expires;
   };
@@ -218,10 +226,11 @@
 
   void Connect() {
     if (!options_.fresh_connection) {
-      if (auto socket = pool_->Take(address_, options_.idle_limit)) {
+      if (auto kept = pool_->Take(address_, options_)) {
         // The socket comes from another strand's executor.
-        const auto protocol = socket->local_endpoint().protocol();
-        socket_.assign(protocol, socket->release());
+        const auto protocol = kept->socket.local_endpoint().protocol();
+        socket_.assign(protocol, kept->socket.release());
+        only_named_answers_ = kept->only_named_answers;
         return Send();
       }
     }
@@ -318,8 +327,14 @@
     // No call asks for another protocol.
     if (head.status == kSwitchingProtocols) return Finish(Errc::kTargetFailed);
     const bool provisional = head.status < kFirstFinalStatus;
-    foreign_ = provisional || (hooks_.is_mine && !hooks_.is_mine(head));
-    if (!foreign_ && hooks_.on_head) hooks_.on_head(head);
+    const AnswerOwner owner =
+        hooks_.owner ? hooks_.owner(head) : AnswerOwner::kUnnamed;
+    foreign_ = provisional || owner == AnswerOwner::kOtherCall;
+    if (foreign_) return;
+    is_own_answer_ = owner == AnswerOwner::kThisCall || only_named_answers_;
+    only_named_answers_ =
+        only_named_answers_ && owner == AnswerOwner::kThisCall;
+    if (hooks_.on_head) hooks_.on_head(head);
   }
 
   Response Head() const {
@@ -350,7 +365,7 @@
     if (keep && buffer_.size() == 0) {
       timer_.Cancel();
       const auto keep_alive = parser_->get()[bh::field::keep_alive];
-      pool_->Put(address_, std::move(socket_),
+      pool_->Put(address_, {std::move(socket_), only_named_answers_},
                  IdleLife({keep_alive.data(), keep_alive.size()}));
     }
     Finish(Errc::kOk);
@@ -360,7 +375,7 @@
     if (done_) return;
     done_ = true;
     Drop();
-    if (hooks_.on_end) hooks_.on_end({code, sent_});
+    if (hooks_.on_end) hooks_.on_end({code, sent_, is_own_answer_});
     hooks_ = {};
   }
 
@@ -402,7 +417,9 @@
   bool broken_send_ = false;
   bool head_told_ = false;
   bool foreign_ = false;  ///< The answer under way is not the call's own.
-  int skipped_ = 0;       ///< Answers before it.
+  bool only_named_answers_ = true;  ///< On this connection, so far.
+  bool is_own_answer_ = false;      ///< As in `CallEnd`.
+  int skipped_ = 0;                 ///< Answers before it.
   std::size_t skipped_bytes_ = 0;
   Clock::time_point started_;
   bool done_ = false;  ///< No hook runs any more.
@@ -455,7 +472,7 @@
           error_code ignored;
           attempt->socket.set_option(tcp::no_delay(true), ignored);
           attempt->socket.set_option(UserTimeout(kUnacknowledgedMs), ignored);
-          pool->Put(address, std::move(attempt->socket), kIdleLife);
+          pool->Put(address, {std::move(attempt->socket)}, kIdleLife);
         }
         hook(!error);
       });
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -30,13 +31,22 @@
   bool probe_silence = false;
   /// Longest idle time of a pooled connection that may be taken.
   std::chrono::milliseconds idle_limit{20'000};
+  /// Takes from the pool only connections on which each answer named its call,
+  /// so that an answer that names none is no second copy of an earlier one.
+  bool named_answers_only = false;
 };
 
+/// The call to which an answer belongs, by its head.
+enum class AnswerOwner : std::uint8_t { kThisCall, kOtherCall, kUnnamed };
+
 /// How a call ended. `code` is `kOk` when the answer came whole, else
 /// `kTargetUnreachable`, `kTargetUnresponsive` or `kTargetFailed`.
 struct CallEnd {
   Errc code = Errc::kOk;
   bool sent = false;  ///< A byte of the request was handed to a socket.
+  /// The answer named this call, or named none and came on a connection on
+  /// which all earlier answers had named theirs.
+  bool is_own_answer = false;
 };
 
 /// What a call tells. Hooks run on the I/O threads, one at a time for a call;
@@ -45,9 +55,9 @@
   /// A new connection was made for the call.
   std::function<void()> on_connected;
   std::function<void()> on_sent;  ///< Just before the first byte goes out.
-  /// Whether an answer belongs to this call; absent: always. One that does not
+  /// Whose an answer is; absent: no answer names its call. One of another call
   /// is read to its end and dropped, and the next one is read.
-  std::function<bool(const Response& head)> is_mine;
+  std::function<AnswerOwner(const Response& head)> owner;
   std::function<void(const Response& head)> on_head;
   std::function<void(std::string_view bytes)> on_body;
   std::function<void(CallEnd)> on_end;
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -270,10 +270,11 @@
      "this host sent, or refused to send, a request of another host to a "
      "target; refused: why it did not",
      "request host service address refused carrying"},
-    {"try_failed", "an attempt ended without a complete answer",
-     "request target cause end status sent not_run head_sent begun "
-     "sent_for "
-     "account parts try next"},
+    {"try_failed",
+     "an attempt ended without a complete answer; named: the answer named the "
+     "request; own: it did, or came where each earlier answer named its own",
+     "request target cause end status sent not_run named own head_sent begun "
+     "sent_for account parts try next"},
     {"request_suspected",
      "a connection broke during a request, possibly because the target "
      "crashed; crashes: targets at which this whole request met that",
--- /dev/null
+++ b/test/shell/client-test.cc
@@ -0,0 +1,91 @@
+// Calls of the HTTP client that end before they are sent.
+#include "http/client.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <boost/asio.hpp>
+#include <chrono>
+#include <memory>
+#include <thread>
+
+using namespace comfreyflow;        // NOLINT(google-build-using-namespace)
+using namespace comfreyflow::http;  // NOLINT(google-build-using-namespace)
+using Tcp = boost::asio::ip::tcp;
+
+namespace {
+
+/// A server that counts the bytes it gets, and a client on the same loop.
+struct Loop {
+  Loop() : acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}) {
+    Accept();
+  }
+
+  void Accept() {
+    acceptor.async_accept(
+        [this](const boost::system::error_code& error, Tcp::socket socket) {
+          if (error) return;
+          Read(std::make_shared<Tcp::socket>(std::move(socket)));
+          Accept();
+        });
+  }
+
+  void Read(const std::shared_ptr<Tcp::socket>& socket) {
+    socket->async_read_some(
+        boost::asio::buffer(buffer),
+        [this, socket](const boost::system::error_code& error,
+                       std::size_t size) {
+          received += size;
+          if (!error) Read(socket);
+        });
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  }
+
+  /// Opens a call, and cancels it in a handler that runs when the connection
+  /// has been made and before the client hears of it.
+  void OpenAndCancelOnceConnected() {
+    waker.async_receive(boost::asio::buffer(wake_up),
+                        [this](const boost::system::error_code&, std::size_t) {
+                          call->Cancel();
+                          was_sent_before = was_sent;
+                        });
+    boost::asio::post(io, [this] {
+      waker.send_to(boost::asio::buffer("x", 1), waker.local_endpoint());
+      CallHooks hooks;
+      hooks.on_sent = [this] { was_sent = true; };
+      Request request;
+      request.method = "POST";
+      request.path = "/";
+      call = client.Open(address(), std::move(request), {}, std::move(hooks));
+      // Both events are there when the loop looks again.
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    });
+    io.run_for(std::chrono::milliseconds(100));
+  }
+
+  boost::asio::io_context io{1};
+  Tcp::acceptor acceptor;
+  Client client{io};
+  boost::asio::ip::udp::socket waker{
+      io, {boost::asio::ip::address_v4::loopback(), 0}};
+  std::array<char, 1> wake_up{};
+  std::shared_ptr<Call> call;
+  std::array<char, 4096> buffer{};
+  std::size_t received = 0;
+  bool was_sent = false;
+  bool was_sent_before = false;  ///< Before it was cancelled.
+};
+
+}  // namespace
+
+TEST_CASE("a call that was cancelled before it was sent is sent") {
+  // Its caller was told that the request has not run.
+  Loop loop;
+  loop.OpenAndCancelOnceConnected();
+  REQUIRE_FALSE(loop.was_sent_before);
+  CHECK_FALSE(loop.was_sent);
+  CHECK(loop.received == 0);
+}
