A target is read no faster than its caller takes the answer

A host's memory ran full, and with it the requests of others, where targets sent answers without end to callers that read slowly; an answer of 20 MiB was cut for a caller that paused for 0.7 s.

Cause: each answer was bounded (1 MiB kept, 4 MiB waiting and as much being written), their sum was not, and a host read on whatever its caller took.

Mend: the target is paused while 128 KiB of its answer wait; all answers share a budget of a quarter of the memory, beyond which a kept answer is passed on early or dropped. Calls that keep a whole answer take 16 MiB instead of 64. Relayed answers have no limit of length.

stream-order-test, "a stream that is aborted with events in its queue looks whole": its caller blocked the loop on which the host runs until the host closed; the host now sees the target's end once the caller has read. The caller reads beside the loop; the checks are the same and one is added (the connection ends).

--- a/soak/host-process.cc
+++ b/soak/host-process.cc
@@ -96,6 +96,17 @@
   if (pid_ != 0) ::kill(pid_, signal);
 }
 
+std::uint64_t HostProcess::PeakMemoryBytes() const {
+  constexpr std::uint64_t kKilobyte = 1024;
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  std::string name;
+  std::uint64_t value = 0;
+  while (status >> name) {
+    if (name == "VmHWM:" && status >> value) return value * kKilobyte;
+  }
+  return 0;
+}
+
 bool HostProcess::Running() {
   if (pid_ == 0) return false;
   if (::waitpid(pid_, &status_, WNOHANG) == 0) return true;
--- a/soak/host-process.h
+++ b/soak/host-process.h
@@ -3,6 +3,7 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
   void Signal(int signal) const;
   /// Whether the process runs; takes note of its end.
   bool Running();
+  /// The most memory that the process has held so far; 0 if none runs.
+  std::uint64_t PeakMemoryBytes() const;
   /// How the last process ended, as `waitpid` tells it.
   int status() const { return status_; }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -70,6 +70,8 @@
         settings(std::move(initial_settings)),
         hooks(std::move(initial_hooks)),
         client(io, hooks.path),
+        answer_budget(
+            std::make_shared<http::BodyBudget>(settings.answer_memory_bytes)),
         placement(
             io, {settings.self.name, settings.self.incarnation,
                  settings.self.failure_domain, settings.placement, settings.key,
@@ -80,7 +82,7 @@
                    crashes->OnNews(sender, news);
                  }}),
         paths(client, settings.self.name, settings.key, RandomSeed(),
-              PathsHooks()),
+              answer_budget, PathsHooks()),
         crashes(std::make_shared<CrashWatch>(io, RandomSeed(), CrashHooks())),
         relay_context{
             io,
@@ -94,6 +96,7 @@
             metrics,
             hooks.target_list_status,
             stop,
+            answer_budget,
             [this](const LeavingReport& left, const std::string& request) {
               if (hooks.target_left) hooks.target_left(left, request);
             }},
@@ -416,6 +419,7 @@
   ConfigMark mark;
   node::Metrics metrics;
   http::Client client;
+  std::shared_ptr<http::BodyBudget> answer_budget;
   Placement placement;
   TargetPaths paths;
   std::shared_ptr<CrashWatch> crashes;
@@ -573,6 +577,9 @@
   add("comfreyflow_crash_verdicts",
       "Verdicts on requests that crash targets and are not sent.",
       static_cast<double>(crashes.ledger().verdicts().size()));
+  add("comfreyflow_answer_memory_bytes",
+      "Memory that answers of targets take on their way to callers.",
+      static_cast<double>(state.answer_budget->used()));
   const auto count = [&more](const char* name, const char* help,
                              std::uint64_t value) {
     more.push_back({name, "counter", help, {{"", static_cast<double>(value)}}});
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -28,6 +28,7 @@
   std::vector<std::string>
       seeds;  ///< `ip:port` of other hosts' gossip sockets.
   std::uint64_t body_memory_bytes = 64 * 1024 * 1024;
+  std::uint64_t answer_memory_bytes = 64 * 1024 * 1024;
   wire::FleetKey key;
   PlacerSettings placer;
   /// Time from the request to stop until the process must have exited.
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -5,10 +5,12 @@
 
 #include <algorithm>
 #include <cinttypes>
+#include <limits>
 #include <utility>
 
 #include "comfreyflow/event-splitter.h"
 #include "comfreyflow/relay-policy.h"
+#include "gateway/answer-flow.h"
 #include "gateway/reservations.h"
 #include "http/lazy-timer.h"
 #include "node/clock.h"
@@ -117,6 +119,10 @@
       if (const auto relay = self.lock()) relay->OnCallerDisconnected();
     });
     self_ = shared_from_this();
+    flow_ = std::make_shared<AnswerFlow>(
+        context_.answer_budget, [self = weak_from_this()](bool paused) {
+          if (const auto relay = self.lock()) relay->SetTargetPaused(paused);
+        });
     RequestPlacement();
   }
 
@@ -451,6 +457,8 @@
     // A second copy of an earlier refusal must not pass for one of this
     // request.
     options.named_answers_only = !Repeatable(*route_);
+    // `flow_` bounds what is held of it.
+    options.answer_bytes = std::numeric_limits<std::uint64_t>::max();
     // A silent target may keep the request, but not the memory of helpers if
     // its machine is gone.
     options.probe_silence = !requested_reservations_.empty();
@@ -634,12 +642,15 @@
   void OnPlainBody(std::string_view bytes) {
     if (IsSuccess()) OnProgress();
     if (Repeatable(*route_)) ArmResponseTimer(false);
-    if (forwards_plain_) return exchange_->Write(std::string(bytes));
+    if (forwards_plain_) return flow_->Write(exchange_, std::string(bytes));
     body_ += bytes;
-    if (body_.size() <= kMaxBufferedAnswerBytes) return;
+    const std::size_t stored = stored_answer_ ? stored_answer_->body.size() : 0;
+    const bool fits = flow_->Keep(body_.capacity() + stored);
+    if (fits && body_.size() <= kMaxBufferedAnswerBytes) return;
     const bool is_verified = !progress_.head_sent && target_head_.authentic &&
                              target_head_.request_id == caller_.id &&
                              !target_head_.reported_not_run;
+    if (!fits) LogAnswerMemory(is_verified ? "passed_on" : "dropped");
     if (!is_verified)
       return OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
     ForwardLargeAnswer();
@@ -683,7 +694,32 @@
       context_.metrics.FirstToken(Length(), first_event_after_);
       exchange_->StartStream(context_.edge.write_head(target_response_));
     }
-    exchange_->Write(events);
+    flow_->Write(exchange_, events);
+  }
+
+  /// Reads the answer no further while its caller takes none of it. The target
+  /// is not silent meanwhile.
+  void SetTargetPaused(bool paused) {
+    if (!call_) return;
+    if (paused) {
+      if (!std::exchange(was_paused_, true)) LogAnswerMemory("paused");
+      call_->Pause();
+      return response_timer_.Disarm();
+    }
+    call_->Resume();
+    if (is_event_stream_ || Repeatable(*route_)) {
+      ArmResponseTimer(attempt_started_);
+    }
+  }
+
+  void LogAnswerMemory(const char* action) const {
+    LogLine(Severity::kInfo, Event::kAnswerMemory)
+        .With("request", caller_.id)
+        .With("target", grant_.targets.front().name)
+        .With("action", action)
+        .With("unwritten", flow_->unwritten())
+        .With("used", context_.answer_budget->used())
+        .With("limit", context_.answer_budget->limit());
   }
 
   /// Forwards an answer that is too large to buffer as it arrives.
@@ -692,7 +728,7 @@
     forwards_plain_ = true;
     stage_ = Stage::kStreaming;
     exchange_->StartStream(context_.edge.write_head(target_response_));
-    exchange_->Write(std::exchange(body_, {}));
+    flow_->Write(exchange_, std::exchange(body_, {}));
   }
 
   void OnCallEnd(const http::CallEnd& end) {
@@ -771,6 +807,7 @@
     context_.metrics.Answered(Repeatable(*route_), Now() - arrival_);
     http::Response answer = context_.edge.write_head(target_response_);
     answer.body = std::move(body_);
+    answer.lease = flow_->lease();
     exchange_->Respond(std::move(answer));
     Finish(Errc::kOk);
   }
@@ -791,6 +828,8 @@
     EndReservations();
     attempt_number_ = 0;
     response_timer_.Disarm();
+    std::string().swap(body_);
+    if (!stored_answer_) flow_->Drop();
     const AttemptFailure failure =
         MakeFailure(end == WorkEnd::kRefused || end == WorkEnd::kWrongTarget);
     if (failure.sent) ++progress_.arrivals;
@@ -1121,6 +1160,7 @@
   }
 
   void ForwardStoredAnswer() {
+    stored_answer_->lease = flow_->lease();
     exchange_->Respond(std::move(*stored_answer_));
     Finish(Errc::kTargetFailed);
   }
@@ -1188,6 +1228,8 @@
   Stage stage_ = Stage::kPlacing;
   RelayProgress progress_;
   std::vector<TargetName> excluded_;
+  std::shared_ptr<AnswerFlow> flow_;
+  bool was_paused_ = false;  ///< The target was, for this request.
   Errc last_failure_ = Errc::kTargetFailed;
   /// A target's error response, forwarded if no later attempt succeeds.
   std::optional<http::Response> stored_answer_;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -48,6 +48,8 @@
   node::Metrics& metrics;
   std::function<KindStatus()> target_list_status;
   const StopPlan& stop;
+  /// Memory for the answers that this host holds.
+  std::shared_ptr<http::BodyBudget> answer_budget;
   /// Called when a target reports, in its answer to `request`, that it accepts
   /// no new work.
   std::function<void(const LeavingReport&, const std::string& request)>
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -2,9 +2,11 @@
 #include "gateway/target-paths.h"
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <utility>
 
+#include "gateway/answer-flow.h"
 #include "node/clock.h"
 #include "node/log.h"
 
@@ -95,6 +97,14 @@
     hooks_ = {};
   }
 
+  void Pause() override {
+    if (current_) current_->Pause();
+  }
+
+  void Resume() override {
+    if (current_) current_->Resume();
+  }
+
  private:
   void StartDirect() {
     http::CallOptions options = options_;
@@ -345,8 +355,15 @@
     options.idle_limit = milliseconds(head_.idle_limit_ms);
     options.probe_silence = head_.probe_silence;
     options.named_answers_only = true;
+    options.answer_bytes = std::numeric_limits<std::uint64_t>::max();
     http::CallHooks hooks;
     const auto self = shared_from_this();
+    flow_ = std::make_shared<AnswerFlow>(
+        paths_.answer_budget_, [weak = weak_from_this()](bool paused) {
+          const auto carried = weak.lock();
+          const auto call = carried ? carried->call_.lock() : nullptr;
+          if (call) paused ? call->Pause() : call->Resume();
+        });
     const ServiceName service{head_.service_name};
     hooks.owner = [self](const http::Response& head) {
       return self->paths_.hooks_.owner(head, self->head_.request);
@@ -359,12 +376,13 @@
       self->OnHead(head);
     };
     hooks.on_body = [self](std::string_view bytes) {
-      self->exchange_->Write(std::string(bytes));
+      self->flow_->Write(self->exchange_, std::string(bytes));
     };
     hooks.on_end = [self](http::CallEnd end) { self->OnEnd(end); };
     const auto call = paths_.client_.Open(head_.address, std::move(request),
                                           options, std::move(hooks));
-    exchange_->OnGone([call = std::weak_ptr<http::Call>(call)] {
+    call_ = call;
+    exchange_->OnGone([call = call_] {
       if (const auto open = call.lock()) open->Cancel();
     });
   }
@@ -404,6 +422,8 @@
 
   TargetPaths& paths_;
   const http::ExchangePtr exchange_;
+  std::shared_ptr<AnswerFlow> flow_;
+  std::weak_ptr<http::Call> call_;
   wire::CarryHead head_;
   bool has_head_ = false;
 };
@@ -412,10 +432,12 @@
 
 TargetPaths::TargetPaths(http::Client& client, HostName self,
                          wire::FleetKey key, std::uint64_t seed,
+                         std::shared_ptr<http::BodyBudget> answer_budget,
                          TargetPathsHooks hooks)
     : client_(client),
       self_(std::move(self)),
       key_(std::move(key)),
+      answer_budget_(std::move(answer_budget)),
       hooks_(std::move(hooks)),
       random_(seed) {}
 
--- a/src/gateway/target-paths.h
+++ b/src/gateway/target-paths.h
@@ -62,7 +62,9 @@
 class TargetPaths {
  public:
   TargetPaths(http::Client& client, HostName self, wire::FleetKey key,
-              std::uint64_t seed, TargetPathsHooks hooks);
+              std::uint64_t seed,
+              std::shared_ptr<http::BodyBudget> answer_budget,
+              TargetPathsHooks hooks);
 
   /// Sends a request to a target and tells what comes back. `on_sent` may be
   /// called although the target does not get the request; `CallEnd::sent` of
@@ -108,6 +110,7 @@
   http::Client& client_;
   const HostName self_;
   const wire::FleetKey key_;
+  const std::shared_ptr<http::BodyBudget> answer_budget_;
   const TargetPathsHooks hooks_;
   TargetReach reach_;
   std::mt19937_64 random_;
--- a/src/http/body-budget.cc
+++ b/src/http/body-budget.cc
@@ -29,6 +29,12 @@
   return true;
 }
 
+void BodyLease::ShrinkTo(std::uint64_t bytes) {
+  if (!budget_ || bytes >= bytes_) return;
+  budget_->Give(bytes_ - bytes);
+  bytes_ = bytes;
+}
+
 void BodyLease::Release() {
   if (budget_ && bytes_ > 0) budget_->Give(bytes_);
   bytes_ = 0;
--- a/src/http/body-budget.h
+++ b/src/http/body-budget.h
@@ -1,4 +1,5 @@
-/// A bound on the memory that request bodies take on a host.
+/// A bound on the memory that bodies of requests, or of answers, take on a
+/// host.
 #pragma once
 
 #include <atomic>
@@ -20,6 +21,8 @@
   /// Takes more bytes so that the lease holds `bytes`; false when the budget
   /// has not that much left. Never shrinks.
   bool GrowTo(std::uint64_t bytes);
+  /// Gives back what the lease holds beyond `bytes`.
+  void ShrinkTo(std::uint64_t bytes);
   std::uint64_t bytes() const { return bytes_; }
 
  private:
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -202,6 +202,19 @@
     });
   }
 
+  void Pause() override {
+    asio::dispatch(strand_,
+                   [self = shared_from_this()] { self->paused_ = true; });
+  }
+
+  void Resume() override {
+    asio::dispatch(strand_, [self = shared_from_this()] {
+      self->paused_ = false;
+      if (!self->done_ && std::exchange(self->read_waits_, false))
+        self->ReadSome();
+    });
+  }
+
  private:
   void Fill(Request request) {
     message_.method_string(request.method);
@@ -307,9 +320,19 @@
     if (done_) return;
     if (parser_->is_done()) return foreign_ ? SkipAnswer() : Whole();
     if (error) return Finish(Errc::kTargetFailed);
+    if (paused_) return WaitPaused();
     ReadSome();
   }
 
+  void WaitPaused() {
+    read_waits_ = true;
+    if (options_.total_timeout > std::chrono::milliseconds::zero()) {
+      Arm(options_.total_timeout);
+    } else {
+      timer_.Disarm();
+    }
+  }
+
   /// Reads on behind an answer that is not the call's own final one.
   void SkipAnswer() {
     if (!parser_->get().keep_alive() || ++skipped_ > kMostSkipped) {
@@ -422,7 +445,9 @@
   int skipped_ = 0;                 ///< Answers before it.
   std::size_t skipped_bytes_ = 0;
   Clock::time_point started_;
-  bool done_ = false;  ///< No hook runs any more.
+  bool paused_ = false;
+  bool read_waits_ = false;  ///< For `Resume`.
+  bool done_ = false;        ///< No hook runs any more.
 };
 
 Client::Client(asio::io_context& io, PathHook path)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -25,7 +25,8 @@
   std::chrono::milliseconds progress_timeout{3000};
   /// Longest time for the whole call; zero: none.
   std::chrono::milliseconds total_timeout{0};
-  std::uint64_t answer_bytes = 64 * 1024 * 1024;
+  /// Longest body of an answer.
+  std::uint64_t answer_bytes = 16 * 1024 * 1024;
   bool fresh_connection = false;  ///< Takes none from the pool.
   /// Has the kernel probe a connection on which nothing comes for seconds.
   bool probe_silence = false;
@@ -69,6 +70,10 @@
   virtual ~Call() = default;
   /// Closes the connection; `on_end` is not called any more.
   virtual void Cancel() = 0;
+  /// Reads no further after what was read already, until `Resume`. The time
+  /// between them is no lack of progress.
+  virtual void Pause() = 0;
+  virtual void Resume() = 0;
 };
 
 /// Maps the address of a call to the one that is connected to, so that a path
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -41,6 +41,8 @@
   std::string content_type = "application/json";  ///< Empty: none is sent.
   Fields fields;
   std::string body;
+  /// Memory counted for `body` until it was written to the caller.
+  std::shared_ptr<BodyLease> lease = {};
 };
 
 /// Encodes all bytes but letters, digits, `-_.~` and those in `kept`.
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -27,7 +27,10 @@
   virtual void Respond(Response response) = 0;
   /// Answers with the head of a chunked body; `Write` and `End` follow.
   virtual void StartStream(Response head) = 0;
-  virtual void Write(std::string bytes) = 0;
+  /// `written`, if set, is called once all of `bytes` was handed to the
+  /// connection, and not if the caller goes away before.
+  virtual void Write(std::string bytes,
+                     std::function<void()> written = nullptr) = 0;
   virtual void End() = 0;
   /// Cuts the connection, so that a stream does not look whole.
   virtual void Abort() = 0;
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -8,6 +8,7 @@
 #include <boost/beast/http.hpp>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "http/head.h"
 #include "http/lazy-timer.h"
@@ -92,9 +93,10 @@
         session.WriteHead(std::move(head));
       });
     }
-    void Write(std::string bytes) override {
-      Post([bytes = std::move(bytes)](Session& session) {
-        session.Queue(bytes);
+    void Write(std::string bytes, std::function<void()> written) override {
+      Post([bytes = std::move(bytes),
+            written = std::move(written)](Session& session) mutable {
+        session.Queue(std::move(bytes), std::move(written));
       });
     }
     void End() override {
@@ -346,7 +348,8 @@
     writing_ = true;
     bh::async_write(
         stream_, *message,
-        [self = Shared(), message](const error_code& error, std::size_t) {
+        [self = Shared(), message, lease = std::move(response.lease)](
+            const error_code& error, std::size_t) {
           self->writing_ = false;
           self->AnswerWritten(error);
         });
@@ -385,9 +388,14 @@
     message.keep_alive(keep_alive_);
   }
 
-  void Queue(const std::string& bytes) {
+  void Queue(std::string bytes, std::function<void()> written) {
     if (phase_ != Phase::kStreaming || bytes.empty()) return;
-    pending_ += bytes;
+    if (pending_.empty()) {
+      pending_ = std::move(bytes);
+    } else {
+      pending_ += bytes;
+    }
+    if (written) pending_written_.push_back(std::move(written));
     if (pending_.size() > context_->limits.write_backlog_bytes) return Close();
     Flush();
   }
@@ -413,8 +421,8 @@
           });
       return;
     }
-    in_flight_.clear();
-    in_flight_.swap(pending_);
+    in_flight_ = std::exchange(pending_, {});
+    in_flight_written_ = std::exchange(pending_written_, {});
     asio::async_write(stream_, bh::make_chunk(asio::buffer(in_flight_)),
                       [self = Shared()](const error_code& error, std::size_t) {
                         self->writing_ = false;
@@ -426,6 +434,8 @@
     if (phase_ == Phase::kClosed) return;
     if (error) return Close();
     timer_.Disarm();
+    std::string().swap(in_flight_);  // A kept connection holds no memory.
+    for (const auto& written : std::exchange(in_flight_written_, {})) written();
     Flush();
   }
 
@@ -487,6 +497,8 @@
     phase_ = Phase::kClosed;
     Uncount();
     timer_.Cancel();
+    pending_written_.clear();
+    in_flight_written_.clear();
     error_code ignored;
     Lowest(stream_).close(ignored);
     if (auto gone = std::exchange(gone_, nullptr)) gone();
@@ -501,8 +513,11 @@
   BodyLease lease_;
   Request request_;
   std::function<void()> gone_;
-  std::string pending_;                ///< Not yet handed to the socket.
-  std::string in_flight_;              ///< Must not change while `writing_`.
+  std::string pending_;    ///< Not yet handed to the socket.
+  std::string in_flight_;  ///< Must not change while `writing_`.
+  /// Called once `pending_` and `in_flight_` were written.
+  std::vector<std::function<void()>> pending_written_;
+  std::vector<std::function<void()>> in_flight_written_;
   std::uint64_t exchange_number_ = 0;  ///< Late calls of older handles drop.
   Phase phase_ = Phase::kIdle;
   bool keep_alive_ = true;
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -55,6 +55,7 @@
   kRequestCarried,
   kCarryFailed,
   kCarriedForHost,
+  kAnswerMemory,
   kTryFailed,
   kRequestSuspected,
   kCrashSuspected,
@@ -93,7 +94,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 75> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 76> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -270,6 +271,12 @@
      "this host sent, or refused to send, a request of another host to a "
      "target; refused: why it did not",
      "request host service address refused carrying"},
+    {"answer_memory",
+     "the caller of a long answer takes it slowly, or all memory for answers "
+     "is used; action: paused (the target is read no further until the caller "
+     "has read; logged once for a request), passed_on before it was whole, or "
+     "dropped",
+     "request target action unwritten used limit"},
     {"try_failed",
      "an attempt ended without a complete answer; named: the answer named the "
      "request; own: it did, or came where each earlier answer named its own",
--- a/test/platform/endless-test.cc
+++ b/test/platform/endless-test.cc
@@ -219,3 +219,34 @@
   CHECK(site.Until([&] { return open->ended; }));
   CHECK(poured->bytes < kMost);
 }
+
+TEST_CASE("a long answer is cut for a caller that reads slowly") {
+  constexpr std::size_t kBytes = 20 * 1024 * 1024;
+  const std::string body(kBytes, 'b');
+  Site site;
+  site.AddRawTarget(
+      "app", "i1",
+      [&body](const RawTarget::Socket& socket, const std::string& request) {
+        std::string head = kPlainHead;
+        head.replace(head.find("ID"), 2, IdIn(request));
+        const auto text = std::make_shared<std::string>(
+            head + "X-Seal: s\r\nContent-Length: " + std::to_string(kBytes) +
+            "\r\n\r\n" + body);
+        boost::asio::async_write(
+            *socket, boost::asio::buffer(*text),
+            [socket, text](const boost::system::error_code&, std::size_t) {});
+        return false;
+      });
+  site.PutConfig(1);
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  const auto answer = site.Send(host, "POST", "/unsafe/1");
+  // The caller reads nothing for longer than the target takes to write all.
+  answer->call->Pause();
+  const auto end = std::chrono::steady_clock::now() + milliseconds(700);
+  site.Until([end] { return std::chrono::steady_clock::now() >= end; });
+  answer->call->Resume();
+  REQUIRE(site.Until([&answer] { return answer->ended; }));
+  CHECK(answer->whole);
+  CHECK(answer->response.body.size() == kBytes);
+}
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -624,6 +624,7 @@
   for (const auto& field : fields) request.fields.push_back(field);
   const auto answer = std::make_shared<Answer>();
   http::CallOptions options;
+  options.answer_bytes = 64 * 1024 * 1024;
   options.fresh_connection = true;
   options.progress_timeout = std::chrono::seconds(9);
   answer->call =
--- a/test/platform/stream-order-test.cc
+++ b/test/platform/stream-order-test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -501,8 +502,17 @@
     return std::chrono::steady_clock::now() - aborted_at > milliseconds(500);
   });
   std::string got;
-  boost::system::error_code error;
-  boost::asio::read(caller, boost::asio::dynamic_buffer(got), error);
+  caller.non_blocking(true);
+  // The host reads the target's end once the caller has taken what waits.
+  REQUIRE(site.Until([&caller, &got] {
+    std::array<char, 16 * 1024> buffer{};
+    boost::system::error_code error;
+    while (!error) {
+      got.append(buffer.data(),
+                 caller.read_some(boost::asio::buffer(buffer), error));
+    }
+    return error != boost::asio::error::would_block;
+  }));
   CHECK(got.starts_with("HTTP/1.1 200"));
   CHECK(got.find(padding) != std::string::npos);
   CHECK_FALSE(got.ends_with("0\r\n\r\n"));
--- a/test/shell/client-test.cc
+++ b/test/shell/client-test.cc
@@ -7,7 +7,9 @@
 #include <boost/asio.hpp>
 #include <chrono>
 #include <memory>
+#include <string>
 #include <thread>
+#include <utility>
 
 using namespace comfreyflow;        // NOLINT(google-build-using-namespace)
 using namespace comfreyflow::http;  // NOLINT(google-build-using-namespace)
@@ -89,3 +91,43 @@
   CHECK_FALSE(loop.was_sent);
   CHECK(loop.received == 0);
 }
+
+TEST_CASE("an answer without end is kept by a call that wants it whole") {
+  // As lists of the store and documents of other hosts.
+  boost::asio::io_context io{1};
+  Tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+  const std::string text =
+      "HTTP/1.1 200 OK\r\n\r\n" + std::string(1024 * 1024, 'z');
+  const auto pour = [&text](auto& self, std::shared_ptr<Tcp::socket> socket,
+                            std::size_t& poured) -> void {
+    boost::asio::async_write(
+        *socket, boost::asio::buffer(text),
+        [&self, socket, &poured](const boost::system::error_code& error,
+                                 std::size_t size) {
+          poured += size;
+          if (!error) self(self, socket, poured);
+        });
+  };
+  std::size_t poured = 0;
+  acceptor.async_accept(
+      [&](const boost::system::error_code&, Tcp::socket socket) {
+        pour(pour, std::make_shared<Tcp::socket>(std::move(socket)), poured);
+      });
+  Client client(io);
+  Request request;
+  request.method = "GET";
+  request.path = "/";
+  bool has_ended = false;
+  client.Fetch("127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+               std::move(request), {},
+               [&](const CallEnd& end, const Response& answer) {
+                 CHECK(end.code == Errc::kTargetFailed);
+                 CHECK(answer.body.size() <= CallOptions{}.answer_bytes);
+                 has_ended = true;
+                 io.stop();
+               });
+  io.run_for(std::chrono::seconds(20));
+  CHECK(has_ended);
+  constexpr std::size_t kMostBytes = 32 * 1024 * 1024;
+  CHECK(CallOptions{}.answer_bytes < kMostBytes);
+}
--- a/test/shell/target-paths-test.cc
+++ b/test/shell/target-paths-test.cc
@@ -23,7 +23,8 @@
       : answer_(std::move(answer)),
         acceptor_(io_, {boost::asio::ip::address_v4::loopback(), 0}),
         client_(io_),
-        paths_(client_, {"asker"}, {"key"}, 1, Hooks()) {
+        paths_(client_, {"asker"}, {"key"}, 1,
+               std::make_shared<http::BodyBudget>(1024 * 1024), Hooks()) {
     Accept();
   }
 
--- a/test/soak/stop-processes-test.cc
+++ b/test/soak/stop-processes-test.cc
@@ -5,16 +5,12 @@
 
 #include <filesystem>
 
-#include "platform/stand-ins.h"
-#include "soak/host-process.h"
+#include "soak/fleet.h"
 
 using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
 using platform::Answer;
-using platform::FakeStore;
 using platform::FakeTarget;
-using platform::LoopbackIp;
-using platform::SampleConfig;
-using platform::SampleEntry;
+using soak::Fleet;
 using soak::HostProcess;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -24,155 +20,6 @@
 
 namespace {
 
-constexpr std::size_t kMostHosts = 2;
-
-/// Host processes beside stand-ins of the store and the targets, which run on
-/// the test's thread.
-class Fleet {
- public:
-  Fleet() {
-    std::filesystem::create_directories(directory_);
-    PutConfig(1, [](Json&) {});
-  }
-  ~Fleet() {
-    hosts_.clear();
-    std::filesystem::remove_all(directory_);
-  }
-  Fleet(const Fleet&) = delete;
-  Fleet& operator=(const Fleet&) = delete;
-
-  FakeTarget& AddTarget(const std::string& service, int slots) {
-    targets_.push_back(std::make_unique<FakeTarget>(
-        io_, "i" + std::to_string(targets_.size() + 1)));
-    FakeTarget& target = *targets_.back();
-    Json entry = SampleEntry(service, target.address(), "z1", "ready");
-    entry["Slots"] = slots;
-    store_.Put("servers", target.name(), entry);
-    return target;
-  }
-
-  void PutConfig(std::uint64_t version,
-                 const std::function<void(Json&)>& change) {
-    Json config = SampleConfig(version);
-    // A long objective keeps a target that works from being taken for silent.
-    platform::SetRouteTimes(config, kTimeout, kTimeout);
-    change(config);
-    store_.Put("config", "main", config);
-  }
-
-  /// Starts a host and waits until it is ready.
-  HostProcess& AddHost() {
-    soak::HostPlan plan;
-    plan.program = Program();
-    plan.directory = directory_.string();
-    plan.name = "host" + std::to_string(hosts_.size());
-    plan.failure_domain = "z1";
-    plan.ip = LoopbackIp(hosts_.size());
-    plan.store = store_.address();
-    for (std::size_t i = 0; i < kMostHosts; ++i) {
-      plan.seeds.push_back(LoopbackIp(i));
-    }
-    hosts_.push_back(std::make_unique<HostProcess>(plan));
-    HostProcess& host = *hosts_.back();
-    host.Start();
-    REQUIRE(Until([&] {
-      const auto answer = Fetch(host.At(soak::kReadyPort), "GET", "/readyz");
-      Until([&answer] { return answer->ended; });
-      return answer->whole && answer->response.status == 200;
-    }));
-    return host;
-  }
-
-  /// Whether the host holds the placer of the service, once it knows another.
-  bool Holds(const HostProcess& host, const std::string& service) {
-    constexpr int kOperatorPort = 9464;
-    std::string holder;
-    REQUIRE(Until([&] {
-      const auto dump = Fetch(host.At(kOperatorPort), "GET", "/dump");
-      Until([&dump] { return dump->ended; });
-      const Json json = Json::parse(dump->response.body, nullptr, false);
-      if (!dump->whole || !json.is_object()) return false;
-      if (json.at("hosts").size() < kMostHosts) return false;
-      holder = json.at("services").at(service).at("holder");
-      return !holder.empty();
-    }));
-    return holder == host.plan().name;
-  }
-
-  /// Runs the loop until `done` or twenty seconds have passed.
-  bool Until(const std::function<bool()>& done) {
-    const auto limit = Clock::now() + seconds(20);
-    while (!done()) {
-      if (Clock::now() > limit) return false;
-      io_.run_for(milliseconds(5));
-    }
-    return true;
-  }
-  bool UntilGone(HostProcess& host) {
-    return Until([&host] { return !host.Running(); });
-  }
-
-  std::shared_ptr<Answer> Send(const HostProcess& host,
-                               const std::string& method,
-                               const std::string& path) {
-    return Fetch(host.At(soak::kCallerPort), method, path);
-  }
-
-  Tcp::socket Connect(const HostProcess& host) {
-    constexpr int kReceiveBytes = 16 * 1024;
-    Tcp::socket socket(io_);
-    socket.open(Tcp::v4());
-    socket.set_option(
-        boost::asio::socket_base::receive_buffer_size(kReceiveBytes));
-    socket.connect({boost::asio::ip::make_address(host.plan().ip),
-                    static_cast<std::uint16_t>(soak::kCallerPort)});
-    return socket;
-  }
-
- private:
-  static constexpr milliseconds kTimeout{15'000};
-
-  static std::string Program() {
-    return std::filesystem::read_symlink("/proc/self/exe").parent_path() /
-           "comfreyflow-host";
-  }
-
-  std::shared_ptr<Answer> Fetch(const std::string& address,
-                                const std::string& method,
-                                const std::string& path) {
-    http::Request request;
-    request.method = method;
-    request.target = path;
-    request.fields = {{"host", "a.example"},
-                      {"x-request-id", "id" + std::to_string(++next_id_)},
-                      {"x-deadline-ms", std::to_string(kTimeout.count())},
-                      {"x-token-count", "2000,100"},
-                      {"authorization", "Token key1"}};
-    http::CallOptions options;
-    options.fresh_connection = true;
-    options.progress_timeout = kTimeout;
-    const auto answer = std::make_shared<Answer>();
-    answer->call =
-        client_.Fetch(address, std::move(request), options,
-                      [answer](http::CallEnd end, http::Response response) {
-                        answer->ended = true;
-                        answer->whole = end.code == Errc::kOk;
-                        answer->response = std::move(response);
-                      });
-    return answer;
-  }
-
-  const std::filesystem::path directory_ =
-      std::filesystem::temp_directory_path() /
-      ("comfreyflow-stop-" + std::to_string(::getpid()));
-  boost::asio::io_context io_{1};
-  http::Client client_{io_};
-  FakeStore store_{io_};
-  std::vector<std::unique_ptr<FakeTarget>> targets_;
-  std::vector<std::unique_ptr<HostProcess>> hosts_;
-  int next_id_ = 0;
-};
-
 void AnswersAfter(FakeTarget& target, milliseconds work,
                   std::size_t bytes = 0) {
   target.OnRequest([&target, work, bytes](const http::ExchangePtr& exchange) {
