--- a/src/node/target-links.cc
+++ b/src/node/target-links.cc
@@ -17,6 +17,9 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
+/// Longest answer of a plain service. It is kept until it is whole.
+constexpr std::uint64_t kMaxPlainAnswerBytes = 64 * 1024 * 1024;
+
 constexpr milliseconds kInitialCancelRetryDelay{200};
 constexpr milliseconds kMaxCancelRetryDelay{5000};
 constexpr milliseconds kPlainHeartbeatPeriod{1000};
@@ -203,6 +206,7 @@
   options.progress_timeout =
       Milliseconds(open.expires - comfreyflow::detail::Now());
   options.fresh_connection = true;
+  options.answer_bytes = kMaxPlainAnswerBytes;
   auto heartbeat = std::make_shared<PlainHeartbeat>(io_, open.attempt, sink_);
   heartbeat->ScheduleNext();
   auto answer = std::make_shared<http::Response>();
