Say of each answer how its connection was used before

An order that ran twice at the users' can't be told from its logs: whether the refusal that a host believed was a copy of an earlier one shows only in what its connection had carried.

`try_failed` says whether the connection had carried a request with this id before, how many it had carried, and how many answers to others were skipped. The carrying host logs the same for answers that are no success (`carried_ended`; nothing was logged there).

No logic changes: the client keeps the ids of a connection's calls, as hashes, and uses them for these fields only.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -444,7 +444,7 @@
     request_sent_ = false;
     target_head_ = {};
     target_response_ = {};
-    is_own_answer_ = false;
+    answer_ = {};
     body_.clear();
     StartRun();
     stage_ = progress_.head_sent ? Stage::kStreaming : Stage::kSent;
@@ -457,6 +457,7 @@
     // A second copy of an earlier refusal must not pass for one of this
     // request.
     options.named_answers_only = !Repeatable(*route_);
+    options.id = caller_.id;
     // `flow_` bounds what is held of it.
     options.answer_bytes = std::numeric_limits<std::uint64_t>::max();
     // A silent target may keep the request, but not the memory of helpers if
@@ -533,13 +534,22 @@
     return hooks;
   }
 
+  /// Called again for an attempt that goes on over another host.
   void OnSent(std::uint64_t number) {
-    if (attempt_number_ == number) request_sent_ = true;
+    if (attempt_number_ == number && !std::exchange(request_sent_, true)) {
+      RecordSent(grant_);
+    }
     if (IsParked(number) && !std::exchange(parked_->is_sent, true)) {
       ++progress_.attempts_run;
+      RecordSent(parked_->grant);
     }
   }
 
+  void RecordSent(const PlaceGrant& grant) {
+    if (!sent_to_.empty()) sent_to_ += ',';
+    sent_to_ += grant.targets.front().name.value;
+  }
+
   http::AnswerOwner OwnerOfAnswer(const http::Response& head) const {
     return OwnerOf(context_.edge.read_head(head), caller_.id);
   }
@@ -733,11 +743,11 @@
 
   void OnCallEnd(const http::CallEnd& end) {
     call_.reset();
+    answer_ = end.answer;
     if (end.code != Errc::kOk) request_sent_ = end.sent;
     if (end.code != Errc::kOk)
       return OnAttemptFailed(WorkEndOf(end.code), end.code);
     if (is_event_stream_) return OnStreamEnd();
-    is_own_answer_ = end.is_own_answer;
     OnAnswerEnd();
   }
 
@@ -771,7 +781,7 @@
         target_head_.reported_not_run || target_head_.wrong_target;
     // What may answer another request says nothing about this one. A request
     // that may run twice goes elsewhere after a refusal, whosever that is.
-    if (!is_own_answer_ && !(is_refusal && Repeatable(*route_))) {
+    if (!answer_.is_own && !(is_refusal && Repeatable(*route_))) {
       return OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
     }
     if (is_refusal) {
@@ -864,7 +874,10 @@
         .With("sent", request_sent_)
         .With("not_run", failure.reported_not_run)
         .With("named", !target_head_.request_id.empty())
-        .With("own", is_own_answer_)
+        .With("own", answer_.is_own)
+        .With("id_reused", answer_.is_id_reused)
+        .With("earlier_calls", std::uint64_t{answer_.earlier_calls})
+        .With("skipped", std::uint64_t{answer_.skipped})
         .With("head_sent", progress_.head_sent)
         .With("begun", attempt_started_)
         .With("sent_for", duration_cast<milliseconds>(Now() - attempt_sent_at_))
@@ -1181,8 +1194,8 @@
     context_.metrics.Finished(code);
     const auto severity =
         code == Errc::kOk ? Severity::kInfo : Severity::kWarning;
-    LogLine(severity, Event::kRequestEnded)
-        .With("request", caller_.id)
+    LogLine line(severity, Event::kRequestEnded);
+    line.With("request", caller_.id)
         .With("route", route_ != nullptr ? route_->name : std::string())
         .With("service", service_)
         .With("version", table_ ? table_->document().version : 0)
@@ -1190,6 +1203,7 @@
         .With(code)
         .With("prompt_tokens", std::uint64_t{caller_.prompt_tokens})
         .With("tries", std::uint64_t{progress_.attempts})
+        .With("sent_to", sent_to_)
         .With("ran", std::uint64_t{progress_.attempts_run})
         .With("events", std::uint64_t{splitter_.events()})
         .With("first_event", duration_cast<milliseconds>(first_event_after_))
@@ -1200,6 +1214,7 @@
                   route_ != nullptr ? route_->latency_objective : Duration()))
         .With("max_gap", duration_cast<milliseconds>(
                              route_ != nullptr ? route_->max_gap : Duration()));
+    if (progress_.attempts > 1 && !Repeatable(*route_)) line.PastBudget();
     exchange_.reset();
     self_.reset();
   }
@@ -1228,6 +1243,7 @@
   Stage stage_ = Stage::kPlacing;
   RelayProgress progress_;
   std::vector<TargetName> excluded_;
+  std::string sent_to_;  ///< Targets, in the order of the sends; for the log.
   std::shared_ptr<AnswerFlow> flow_;
   bool was_paused_ = false;  ///< The target was, for this request.
   Errc last_failure_ = Errc::kTargetFailed;
@@ -1260,7 +1276,7 @@
   TargetName cause_;             ///< Target that caused the last failure.
   TargetHead target_head_;
   http::Response target_response_;
-  bool is_own_answer_ = false;  ///< As in `http::CallEnd`.
+  http::AnswerProof answer_;
   std::string body_;
   EventSplitter splitter_;
 };
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -38,7 +38,7 @@
 /// Marks the head of a target's answer that was carried.
 constexpr std::string_view kCarriedField = "carried";
 /// Says that a carried answer is that to this request even if it names none, as
-/// `http::CallEnd::is_own_answer`. Hosts of older builds do not say it.
+/// `http::AnswerProof::is_own`. Hosts of older builds do not say it.
 constexpr std::string_view kOwnField = "carried-own";
 /// Says in the answer of a carrying host why there is none of the target.
 constexpr std::string_view kFailedField = "carry-failed";
@@ -214,7 +214,7 @@
     if (is_done_) return;
     const auto reason = http::FieldValue(head.fields, kFailedField);
     is_carried_ = reason.empty() && http::HasField(head.fields, kCarriedField);
-    is_own_answer_ = is_carried_ && http::HasField(head.fields, kOwnField);
+    answer_.is_own = is_carried_ && http::HasField(head.fields, kOwnField);
     if (!is_carried_) {
       reason_ = reason.empty() ? kDeclined : std::string(reason);
       return;
@@ -228,7 +228,7 @@
       current_->Cancel();
       return TellEnd({Errc::kTargetFailed, true});
     }
-    is_own_answer_ = is_own_answer_ || owner == http::AnswerOwner::kThisCall;
+    answer_.is_own = answer_.is_own || owner == http::AnswerOwner::kThisCall;
     if (hooks_.on_head) hooks_.on_head(answer);
   }
 
@@ -241,7 +241,7 @@
 
   void OnCarriedEnd(const http::CallEnd& end) {
     if (is_done_) return;
-    if (is_carried_) return TellEnd({end.code, end.sent, is_own_answer_});
+    if (is_carried_) return TellEnd({end.code, end.sent, answer_});
     // A carrying host that accepted the request and broke off may have sent it.
     const bool may_have_arrived = (reason_ == kGone && end.sent) ||
                                   reason_ == kBroken || reason_ == kSilent;
@@ -289,8 +289,8 @@
   HostName carrier_;
   std::string reason_;  ///< Why `carrier_` passed no answer on.
   bool has_tried_directly_ = false;
-  bool is_carried_ = false;     ///< The target's answer comes over `carrier_`.
-  bool is_own_answer_ = false;  ///< As in `http::CallEnd`.
+  bool is_carried_ = false;   ///< The target's answer comes over `carrier_`.
+  http::AnswerProof answer_;  ///< Of a carried answer.
   bool is_done_ = false;
 };
 
@@ -355,6 +355,7 @@
     options.idle_limit = milliseconds(head_.idle_limit_ms);
     options.probe_silence = head_.probe_silence;
     options.named_answers_only = true;
+    options.id = head_.request;
     options.answer_bytes = std::numeric_limits<std::uint64_t>::max();
     http::CallHooks hooks;
     const auto self = shared_from_this();
@@ -389,6 +390,7 @@
 
   void OnHead(const http::Response& head) {
     has_head_ = true;
+    status_ = head.status;
     paths_.hooks_.answer_carried({head_.service_name}, head_.address, head);
     http::Response out = head;
     std::erase_if(out.fields, [](const http::Field& field) {
@@ -404,6 +406,7 @@
   }
 
   void OnEnd(const http::CallEnd& end) {
+    if (end.code != Errc::kOk || !IsSuccess()) LogEnd(end);
     if (end.code == Errc::kOk) return exchange_->End();
     if (has_head_) return exchange_->Abort();
     const bool is_unreached = end.code == Errc::kTargetUnreachable && !end.sent;
@@ -413,6 +416,23 @@
     RespondFailed(ReasonOf(end.code));
   }
 
+  bool IsSuccess() const { return status_ >= 200 && status_ < 300; }
+
+  void LogEnd(const http::CallEnd& end) const {
+    LogLine(Severity::kInfo, Event::kCarriedEnded)
+        .With("request", head_.request)
+        .With("host", head_.sender)
+        .With("service", head_.service_name)
+        .With("address", head_.address)
+        .With(end.code)
+        .With("status", static_cast<std::uint64_t>(std::max(0, status_)))
+        .With("sent", end.sent)
+        .With("own", end.answer.is_own)
+        .With("id_reused", end.answer.is_id_reused)
+        .With("earlier_calls", std::uint64_t{end.answer.earlier_calls})
+        .With("skipped", std::uint64_t{end.answer.skipped});
+  }
+
   void RespondFailed(std::string_view reason) {
     http::Response response;
     response.status = kBadGatewayStatus;
@@ -426,6 +446,7 @@
   std::weak_ptr<http::Call> call_;
   wire::CarryHead head_;
   bool has_head_ = false;
+  int status_ = 0;  ///< Of the target's answer; 0: none.
 };
 
 // ---- Paths ------------------------------------------------------------------
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "http/address.h"
+#include "http/connection-history.h"
 #include "http/lazy-timer.h"
 
 namespace comfreyflow::http {
@@ -46,7 +47,7 @@
 /// Read at once; the parser keeps what it can't use yet.
 constexpr std::size_t kReadBytes = 64 * 1024;
 /// Provisional answers and answers to other calls before a call's own.
-constexpr int kMostSkipped = 8;
+constexpr std::uint32_t kMostSkipped = 8;
 /// Of a body of an answer to another call.
 constexpr std::size_t kSkippedBytes = 1024 * 1024;
 constexpr int kSwitchingProtocols = 101;
@@ -113,7 +114,7 @@
   /// A connection that is kept for later calls.
   struct Kept {
     tcp::socket socket;
-    bool only_named_answers = true;  ///< Each answer so far named its call.
+    ConnectionHistory history;
   };
 
   std::optional<Kept> Take(const std::string& address,
@@ -123,7 +124,8 @@
     auto& idle = idle_[address];
     for (std::size_t i = idle.size(); i-- > 0;) {
       const auto at = idle.begin() + static_cast<std::ptrdiff_t>(i);
-      if (options.named_answers_only && !at->kept.only_named_answers) continue;
+      const ConnectionHistory& history = at->kept.history;
+      if (options.named_answers_only && !history.only_named_answers()) continue;
       Idle last = std::move(*at);
       idle.erase(at);
       if (now < last.expires && now - last.since <= options.idle_limit &&
@@ -243,7 +245,7 @@
         // The socket comes from another strand's executor.
         const auto protocol = kept->socket.local_endpoint().protocol();
         socket_.assign(protocol, kept->socket.release());
-        only_named_answers_ = kept->only_named_answers;
+        history_ = std::move(kept->history);
         return Send();
       }
     }
@@ -267,6 +269,9 @@
   void Send() {
     if (options_.probe_silence) ProbeSilence(socket_);
     sent_ = true;
+    answer_.is_id_reused = history_.HasCarried(options_.id);
+    answer_.earlier_calls = history_.calls();
+    history_.Sent(options_.id);
     if (hooks_.on_sent) hooks_.on_sent();
     sending_ = true;
     serializer_.emplace(message_);
@@ -335,7 +340,7 @@
 
   /// Reads on behind an answer that is not the call's own final one.
   void SkipAnswer() {
-    if (!parser_->get().keep_alive() || ++skipped_ > kMostSkipped) {
+    if (!parser_->get().keep_alive() || ++answer_.skipped > kMostSkipped) {
       return Finish(Errc::kTargetFailed);
     }
     foreign_ = false;
@@ -354,9 +359,9 @@
         hooks_.owner ? hooks_.owner(head) : AnswerOwner::kUnnamed;
     foreign_ = provisional || owner == AnswerOwner::kOtherCall;
     if (foreign_) return;
-    is_own_answer_ = owner == AnswerOwner::kThisCall || only_named_answers_;
-    only_named_answers_ =
-        only_named_answers_ && owner == AnswerOwner::kThisCall;
+    const bool names_call = owner == AnswerOwner::kThisCall;
+    answer_.is_own = names_call || history_.only_named_answers();
+    history_.Answered(names_call);
     if (hooks_.on_head) hooks_.on_head(head);
   }
 
@@ -388,7 +393,7 @@
     if (keep && buffer_.size() == 0) {
       timer_.Cancel();
       const auto keep_alive = parser_->get()[bh::field::keep_alive];
-      pool_->Put(address_, {std::move(socket_), only_named_answers_},
+      pool_->Put(address_, {std::move(socket_), std::move(history_)},
                  IdleLife({keep_alive.data(), keep_alive.size()}));
     }
     Finish(Errc::kOk);
@@ -398,7 +403,7 @@
     if (done_) return;
     done_ = true;
     Drop();
-    if (hooks_.on_end) hooks_.on_end({code, sent_, is_own_answer_});
+    if (hooks_.on_end) hooks_.on_end({code, sent_, answer_});
     hooks_ = {};
   }
 
@@ -440,10 +445,9 @@
   bool broken_send_ = false;
   bool head_told_ = false;
   bool foreign_ = false;  ///< The answer under way is not the call's own.
-  bool only_named_answers_ = true;  ///< On this connection, so far.
-  bool is_own_answer_ = false;      ///< As in `CallEnd`.
-  int skipped_ = 0;                 ///< Answers before it.
-  std::size_t skipped_bytes_ = 0;
+  ConnectionHistory history_;
+  AnswerProof answer_;
+  std::size_t skipped_bytes_ = 0;  ///< Of answers to other calls.
   Clock::time_point started_;
   bool paused_ = false;
   bool read_waits_ = false;  ///< For `Resume`.
@@ -497,7 +501,7 @@
           error_code ignored;
           attempt->socket.set_option(tcp::no_delay(true), ignored);
           attempt->socket.set_option(UserTimeout(kUnacknowledgedMs), ignored);
-          pool->Put(address, {std::move(attempt->socket)}, kIdleLife);
+          pool->Put(address, {std::move(attempt->socket), {}}, kIdleLife);
         }
         hook(!error);
       });
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -19,6 +19,8 @@
 namespace comfreyflow::http {
 
 struct CallOptions {
+  /// What the answer names to say that it belongs to this call; empty: nothing.
+  std::string id;
   std::chrono::milliseconds connect_timeout{1000};
   /// Longest time without a byte from the other end once all is sent, and
   /// without a byte taken by it before.
@@ -40,14 +42,23 @@
 /// The call to which an answer belongs, by its head.
 enum class AnswerOwner : std::uint8_t { kThisCall, kOtherCall, kUnnamed };
 
+/// What tells an answer from a copy of an earlier one on its connection.
+struct AnswerProof {
+  /// It named this call, or named none and came on a connection on which all
+  /// earlier answers had named theirs.
+  bool is_own = false;
+  /// The connection had carried a call with the same id before.
+  bool is_id_reused = false;
+  std::uint32_t earlier_calls = 0;  ///< On the connection.
+  std::uint32_t skipped = 0;        ///< Answers to other calls before it.
+};
+
 /// How a call ended. `code` is `kOk` when the answer came whole, else
 /// `kTargetUnreachable`, `kTargetUnresponsive` or `kTargetFailed`.
 struct CallEnd {
   Errc code = Errc::kOk;
   bool sent = false;  ///< A byte of the request was handed to a socket.
-  /// The answer named this call, or named none and came on a connection on
-  /// which all earlier answers had named theirs.
-  bool is_own_answer = false;
+  AnswerProof answer;
 };
 
 /// What a call tells. Hooks run on the I/O threads, one at a time for a call;
--- /dev/null
+++ b/src/http/connection-history.h
@@ -0,0 +1,45 @@
+/// What a connection was used for, so that an answer on it can be told from a
+/// late copy of an earlier one.
+#pragma once
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace comfreyflow::http {
+
+class ConnectionHistory {
+ public:
+  /// Records a call that is about to be sent. `id` is what its answer names;
+  /// empty: nothing.
+  void Sent(std::string_view id) {
+    ++calls_;
+    if (!id.empty()) ids_.push_back(XXH3_64bits(id.data(), id.size()));
+  }
+
+  /// Records the head of a call's own answer.
+  void Answered(bool names_call) {
+    only_named_answers_ = only_named_answers_ && names_call;
+  }
+
+  /// Whether an earlier call may have had this id.
+  bool HasCarried(std::string_view id) const {
+    if (id.empty()) return false;
+    const std::uint64_t hash = XXH3_64bits(id.data(), id.size());
+    return std::find(ids_.begin(), ids_.end(), hash) != ids_.end();
+  }
+
+  /// Each answer so far named its call.
+  bool only_named_answers() const { return only_named_answers_; }
+  std::uint32_t calls() const { return calls_; }
+
+ private:
+  std::uint32_t calls_ = 0;
+  bool only_named_answers_ = true;
+  std::vector<std::uint64_t> ids_;  ///< Hashes of the ids of all calls.
+};
+
+}  // namespace comfreyflow::http
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -55,6 +55,7 @@
   kRequestCarried,
   kCarryFailed,
   kCarriedForHost,
+  kCarriedEnded,
   kAnswerMemory,
   kTryFailed,
   kRequestSuspected,
@@ -94,7 +95,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 76> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 77> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -271,6 +272,11 @@
      "this host sent, or refused to send, a request of another host to a "
      "target; refused: why it did not",
      "request host service address refused carrying"},
+    {"carried_ended",
+     "a target gave no success for a request of another host; own, id_reused, "
+     "earlier_calls, skipped: as in try_failed",
+     "request host service address code status sent own id_reused "
+     "earlier_calls skipped"},
     {"answer_memory",
      "the caller of a long answer takes it slowly, or all memory for answers "
      "is used; action: paused (the target is read no further until the caller "
@@ -279,9 +285,12 @@
      "request target action unwritten used limit"},
     {"try_failed",
      "an attempt ended without a complete answer; named: the answer named the "
-     "request; own: it did, or came where each earlier answer named its own",
-     "request target cause end status sent not_run named own head_sent begun "
-     "sent_for account parts try next"},
+     "request; own: it did, or came where each earlier answer named its own; "
+     "id_reused: its connection had carried a request with the same id before; "
+     "earlier_calls: all that it had carried; skipped: answers to others that "
+     "came before this one",
+     "request target cause end status sent not_run named own id_reused "
+     "earlier_calls skipped head_sent begun sent_for account parts try next"},
     {"request_suspected",
      "a connection broke during a request, possibly because the target "
      "crashed; crashes: targets at which this whole request met that",
@@ -310,11 +319,13 @@
      "that "
      "crashed; age: time since the last crash",
      "request service subjects targets age trials"},
-    {"request_ended", "a request got its only final answer",
-     "request route version account code prompt_tokens tries ran events "
-     "first_event longest_pause took objective max_gap service outcome "
-     "attempts "
-     "output_tokens took_ms"},
+    {"request_ended",
+     "a request got its only final answer; sent_to: the targets that may have "
+     "got it, in order. Never left out if it must not run twice and was sent "
+     "more than once",
+     "request route version account code prompt_tokens tries sent_to ran "
+     "events first_event longest_pause took objective max_gap service outcome "
+     "attempts output_tokens took_ms"},
     {"lines_left_out",
      "lines of an event were dropped in an earlier second because they "
      "exceeded its budget",
--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -126,6 +126,7 @@
 struct LogLine::Fields {
   Severity severity;
   Event event;
+  bool past_budget = false;
   Json json;
 };
 
@@ -176,7 +177,7 @@
         .With("of", SpecOf(fields_->event).name)
         .With("lines", left_out);
   }
-  if (!allowed) return;
+  if (!allowed && !fields_->past_budget) return;
   if (fields_->severity == Severity::kInfo) {
     LOG(INFO) << kJsonObjectMark << text();
   } else if (fields_->severity == Severity::kWarning) {
@@ -190,6 +191,11 @@
   const LogLine line(severity, event);
 }
 
+LogLine& LogLine::PastBudget() {
+  fields_->past_budget = true;
+  return *this;
+}
+
 LogLine& LogLine::With(const char* key, std::string_view value) {
   fields_->json[key] = value;
   return *this;
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -36,6 +36,9 @@
   LogLine& operator=(const LogLine&) = delete;
   ~LogLine();
 
+  /// Writes the line even if the event's budget is used up.
+  LogLine& PastBudget();
+
   LogLine& With(const char* key, std::string_view value);
   LogLine& With(const char* key, const char* value) {
     return With(key, std::string_view(value));
--- a/test/shell/target-paths-test.cc
+++ b/test/shell/target-paths-test.cc
@@ -103,17 +103,17 @@
   const http::CallEnd end = FakeCarrier(Refusal("carried: 1\r\n")).Call();
   CHECK(end.code == Errc::kOk);
   CHECK(end.sent);
-  CHECK_FALSE(end.is_own_answer);
+  CHECK_FALSE(end.answer.is_own);
 }
 
 TEST_CASE("a carried answer that names its request is not its own") {
-  CHECK(FakeCarrier(Refusal("carried: 1\r\nid: id1\r\n")).Call().is_own_answer);
+  CHECK(FakeCarrier(Refusal("carried: 1\r\nid: id1\r\n")).Call().answer.is_own);
 }
 
 TEST_CASE("a carrying host's word on an unnamed answer is not taken") {
   CHECK(FakeCarrier(Refusal("carried: 1\r\ncarried-own: 1\r\n"))
             .Call()
-            .is_own_answer);
+            .answer.is_own);
 }
 
 TEST_CASE("a carried answer to another request is passed on") {
