A connection does not carry one request id twice

Cause: a refusal was believed if it named the request. A late copy of a refusal names it as well, also when the same request is on the same connection again. A target that refused is left out by its name, while connections are kept by address, and a refusal may blame another target than the one that wrote it: so one request comes back to one connection. It does, too, when its caller sends it again under its id, and over carrying hosts, whose connections serve all.

Mend: a connection keeps the ids of its calls; no call takes one that has carried its id. Whatever comes on it under that id is the answer to this arrival. The rule sits with the connection, which outlives attempts, renamed targets and hosts that carry. After 256 ids a connection is not kept. A carrying host says so in an optional field; a refusal over an older one, which does not, is not believed for what must not run twice (502 in place of another send). Older hosts ignore the field.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -779,9 +779,12 @@
   void OnAnswerEnd() {
     const bool is_refusal =
         target_head_.reported_not_run || target_head_.wrong_target;
-    // What may answer another request says nothing about this one. A request
-    // that may run twice goes elsewhere after a refusal, whosever that is.
-    if (!answer_.is_own && !(is_refusal && Repeatable(*route_))) {
+    // What may answer another request, or refuse an earlier arrival of this
+    // one, says nothing about this arrival. A request that may run twice goes
+    // elsewhere after a refusal, whosever that is.
+    const bool is_proven =
+        answer_.is_own && !(is_refusal && answer_.is_id_reused);
+    if (!is_proven && !(is_refusal && Repeatable(*route_))) {
       return OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
     }
     if (is_refusal) {
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -40,6 +40,9 @@
 /// Says that a carried answer is that to this request even if it names none, as
 /// `http::AnswerProof::is_own`. Hosts of older builds do not say it.
 constexpr std::string_view kOwnField = "carried-own";
+/// Says that the connection on which a carried answer came had carried no other
+/// request with its id. Hosts of older builds do not say it.
+constexpr std::string_view kNewIdField = "carried-new-id";
 /// Says in the answer of a carrying host why there is none of the target.
 constexpr std::string_view kFailedField = "carry-failed";
 constexpr std::string_view kDeclined = "declined";
@@ -215,6 +218,7 @@
     const auto reason = http::FieldValue(head.fields, kFailedField);
     is_carried_ = reason.empty() && http::HasField(head.fields, kCarriedField);
     answer_.is_own = is_carried_ && http::HasField(head.fields, kOwnField);
+    answer_.is_id_reused = !http::HasField(head.fields, kNewIdField);
     if (!is_carried_) {
       reason_ = reason.empty() ? kDeclined : std::string(reason);
       return;
@@ -234,7 +238,8 @@
 
   static http::Response WithoutMark(http::Response head) {
     std::erase_if(head.fields, [](const http::Field& field) {
-      return field.name == kCarriedField || field.name == kOwnField;
+      return field.name == kCarriedField || field.name == kOwnField ||
+             field.name == kNewIdField;
     });
     return head;
   }
@@ -397,11 +402,14 @@
       return field.name == "transfer-encoding" ||
              field.name == "content-length" || field.name == "connection" ||
              field.name == "keep-alive" || field.name == kCarriedField ||
-             field.name == kOwnField || field.name == kFailedField;
+             field.name == kOwnField || field.name == kNewIdField ||
+             field.name == kFailedField;
     });
     out.fields.push_back({std::string(kCarriedField), "1"});
-    // Only connections with named answers are used for others.
+    // Only connections with named answers, and without an earlier call of the
+    // same id, are used for others.
     out.fields.push_back({std::string(kOwnField), "1"});
+    out.fields.push_back({std::string(kNewIdField), "1"});
     exchange_->StartStream(std::move(out));
   }
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -126,6 +126,7 @@
       const auto at = idle.begin() + static_cast<std::ptrdiff_t>(i);
       const ConnectionHistory& history = at->kept.history;
       if (options.named_answers_only && !history.only_named_answers()) continue;
+      if (history.HasCarried(options.id)) continue;
       Idle last = std::move(*at);
       idle.erase(at);
       if (now < last.expires && now - last.since <= options.idle_limit &&
@@ -389,7 +390,8 @@
   }
 
   void Whole() {
-    const bool keep = parser_->get().keep_alive() && !sending_ && !broken_send_;
+    const bool keep = parser_->get().keep_alive() && !sending_ &&
+                      !broken_send_ && !history_.is_full();
     if (keep && buffer_.size() == 0) {
       timer_.Cancel();
       const auto keep_alive = parser_->get()[bh::field::keep_alive];
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -20,6 +20,7 @@
 
 struct CallOptions {
   /// What the answer names to say that it belongs to this call; empty: nothing.
+  /// No connection is taken from the pool that has carried a call with this id.
   std::string id;
   std::chrono::milliseconds connect_timeout{1000};
   /// Longest time without a byte from the other end once all is sent, and
@@ -47,7 +48,8 @@
   /// It named this call, or named none and came on a connection on which all
   /// earlier answers had named theirs.
   bool is_own = false;
-  /// The connection had carried a call with the same id before.
+  /// The connection may have carried a call with the same id before, so that
+  /// the answer may be a copy of that to the earlier one.
   bool is_id_reused = false;
   std::uint32_t earlier_calls = 0;  ///< On the connection.
   std::uint32_t skipped = 0;        ///< Answers to other calls before it.
--- a/src/http/connection-history.h
+++ b/src/http/connection-history.h
@@ -1,5 +1,6 @@
 /// What a connection was used for, so that an answer on it can be told from a
-/// late copy of an earlier one.
+/// late copy of an earlier one. An id says which call an answer belongs to only
+/// if the connection has carried no other call with that id.
 #pragma once
 
 #include <xxhash.h>
@@ -25,7 +26,8 @@
     only_named_answers_ = only_named_answers_ && names_call;
   }
 
-  /// Whether an earlier call may have had this id.
+  /// Whether an earlier call may have had this id. An answer that names it may
+  /// then be a copy of the answer to that call.
   bool HasCarried(std::string_view id) const {
     if (id.empty()) return false;
     const std::uint64_t hash = XXH3_64bits(id.data(), id.size());
@@ -35,11 +37,17 @@
   /// Each answer so far named its call.
   bool only_named_answers() const { return only_named_answers_; }
   std::uint32_t calls() const { return calls_; }
+  /// The connection is not used any more, so that `ids_` stays short.
+  bool is_full() const { return ids_.size() >= kMostIds; }
 
  private:
+  static constexpr std::size_t kMostIds = 256;
+
   std::uint32_t calls_ = 0;
   bool only_named_answers_ = true;
-  std::vector<std::uint64_t> ids_;  ///< Hashes of the ids of all calls.
+  /// Hashes of the ids of all calls. Invariant: no call was sent with an id
+  /// that was in the list.
+  std::vector<std::uint64_t> ids_;
 };
 
 }  // namespace comfreyflow::http
--- a/test/shell/client-test.cc
+++ b/test/shell/client-test.cc
@@ -7,6 +7,7 @@
 #include <boost/asio.hpp>
 #include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -131,3 +132,76 @@
   constexpr std::size_t kMostBytes = 32 * 1024 * 1024;
   CHECK(CallOptions{}.answer_bytes < kMostBytes);
 }
+
+namespace {
+
+/// A server that answers each request, on kept connections.
+struct Answering {
+  Answering() : acceptor(io, {boost::asio::ip::address_v4::loopback(), 0}) {
+    Accept();
+  }
+
+  void Accept() {
+    acceptor.async_accept(
+        [this](const boost::system::error_code& error, Tcp::socket socket) {
+          if (error) return;
+          ++connections;
+          Answer(std::make_shared<Tcp::socket>(std::move(socket)),
+                 std::make_shared<std::array<char, 4096>>());
+          Accept();
+        });
+  }
+
+  void Answer(const std::shared_ptr<Tcp::socket>& socket,
+              const std::shared_ptr<std::array<char, 4096>>& bytes) {
+    socket->async_read_some(
+        boost::asio::buffer(*bytes),
+        [this, socket, bytes](const boost::system::error_code& error,
+                              std::size_t) {
+          if (error) return;
+          const std::string text =
+              "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n";
+          boost::asio::write(*socket, boost::asio::buffer(text));
+          Answer(socket, bytes);
+        });
+  }
+
+  CallEnd Call(const std::string& id) {
+    Request request;
+    request.method = "POST";
+    request.path = "/";
+    CallOptions options;
+    options.id = id;
+    std::optional<CallEnd> ended;
+    client.Fetch(
+        "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
+        std::move(request), options,
+        [&ended](const CallEnd& end, const Response&) { ended = end; });
+    while (!ended) io.run_one();
+    return *ended;
+  }
+
+  boost::asio::io_context io{1};
+  Tcp::acceptor acceptor;
+  Client client{io};
+  int connections = 0;
+};
+
+}  // namespace
+
+TEST_CASE("a connection carries two calls with one id") {
+  // A copy of the first answer would pass for the second.
+  Answering server;
+  for (const char* id : {"a", "b", "a", "b", "c", "a", "", ""}) {
+    CHECK_FALSE(server.Call(id).answer.is_id_reused);
+  }
+  CHECK(server.connections == 3);
+}
+
+TEST_CASE("a connection remembers its ids without end") {
+  Answering server;
+  constexpr int kCalls = 1000;
+  constexpr int kMostCallsOfConnection = 256;
+  for (int i = 0; i < kCalls; ++i) server.Call(std::to_string(i));
+  CHECK(server.connections == kCalls / kMostCallsOfConnection + 1);
+}
--- a/test/shell/target-paths-test.cc
+++ b/test/shell/target-paths-test.cc
@@ -116,6 +116,16 @@
             .answer.is_own);
 }
 
+TEST_CASE("a carried answer passes for the first one under its id") {
+  // A host of an older build may have used a connection that had carried the
+  // id before.
+  const std::string older = "carried: 1\r\ncarried-own: 1\r\nid: id1\r\n";
+  CHECK(FakeCarrier(Refusal(older)).Call().answer.is_id_reused);
+  CHECK_FALSE(FakeCarrier(Refusal(older + "carried-new-id: 1\r\n"))
+                  .Call()
+                  .answer.is_id_reused);
+}
+
 TEST_CASE("a carried answer to another request is passed on") {
   const http::CallEnd end =
       FakeCarrier(Refusal("carried: 1\r\ncarried-own: 1\r\nid: id0\r\n"))
