The answer to a reservation is not one that names a request

A prompt that needs memory of several targets was refused, or waited for another group of them, though all had room.

Reservations and releases go over the connections of requests and name none, and their calls took whatever came first as the answer. A late copy of a request's refusal refused the memory; a copy of a success would have granted it.

Mend: an answer that names a request is read and dropped by such a call, directly and over a carrying host, which takes the id from the request itself rather than from the frame's field for the log.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -314,6 +314,9 @@
                           const std::string& address) {
       return placement.FindAccepting(service, address).has_value();
     };
+    path.id_of = [this](const http::Request& request) {
+      return hooks.edge.read_request(request).id;
+    };
     path.owner = [this](const http::Response& head,
                         const std::string& request_id) {
       return OwnerOf(hooks.edge.read_head(head), request_id);
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -360,7 +360,7 @@
     options.idle_limit = milliseconds(head_.idle_limit_ms);
     options.probe_silence = head_.probe_silence;
     options.named_answers_only = true;
-    options.id = head_.request;
+    options.id = paths_.hooks_.id_of(request);
     options.answer_bytes = std::numeric_limits<std::uint64_t>::max();
     http::CallHooks hooks;
     const auto self = shared_from_this();
@@ -371,8 +371,8 @@
           if (call) paused ? call->Pause() : call->Resume();
         });
     const ServiceName service{head_.service_name};
-    hooks.owner = [self](const http::Response& head) {
-      return self->paths_.hooks_.owner(head, self->head_.request);
+    hooks.owner = [self, id = options.id](const http::Response& head) {
+      return self->paths_.hooks_.owner(head, id);
     };
     hooks.on_connected = [self, service] {
       self->paths_.OnReached(service, self->head_.address);
@@ -484,6 +484,10 @@
   const auto answer = std::make_shared<http::Response>();
   answer->status = 0;
   http::CallHooks hooks;
+  // An answer that names a request is a late one to that.
+  hooks.owner = [this, id = options.id](const http::Response& head) {
+    return hooks_.owner(head, id);
+  };
   hooks.on_head = [answer](const http::Response& head) { *answer = head; };
   hooks.on_body = [answer](std::string_view bytes) { answer->body += bytes; };
   hooks.on_end = [answer, hook = std::move(hook)](http::CallEnd end) {
--- a/src/gateway/target-paths.h
+++ b/src/gateway/target-paths.h
@@ -36,6 +36,9 @@
   /// Whether the address is that of a target of the service that accepts
   /// requests of this host.
   std::function<bool(const ServiceName&, const std::string& address)> accepts;
+  /// The id by which the answer to a request to a target names it; empty if it
+  /// does not.
+  std::function<std::string(const http::Request& request)> id_of;
   /// Which request the answer names.
   std::function<http::AnswerOwner(const http::Response& head,
                                   const std::string& request_id)>
--- a/test/platform/second-copy-test.cc
+++ b/test/platform/second-copy-test.cc
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "platform/stand-ins.h"
@@ -164,3 +165,77 @@
   CHECK(targets.AllRanOnce());
   for (const int status : targets.statuses) CHECK(status == 200);
 }
+
+namespace {
+
+/// An engine that refuses its first request by name and writes the refusal
+/// again before its next answer, whatever that answers.
+class CopyingEngine {
+ public:
+  CopyingEngine(Site& site, const std::string& name) {
+    site.AddRawTarget(
+        "model", name,
+        [this](const RawTarget::Socket& socket, const std::string& head) {
+          Answer(socket, head);
+          return false;
+        });
+  }
+
+  bool has_refused() const { return has_refused_; }
+
+ private:
+  void Answer(const RawTarget::Socket& socket, const std::string& head) {
+    std::string text = std::exchange(owed_, {});
+    if (head.starts_with("POST /order ")) {
+      text += "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    } else if (!std::exchange(has_refused_, true)) {
+      owed_ =
+          "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
+          "X-Request-Id: " +
+          HeaderIn(head, "x-request-id") + "\r\nContent-Length: 0\r\n\r\n";
+      text += owed_;
+    } else {
+      const std::string event = "id: 1\ndata: x\n\n";
+      text += SuccessHead(head, true) +
+              "Content-Type: text/event-stream\r\nContent-Length: " +
+              std::to_string(event.size()) + "\r\n\r\n" + event;
+    }
+    boost::asio::write(*socket, boost::asio::buffer(text));
+    const auto buffer = std::make_shared<std::string>(4096, '\0');
+    socket->async_read_some(
+        boost::asio::buffer(*buffer),
+        [this, socket, buffer](const boost::system::error_code& error,
+                               std::size_t size) {
+          if (error) return;
+          buffer->resize(size);
+          Answer(socket, *buffer);
+        });
+  }
+
+  std::string owed_;
+  bool has_refused_ = false;
+};
+
+}  // namespace
+
+TEST_CASE("a second copy of a refusal refuses memory to another prompt") {
+  Site site;
+  CopyingEngine first(site, "m1");
+  CopyingEngine second(site, "m2");
+  CopyingEngine third(site, "m3");
+  site.PutConfig(1, [](nlohmann::json& config) {
+    config["Services"][1]["Engine"]["KvTokens"] = 60000;
+  });
+  const auto host = site.AddHost();
+  REQUIRE(site.UntilReady(host));
+  REQUIRE(site.Call(host, "POST", "/stream/1", {{"x-token-count", "900,100"}})
+              .response.status == 503);
+  REQUIRE(first.has_refused());
+  REQUIRE(second.has_refused());
+  REQUIRE(third.has_refused());
+  // A target that refused is asked again after a while.
+  const auto asked_again = Clock::now() + std::chrono::seconds(4);
+  site.Until([asked_again] { return Clock::now() >= asked_again; });
+  CHECK(site.Call(host, "POST", "/stream/1", {{"x-token-count", "90000,100"}})
+            .response.status == 200);
+}
