explain names the targets of a request that was sent to several

From the id of an order that ran twice to its arrivals in one step: the end of the request tells them, and is logged whatever the load. The test fails without the change (explain printed the end alone).

--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -107,6 +107,14 @@
   return text + "; " + code + " after " + duration + ".";
 }
 
+/// Names the targets that may have got the request, if there are several.
+std::string SentText(const std::vector<Json>& lines) {
+  const Json* end = LastLine(lines, "request_ended");
+  const std::string targets = end != nullptr ? end->value("sent_to", "") : "";
+  if (targets.find(',') == std::string::npos) return "";
+  return " It was sent to " + targets + ", in this order.";
+}
+
 /// Formats one log line for people.
 std::string FormatLine(const Json& line) {
   std::string text = line.value("time", "") + " " + line.value("event", "");
@@ -147,7 +155,7 @@
              "no log line contains request " + request.getValue());
     return report;
   }
-  std::string cause = CauseText(lines);
+  std::string cause = CauseText(lines) + SentText(lines);
   const Json* end = LastLine(lines, "request_ended");
   if (end != nullptr &&
       end->value("code", "") == Info(Errc::kTargetsLimited).name) {
--- a/test/shell/explain-test.cc
+++ b/test/shell/explain-test.cc
@@ -81,6 +81,19 @@
                      "target_failed after 65 ms") != std::string::npos);
 }
 
+TEST_CASE("the targets of a request that was sent twice are not named") {
+  const TempFile log(
+      R"({"time":"2026-01-01T00:00:03Z","event":"request_ended","request":"r3","code":"ok","tries":2,"sent_to":"i1,i2","took":65}
+{"time":"2026-01-01T00:00:03Z","event":"request_ended","request":"r4","code":"ok","tries":1,"sent_to":"i1","took":65}
+)");
+  CHECK(RunTool({"explain", "r3", log.path()})
+            .out.find(
+                "It was answered completely in 65 ms. It was sent to i1,i2, in "
+                "this order.\n") != std::string::npos);
+  CHECK(RunTool({"explain", "r4", log.path()}).out.find("sent to") ==
+        std::string::npos);
+}
+
 TEST_CASE(
     "explain prints JSON and fails for unknown requests, unreadable files and "
     "missing arguments") {
