A connection that is passed over for its id is closed

Cause: a call doesn't take a connection that has carried its id, and makes one of its own; the one passed over stayed in the pool, also past its life.

Mend: what is passed over for its id, or has lived its time, is closed, so that the new connection takes its place.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -125,11 +125,16 @@
     for (std::size_t i = idle.size(); i-- > 0;) {
       const auto at = idle.begin() + static_cast<std::ptrdiff_t>(i);
       const ConnectionHistory& history = at->kept.history;
-      if (options.named_answers_only && !history.only_named_answers()) continue;
-      if (history.HasCarried(options.id)) continue;
+      // The call makes a connection in place of the one that it can't use, so
+      // that a caller who repeats its id takes up no more of them.
+      const bool is_closed =
+          at->expires <= now || history.HasCarried(options.id);
+      const bool is_unfit =
+          options.named_answers_only && !history.only_named_answers();
+      if (is_unfit && !is_closed) continue;
       Idle last = std::move(*at);
       idle.erase(at);
-      if (now < last.expires && now - last.since <= options.idle_limit &&
+      if (!is_closed && now - last.since <= options.idle_limit &&
           IsQuiet(last.kept.socket)) {
         return std::move(last.kept);
       }
