Lines written past the budget don't count as left out

`lines_left_out` counted lines that stand in the log, so that a reader looked for what isn't missing. Cause: the budget didn't know that the line is written all the same. log-left-out-test (review) failed before: 1,000 lines written, reported as left out.

--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -95,7 +95,8 @@
  public:
   /// Whether the line may be written. Sets `left_out` to the number of lines of
   /// the event that were dropped in the last second that had lines of it.
-  bool Allow(Event event, Severity severity, std::uint64_t& left_out) {
+  bool Allow(Event event, Severity severity, bool past_budget,
+             std::uint64_t& left_out) {
     const auto now = std::chrono::steady_clock::now();
     const std::lock_guard lock(mutex_);
     Count& count = counts_.at(static_cast<std::size_t>(event));
@@ -106,7 +107,7 @@
     const auto max_lines = severity == Severity::kInfo
                                ? kMaxInfoLinesPerSecond
                                : kMaxWarningLinesPerSecond;
-    if (++count.lines <= max_lines) return true;
+    if (++count.lines <= max_lines || past_budget) return true;
     ++count.left_out;
     return false;
   }
@@ -170,14 +171,14 @@
   if (!google::IsGoogleLoggingInitialized()) return;
   static LineBudget budget;
   std::uint64_t left_out = 0;
-  const bool allowed =
-      budget.Allow(fields_->event, fields_->severity, left_out);
+  const bool allowed = budget.Allow(fields_->event, fields_->severity,
+                                    fields_->past_budget, left_out);
   if (left_out > 0) {
     LogLine(Severity::kWarning, Event::kLinesLeftOut)
         .With("of", SpecOf(fields_->event).name)
         .With("lines", left_out);
   }
-  if (!allowed && !fields_->past_budget) return;
+  if (!allowed) return;
   if (fields_->severity == Severity::kInfo) {
     LOG(INFO) << kJsonObjectMark << text();
   } else if (fields_->severity == Severity::kWarning) {
