A carried answer goes on after its caller was slow

Cause: the carrying host pauses the call to the target while the caller takes nothing. A call that waits for no bytes is held by nobody but its owner, and the carrying host held it weakly: it was destroyed.

Mend: the carrying host owns the call until it ends or is cancelled.

--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -367,8 +367,8 @@
     flow_ = std::make_shared<AnswerFlow>(
         paths_.answer_budget_, [weak = weak_from_this()](bool paused) {
           const auto carried = weak.lock();
-          const auto call = carried ? carried->call_.lock() : nullptr;
-          if (call) paused ? call->Pause() : call->Resume();
+          if (!carried || !carried->call_) return;
+          paused ? carried->call_->Pause() : carried->call_->Resume();
         });
     const ServiceName service{head_.service_name};
     hooks.owner = [self, id = options.id](const http::Response& head) {
@@ -385,11 +385,13 @@
       self->flow_->Write(self->exchange_, std::string(bytes));
     };
     hooks.on_end = [self](http::CallEnd end) { self->OnEnd(end); };
-    const auto call = paths_.client_.Open(head_.address, std::move(request),
-                                          options, std::move(hooks));
-    call_ = call;
-    exchange_->OnGone([call = call_] {
-      if (const auto open = call.lock()) open->Cancel();
+    call_ = paths_.client_.Open(head_.address, std::move(request), options,
+                                std::move(hooks));
+    exchange_->OnGone([weak = weak_from_this()] {
+      const auto carried = weak.lock();
+      if (!carried) return;
+      const auto call = std::exchange(carried->call_, nullptr);
+      if (call) call->Cancel();
     });
   }
 
@@ -414,6 +416,7 @@
   }
 
   void OnEnd(const http::CallEnd& end) {
+    call_.reset();
     if (end.code != Errc::kOk || !IsSuccess()) LogEnd(end);
     if (end.code == Errc::kOk) return exchange_->End();
     if (has_head_) return exchange_->Abort();
@@ -451,7 +454,9 @@
   TargetPaths& paths_;
   const http::ExchangePtr exchange_;
   std::shared_ptr<AnswerFlow> flow_;
-  std::weak_ptr<http::Call> call_;
+  /// A paused call has no other owner. Its hooks own this, so it is dropped
+  /// when it ends or is cancelled.
+  std::shared_ptr<http::Call> call_;
   wire::CarryHead head_;
   bool has_head_ = false;
   int status_ = 0;  ///< Of the target's answer; 0: none.
