A stream is passed on only if it names its request

A caller got the stream of another one (MIXED): an engine's stream without id, written a second time before the next one.

Cause: events are passed on from the head on, and the id, which a plain answer needs at its end, was not asked of a stream.

Mend: a stream whose head does not name the request ends the attempt at once, as a plain answer without its id does.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -558,8 +558,12 @@
     target_head_ = context_.edge.read_head(head);
     target_response_ = head;
     const bool success = IsSuccess();
-    is_event_stream_ =
-        success && target_head_.authentic && target_head_.event_stream;
+    // Events are passed on before the answer has ended.
+    const bool is_stream = success && target_head_.event_stream;
+    if (is_stream && target_head_.request_id != caller_.id) {
+      return OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
+    }
+    is_event_stream_ = is_stream && target_head_.authentic;
     ApplyTargetReport(grant_.targets.front(), target_head_);
     const bool names_limit =
         target_head_.rate_limit || target_head_.rate_limit_unreadable;
