An unproven refusal says of no request that it has not run

The caller of a lookup that ran was told 503 "not run", after the copy of a refusal without id; the run was not counted among the route's attempts.

Cause: a request that may run twice goes elsewhere after any refusal, also one that may be another's, and that was taken for its own in all else.

Mend: it still goes elsewhere; the attempt counts as run, and where no other may follow its caller is told 502.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -780,21 +780,24 @@
     Finish(Errc::kOk);
   }
 
+  /// Whether the answer can be about no other request and no earlier arrival of
+  /// this one.
+  bool IsProven() const { return answer_.is_own && !answer_.is_id_reused; }
+
   void OnAnswerEnd() {
     const bool is_refusal =
         target_head_.reported_not_run || target_head_.wrong_target;
     // What may answer another request, or refuse an earlier arrival of this
     // one, says nothing about this arrival. A request that may run twice goes
     // elsewhere after a refusal, whosever that is.
-    const bool is_proven =
-        answer_.is_own && !(is_refusal && answer_.is_id_reused);
-    if (!is_proven && !(is_refusal && Repeatable(*route_))) {
+    const bool is_believed = is_refusal ? IsProven() : answer_.is_own;
+    if (!is_believed && !(is_refusal && Repeatable(*route_))) {
       return OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
     }
     if (is_refusal) {
       return OnAttemptFailed(
           target_head_.wrong_target ? WorkEnd::kWrongTarget : WorkEnd::kRefused,
-          Errc::kTargetRefused);
+          is_believed ? Errc::kTargetRefused : Errc::kTargetFailed);
     }
     const bool success = IsSuccess();
     if (success &&
@@ -847,8 +850,9 @@
     response_timer_.Disarm();
     std::string().swap(body_);
     if (!stored_answer_) flow_->Drop();
-    const AttemptFailure failure =
-        MakeFailure(end == WorkEnd::kRefused || end == WorkEnd::kWrongTarget);
+    const bool is_refusal =
+        end == WorkEnd::kRefused || end == WorkEnd::kWrongTarget;
+    const AttemptFailure failure = MakeFailure(is_refusal && IsProven());
     if (failure.sent) ++progress_.arrivals;
     if (failure.sent && !failure.reported_not_run) ++progress_.attempts_run;
     if (failure.reported_not_run || !failure.sent) code = Errc::kTargetRefused;
