A reservation is not refused by the copy of an earlier answer

A prompt for several engines was answered 503 though its memory was granted: the refusal of an earlier reservation, written a second time, answered it.

Orders about memory bore no id, so any answer of the connection passed for theirs.

The stand-in wrote its copy on whatever connection came next; it now writes it on the one of the refusal, as no other can carry it, and the case asks that a reservation was granted.

Mend: each order bears an id of its own, takes connections on which each answer named its call, and is granted or released by an answer that is its own. Hosts that carry orders are told that id in the frame's field, which older ones compare with the answer.

--- a/src/gateway/edge.h
+++ b/src/gateway/edge.h
@@ -93,6 +93,8 @@
       write_reserve;
   std::function<http::Request(const std::string& target, const std::string& id)>
       write_release;
+  /// Sets the id by which the answer names the request.
+  std::function<void(http::Request&, const std::string& id)> set_id;
   /// Whether the answer confirms the reservation.
   std::function<bool(const http::Response&)> read_reserved;
   /// The final answer to a request that the gateway itself fails.
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -25,8 +25,12 @@
 constexpr int kMaxReleaseAttempts = 3;
 constexpr Duration kReleaseRetryDelay = milliseconds(300);
 
-http::CallOptions RequestOptions() {
+/// `order_id` is what the answer names. The answer to an earlier order must not
+/// pass for it.
+http::CallOptions RequestOptions(std::string order_id) {
   http::CallOptions options;
+  options.id = std::move(order_id);
+  options.named_answers_only = true;
   options.connect_timeout = kRequestTimeout;
   options.progress_timeout = kRequestTimeout;
   options.total_timeout = 2 * kRequestTimeout;
@@ -37,15 +41,23 @@
 /// Sends a release until it is answered or the attempts are used up.
 class ReleaseLoop : public std::enable_shared_from_this<ReleaseLoop> {
  public:
-  ReleaseLoop(asio::io_context& io, TargetPaths& paths, TargetCall call)
-      : paths_(paths), call_(std::move(call)), timer_(io) {}
+  /// Makes the call that releases the memory under an id of its own.
+  using MakeCall = std::function<TargetCall(const std::string& order_id)>;
+
+  ReleaseLoop(asio::io_context& io, TargetPaths& paths, std::string id,
+              MakeCall make_call)
+      : paths_(paths),
+        id_(std::move(id)),
+        make_call_(std::move(make_call)),
+        timer_(io) {}
 
   void Send() {
-    ++attempts_;
+    const std::string order_id = id_ + "-release" + std::to_string(++attempts_);
     paths_.Fetch(
-        call_, RequestOptions(),
+        make_call_(order_id), RequestOptions(order_id),
         [self = shared_from_this()](http::CallEnd end, const http::Response&) {
-          if (end.code != Errc::kOk) self->RetryLater();
+          const bool is_answered = end.code == Errc::kOk && end.answer.is_own;
+          if (!is_answered) self->RetryLater();
         });
   }
 
@@ -59,7 +71,8 @@
   }
 
   TargetPaths& paths_;
-  const TargetCall call_;
+  const std::string id_;  ///< Of the reservation.
+  const MakeCall make_call_;
   asio::steady_timer timer_;
   int attempts_ = 0;
 };
@@ -87,20 +100,25 @@
 
   void SendReserve(const Reservation& reservation) {
     const PlacedTarget& target = reservation.target;
+    const std::string order_id =
+        reservation.id + "-reserve" + std::to_string(++reserves_sent);
     paths.Fetch(CallOf(reservation,
-                       [&edge = edge, reservation] {
-                         return edge.write_reserve(
+                       [&edge = edge, reservation, order_id] {
+                         http::Request request = edge.write_reserve(
                              reservation.target.name.value, reservation.id,
                              reservation.target.reserve_tokens, kLeaseDuration);
+                         edge.set_id(request, order_id);
+                         return request;
                        }),
-                RequestOptions(),
+                RequestOptions(order_id),
                 [self = shared_from_this(), target](
                     http::CallEnd end, const http::Response& answer) {
                   if (answer.status != 0) {
                     self->on_report(target, self->edge.read_head(answer));
                   }
-                  const bool granted =
-                      end.code == Errc::kOk && self->edge.read_reserved(answer);
+                  const bool granted = end.code == Errc::kOk &&
+                                       end.answer.is_own &&
+                                       self->edge.read_reserved(answer);
                   self->OnAnswer(target.name, granted, answer.status);
                 });
   }
@@ -142,13 +160,20 @@
     is_released = true;
     timer.cancel();
     for (const auto& reservation : requested) {
-      std::make_shared<ReleaseLoop>(io, paths,
-                                    CallOf(reservation,
-                                           [&edge = edge, reservation] {
-                                             return edge.write_release(
-                                                 reservation.target.name.value,
-                                                 reservation.id);
-                                           }))
+      // The loop may outlive this.
+      auto make_call = [&edge = edge, reservation, service = service,
+                        request_id = request_id](const std::string& order_id) {
+        return TargetCall{service, reservation.target.name,
+                          reservation.target.address, request_id,
+                          [&edge, reservation, order_id] {
+                            http::Request request = edge.write_release(
+                                reservation.target.name.value, reservation.id);
+                            edge.set_id(request, order_id);
+                            return request;
+                          }};
+      };
+      std::make_shared<ReleaseLoop>(io, paths, reservation.id,
+                                    std::move(make_call))
           ->Send();
     }
   }
@@ -163,6 +188,7 @@
   asio::steady_timer timer;
   ResultHandler on_result;
   std::size_t pending = 0;
+  std::uint64_t reserves_sent = 0;
   bool is_released = false;
 };
 
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -193,7 +193,8 @@
     http::Request request = call_.request();
     wire::CarryHead head;
     head.sender = paths_.self_.value;
-    head.request = call_.request_id;
+    // What the answer names, which a host of an older build reads here.
+    head.request = options_.id;
     head.service_name = call_.service.value;
     head.address = call_.address;
     head.progress_ms = options_.progress_timeout.count();
--- a/test/platform/copied-lookup-test.cc
+++ b/test/platform/copied-lookup-test.cc
@@ -19,7 +19,8 @@
   int runs() const { return runs_; }
 
  protected:
-  std::string Answer(const std::string& request) override {
+  std::string Answer(const std::string& request,
+                     std::string& /*owed*/) override {
     const std::string refused =
         "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\n"
         "Content-Length: 0\r\n\r\n";
--- a/test/platform/copied-reservation-test.cc
+++ b/test/platform/copied-reservation-test.cc
@@ -20,18 +20,17 @@
 };
 
 /// Refuses reservations while the memory is full, and writes a refusal again
-/// before the answer to the next reservation.
+/// before the answer to the next reservation on its connection.
 class Holder : public KeptTarget {
  public:
   Holder(Site& site, const std::string& name, const Holding& holding)
       : KeptTarget(site, "model", name), holding_(holding) {}
 
   int refusals() const { return refusals_; }
-  /// Copies before the answer to a reservation that was granted.
-  int copies() const { return copies_; }
+  int grants() const { return grants_; }
 
  protected:
-  std::string Answer(const std::string& request) override {
+  std::string Answer(const std::string& request, std::string& owed) override {
     if (!request.starts_with("POST /order ")) {
       return EventAnswer(SuccessHead(request, true), "x");
     }
@@ -42,19 +41,17 @@
         "HTTP/1.1 409 Conflict\r\nContent-Length: 2\r\n\r\n{}";
     if (holding_.is_full) {
       ++refusals_;
-      is_owed_ = holding_.copies;
+      if (holding_.copies) owed = refused;
       return refused;
     }
-    if (!std::exchange(is_owed_, false)) return granted;
-    ++copies_;
-    return refused + granted;
+    ++grants_;
+    return std::exchange(owed, {}) + granted;
   }
 
  private:
   const Holding& holding_;
   int refusals_ = 0;
-  int copies_ = 0;
-  bool is_owed_ = false;
+  int grants_ = 0;
 };
 
 }  // namespace
@@ -82,6 +79,5 @@
   Pause(site, kAskedAgain);
   holding.is_full = false;
   CHECK(call() == 200);
-  const int copies = first.copies() + second.copies() + third.copies();
-  REQUIRE((copies > 0) == holding.copies);
+  REQUIRE(first.grants() + second.grants() + third.grants() > 0);
 }
--- a/test/platform/copied-stream-test.cc
+++ b/test/platform/copied-stream-test.cc
@@ -19,7 +19,8 @@
   int requests() const { return requests_; }
 
  protected:
-  std::string Answer(const std::string& request) override {
+  std::string Answer(const std::string& request,
+                     std::string& /*owed*/) override {
     const std::string first =
         EventAnswer("HTTP/1.1 200 OK\r\nX-Seal: s\r\n", "first");
     if (++requests_ == 1) return first;
--- a/test/platform/kept-target.h
+++ b/test/platform/kept-target.h
@@ -17,7 +17,7 @@
     site.AddRawTarget(
         service, name,
         [this](const RawTarget::Socket& socket, const std::string& request) {
-          Serve(socket, request);
+          Serve(socket, request, std::make_shared<std::string>());
           return false;
         });
   }
@@ -26,20 +26,22 @@
   KeptTarget& operator=(const KeptTarget&) = delete;
 
  protected:
-  /// What is written once the request has come.
-  virtual std::string Answer(const std::string& request) = 0;
+  /// What is written once the request has come. `owed` is the connection's own,
+  /// empty at first.
+  virtual std::string Answer(const std::string& request, std::string& owed) = 0;
 
  private:
-  void Serve(const RawTarget::Socket& socket, const std::string& request) {
-    boost::asio::write(*socket, boost::asio::buffer(Answer(request)));
+  void Serve(const RawTarget::Socket& socket, const std::string& request,
+             const std::shared_ptr<std::string>& owed) {
+    boost::asio::write(*socket, boost::asio::buffer(Answer(request, *owed)));
     const auto buffer = std::make_shared<std::string>(4096, '\0');
     socket->async_read_some(
         boost::asio::buffer(*buffer),
-        [this, socket, buffer](const boost::system::error_code& error,
-                               std::size_t size) {
+        [this, socket, buffer, owed](const boost::system::error_code& error,
+                                     std::size_t size) {
           if (error) return;
           buffer->resize(size);
-          Serve(socket, *buffer);
+          Serve(socket, *buffer, owed);
         });
   }
 };
