--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -75,6 +75,7 @@
   TargetHead head;
   http::Response response;
   std::string body;
+  http::AnswerProof answer;
   std::string unfinished;  ///< Start of an event.
 };
 
@@ -1073,6 +1074,7 @@
     std::swap(target_head_, parked.head);
     std::swap(target_response_, parked.response);
     std::swap(body_, parked.body);
+    std::swap(answer_, parked.answer);
   }
 
   /// The silent target goes on, or the other one failed.
@@ -1225,7 +1227,8 @@
                   route_ != nullptr ? route_->latency_objective : Duration()))
         .With("max_gap", duration_cast<milliseconds>(
                              route_ != nullptr ? route_->max_gap : Duration()));
-    if (progress_.attempts > 1 && !Repeatable(*route_)) line.PastBudget();
+    const bool was_sent_again = sent_to_.find(',') != std::string::npos;
+    if (was_sent_again && !Repeatable(*route_)) line.PastBudget();
     exchange_.reset();
     self_.reset();
   }
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -286,9 +286,11 @@
     {"try_failed",
      "an attempt ended without a complete answer; named: the answer named the "
      "request; own: it did, or came where each earlier answer named its own; "
-     "id_reused: its connection had carried a request with the same id before; "
-     "earlier_calls: all that it had carried; skipped: answers to others that "
-     "came before this one",
+     "id_reused: its connection may have carried a request with the same id "
+     "before, as that of a carrying host that does not rule it out; "
+     "earlier_calls, skipped: requests of the host's own connection before, "
+     "and answers to others that came before this one. The last four are of "
+     "answers that came to their end",
      "request target cause end status sent not_run named own id_reused "
      "earlier_calls skipped head_sent begun sent_for account parts try next"},
     {"request_suspected",
@@ -320,9 +322,9 @@
      "crashed; age: time since the last crash",
      "request service subjects targets age trials"},
     {"request_ended",
-     "a request got its only final answer; sent_to: the targets that may have "
-     "got it, in order. Never left out if it must not run twice and was sent "
-     "more than once",
+     "a request got its only final answer; sent_to: the targets that it was "
+     "sent to, directly or over a host that was to carry it, in order. Never "
+     "left out if it names several and the request must not run twice",
      "request route version account code prompt_tokens tries sent_to ran "
      "events first_event longest_pause took objective max_gap service outcome "
      "attempts output_tokens took_ms"},
