--- a/test/platform/copied-lookups.h
+++ b/test/platform/copied-lookups.h
@@ -39,7 +39,7 @@
     REQUIRE(site.UntilReady(host));
   }
 
-  /// Sends lookups until the first target has had so many requests in all and
+  /// Sends lookups until the first target has had so many requests in all or
   /// the time has passed.
   bool CallUntil(int requests, std::chrono::milliseconds limit) {
     const auto end = std::chrono::steady_clock::now() + limit;
