Test of placement: the holder as bytes is shared

Moved out of placement-test, for tests of what relays make of late answers of a holder, and of one that ignores the list of excluded targets.

--- a/test/shell/placement-test.cc
+++ b/test/shell/placement-test.cc
@@ -13,26 +13,19 @@
 #include <vector>
 
 #include "node/clock.h"
+#include "shell/fake-holder.h"
 
 using namespace comfreyflow;           // NOLINT(google-build-using-namespace)
 using namespace comfreyflow::gateway;  // NOLINT(google-build-using-namespace)
 using comfreyflow::detail::Now;
 using std::chrono::milliseconds;
-using Udp = boost::asio::ip::udp;
+using namespace comfreyflow::test;  // NOLINT(google-build-using-namespace)
 
 namespace {
 
-const wire::FleetKey kKey{"fleet-key-of-the-test"};
 const ServiceName kFirstService{"routes"};
 const ServiceName kSecondService{"orders"};
 
-/// A free address; the socket that found it is closed again.
-std::string FreeAddress() {
-  boost::asio::io_context io;
-  Udp::socket socket(io, {boost::asio::ip::address_v4::loopback(), 0});
-  return "127.0.0.1:" + std::to_string(socket.local_endpoint().port());
-}
-
 /// One process of a host on a loop of its own, which stands still until `Run`.
 class Process {
  public:
@@ -94,75 +87,6 @@
   std::set<std::string> granted_;
 };
 
-/// A host that asks, by its starts, and one that holds all placers because it
-/// started first.
-struct Hosts {
-  PlacementPeer Asker(std::uint64_t incarnation) const {
-    return {{"asker"}, asker_address, {incarnation}, 100, false};
-  }
-
-  const std::string asker_address = FreeAddress();
-  const PlacementPeer holder{{"holder"}, FreeAddress(), {1}};
-};
-
-/// The holder as bytes: notes what is asked of it and answers as a test says.
-class FakeHolder {
- public:
-  explicit FakeHolder(const Hosts& hosts)
-      : name_(hosts.holder.name),
-        socket_(io_, At(hosts.holder.address)),
-        asker_(At(hosts.asker_address)) {
-    socket_.non_blocking(true);
-  }
-
-  std::vector<wire::PlaceRequestMessage> Asked() {
-    std::vector<wire::PlaceRequestMessage> asked;
-    std::vector<char> bytes(64 * 1024);
-    boost::system::error_code error;
-    for (;;) {
-      const auto size = socket_.receive(boost::asio::buffer(bytes), 0, error);
-      if (error) return asked;
-      wire::PlaceMessages messages;
-      REQUIRE(
-          !wire::DecodePlacement({bytes.data(), size}, kKey, Now(), messages));
-      asked.insert(asked.end(), messages.requests.begin(),
-                   messages.requests.end());
-    }
-  }
-
-  /// Grants the request a target of the service.
-  void Grant(std::uint64_t sequence, std::uint32_t number,
-             const ServiceName& service,
-             std::optional<Incarnation> asker = std::nullopt) {
-    PlaceGrant grant;
-    grant.number = number;
-    grant.targets.push_back({{service.value + "-target"}, "127.0.0.1:1"});
-    wire::PlaceAnswerMessage answer;
-    answer.sequence = sequence;
-    answer.number = number;
-    answer.asker = asker;
-    answer.decision = grant;
-    wire::PlaceMessages messages;
-    messages.sender = name_;
-    messages.incarnation = {1};
-    messages.answers.push_back(answer);
-    const auto bytes = wire::EncodePlacement(messages, kKey, Now());
-    socket_.send_to(boost::asio::buffer(bytes), asker_);
-  }
-
- private:
-  static Udp::endpoint At(const std::string& address) {
-    const auto port = std::stoi(address.substr(address.find(':') + 1));
-    return {boost::asio::ip::address_v4::loopback(),
-            static_cast<std::uint16_t>(port)};
-  }
-
-  const HostName name_;
-  boost::asio::io_context io_;
-  Udp::socket socket_;
-  const Udp::endpoint asker_;
-};
-
 constexpr milliseconds kTurn{30};
 
 }  // namespace
