Test of grants of a target that has refused the request

A relay with a holder as bytes: one that doesn't know the list of excluded targets and grants the refusing one again; one that answers earlier asks again; and a former holder whose grant comes after the holder changed. Each ask after the refusal excludes the target.

The list does not hold against a holder that ignores it; the rule of the connection keeps the order to one run.

--- a/test/shell/fake-holder.h
+++ b/test/shell/fake-holder.h
@@ -40,9 +40,12 @@
 class FakeHolder {
  public:
   explicit FakeHolder(const Hosts& hosts)
-      : name_(hosts.holder.name),
-        socket_(io_, At(hosts.holder.address)),
-        asker_(At(hosts.asker_address)) {
+      : FakeHolder(hosts.holder, hosts.asker_address) {}
+  FakeHolder(const gateway::PlacementPeer& self,
+             const std::string& asker_address)
+      : name_(self.name),
+        socket_(io_, At(self.address)),
+        asker_(At(asker_address)) {
     socket_.non_blocking(true);
   }
 
