A connection on which an answer named no call is not kept

Copies of refusals without id were believed for lookups: their sound target rested again, was limited, or was closed after a 421; a lookup beside a silent target was sent a third time. On the product's own interface a prompt that ran was told as not run.

Cause: such connections were kept from what must not run twice only. What an answer says of its target, and whether it refuses a lookup, was believed on them.

Mend: after an answer that names no call, where answers may name one, the connection is not kept; the option that kept orders from it goes, and with it the flag of each connection. src/node, whose answers name nothing, keeps no connection on which an engine refused or failed.

The stand-ins wrote their copies on whatever connection came next, or the tests asked that a copy was written; a copy is now due on the connection of its refusal, and counts as tried when that is closed first. The checks of what callers and targets see are the same.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -455,9 +455,6 @@
     options.progress_timeout =
         ceil<milliseconds>(deadline_ - now) + std::chrono::seconds(1);
     if (!Repeatable(*route_)) options.idle_limit = kNonRetryableIdleLimit;
-    // A second copy of an earlier refusal must not pass for one of this
-    // request.
-    options.named_answers_only = !Repeatable(*route_);
     options.id = caller_.id;
     // `flow_` bounds what is held of it.
     options.answer_bytes = std::numeric_limits<std::uint64_t>::max();
--- a/src/gateway/reservations.cc
+++ b/src/gateway/reservations.cc
@@ -25,12 +25,10 @@
 constexpr int kMaxReleaseAttempts = 3;
 constexpr Duration kReleaseRetryDelay = milliseconds(300);
 
-/// `order_id` is what the answer names. The answer to an earlier order must not
-/// pass for it.
+/// `order_id` is what the answer names.
 http::CallOptions RequestOptions(std::string order_id) {
   http::CallOptions options;
   options.id = std::move(order_id);
-  options.named_answers_only = true;
   options.connect_timeout = kRequestTimeout;
   options.progress_timeout = kRequestTimeout;
   options.total_timeout = 2 * kRequestTimeout;
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -360,7 +360,6 @@
     options.progress_timeout = milliseconds(head_.progress_ms);
     options.idle_limit = milliseconds(head_.idle_limit_ms);
     options.probe_silence = head_.probe_silence;
-    options.named_answers_only = true;
     options.id = paths_.hooks_.id_of(request);
     options.answer_bytes = std::numeric_limits<std::uint64_t>::max();
     http::CallHooks hooks;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -52,6 +52,7 @@
 constexpr std::size_t kSkippedBytes = 1024 * 1024;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstErrorStatus = 400;
 
 /// Probing of a silent connection: after this many seconds, and how often.
 constexpr int kProbeSeconds = 1;
@@ -129,9 +130,6 @@
       // that a caller who repeats its id takes up no more of them.
       const bool is_closed =
           at->expires <= now || history.HasCarried(options.id);
-      const bool is_unfit =
-          options.named_answers_only && !history.only_named_answers();
-      if (is_unfit && !is_closed) continue;
       Idle last = std::move(*at);
       idle.erase(at);
       if (!is_closed && now - last.since <= options.idle_limit &&
@@ -365,9 +363,9 @@
         hooks_.owner ? hooks_.owner(head) : AnswerOwner::kUnnamed;
     foreign_ = provisional || owner == AnswerOwner::kOtherCall;
     if (foreign_) return;
-    const bool names_call = owner == AnswerOwner::kThisCall;
-    answer_.is_own = names_call || history_.only_named_answers();
-    history_.Answered(names_call);
+    // An answer that names no call can't be told from a copy of it later.
+    keeps_connection_ = !hooks_.owner || owner == AnswerOwner::kThisCall;
+    answer_.is_own = true;
     if (hooks_.on_head) hooks_.on_head(head);
   }
 
@@ -395,8 +393,11 @@
   }
 
   void Whole() {
-    const bool keep = parser_->get().keep_alive() && !sending_ &&
-                      !broken_send_ && !history_.is_full();
+    const bool is_error = parser_->get().result_int() >= kFirstErrorStatus;
+    const bool is_fit = keeps_connection_ && !history_.is_full() &&
+                        (options_.keep_after_error || !is_error);
+    const bool keep =
+        is_fit && parser_->get().keep_alive() && !sending_ && !broken_send_;
     if (keep && buffer_.size() == 0) {
       timer_.Cancel();
       const auto keep_alive = parser_->get()[bh::field::keep_alive];
@@ -453,6 +454,7 @@
   bool head_told_ = false;
   bool foreign_ = false;  ///< The answer under way is not the call's own.
   ConnectionHistory history_;
+  bool keeps_connection_ = true;  ///< Later calls may use it.
   AnswerProof answer_;
   std::size_t skipped_bytes_ = 0;  ///< Of answers to other calls.
   Clock::time_point started_;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -31,13 +31,11 @@
   /// Longest body of an answer.
   std::uint64_t answer_bytes = 16 * 1024 * 1024;
   bool fresh_connection = false;  ///< Takes none from the pool.
+  bool keep_after_error = true;   ///< Keeps it after a status of 400 or above.
   /// Has the kernel probe a connection on which nothing comes for seconds.
   bool probe_silence = false;
   /// Longest idle time of a pooled connection that may be taken.
   std::chrono::milliseconds idle_limit{20'000};
-  /// Takes from the pool only connections on which each answer named its call,
-  /// so that an answer that names none is no second copy of an earlier one.
-  bool named_answers_only = false;
 };
 
 /// The call to which an answer belongs, by its head.
@@ -45,8 +43,8 @@
 
 /// What tells an answer from a copy of an earlier one on its connection.
 struct AnswerProof {
-  /// It named this call, or named none and came on a connection on which all
-  /// earlier answers had named theirs.
+  /// It named this call, or named none on a connection on which all earlier
+  /// answers had named theirs. Always true of a host's own connections.
   bool is_own = false;
   /// The connection may have carried a call with the same id before, so that
   /// the answer may be a copy of that to the earlier one.
@@ -70,7 +68,9 @@
   std::function<void()> on_connected;
   std::function<void()> on_sent;  ///< Just before the first byte goes out.
   /// Whose an answer is; absent: no answer names its call. One of another call
-  /// is read to its end and dropped, and the next one is read.
+  /// is read to its end and dropped, and the next one is read. After one that
+  /// names no call the connection is not kept: a copy of it could not be told
+  /// from the next call's answer.
   std::function<AnswerOwner(const Response& head)> owner;
   std::function<void(const Response& head)> on_head;
   std::function<void(std::string_view bytes)> on_body;
--- a/src/node/target-links.cc
+++ b/src/node/target-links.cc
@@ -186,6 +186,8 @@
   options.progress_timeout = Milliseconds(progress_timeout_);
   options.answer_bytes = std::numeric_limits<std::uint64_t>::max();
   options.fresh_connection = !call->info.repeatable || open.attempt.number > 1;
+  // Answers name no attempt: a copy of a refusal would pass for the next one's.
+  options.keep_after_error = false;
   for (std::size_t rank = addresses.size(); rank-- > 0;) {
     // The entry role decides what the silence of the first engine means.
     if (rank == 0) {
--- a/test/shell/copying-server.h
+++ b/test/shell/copying-server.h
@@ -79,6 +79,8 @@
   int refusals() const { return refusals_; }
   /// Copies that were written to a later call.
   int copies() const { return copies_; }
+  /// Copies that were due when the other end closed their connection.
+  int copies_cut() const { return copies_cut_; }
 
  private:
   struct Link {
@@ -103,6 +105,7 @@
     boost::asio::async_read_until(
         link->socket, boost::asio::dynamic_buffer(link->read), "\r\n\r\n",
         [this, link](const boost::system::error_code& error, std::size_t size) {
+          if (error && !link->owed.empty()) ++copies_cut_;
           if (error) return;
           const std::string head = link->read.substr(0, size);
           const std::string length = FieldIn(head, "content-length");
@@ -188,6 +191,7 @@
   std::atomic<int> calls_ = 0;
   std::atomic<int> refusals_ = 0;
   std::atomic<int> copies_ = 0;
+  std::atomic<int> copies_cut_ = 0;
   std::thread thread_;
 };
 
