--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -23,6 +23,7 @@
 constexpr milliseconds kResolveTimeout{1000};
 constexpr milliseconds kLongestRest{40};
 constexpr milliseconds kLongestStay{200};
+constexpr milliseconds kLongestRepeatPause{200};
 constexpr double kLeaverShare = 0.08;
 constexpr double kLargePromptShare = 0.03;
 constexpr const char* kShortPrompt = "2000,400";
@@ -116,18 +117,52 @@
     sent.host = PickHost();
     sent.key = paths.pick_key();
     sent.deadline = slow ? kSlowDeadline : kDeadline;
+    Fill(sent, slow ? kSlowPrefix : "/");
+    Open(number);
+  }
+
+  void Open(std::size_t number) {
+    Sent& sent = records.sent[number];
     sent.at = Now();
-    http::Request request = Fill(sent, slow ? kSlowPrefix : "/");
     http::CallOptions options;
     options.connect_timeout = kResolveTimeout;
     options.progress_timeout =
         std::chrono::duration_cast<milliseconds>(sent.deadline) + kPatience;
-    auto call = client.Open(paths.paths[sent.host], std::move(request), options,
+    auto call = client.Open(paths.paths[sent.host], RequestOf(sent), options,
                             Hooks(number));
     ++open;
     if (Share() < kLeaverShare) LeaveLater(number, std::move(call));
   }
 
+  /// Sends what was refused again, under its id.
+  void RepeatLater(std::size_t number) {
+    const auto timer = std::make_shared<asio::steady_timer>(
+        io, milliseconds(1 + Pick(kLongestRepeatPause.count())));
+    timer->async_wait([self = shared_from_this(), timer,
+                       number](const boost::system::error_code&) {
+      if (self->stopped) return;
+      const Sent& before = self->records.sent[number];
+      const std::size_t next = self->records.sent.size();
+      Sent& sent = self->records.sent.emplace_back();
+      sent.id = before.id;
+      sent.kind = before.kind;
+      sent.key = before.key;
+      sent.path = before.path;
+      sent.body = before.body;
+      sent.deadline = before.deadline;
+      sent.host = self->Share() < 0.5 ? before.host : self->PickHost();
+      self->Open(next);
+    });
+  }
+
+  bool MayRepeat(const Sent& sent) {
+    constexpr int kUnavailable = 503;
+    constexpr int kLimited = 429;
+    return sent.kind == Kind::kUnsafe && sent.whole &&
+           (sent.status == kUnavailable || sent.status == kLimited) &&
+           Draw(paths.repeat_share);
+  }
+
   bool Draw(double share) { return share > 0 && Share() < share; }
 
   std::size_t PickHost() {
@@ -135,30 +170,35 @@
     return hosts[Pick(hosts.size())];
   }
 
-  http::Request Fill(Sent& sent, const std::string& prefix) {
-    http::Request request;
-    request.fields = {
-        {"host", kHostHeader},
-        {"x-request-id", sent.id},
-        {"x-deadline-ms",
-         std::to_string(
-             std::chrono::duration_cast<milliseconds>(sent.deadline).count())},
-        {"authorization", "Token " + sent.key}};
+  void Fill(Sent& sent, const std::string& prefix) {
     const double kind = Share();
-    if (kind < 0.5) {
+    if (kind < paths.stream_share) {
       sent.kind = Kind::kStream;
       sent.path = prefix + "stream/" + sent.id;
       sent.body = "prompt of " + sent.id;
       sent.large = Share() < kLargePromptShare;
-      request.fields.push_back(
-          {"x-token-count", sent.large ? kLargePrompt : kShortPrompt});
-    } else if (kind < 0.75) {
+    } else if (kind < (1 + paths.stream_share) / 2) {
       sent.kind = Kind::kUnsafe;
       sent.path = prefix + "unsafe/" + sent.id + "?q=%2f";
       sent.body = "order of " + sent.id;
     } else {
       sent.path = prefix + "safe/" + sent.id;
     }
+  }
+
+  static http::Request RequestOf(const Sent& sent) {
+    http::Request request;
+    request.fields = {
+        {"host", kHostHeader},
+        {"x-request-id", sent.id},
+        {"x-deadline-ms",
+         std::to_string(
+             std::chrono::duration_cast<milliseconds>(sent.deadline).count())},
+        {"authorization", "Token " + sent.key}};
+    if (sent.kind == Kind::kStream) {
+      request.fields.push_back(
+          {"x-token-count", sent.large ? kLargePrompt : kShortPrompt});
+    }
     request.method = sent.kind == Kind::kSafe ? "GET" : "POST";
     request.target = sent.path;
     request.body = sent.body;
@@ -181,7 +221,7 @@
       sent.ended = Now();
       sent.whole = end.code == Errc::kOk;
       --self->open;
-      self->Rest();
+      self->MayRepeat(sent) ? self->RepeatLater(number) : self->Rest();
     };
     return hooks;
   }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -25,6 +25,10 @@
   /// answer so far.
   double slow_share = 0;
   double stale_share = 0;
+  double stream_share = 0.5;  ///< Half of the others are unsafe.
+  /// Of unsafe requests that are answered 503 or 429, those that are sent again
+  /// under their id, at the same host or another one.
+  double repeat_share = 0;
 };
 
 /// Lives on one I/O thread; `records` outlives it.
--- a/soak/host-process.cc
+++ b/soak/host-process.cc
@@ -74,8 +74,13 @@
   std::string fault = plan_.fault;
   std::array<char*, 3> arguments = {program.data(), nullptr, nullptr};
   if (!fault.empty()) arguments[1] = fault.data();
-  std::array<char*, 2> environment = {const_cast<char*>(settings.c_str()),
-                                      nullptr};
+  const std::string preload = std::string("LD_PRELOAD=") + SOAK_CUT_LIBRARY;
+  const std::string cut = "SOAK_CUT_FILE=" + CutFile();
+  std::array<char*, 4> environment = {const_cast<char*>(settings.c_str())};
+  if (plan_.can_be_cut) {
+    environment[1] = const_cast<char*>(preload.c_str());
+    environment[2] = const_cast<char*>(cut.c_str());
+  }
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
@@ -96,6 +101,25 @@
   if (pid_ != 0) ::kill(pid_, signal);
 }
 
+std::string HostProcess::CutFile() const {
+  return plan_.directory + "/" + plan_.name + ".cut";
+}
+
+void HostProcess::CutFrom(const std::vector<std::string>& ports) const {
+  std::string text;
+  for (const auto& port : ports) text += port + '\n';
+  std::ofstream(CutFile()) << text;
+}
+
+std::size_t HostProcess::LogLines(const std::string& text) const {
+  std::ifstream log(plan_.directory + "/" + plan_.name + ".log");
+  std::size_t count = 0;
+  for (std::string line; std::getline(log, line);) {
+    if (line.find(text) != std::string::npos) ++count;
+  }
+  return count;
+}
+
 std::uint64_t HostProcess::PeakMemoryBytes() const {
   constexpr std::uint64_t kKilobyte = 1024;
   std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
--- a/soak/host-process.h
+++ b/soak/host-process.h
@@ -21,6 +21,7 @@
   std::vector<std::string> seeds;  ///< `ip`
   std::string fault;  ///< Planted one, for a program that takes it.
   Duration stop_time = std::chrono::seconds(4);
+  bool can_be_cut = false;  ///< Whether `CutFrom` works.
 };
 
 inline constexpr int kCallerPort = 8227;
@@ -40,8 +41,12 @@
   /// Does nothing while the process runs.
   void Start();
   void Signal(int signal) const;
+  /// New connections to these ports are refused until the next call.
+  void CutFrom(const std::vector<std::string>& ports) const;
   /// Whether the process runs; takes note of its end.
   bool Running();
+  /// Lines of its log that contain the text.
+  std::size_t LogLines(const std::string& text) const;
   /// The most memory that the process has held so far; 0 if none runs.
   std::uint64_t PeakMemoryBytes() const;
   /// How the last process ended, as `waitpid` tells it.
@@ -49,6 +54,7 @@
 
  private:
   void WriteSettings() const;
+  std::string CutFile() const;
 
   const HostPlan plan_;
   pid_t pid_ = 0;  ///< 0: none runs.
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iomanip>
 #include <iostream>
+#include <map>
 
 #include "soak/planted.h"
 #include "soak/soak.h"
@@ -30,6 +31,16 @@
   }
 }
 
+/// What hosts of the build before broke.
+void PrintBefore(const std::vector<Breach>& breaches) {
+  std::map<std::string, std::size_t> counts;
+  for (const auto& breach : breaches) ++counts[breach.promise];
+  for (const auto& [promise, count] : counts) {
+    std::cout << "  by hosts of the build before: " << promise << " x" << count
+              << std::endl;
+  }
+}
+
 int Report(const SoakSettings& settings, const SoakResult& result, bool story) {
   std::cout << "seed " << settings.seed << ": " << result.requests
             << " requests, " << result.served << " served, "
@@ -41,6 +52,7 @@
   }
   std::cout << std::endl;
   PrintJudged(result.judged);
+  PrintBefore(result.breaches_before);
   if (result.breaches.empty()) return 0;
   constexpr std::size_t kMostShown = 12;
   std::ofstream all(settings.directory + "/broken.txt");
@@ -129,6 +141,9 @@
                                      "planted fault (for "
                                      "build/soak-planted-host)",
                                      false, "", "NAME", line);
+  TCLAP::ValueArg<std::string> before(
+      "", "before", "host program of the build before, for every other host",
+      false, "", "PATH", line);
   TCLAP::ValueArg<std::string> directory("", "directory", "for logs", false,
                                          "build/soak-logs", "PATH", line);
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "N",
@@ -150,7 +165,7 @@
   std::vector<std::string> mixes = {
       ToString(Mix::kMixed),   ToString(Mix::kLeaving), ToString(Mix::kTold),
       ToString(Mix::kLimited), ToString(Mix::kRewound), ToString(Mix::kStops),
-      ToString(Mix::kOdd)};
+      ToString(Mix::kOdd),     ToString(Mix::kCopies)};
   TCLAP::ValuesConstraint<std::string> known_mixes(mixes);
   TCLAP::ValueArg<std::string> mix("", "mix", "what is done to the hosts",
                                    false, mixes.front(), &known_mixes, line);
@@ -163,6 +178,7 @@
   line.parse(argc, argv);
   SoakSettings settings;
   settings.program = program.getValue();
+  settings.before = before.getValue();
   settings.fault = fault.getValue();
   settings.directory = directory.getValue();
   settings.seed = seed.getValue();
--- a/soak/planted-host.cc
+++ b/soak/planted-host.cc
@@ -6,6 +6,8 @@
 #include <cstdlib>
 #include <functional>
 #include <iostream>
+#include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -229,6 +231,28 @@
   boost::asio::steady_timer timer_;
 };
 
+/// Takes each arrival of a request for one of its own id, and each answer that
+/// names the request for that to the last arrival.
+void BelieveCopies(HostParts& parts) {
+  const auto last = std::make_shared<std::map<std::string, std::string>>();
+  parts.edge.read_request = [read = parts.edge.read_request, last,
+                             count = 0](const http::Request& request) mutable {
+    gateway::CallerRequest out = read(request);
+    if (out.id.empty()) return out;
+    std::string& id = (*last)[out.id];
+    id = out.id + '#' + std::to_string(++count);
+    out.id = id;
+    return out;
+  };
+  parts.edge.read_head = [read = parts.edge.read_head,
+                          last](const auto& response) {
+    gateway::TargetHead head = read(response);
+    const auto at = last->find(head.request_id);
+    if (at != last->end()) head.request_id = at->second;
+    return head;
+  };
+}
+
 /// Takes the store's revisions as if they only rose.
 void IgnoreEra(HostParts& parts) { parts.store_api.read_era = nullptr; }
 
@@ -268,7 +292,7 @@
     IgnoreLeaving,     IgnoreConfiguration, KeepWatches,
     IgnoreToldLeaving, IgnoreRetryAfter,    IgnoreLimit,
     LimitEachHost,     IgnoreEra,           TakeLate,
-    JoinRuns,          DieOfEntry};
+    JoinRuns,          DieOfEntry,          BelieveCopies};
 
 Plant Find(const std::string& fault) {
   for (std::size_t i = 0; i < kPlanted.size(); ++i) {
--- a/soak/planted.h
+++ b/soak/planted.h
@@ -14,7 +14,7 @@
   Mix mix = Mix::kMixed;  ///< That shows it.
 };
 
-inline constexpr std::array<Planted, 20> kPlanted = {
+inline constexpr std::array<Planted, 21> kPlanted = {
     {{"repeats_failed", "TWICE"},
      {"promises_failed", "REFUSED"},
      {"drops_mark", "MIXED"},
@@ -34,6 +34,7 @@
      {"ignores_era", "DRAIN", Mix::kRewound},
      {"takes_late", "LOST", Mix::kStops},
      {"joins_runs", "ORDER", Mix::kStops},
-     {"dies_of_entry", "ENDS", Mix::kOdd}}};
+     {"dies_of_entry", "ENDS", Mix::kOdd},
+     {"believes_copies", "TWICE", Mix::kCopies}}};
 
 }  // namespace comfreyflow::soak
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -31,8 +31,14 @@
  public:
   Judge(const Records& records, const Bounds& bounds)
       : records_(records), bounds_(bounds) {
-    for (const auto& sent : records.sent) sent_[sent.id] = &sent;
-    for (const auto& run : records.runs) runs_[run.id].push_back(&run);
+    for (const auto& sent : records.sent) {
+      sent_[sent.id] = &sent;
+      repeats_[sent.id].push_back(&sent);
+    }
+    for (const auto& run : records.runs) {
+      runs_[run.id].push_back(&run);
+      if (sent_.contains(run.id)) own_runs_[&AttemptOf(run)].push_back(&run);
+    }
   }
 
   void Untimed() {
@@ -68,7 +74,7 @@
 
   /// Requires `Untimed`.
   std::vector<Judged> UntimedCounts() const {
-    return {
+    std::vector<Judged> out = {
         {"LOST", Count("LOST stop"), Count("stop"), "requests open in a stop"},
         {"LOST", Count("LOST late"), Count("late"),
          "requests that no stop may cut"},
@@ -78,6 +84,9 @@
          "requests around configurations"},
         {"ORDER", Count("ORDER"), Count("streams"), "streams"},
         {"ORDER", Count("ORDER resumed"), Count("resumed"), "resumed streams"}};
+    const auto copies = CopiesJudged();
+    out.insert(out.end(), copies.begin(), copies.end());
+    return out;
   }
 
   /// Requires `Timed`.
@@ -147,14 +156,53 @@
     return out;
   }
 
+  /// How often copies of refusals may have been met.
+  std::vector<Judged> CopiesJudged() const {
+    if (!records_.copies) return {};
+    const CopyCounts& copies = *records_.copies;
+    const auto number = [](std::size_t count) {
+      return static_cast<double>(count);
+    };
+    const double requests = number(copies.requests);
+    return {{"TWICE", Count("unsafe"), number(records_.sent.size()),
+             "unsafe requests"},
+            {"TWICE", Count("unsafe repeated"), Count("unsafe"),
+             "repeats by their callers"},
+            {"TWICE", number(copies.written), number(copies.refusals),
+             "copies of refusals"},
+            {"TWICE", number(copies.written_to_same), number(copies.written),
+             "copies to a later arrival of their request"},
+            {"TWICE", number(copies.again_at_target), requests,
+             "second arrivals at a target"},
+            {"TWICE", number(copies.again_on_connection), requests,
+             "second arrivals on a connection"},
+            {"TWICE", number(copies.carried), requests, "requests over hosts"}};
+  }
+
+  /// All runs of the request, whichever attempt of its caller led to them.
   const std::vector<const Run*>& RunsOf(const Sent& sent) const {
     static const std::vector<const Run*> no_runs;
     const auto at = runs_.find(sent.id);
     return at == runs_.end() ? no_runs : at->second;
   }
 
-  std::size_t RanCount(const Sent& sent) const {
-    const auto& runs = RunsOf(sent);
+  /// The last attempt of the caller that was under way.
+  const Sent& AttemptOf(const Run& run) const {
+    const auto& attempts = repeats_.at(run.id);
+    const auto later =
+        std::find_if(attempts.begin() + 1, attempts.end(),
+                     [&run](const Sent* sent) { return sent->at > run.at; });
+    return **(later - 1);
+  }
+
+  std::vector<const Run*> OwnRunsOf(const Sent& sent) const {
+    const auto at = own_runs_.find(&sent);
+    return at == own_runs_.end() ? std::vector<const Run*>() : at->second;
+  }
+
+  std::size_t RanCount(const Sent& sent) const { return Ran(RunsOf(sent)); }
+
+  static std::size_t Ran(const std::vector<const Run*>& runs) {
     return static_cast<std::size_t>(std::count_if(
         runs.begin(), runs.end(), [](const Run* run) { return run->ran; }));
   }
@@ -241,18 +289,53 @@
 
   /// TWICE, REFUSED, BUDGET for one request.
   void CheckRuns(const Sent& sent) {
-    const std::size_t ran = RanCount(sent);
-    if (sent.kind == Kind::kUnsafe && ran > 1) {
-      Note("TWICE", sent.id, std::to_string(ran) + " runs");
-    }
+    const std::size_t ran = Ran(OwnRunsOf(sent));
+    if (sent.kind == Kind::kUnsafe) CheckOnce(sent);
     if (sent.kind == Kind::kUnsafe && Promises(sent.status) && ran > 0) {
-      Note("REFUSED", sent.id, "status " + std::to_string(sent.status));
+      Note("REFUSED", sent.id,
+           "status " + std::to_string(sent.status) + TakenBy(sent));
+      breaches_.back().is_before = IsBefore(sent);
     }
     if (ran > bounds_.attempts) {
       Note("BUDGET", sent.id, std::to_string(ran) + " targets ran it");
     }
   }
 
+  /// TWICE: attempts of a caller with one id run once, but for those that
+  /// began before an earlier one was known not to run.
+  void CheckOnce(const Sent& last) {
+    ++judged_["unsafe"];
+    const auto& attempts = repeats_.at(last.id);
+    if (attempts.front() != &last) ++judged_["unsafe repeated"];
+    if (attempts.back() != &last) return;
+    const auto open =
+        std::count_if(attempts.begin(), attempts.end() - 1,
+                      [](const Sent* sent) { return !Promises(sent->status); });
+    const std::size_t ran = RanCount(last);
+    if (ran <= 1 + static_cast<std::size_t>(open)) return;
+    std::string detail = std::to_string(ran) + " runs";
+    for (const Sent* sent : attempts) {
+      if (Ran(OwnRunsOf(*sent)) > 0) detail += TakenBy(*sent);
+    }
+    Note("TWICE", last.id, detail);
+    // Who is at fault: one attempt ran twice, or ran and was denied.
+    const auto at = std::find_if(
+        attempts.begin(), attempts.end(), [this](const Sent* sent) {
+          const std::size_t own = Ran(OwnRunsOf(*sent));
+          return own > 1 || (own > 0 && Promises(sent->status));
+        });
+    breaches_.back().is_before = at != attempts.end() && IsBefore(**at);
+  }
+
+  bool IsBefore(const Sent& sent) const {
+    return sent.host < records_.before.size() && records_.before[sent.host];
+  }
+
+  std::string TakenBy(const Sent& sent) const {
+    return ", taken by host " + std::to_string(sent.host) +
+           (IsBefore(sent) ? " of the build before" : "");
+  }
+
   void CountStream(const Sent& sent) {
     ++judged_["ORDER"];
     if (WasResumed(sent)) ++judged_["ORDER resumed"];
@@ -476,7 +559,7 @@
   /// BUDGET: repeats of all hosts together, in any window.
   void CheckRepeats() {
     std::vector<Time> repeats;
-    for (const auto& [id, runs] : runs_) {
+    for (const auto& [attempt, runs] : own_runs_) {
       for (std::size_t i = 1; i < runs.size(); ++i) {
         repeats.push_back(runs[i]->at);
       }
@@ -568,13 +651,12 @@
 
   /// DRAIN: nothing reaches a target that has been leaving for long.
   void CheckLeaving(const Run& run) {
-    const auto at = sent_.find(run.id);
-    if (at == sent_.end()) return;
+    if (!sent_.contains(run.id)) return;
+    const std::size_t host = AttemptOf(run).host;
     for (const auto& leaving : records_.leaving) {
       if (leaving.target != run.target) continue;
       if (run.at <= leaving.from + bounds_.drain) continue;
       if (leaving.until && run.at >= *leaving.until) continue;
-      const std::size_t host = at->second->host;
       if (!InTouch(host, run.at) &&
           !KnewBeforeRewind(host, leaving.from, bounds_.drain, run.at)) {
         continue;
@@ -582,7 +664,7 @@
       const auto late =
           std::chrono::duration_cast<milliseconds>(run.at - leaving.from);
       Note("DRAIN", run.id,
-           "sent by host " + std::to_string(at->second->host) + " to target " +
+           "sent by host " + std::to_string(host) + " to target " +
                std::to_string(run.target) + ", " +
                std::to_string(late.count()) + " ms after it began to leave");
     }
@@ -756,7 +838,11 @@
   const Records& records_;
   const Bounds& bounds_;
   std::map<std::string, const Sent*> sent_;
+  /// Attempts by id, as they were sent.
+  std::map<std::string, std::vector<const Sent*>> repeats_;
   std::map<std::string, std::vector<const Run*>> runs_;
+  /// By attempt of the caller.
+  std::map<const Sent*, std::vector<const Run*>> own_runs_;
   std::map<std::size_t, std::vector<const Run*>> runs_at_;  ///< By target.
   std::vector<Breach> breaches_;
   std::map<std::string, std::size_t> judged_;
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -50,6 +50,7 @@
   std::string promise;
   std::string request;  ///< Id; empty where no single one is at fault.
   std::string detail;
+  bool is_before = false;  ///< By a host of the build before.
 };
 
 /// How often a promise was judged at all.
--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -42,7 +42,10 @@
 
     tcp::socket near;
     tcp::socket far;
-    bool forgotten = false;  ///< What comes is thrown away.
+    bool forgotten = false;                    ///< What comes is thrown away.
+    std::unique_ptr<CopyWriter::Link> copies;  ///< Null: none are written.
+    bool writes_near = false;
+    std::string waiting;  ///< For the end of the write to `near`.
   };
   using LinkPtr = std::shared_ptr<Link>;
 
@@ -73,6 +76,7 @@
   void Open(const LinkPtr& link) {
     links.remove_if([](const auto& weak) { return weak.expired(); });
     links.push_back(link);
+    if (writer != nullptr) link->copies = writer->Open();
     if (fault == PathFault::kReset) return link->Reset();
     link->far.async_connect(
         target, [self = shared_from_this(), link](const error_code& error) {
@@ -131,14 +135,49 @@
   }
 
   void Write(const PumpPtr& pump, std::size_t size) {
-    asio::async_write(*pump->to, asio::buffer(pump->buffer, size),
-                      [self = shared_from_this(), pump](const error_code& error,
-                                                        std::size_t) {
+    const auto out = std::make_shared<std::string>(
+        Change(pump, {pump->buffer.data(), size}));
+    pump->link->writes_near = pump->link->writes_near || pump->back;
+    asio::async_write(*pump->to, asio::buffer(*out),
+                      [self = shared_from_this(), pump, out](
+                          const error_code& error, std::size_t) {
                         if (error) return pump->link->Reset();
+                        if (pump->back) {
+                          pump->link->writes_near = false;
+                          Inject(pump->link, {});
+                        }
                         self->Read(pump);
                       });
   }
 
+  /// What is passed on in place of the bytes.
+  std::string Change(const PumpPtr& pump, std::string bytes) {
+    const LinkPtr& link = pump->link;
+    if (!link->copies) return bytes;
+    if (!pump->back) {
+      Inject(link, link->copies->OnRequest(bytes));
+      return bytes;
+    }
+    bytes = link->copies->OnAnswer(std::move(bytes));
+    for (auto& timed : link->copies->TakeTimed()) {
+      const auto timer = std::make_shared<asio::steady_timer>(io, timed.after);
+      timer->async_wait(
+          [link, timer, copy = std::move(timed.bytes)](const error_code&) {
+            Inject(link, link->copies->OnTime(copy));
+          });
+    }
+    return bytes;
+  }
+
+  /// Writes to the near end between two answers.
+  static void Inject(const LinkPtr& link, const std::string& bytes) {
+    link->waiting += bytes;
+    if (link->writes_near || link->waiting.empty()) return;
+    error_code ignored;
+    asio::write(link->near, asio::buffer(std::exchange(link->waiting, {})),
+                ignored);
+  }
+
   void Set(PathFault next) {
     fault = next;
     for (auto& step : std::exchange(held, {})) step();
@@ -158,6 +197,7 @@
   tcp::acceptor acceptor;
   tcp::endpoint target;
   PathFault fault = PathFault::kNone;
+  CopyWriter* writer = nullptr;
   std::list<std::weak_ptr<Link>> links;
   std::vector<std::function<void()>> held;  ///< Steps that silence stopped.
 };
@@ -183,6 +223,8 @@
 
 void Proxy::Set(PathFault fault) { state_->Set(fault); }
 
+void Proxy::WriteCopies(CopyWriter& writer) { state_->writer = &writer; }
+
 void Proxy::ForgetLinks() { state_->ForgetLinks(); }
 
 }  // namespace comfreyflow::soak
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -6,6 +6,8 @@
 #include <memory>
 #include <string>
 
+#include "soak/copies.h"
+
 namespace comfreyflow::soak {
 
 enum class PathFault : std::uint8_t {
@@ -32,6 +34,9 @@
   /// Open connections stay open and swallow what they get, for good; new ones
   /// work. Their ends go on acknowledging.
   void ForgetLinks();
+  /// New connections have copies written on them. `writer` outlives the
+  /// connections.
+  void WriteCopies(CopyWriter& writer);
 
  private:
   struct State;
--- a/soak/records.h
+++ b/soak/records.h
@@ -144,6 +144,18 @@
   bool released = false;
 };
 
+/// What copies of refusals were written and what they may have met.
+struct CopyCounts {
+  std::size_t requests = 0;  ///< With an id, at all targets.
+  std::size_t refusals = 0;
+  std::size_t written = 0;
+  /// To a later arrival of the request that they name.
+  std::size_t written_to_same = 0;
+  std::size_t again_at_target = 0;      ///< Requests whose id it had had.
+  std::size_t again_on_connection = 0;  ///< And on this connection.
+  std::size_t carried = 0;              ///< By a host for another one.
+};
+
 struct Records {
   std::deque<Sent> sent;
   std::deque<Run> runs;
@@ -159,6 +171,9 @@
   std::vector<HostEnd> ends;
   std::vector<OddEntry> odd_entries;
   std::vector<Held> held;
+  std::optional<CopyCounts> copies;  ///< If any are written.
+  std::vector<bool>
+      before;  ///< By host: it runs the build before; empty: none.
   /// Live hosts that each host knew when all had been quiet, itself included;
   /// empty: not asked.
   std::vector<std::size_t> hosts_known;
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -87,19 +87,29 @@
     Trouble::kTargetPauses,  Trouble::kTargetPauses, Trouble::kTargetErrors,
     Trouble::kTargetReset,   Trouble::kTargetReset};
 
+constexpr Pace kCopiesPace = {0.6, milliseconds(2000), milliseconds(6000)};
+
+constexpr std::array kCopiesTroubles = {
+    Trouble::kServiceCopies, Trouble::kServiceCopies, Trouble::kServiceCopies,
+    Trouble::kTargetCopies,  Trouble::kTargetCopies,  Trouble::kTargetRenamed,
+    Trouble::kTargetRenamed, Trouble::kHostCut,       Trouble::kHostCut,
+    Trouble::kTargetPauses,  Trouble::kTargetErrors,  Trouble::kTargetReset,
+    Trouble::kHostKill,      Trouble::kHostStop,      Trouble::kHostPause};
+
 constexpr Duration kStopTime = std::chrono::seconds(4);
 constexpr Duration kLongStopTime = std::chrono::seconds(8);
 constexpr Duration kShortestSilence = milliseconds(1000);
 constexpr Duration kLongestSilence = milliseconds(1400);
 
 constexpr std::array kMixNames = {"mixed",   "leaving", "told", "limited",
-                                  "rewound", "stops",   "odd"};
+                                  "rewound", "stops",   "odd",  "copies"};
 
 const Pace& PaceOf(Mix mix) {
   if (mix == Mix::kLimited) return kLimitedPace;
   if (mix == Mix::kRewound) return kRewoundPace;
   if (mix == Mix::kStops) return kStopsPace;
   if (mix == Mix::kOdd) return kOddPace;
+  if (mix == Mix::kCopies) return kCopiesPace;
   return mix == Mix::kMixed ? kMixedPace : kLeavingPace;
 }
 
@@ -116,7 +126,9 @@
       (mix == Mix::kRewound && (trouble == Trouble::kStorePathSilent ||
                                 trouble == Trouble::kStoreSlow));
   const bool brief =
-      mix != Mix::kMixed && (is_path || trouble == Trouble::kHostPause);
+      mix != Mix::kMixed &&
+      (is_path || trouble == Trouble::kHostPause ||
+       (mix == Mix::kCopies && trouble == Trouble::kTargetReset));
   return brief ? std::min(drawn, kLongestReset) : drawn;
 }
 
@@ -133,6 +145,9 @@
     return {kStopsTroubles.begin(), kStopsTroubles.end()};
   }
   if (mix == Mix::kOdd) return {kOddTroubles.begin(), kOddTroubles.end()};
+  if (mix == Mix::kCopies) {
+    return {kCopiesTroubles.begin(), kCopiesTroubles.end()};
+  }
   if (mix != Mix::kMixed) {
     out.assign(kLeavingTroubles.begin(), kLeavingTroubles.end());
   }
@@ -150,27 +165,51 @@
 
 const char* ToString(Trouble trouble) {
   constexpr std::array<const char*, kTroubles> kNames = {
-      "host_kill",           "host_stop",
-      "host_pause",          "host_reload",
-      "hosts_kill",          "store_silent",
-      "store_reset",         "store_slow",
-      "store_down",          "store_forgets",
-      "store_path",          "store_answers_lost",
-      "target_dark",         "target_reset",
-      "target_errors",       "target_refuses",
-      "target_loses",        "target_hangs",
-      "target_leaves",       "target_lapses",
-      "key_change",          "key_storm",
-      "callers_reset",       "callers_slow",
-      "store_forgets_links", "store_forgets_host_links",
-      "target_drains",       "target_goes",
-      "targets_go",          "target_unreadable",
-      "target_report_late",  "target_tells",
-      "target_rests",        "target_pours",
-      "target_limits",       "targets_limit",
-      "service_limits",      "store_rewinds",
-      "target_pauses",       "timeout_change",
-      "target_odd_entry"};
+      "host_kill",
+      "host_stop",
+      "host_pause",
+      "host_reload",
+      "hosts_kill",
+      "store_silent",
+      "store_reset",
+      "store_slow",
+      "store_down",
+      "store_forgets",
+      "store_path",
+      "store_answers_lost",
+      "target_dark",
+      "target_reset",
+      "target_errors",
+      "target_refuses",
+      "target_loses",
+      "target_hangs",
+      "target_leaves",
+      "target_lapses",
+      "key_change",
+      "key_storm",
+      "callers_reset",
+      "callers_slow",
+      "store_forgets_links",
+      "store_forgets_host_links",
+      "target_drains",
+      "target_goes",
+      "targets_go",
+      "target_unreadable",
+      "target_report_late",
+      "target_tells",
+      "target_rests",
+      "target_pours",
+      "target_limits",
+      "targets_limit",
+      "service_limits",
+      "store_rewinds",
+      "target_pauses",
+      "timeout_change",
+      "target_odd_entry",
+      "target_copies",
+      "service_copies",
+      "target_renamed",
+      "host_cut"};
   return kNames.at(static_cast<std::size_t>(trouble));
 }
 
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -59,10 +59,15 @@
   kTimeoutChange,  ///< A configuration with other time limits.
   // Below: only in `Mix::kOdd`.
   kTargetOddEntry,  ///< An entry that no reader expects, beside the others.
+  // Below: only in `Mix::kCopies`.
+  kTargetCopies,   ///< Refuses most of its requests, and says so twice.
+  kServiceCopies,  ///< All plain targets do.
+  kTargetRenamed,  ///< Starts anew under another name at its address.
+  kHostCut,        ///< Makes no connection to plain targets.
 };
 /// Those of `Mix::kMixed`, and all.
 inline constexpr int kMixedTroubles = 24;
-inline constexpr int kTroubles = 41;
+inline constexpr int kTroubles = 45;
 
 /// What a soak looks for.
 enum class Mix : std::uint8_t {
@@ -76,6 +81,7 @@
   kStops,    ///< Hosts are stopped in series beside long work, pauses of sound
              ///< targets, reloads and configurations.
   kOdd,      ///< As `kLeaving`, beside odd entries.
+  kCopies,   ///< Targets write refusals twice; callers repeat what was refused.
 };
 
 /// From the order to stop until the environment would end a process by force.
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -34,6 +34,8 @@
 /// Of picks, those of any key that ever was.
 constexpr double kOldKeyShare = 0.1;
 constexpr double kErrorShare = 0.5;
+constexpr double kRefusedShare = 0.6;
+constexpr double kUnnamedShare = 0.1;
 constexpr milliseconds kShortestRest{600};
 constexpr milliseconds kLongestRest{3000};
 constexpr std::size_t kPouredBytes = 16 * 1024;
@@ -108,10 +110,16 @@
         fake(io, "target" + std::to_string(number)),
         path(io, fake.address()) {}
 
+  void WriteCopies(CopyCounts& counts) {
+    copies.emplace(counts, number);
+    path.WriteCopies(*copies);
+  }
+
   const std::string service;
   const std::size_t number;
   platform::FakeTarget fake;
   Proxy path;
+  std::optional<CopyWriter> copies;
   Behaviour behaviour = Behaviour::kSound;
   std::uint64_t born = 1;            ///< Changes with each start.
   std::uint64_t reports = 1;         ///< Since its start.
@@ -146,6 +154,12 @@
   target.fake.OnRequest([this, &target](const http::ExchangePtr& exchange) {
     Take(target, exchange);
   });
+  target.fake.OnMisdirected([&target](const http::ExchangePtr& exchange) {
+    http::Response head = target.fake.Head(exchange->request(), 421);
+    head.fields.push_back({"x-not-run", "1"});
+    exchange->Respond(std::move(head));
+  });
+  if (records_.copies) target.WriteCopies(*records_.copies);
   List(target.number, "ready");
 }
 
@@ -155,6 +169,9 @@
 
 void Site::SetBehaviour(std::size_t target, Behaviour behaviour) {
   targets_.at(target)->behaviour = behaviour;
+  if (targets_.at(target)->copies) {
+    targets_.at(target)->copies->SetCopies(behaviour == Behaviour::kCopies);
+  }
   if (behaviour == Behaviour::kSound) targets_.at(target)->hanging.clear();
 }
 
@@ -210,6 +227,20 @@
   List(number, "ready");
 }
 
+void Site::Rename(std::size_t number, Duration late) {
+  Target& target = *targets_.at(number);
+  const std::string former = target.fake.name();
+  ++target.born;
+  target.reports = 0;
+  target.fake.Rename("target" + std::to_string(number) + "-" +
+                     std::to_string(target.born));
+  const auto timer = std::make_shared<boost::asio::steady_timer>(io_, late);
+  timer->async_wait([this, timer, &target, former](const auto&) {
+    if (store_.Has("servers", former)) store_.Remove("servers", former);
+    List(target.number, "ready");
+  });
+}
+
 void Site::ListUnreadable(std::size_t number) {
   const Target& target = *targets_.at(number);
   store_.Put("servers", target.fake.name(), Json{{"Service", 7}});
@@ -397,6 +428,9 @@
       return TurnAway(target, exchange, run);
     case Behaviour::kPours:
       return Pour(target, exchange);
+    case Behaviour::kCopies:
+      if (!std::bernoulli_distribution(kRefusedShare)(random_)) break;
+      return Refuse(target, exchange, run);
     case Behaviour::kSound:
       break;
   }
@@ -413,6 +447,24 @@
   });
 }
 
+/// Mostly names the request.
+void Site::Refuse(Target& target, const http::ExchangePtr& exchange, Run& run) {
+  constexpr int kUnavailable = 503;
+  constexpr int kLimited = 429;
+  run.ran = false;
+  run.ended = run.at;
+  const bool limited = std::bernoulli_distribution()(random_);
+  http::Response head =
+      Head(target, exchange->request(), limited ? kLimited : kUnavailable);
+  head.fields.push_back({"x-not-run", "1"});
+  if (std::bernoulli_distribution(kUnnamedShare)(random_)) {
+    std::erase_if(head.fields, [](const auto& field) {
+      return field.name == "x-request-id";
+    });
+  }
+  exchange->Respond(std::move(head));
+}
+
 void Site::TurnAway(Target& target, const http::ExchangePtr& exchange,
                     Run& run) {
   std::uniform_int_distribution<milliseconds::rep> draw(kShortestRest.count(),
--- a/soak/site.h
+++ b/soak/site.h
@@ -22,7 +22,8 @@
   kLoses,
   kHangs,
   kRests,  ///< Turns requests away and wants nothing for a while.
-  kPours   ///< Sends bytes that are no answer until it is closed.
+  kPours,  ///< Sends bytes that are no answer until it is closed.
+  kCopies  ///< Refuses most of its requests, and says so twice.
 };
 
 inline constexpr const char* kPlainService = "app";
@@ -67,6 +68,10 @@
   /// The target starts anew under its name, and reports.
   void Restart(std::size_t target);
 
+  /// The target starts anew under another name, on its old connections; its
+  /// entry follows `late`.
+  void Rename(std::size_t target, Duration late);
+
   /// The store comes back from a copy. In some drills what is written in the
   /// new era passes the revision that the store had before anyone reaches it.
   void Rewind(const platform::FakeStore::Copy& copy, bool catches_up);
@@ -95,6 +100,7 @@
   void PutConfig();
   http::Response Head(const Target& target, const http::Request& request,
                       int status);
+  void Refuse(Target& target, const http::ExchangePtr& exchange, Run& run);
   void TurnAway(Target& target, const http::ExchangePtr& exchange, Run& run);
   void Pour(Target& target, const http::ExchangePtr& exchange);
   void Take(Target& target, const http::ExchangePtr& exchange);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -65,6 +65,11 @@
 /// What callers of `Mix::kStops` do.
 constexpr double kSlowShare = 0.1;
 constexpr double kStaleShare = 0.5;
+/// And of `Mix::kCopies`.
+constexpr double kFewStreams = 0.2;
+constexpr double kRepeatShare = 0.9;
+/// A renamed target's entry follows within this time.
+constexpr Duration kLongestRename = milliseconds(600);
 /// In `Mix::kStops` one host of so many stops at once.
 constexpr std::size_t kHostsAStop = 12;
 /// Targets fall silent once in the last third of a stop.
@@ -75,7 +80,9 @@
 class Soak {
  public:
   explicit Soak(const SoakSettings& settings)
-      : settings_(settings), site_(io_, records_, settings.seed) {}
+      : settings_(settings), site_(io_, records_, settings.seed) {
+    if (settings.mix == Mix::kCopies) records_.copies.emplace();
+  }
 
   SoakResult Run() {
     AddTargets();
@@ -203,7 +210,10 @@
     restarting_.assign(count, false);
     for (std::size_t i = 0; i < count; ++i) {
       HostPlan plan;
-      plan.program = settings_.program;
+      const bool is_before = !settings_.before.empty() && i % 2 == 1;
+      records_.before.push_back(is_before);
+      plan.program = is_before ? settings_.before : settings_.program;
+      plan.can_be_cut = settings_.mix == Mix::kCopies;
       plan.fault = settings_.fault;
       plan.directory = settings_.directory;
       plan.name = "host" + std::to_string(i);
@@ -232,6 +242,10 @@
       paths.slow_share = kSlowShare;
       paths.stale_share = kStaleShare;
     }
+    if (settings_.mix == Mix::kCopies) {
+      paths.stream_share = kFewStreams;
+      paths.repeat_share = kRepeatShare;
+    }
     return paths;
   }
 
@@ -498,6 +512,9 @@
       return site_.Pause(InUse(event.pick), event.life);
     }
     if (event.trouble == Trouble::kTargetOddEntry) return ListOddEntry(event);
+    if (event.trouble >= Trouble::kTargetCopies) {
+      return CarryCopies(event, host);
+    }
     if (event.trouble <= Trouble::kHostsKill) return CarryHost(event, host);
     if (event.trouble <= Trouble::kStoreAnswersLost) {
       return CarryStore(event, host);
@@ -513,6 +530,49 @@
     CarryTold(event);
   }
 
+  std::vector<std::size_t> PlainTargets() const {
+    std::vector<std::size_t> out;
+    for (std::size_t i = 0; i < site_.targets(); ++i) {
+      if (site_.ServiceOf(i) == kPlainService) out.push_back(i);
+    }
+    return out;
+  }
+
+  /// The host reaches no plain target, so that others carry its requests.
+  void Cut(std::size_t host, Duration life) {
+    std::vector<std::string> ports;
+    for (const std::size_t target : PlainTargets()) {
+      const std::string address = site_.target_path(target).address();
+      ports.push_back(address.substr(address.find(':') + 1));
+    }
+    hosts_[host]->CutFrom(ports);
+    for (const std::size_t target : PlainTargets()) {
+      Note(Subject::kTarget, target, Trouble::kHostCut, Duration::zero());
+      site_.target_path(target).Set(PathFault::kReset);
+      site_.target_path(target).Set(PathFault::kNone);
+    }
+    At(life, [this, host] { hosts_[host]->CutFrom({}); });
+  }
+
+  void CarryCopies(const Event& event, std::size_t host) {
+    const auto plain = PlainTargets();
+    const std::size_t target = plain[event.pick / 3 % plain.size()];
+    switch (event.trouble) {
+      case Trouble::kTargetCopies:
+        return Misbehave(InUse(event.pick), Behaviour::kCopies, event);
+      case Trouble::kServiceCopies:
+        for (const std::size_t one : plain) {
+          Misbehave(one, Behaviour::kCopies, event);
+        }
+        return;
+      case Trouble::kTargetRenamed:
+        return site_.Rename(target,
+                            Duration(event.pick % kLongestRename.count()));
+      default:
+        Cut(host, event.life);
+    }
+  }
+
   /// A target that got requests lately: one that gets none tells nobody
   /// anything.
   std::size_t InUse(std::uint64_t pick) const {
@@ -676,9 +736,18 @@
       sent.left ? ++out.left : ++out.statuses[sent.status];
     }
     out.disturbances = story_.size();
+    for (const auto& host : hosts_) {
+      if (!records_.copies) break;
+      records_.copies->carried += host->LogLines("\"request_carried\"");
+    }
     Bounds bounds;
     bounds.stop = StopTimeOf(settings_.mix);
     out.breaches = Check(records_, bounds, settings_.timed);
+    const auto by_before = std::stable_partition(
+        out.breaches.begin(), out.breaches.end(),
+        [](const Breach& breach) { return !breach.is_before; });
+    out.breaches_before.assign(by_before, out.breaches.end());
+    out.breaches.erase(by_before, out.breaches.end());
     out.judged = CountJudged(records_, bounds, settings_.timed);
     out.story = std::move(story_);
     return out;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -14,6 +14,7 @@
 
 struct SoakSettings {
   std::string program;    ///< Of a host.
+  std::string before;     ///< Run by every other host; empty: by none.
   std::string fault;      ///< Planted in it; empty: none.
   std::string directory;  ///< For settings and logs.
   std::uint64_t seed = 1;
@@ -36,6 +37,8 @@
   std::map<int, std::size_t> statuses;  ///< Of the others; 0: none came.
   std::size_t disturbances = 0;
   std::vector<Breach> breaches;
+  /// Of the breaches, by hosts of the build before; they are not among them.
+  std::vector<Breach> breaches_before;
   std::vector<Judged> judged;  ///< Of the promises that name a time.
   /// What was done, a line each.
   std::vector<std::string> story;
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -370,6 +370,7 @@
                        request.target});
   const auto expected = http::FieldValue(request.fields, "x-target-instance");
   if (expected != name_) {
+    if (misdirected_) return misdirected_(exchange);
     return exchange->Respond(JsonAnswer(421, Json::object()));
   }
   handler_(exchange);
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -141,6 +141,10 @@
   const std::vector<http::Request>& requests() const { return requests_; }
   const std::vector<nlohmann::json>& orders() const { return orders_; }
   void OnRequest(Handler handler) { handler_ = std::move(handler); }
+  /// What is meant for a target of another name; else it is answered 421.
+  void OnMisdirected(Handler handler) { misdirected_ = std::move(handler); }
+  /// The target starts anew under another name at its address.
+  void Rename(std::string name) { name_ = std::move(name); }
   /// Fields of the answers to orders.
   void SetOrderFields(http::Fields fields) {
     order_fields_ = std::move(fields);
@@ -166,12 +170,13 @@
   void Handle(const http::ExchangePtr& exchange);
 
   boost::asio::io_context& io_;
-  const std::string name_;
+  std::string name_;
   std::shared_ptr<http::BodyBudget> budget_;
   std::vector<http::Request> requests_;
   std::vector<nlohmann::json> orders_;
   http::Fields order_fields_;
   Handler handler_;
+  Handler misdirected_;
   std::vector<std::weak_ptr<http::Exchange>> open_;
   bool crashed_ = false;
   bool keeps_connections_ = true;
