--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -318,13 +318,20 @@
       if (Ran(OwnRunsOf(*sent)) > 0) detail += TakenBy(*sent);
     }
     Note("TWICE", last.id, detail);
-    // Who is at fault: one attempt ran twice, or ran and was denied.
-    const auto at = std::find_if(
-        attempts.begin(), attempts.end(), [this](const Sent* sent) {
-          const std::size_t own = Ran(OwnRunsOf(*sent));
-          return own > 1 || (own > 0 && Promises(sent->status));
-        });
-    breaches_.back().is_before = at != attempts.end() && IsBefore(**at);
+    breaches_.back().is_before = OnlyBeforeAtFault(attempts);
+  }
+
+  /// Whether each attempt that ran twice, or ran and was denied, was taken by a
+  /// host of the build before, and there is one.
+  bool OnlyBeforeAtFault(const std::vector<const Sent*>& attempts) const {
+    bool found = false;
+    for (const Sent* sent : attempts) {
+      const std::size_t own = Ran(OwnRunsOf(*sent));
+      if (own == 0 || (own == 1 && !Promises(sent->status))) continue;
+      if (!IsBefore(*sent)) return false;
+      found = true;
+    }
+    return found;
   }
 
   bool IsBefore(const Sent& sent) const {
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -69,7 +69,8 @@
 constexpr double kFewStreams = 0.2;
 constexpr double kRepeatShare = 0.9;
 /// A renamed target's entry follows within this time.
-constexpr Duration kLongestRename = milliseconds(600);
+constexpr Duration kLongestRename = milliseconds(300);
+constexpr Duration kRenamePause = milliseconds(500);
 /// In `Mix::kStops` one host of so many stops at once.
 constexpr std::size_t kHostsAStop = 12;
 /// Targets fall silent once in the last third of a stop.
@@ -80,7 +81,9 @@
 class Soak {
  public:
   explicit Soak(const SoakSettings& settings)
-      : settings_(settings), site_(io_, records_, settings.seed) {
+      : settings_(settings),
+        site_(io_, records_, settings.seed),
+        random_(settings.seed) {
     if (settings.mix == Mix::kCopies) records_.copies.emplace();
   }
 
@@ -554,6 +557,14 @@
     At(life, [this, host] { hosts_[host]->CutFrom({}); });
   }
 
+  /// Requests that come before the new entry are told 421, and may come again
+  /// behind it.
+  void Rename(std::size_t target) {
+    std::uniform_int_distribution<Duration::rep> late(0,
+                                                      kLongestRename.count());
+    site_.Rename(target, Duration(late(random_)));
+  }
+
   void CarryCopies(const Event& event, std::size_t host) {
     const auto plain = PlainTargets();
     const std::size_t target = plain[event.pick / 3 % plain.size()];
@@ -566,8 +577,13 @@
         }
         return;
       case Trouble::kTargetRenamed:
-        return site_.Rename(target,
-                            Duration(event.pick % kLongestRename.count()));
+        for (const std::size_t one : plain) {
+          if (one != target) Misbehave(one, Behaviour::kCopies, event);
+        }
+        for (Duration at{}; at < event.life; at += kRenamePause) {
+          At(at, [this, target] { Rename(target); });
+        }
+        return;
       default:
         Cut(host, event.life);
     }
@@ -758,6 +774,7 @@
   http::Client client_{io_};
   Records records_;
   Site site_;
+  std::mt19937_64 random_;
   std::vector<std::unique_ptr<HostProcess>> hosts_;
   std::vector<std::unique_ptr<Proxy>> caller_paths_;
   std::vector<bool> restarting_;
--- a/test/soak/promises-test.cc
+++ b/test/soak/promises-test.cc
@@ -3,7 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <set>
+#include <utility>
+#include <vector>
 
 using namespace comfreyflow;        // NOLINT(google-build-using-namespace)
 using namespace comfreyflow::soak;  // NOLINT(google-build-using-namespace)
@@ -70,6 +73,72 @@
   CHECK(Broken(Sound()).empty());
 }
 
+/// The unsafe request was told 503 and sent again under its id.
+Records Repeated() {
+  Records records = Sound();
+  Sent again = records.sent[kUnsafeAt];
+  Sent& first = records.sent[kUnsafeAt];
+  first.status = 503;
+  first.answer.clear();
+  again.host = 1;
+  again.at = kStart + milliseconds(300);
+  again.ended = again.at + milliseconds(200);
+  records.runs[kUnsafeAt].at = again.at + milliseconds(5);
+  records.runs[kUnsafeAt].ended = again.ended;
+  records.sent.push_back(again);
+  return records;
+}
+
+TEST_CASE("what was refused and is sent again under its id may run once") {
+  Records records = Repeated();
+  CHECK(Broken(records).empty());
+  records.runs.push_back(records.runs[kUnsafeAt]);
+  CHECK(Broken(records) == Promises{"TWICE"});
+  records.runs.back().ran = false;
+  CHECK(Broken(records).empty());
+}
+
+TEST_CASE("a run of a refused attempt counts beside that of its repeat") {
+  Records records = Repeated();
+  records.runs.push_back(records.runs[kUnsafeAt]);
+  records.runs.back().at = kStart + milliseconds(5);
+  CHECK(Broken(records) == Promises{"REFUSED", "TWICE"});
+  records.runs.erase(records.runs.begin() + kUnsafeAt);
+  CHECK(Broken(records).contains("REFUSED"));
+}
+
+TEST_CASE("an attempt that was not refused may run beside its repeat") {
+  Records records = Repeated();
+  records.sent[kUnsafeAt].status = 502;
+  records.runs.push_back(records.runs[kUnsafeAt]);
+  records.runs.back().at = kStart + milliseconds(5);
+  CHECK(Broken(records).empty());
+  records.runs.push_back(records.runs.back());
+  CHECK(Broken(records) == Promises{"TWICE"});
+}
+
+TEST_CASE("a second run counts for the host whose attempt is at fault") {
+  const auto is_before = [](Records records, std::vector<bool> before) {
+    records.before = std::move(before);
+    const auto breaches = Check(records, {}, true);
+    REQUIRE(!breaches.empty());
+    return std::all_of(breaches.begin(), breaches.end(),
+                       [](const Breach& breach) { return breach.is_before; });
+  };
+  Records records = Repeated();
+  SUBCASE("it ran and was refused") {
+    records.runs.push_back(records.runs[kUnsafeAt]);
+    records.runs.back().at = kStart + milliseconds(5);
+    CHECK(is_before(records, {true, false}));
+    CHECK(!is_before(records, {false, true}));
+  }
+  SUBCASE("its repeat ran twice") {
+    records.runs.push_back(records.runs[kUnsafeAt]);
+    CHECK(is_before(records, {false, true}));
+    CHECK(!is_before(records, {true, false}));
+  }
+}
+
 TEST_CASE("a second run of what must not run twice is found") {
   Records records = Sound();
   records.runs.push_back(records.runs[kUnsafeAt]);
