--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -217,7 +217,7 @@
       records_.before.push_back(is_before);
       plan.program = is_before ? settings_.before : settings_.program;
       plan.can_be_cut = settings_.mix == Mix::kCopies;
-      plan.fault = settings_.fault;
+      plan.fault = is_before ? "" : settings_.fault;
       plan.directory = settings_.directory;
       plan.name = "host" + std::to_string(i);
       plan.failure_domain = "z" + std::to_string(i % 3);
