--- a/soak/main.cc
+++ b/soak/main.cc
@@ -51,6 +51,14 @@
     std::cout << ' ' << status << " x" << count;
   }
   std::cout << std::endl;
+  constexpr auto kNotable = std::chrono::milliseconds(500);
+  if (result.standstill > kNotable) {
+    std::cout << "  the soak itself stood still for "
+              << std::chrono::duration_cast<std::chrono::milliseconds>(
+                     result.standstill)
+                     .count()
+              << " ms" << std::endl;
+  }
   PrintJudged(result.judged);
   PrintBefore(result.breaches_before);
   if (result.breaches.empty()) return 0;
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -128,7 +128,9 @@
   }
 
   void Tick() {
+    const Time begin = Now();
     io_.run_for(kTick);
+    standstill_ = std::max(standstill_, Now() - begin - kTick);
     if (settings_.mix == Mix::kRewound) KeepCopy();
     site_.ReadOrders();
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
@@ -752,6 +754,7 @@
       sent.left ? ++out.left : ++out.statuses[sent.status];
     }
     out.disturbances = story_.size();
+    out.standstill = standstill_;
     for (const auto& host : hosts_) {
       if (!records_.copies) break;
       records_.copies->carried += host->LogLines("\"request_carried\"");
@@ -778,6 +781,7 @@
   std::vector<std::unique_ptr<HostProcess>> hosts_;
   std::vector<std::unique_ptr<Proxy>> caller_paths_;
   std::vector<bool> restarting_;
+  Duration standstill_{};
   std::deque<std::pair<Time, platform::FakeStore::Copy>> copies_;
   bool is_rewinding_ = false;
   bool has_odd_entry_ = false;
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -37,6 +37,8 @@
   std::map<int, std::size_t> statuses;  ///< Of the others; 0: none came.
   std::size_t disturbances = 0;
   std::vector<Breach> breaches;
+  /// Longest time for which the soak itself did not run.
+  Duration standstill{};
   /// Of the breaches, by hosts of the build before; they are not among them.
   std::vector<Breach> breaches_before;
   std::vector<Judged> judged;  ///< Of the promises that name a time.
