Soak: a host is cut off by its own hook, not by a preloaded library

Hosts of soak-planted-host, without a fault a sound host, read the ports that they don't reach from a file; other programs are not cut.

--- a/soak/host-process.cc
+++ b/soak/host-process.cc
@@ -74,13 +74,9 @@
   std::string fault = plan_.fault;
   std::array<char*, 3> arguments = {program.data(), nullptr, nullptr};
   if (!fault.empty()) arguments[1] = fault.data();
-  const std::string preload = std::string("LD_PRELOAD=") + SOAK_CUT_LIBRARY;
-  const std::string cut = "SOAK_CUT_FILE=" + CutFile();
-  std::array<char*, 4> environment = {const_cast<char*>(settings.c_str())};
-  if (plan_.can_be_cut) {
-    environment[1] = const_cast<char*>(preload.c_str());
-    environment[2] = const_cast<char*>(cut.c_str());
-  }
+  const std::string cut = std::string(kCutFileVariable) + "=" + CutFile();
+  std::array<char*, 3> environment = {const_cast<char*>(settings.c_str()),
+                                      const_cast<char*>(cut.c_str()), nullptr};
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
--- a/soak/host-process.h
+++ b/soak/host-process.h
@@ -21,9 +21,10 @@
   std::vector<std::string> seeds;  ///< `ip`
   std::string fault;  ///< Planted one, for a program that takes it.
   Duration stop_time = std::chrono::seconds(4);
-  bool can_be_cut = false;  ///< Whether `CutFrom` works.
 };
 
+/// Names the file of the ports to which a host makes no connection.
+inline constexpr const char* kCutFileVariable = "SOAK_CUT_FILE";
 inline constexpr int kCallerPort = 8227;
 inline constexpr int kReadyPort = 8220;
 inline constexpr int kDirectoryPort = 8224;
@@ -41,7 +42,8 @@
   /// Does nothing while the process runs.
   void Start();
   void Signal(int signal) const;
-  /// New connections to these ports are refused until the next call.
+  /// New connections to these ports are refused until the next call, if the
+  /// program is soak-planted-host.
   void CutFrom(const std::vector<std::string>& ports) const;
   /// Whether the process runs; takes note of its end.
   bool Running();
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -218,7 +218,6 @@
       const bool is_before = !settings_.before.empty() && i % 2 == 1;
       records_.before.push_back(is_before);
       plan.program = is_before ? settings_.before : settings_.program;
-      plan.can_be_cut = settings_.mix == Mix::kCopies;
       plan.fault = is_before ? "" : settings_.fault;
       plan.directory = settings_.directory;
       plan.name = "host" + std::to_string(i);
