Moments of copies: a connection may be closed before its copy

The table waited until both targets had written copies. A copy now counts as met if it was written or if its connection was closed before it could be; what is checked of runs and answers is as it was.

--- a/test/platform/copying-target.h
+++ b/test/platform/copying-target.h
@@ -52,6 +52,8 @@
   int refusals() const { return refusals_; }
   /// Copies that were written.
   int copies() const { return copies_; }
+  /// Connections that the other end closed before a copy could be written.
+  int closed() const { return closed_; }
   /// Requests that came on a connection behind a refusal.
   int behind_refusal() const { return behind_refusal_; }
   void SetDecision(Decision decision) { decision_ = std::move(decision); }
@@ -79,6 +81,7 @@
   int requests_ = 0;
   int refusals_ = 0;
   int copies_ = 0;
+  int closed_ = 0;
   int behind_refusal_ = 0;
 };
 
