A request that HTTP can't carry fails alone, not its sender's process

Callers saw all requests under way at a host lost: the host ended (SIGABRT) once a request with method TRACE and a body was sent to a target, its own or one carried for another host.

Cause: the HTTP library throws where a request can't be framed (`prepare_payload` for TRACE with a body, `insert` for a name or value over 65,533 bytes), and nothing on the way from the client to the loop catches it. Lines with control bytes, an empty method or target, and a coding left from the sender went out as they were.

The client looks at a request before it writes any of it (`IsSendable`) and ends one that can't be sent with `kMalformedRequest`, unsent; what it sends is framed by its body alone. A host declines to carry one, so that the asking host hears why.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -758,6 +758,7 @@
       case Errc::kTargetUnresponsive:
         return WorkEnd::kTimedOut;
       case Errc::kOverloaded:  // No host could send it to the target.
+      case Errc::kMalformedRequest:
         return WorkEnd::kCancelled;
       default:
         return WorkEnd::kBroken;
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -318,6 +318,8 @@
     const Errc error = paths_.ReadFrame(exchange_, head_, body);
     if (error != Errc::kOk) return Decline(error);
     if (paths_.carrying_ > kMaxCarried) return Decline(Errc::kOverloaded);
+    http::Request request = TakeRequest(body);
+    if (!http::IsSendable(request)) return Decline(Errc::kMalformedRequest);
     const ServiceName service{head_.service_name};
     if (paths_.reach_.IsServiceOutOfReach(service, Now())) {
       paths_.Probe(service, head_.address);
@@ -325,10 +327,23 @@
     }
     ++paths_.carried_for_others_;
     Log({});
-    Send(body);
+    Send(std::move(request));
   }
 
  private:
+  /// The request in the frame, which is not needed any more.
+  http::Request TakeRequest(std::string_view body) {
+    http::Request request;
+    request.method = head_.method;
+    request.target = head_.target;
+    for (auto& field : head_.fields) {
+      request.fields.push_back({std::move(field.name), std::move(field.value)});
+    }
+    request.body = body;
+    exchange_->request().body.clear();
+    return request;
+  }
+
   void Decline(Errc code) {
     Log(Info(code).name);
     RespondFailed(kDeclined);
@@ -345,15 +360,7 @@
         .With("carrying", std::uint64_t{paths_.carrying_});
   }
 
-  void Send(std::string_view body) {
-    http::Request request;
-    request.method = head_.method;
-    request.target = head_.target;
-    for (auto& field : head_.fields) {
-      request.fields.push_back({std::move(field.name), std::move(field.value)});
-    }
-    request.body = body;
-    exchange_->request().body.clear();
+  void Send(http::Request request) {
     http::CallOptions options;
     options.connect_timeout = kDirectConnectTimeout;
     options.progress_timeout = milliseconds(head_.progress_ms);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -194,6 +194,12 @@
 
   void Start(Request request) {
     started_ = Clock::now();
+    if (!IsSendable(request)) {
+      asio::post(strand_, [self = shared_from_this()] {
+        self->Finish(Errc::kMalformedRequest);
+      });
+      return;
+    }
     Fill(std::move(request));
     asio::dispatch(strand_, [self = shared_from_this()] { self->Connect(); });
   }
@@ -230,16 +236,30 @@
     }
     message_.version(11);
     for (const auto& field : request.fields) {
-      message_.insert(field.name, field.value);
+      if (!IsFraming(field.name)) message_.insert(field.name, field.value);
     }
     if (message_.find(bh::field::host) == message_.end()) {
       message_.set(bh::field::host, address_);
     }
     message_.body() = std::move(request.body);
-    message_.prepare_payload();
+    if (!message_.body().empty() || TellsEmptyLength(message_.method())) {
+      message_.content_length(message_.body().size());
+    }
     lease_ = std::move(request.lease);
   }
 
+  /// The body that is sent says how it is framed.
+  static bool IsFraming(std::string_view name) {
+    return beast::iequals({name.data(), name.size()}, "content-length") ||
+           beast::iequals({name.data(), name.size()}, "transfer-encoding");
+  }
+
+  /// Whether the length is told even if there is no body.
+  static bool TellsEmptyLength(bh::verb method) {
+    return method == bh::verb::post || method == bh::verb::put ||
+           method == bh::verb::options;
+  }
+
   void Connect() {
     if (!options_.fresh_connection) {
       if (auto kept = pool_->Take(address_, options_)) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -55,7 +55,8 @@
   std::uint32_t skipped = 0;        ///< Answers to other calls before it.
 };
 
-/// How a call ended. `code` is `kOk` when the answer came whole, else
+/// How a call ended. `code` is `kOk` when the answer came whole,
+/// `kMalformedRequest` when the request can't be sent (`IsSendable`), else
 /// `kTargetUnreachable`, `kTargetUnresponsive` or `kTargetFailed`.
 struct CallEnd {
   Errc code = Errc::kOk;
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -1,6 +1,7 @@
 // Look-ups in HTTP messages, and the encoding of their addresses.
 #include "http/message.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace comfreyflow::http {
@@ -10,6 +11,38 @@
 constexpr std::string_view kUnreserved =
     "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.~";
 
+constexpr std::string_view kTokenMarks = "!#$%&'*+-.^_`|~";
+/// The HTTP library counts a name or a value, with the two bytes that follow
+/// it, in 16 bits.
+constexpr std::size_t kMaxFieldPartBytes = 65'533;
+
+bool IsTokenByte(char c) {
+  return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+         (c >= '0' && c <= '9') ||
+         kTokenMarks.find(c) != std::string_view::npos;
+}
+
+bool IsToken(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), IsTokenByte);
+}
+
+bool IsControl(char c) {
+  const auto byte = static_cast<unsigned char>(c);
+  return byte < ' ' || byte == 0x7f;
+}
+
+bool IsLinePart(std::string_view text) {
+  return std::none_of(text.begin(), text.end(),
+                      [](char c) { return IsControl(c) || c == ' '; });
+}
+
+bool IsSendableField(const Field& field) {
+  return field.name.size() <= kMaxFieldPartBytes && IsToken(field.name) &&
+         field.value.size() <= kMaxFieldPartBytes &&
+         std::none_of(field.value.begin(), field.value.end(),
+                      [](char c) { return IsControl(c) && c != '\t'; });
+}
+
 std::string Decode(std::string_view text) {
   std::string out;
   for (std::size_t i = 0; i < text.size(); ++i) {
@@ -42,6 +75,15 @@
   return false;
 }
 
+bool IsSendable(const Request& request) {
+  const bool has_target = !request.target.empty() || !request.path.empty();
+  return has_target && IsToken(request.method) && IsLinePart(request.target) &&
+         IsLinePart(request.path) && IsLinePart(request.query) &&
+         (request.method != "TRACE" || request.body.empty()) &&
+         std::all_of(request.fields.begin(), request.fields.end(),
+                     IsSendableField);
+}
+
 std::string PercentEncode(std::string_view text, std::string_view kept) {
   std::string out;
   for (const char c : text) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -45,6 +45,11 @@
   std::shared_ptr<BodyLease> lease = {};
 };
 
+/// Whether the request can be written as one HTTP/1.1 request: no part of it is
+/// empty that must not be, ends the line it stands on or is too long, and none
+/// has content that its method must not have.
+bool IsSendable(const Request& request);
+
 /// Encodes all bytes but letters, digits, `-_.~` and those in `kept`.
 std::string PercentEncode(std::string_view text, std::string_view kept = "");
 
--- a/test/platform/carry-test.cc
+++ b/test/platform/carry-test.cc
@@ -44,8 +44,8 @@
   }
 
   /// A frame as the other hosts of the fleet sign it.
-  std::string Frame(const std::string& address,
-                    const std::string& fleet) const {
+  std::string Frame(const std::string& address, const std::string& fleet,
+                    const std::string& method = "GET") const {
     wire::CarryHead head;
     head.sender = "host0";
     head.request = "id1";
@@ -53,7 +53,7 @@
     head.address = address;
     head.progress_ms = 1000;
     head.idle_limit_ms = 1000;
-    head.method = "GET";
+    head.method = method;
     head.target = "/safe/1";
     wire::CarriedField& field = head.fields.emplace_back();
     field.name = "x-target-instance";
@@ -105,6 +105,23 @@
   CHECK(hosts.app.requests().size() == before + 1);
 }
 
+TEST_CASE("a carried request that HTTP can't carry ends the carrying host") {
+  TwoHosts hosts;
+  hosts.app.CloseAfterAnswers();
+  const std::string& fleet = hosts.site.settings(0).deployment;
+  const auto before = hosts.app.requests().size();
+  for (const char* method : {"TRACE", "", "A\r\nB", "G T"}) {
+    Answer answer;
+    REQUIRE_NOTHROW(answer = hosts.PostFrame(
+                        hosts.Frame(hosts.app.address(), fleet, method)));
+    CHECK(http::FieldValue(answer.response.fields, "carry-failed") ==
+          "declined");
+  }
+  CHECK(hosts.app.requests().size() == before);
+  hosts.PostFrame(hosts.Frame(hosts.app.address(), fleet));
+  CHECK(hosts.app.requests().size() == before + 1);
+}
+
 TEST_CASE("a carried stream arrives as a whole at its end") {
   TwoHosts hosts;
   std::vector<http::ExchangePtr> open;
--- a/test/shell/client-test.cc
+++ b/test/shell/client-test.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 using namespace comfreyflow;        // NOLINT(google-build-using-namespace)
 using namespace comfreyflow::http;  // NOLINT(google-build-using-namespace)
@@ -157,8 +158,9 @@
     socket->async_read_some(
         boost::asio::buffer(*bytes),
         [this, socket, bytes](const boost::system::error_code& error,
-                              std::size_t) {
+                              std::size_t size) {
           if (error) return;
+          received.append(bytes->data(), size);
           const std::string text =
               "HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n";
           boost::asio::write(*socket, boost::asio::buffer(text));
@@ -170,6 +172,10 @@
     Request request;
     request.method = "POST";
     request.path = "/";
+    return Send(std::move(request), id);
+  }
+
+  CallEnd Send(Request request, const std::string& id) {
     CallOptions options;
     options.id = id;
     std::optional<CallEnd> ended;
@@ -185,6 +191,7 @@
   Tcp::acceptor acceptor;
   Client client{io};
   int connections = 0;
+  std::string received;  ///< On all connections.
 };
 
 }  // namespace
@@ -205,3 +212,69 @@
   for (int i = 0; i < kCalls; ++i) server.Call(std::to_string(i));
   CHECK(server.connections == kCalls / kMostCallsOfConnection + 1);
 }
+
+namespace {
+
+constexpr std::size_t kOverLibraryLimit = 70'000;
+
+struct Part {
+  Field field;
+  bool is_sendable = true;
+};
+
+std::vector<Part> Parts() {
+  const std::string large(kOverLibraryLimit, 'x');
+  return {{{"x-a", "plain \xc3\xa4\t1"}},
+          {{"content-length", "90"}},
+          {{"Content-Length", "4, 90"}},
+          {{"transfer-encoding", "chunked"}},
+          {{"Transfer-Encoding", "gzip, chunked"}},
+          {{"connection", ",,;"}},
+          {{"x-large", large}, false},
+          {{large, "x"}, false},
+          {{"", "x"}, false},
+          {{"x y", "x"}, false},
+          {{"x-a", "1\r\nx-b: 2"}, false},
+          {{"x-a", std::string("\0", 1)}, false}};
+}
+
+void CheckSent(Answering& server, Request request, bool is_sendable) {
+  const std::string what = request.method + ' ' + request.target + ' ' +
+                           request.fields[0].name.substr(0, 20);
+  CAPTURE(what);
+  const bool has_body = !request.body.empty();
+  server.received.clear();
+  CallEnd end;
+  REQUIRE_NOTHROW(end = server.Send(std::move(request), ""));
+  CHECK(end.sent == is_sendable);
+  CHECK(end.code == (is_sendable ? Errc::kOk : Errc::kMalformedRequest));
+  CHECK(server.received.empty() != is_sendable);
+  CHECK(server.received.find("ncoding:") == std::string::npos);
+  CHECK(server.received.find(": 90") == std::string::npos);
+  CHECK(server.received.find(", 90") == std::string::npos);
+  CHECK((server.received.find("Content-Length: 4\r\n") != std::string::npos) ==
+        (is_sendable && has_body));
+}
+
+}  // namespace
+
+TEST_CASE("a request that HTTP can't carry ends the process of its client") {
+  Answering server;
+  for (const std::string method :
+       {"GET", "HEAD", "POST", "PUT", "DELETE", "OPTIONS", "TRACE", "PATCH",
+        "PROPFIND", "get", "", "G T", "A\r\nB"}) {
+    const bool is_method =
+        !method.empty() && method.find_first_of(" \r") == std::string::npos;
+    for (const std::string target : {"/a?b", "*", "", "/ a", "/a\r\nb: c"}) {
+      const bool is_target = target == "/a?b" || target == "*";
+      for (const std::string body : {"", "body"}) {
+        const bool may_have_body = method != "TRACE" || body.empty();
+        for (const Part& part : Parts()) {
+          CheckSent(
+              server, {method, "", "", {part.field}, body, {}, target},
+              is_method && is_target && may_have_body && part.is_sendable);
+        }
+      }
+    }
+  }
+}
