A host refuses TRACE with a body and CONNECT before they are queued

Callers saw 200 for CONNECT, which a gateway without tunnels can't serve: it was sent to a target as if it were plain work. TRACE with a body ended the host, and since the client refuses to send it, got a failure only after it had been placed at a target.

Cause: the head of a request was looked at for its coding and length alone.

The connection now looks at the head before anything else (`CheckHead`): CONNECT gets 405, TRACE that may have content (a length over zero, or chunks) gets 400, both before a body is read, at each listener of a host. TRACE without content goes on as before.

--- a/src/http/head.cc
+++ b/src/http/head.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <boost/beast/http/error.hpp>
 #include <cctype>
+#include <utility>
 
 namespace comfreyflow::http::detail {
 namespace {
@@ -17,17 +18,26 @@
   return out;
 }
 
+void SetTarget(Request& head, std::string target) {
+  head.target = std::move(target);
+  const std::string_view text = head.target;
+  const auto mark = text.find('?');
+  head.path = text.substr(0, mark);
+  head.query = mark == std::string_view::npos ? "" : text.substr(mark + 1);
+}
+
 }  // namespace
 
+Errc CheckHead(const Request& head, bool has_content) {
+  if (head.method == "CONNECT") return Errc::kMethodNotAllowed;
+  if (head.method == "TRACE" && has_content) return Errc::kMalformedHttp;
+  return Errc::kOk;
+}
+
 Request HeadOf(const bh::request<bh::string_body>& message) {
   Request out;
   out.method = std::string(message.method_string());
-  const std::string_view target(message.target().data(),
-                                message.target().size());
-  out.target = std::string(target);
-  const auto mark = target.find('?');
-  out.path = std::string(target.substr(0, mark));
-  if (mark != std::string_view::npos) out.query = target.substr(mark + 1);
+  SetTarget(out, std::string(message.target()));
   for (const auto& field : message) {
     out.fields.push_back(
         {LowerCase({field.name_string().data(), field.name_string().size()}),
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -221,6 +221,9 @@
       return Refuse(Errc::kMalformedHttp);
     }
     const auto length = parser_->content_length();
+    const bool has_content = parser_->chunked() || (length && *length > 0);
+    const auto fault = CheckHead(request_, has_content);
+    if (fault != Errc::kOk) return Refuse(fault);
     if (length && *length > context_->limits.body_bytes) {
       return Refuse(Errc::kBodyTooLarge);
     }
