A host takes targets in absolute form and refuses malformed ones

Callers saw 404 for `GET http://HOST/path`, which HTTP/1.1 servers must take (RFC 9112, 3.2.2), and a target like `/path#part` was sent on as it came.

Cause: the text behind the method was used as a path, whatever its form.

The host now reads the form: a path as before; of an absolute target with http or https the host, in place of the Host field, and the path and query; `*` for OPTIONS alone. Any other one, one with a user, without a host, or with a fragment gets 400 before it is queued.

Evidence: platform-methods-test, 12 malformed targets and absolute ones, with a Host field that says otherwise and for a host without a route; bad-input-test the same for a daemon.

--- a/src/http/head.h
+++ b/src/http/head.h
@@ -16,9 +16,10 @@
     const boost::beast::http::request<boost::beast::http::string_body>&
         message);
 
-/// Refuses what a host does not take of a valid HTTP/1.1 head.
+/// Refuses what a host does not take of a valid HTTP/1.1 head, and turns the
+/// absolute form of a target into the origin form and the host that it names.
 /// `has_content`: a body that is not empty may follow.
-Errc CheckHead(const Request& head, bool has_content);
+Errc CheckHead(Request& head, bool has_content);
 
 Errc CodeOf(const boost::system::error_code& error);
 
--- a/test/platform/methods-test.cc
+++ b/test/platform/methods-test.cc
@@ -102,3 +102,31 @@
     caller.CheckServed("GET", {});
   }
 }
+
+TEST_CASE("a request with a malformed target is queued") {
+  Caller caller;
+  for (const char* target :
+       {"unsafe/1", "*", "", "http://", "http:///unsafe/1", "http:/unsafe/1",
+        "ftp://a.example/unsafe/1", "http://u@a.example/unsafe/1",
+        "http://:80/unsafe/1", "/unsafe/1#x", "/unsafe/ 1", "a.example:80"}) {
+    caller.CheckRefused(std::string("GET ") + target, "400");
+  }
+  caller.CheckServed("GET", {});
+}
+
+TEST_CASE("a target in absolute form is not found") {
+  Caller caller;
+  for (const std::string start : {"http://a.example", "HTTPS://a.example"}) {
+    const std::string got =
+        caller.Send("GET " + start + kPath + "?x=1", {}, "other.example");
+    REQUIRE_MESSAGE(got.starts_with("HTTP/1.1 200"), got);
+    const http::Request& request = caller.target.requests().back();
+    CHECK(request.target == kPath + "?x=1");
+    CHECK(http::FieldValue(request.fields, "host") == "a.example");
+  }
+  CHECK(caller.target.requests().size() == 2);
+  // The host in the target counts, whatever the field says.
+  caller.CheckRefused("GET http://other.example" + kPath, "404");
+  caller.CheckRefused("GET http://a.example", "404");
+  caller.CheckRefused("GET http://a.example?x=1", "404");
+}
--- a/test/shell/bad-input-test.cc
+++ b/test/shell/bad-input-test.cc
@@ -128,6 +128,10 @@
        RequestText("CONNECT", "test:443", kKey, "")},
       {"CONNECT to a path", Errc::kMethodNotAllowed,
        RequestText("CONNECT", path, kKey, "")},
+      {"target without a slash", Errc::kMalformedHttp,
+       Post("v1/completions", kKey, kGood)},
+      {"target of another scheme", Errc::kMalformedHttp,
+       Post("ftp://test" + path, kKey, kGood)},
       {"unknown path", Errc::kNotFound, Post("/v2/all", kKey, kGood)},
       {"wrong method", Errc::kMethodNotAllowed,
        RequestText("GET", path, kKey, "")},
@@ -199,8 +203,9 @@
   std::unique_ptr<TestHost> host;
 };
 
-void CheckServes(const std::string& address) {
-  const RawAnswer answer = Ask(address, Text(kGood));
+void CheckServes(const std::string& address,
+                 const std::string& request = Text(kGood)) {
+  const RawAnswer answer = Ask(address, request);
   CAPTURE(answer.body);
   CHECK(answer.status == 200);
   const auto json = nlohmann::json::parse(answer.body, nullptr, false);
@@ -221,6 +226,12 @@
   CHECK(fixture.service.Runs().at("total") == 0);
 }
 
+TEST_CASE("a target in absolute form is not found") {
+  Fixture fixture;
+  CheckServes(fixture.host->callers(),
+              Post("http://test/v1/completions", kKey, kGood));
+}
+
 TEST_CASE("bodies beyond the host's memory are refused, later ones pass") {
   Fixture fixture([](HostSettings& settings) {
     settings.body_bytes = 1024 * 1024;
