An exception out of a handler ends one request, not the process

Callers lost all requests under way at a host when one of its handlers threw, as for TRACE with a body: nothing between a handler and main caught it.

The loops of both host programs now run handlers on after one that throws (`node::RunLoop`) and log `handler_failed` with the reason. On the way there, what the handler was for is ended: a connection answers 500, or cuts a stream that has begun (Session::Deliver); a client's call whose hook throws ends with `kTargetFailed`, its connection closed (Operation::Guarded), and gives up its hooks before `on_end` runs, so that a throw there leaves no call open; a relay answers 500 and frees its target (OnException).

Read for exceptions: Session (Deliver, Refuse, the hooks), the client's hooks, relay, carried calls, both datagram readers with the codec behind them (it catches what decoding throws), the store client (`Decode` catches all of a malformed answer), the readers of documents and entries (they catch JSON's and field errors). Not covered: the thread that parses large documents, timers of a relay (logged; the request stays until the host stops), and a follower's hook (its watch waits until housekeeping lists anew).

Evidence: handler-failure-test: handlers that throw at once, with the exchange kept, and in a stream; each hook of a call. With the loops and handlers as before, all 3 cases end at an exception out of the loop. With it 3 of 3; also whole: platform-host-test 24 cases, platform-carry-test 8, platform-endless-test 13, bad-input-test 7, client-test 5, target-paths-test 5, platform-second-copy-test 5, platform-refused-again-test 4, ctl-test 12. The relay's part is not tested by itself: no input is known that makes it throw.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -13,6 +13,7 @@
 #include "http/tls.h"
 #include "node/log.h"
 #include "node/node.h"
+#include "node/run-loop.h"
 
 namespace {
 
@@ -135,7 +136,7 @@
     }
     WaitForSignal();
     ScheduleTlsReload();
-    io_.run();
+    comfreyflow::node::RunLoop(io_);
     LogLine(Severity::kInfo, Event::kHostStopped)
         .With("exit_code", static_cast<std::uint64_t>(exit_code_));
     return exit_code_;
--- a/src/gateway/crash-watch.cc
+++ b/src/gateway/crash-watch.cc
@@ -8,6 +8,7 @@
 #include "http/address.h"
 #include "node/clock.h"
 #include "node/log.h"
+#include "node/run-loop.h"
 
 namespace comfreyflow::gateway {
 namespace {
@@ -68,8 +69,8 @@
   timer_.async_wait([self = weak_from_this()](const error_code& error) {
     const auto watch = self.lock();
     if (error || !watch) return;
+    const node::AtExit repeat([&watch] { watch->Start(); });
     watch->Tick();
-    watch->Start();
   });
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -15,6 +15,7 @@
 #include "http/server.h"
 #include "node/clock.h"
 #include "node/log.h"
+#include "node/run-loop.h"
 
 namespace comfreyflow::gateway {
 namespace {
@@ -206,9 +207,9 @@
     facts_timer.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (error) return;
+          const node::AtExit poll([&self] { self->PollFacts(); });
           self->RefreshPeers();
           self->FetchAnnounced();
-          self->PollFacts();
         });
   }
 
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -5,6 +5,7 @@
 
 #include "node/clock.h"
 #include "node/log.h"
+#include "node/run-loop.h"
 
 namespace comfreyflow::gateway {
 namespace {
@@ -30,12 +31,12 @@
     timer.async_wait(
         [self = shared_from_this()](const boost::system::error_code& error) {
           if (error || self->is_stopped) return;
+          const node::AtExit repeat([&self] { self->Tick(); });
           self->membership.SetFacts(self->hooks.facts());
           self->membership.SetConfig(self->hooks.config_mark());
           if (self->hooks.store_era)
             self->membership.SetStoreEra(self->hooks.store_era());
           self->Execute(self->membership.Tick(Now()));
-          self->Tick();
         });
   }
 
--- a/src/gateway/placement-socket.cc
+++ b/src/gateway/placement-socket.cc
@@ -5,6 +5,7 @@
 
 #include "http/address.h"
 #include "node/clock.h"
+#include "node/run-loop.h"
 
 namespace comfreyflow::gateway {
 namespace {
@@ -77,13 +78,13 @@
       asio::buffer(buffer_), sender_,
       [self = shared_from_this()](const error_code& error, std::size_t size) {
         if (!self->is_open()) return;
+        const node::AtExit receive([&self] { self->Receive(); });
         wire::PlaceMessages messages;
         const std::string_view bytes(self->buffer_.data(), size);
         if (!error &&
             !wire::DecodePlacement(bytes, self->key_, Now(), messages)) {
           self->hooks_.on_messages(messages);
         }
-        self->Receive();
       });
 }
 
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -12,6 +12,7 @@
 #include "gateway/placement-socket.h"
 #include "node/clock.h"
 #include "node/log.h"
+#include "node/run-loop.h"
 
 namespace comfreyflow::gateway {
 namespace {
@@ -637,8 +638,8 @@
     timer.expires_after(is_busy ? kBusyTick : kIdleTick);
     timer.async_wait([self = shared_from_this()](const error_code& error) {
       if (error || !self->socket->is_open()) return;
+      const node::AtExit repeat([&self] { self->ArmTimer(); });
       self->Tick();
-      self->ArmTimer();
     });
   }
 
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -92,6 +92,15 @@
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
 
+  /// The attempt may have run, and another one would meet the same.
+  void OnException() {
+    if (stage_ == Stage::kFinished) return;
+    if (call_) call_->Cancel();
+    context_.placement.Ended(id_, WorkEnd::kCancelled);
+    if (progress_.head_sent) return AbortResponse(Errc::kInternal);
+    RespondWithFailure(Errc::kInternal, {});
+  }
+
   void Start() {
     caller_ = context_.edge.read_request(exchange_->request());
     table_ = context_.table();
@@ -507,7 +516,13 @@
       const auto relay = self.lock();
       if (!relay || relay->stage_ == Stage::kFinished) return;
       if (relay->IsParked(number)) relay->ReturnToParked();
-      if (relay->attempt_number_ == number) action(*relay);
+      if (relay->attempt_number_ != number) return;
+      try {
+        action(*relay);
+      } catch (...) {
+        relay->OnException();
+        throw;
+      }
     };
     http::CallHooks hooks;
     hooks.on_sent = [self = weak_from_this(), number] {
@@ -1288,7 +1303,13 @@
 }  // namespace
 
 void StartRelay(RelayContext& context, http::ExchangePtr exchange) {
-  std::make_shared<Relay>(context, std::move(exchange))->Start();
+  const auto relay = std::make_shared<Relay>(context, std::move(exchange));
+  try {
+    relay->Start();
+  } catch (...) {
+    relay->OnException();
+    throw;
+  }
 }
 
 }  // namespace comfreyflow::gateway
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -201,7 +201,9 @@
       return;
     }
     Fill(std::move(request));
-    asio::dispatch(strand_, [self = shared_from_this()] { self->Connect(); });
+    asio::dispatch(strand_, [self = shared_from_this()] {
+      self->Guarded([&self] { self->Connect(); });
+    });
   }
 
   void Cancel() override {
@@ -282,8 +284,10 @@
           error_code ignored;
           self->socket_.set_option(tcp::no_delay(true), ignored);
           self->socket_.set_option(UserTimeout(kUnacknowledgedMs), ignored);
-          if (self->hooks_.on_connected) self->hooks_.on_connected();
-          if (!self->done_) self->Send();
+          self->Guarded([&self] {
+            if (self->hooks_.on_connected) self->hooks_.on_connected();
+            if (!self->done_) self->Send();
+          });
         });
   }
 
@@ -334,7 +338,7 @@
     bh::async_read_some(
         socket_, buffer_, *parser_,
         [self = shared_from_this()](const error_code& error, std::size_t) {
-          if (!self->done_) self->ReadDone(error);
+          if (!self->done_) self->Guarded([&] { self->ReadDone(error); });
         });
   }
 
@@ -425,8 +429,19 @@
     if (done_) return;
     done_ = true;
     Drop();
-    if (hooks_.on_end) hooks_.on_end({code, sent_, answer_});
-    hooks_ = {};
+    const CallHooks hooks = std::exchange(hooks_, {});
+    if (hooks.on_end) hooks.on_end({code, sent_, answer_});
+  }
+
+  /// Ends the call if a hook throws.
+  template <class Action>
+  void Guarded(Action action) {
+    try {
+      action();
+    } catch (...) {
+      Finish(Errc::kTargetFailed);
+      throw;
+    }
   }
 
   void Drop() {
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -70,7 +70,10 @@
     Handle(Self session, Request request)
         : session_(std::move(session)), request_(std::move(request)) {}
     /// A handler that lets go early leaves no caller waiting.
-    ~Handle() override {
+    ~Handle() override { Fail(); }
+
+    /// Ends the exchange unless its answer is complete.
+    void Fail() {
       if (!answered_) {
         Respond(session_->context_->hooks.error_response(Errc::kInternal));
       } else if (streaming_) {
@@ -270,7 +273,12 @@
     parser_.reset();
     auto handle = std::make_shared<Handle>(Shared(), std::move(request_));
     WatchCaller();
-    context_->hooks.handle(std::move(handle));
+    try {
+      context_->hooks.handle(handle);
+    } catch (...) {
+      handle->Fail();
+      throw;
+    }
   }
 
   /// Whether reading is over; answers what can be answered.
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -20,6 +20,7 @@
   kLateRequest,
   kRequestCut,
   kExited,
+  kHandlerFailed,
   kStoreLost,
   kStoreBack,
   kStoreHistoryGone,
@@ -95,7 +96,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 77> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 78> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -126,6 +127,10 @@
      "since it was sent to the target; left: time until its deadline",
      "request route target stage took sent_for left"},
     {"exited", "the process ends on its own", ""},
+    {"handler_failed",
+     "an exception left the handler of an event; the request that it was for "
+     "has failed, the process goes on",
+     "reason"},
     {"store_lost", "the store does not answer", "kind"},
     {"store_back", "the store answers again", ""},
     {"store_history_gone",
--- a/src/node/gossip-socket.cc
+++ b/src/node/gossip-socket.cc
@@ -6,6 +6,7 @@
 #include "http/address.h"
 #include "node/clock.h"
 #include "node/log.h"
+#include "node/run-loop.h"
 
 namespace comfreyflow::node {
 namespace {
@@ -72,8 +73,8 @@
       asio::buffer(buffer_), sender_,
       [self = shared_from_this()](const error_code& error, std::size_t size) {
         if (!self->socket_.is_open()) return;
+        const AtExit receive([&self] { self->Receive(); });
         if (!error) self->HandleDatagram(size);
-        self->Receive();
       });
 }
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -7,6 +7,7 @@
 
 #include "node/log.h"
 #include "node/node-state.h"
+#include "node/run-loop.h"
 #include "node/timer-service.h"
 
 namespace comfreyflow::node {
@@ -168,7 +169,7 @@
 void Node::State::StartThreads() {
   work.emplace(asio::make_work_guard(io));
   for (std::uint32_t i = 0; i < settings().io_threads; ++i) {
-    threads.emplace_back([this] { io.run(); });
+    threads.emplace_back([this] { RunLoop(io); });
   }
 }
 
