An answer to HEAD, and one of 1xx, 204 or 304, ends at its head

Callers on kept connections took the body of a host's own answer to HEAD for the start of the next answer. HEAD to a target whose answer told a length got 504 at the deadline, as the host waited for the body; 204 and 304 went out with a Content-Length, and carried ones, by the code, with chunks.

Cause: neither the writer of answers nor the reader looked at the method of the request, and the writer not at the status.

The rule is in one place (`MayHaveBody`). A connection writes no body where there is none; the length of an own answer to HEAD is still told, that of a target is left out. A stream without a body, as a carried answer is, ends with its head and takes what is written to it as written. A client reads no body after an answer to HEAD; one that belongs to another call ends the call there, as it may have a body. An answer to HEAD with the type of a stream is not waited for as a stream.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -574,7 +574,8 @@
     target_response_ = head;
     const bool success = IsSuccess();
     is_event_stream_ =
-        success && target_head_.authentic && target_head_.event_stream;
+        success && target_head_.authentic && target_head_.event_stream &&
+        http::MayHaveBody(exchange_->request().method, head.status);
     ApplyTargetReport(grant_.targets.front(), target_head_);
     const bool names_limit =
         target_head_.rate_limit || target_head_.rate_limit_unreadable;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -330,6 +330,7 @@
     parser_.emplace();
     parser_->header_limit(kHeadBytes);
     parser_->body_limit(options_.answer_bytes);
+    parser_->skip(message_.method() == bh::verb::head);
     ReadSome();
   }
 
@@ -383,6 +384,10 @@
     const AnswerOwner owner =
         hooks_.owner ? hooks_.owner(head) : AnswerOwner::kUnnamed;
     foreign_ = provisional || owner == AnswerOwner::kOtherCall;
+    // It may have a body, which is not read here.
+    if (foreign_ && !provisional && message_.method() == bh::verb::head) {
+      return Finish(Errc::kTargetFailed);
+    }
     if (foreign_) return;
     const bool names_call = owner == AnswerOwner::kThisCall;
     answer_.is_own = names_call || history_.only_named_answers();
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -75,6 +75,14 @@
   return false;
 }
 
+bool MayHaveBody(std::string_view method, int status) {
+  constexpr int kFirstFinal = 200;
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return method != "HEAD" && status >= kFirstFinal && status != kNoContent &&
+         status != kNotModified;
+}
+
 bool IsSendable(const Request& request) {
   const bool has_target = !request.target.empty() || !request.path.empty();
   return has_target && IsToken(request.method) && IsLinePart(request.target) &&
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -45,6 +45,10 @@
   std::shared_ptr<BodyLease> lease = {};
 };
 
+/// Whether an answer of this status to a request with this method may have a
+/// body (RFC 9110, 6.4.1).
+bool MayHaveBody(std::string_view method, int status);
+
 /// Whether the request can be written as one HTTP/1.1 request: no part of it is
 /// empty that must not be, ends the line it stands on or is too long, and none
 /// has content that its method must not have.
--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -27,6 +27,7 @@
 constexpr std::size_t kAheadBytes = 1024;
 /// Copies of a body that exist at once while it is parsed or sent on.
 constexpr std::uint64_t kBodyCopies = 2;
+constexpr std::string_view kHead = "HEAD";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 tcp::socket& Lowest(tcp::socket& socket) { return socket; }
@@ -158,6 +159,7 @@
   void ReadRequest() {
     phase_ = Phase::kIdle;
     ++exchange_number_;
+    method_.clear();
     parser_.emplace();
     parser_->header_limit(context_->limits.header_bytes);
     parser_->body_limit(context_->limits.body_bytes);
@@ -218,6 +220,7 @@
 
   void HeadDone() {
     request_ = HeadOf(parser_->get());
+    method_ = request_.method;
     keep_alive_ = parser_->get().keep_alive();
     // Any other coding leaves it open where the body ends.
     if (HasField(request_.fields, "transfer-encoding") && !parser_->chunked()) {
@@ -353,8 +356,12 @@
     if (phase_ != Phase::kAnswering || writing_) return;
     auto message = std::make_shared<bh::response<bh::string_body>>();
     FillHead(*message, response);
-    message->body() = std::move(response.body);
-    message->prepare_payload();
+    if (MayHaveBody(method_, response.status)) {
+      message->body() = std::move(response.body);
+      message->prepare_payload();
+    } else if (method_ == kHead && !response.body.empty()) {
+      message->content_length(response.body.size());
+    }
     ArmWrite();
     writing_ = true;
     bh::async_write(
@@ -371,7 +378,8 @@
     phase_ = Phase::kStreaming;
     auto message = std::make_shared<bh::response<bh::empty_body>>();
     FillHead(*message, head);
-    message->chunked(true);
+    has_body_ = MayHaveBody(method_, head.status);
+    if (has_body_) message->chunked(true);
     auto serializer =
         std::make_shared<bh::response_serializer<bh::empty_body>>(*message);
     ArmWrite();
@@ -401,6 +409,10 @@
 
   void Queue(std::string bytes, std::function<void()> written) {
     if (phase_ != Phase::kStreaming || bytes.empty()) return;
+    if (!has_body_) {
+      if (written) written();
+      return;
+    }
     if (pending_.empty()) {
       pending_ = std::move(bytes);
     } else {
@@ -421,6 +433,7 @@
   void Flush() {
     if (writing_ || phase_ != Phase::kStreaming) return;
     if (pending_.empty() && !ending_) return;
+    if (!has_body_) return AnswerWritten({});
     writing_ = true;
     ArmWrite();
     if (pending_.empty()) {
@@ -531,6 +544,8 @@
   std::vector<std::function<void()>> in_flight_written_;
   std::uint64_t exchange_number_ = 0;  ///< Late calls of older handles drop.
   Phase phase_ = Phase::kIdle;
+  std::string method_;  ///< Of the request that is answered, once it is known.
+  bool has_body_ = true;  ///< The answer under way, if it is a stream.
   bool keep_alive_ = true;
   bool counted_ = false;  ///< Among the context's `unanswered`.
   bool writing_ = false;
--- a/test/platform/carry-test.cc
+++ b/test/platform/carry-test.cc
@@ -122,6 +122,39 @@
   CHECK(hosts.app.requests().size() == before + 1);
 }
 
+TEST_CASE("a carried answer without a body is waited for or given one") {
+  TwoHosts hosts;
+  int status = 0;
+  hosts.app.OnRequest([&](const http::ExchangePtr& exchange) {
+    http::Response answer = hosts.app.Head(exchange->request(), status);
+    if (status == 200) answer.body = "not for HEAD";
+    exchange->Respond(std::move(answer));
+  });
+  for (const char* method : {"HEAD", "GET"}) {
+    for (const int each : {200, 204, 304}) {
+      CAPTURE(method);
+      CAPTURE(each);
+      status = each;
+      const auto began = Clock::now();
+      const std::string got = hosts.site.SendBytes(
+          hosts.cut, std::string(method) +
+                         " /safe/1 HTTP/1.1\r\nhost: a.example\r\n"
+                         "x-request-id: b" +
+                         method + std::to_string(each) +
+                         "\r\nx-deadline-ms: 4000\r\n"
+                         "authorization: Token key1\r\n\r\n");
+      CHECK(Clock::now() - began < seconds(2));
+      const bool has_body = status == 200 && method == std::string("GET");
+      CHECK_MESSAGE(got.starts_with("HTTP/1.1 " + std::to_string(each)), got);
+      CHECK_MESSAGE(got.ends_with("\r\n\r\n") != has_body, got);
+      CHECK(got.find("ransfer-") == std::string::npos);
+    }
+  }
+  const Answer hop = hosts.PostFrame(hosts.Frame(
+      hosts.app.address(), hosts.site.settings(0).deployment, "HEAD"));
+  CHECK(http::FieldValue(hop.response.fields, "carried") == "1");
+}
+
 TEST_CASE("a carried stream arrives as a whole at its end") {
   TwoHosts hosts;
   std::vector<http::ExchangePtr> open;
--- a/test/platform/methods-test.cc
+++ b/test/platform/methods-test.cc
@@ -2,6 +2,8 @@
 // caller over a host to a target.
 #include <doctest/doctest.h>
 
+#include <chrono>
+
 #include "platform/stand-ins.h"
 
 using namespace comfreyflow;            // NOLINT(google-build-using-namespace)
@@ -88,8 +90,8 @@
 TEST_CASE("a method with a body that HTTP doesn't allow ends the host") {
   Caller caller;
   for (const Framing& framing : Framings()) {
-    for (const std::string method : {"GET", "POST", "PUT", "DELETE", "OPTIONS",
-                                     "PATCH", "PROPFIND", "TRACE"}) {
+    for (const std::string method : {"GET", "HEAD", "POST", "PUT", "DELETE",
+                                     "OPTIONS", "PATCH", "PROPFIND", "TRACE"}) {
       if (method == "TRACE" && framing.may_have_content) {
         caller.CheckRefused(method + ' ' + kPath, "400", framing);
       } else {
@@ -130,3 +132,91 @@
   caller.CheckRefused("GET http://a.example", "404");
   caller.CheckRefused("GET http://a.example?x=1", "404");
 }
+
+namespace {
+
+/// A request on a connection that is kept.
+std::string Kept(const std::string& line, const std::string& id,
+                 const std::string& key = "key1") {
+  return line + " HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: " + id +
+         "\r\nX-Deadline-Ms: 4000\r\nAuthorization: Token " + key + "\r\n\r\n";
+}
+
+/// A target that answers each request with a head of this start and no more.
+struct HeadOnly {
+  HeadOnly(const std::string& service, const std::string& start) {
+    site.AddRawTarget(
+        service, "i1",
+        [start](const RawTarget::Socket& socket, const std::string& request) {
+          boost::asio::write(
+              *socket, boost::asio::buffer(
+                           start + "\r\nX-Seal: s\r\nX-Request-Id: " +
+                           HeaderIn(request, "x-request-id") + "\r\n\r\n"));
+          return true;
+        });
+    site.PutConfig(1);
+    host = site.AddHost();
+    REQUIRE(site.UntilReady(host));
+  }
+
+  Site site;
+  std::size_t host = 0;
+};
+
+/// Whether one answer of this status ends at its head, in time, and the bytes
+/// behind it are the head of another one.
+void CheckHeadOnly(Site& site, std::size_t host, const std::string& line,
+                   const std::string& status) {
+  const auto began = std::chrono::steady_clock::now();
+  const std::string got =
+      site.SendBytes(host, Kept(line, "h1") + Kept("GET /none", "h2"));
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::seconds(2));
+  CHECK_MESSAGE(got.starts_with("HTTP/1.1 " + status), got);
+  CHECK_MESSAGE(got.find("\r\n\r\nHTTP/1.1 404") == got.find("\r\n\r\n"), got);
+  CHECK(got.find("ransfer-") == std::string::npos);
+  CHECK(got.find("ength: ") > got.find("\r\n\r\n"));
+}
+
+}  // namespace
+
+TEST_CASE("a host's own answer to HEAD has a body") {
+  Caller caller;
+  caller.CheckServed("GET", {});
+  const std::string got = caller.site.SendBytes(
+      caller.host, Kept("HEAD " + kPath, "h1", "gone") +
+                       Kept("HEAD /none", "h2") + Kept("GET " + kPath, "h3"));
+  const std::size_t first = got.find("\r\n\r\n");
+  CHECK(got.starts_with("HTTP/1.1 401"));
+  CHECK(got.find("Content-Length: ") < first);
+  CHECK(got.find("\r\n\r\nHTTP/1.1 404") == first);
+  CHECK(got.find("\r\n\r\nHTTP/1.1 200") == got.find("\r\n\r\n", first + 4));
+  CHECK_MESSAGE(got.ends_with("done"), got);
+}
+
+TEST_CASE("a target's answer without a body is waited for or given one") {
+  SUBCASE("to HEAD") {
+    HeadOnly target("app", "HTTP/1.1 200 OK\r\nContent-Length: 5000");
+    CheckHeadOnly(target.site, target.host, "HEAD " + kPath, "200");
+  }
+  SUBCASE("to HEAD, with chunks that don't follow") {
+    HeadOnly target("app", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked");
+    CheckHeadOnly(target.site, target.host, "HEAD " + kPath, "200");
+  }
+  SUBCASE("to HEAD, refused") {
+    HeadOnly target("app", "HTTP/1.1 404 Not Found\r\nContent-Length: 5");
+    CheckHeadOnly(target.site, target.host, "HEAD " + kPath, "404");
+  }
+  SUBCASE("to HEAD, of a stream") {
+    HeadOnly target("model",
+                    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream");
+    CheckHeadOnly(target.site, target.host, "HEAD /stream/1", "200");
+  }
+  SUBCASE("with 204") {
+    HeadOnly target("app", "HTTP/1.1 204 No Content");
+    CheckHeadOnly(target.site, target.host, "GET " + kPath, "204");
+  }
+  SUBCASE("with 304") {
+    HeadOnly target("app", "HTTP/1.1 304 Not Modified\r\nContent-Length: 50");
+    CheckHeadOnly(target.site, target.host, "GET " + kPath, "304");
+  }
+}
