--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -93,6 +93,15 @@
   Relay(const Relay&) = delete;
   Relay& operator=(const Relay&) = delete;
 
+  /// The attempt may have run, and another one would meet the same.
+  void OnException() {
+    if (stage_ == Stage::kFinished) return;
+    if (call_) call_->Cancel();
+    context_.placement.Ended(id_, WorkEnd::kCancelled);
+    if (progress_.head_sent) return AbortResponse(Errc::kInternal);
+    RespondWithFailure(Errc::kInternal, {});
+  }
+
   void Start() {
     caller_ = context_.edge.read_request(exchange_->request());
     table_ = context_.table();
@@ -505,7 +514,13 @@
       const auto relay = self.lock();
       if (!relay || relay->stage_ == Stage::kFinished) return;
       if (relay->IsParked(number)) relay->ReturnToParked();
-      if (relay->attempt_number_ == number) action(*relay);
+      if (relay->attempt_number_ != number) return;
+      try {
+        action(*relay);
+      } catch (...) {
+        relay->OnException();
+        throw;
+      }
     };
     http::CallHooks hooks;
     hooks.on_sent = [self = weak_from_this(), number] {
@@ -557,7 +572,9 @@
     target_response_ = head;
     const bool success = IsSuccess();
     // Events are passed on before the answer has ended.
-    const bool is_stream = success && target_head_.event_stream;
+    const bool is_stream =
+        success && target_head_.event_stream &&
+        http::MayHaveBody(exchange_->request().method, head.status);
     if (is_stream && target_head_.request_id != caller_.id) {
       return OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
     }
@@ -760,6 +777,7 @@
       case Errc::kTargetUnresponsive:
         return WorkEnd::kTimedOut;
       case Errc::kOverloaded:  // No host could send it to the target.
+      case Errc::kMalformedRequest:
         return WorkEnd::kCancelled;
       default:
         return WorkEnd::kBroken;
@@ -1295,7 +1313,13 @@
 }  // namespace
 
 void StartRelay(RelayContext& context, http::ExchangePtr exchange) {
-  std::make_shared<Relay>(context, std::move(exchange))->Start();
+  const auto relay = std::make_shared<Relay>(context, std::move(exchange));
+  try {
+    relay->Start();
+  } catch (...) {
+    relay->OnException();
+    throw;
+  }
 }
 
 }  // namespace comfreyflow::gateway
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -197,8 +197,16 @@
 
   void Start(Request request) {
     started_ = Clock::now();
+    if (!IsSendable(request)) {
+      asio::post(strand_, [self = shared_from_this()] {
+        self->Finish(Errc::kMalformedRequest);
+      });
+      return;
+    }
     Fill(std::move(request));
-    asio::dispatch(strand_, [self = shared_from_this()] { self->Connect(); });
+    asio::dispatch(strand_, [self = shared_from_this()] {
+      self->Guarded([&self] { self->Connect(); });
+    });
   }
 
   void Cancel() override {
@@ -233,16 +241,30 @@
     }
     message_.version(11);
     for (const auto& field : request.fields) {
-      message_.insert(field.name, field.value);
+      if (!IsFraming(field.name)) message_.insert(field.name, field.value);
     }
     if (message_.find(bh::field::host) == message_.end()) {
       message_.set(bh::field::host, address_);
     }
     message_.body() = std::move(request.body);
-    message_.prepare_payload();
+    if (!message_.body().empty() || TellsEmptyLength(message_.method())) {
+      message_.content_length(message_.body().size());
+    }
     lease_ = std::move(request.lease);
   }
 
+  /// The body that is sent says how it is framed.
+  static bool IsFraming(std::string_view name) {
+    return beast::iequals({name.data(), name.size()}, "content-length") ||
+           beast::iequals({name.data(), name.size()}, "transfer-encoding");
+  }
+
+  /// Whether the length is told even if there is no body.
+  static bool TellsEmptyLength(bh::verb method) {
+    return method == bh::verb::post || method == bh::verb::put ||
+           method == bh::verb::options;
+  }
+
   void Connect() {
     if (!options_.fresh_connection) {
       if (auto kept = pool_->Take(address_, options_)) {
@@ -265,8 +287,10 @@
           error_code ignored;
           self->socket_.set_option(tcp::no_delay(true), ignored);
           self->socket_.set_option(UserTimeout(kUnacknowledgedMs), ignored);
-          if (self->hooks_.on_connected) self->hooks_.on_connected();
-          if (!self->done_) self->Send();
+          self->Guarded([&self] {
+            if (self->hooks_.on_connected) self->hooks_.on_connected();
+            if (!self->done_) self->Send();
+          });
         });
   }
 
@@ -309,6 +333,7 @@
     parser_.emplace();
     parser_->header_limit(kHeadBytes);
     parser_->body_limit(options_.answer_bytes);
+    parser_->skip(message_.method() == bh::verb::head);
     ReadSome();
   }
 
@@ -317,7 +342,7 @@
     bh::async_read_some(
         socket_, buffer_, *parser_,
         [self = shared_from_this()](const error_code& error, std::size_t) {
-          if (!self->done_) self->ReadDone(error);
+          if (!self->done_) self->Guarded([&] { self->ReadDone(error); });
         });
   }
 
@@ -362,6 +387,10 @@
     const AnswerOwner owner =
         hooks_.owner ? hooks_.owner(head) : AnswerOwner::kUnnamed;
     foreign_ = provisional || owner == AnswerOwner::kOtherCall;
+    // It may have a body, which is not read here.
+    if (foreign_ && !provisional && message_.method() == bh::verb::head) {
+      return Finish(Errc::kTargetFailed);
+    }
     if (foreign_) return;
     // An answer that names no call can't be told from a copy of it later.
     keeps_connection_ = !hooks_.owner || owner == AnswerOwner::kThisCall;
@@ -411,8 +440,19 @@
     if (done_) return;
     done_ = true;
     Drop();
-    if (hooks_.on_end) hooks_.on_end({code, sent_, answer_});
-    hooks_ = {};
+    const CallHooks hooks = std::exchange(hooks_, {});
+    if (hooks.on_end) hooks.on_end({code, sent_, answer_});
+  }
+
+  /// Ends the call if a hook throws.
+  template <class Action>
+  void Guarded(Action action) {
+    try {
+      action();
+    } catch (...) {
+      Finish(Errc::kTargetFailed);
+      throw;
+    }
   }
 
   void Drop() {
