--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -79,7 +79,7 @@
            http::CallHooks hooks)
       : paths_(paths),
         call_(std::move(call)),
-        options_(options),
+        options_(std::move(options)),
         hooks_(std::move(hooks)),
         began_(Now()) {}
 
@@ -485,8 +485,8 @@
 std::shared_ptr<http::Call> TargetPaths::Open(TargetCall call,
                                               http::CallOptions options,
                                               http::CallHooks hooks) {
-  auto path = std::make_shared<PathCall>(*this, std::move(call), options,
-                                         std::move(hooks));
+  auto path = std::make_shared<PathCall>(*this, std::move(call),
+                                         std::move(options), std::move(hooks));
   path->Start();
   return path;
 }
@@ -505,7 +505,7 @@
   hooks.on_end = [answer, hook = std::move(hook)](http::CallEnd end) {
     hook(end, std::move(*answer));
   };
-  Open(std::move(call), options, std::move(hooks));
+  Open(std::move(call), std::move(options), std::move(hooks));
 }
 
 void TargetPaths::Carry(const http::ExchangePtr& exchange) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -184,7 +184,7 @@
             CallOptions options, CallHooks hooks)
       : pool_(std::move(pool)),
         address_(std::move(address)),
-        options_(options),
+        options_(std::move(options)),
         hooks_(std::move(hooks)),
         strand_(asio::make_strand(pool_->io())),
         socket_(strand_),
@@ -509,8 +509,8 @@
 
 std::shared_ptr<Call> Client::Open(const std::string& address, Request request,
                                    CallOptions options, CallHooks hooks) {
-  auto operation =
-      std::make_shared<Operation>(pool_, address, options, std::move(hooks));
+  auto operation = std::make_shared<Operation>(
+      pool_, address, std::move(options), std::move(hooks));
   operation->Start(std::move(request));
   return operation;
 }
@@ -524,7 +524,8 @@
   hooks.on_end = [answer, hook = std::move(hook)](CallEnd end) {
     hook(end, std::move(*answer));
   };
-  return Open(address, std::move(request), options, std::move(hooks));
+  return Open(address, std::move(request), std::move(options),
+              std::move(hooks));
 }
 
 void Client::Connect(const std::string& address,
