Placement thresholds follow from the service

Cause: prompts whose prefill takes up to 200 ms joined streams that bear gaps of 200 ms. Change: PlacementModel is derived from the engine and the routes of a service. Where the default thresholds can't keep the smallest gap, they follow from it, and a short prompt joins an engine only if its prefill keeps the gaps there.

--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "comfreyflow/errors.h"
+#include "comfreyflow/placement-model.h"
 #include "comfreyflow/retry-window.h"
 #include "comfreyflow/routes.h"
 #include "comfreyflow/store-version.h"
@@ -133,9 +134,13 @@
   explicit Placer(const PlacerSettings& settings)
       : settings_(settings), retry_window_(settings.retries) {}
 
-  /// Sets the performance model of the engines; absent if the targets are plain
-  /// servers.
-  void SetEngine(const std::optional<EngineModel>& engine) { engine_ = engine; }
+  /// Sets the performance model of the engines, which is absent if the targets
+  /// are plain servers, and the terms of the streams that they serve.
+  void SetEngine(const std::optional<EngineModel>& engine,
+                 const StreamTerms& terms = {}) {
+    engine_ = engine;
+    model_ = engine ? DeriveModel(*engine, terms) : PlacementModel{};
+  }
   /// Replaces the list of targets. Targets that are missing from it get no new
   /// work.
   void SetTargets(const std::vector<PoolTarget>& targets, Time now);
@@ -355,6 +360,7 @@
 
   PlacerSettings settings_;
   std::optional<EngineModel> engine_;
+  PlacementModel model_;
   std::map<TargetName, Target> targets_;
   std::map<RequestId, Work> works_;
   /// Requests in `works_` that are not placed.
--- a/include/comfreyflow/routes.h
+++ b/include/comfreyflow/routes.h
@@ -71,11 +71,24 @@
 Duration MinDecodeTime(const EngineModel& engine, std::uint32_t prompt_tokens,
                        std::uint32_t output_tokens);
 
+/// The strictest terms of the streams that a service serves, over all routes
+/// that lead to it; zero if there is no such stream.
+struct StreamTerms {
+  Duration shortest_objective{};  ///< Time to the first event.
+  Duration smallest_gap{};        ///< Maximum gap between two events.
+  bool operator==(const StreamTerms&) const = default;
+};
+
+/// The terms of the streams that `routes` lead to the service.
+StreamTerms TermsOf(const std::vector<Route>& routes,
+                    const ServiceName& service);
+
 struct RoutedService {
   ServiceName name;
   std::string health_path;
   std::uint32_t max_connections = 0;  ///< To one target from all hosts.
   std::optional<EngineModel> engine;  ///< Absent for a plain service.
+  StreamTerms streams;                ///< Set by `RouteTable`.
 };
 
 /// The client account that a key belongs to.
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -11,11 +11,6 @@
 using std::chrono::milliseconds;
 using Seconds = std::chrono::duration<double>;
 
-/// Up to this prefill backlog a short prompt joins a busy engine while a long
-/// prompt waits for free engines.
-constexpr Duration kPreferredPrefillBacklog = milliseconds(110);
-/// Streams that are packed on an engine before another engine is used.
-constexpr std::uint32_t kPackedStreams = 13;
 /// Averaging window of the demand of short prompts.
 constexpr Duration kShortDemandWindow = milliseconds(800);
 /// Share of its time that an engine of short streams may spend on prefill;
@@ -28,9 +23,6 @@
 /// prompt has waited for `kLongMaxWait`.
 constexpr double kMinLongShare = 0.18;
 constexpr Duration kLongMaxWait = milliseconds(250);
-/// Prefill backlog of an engine above which further short prompts wait for a
-/// free engine.
-constexpr Duration kMaxPrefillBacklog = milliseconds(260);
 /// Requests that a memory reservation sends to a target: one to reserve, one or
 /// two to renew, one to release.
 constexpr double kRequestsPerReservation = 4;
@@ -99,8 +91,11 @@
   for (Target* target : targets) {
     if (target->long_prefills > 0 || !HasRoom(*target, work)) continue;
     if (closed_to_short_.contains(target->info.name)) continue;
+    if (model_.keeps_gaps && PrefillSlack(*target) < work.prefill_time)
+      continue;
     const bool is_idle = target->prefill_backlog == Duration::zero();
-    if (is_idle && target->shorts > 0 && target->shorts < kPackedStreams) {
+    if (is_idle && target->shorts > 0 &&
+        target->shorts < model_.packed_streams) {
       const auto rank = [&near](const Target& t) {
         return std::tuple(t.shorts, near(t), t.order);
       };
@@ -119,13 +114,13 @@
   }
   if (packed != nullptr) return packed;
   const bool fits =
-      backlog != nullptr &&
-      backlog->prefill_backlog + work.prefill_time <= kPreferredPrefillBacklog;
+      backlog != nullptr && backlog->prefill_backlog + work.prefill_time <=
+                                model_.preferred_prefill_backlog;
   if (long_waits_ && fits) return backlog;
   if (empty != nullptr) return empty;
   const bool is_over =
       backlog != nullptr &&
-      backlog->prefill_backlog + work.prefill_time > kMaxPrefillBacklog;
+      backlog->prefill_backlog + work.prefill_time > model_.max_prefill_backlog;
   return is_over ? nullptr : backlog;
 }
 
@@ -190,8 +185,9 @@
     ++engines;
     streams += target.shorts;
   }
-  const double wanted = std::max(demand / kShortPrefillShare,
-                                 static_cast<double>(streams) / kPackedStreams);
+  const double wanted =
+      std::max(demand / kShortPrefillShare,
+               static_cast<double>(streams) / model_.packed_streams);
   const double least = kMinShortShare * static_cast<double>(engines);
   const double most = kMaxShortShare * static_cast<double>(engines);
   return static_cast<std::size_t>(
--- a/src/core/placer/gang.cc
+++ b/src/core/placer/gang.cc
@@ -12,9 +12,6 @@
 using std::chrono::milliseconds;
 using Seconds = std::chrono::duration<double>;
 
-/// Prompts with a longer prefill time on one engine count as long. Other
-/// streams on the engine pause for about this time.
-constexpr Duration kLongPrefill = milliseconds(200);
 /// Share of an engine's memory that is allocated; the rest is a reserve.
 constexpr double kMemoryShare = 0.95;
 /// Maximum number of engines of a gang, including the first. The protocol
@@ -31,9 +28,6 @@
 /// Time from the end of prefill until the caller has the first event: decode
 /// steps of that event and transfer.
 constexpr Duration kFirstEventMargin = milliseconds(120);
-/// Part of a stream's maximum gap that is reserved for delays outside the
-/// model.
-constexpr Duration kGapMargin = milliseconds(60);
 
 }  // namespace
 
@@ -78,7 +72,8 @@
 /// Whether the prefill takes long or the request exceeds the memory of one
 /// engine. In both cases it must not share an engine with another long prompt.
 bool Placer::IsLong(const Work& work) const {
-  return work.prefill_time > kLongPrefill || EnginesToHold(work.job) > 1;
+  return work.prefill_time > model_.max_short_prefill ||
+         EnginesToHold(work.job) > 1;
 }
 
 /// Number of engines whose combined memory holds the prompt and its output.
--- a/src/core/routes/routes.cc
+++ b/src/core/routes/routes.cc
@@ -19,6 +19,17 @@
   return colon == std::string_view::npos ? host : host.substr(0, colon);
 }
 
+bool LeadsTo(const Route& route, const ServiceName& service) {
+  return std::any_of(
+      route.services.begin(), route.services.end(),
+      [&service](const auto& part) { return part.service == service; });
+}
+
+void TakeSmaller(Duration& smallest, Duration value) {
+  if (value <= Duration::zero()) return;
+  smallest = smallest == Duration::zero() ? value : std::min(smallest, value);
+}
+
 }  // namespace
 
 const char* ToString(RouteKind kind) {
@@ -47,8 +58,22 @@
   return step * output_tokens;
 }
 
+StreamTerms TermsOf(const std::vector<Route>& routes,
+                    const ServiceName& service) {
+  StreamTerms terms;
+  for (const auto& route : routes) {
+    if (route.kind != RouteKind::kStream || !LeadsTo(route, service)) continue;
+    TakeSmaller(terms.shortest_objective, route.latency_objective);
+    TakeSmaller(terms.smallest_gap, route.max_gap);
+  }
+  return terms;
+}
+
 RouteTable::RouteTable(RouteDocument document)
     : document_(std::move(document)) {
+  for (auto& [name, service] : document_.services) {
+    service.streams = TermsOf(document_.routes, name);
+  }
   for (const auto& route : document_.routes) {
     by_host_[LowerCase(route.host)].push_back(&route);
   }
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -113,7 +113,9 @@
     const auto [at, added] = placers.try_emplace(service, settings.placer);
     if (added) {
       const auto known = services.find(service);
-      if (known != services.end()) at->second.SetEngine(known->second.engine);
+      if (known != services.end()) {
+        at->second.SetEngine(known->second.engine, known->second.streams);
+      }
       at->second.SetTargets(targets[service], Now());
       at->second.SetHosts(peers.size());
     }
@@ -815,7 +817,8 @@
   state_->services = services;
   for (const auto& [name, service] : services) {
     const auto at = state_->placers.find(name);
-    if (at != state_->placers.end()) at->second.SetEngine(service.engine);
+    if (at != state_->placers.end())
+      at->second.SetEngine(service.engine, service.streams);
   }
 }
 
