--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -103,6 +104,14 @@
   bool operator==(const TargetMark&) const = default;
 };
 
+/// The failure domains that operators have taken out of service, as of one
+/// version of the store.
+struct EvacuationState {
+  StoreVersion version;
+  std::set<FailureDomain> domains;
+  bool operator==(const EvacuationState&) const = default;
+};
+
 /// The fingerprint of a request suspected of crashing targets.
 struct SuspectMark {
   std::uint64_t fingerprint = 0;
@@ -130,6 +139,8 @@
   std::vector<TargetMark> targets;
   std::vector<SuspectMark> suspects;
   std::uint64_t store_era = 0;  ///< As the sender knows it; 0: unknown.
+  /// As the sender knows them; absent if it does not follow evacuations.
+  std::optional<EvacuationState> evacuations = {};
 };
 
 /// Upper bound for the size of the datagram once it is encoded and signed.
@@ -157,8 +168,15 @@
   std::uint64_t era = 0;
 };
 
-using MembershipEvent = std::variant<MemberChanged, ConfigAnnounced, TargetMark,
-                                     SuspectMark, StoreEraAnnounced>;
+/// A peer knows a later state of the evacuations than this host.
+struct EvacuationsAnnounced {
+  HostName host;
+  EvacuationState state;
+};
+
+using MembershipEvent =
+    std::variant<MemberChanged, ConfigAnnounced, TargetMark, SuspectMark,
+                 StoreEraAnnounced, EvacuationsAnnounced>;
 
 struct MembershipOutput {
   std::vector<SendDatagram> datagrams;
@@ -210,6 +228,7 @@
   void SetFacts(const HostFacts& facts);
   void SetConfig(const ConfigMark& config);
   void SetStoreEra(std::uint64_t era);
+  void SetEvacuations(const std::optional<EvacuationState>& state);
   void SetPlatformList(std::vector<ListedHost> hosts);
   /// These two pass a mark on to the other hosts.
   void ShareTarget(const TargetMark& mark);
--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -37,6 +37,8 @@
   /// Start identifier; changes when a target of this name restarts.
   std::uint64_t born = 0;
   bool leaving = false;  ///< Accepts no new work.
+  /// Operators took its failure domain out of service: it accepts no new work.
+  bool evacuated = false;
   StoreVersion version;  ///< Version of the list entry.
   bool operator==(const PoolTarget&) const = default;
 };
@@ -197,6 +199,7 @@
     /// Average of measured / estimated time to the first event.
     double pace = 1;
     bool leaving = false;
+    bool evacuated = false;
     /// Rate limit that the target named, in requests per second.
     std::optional<double> limit;
   };
@@ -304,6 +307,7 @@
   void PlanMemory(Work& work, const std::vector<Target*>& targets) const;
   void Refuse(const Work& work, Errc code, Duration retry_after);
   bool IsInfeasible(const Work& work, Time now) const;
+  bool IsPoolEvacuated(const Work& work) const;
   std::optional<Duration> RetryAfter(const Work& work, Time now) const;
   /// Permits of the targets that a request may go to, if all of them are
   /// rate-limited.
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -134,6 +134,7 @@
   std::set<MemberId> missing_records;
   ConfigMark config;
   std::uint64_t store_era = 0;
+  std::optional<EvacuationState> evacuations;
   std::uint64_t sequence = 0;
   /// Extra pings to send at the next tick, because there is something that
   /// peers have to learn soon.
@@ -154,6 +155,7 @@
   datagram.facts = table.self().facts;
   datagram.config = config;
   datagram.store_era = store_era;
+  datagram.evacuations = evacuations;
   return datagram;
 }
 
@@ -344,6 +346,11 @@
     out.events.emplace_back(
         StoreEraAnnounced{sender->record.name, datagram.store_era});
   }
+  if (datagram.evacuations &&
+      (!evacuations || datagram.evacuations->version > evacuations->version)) {
+    out.events.emplace_back(
+        EvacuationsAnnounced{sender->record.name, *datagram.evacuations});
+  }
   if (datagram.config == config) return;
   out.events.emplace_back(
       ConfigAnnounced{sender->record.name, datagram.config});
@@ -519,6 +526,14 @@
   state_->store_era = era;
 }
 
+void Membership::SetEvacuations(const std::optional<EvacuationState>& state) {
+  if (state == state_->evacuations) return;
+  const bool is_changed = !state || !state_->evacuations ||
+                          state->domains != state_->evacuations->domains;
+  if (is_changed) state_->announcements_left = kAnnouncementPings;
+  state_->evacuations = state;
+}
+
 void Membership::SetPlatformList(std::vector<ListedHost> hosts) {
   state_->listed_hosts = std::move(hosts);
 }
--- a/src/core/membership/size.cc
+++ b/src/core/membership/size.cc
@@ -88,6 +88,12 @@
   for (const TargetMark& mark : datagram.targets) {
     bytes += StringBytes(mark.target.value) + 5 * kHashBytes + 2 * kFieldBytes;
   }
+  if (datagram.evacuations) {
+    bytes += 2 * kHashBytes + kListBytes + kFieldBytes;
+    for (const FailureDomain& domain : datagram.evacuations->domains) {
+      bytes += StringBytes(domain.value);
+    }
+  }
   const std::size_t suspect_bytes = kHashBytes + kIdBytes + kFieldBytes;
   return bytes + suspect_bytes * datagram.suspects.size();
 }
--- a/src/core/placer/health.cc
+++ b/src/core/placer/health.cc
@@ -66,7 +66,8 @@
 /// Whether the target accepts new work in general, with or without free
 /// capacity.
 bool Placer::IsAvailable(const Target& target) {
-  return target.is_listed && !target.info.leaving && !target.is_replaced;
+  return target.is_listed && !target.info.leaving && !target.info.evacuated &&
+         !target.is_replaced;
 }
 
 /// Whether the request may go to the target, with or without free capacity.
--- a/src/core/placer/queue.cc
+++ b/src/core/placer/queue.cc
@@ -19,6 +19,9 @@
 /// A request waits this long for a first usable target before it is refused.
 constexpr Duration kEmptyPoolWait = milliseconds(250);
 constexpr Duration kEmptyPoolRetryAfter = milliseconds(500);
+/// An evacuation lasts longer than callers wait; a caller learns of its end by
+/// asking again.
+constexpr Duration kEvacuatedRetryAfter = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -112,6 +115,10 @@
 bool Placer::RefuseWaiting(const Work& work,
                            const std::optional<Permits>& permits,
                            std::size_t ahead, Time now) {
+  if (IsPoolEvacuated(work)) {
+    Refuse(work, Errc::kNoTarget, kEvacuatedRetryAfter);
+    return true;
+  }
   if (IsInfeasible(work, now)) {
     Refuse(work, Errc::kDeadlineInfeasible, Duration::zero());
     return true;
@@ -172,6 +179,21 @@
   return !any && now - since > kEmptyPoolWait;
 }
 
+/// Whether all targets that the request could go to are in evacuated failure
+/// domains.
+bool Placer::IsPoolEvacuated(const Work& work) const {
+  bool any = false;
+  for (const auto& [name, target] : targets_) {
+    if (!target.is_listed || target.info.leaving || target.is_replaced ||
+        Excluded(work, name)) {
+      continue;
+    }
+    if (!target.info.evacuated) return false;
+    any = true;
+  }
+  return any;
+}
+
 void Placer::Refuse(const Work& work, Errc code, Duration retry_after) {
   const bool empty = code == Errc::kDeadlineInfeasible && targets_.empty();
   decisions_.push_back(
--- a/src/core/placer/summary.cc
+++ b/src/core/placer/summary.cc
@@ -9,6 +9,7 @@
     loads.push_back({name, target.running, target.shorts, target.long_prefills,
                      target.prefill_backlog, target.memory, target.failures,
                      target.pace, target.info.leaving || !target.is_listed,
+                     target.info.evacuated,
                      limits_.RateOf(name, target.info.born)});
   }
   return loads;
--- /dev/null
+++ b/src/core/targets/evacuations.cc
@@ -0,0 +1,98 @@
+// The failure domains that operators have taken out of service.
+#include "comfreyflow/evacuations.h"
+
+#include <algorithm>
+
+namespace comfreyflow {
+
+const EvacuationState* Evacuations::Latest() const {
+  if (!listed_) return told_ ? &*told_ : nullptr;
+  return told_ && told_->version > listed_->version ? &*told_ : &*listed_;
+}
+
+void Evacuations::SetList(const StoreVersion& version,
+                          const std::set<FailureDomain>& domains, Time now) {
+  const EvacuationState next{version, domains};
+  Retain(next, now);
+  // The store may fall back to an earlier era; peers tell theirs again.
+  if (told_ && told_->version.era > version.era) told_.reset();
+  listed_ = next;
+  Update();
+}
+
+void Evacuations::Put(const FailureDomain& domain) {
+  if (listed_) listed_->domains.insert(domain);
+}
+
+void Evacuations::Remove(const FailureDomain& domain) {
+  if (listed_) listed_->domains.erase(domain);
+}
+
+void Evacuations::EndBatch(const StoreVersion& version) {
+  if (!listed_) return;
+  listed_->version = std::max(listed_->version, version);
+  Update();
+}
+
+void Evacuations::Merge(const EvacuationState& state, Time now) {
+  const EvacuationState* latest = Latest();
+  if (latest != nullptr && state.version <= latest->version) return;
+  Retain(state, now);
+  told_ = state;
+  Update();
+}
+
+/// Keeps the domains of an earlier era that `next` lacks.
+void Evacuations::Retain(const EvacuationState& next, Time now) {
+  const EvacuationState* latest = Latest();
+  if (latest == nullptr || next.version.era <= latest->version.era) return;
+  for (const auto& domain : latest->domains) {
+    if (!next.domains.contains(domain))
+      retained_.try_emplace(domain, now + kEraRetention);
+  }
+}
+
+void Evacuations::Tick(Time now) {
+  const auto ended = std::erase_if(
+      retained_, [now](const auto& entry) { return entry.second <= now; });
+  if (ended > 0) Update();
+}
+
+void Evacuations::Update() {
+  in_force_.clear();
+  if (const EvacuationState* latest = Latest()) in_force_ = latest->domains;
+  for (const auto& [domain, until] : retained_) in_force_.insert(domain);
+}
+
+std::optional<EvacuationState> Evacuations::Shared() const {
+  const EvacuationState* latest = Latest();
+  if (latest == nullptr) return std::nullopt;
+  EvacuationState shared{latest->version, {}};
+  for (const auto& domain : latest->domains) {
+    if (shared.domains.size() >= kMaxSharedDomains) break;
+    if (domain.value.size() <= kMaxSharedDomainBytes)
+      shared.domains.insert(domain);
+  }
+  return shared;
+}
+
+std::vector<Evacuations::Change> Evacuations::TakeChanges() {
+  std::vector<Change> changes;
+  for (const auto& domain : in_force_) {
+    if (!reported_.contains(domain)) changes.push_back({domain, true});
+  }
+  for (const auto& domain : reported_) {
+    if (!in_force_.contains(domain)) changes.push_back({domain, false});
+  }
+  reported_ = in_force_;
+  return changes;
+}
+
+void Evacuations::Apply(
+    std::map<ServiceName, std::vector<PoolTarget>>& targets) const {
+  for (auto& [service, pool] : targets) {
+    for (auto& target : pool) target.evacuated = IsEvacuated(target.domain);
+  }
+}
+
+}  // namespace comfreyflow
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -160,6 +160,8 @@
     };
     peer.store_era = hooks.store_era;
     peer.store_era_announced = hooks.store_era_announced;
+    peer.evacuations = hooks.evacuations;
+    peer.evacuations_announced = hooks.evacuations_announced;
     peer.config_announced = [this](const ConfigAnnounced& event) {
       announced.OnAnnouncement(event.config.generation, event.host, version(),
                                Now());
@@ -662,6 +664,7 @@
                            {"failures", load.failures},
                            {"pace", load.pace},
                            {"leaving", load.leaving}});
+        if (load.evacuated) targets.back()["evacuated"] = true;
         if (load.limit) targets.back()["limit_per_second"] = *load.limit;
       }
       services[name.value] = {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -50,6 +50,10 @@
   std::function<std::uint64_t()> store_era;
   /// Called when a peer knows a later era of the store; may be empty.
   std::function<void(const StoreEraAnnounced&)> store_era_announced;
+  /// The evacuations that this host knows; may be empty.
+  std::function<std::optional<EvacuationState>()> evacuations;
+  /// Called when a peer knows a later state of them; may be empty.
+  std::function<void(const EvacuationsAnnounced&)> evacuations_announced;
   /// Called when a peer reports that a target accepts no new work.
   std::function<void(const TargetMark&)> target_marked;
   /// Called when a target reports, in its answer to `request`, that it accepts
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -36,6 +36,8 @@
           self->membership.SetConfig(self->hooks.config_mark());
           if (self->hooks.store_era)
             self->membership.SetStoreEra(self->hooks.store_era());
+          if (self->hooks.evacuations)
+            self->membership.SetEvacuations(self->hooks.evacuations());
           self->Execute(self->membership.Tick(Now()));
         });
   }
@@ -60,6 +62,9 @@
   void OnEvent(const StoreEraAnnounced& event) {
     if (hooks.store_era_announced) hooks.store_era_announced(event);
   }
+  void OnEvent(const EvacuationsAnnounced& event) {
+    if (hooks.evacuations_announced) hooks.evacuations_announced(event);
+  }
 
   const std::string address;
   Membership membership;
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -5,6 +5,7 @@
 #include <boost/asio.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
   /// The era of the store that this host knows; may be empty.
   std::function<std::uint64_t()> store_era;
   std::function<void(const StoreEraAnnounced&)> store_era_announced;
+  /// The evacuations as this host knows them; may be empty.
+  std::function<std::optional<EvacuationState>()> evacuations;
+  std::function<void(const EvacuationsAnnounced&)> evacuations_announced;
 };
 
 /// Used on one I/O thread only.
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -453,7 +453,8 @@
     listed_targets.clear();
     for (const auto& [service, pool] : targets) {
       for (const auto& target : pool)
-        listed_targets[target.name] = {service, target.leaving};
+        listed_targets[target.name] = {service,
+                                       target.leaving || target.evacuated};
     }
   }
 
@@ -773,7 +774,7 @@
   TargetBackOffs back_offs;  ///< Back-offs that targets asked of this host.
   struct Listing {
     ServiceName service;
-    bool leaving = false;
+    bool leaving = false;  ///< Or evacuated.
   };
   std::map<TargetName, Listing> listed_targets;  ///< All in `targets`.
   std::uint32_t placement_request_count = 0;
@@ -920,7 +921,8 @@
   const auto at = state_->targets.find(service);
   if (at == state_->targets.end()) return std::nullopt;
   for (const auto& target : at->second) {
-    if (target.address != address || target.leaving) continue;
+    if (target.address != address || target.leaving || target.evacuated)
+      continue;
     const PlacedTarget placed{target.name, address, 0, target.version,
                               target.born};
     if (state_->RemainingBackOff(placed) > Duration::zero()) continue;
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -36,6 +36,8 @@
   kTargetMarked,
   kTargetLeft,
   kTargetRests,
+  kDomainEvacuated,
+  kDomainRestored,
   kTargetLimited,
   kTargetLimitEnded,
   kHostsListed,
@@ -96,7 +98,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 78> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 80> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -202,6 +204,13 @@
      "for "
      "how long; unreadable: the time could not be parsed",
      "request target born rest unreadable"},
+    {"domain_evacuated",
+     "an operator took a failure domain out of service, and its targets get no "
+     "new requests; targets: listed there, 0 if no target names the domain; "
+     "host: the peer that told it",
+     "failure_domain targets version era host"},
+    {"domain_restored", "an evacuated failure domain is in service again",
+     "failure_domain targets version era host"},
     {"target_limited",
      "a target reported a new or changed limit of requests per second "
      "from all "
--- a/src/node/membership-actor.h
+++ b/src/node/membership-actor.h
@@ -76,6 +76,7 @@
   void HandleEvent(const ConfigAnnounced& event);
   void HandleEvent(const TargetMark& event);
   void HandleEvent(const StoreEraAnnounced&) {}
+  void HandleEvent(const EvacuationsAnnounced&) {}
   void HandleEvent(const SuspectMark&) {}
   void PublishView(Time now);
   void ReadPlatformList(Time now);
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -181,6 +181,22 @@
   return true;
 }
 
+EvacuationState ToWire(const comfreyflow::EvacuationState& state) {
+  EvacuationState out;
+  out.era = static_cast<std::int64_t>(state.version.era);
+  out.revision = static_cast<std::int64_t>(state.version.revision);
+  for (const auto& domain : state.domains) out.domains.push_back(domain.value);
+  return out;
+}
+
+comfreyflow::EvacuationState FromWire(const EvacuationState& in) {
+  comfreyflow::EvacuationState out;
+  out.version = {static_cast<std::uint64_t>(in.era),
+                 static_cast<std::uint64_t>(in.revision)};
+  for (const auto& domain : in.domains) out.domains.insert({domain});
+  return out;
+}
+
 Datagram ToWire(const comfreyflow::Datagram& datagram) {
   Datagram out;
   out.kind = static_cast<std::int32_t>(datagram.kind);
@@ -210,6 +226,8 @@
   }
   if (datagram.store_era != 0)
     out.__set_store_era(static_cast<std::int64_t>(datagram.store_era));
+  if (datagram.evacuations)
+    out.__set_evacuations(ToWire(*datagram.evacuations));
   out.__isset.records = !out.records.empty();
   out.__isset.wanted = !out.wanted.empty();
   out.__isset.targets = !out.targets.empty();
@@ -242,6 +260,7 @@
                             static_cast<std::uint32_t>(mark.crashes)});
   }
   out.store_era = static_cast<std::uint64_t>(in.store_era);
+  if (in.__isset.evacuations) out.evacuations = FromWire(in.evacuations);
   return DecodeClaims(in, out);
 }
 
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -27,6 +27,14 @@
   2: i32 crashes
 }
 
+// The failure domains that operators have taken out of service, as of one
+// version of the store.
+struct EvacuationState {
+  1: i64 era
+  2: i64 revision
+  3: list<string> domains
+}
+
 // One datagram of the membership. Claims are parallel lists, to spare bytes:
 // `claim_ids`, `claim_marks` (state + 4 * age in units of 20 ms) and
 // `claim_loads` (load * 2 + draining), `claim_lags` (the sender's generation
@@ -49,6 +57,7 @@
   15: optional list<TargetMark> targets
   16: optional list<SuspectMark> suspects
   17: optional i64 store_era
+  18: optional EvacuationState evacuations
 }
 
 // ---- Calls between hosts over TCP ------------------------------------------
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -558,6 +558,158 @@
 }
 
 
+EvacuationState::~EvacuationState() noexcept {
+}
+
+
+void EvacuationState::__set_era(const int64_t val) {
+  this->era = val;
+}
+
+void EvacuationState::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void EvacuationState::__set_domains(const std::vector<std::string> & val) {
+  this->domains = val;
+}
+std::ostream& operator<<(std::ostream& out, const EvacuationState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EvacuationState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->era);
+          this->__isset.era = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->domains.clear();
+            uint32_t _size6;
+            ::apache::thrift::protocol::TType _etype9;
+            xfer += iprot->readListBegin(_etype9, _size6);
+            this->domains.resize(_size6);
+            uint32_t _i10;
+            for (_i10 = 0; _i10 < _size6; ++_i10)
+            {
+              xfer += iprot->readString(this->domains[_i10]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.domains = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EvacuationState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EvacuationState");
+
+  xfer += oprot->writeFieldBegin("era", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->era);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("domains", ::apache::thrift::protocol::T_LIST, 3);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->domains.size()));
+    std::vector<std::string> ::const_iterator _iter11;
+    for (_iter11 = this->domains.begin(); _iter11 != this->domains.end(); ++_iter11)
+    {
+      xfer += oprot->writeString((*_iter11));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EvacuationState &a, EvacuationState &b) {
+  using ::std::swap;
+  swap(a.era, b.era);
+  swap(a.revision, b.revision);
+  swap(a.domains, b.domains);
+  swap(a.__isset, b.__isset);
+}
+
+EvacuationState::EvacuationState(const EvacuationState& other12) {
+  era = other12.era;
+  revision = other12.revision;
+  domains = other12.domains;
+  __isset = other12.__isset;
+}
+EvacuationState& EvacuationState::operator=(const EvacuationState& other13) {
+  era = other13.era;
+  revision = other13.revision;
+  domains = other13.domains;
+  __isset = other13.__isset;
+  return *this;
+}
+void EvacuationState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EvacuationState(";
+  out << "era=" << to_string(era);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "domains=" << to_string(domains);
+  out << ")";
+}
+
+
 Datagram::~Datagram() noexcept {
 }
 
@@ -636,6 +788,11 @@
   this->store_era = val;
 __isset.store_era = true;
 }
+
+void Datagram::__set_evacuations(const EvacuationState& val) {
+  this->evacuations = val;
+__isset.evacuations = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -732,14 +889,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claim_ids.clear();
-            uint32_t _size6;
-            ::apache::thrift::protocol::TType _etype9;
-            xfer += iprot->readListBegin(_etype9, _size6);
-            this->claim_ids.resize(_size6);
-            uint32_t _i10;
-            for (_i10 = 0; _i10 < _size6; ++_i10)
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->claim_ids.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
             {
-              xfer += iprot->readI32(this->claim_ids[_i10]);
+              xfer += iprot->readI32(this->claim_ids[_i18]);
             }
             xfer += iprot->readListEnd();
           }
@@ -752,14 +909,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claim_marks.clear();
-            uint32_t _size11;
-            ::apache::thrift::protocol::TType _etype14;
-            xfer += iprot->readListBegin(_etype14, _size11);
-            this->claim_marks.resize(_size11);
-            uint32_t _i15;
-            for (_i15 = 0; _i15 < _size11; ++_i15)
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->claim_marks.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
             {
-              xfer += iprot->readI32(this->claim_marks[_i15]);
+              xfer += iprot->readI32(this->claim_marks[_i23]);
             }
             xfer += iprot->readListEnd();
           }
@@ -780,14 +937,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->claim_lags.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _etype19;
-            xfer += iprot->readListBegin(_etype19, _size16);
-            this->claim_lags.resize(_size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->claim_lags.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += iprot->readI64(this->claim_lags[_i20]);
+              xfer += iprot->readI64(this->claim_lags[_i28]);
             }
             xfer += iprot->readListEnd();
           }
@@ -800,14 +957,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size21;
-            ::apache::thrift::protocol::TType _etype24;
-            xfer += iprot->readListBegin(_etype24, _size21);
-            this->records.resize(_size21);
-            uint32_t _i25;
-            for (_i25 = 0; _i25 < _size21; ++_i25)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->records.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->records[_i25].read(iprot);
+              xfer += this->records[_i33].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -820,14 +977,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->wanted.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->wanted.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->wanted.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += iprot->readI32(this->wanted[_i30]);
+              xfer += iprot->readI32(this->wanted[_i38]);
             }
             xfer += iprot->readListEnd();
           }
@@ -840,14 +997,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->targets.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->targets.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += this->targets[_i35].read(iprot);
+              xfer += this->targets[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -860,14 +1017,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->suspects.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->suspects.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->suspects[_i40].read(iprot);
+              xfer += this->suspects[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -884,6 +1041,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->evacuations.read(iprot);
+          this->__isset.evacuations = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -937,10 +1102,10 @@
   xfer += oprot->writeFieldBegin("claim_ids", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->claim_ids.size()));
-    std::vector<int32_t> ::const_iterator _iter41;
-    for (_iter41 = this->claim_ids.begin(); _iter41 != this->claim_ids.end(); ++_iter41)
+    std::vector<int32_t> ::const_iterator _iter49;
+    for (_iter49 = this->claim_ids.begin(); _iter49 != this->claim_ids.end(); ++_iter49)
     {
-      xfer += oprot->writeI32((*_iter41));
+      xfer += oprot->writeI32((*_iter49));
     }
     xfer += oprot->writeListEnd();
   }
@@ -949,10 +1114,10 @@
   xfer += oprot->writeFieldBegin("claim_marks", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->claim_marks.size()));
-    std::vector<int32_t> ::const_iterator _iter42;
-    for (_iter42 = this->claim_marks.begin(); _iter42 != this->claim_marks.end(); ++_iter42)
+    std::vector<int32_t> ::const_iterator _iter50;
+    for (_iter50 = this->claim_marks.begin(); _iter50 != this->claim_marks.end(); ++_iter50)
     {
-      xfer += oprot->writeI32((*_iter42));
+      xfer += oprot->writeI32((*_iter50));
     }
     xfer += oprot->writeListEnd();
   }
@@ -966,10 +1131,10 @@
     xfer += oprot->writeFieldBegin("claim_lags", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->claim_lags.size()));
-      std::vector<int64_t> ::const_iterator _iter43;
-      for (_iter43 = this->claim_lags.begin(); _iter43 != this->claim_lags.end(); ++_iter43)
+      std::vector<int64_t> ::const_iterator _iter51;
+      for (_iter51 = this->claim_lags.begin(); _iter51 != this->claim_lags.end(); ++_iter51)
       {
-        xfer += oprot->writeI64((*_iter43));
+        xfer += oprot->writeI64((*_iter51));
       }
       xfer += oprot->writeListEnd();
     }
@@ -979,10 +1144,10 @@
     xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-      std::vector<HostRecord> ::const_iterator _iter44;
-      for (_iter44 = this->records.begin(); _iter44 != this->records.end(); ++_iter44)
+      std::vector<HostRecord> ::const_iterator _iter52;
+      for (_iter52 = this->records.begin(); _iter52 != this->records.end(); ++_iter52)
       {
-        xfer += (*_iter44).write(oprot);
+        xfer += (*_iter52).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -992,10 +1157,10 @@
     xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->wanted.size()));
-      std::vector<int32_t> ::const_iterator _iter45;
-      for (_iter45 = this->wanted.begin(); _iter45 != this->wanted.end(); ++_iter45)
+      std::vector<int32_t> ::const_iterator _iter53;
+      for (_iter53 = this->wanted.begin(); _iter53 != this->wanted.end(); ++_iter53)
       {
-        xfer += oprot->writeI32((*_iter45));
+        xfer += oprot->writeI32((*_iter53));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1005,10 +1170,10 @@
     xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-      std::vector<TargetMark> ::const_iterator _iter46;
-      for (_iter46 = this->targets.begin(); _iter46 != this->targets.end(); ++_iter46)
+      std::vector<TargetMark> ::const_iterator _iter54;
+      for (_iter54 = this->targets.begin(); _iter54 != this->targets.end(); ++_iter54)
       {
-        xfer += (*_iter46).write(oprot);
+        xfer += (*_iter54).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1018,10 +1183,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<SuspectMark> ::const_iterator _iter47;
-      for (_iter47 = this->suspects.begin(); _iter47 != this->suspects.end(); ++_iter47)
+      std::vector<SuspectMark> ::const_iterator _iter55;
+      for (_iter55 = this->suspects.begin(); _iter55 != this->suspects.end(); ++_iter55)
       {
-        xfer += (*_iter47).write(oprot);
+        xfer += (*_iter55).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1032,6 +1197,11 @@
     xfer += oprot->writeI64(this->store_era);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.evacuations) {
+    xfer += oprot->writeFieldBegin("evacuations", ::apache::thrift::protocol::T_STRUCT, 18);
+    xfer += this->evacuations.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1056,48 +1226,51 @@
   swap(a.targets, b.targets);
   swap(a.suspects, b.suspects);
   swap(a.store_era, b.store_era);
+  swap(a.evacuations, b.evacuations);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other48) {
-  kind = other48.kind;
-  sender = other48.sender;
-  sequence = other48.sequence;
-  subject = other48.subject;
-  generation = other48.generation;
-  load = other48.load;
-  config_generation = other48.config_generation;
-  config_hash = other48.config_hash;
-  claim_ids = other48.claim_ids;
-  claim_marks = other48.claim_marks;
-  claim_loads = other48.claim_loads;
-  claim_lags = other48.claim_lags;
-  records = other48.records;
-  wanted = other48.wanted;
-  targets = other48.targets;
-  suspects = other48.suspects;
-  store_era = other48.store_era;
-  __isset = other48.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other49) {
-  kind = other49.kind;
-  sender = other49.sender;
-  sequence = other49.sequence;
-  subject = other49.subject;
-  generation = other49.generation;
-  load = other49.load;
-  config_generation = other49.config_generation;
-  config_hash = other49.config_hash;
-  claim_ids = other49.claim_ids;
-  claim_marks = other49.claim_marks;
-  claim_loads = other49.claim_loads;
-  claim_lags = other49.claim_lags;
-  records = other49.records;
-  wanted = other49.wanted;
-  targets = other49.targets;
-  suspects = other49.suspects;
-  store_era = other49.store_era;
-  __isset = other49.__isset;
+Datagram::Datagram(const Datagram& other56) {
+  kind = other56.kind;
+  sender = other56.sender;
+  sequence = other56.sequence;
+  subject = other56.subject;
+  generation = other56.generation;
+  load = other56.load;
+  config_generation = other56.config_generation;
+  config_hash = other56.config_hash;
+  claim_ids = other56.claim_ids;
+  claim_marks = other56.claim_marks;
+  claim_loads = other56.claim_loads;
+  claim_lags = other56.claim_lags;
+  records = other56.records;
+  wanted = other56.wanted;
+  targets = other56.targets;
+  suspects = other56.suspects;
+  store_era = other56.store_era;
+  evacuations = other56.evacuations;
+  __isset = other56.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other57) {
+  kind = other57.kind;
+  sender = other57.sender;
+  sequence = other57.sequence;
+  subject = other57.subject;
+  generation = other57.generation;
+  load = other57.load;
+  config_generation = other57.config_generation;
+  config_hash = other57.config_hash;
+  claim_ids = other57.claim_ids;
+  claim_marks = other57.claim_marks;
+  claim_loads = other57.claim_loads;
+  claim_lags = other57.claim_lags;
+  records = other57.records;
+  wanted = other57.wanted;
+  targets = other57.targets;
+  suspects = other57.suspects;
+  store_era = other57.store_era;
+  evacuations = other57.evacuations;
+  __isset = other57.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -1120,6 +1293,7 @@
   out << ", " << "targets="; (__isset.targets ? (out << to_string(targets)) : (out << "<null>"));
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ", " << "store_era="; (__isset.store_era ? (out << to_string(store_era)) : (out << "<null>"));
+  out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1250,19 +1424,19 @@
   swap(a.__isset, b.__isset);
 }
 
-AttemptId::AttemptId(const AttemptId& other50) {
-  host = other50.host;
-  incarnation = other50.incarnation;
-  sequence = other50.sequence;
-  number = other50.number;
-  __isset = other50.__isset;
+AttemptId::AttemptId(const AttemptId& other58) {
+  host = other58.host;
+  incarnation = other58.incarnation;
+  sequence = other58.sequence;
+  number = other58.number;
+  __isset = other58.__isset;
 }
-AttemptId& AttemptId::operator=(const AttemptId& other51) {
-  host = other51.host;
-  incarnation = other51.incarnation;
-  sequence = other51.sequence;
-  number = other51.number;
-  __isset = other51.__isset;
+AttemptId& AttemptId::operator=(const AttemptId& other59) {
+  host = other59.host;
+  incarnation = other59.incarnation;
+  sequence = other59.sequence;
+  number = other59.number;
+  __isset = other59.__isset;
   return *this;
 }
 void AttemptId::printTo(std::ostream& out) const {
@@ -1487,29 +1661,29 @@
   swap(a.__isset, b.__isset);
 }
 
-ReserveCall::ReserveCall(const ReserveCall& other52) {
-  attempt = other52.attempt;
-  target = other52.target;
-  account = other52.account;
-  kv_tokens = other52.kv_tokens;
-  urgency = other52.urgency;
-  expires_ms = other52.expires_ms;
-  prefill_tokens = other52.prefill_tokens;
-  max_wait_us = other52.max_wait_us;
-  suspect = other52.suspect;
-  __isset = other52.__isset;
-}
-ReserveCall& ReserveCall::operator=(const ReserveCall& other53) {
-  attempt = other53.attempt;
-  target = other53.target;
-  account = other53.account;
-  kv_tokens = other53.kv_tokens;
-  urgency = other53.urgency;
-  expires_ms = other53.expires_ms;
-  prefill_tokens = other53.prefill_tokens;
-  max_wait_us = other53.max_wait_us;
-  suspect = other53.suspect;
-  __isset = other53.__isset;
+ReserveCall::ReserveCall(const ReserveCall& other60) {
+  attempt = other60.attempt;
+  target = other60.target;
+  account = other60.account;
+  kv_tokens = other60.kv_tokens;
+  urgency = other60.urgency;
+  expires_ms = other60.expires_ms;
+  prefill_tokens = other60.prefill_tokens;
+  max_wait_us = other60.max_wait_us;
+  suspect = other60.suspect;
+  __isset = other60.__isset;
+}
+ReserveCall& ReserveCall::operator=(const ReserveCall& other61) {
+  attempt = other61.attempt;
+  target = other61.target;
+  account = other61.account;
+  kv_tokens = other61.kv_tokens;
+  urgency = other61.urgency;
+  expires_ms = other61.expires_ms;
+  prefill_tokens = other61.prefill_tokens;
+  max_wait_us = other61.max_wait_us;
+  suspect = other61.suspect;
+  __isset = other61.__isset;
   return *this;
 }
 void ReserveCall::printTo(std::ostream& out) const {
@@ -1654,19 +1828,19 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantCall::GrantCall(const GrantCall& other54) {
-  attempt = other54.attempt;
-  target = other54.target;
-  reply = other54.reply;
-  retry_after_us = other54.retry_after_us;
-  __isset = other54.__isset;
+GrantCall::GrantCall(const GrantCall& other62) {
+  attempt = other62.attempt;
+  target = other62.target;
+  reply = other62.reply;
+  retry_after_us = other62.retry_after_us;
+  __isset = other62.__isset;
 }
-GrantCall& GrantCall::operator=(const GrantCall& other55) {
-  attempt = other55.attempt;
-  target = other55.target;
-  reply = other55.reply;
-  retry_after_us = other55.retry_after_us;
-  __isset = other55.__isset;
+GrantCall& GrantCall::operator=(const GrantCall& other63) {
+  attempt = other63.attempt;
+  target = other63.target;
+  reply = other63.reply;
+  retry_after_us = other63.retry_after_us;
+  __isset = other63.__isset;
   return *this;
 }
 void GrantCall::printTo(std::ostream& out) const {
@@ -1772,15 +1946,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseCall::ReleaseCall(const ReleaseCall& other56) {
-  attempt = other56.attempt;
-  target = other56.target;
-  __isset = other56.__isset;
+ReleaseCall::ReleaseCall(const ReleaseCall& other64) {
+  attempt = other64.attempt;
+  target = other64.target;
+  __isset = other64.__isset;
 }
-ReleaseCall& ReleaseCall::operator=(const ReleaseCall& other57) {
-  attempt = other57.attempt;
-  target = other57.target;
-  __isset = other57.__isset;
+ReleaseCall& ReleaseCall::operator=(const ReleaseCall& other65) {
+  attempt = other65.attempt;
+  target = other65.target;
+  __isset = other65.__isset;
   return *this;
 }
 void ReleaseCall::printTo(std::ostream& out) const {
@@ -1884,15 +2058,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PrefilledCall::PrefilledCall(const PrefilledCall& other58) {
-  attempt = other58.attempt;
-  target = other58.target;
-  __isset = other58.__isset;
+PrefilledCall::PrefilledCall(const PrefilledCall& other66) {
+  attempt = other66.attempt;
+  target = other66.target;
+  __isset = other66.__isset;
 }
-PrefilledCall& PrefilledCall::operator=(const PrefilledCall& other59) {
-  attempt = other59.attempt;
-  target = other59.target;
-  __isset = other59.__isset;
+PrefilledCall& PrefilledCall::operator=(const PrefilledCall& other67) {
+  attempt = other67.attempt;
+  target = other67.target;
+  __isset = other67.__isset;
   return *this;
 }
 void PrefilledCall::printTo(std::ostream& out) const {
@@ -2075,14 +2249,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->models.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->models.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += iprot->readString(this->models[_i64]);
+              xfer += iprot->readString(this->models[_i72]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2155,10 +2329,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter65;
-    for (_iter65 = this->models.begin(); _iter65 != this->models.end(); ++_iter65)
+    std::vector<std::string> ::const_iterator _iter73;
+    for (_iter73 = this->models.begin(); _iter73 != this->models.end(); ++_iter73)
     {
-      xfer += oprot->writeString((*_iter65));
+      xfer += oprot->writeString((*_iter73));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2186,35 +2360,35 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other66) {
-  target = other66.target;
-  epoch = other66.epoch;
-  sequence = other66.sequence;
-  age_ms = other66.age_ms;
-  running = other66.running;
-  waiting = other66.waiting;
-  kv_used = other66.kv_used;
-  kv_capacity = other66.kv_capacity;
-  max_running = other66.max_running;
-  prefill_backlog_tokens = other66.prefill_backlog_tokens;
-  closing = other66.closing;
-  models = other66.models;
-  __isset = other66.__isset;
+LoadReport::LoadReport(const LoadReport& other74) {
+  target = other74.target;
+  epoch = other74.epoch;
+  sequence = other74.sequence;
+  age_ms = other74.age_ms;
+  running = other74.running;
+  waiting = other74.waiting;
+  kv_used = other74.kv_used;
+  kv_capacity = other74.kv_capacity;
+  max_running = other74.max_running;
+  prefill_backlog_tokens = other74.prefill_backlog_tokens;
+  closing = other74.closing;
+  models = other74.models;
+  __isset = other74.__isset;
 }
-LoadReport& LoadReport::operator=(const LoadReport& other67) {
-  target = other67.target;
-  epoch = other67.epoch;
-  sequence = other67.sequence;
-  age_ms = other67.age_ms;
-  running = other67.running;
-  waiting = other67.waiting;
-  kv_used = other67.kv_used;
-  kv_capacity = other67.kv_capacity;
-  max_running = other67.max_running;
-  prefill_backlog_tokens = other67.prefill_backlog_tokens;
-  closing = other67.closing;
-  models = other67.models;
-  __isset = other67.__isset;
+LoadReport& LoadReport::operator=(const LoadReport& other75) {
+  target = other75.target;
+  epoch = other75.epoch;
+  sequence = other75.sequence;
+  age_ms = other75.age_ms;
+  running = other75.running;
+  waiting = other75.waiting;
+  kv_used = other75.kv_used;
+  kv_capacity = other75.kv_capacity;
+  max_running = other75.max_running;
+  prefill_backlog_tokens = other75.prefill_backlog_tokens;
+  closing = other75.closing;
+  models = other75.models;
+  __isset = other75.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -2279,14 +2453,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->reports.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size76;
+            ::apache::thrift::protocol::TType _etype79;
+            xfer += iprot->readListBegin(_etype79, _size76);
+            this->reports.resize(_size76);
+            uint32_t _i80;
+            for (_i80 = 0; _i80 < _size76; ++_i80)
             {
-              xfer += this->reports[_i72].read(iprot);
+              xfer += this->reports[_i80].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2323,10 +2497,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<LoadReport> ::const_iterator _iter73;
-    for (_iter73 = this->reports.begin(); _iter73 != this->reports.end(); ++_iter73)
+    std::vector<LoadReport> ::const_iterator _iter81;
+    for (_iter81 = this->reports.begin(); _iter81 != this->reports.end(); ++_iter81)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2348,15 +2522,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadsCall::LoadsCall(const LoadsCall& other74) {
-  reports = other74.reports;
-  answer_wanted = other74.answer_wanted;
-  __isset = other74.__isset;
+LoadsCall::LoadsCall(const LoadsCall& other82) {
+  reports = other82.reports;
+  answer_wanted = other82.answer_wanted;
+  __isset = other82.__isset;
 }
-LoadsCall& LoadsCall::operator=(const LoadsCall& other75) {
-  reports = other75.reports;
-  answer_wanted = other75.answer_wanted;
-  __isset = other75.__isset;
+LoadsCall& LoadsCall::operator=(const LoadsCall& other83) {
+  reports = other83.reports;
+  answer_wanted = other83.answer_wanted;
+  __isset = other83.__isset;
   return *this;
 }
 void LoadsCall::printTo(std::ostream& out) const {
@@ -2407,14 +2581,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attempts.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->attempts.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->attempts.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->attempts[_i80].read(iprot);
+              xfer += this->attempts[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2443,10 +2617,10 @@
   xfer += oprot->writeFieldBegin("attempts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->attempts.size()));
-    std::vector<AttemptId> ::const_iterator _iter81;
-    for (_iter81 = this->attempts.begin(); _iter81 != this->attempts.end(); ++_iter81)
+    std::vector<AttemptId> ::const_iterator _iter89;
+    for (_iter89 = this->attempts.begin(); _iter89 != this->attempts.end(); ++_iter89)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2463,13 +2637,13 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnersCall::OwnersCall(const OwnersCall& other82) {
-  attempts = other82.attempts;
-  __isset = other82.__isset;
+OwnersCall::OwnersCall(const OwnersCall& other90) {
+  attempts = other90.attempts;
+  __isset = other90.__isset;
 }
-OwnersCall& OwnersCall::operator=(const OwnersCall& other83) {
-  attempts = other83.attempts;
-  __isset = other83.__isset;
+OwnersCall& OwnersCall::operator=(const OwnersCall& other91) {
+  attempts = other91.attempts;
+  __isset = other91.__isset;
   return *this;
 }
 void OwnersCall::printTo(std::ostream& out) const {
@@ -2519,14 +2693,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknown.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->unknown.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->unknown.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->unknown[_i88].read(iprot);
+              xfer += this->unknown[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2555,10 +2729,10 @@
   xfer += oprot->writeFieldBegin("unknown", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unknown.size()));
-    std::vector<AttemptId> ::const_iterator _iter89;
-    for (_iter89 = this->unknown.begin(); _iter89 != this->unknown.end(); ++_iter89)
+    std::vector<AttemptId> ::const_iterator _iter97;
+    for (_iter97 = this->unknown.begin(); _iter97 != this->unknown.end(); ++_iter97)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2575,13 +2749,13 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnersAnswer::OwnersAnswer(const OwnersAnswer& other90) {
-  unknown = other90.unknown;
-  __isset = other90.__isset;
+OwnersAnswer::OwnersAnswer(const OwnersAnswer& other98) {
+  unknown = other98.unknown;
+  __isset = other98.__isset;
 }
-OwnersAnswer& OwnersAnswer::operator=(const OwnersAnswer& other91) {
-  unknown = other91.unknown;
-  __isset = other91.__isset;
+OwnersAnswer& OwnersAnswer::operator=(const OwnersAnswer& other99) {
+  unknown = other99.unknown;
+  __isset = other99.__isset;
   return *this;
 }
 void OwnersAnswer::printTo(std::ostream& out) const {
@@ -2667,13 +2841,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigCall::ConfigCall(const ConfigCall& other92) noexcept {
-  generation = other92.generation;
-  __isset = other92.__isset;
+ConfigCall::ConfigCall(const ConfigCall& other100) noexcept {
+  generation = other100.generation;
+  __isset = other100.__isset;
 }
-ConfigCall& ConfigCall::operator=(const ConfigCall& other93) noexcept {
-  generation = other93.generation;
-  __isset = other93.__isset;
+ConfigCall& ConfigCall::operator=(const ConfigCall& other101) noexcept {
+  generation = other101.generation;
+  __isset = other101.__isset;
   return *this;
 }
 void ConfigCall::printTo(std::ostream& out) const {
@@ -2776,15 +2950,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigAnswer::ConfigAnswer(const ConfigAnswer& other94) {
-  generation = other94.generation;
-  text = other94.text;
-  __isset = other94.__isset;
+ConfigAnswer::ConfigAnswer(const ConfigAnswer& other102) {
+  generation = other102.generation;
+  text = other102.text;
+  __isset = other102.__isset;
 }
-ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other95) {
-  generation = other95.generation;
-  text = other95.text;
-  __isset = other95.__isset;
+ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other103) {
+  generation = other103.generation;
+  text = other103.text;
+  __isset = other103.__isset;
   return *this;
 }
 void ConfigAnswer::printTo(std::ostream& out) const {
@@ -2905,17 +3079,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ShareAsk::ShareAsk(const ShareAsk& other96) {
-  account = other96.account;
-  tokens_per_second = other96.tokens_per_second;
-  concurrent_tokens = other96.concurrent_tokens;
-  __isset = other96.__isset;
+ShareAsk::ShareAsk(const ShareAsk& other104) {
+  account = other104.account;
+  tokens_per_second = other104.tokens_per_second;
+  concurrent_tokens = other104.concurrent_tokens;
+  __isset = other104.__isset;
 }
-ShareAsk& ShareAsk::operator=(const ShareAsk& other97) {
-  account = other97.account;
-  tokens_per_second = other97.tokens_per_second;
-  concurrent_tokens = other97.concurrent_tokens;
-  __isset = other97.__isset;
+ShareAsk& ShareAsk::operator=(const ShareAsk& other105) {
+  account = other105.account;
+  tokens_per_second = other105.tokens_per_second;
+  concurrent_tokens = other105.concurrent_tokens;
+  __isset = other105.__isset;
   return *this;
 }
 void ShareAsk::printTo(std::ostream& out) const {
@@ -2991,14 +3165,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size98;
-            ::apache::thrift::protocol::TType _etype101;
-            xfer += iprot->readListBegin(_etype101, _size98);
-            this->shares.resize(_size98);
-            uint32_t _i102;
-            for (_i102 = 0; _i102 < _size98; ++_i102)
+            uint32_t _size106;
+            ::apache::thrift::protocol::TType _etype109;
+            xfer += iprot->readListBegin(_etype109, _size106);
+            this->shares.resize(_size106);
+            uint32_t _i110;
+            for (_i110 = 0; _i110 < _size106; ++_i110)
             {
-              xfer += this->shares[_i102].read(iprot);
+              xfer += this->shares[_i110].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3035,10 +3209,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ShareAsk> ::const_iterator _iter103;
-    for (_iter103 = this->shares.begin(); _iter103 != this->shares.end(); ++_iter103)
+    std::vector<ShareAsk> ::const_iterator _iter111;
+    for (_iter111 = this->shares.begin(); _iter111 != this->shares.end(); ++_iter111)
     {
-      xfer += (*_iter103).write(oprot);
+      xfer += (*_iter111).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3057,17 +3231,17 @@
   swap(a.__isset, b.__isset);
 }
 
-SharesCall::SharesCall(const SharesCall& other104) {
-  loan = other104.loan;
-  period_ms = other104.period_ms;
-  shares = other104.shares;
-  __isset = other104.__isset;
+SharesCall::SharesCall(const SharesCall& other112) {
+  loan = other112.loan;
+  period_ms = other112.period_ms;
+  shares = other112.shares;
+  __isset = other112.__isset;
 }
-SharesCall& SharesCall::operator=(const SharesCall& other105) {
-  loan = other105.loan;
-  period_ms = other105.period_ms;
-  shares = other105.shares;
-  __isset = other105.__isset;
+SharesCall& SharesCall::operator=(const SharesCall& other113) {
+  loan = other113.loan;
+  period_ms = other113.period_ms;
+  shares = other113.shares;
+  __isset = other113.__isset;
   return *this;
 }
 void SharesCall::printTo(std::ostream& out) const {
@@ -3240,23 +3414,23 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other106) {
-  kind = other106.kind;
-  key = other106.key;
-  claimant = other106.claimant;
-  fingerprint = other106.fingerprint;
-  remaining_s = other106.remaining_s;
-  outcome = other106.outcome;
-  __isset = other106.__isset;
-}
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other107) {
-  kind = other107.kind;
-  key = other107.key;
-  claimant = other107.claimant;
-  fingerprint = other107.fingerprint;
-  remaining_s = other107.remaining_s;
-  outcome = other107.outcome;
-  __isset = other107.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other114) {
+  kind = other114.kind;
+  key = other114.key;
+  claimant = other114.claimant;
+  fingerprint = other114.fingerprint;
+  remaining_s = other114.remaining_s;
+  outcome = other114.outcome;
+  __isset = other114.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other115) {
+  kind = other115.kind;
+  key = other115.key;
+  claimant = other115.claimant;
+  fingerprint = other115.fingerprint;
+  remaining_s = other115.remaining_s;
+  outcome = other115.outcome;
+  __isset = other115.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
@@ -3311,14 +3485,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->records.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
+            uint32_t _size116;
+            ::apache::thrift::protocol::TType _etype119;
+            xfer += iprot->readListBegin(_etype119, _size116);
+            this->records.resize(_size116);
+            uint32_t _i120;
+            for (_i120 = 0; _i120 < _size116; ++_i120)
             {
-              xfer += this->records[_i112].read(iprot);
+              xfer += this->records[_i120].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3347,10 +3521,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<ClaimRecord> ::const_iterator _iter113;
-    for (_iter113 = this->records.begin(); _iter113 != this->records.end(); ++_iter113)
+    std::vector<ClaimRecord> ::const_iterator _iter121;
+    for (_iter121 = this->records.begin(); _iter121 != this->records.end(); ++_iter121)
     {
-      xfer += (*_iter113).write(oprot);
+      xfer += (*_iter121).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3367,13 +3541,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimsCall::ClaimsCall(const ClaimsCall& other114) {
-  records = other114.records;
-  __isset = other114.__isset;
+ClaimsCall::ClaimsCall(const ClaimsCall& other122) {
+  records = other122.records;
+  __isset = other122.__isset;
 }
-ClaimsCall& ClaimsCall::operator=(const ClaimsCall& other115) {
-  records = other115.records;
-  __isset = other115.__isset;
+ClaimsCall& ClaimsCall::operator=(const ClaimsCall& other123) {
+  records = other123.records;
+  __isset = other123.__isset;
   return *this;
 }
 void ClaimsCall::printTo(std::ostream& out) const {
@@ -3493,17 +3667,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimVerdict::ClaimVerdict(const ClaimVerdict& other116) {
-  key = other116.key;
-  claimant = other116.claimant;
-  verdict = other116.verdict;
-  __isset = other116.__isset;
+ClaimVerdict::ClaimVerdict(const ClaimVerdict& other124) {
+  key = other124.key;
+  claimant = other124.claimant;
+  verdict = other124.verdict;
+  __isset = other124.__isset;
 }
-ClaimVerdict& ClaimVerdict::operator=(const ClaimVerdict& other117) {
-  key = other117.key;
-  claimant = other117.claimant;
-  verdict = other117.verdict;
-  __isset = other117.__isset;
+ClaimVerdict& ClaimVerdict::operator=(const ClaimVerdict& other125) {
+  key = other125.key;
+  claimant = other125.claimant;
+  verdict = other125.verdict;
+  __isset = other125.__isset;
   return *this;
 }
 void ClaimVerdict::printTo(std::ostream& out) const {
@@ -3555,14 +3729,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->verdicts.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size126;
+            ::apache::thrift::protocol::TType _etype129;
+            xfer += iprot->readListBegin(_etype129, _size126);
+            this->verdicts.resize(_size126);
+            uint32_t _i130;
+            for (_i130 = 0; _i130 < _size126; ++_i130)
             {
-              xfer += this->verdicts[_i122].read(iprot);
+              xfer += this->verdicts[_i130].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3591,10 +3765,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<ClaimVerdict> ::const_iterator _iter123;
-    for (_iter123 = this->verdicts.begin(); _iter123 != this->verdicts.end(); ++_iter123)
+    std::vector<ClaimVerdict> ::const_iterator _iter131;
+    for (_iter131 = this->verdicts.begin(); _iter131 != this->verdicts.end(); ++_iter131)
     {
-      xfer += (*_iter123).write(oprot);
+      xfer += (*_iter131).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3611,13 +3785,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimsAnswer::ClaimsAnswer(const ClaimsAnswer& other124) {
-  verdicts = other124.verdicts;
-  __isset = other124.__isset;
+ClaimsAnswer::ClaimsAnswer(const ClaimsAnswer& other132) {
+  verdicts = other132.verdicts;
+  __isset = other132.__isset;
 }
-ClaimsAnswer& ClaimsAnswer::operator=(const ClaimsAnswer& other125) {
-  verdicts = other125.verdicts;
-  __isset = other125.__isset;
+ClaimsAnswer& ClaimsAnswer::operator=(const ClaimsAnswer& other133) {
+  verdicts = other133.verdicts;
+  __isset = other133.__isset;
   return *this;
 }
 void ClaimsAnswer::printTo(std::ostream& out) const {
@@ -3720,15 +3894,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashCall::CrashCall(const CrashCall& other126) {
-  target = other126.target;
-  fingerprint = other126.fingerprint;
-  __isset = other126.__isset;
+CrashCall::CrashCall(const CrashCall& other134) {
+  target = other134.target;
+  fingerprint = other134.fingerprint;
+  __isset = other134.__isset;
 }
-CrashCall& CrashCall::operator=(const CrashCall& other127) {
-  target = other127.target;
-  fingerprint = other127.fingerprint;
-  __isset = other127.__isset;
+CrashCall& CrashCall::operator=(const CrashCall& other135) {
+  target = other135.target;
+  fingerprint = other135.fingerprint;
+  __isset = other135.__isset;
   return *this;
 }
 void CrashCall::printTo(std::ostream& out) const {
@@ -4045,37 +4219,37 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other128) {
-  reserve = other128.reserve;
-  grant = other128.grant;
-  release = other128.release;
-  prefilled = other128.prefilled;
-  loads = other128.loads;
-  owners = other128.owners;
-  owners_answer = other128.owners_answer;
-  config = other128.config;
-  config_answer = other128.config_answer;
-  shares = other128.shares;
-  claims = other128.claims;
-  claims_answer = other128.claims_answer;
-  crash = other128.crash;
-  __isset = other128.__isset;
-}
-Body& Body::operator=(const Body& other129) {
-  reserve = other129.reserve;
-  grant = other129.grant;
-  release = other129.release;
-  prefilled = other129.prefilled;
-  loads = other129.loads;
-  owners = other129.owners;
-  owners_answer = other129.owners_answer;
-  config = other129.config;
-  config_answer = other129.config_answer;
-  shares = other129.shares;
-  claims = other129.claims;
-  claims_answer = other129.claims_answer;
-  crash = other129.crash;
-  __isset = other129.__isset;
+Body::Body(const Body& other136) {
+  reserve = other136.reserve;
+  grant = other136.grant;
+  release = other136.release;
+  prefilled = other136.prefilled;
+  loads = other136.loads;
+  owners = other136.owners;
+  owners_answer = other136.owners_answer;
+  config = other136.config;
+  config_answer = other136.config_answer;
+  shares = other136.shares;
+  claims = other136.claims;
+  claims_answer = other136.claims_answer;
+  crash = other136.crash;
+  __isset = other136.__isset;
+}
+Body& Body::operator=(const Body& other137) {
+  reserve = other137.reserve;
+  grant = other137.grant;
+  release = other137.release;
+  prefilled = other137.prefilled;
+  loads = other137.loads;
+  owners = other137.owners;
+  owners_answer = other137.owners_answer;
+  config = other137.config;
+  config_answer = other137.config_answer;
+  shares = other137.shares;
+  claims = other137.claims;
+  claims_answer = other137.claims_answer;
+  crash = other137.crash;
+  __isset = other137.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -4173,14 +4347,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bodies.clear();
-            uint32_t _size130;
-            ::apache::thrift::protocol::TType _etype133;
-            xfer += iprot->readListBegin(_etype133, _size130);
-            this->bodies.resize(_size130);
-            uint32_t _i134;
-            for (_i134 = 0; _i134 < _size130; ++_i134)
+            uint32_t _size138;
+            ::apache::thrift::protocol::TType _etype141;
+            xfer += iprot->readListBegin(_etype141, _size138);
+            this->bodies.resize(_size138);
+            uint32_t _i142;
+            for (_i142 = 0; _i142 < _size138; ++_i142)
             {
-              xfer += this->bodies[_i134].read(iprot);
+              xfer += this->bodies[_i142].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4221,10 +4395,10 @@
   xfer += oprot->writeFieldBegin("bodies", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->bodies.size()));
-    std::vector<Body> ::const_iterator _iter135;
-    for (_iter135 = this->bodies.begin(); _iter135 != this->bodies.end(); ++_iter135)
+    std::vector<Body> ::const_iterator _iter143;
+    for (_iter143 = this->bodies.begin(); _iter143 != this->bodies.end(); ++_iter143)
     {
-      xfer += (*_iter135).write(oprot);
+      xfer += (*_iter143).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4244,19 +4418,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other136) {
-  host = other136.host;
-  incarnation = other136.incarnation;
-  to = other136.to;
-  bodies = other136.bodies;
-  __isset = other136.__isset;
+Envelope::Envelope(const Envelope& other144) {
+  host = other144.host;
+  incarnation = other144.incarnation;
+  to = other144.to;
+  bodies = other144.bodies;
+  __isset = other144.__isset;
 }
-Envelope& Envelope::operator=(const Envelope& other137) {
-  host = other137.host;
-  incarnation = other137.incarnation;
-  to = other137.to;
-  bodies = other137.bodies;
-  __isset = other137.__isset;
+Envelope& Envelope::operator=(const Envelope& other145) {
+  host = other145.host;
+  incarnation = other145.incarnation;
+  to = other145.to;
+  bodies = other145.bodies;
+  __isset = other145.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -4474,14 +4648,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->excluded.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->excluded.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size146;
+            ::apache::thrift::protocol::TType _etype149;
+            xfer += iprot->readListBegin(_etype149, _size146);
+            this->excluded.resize(_size146);
+            uint32_t _i150;
+            for (_i150 = 0; _i150 < _size146; ++_i150)
             {
-              xfer += iprot->readString(this->excluded[_i142]);
+              xfer += iprot->readString(this->excluded[_i150]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4578,10 +4752,10 @@
   xfer += oprot->writeFieldBegin("excluded", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded.size()));
-    std::vector<std::string> ::const_iterator _iter143;
-    for (_iter143 = this->excluded.begin(); _iter143 != this->excluded.end(); ++_iter143)
+    std::vector<std::string> ::const_iterator _iter151;
+    for (_iter151 = this->excluded.begin(); _iter151 != this->excluded.end(); ++_iter151)
     {
-      xfer += oprot->writeString((*_iter143));
+      xfer += oprot->writeString((*_iter151));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4622,43 +4796,43 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAsk::PlaceAsk(const PlaceAsk& other144) {
-  sequence = other144.sequence;
-  service_name = other144.service_name;
-  account = other144.account;
-  failure_domain = other144.failure_domain;
-  stream = other144.stream;
-  prompt_tokens = other144.prompt_tokens;
-  output_tokens = other144.output_tokens;
-  priority = other144.priority;
-  waited_ms = other144.waited_ms;
-  remaining_ms = other144.remaining_ms;
-  objective_ms = other144.objective_ms;
-  max_gap_ms = other144.max_gap_ms;
-  number = other144.number;
-  excluded = other144.excluded;
-  repeat = other144.repeat;
-  begin_ms = other144.begin_ms;
-  __isset = other144.__isset;
-}
-PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other145) {
-  sequence = other145.sequence;
-  service_name = other145.service_name;
-  account = other145.account;
-  failure_domain = other145.failure_domain;
-  stream = other145.stream;
-  prompt_tokens = other145.prompt_tokens;
-  output_tokens = other145.output_tokens;
-  priority = other145.priority;
-  waited_ms = other145.waited_ms;
-  remaining_ms = other145.remaining_ms;
-  objective_ms = other145.objective_ms;
-  max_gap_ms = other145.max_gap_ms;
-  number = other145.number;
-  excluded = other145.excluded;
-  repeat = other145.repeat;
-  begin_ms = other145.begin_ms;
-  __isset = other145.__isset;
+PlaceAsk::PlaceAsk(const PlaceAsk& other152) {
+  sequence = other152.sequence;
+  service_name = other152.service_name;
+  account = other152.account;
+  failure_domain = other152.failure_domain;
+  stream = other152.stream;
+  prompt_tokens = other152.prompt_tokens;
+  output_tokens = other152.output_tokens;
+  priority = other152.priority;
+  waited_ms = other152.waited_ms;
+  remaining_ms = other152.remaining_ms;
+  objective_ms = other152.objective_ms;
+  max_gap_ms = other152.max_gap_ms;
+  number = other152.number;
+  excluded = other152.excluded;
+  repeat = other152.repeat;
+  begin_ms = other152.begin_ms;
+  __isset = other152.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other153) {
+  sequence = other153.sequence;
+  service_name = other153.service_name;
+  account = other153.account;
+  failure_domain = other153.failure_domain;
+  stream = other153.stream;
+  prompt_tokens = other153.prompt_tokens;
+  output_tokens = other153.output_tokens;
+  priority = other153.priority;
+  waited_ms = other153.waited_ms;
+  remaining_ms = other153.remaining_ms;
+  objective_ms = other153.objective_ms;
+  max_gap_ms = other153.max_gap_ms;
+  number = other153.number;
+  excluded = other153.excluded;
+  repeat = other153.repeat;
+  begin_ms = other153.begin_ms;
+  __isset = other153.__isset;
   return *this;
 }
 void PlaceAsk::printTo(std::ostream& out) const {
@@ -4846,23 +5020,23 @@
   swap(a.__isset, b.__isset);
 }
 
-PlacedTarget::PlacedTarget(const PlacedTarget& other146) {
-  name = other146.name;
-  address = other146.address;
-  reserve_tokens = other146.reserve_tokens;
-  version = other146.version;
-  born = other146.born;
-  era = other146.era;
-  __isset = other146.__isset;
-}
-PlacedTarget& PlacedTarget::operator=(const PlacedTarget& other147) {
-  name = other147.name;
-  address = other147.address;
-  reserve_tokens = other147.reserve_tokens;
-  version = other147.version;
-  born = other147.born;
-  era = other147.era;
-  __isset = other147.__isset;
+PlacedTarget::PlacedTarget(const PlacedTarget& other154) {
+  name = other154.name;
+  address = other154.address;
+  reserve_tokens = other154.reserve_tokens;
+  version = other154.version;
+  born = other154.born;
+  era = other154.era;
+  __isset = other154.__isset;
+}
+PlacedTarget& PlacedTarget::operator=(const PlacedTarget& other155) {
+  name = other155.name;
+  address = other155.address;
+  reserve_tokens = other155.reserve_tokens;
+  version = other155.version;
+  born = other155.born;
+  era = other155.era;
+  __isset = other155.__isset;
   return *this;
 }
 void PlacedTarget::printTo(std::ostream& out) const {
@@ -4970,14 +5144,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size148;
-            ::apache::thrift::protocol::TType _etype151;
-            xfer += iprot->readListBegin(_etype151, _size148);
-            this->targets.resize(_size148);
-            uint32_t _i152;
-            for (_i152 = 0; _i152 < _size148; ++_i152)
+            uint32_t _size156;
+            ::apache::thrift::protocol::TType _etype159;
+            xfer += iprot->readListBegin(_etype159, _size156);
+            this->targets.resize(_size156);
+            uint32_t _i160;
+            for (_i160 = 0; _i160 < _size156; ++_i160)
             {
-              xfer += this->targets[_i152].read(iprot);
+              xfer += this->targets[_i160].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5050,10 +5224,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<PlacedTarget> ::const_iterator _iter153;
-    for (_iter153 = this->targets.begin(); _iter153 != this->targets.end(); ++_iter153)
+    std::vector<PlacedTarget> ::const_iterator _iter161;
+    for (_iter161 = this->targets.begin(); _iter161 != this->targets.end(); ++_iter161)
     {
-      xfer += (*_iter153).write(oprot);
+      xfer += (*_iter161).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5094,27 +5268,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswer::PlaceAnswer(const PlaceAnswer& other154) {
-  sequence = other154.sequence;
-  number = other154.number;
-  code = other154.code;
-  targets = other154.targets;
-  estimate_ms = other154.estimate_ms;
-  retry_after_ms = other154.retry_after_ms;
-  out_of_turns = other154.out_of_turns;
-  asker_incarnation = other154.asker_incarnation;
-  __isset = other154.__isset;
-}
-PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other155) {
-  sequence = other155.sequence;
-  number = other155.number;
-  code = other155.code;
-  targets = other155.targets;
-  estimate_ms = other155.estimate_ms;
-  retry_after_ms = other155.retry_after_ms;
-  out_of_turns = other155.out_of_turns;
-  asker_incarnation = other155.asker_incarnation;
-  __isset = other155.__isset;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other162) {
+  sequence = other162.sequence;
+  number = other162.number;
+  code = other162.code;
+  targets = other162.targets;
+  estimate_ms = other162.estimate_ms;
+  retry_after_ms = other162.retry_after_ms;
+  out_of_turns = other162.out_of_turns;
+  asker_incarnation = other162.asker_incarnation;
+  __isset = other162.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other163) {
+  sequence = other163.sequence;
+  number = other163.number;
+  code = other163.code;
+  targets = other163.targets;
+  estimate_ms = other163.estimate_ms;
+  retry_after_ms = other163.retry_after_ms;
+  out_of_turns = other163.out_of_turns;
+  asker_incarnation = other163.asker_incarnation;
+  __isset = other163.__isset;
   return *this;
 }
 void PlaceAnswer::printTo(std::ostream& out) const {
@@ -5262,19 +5436,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceNote::PlaceNote(const PlaceNote& other156) {
-  sequence = other156.sequence;
-  service_name = other156.service_name;
-  outcome = other156.outcome;
-  target = other156.target;
-  __isset = other156.__isset;
+PlaceNote::PlaceNote(const PlaceNote& other164) {
+  sequence = other164.sequence;
+  service_name = other164.service_name;
+  outcome = other164.outcome;
+  target = other164.target;
+  __isset = other164.__isset;
 }
-PlaceNote& PlaceNote::operator=(const PlaceNote& other157) {
-  sequence = other157.sequence;
-  service_name = other157.service_name;
-  outcome = other157.outcome;
-  target = other157.target;
-  __isset = other157.__isset;
+PlaceNote& PlaceNote::operator=(const PlaceNote& other165) {
+  sequence = other165.sequence;
+  service_name = other165.service_name;
+  outcome = other165.outcome;
+  target = other165.target;
+  __isset = other165.__isset;
   return *this;
 }
 void PlaceNote::printTo(std::ostream& out) const {
@@ -5359,14 +5533,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size158;
-            ::apache::thrift::protocol::TType _etype161;
-            xfer += iprot->readListBegin(_etype161, _size158);
-            this->targets.resize(_size158);
-            uint32_t _i162;
-            for (_i162 = 0; _i162 < _size158; ++_i162)
+            uint32_t _size166;
+            ::apache::thrift::protocol::TType _etype169;
+            xfer += iprot->readListBegin(_etype169, _size166);
+            this->targets.resize(_size166);
+            uint32_t _i170;
+            for (_i170 = 0; _i170 < _size166; ++_i170)
             {
-              xfer += this->targets[_i162].read(iprot);
+              xfer += this->targets[_i170].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5439,10 +5613,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<PlacedTarget> ::const_iterator _iter163;
-    for (_iter163 = this->targets.begin(); _iter163 != this->targets.end(); ++_iter163)
+    std::vector<PlacedTarget> ::const_iterator _iter171;
+    for (_iter171 = this->targets.begin(); _iter171 != this->targets.end(); ++_iter171)
     {
-      xfer += (*_iter163).write(oprot);
+      xfer += (*_iter171).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5485,25 +5659,25 @@
   swap(a.__isset, b.__isset);
 }
 
-PlacedWork::PlacedWork(const PlacedWork& other164) {
-  sequence = other164.sequence;
-  targets = other164.targets;
-  stream = other164.stream;
-  begun = other164.begun;
-  prompt_tokens = other164.prompt_tokens;
-  output_tokens = other164.output_tokens;
-  max_gap_ms = other164.max_gap_ms;
-  __isset = other164.__isset;
-}
-PlacedWork& PlacedWork::operator=(const PlacedWork& other165) {
-  sequence = other165.sequence;
-  targets = other165.targets;
-  stream = other165.stream;
-  begun = other165.begun;
-  prompt_tokens = other165.prompt_tokens;
-  output_tokens = other165.output_tokens;
-  max_gap_ms = other165.max_gap_ms;
-  __isset = other165.__isset;
+PlacedWork::PlacedWork(const PlacedWork& other172) {
+  sequence = other172.sequence;
+  targets = other172.targets;
+  stream = other172.stream;
+  begun = other172.begun;
+  prompt_tokens = other172.prompt_tokens;
+  output_tokens = other172.output_tokens;
+  max_gap_ms = other172.max_gap_ms;
+  __isset = other172.__isset;
+}
+PlacedWork& PlacedWork::operator=(const PlacedWork& other173) {
+  sequence = other173.sequence;
+  targets = other173.targets;
+  stream = other173.stream;
+  begun = other173.begun;
+  prompt_tokens = other173.prompt_tokens;
+  output_tokens = other173.output_tokens;
+  max_gap_ms = other173.max_gap_ms;
+  __isset = other173.__isset;
   return *this;
 }
 void PlacedWork::printTo(std::ostream& out) const {
@@ -5629,17 +5803,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantCount::GrantCount(const GrantCount& other166) noexcept {
-  age_ms = other166.age_ms;
-  requests = other166.requests;
-  retries = other166.retries;
-  __isset = other166.__isset;
+GrantCount::GrantCount(const GrantCount& other174) noexcept {
+  age_ms = other174.age_ms;
+  requests = other174.requests;
+  retries = other174.retries;
+  __isset = other174.__isset;
 }
-GrantCount& GrantCount::operator=(const GrantCount& other167) noexcept {
-  age_ms = other167.age_ms;
-  requests = other167.requests;
-  retries = other167.retries;
-  __isset = other167.__isset;
+GrantCount& GrantCount::operator=(const GrantCount& other175) noexcept {
+  age_ms = other175.age_ms;
+  requests = other175.requests;
+  retries = other175.retries;
+  __isset = other175.__isset;
   return *this;
 }
 void GrantCount::printTo(std::ostream& out) const {
@@ -5715,14 +5889,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->counts.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size176;
+            ::apache::thrift::protocol::TType _etype179;
+            xfer += iprot->readListBegin(_etype179, _size176);
+            this->counts.resize(_size176);
+            uint32_t _i180;
+            for (_i180 = 0; _i180 < _size176; ++_i180)
             {
-              xfer += this->counts[_i172].read(iprot);
+              xfer += this->counts[_i180].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5759,10 +5933,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
-    std::vector<GrantCount> ::const_iterator _iter173;
-    for (_iter173 = this->counts.begin(); _iter173 != this->counts.end(); ++_iter173)
+    std::vector<GrantCount> ::const_iterator _iter181;
+    for (_iter181 = this->counts.begin(); _iter181 != this->counts.end(); ++_iter181)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter181).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5781,17 +5955,17 @@
   swap(a.__isset, b.__isset);
 }
 
-HostGrants::HostGrants(const HostGrants& other174) {
-  host = other174.host;
-  incarnation = other174.incarnation;
-  counts = other174.counts;
-  __isset = other174.__isset;
+HostGrants::HostGrants(const HostGrants& other182) {
+  host = other182.host;
+  incarnation = other182.incarnation;
+  counts = other182.counts;
+  __isset = other182.__isset;
 }
-HostGrants& HostGrants::operator=(const HostGrants& other175) {
-  host = other175.host;
-  incarnation = other175.incarnation;
-  counts = other175.counts;
-  __isset = other175.__isset;
+HostGrants& HostGrants::operator=(const HostGrants& other183) {
+  host = other183.host;
+  incarnation = other183.incarnation;
+  counts = other183.counts;
+  __isset = other183.__isset;
   return *this;
 }
 void HostGrants::printTo(std::ostream& out) const {
@@ -5865,14 +6039,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->running.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size184;
+            ::apache::thrift::protocol::TType _etype187;
+            xfer += iprot->readListBegin(_etype187, _size184);
+            this->running.resize(_size184);
+            uint32_t _i188;
+            for (_i188 = 0; _i188 < _size184; ++_i188)
             {
-              xfer += this->running[_i180].read(iprot);
+              xfer += this->running[_i188].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5885,14 +6059,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->elsewhere.clear();
-            uint32_t _size181;
-            ::apache::thrift::protocol::TType _etype184;
-            xfer += iprot->readListBegin(_etype184, _size181);
-            this->elsewhere.resize(_size181);
-            uint32_t _i185;
-            for (_i185 = 0; _i185 < _size181; ++_i185)
+            uint32_t _size189;
+            ::apache::thrift::protocol::TType _etype192;
+            xfer += iprot->readListBegin(_etype192, _size189);
+            this->elsewhere.resize(_size189);
+            uint32_t _i193;
+            for (_i193 = 0; _i193 < _size189; ++_i193)
             {
-              xfer += this->elsewhere[_i185].read(iprot);
+              xfer += this->elsewhere[_i193].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5905,14 +6079,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed.clear();
-            uint32_t _size186;
-            ::apache::thrift::protocol::TType _etype189;
-            xfer += iprot->readListBegin(_etype189, _size186);
-            this->departed.resize(_size186);
-            uint32_t _i190;
-            for (_i190 = 0; _i190 < _size186; ++_i190)
+            uint32_t _size194;
+            ::apache::thrift::protocol::TType _etype197;
+            xfer += iprot->readListBegin(_etype197, _size194);
+            this->departed.resize(_size194);
+            uint32_t _i198;
+            for (_i198 = 0; _i198 < _size194; ++_i198)
             {
-              xfer += this->departed[_i190].read(iprot);
+              xfer += this->departed[_i198].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5945,10 +6119,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<PlacedWork> ::const_iterator _iter191;
-    for (_iter191 = this->running.begin(); _iter191 != this->running.end(); ++_iter191)
+    std::vector<PlacedWork> ::const_iterator _iter199;
+    for (_iter199 = this->running.begin(); _iter199 != this->running.end(); ++_iter199)
     {
-      xfer += (*_iter191).write(oprot);
+      xfer += (*_iter199).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5958,10 +6132,10 @@
     xfer += oprot->writeFieldBegin("elsewhere", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->elsewhere.size()));
-      std::vector<GrantCount> ::const_iterator _iter192;
-      for (_iter192 = this->elsewhere.begin(); _iter192 != this->elsewhere.end(); ++_iter192)
+      std::vector<GrantCount> ::const_iterator _iter200;
+      for (_iter200 = this->elsewhere.begin(); _iter200 != this->elsewhere.end(); ++_iter200)
       {
-        xfer += (*_iter192).write(oprot);
+        xfer += (*_iter200).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5971,10 +6145,10 @@
     xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
-      std::vector<HostGrants> ::const_iterator _iter193;
-      for (_iter193 = this->departed.begin(); _iter193 != this->departed.end(); ++_iter193)
+      std::vector<HostGrants> ::const_iterator _iter201;
+      for (_iter201 = this->departed.begin(); _iter201 != this->departed.end(); ++_iter201)
       {
-        xfer += (*_iter193).write(oprot);
+        xfer += (*_iter201).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -5994,19 +6168,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceSync::PlaceSync(const PlaceSync& other194) {
-  service_name = other194.service_name;
-  running = other194.running;
-  elsewhere = other194.elsewhere;
-  departed = other194.departed;
-  __isset = other194.__isset;
+PlaceSync::PlaceSync(const PlaceSync& other202) {
+  service_name = other202.service_name;
+  running = other202.running;
+  elsewhere = other202.elsewhere;
+  departed = other202.departed;
+  __isset = other202.__isset;
 }
-PlaceSync& PlaceSync::operator=(const PlaceSync& other195) {
-  service_name = other195.service_name;
-  running = other195.running;
-  elsewhere = other195.elsewhere;
-  departed = other195.departed;
-  __isset = other195.__isset;
+PlaceSync& PlaceSync::operator=(const PlaceSync& other203) {
+  service_name = other203.service_name;
+  running = other203.running;
+  elsewhere = other203.elsewhere;
+  departed = other203.departed;
+  __isset = other203.__isset;
   return *this;
 }
 void PlaceSync::printTo(std::ostream& out) const {
@@ -6129,17 +6303,17 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetRest::TargetRest(const TargetRest& other196) {
-  service_name = other196.service_name;
-  target = other196.target;
-  rest_ms = other196.rest_ms;
-  __isset = other196.__isset;
+TargetRest::TargetRest(const TargetRest& other204) {
+  service_name = other204.service_name;
+  target = other204.target;
+  rest_ms = other204.rest_ms;
+  __isset = other204.__isset;
 }
-TargetRest& TargetRest::operator=(const TargetRest& other197) {
-  service_name = other197.service_name;
-  target = other197.target;
-  rest_ms = other197.rest_ms;
-  __isset = other197.__isset;
+TargetRest& TargetRest::operator=(const TargetRest& other205) {
+  service_name = other205.service_name;
+  target = other205.target;
+  rest_ms = other205.rest_ms;
+  __isset = other205.__isset;
   return *this;
 }
 void TargetRest::printTo(std::ostream& out) const {
@@ -6297,21 +6471,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetLimit::TargetLimit(const TargetLimit& other198) {
-  service_name = other198.service_name;
-  target = other198.target;
-  born = other198.born;
-  rate = other198.rate;
-  count = other198.count;
-  __isset = other198.__isset;
-}
-TargetLimit& TargetLimit::operator=(const TargetLimit& other199) {
-  service_name = other199.service_name;
-  target = other199.target;
-  born = other199.born;
-  rate = other199.rate;
-  count = other199.count;
-  __isset = other199.__isset;
+TargetLimit::TargetLimit(const TargetLimit& other206) {
+  service_name = other206.service_name;
+  target = other206.target;
+  born = other206.born;
+  rate = other206.rate;
+  count = other206.count;
+  __isset = other206.__isset;
+}
+TargetLimit& TargetLimit::operator=(const TargetLimit& other207) {
+  service_name = other207.service_name;
+  target = other207.target;
+  born = other207.born;
+  rate = other207.rate;
+  count = other207.count;
+  __isset = other207.__isset;
   return *this;
 }
 void TargetLimit::printTo(std::ostream& out) const {
@@ -6389,14 +6563,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size200;
-            ::apache::thrift::protocol::TType _etype203;
-            xfer += iprot->readListBegin(_etype203, _size200);
-            this->parts.resize(_size200);
-            uint32_t _i204;
-            for (_i204 = 0; _i204 < _size200; ++_i204)
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->parts.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
             {
-              xfer += iprot->readI64(this->parts[_i204]);
+              xfer += iprot->readI64(this->parts[_i212]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6433,10 +6607,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter205;
-    for (_iter205 = this->parts.begin(); _iter205 != this->parts.end(); ++_iter205)
+    std::vector<int64_t> ::const_iterator _iter213;
+    for (_iter213 = this->parts.begin(); _iter213 != this->parts.end(); ++_iter213)
     {
-      xfer += oprot->writeI64((*_iter205));
+      xfer += oprot->writeI64((*_iter213));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6455,17 +6629,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestSubjects::RequestSubjects(const RequestSubjects& other206) {
-  request = other206.request;
-  account = other206.account;
-  parts = other206.parts;
-  __isset = other206.__isset;
+RequestSubjects::RequestSubjects(const RequestSubjects& other214) {
+  request = other214.request;
+  account = other214.account;
+  parts = other214.parts;
+  __isset = other214.__isset;
 }
-RequestSubjects& RequestSubjects::operator=(const RequestSubjects& other207) {
-  request = other207.request;
-  account = other207.account;
-  parts = other207.parts;
-  __isset = other207.__isset;
+RequestSubjects& RequestSubjects::operator=(const RequestSubjects& other215) {
+  request = other215.request;
+  account = other215.account;
+  parts = other215.parts;
+  __isset = other215.__isset;
   return *this;
 }
 void RequestSubjects::printTo(std::ostream& out) const {
@@ -6565,14 +6739,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size208;
-            ::apache::thrift::protocol::TType _etype211;
-            xfer += iprot->readListBegin(_etype211, _size208);
-            this->requests.resize(_size208);
-            uint32_t _i212;
-            for (_i212 = 0; _i212 < _size208; ++_i212)
+            uint32_t _size216;
+            ::apache::thrift::protocol::TType _etype219;
+            xfer += iprot->readListBegin(_etype219, _size216);
+            this->requests.resize(_size216);
+            uint32_t _i220;
+            for (_i220 = 0; _i220 < _size216; ++_i220)
             {
-              xfer += this->requests[_i212].read(iprot);
+              xfer += this->requests[_i220].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6617,10 +6791,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<RequestSubjects> ::const_iterator _iter213;
-    for (_iter213 = this->requests.begin(); _iter213 != this->requests.end(); ++_iter213)
+    std::vector<RequestSubjects> ::const_iterator _iter221;
+    for (_iter221 = this->requests.begin(); _iter221 != this->requests.end(); ++_iter221)
     {
-      xfer += (*_iter213).write(oprot);
+      xfer += (*_iter221).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6641,21 +6815,21 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other214) {
-  service_name = other214.service_name;
-  target = other214.target;
-  born = other214.born;
-  age_ms = other214.age_ms;
-  requests = other214.requests;
-  __isset = other214.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other215) {
-  service_name = other215.service_name;
-  target = other215.target;
-  born = other215.born;
-  age_ms = other215.age_ms;
-  requests = other215.requests;
-  __isset = other215.__isset;
+CrashReport::CrashReport(const CrashReport& other222) {
+  service_name = other222.service_name;
+  target = other222.target;
+  born = other222.born;
+  age_ms = other222.age_ms;
+  requests = other222.requests;
+  __isset = other222.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other223) {
+  service_name = other223.service_name;
+  target = other223.target;
+  born = other223.born;
+  age_ms = other223.age_ms;
+  requests = other223.requests;
+  __isset = other223.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -6762,15 +6936,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Acquittal::Acquittal(const Acquittal& other216) noexcept {
-  subject = other216.subject;
-  age_ms = other216.age_ms;
-  __isset = other216.__isset;
+Acquittal::Acquittal(const Acquittal& other224) noexcept {
+  subject = other224.subject;
+  age_ms = other224.age_ms;
+  __isset = other224.__isset;
 }
-Acquittal& Acquittal::operator=(const Acquittal& other217) noexcept {
-  subject = other217.subject;
-  age_ms = other217.age_ms;
-  __isset = other217.__isset;
+Acquittal& Acquittal::operator=(const Acquittal& other225) noexcept {
+  subject = other225.subject;
+  age_ms = other225.age_ms;
+  __isset = other225.__isset;
   return *this;
 }
 void Acquittal::printTo(std::ostream& out) const {
@@ -6845,14 +7019,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->subjects.clear();
-            uint32_t _size218;
-            ::apache::thrift::protocol::TType _etype221;
-            xfer += iprot->readListBegin(_etype221, _size218);
-            this->subjects.resize(_size218);
-            uint32_t _i222;
-            for (_i222 = 0; _i222 < _size218; ++_i222)
+            uint32_t _size226;
+            ::apache::thrift::protocol::TType _etype229;
+            xfer += iprot->readListBegin(_etype229, _size226);
+            this->subjects.resize(_size226);
+            uint32_t _i230;
+            for (_i230 = 0; _i230 < _size226; ++_i230)
             {
-              xfer += iprot->readI64(this->subjects[_i222]);
+              xfer += iprot->readI64(this->subjects[_i230]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6865,14 +7039,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size223;
-            ::apache::thrift::protocol::TType _etype226;
-            xfer += iprot->readListBegin(_etype226, _size223);
-            this->accounts.resize(_size223);
-            uint32_t _i227;
-            for (_i227 = 0; _i227 < _size223; ++_i227)
+            uint32_t _size231;
+            ::apache::thrift::protocol::TType _etype234;
+            xfer += iprot->readListBegin(_etype234, _size231);
+            this->accounts.resize(_size231);
+            uint32_t _i235;
+            for (_i235 = 0; _i235 < _size231; ++_i235)
             {
-              xfer += iprot->readI64(this->accounts[_i227]);
+              xfer += iprot->readI64(this->accounts[_i235]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6901,14 +7075,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size228;
-            ::apache::thrift::protocol::TType _etype231;
-            xfer += iprot->readListBegin(_etype231, _size228);
-            this->targets.resize(_size228);
-            uint32_t _i232;
-            for (_i232 = 0; _i232 < _size228; ++_i232)
+            uint32_t _size236;
+            ::apache::thrift::protocol::TType _etype239;
+            xfer += iprot->readListBegin(_etype239, _size236);
+            this->targets.resize(_size236);
+            uint32_t _i240;
+            for (_i240 = 0; _i240 < _size236; ++_i240)
             {
-              xfer += iprot->readString(this->targets[_i232]);
+              xfer += iprot->readString(this->targets[_i240]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6953,10 +7127,10 @@
   xfer += oprot->writeFieldBegin("subjects", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->subjects.size()));
-    std::vector<int64_t> ::const_iterator _iter233;
-    for (_iter233 = this->subjects.begin(); _iter233 != this->subjects.end(); ++_iter233)
+    std::vector<int64_t> ::const_iterator _iter241;
+    for (_iter241 = this->subjects.begin(); _iter241 != this->subjects.end(); ++_iter241)
     {
-      xfer += oprot->writeI64((*_iter233));
+      xfer += oprot->writeI64((*_iter241));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6965,10 +7139,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<int64_t> ::const_iterator _iter234;
-    for (_iter234 = this->accounts.begin(); _iter234 != this->accounts.end(); ++_iter234)
+    std::vector<int64_t> ::const_iterator _iter242;
+    for (_iter242 = this->accounts.begin(); _iter242 != this->accounts.end(); ++_iter242)
     {
-      xfer += oprot->writeI64((*_iter234));
+      xfer += oprot->writeI64((*_iter242));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6985,10 +7159,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->targets.size()));
-    std::vector<std::string> ::const_iterator _iter235;
-    for (_iter235 = this->targets.begin(); _iter235 != this->targets.end(); ++_iter235)
+    std::vector<std::string> ::const_iterator _iter243;
+    for (_iter243 = this->targets.begin(); _iter243 != this->targets.end(); ++_iter243)
     {
-      xfer += oprot->writeString((*_iter235));
+      xfer += oprot->writeString((*_iter243));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7019,25 +7193,25 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashVerdict::CrashVerdict(const CrashVerdict& other236) {
-  subjects = other236.subjects;
-  accounts = other236.accounts;
-  first_crash_age_ms = other236.first_crash_age_ms;
-  last_crash_age_ms = other236.last_crash_age_ms;
-  targets = other236.targets;
-  trials = other236.trials;
-  next_trial_ms = other236.next_trial_ms;
-  __isset = other236.__isset;
-}
-CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other237) {
-  subjects = other237.subjects;
-  accounts = other237.accounts;
-  first_crash_age_ms = other237.first_crash_age_ms;
-  last_crash_age_ms = other237.last_crash_age_ms;
-  targets = other237.targets;
-  trials = other237.trials;
-  next_trial_ms = other237.next_trial_ms;
-  __isset = other237.__isset;
+CrashVerdict::CrashVerdict(const CrashVerdict& other244) {
+  subjects = other244.subjects;
+  accounts = other244.accounts;
+  first_crash_age_ms = other244.first_crash_age_ms;
+  last_crash_age_ms = other244.last_crash_age_ms;
+  targets = other244.targets;
+  trials = other244.trials;
+  next_trial_ms = other244.next_trial_ms;
+  __isset = other244.__isset;
+}
+CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other245) {
+  subjects = other245.subjects;
+  accounts = other245.accounts;
+  first_crash_age_ms = other245.first_crash_age_ms;
+  last_crash_age_ms = other245.last_crash_age_ms;
+  targets = other245.targets;
+  trials = other245.trials;
+  next_trial_ms = other245.next_trial_ms;
+  __isset = other245.__isset;
   return *this;
 }
 void CrashVerdict::printTo(std::ostream& out) const {
@@ -7105,14 +7279,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size238;
-            ::apache::thrift::protocol::TType _etype241;
-            xfer += iprot->readListBegin(_etype241, _size238);
-            this->crashes.resize(_size238);
-            uint32_t _i242;
-            for (_i242 = 0; _i242 < _size238; ++_i242)
+            uint32_t _size246;
+            ::apache::thrift::protocol::TType _etype249;
+            xfer += iprot->readListBegin(_etype249, _size246);
+            this->crashes.resize(_size246);
+            uint32_t _i250;
+            for (_i250 = 0; _i250 < _size246; ++_i250)
             {
-              xfer += this->crashes[_i242].read(iprot);
+              xfer += this->crashes[_i250].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7125,14 +7299,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acquittals.clear();
-            uint32_t _size243;
-            ::apache::thrift::protocol::TType _etype246;
-            xfer += iprot->readListBegin(_etype246, _size243);
-            this->acquittals.resize(_size243);
-            uint32_t _i247;
-            for (_i247 = 0; _i247 < _size243; ++_i247)
+            uint32_t _size251;
+            ::apache::thrift::protocol::TType _etype254;
+            xfer += iprot->readListBegin(_etype254, _size251);
+            this->acquittals.resize(_size251);
+            uint32_t _i255;
+            for (_i255 = 0; _i255 < _size251; ++_i255)
             {
-              xfer += this->acquittals[_i247].read(iprot);
+              xfer += this->acquittals[_i255].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7145,14 +7319,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size248;
-            ::apache::thrift::protocol::TType _etype251;
-            xfer += iprot->readListBegin(_etype251, _size248);
-            this->verdicts.resize(_size248);
-            uint32_t _i252;
-            for (_i252 = 0; _i252 < _size248; ++_i252)
+            uint32_t _size256;
+            ::apache::thrift::protocol::TType _etype259;
+            xfer += iprot->readListBegin(_etype259, _size256);
+            this->verdicts.resize(_size256);
+            uint32_t _i260;
+            for (_i260 = 0; _i260 < _size256; ++_i260)
             {
-              xfer += this->verdicts[_i252].read(iprot);
+              xfer += this->verdicts[_i260].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7189,10 +7363,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter253;
-    for (_iter253 = this->crashes.begin(); _iter253 != this->crashes.end(); ++_iter253)
+    std::vector<CrashReport> ::const_iterator _iter261;
+    for (_iter261 = this->crashes.begin(); _iter261 != this->crashes.end(); ++_iter261)
     {
-      xfer += (*_iter253).write(oprot);
+      xfer += (*_iter261).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7201,10 +7375,10 @@
   xfer += oprot->writeFieldBegin("acquittals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acquittals.size()));
-    std::vector<Acquittal> ::const_iterator _iter254;
-    for (_iter254 = this->acquittals.begin(); _iter254 != this->acquittals.end(); ++_iter254)
+    std::vector<Acquittal> ::const_iterator _iter262;
+    for (_iter262 = this->acquittals.begin(); _iter262 != this->acquittals.end(); ++_iter262)
     {
-      xfer += (*_iter254).write(oprot);
+      xfer += (*_iter262).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7213,10 +7387,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<CrashVerdict> ::const_iterator _iter255;
-    for (_iter255 = this->verdicts.begin(); _iter255 != this->verdicts.end(); ++_iter255)
+    std::vector<CrashVerdict> ::const_iterator _iter263;
+    for (_iter263 = this->verdicts.begin(); _iter263 != this->verdicts.end(); ++_iter263)
     {
-      xfer += (*_iter255).write(oprot);
+      xfer += (*_iter263).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7240,19 +7414,19 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNews::CrashNews(const CrashNews& other256) {
-  crashes = other256.crashes;
-  acquittals = other256.acquittals;
-  verdicts = other256.verdicts;
-  wanted = other256.wanted;
-  __isset = other256.__isset;
+CrashNews::CrashNews(const CrashNews& other264) {
+  crashes = other264.crashes;
+  acquittals = other264.acquittals;
+  verdicts = other264.verdicts;
+  wanted = other264.wanted;
+  __isset = other264.__isset;
 }
-CrashNews& CrashNews::operator=(const CrashNews& other257) {
-  crashes = other257.crashes;
-  acquittals = other257.acquittals;
-  verdicts = other257.verdicts;
-  wanted = other257.wanted;
-  __isset = other257.__isset;
+CrashNews& CrashNews::operator=(const CrashNews& other265) {
+  crashes = other265.crashes;
+  acquittals = other265.acquittals;
+  verdicts = other265.verdicts;
+  wanted = other265.wanted;
+  __isset = other265.__isset;
   return *this;
 }
 void CrashNews::printTo(std::ostream& out) const {
@@ -7358,14 +7532,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size258;
-            ::apache::thrift::protocol::TType _etype261;
-            xfer += iprot->readListBegin(_etype261, _size258);
-            this->asks.resize(_size258);
-            uint32_t _i262;
-            for (_i262 = 0; _i262 < _size258; ++_i262)
+            uint32_t _size266;
+            ::apache::thrift::protocol::TType _etype269;
+            xfer += iprot->readListBegin(_etype269, _size266);
+            this->asks.resize(_size266);
+            uint32_t _i270;
+            for (_i270 = 0; _i270 < _size266; ++_i270)
             {
-              xfer += this->asks[_i262].read(iprot);
+              xfer += this->asks[_i270].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7378,14 +7552,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size263;
-            ::apache::thrift::protocol::TType _etype266;
-            xfer += iprot->readListBegin(_etype266, _size263);
-            this->answers.resize(_size263);
-            uint32_t _i267;
-            for (_i267 = 0; _i267 < _size263; ++_i267)
+            uint32_t _size271;
+            ::apache::thrift::protocol::TType _etype274;
+            xfer += iprot->readListBegin(_etype274, _size271);
+            this->answers.resize(_size271);
+            uint32_t _i275;
+            for (_i275 = 0; _i275 < _size271; ++_i275)
             {
-              xfer += this->answers[_i267].read(iprot);
+              xfer += this->answers[_i275].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7398,14 +7572,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notes.clear();
-            uint32_t _size268;
-            ::apache::thrift::protocol::TType _etype271;
-            xfer += iprot->readListBegin(_etype271, _size268);
-            this->notes.resize(_size268);
-            uint32_t _i272;
-            for (_i272 = 0; _i272 < _size268; ++_i272)
+            uint32_t _size276;
+            ::apache::thrift::protocol::TType _etype279;
+            xfer += iprot->readListBegin(_etype279, _size276);
+            this->notes.resize(_size276);
+            uint32_t _i280;
+            for (_i280 = 0; _i280 < _size276; ++_i280)
             {
-              xfer += this->notes[_i272].read(iprot);
+              xfer += this->notes[_i280].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7418,14 +7592,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->syncs.clear();
-            uint32_t _size273;
-            ::apache::thrift::protocol::TType _etype276;
-            xfer += iprot->readListBegin(_etype276, _size273);
-            this->syncs.resize(_size273);
-            uint32_t _i277;
-            for (_i277 = 0; _i277 < _size273; ++_i277)
+            uint32_t _size281;
+            ::apache::thrift::protocol::TType _etype284;
+            xfer += iprot->readListBegin(_etype284, _size281);
+            this->syncs.resize(_size281);
+            uint32_t _i285;
+            for (_i285 = 0; _i285 < _size281; ++_i285)
             {
-              xfer += this->syncs[_i277].read(iprot);
+              xfer += this->syncs[_i285].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7438,14 +7612,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size278;
-            ::apache::thrift::protocol::TType _etype281;
-            xfer += iprot->readListBegin(_etype281, _size278);
-            this->leaving.resize(_size278);
-            uint32_t _i282;
-            for (_i282 = 0; _i282 < _size278; ++_i282)
+            uint32_t _size286;
+            ::apache::thrift::protocol::TType _etype289;
+            xfer += iprot->readListBegin(_etype289, _size286);
+            this->leaving.resize(_size286);
+            uint32_t _i290;
+            for (_i290 = 0; _i290 < _size286; ++_i290)
             {
-              xfer += this->leaving[_i282].read(iprot);
+              xfer += this->leaving[_i290].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7458,14 +7632,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rests.clear();
-            uint32_t _size283;
-            ::apache::thrift::protocol::TType _etype286;
-            xfer += iprot->readListBegin(_etype286, _size283);
-            this->rests.resize(_size283);
-            uint32_t _i287;
-            for (_i287 = 0; _i287 < _size283; ++_i287)
+            uint32_t _size291;
+            ::apache::thrift::protocol::TType _etype294;
+            xfer += iprot->readListBegin(_etype294, _size291);
+            this->rests.resize(_size291);
+            uint32_t _i295;
+            for (_i295 = 0; _i295 < _size291; ++_i295)
             {
-              xfer += this->rests[_i287].read(iprot);
+              xfer += this->rests[_i295].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7478,14 +7652,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size288;
-            ::apache::thrift::protocol::TType _etype291;
-            xfer += iprot->readListBegin(_etype291, _size288);
-            this->limits.resize(_size288);
-            uint32_t _i292;
-            for (_i292 = 0; _i292 < _size288; ++_i292)
+            uint32_t _size296;
+            ::apache::thrift::protocol::TType _etype299;
+            xfer += iprot->readListBegin(_etype299, _size296);
+            this->limits.resize(_size296);
+            uint32_t _i300;
+            for (_i300 = 0; _i300 < _size296; ++_i300)
             {
-              xfer += this->limits[_i292].read(iprot);
+              xfer += this->limits[_i300].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7530,10 +7704,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter293;
-    for (_iter293 = this->asks.begin(); _iter293 != this->asks.end(); ++_iter293)
+    std::vector<PlaceAsk> ::const_iterator _iter301;
+    for (_iter301 = this->asks.begin(); _iter301 != this->asks.end(); ++_iter301)
     {
-      xfer += (*_iter293).write(oprot);
+      xfer += (*_iter301).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7542,10 +7716,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter294;
-    for (_iter294 = this->answers.begin(); _iter294 != this->answers.end(); ++_iter294)
+    std::vector<PlaceAnswer> ::const_iterator _iter302;
+    for (_iter302 = this->answers.begin(); _iter302 != this->answers.end(); ++_iter302)
     {
-      xfer += (*_iter294).write(oprot);
+      xfer += (*_iter302).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7554,10 +7728,10 @@
   xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
-    std::vector<PlaceNote> ::const_iterator _iter295;
-    for (_iter295 = this->notes.begin(); _iter295 != this->notes.end(); ++_iter295)
+    std::vector<PlaceNote> ::const_iterator _iter303;
+    for (_iter303 = this->notes.begin(); _iter303 != this->notes.end(); ++_iter303)
     {
-      xfer += (*_iter295).write(oprot);
+      xfer += (*_iter303).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7566,10 +7740,10 @@
   xfer += oprot->writeFieldBegin("syncs", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->syncs.size()));
-    std::vector<PlaceSync> ::const_iterator _iter296;
-    for (_iter296 = this->syncs.begin(); _iter296 != this->syncs.end(); ++_iter296)
+    std::vector<PlaceSync> ::const_iterator _iter304;
+    for (_iter304 = this->syncs.begin(); _iter304 != this->syncs.end(); ++_iter304)
     {
-      xfer += (*_iter296).write(oprot);
+      xfer += (*_iter304).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7578,10 +7752,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<TargetMark> ::const_iterator _iter297;
-    for (_iter297 = this->leaving.begin(); _iter297 != this->leaving.end(); ++_iter297)
+    std::vector<TargetMark> ::const_iterator _iter305;
+    for (_iter305 = this->leaving.begin(); _iter305 != this->leaving.end(); ++_iter305)
     {
-      xfer += (*_iter297).write(oprot);
+      xfer += (*_iter305).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7590,10 +7764,10 @@
   xfer += oprot->writeFieldBegin("rests", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rests.size()));
-    std::vector<TargetRest> ::const_iterator _iter298;
-    for (_iter298 = this->rests.begin(); _iter298 != this->rests.end(); ++_iter298)
+    std::vector<TargetRest> ::const_iterator _iter306;
+    for (_iter306 = this->rests.begin(); _iter306 != this->rests.end(); ++_iter306)
     {
-      xfer += (*_iter298).write(oprot);
+      xfer += (*_iter306).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7602,10 +7776,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<TargetLimit> ::const_iterator _iter299;
-    for (_iter299 = this->limits.begin(); _iter299 != this->limits.end(); ++_iter299)
+    std::vector<TargetLimit> ::const_iterator _iter307;
+    for (_iter307 = this->limits.begin(); _iter307 != this->limits.end(); ++_iter307)
     {
-      xfer += (*_iter299).write(oprot);
+      xfer += (*_iter307).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7636,31 +7810,31 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceDatagram::PlaceDatagram(const PlaceDatagram& other300) {
-  sender = other300.sender;
-  incarnation = other300.incarnation;
-  asks = other300.asks;
-  answers = other300.answers;
-  notes = other300.notes;
-  syncs = other300.syncs;
-  leaving = other300.leaving;
-  rests = other300.rests;
-  limits = other300.limits;
-  crash_news = other300.crash_news;
-  __isset = other300.__isset;
-}
-PlaceDatagram& PlaceDatagram::operator=(const PlaceDatagram& other301) {
-  sender = other301.sender;
-  incarnation = other301.incarnation;
-  asks = other301.asks;
-  answers = other301.answers;
-  notes = other301.notes;
-  syncs = other301.syncs;
-  leaving = other301.leaving;
-  rests = other301.rests;
-  limits = other301.limits;
-  crash_news = other301.crash_news;
-  __isset = other301.__isset;
+PlaceDatagram::PlaceDatagram(const PlaceDatagram& other308) {
+  sender = other308.sender;
+  incarnation = other308.incarnation;
+  asks = other308.asks;
+  answers = other308.answers;
+  notes = other308.notes;
+  syncs = other308.syncs;
+  leaving = other308.leaving;
+  rests = other308.rests;
+  limits = other308.limits;
+  crash_news = other308.crash_news;
+  __isset = other308.__isset;
+}
+PlaceDatagram& PlaceDatagram::operator=(const PlaceDatagram& other309) {
+  sender = other309.sender;
+  incarnation = other309.incarnation;
+  asks = other309.asks;
+  answers = other309.answers;
+  notes = other309.notes;
+  syncs = other309.syncs;
+  leaving = other309.leaving;
+  rests = other309.rests;
+  limits = other309.limits;
+  crash_news = other309.crash_news;
+  __isset = other309.__isset;
   return *this;
 }
 void PlaceDatagram::printTo(std::ostream& out) const {
@@ -7772,15 +7946,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CarriedField::CarriedField(const CarriedField& other302) {
-  name = other302.name;
-  value = other302.value;
-  __isset = other302.__isset;
+CarriedField::CarriedField(const CarriedField& other310) {
+  name = other310.name;
+  value = other310.value;
+  __isset = other310.__isset;
 }
-CarriedField& CarriedField::operator=(const CarriedField& other303) {
-  name = other303.name;
-  value = other303.value;
-  __isset = other303.__isset;
+CarriedField& CarriedField::operator=(const CarriedField& other311) {
+  name = other311.name;
+  value = other311.value;
+  __isset = other311.__isset;
   return *this;
 }
 void CarriedField::printTo(std::ostream& out) const {
@@ -7939,14 +8113,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fields.clear();
-            uint32_t _size304;
-            ::apache::thrift::protocol::TType _etype307;
-            xfer += iprot->readListBegin(_etype307, _size304);
-            this->fields.resize(_size304);
-            uint32_t _i308;
-            for (_i308 = 0; _i308 < _size304; ++_i308)
+            uint32_t _size312;
+            ::apache::thrift::protocol::TType _etype315;
+            xfer += iprot->readListBegin(_etype315, _size312);
+            this->fields.resize(_size312);
+            uint32_t _i316;
+            for (_i316 = 0; _i316 < _size312; ++_i316)
             {
-              xfer += this->fields[_i308].read(iprot);
+              xfer += this->fields[_i316].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8011,10 +8185,10 @@
   xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fields.size()));
-    std::vector<CarriedField> ::const_iterator _iter309;
-    for (_iter309 = this->fields.begin(); _iter309 != this->fields.end(); ++_iter309)
+    std::vector<CarriedField> ::const_iterator _iter317;
+    for (_iter317 = this->fields.begin(); _iter317 != this->fields.end(); ++_iter317)
     {
-      xfer += (*_iter309).write(oprot);
+      xfer += (*_iter317).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8040,31 +8214,31 @@
   swap(a.__isset, b.__isset);
 }
 
-CarryHead::CarryHead(const CarryHead& other310) {
-  sender = other310.sender;
-  request = other310.request;
-  service_name = other310.service_name;
-  address = other310.address;
-  progress_ms = other310.progress_ms;
-  idle_limit_ms = other310.idle_limit_ms;
-  probe_silence = other310.probe_silence;
-  method = other310.method;
-  target = other310.target;
-  fields = other310.fields;
-  __isset = other310.__isset;
-}
-CarryHead& CarryHead::operator=(const CarryHead& other311) {
-  sender = other311.sender;
-  request = other311.request;
-  service_name = other311.service_name;
-  address = other311.address;
-  progress_ms = other311.progress_ms;
-  idle_limit_ms = other311.idle_limit_ms;
-  probe_silence = other311.probe_silence;
-  method = other311.method;
-  target = other311.target;
-  fields = other311.fields;
-  __isset = other311.__isset;
+CarryHead::CarryHead(const CarryHead& other318) {
+  sender = other318.sender;
+  request = other318.request;
+  service_name = other318.service_name;
+  address = other318.address;
+  progress_ms = other318.progress_ms;
+  idle_limit_ms = other318.idle_limit_ms;
+  probe_silence = other318.probe_silence;
+  method = other318.method;
+  target = other318.target;
+  fields = other318.fields;
+  __isset = other318.__isset;
+}
+CarryHead& CarryHead::operator=(const CarryHead& other319) {
+  sender = other319.sender;
+  request = other319.request;
+  service_name = other319.service_name;
+  address = other319.address;
+  progress_ms = other319.progress_ms;
+  idle_limit_ms = other319.idle_limit_ms;
+  probe_silence = other319.probe_silence;
+  method = other319.method;
+  target = other319.target;
+  fields = other319.fields;
+  __isset = other319.__isset;
   return *this;
 }
 void CarryHead::printTo(std::ostream& out) const {
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -27,6 +27,8 @@
 
 class SuspectMark;
 
+class EvacuationState;
+
 class Datagram;
 
 class AttemptId;
@@ -333,8 +335,64 @@
 
 std::ostream& operator<<(std::ostream& out, const SuspectMark& obj);
 
+typedef struct _EvacuationState__isset {
+  _EvacuationState__isset() : era(false), revision(false), domains(false) {}
+  bool era :1;
+  bool revision :1;
+  bool domains :1;
+} _EvacuationState__isset;
+
+class EvacuationState : public virtual ::apache::thrift::TBase {
+ public:
+
+  EvacuationState(const EvacuationState&);
+  EvacuationState& operator=(const EvacuationState&);
+  EvacuationState() noexcept
+                  : era(0),
+                    revision(0) {
+  }
+
+  virtual ~EvacuationState() noexcept;
+  int64_t era;
+  int64_t revision;
+  std::vector<std::string>  domains;
+
+  _EvacuationState__isset __isset;
+
+  void __set_era(const int64_t val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_domains(const std::vector<std::string> & val);
+
+  bool operator == (const EvacuationState & rhs) const
+  {
+    if (!(era == rhs.era))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(domains == rhs.domains))
+      return false;
+    return true;
+  }
+  bool operator != (const EvacuationState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EvacuationState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EvacuationState &a, EvacuationState &b);
+
+std::ostream& operator<<(std::ostream& out, const EvacuationState& obj);
+
 typedef struct _Datagram__isset {
-  _Datagram__isset() : kind(false), sender(false), sequence(false), subject(false), generation(false), load(false), config_generation(false), config_hash(false), claim_ids(false), claim_marks(false), claim_loads(false), claim_lags(false), records(false), wanted(false), targets(false), suspects(false), store_era(false) {}
+  _Datagram__isset() : kind(false), sender(false), sequence(false), subject(false), generation(false), load(false), config_generation(false), config_hash(false), claim_ids(false), claim_marks(false), claim_loads(false), claim_lags(false), records(false), wanted(false), targets(false), suspects(false), store_era(false), evacuations(false) {}
   bool kind :1;
   bool sender :1;
   bool sequence :1;
@@ -352,6 +410,7 @@
   bool targets :1;
   bool suspects :1;
   bool store_era :1;
+  bool evacuations :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -390,6 +449,7 @@
   std::vector<TargetMark>  targets;
   std::vector<SuspectMark>  suspects;
   int64_t store_era;
+  EvacuationState evacuations;
 
   _Datagram__isset __isset;
 
@@ -427,6 +487,8 @@
 
   void __set_store_era(const int64_t val);
 
+  void __set_evacuations(const EvacuationState& val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -477,6 +539,10 @@
       return false;
     else if (__isset.store_era && !(store_era == rhs.store_era))
       return false;
+    if (__isset.evacuations != rhs.__isset.evacuations)
+      return false;
+    else if (__isset.evacuations && !(evacuations == rhs.evacuations))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
