In large fleets a few hosts read the store for all

Cause: at 88 hosts calls to the store were the largest price: each change was read by each host. Change: in fleets of over 48 hosts some read the store, the others hear of changes from peers and check it rarely.

--- a/include/comfreyflow/announced-document.h
+++ b/include/comfreyflow/announced-document.h
@@ -21,8 +21,10 @@
 class AnnouncedDocument {
  public:
   /// `store_wait`: how long the store's watch may take to deliver an announced
-  /// document before a peer is asked for it.
-  explicit AnnouncedDocument(Duration store_wait) : store_wait_(store_wait) {}
+  /// document before a peer is asked for it. `spread`: added, different between
+  /// hosts.
+  explicit AnnouncedDocument(Duration store_wait, Duration spread = {})
+      : store_wait_(store_wait), spread_(spread) {}
 
   /// Records that the peer `host` has the document `generation` in force, while
   /// this host has `in_force`.
@@ -31,14 +33,21 @@
   /// Whether this host, which started with an earlier document than a peer has
   /// in force, must not serve requests by it yet.
   bool MustNotServe(std::uint64_t in_force, Time now);
-  /// The peer to request the document from now, if any.
+  /// The peer to request the document from now, if any. A host that is passive,
+  /// and so does not watch the store, waits for the spread only.
   std::optional<HostName> PeerToAsk(std::uint64_t in_force,
-                                    bool store_reachable, Time now) const;
+                                    bool store_reachable, bool is_passive,
+                                    Time now) const;
+  std::optional<HostName> PeerToAsk(std::uint64_t in_force,
+                                    bool store_reachable, Time now) const {
+    return PeerToAsk(in_force, store_reachable, false, now);
+  }
   /// How long a host that starts waits for a document that a peer announced.
   static constexpr Duration kMaxStartWait = std::chrono::seconds(3);
 
  private:
   const Duration store_wait_;
+  const Duration spread_;
   std::uint64_t latest_ = 0;  ///< Highest announced generation.
   HostName host_;             ///< The peer that last announced `latest_`.
   /// The generation whose announcement started the current wait, and the time
--- a/include/comfreyflow/follow-plan.h
+++ b/include/comfreyflow/follow-plan.h
@@ -14,6 +14,7 @@
 #include <random>
 #include <vector>
 
+#include "comfreyflow/store-readers.h"
 #include "comfreyflow/store-version.h"
 #include "comfreyflow/types.h"
 
@@ -26,6 +27,8 @@
   /// other hosts, or if every change carries the full document of the kind, so
   /// that several changes in one answer would saturate a small host's link.
   bool needs_short_pause = false;
+  /// Whether this host follows the store by itself.
+  StoreRole role = StoreRole::kOneOfAll;
 };
 
 /// Minimum time between an answer that contained changes and the next watch of
@@ -56,7 +59,15 @@
 
   /// The kind's next call; absent if the kind waits until the store is
   /// reachable again.
-  std::optional<Step> Next(std::size_t kind, std::size_t hosts);
+  std::optional<Step> Next(std::size_t kind, std::size_t hosts) {
+    return Next(kind, FleetInfo{hosts});
+  }
+  std::optional<Step> Next(std::size_t kind, const FleetInfo& fleet);
+  /// For a kind whose complete state peers tell: how long this host makes no
+  /// call and then asks again. Absent if a call is due, because this host reads
+  /// the store or has not checked it for a while.
+  std::optional<Duration> RestTime(std::size_t kind, const FleetInfo& fleet,
+                                   Time now);
   /// The kind was listed at `version`.
   Effect Listed(std::size_t kind, const StoreVersion& version);
   /// A watch was answered at `version`; `has_changes` if it contained changes.
@@ -68,9 +79,9 @@
   /// The call got no answer, or was refused.
   Effect Failed(std::size_t kind);
   /// Reports that the local copy of the kind is older than the store's. Returns
-  /// true if the open call is a watch that may wait; the caller then abandons
-  /// it and makes the next call. Otherwise the open call returns without
-  /// waiting.
+  /// true if the open call is a watch that may wait, or if the host makes no
+  /// call at present; the caller then abandons the watch and makes the next
+  /// call. Otherwise the open call returns without waiting.
   bool Behind(std::size_t kind);
   /// A kind whose open call has to be abandoned. Its next step, a list, is due
   /// after `wait`.
@@ -106,6 +117,8 @@
     /// The last watch was abandoned or got no answer; the next call must not
     /// wait, so that it shows whether the store answers.
     bool needs_check = false;
+    /// Until when a passive host makes no call.
+    std::optional<Time> rests_until;
     /// Consecutive watches that got no answer.
     std::uint32_t failed_watches = 0;
     StoreVersion version;
@@ -117,7 +130,7 @@
   /// the fleet do not come at once.
   Duration DrawSpread(std::size_t hosts);
   /// Draws the time for which the next watch waits.
-  Duration WatchTime(std::size_t hosts);
+  Duration WatchTime(const FleetInfo& fleet);
 
   std::vector<Kind> kinds_;
   /// Consecutive failures of calls that did not wait.
@@ -141,6 +154,11 @@
 /// Mean time between two lists of a kind by the hosts of a fleet after a change
 /// of the store's era.
 inline constexpr Duration kRelistSpacing = std::chrono::milliseconds(2);
+/// A passive host checks a kind that peers tell this often, so that it does not
+/// depend on them alone.
+inline constexpr Duration kPassiveCheckInterval = std::chrono::seconds(60);
+/// A passive host asks this often whether it has become a reader.
+inline constexpr Duration kRoleCheckInterval = std::chrono::milliseconds(250);
 /// Maximum time for which any watch waits.
 inline constexpr Duration kMaxWatchTime = std::chrono::seconds(30);
 
--- a/include/comfreyflow/holder.h
+++ b/include/comfreyflow/holder.h
@@ -34,6 +34,8 @@
   /// The host is shutting down or has no configuration yet.
   bool is_unavailable = false;
   bool is_detached = false;  ///< The host cannot reach the store.
+  /// Only such a host knows whether it reaches the store.
+  bool reads_store = true;
 };
 
 /// Determines which live hosts may hold placers. A host that is cut off from
--- /dev/null
+++ b/include/comfreyflow/store-readers.h
@@ -0,0 +1,47 @@
+/// Chooses the hosts of a large fleet that read the store. The others learn of
+/// changes from their peers, so that the number of calls to the store does not
+/// grow with the fleet.
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <vector>
+
+#include "comfreyflow/types.h"
+
+namespace comfreyflow {
+
+/// Whether a host follows the store by itself.
+enum class StoreRole : std::uint8_t {
+  kOneOfAll,  ///< The fleet is small: all hosts read the store.
+  kReader,    ///< One of the few hosts of a large fleet that read it.
+  kPassive,   ///< Learns of changes from peers and checks the store rarely.
+};
+
+const char* ToString(StoreRole role);
+
+/// In fleets of up to this size all hosts read the store.
+inline constexpr std::size_t kMaxFleetOfReaders = 48;
+/// Hosts of a larger fleet that read the store. With so many some are left when
+/// more than half of the fleet ends at once.
+inline constexpr std::size_t kStoreReaders = 12;
+
+/// A live host that no peer suspects to have ended.
+struct ReaderCandidate {
+  HostName name;
+  FailureDomain domain;
+  std::uint32_t capacity = 100;  ///< In hundredths of a CPU core.
+  bool holds_placer = false;
+  /// The host can't reach the store. Such a host goes on trying, and another
+  /// one reads the store in its place.
+  bool is_detached = false;
+};
+
+/// Returns the hosts that read the store: those that hold a placer, and of the
+/// others as many as have `kStoreReaders` attached hosts among them. Hosts of
+/// more capacity come first; among equals the failure domains take turns.
+/// Returns all hosts of a small fleet.
+std::set<HostName> ChooseStoreReaders(
+    const std::vector<ReaderCandidate>& hosts);
+
+}  // namespace comfreyflow
--- a/src/core/follow/announced-document.cc
+++ b/src/core/follow/announced-document.cc
@@ -32,11 +32,13 @@
 
 std::optional<HostName> AnnouncedDocument::PeerToAsk(std::uint64_t in_force,
                                                      bool store_reachable,
+                                                     bool is_passive,
                                                      Time now) const {
   if (latest_ <= in_force) return std::nullopt;
   const bool is_starting = started_at_ && !is_started_;
+  const Duration wait = is_passive ? spread_ : store_wait_ + spread_;
   const bool waits_for_store =
-      store_reachable && !is_starting && now - awaited_since_ < store_wait_;
+      store_reachable && !is_starting && now - awaited_since_ < wait;
   return waits_for_store ? std::nullopt : std::optional(host_);
 }
 
--- a/src/core/follow/follow-plan.cc
+++ b/src/core/follow/follow-plan.cc
@@ -27,6 +27,13 @@
 constexpr Duration kMinPause = milliseconds(60);
 constexpr Duration kMaxPause = milliseconds(1800);
 constexpr Duration kMaxShortPause = milliseconds(600);
+/// Pause of a passive host after a change of a kind that it follows only to
+/// know it when it becomes a reader.
+constexpr Duration kPassivePause = std::chrono::seconds(10);
+/// Mean time between two renewals of a kind's watches by the few readers of a
+/// large fleet. Each change reaches all readers at once; a renewal only finds
+/// connections that broke without an error.
+constexpr Duration kReaderRenewalInterval = milliseconds(500);
 /// Mean time between two renewals of a kind's watches in the whole fleet.
 constexpr Duration kFleetRenewalInterval = milliseconds(200);
 
@@ -38,8 +45,11 @@
 }  // namespace
 
 Duration PauseBetweenWatches(const FleetInfo& fleet) {
+  if (fleet.role == StoreRole::kPassive) return kPassivePause;
+  const bool is_short =
+      fleet.needs_short_pause || fleet.role == StoreRole::kReader;
   return std::clamp(static_cast<int>(fleet.hosts) * kPausePerHost, kMinPause,
-                    fleet.needs_short_pause ? kMaxShortPause : kMaxPause);
+                    is_short ? kMaxShortPause : kMaxPause);
 }
 
 FollowPlan::FollowPlan(std::size_t kinds, std::uint64_t seed)
@@ -50,9 +60,13 @@
 /// large that the maximum time limits the range, only as many hosts as are
 /// needed to keep the fleet's renewal interval draw a time; all others
 /// take the maximum.
-Duration FollowPlan::WatchTime(std::size_t hosts) {
+Duration FollowPlan::WatchTime(const FleetInfo& fleet) {
+  if (fleet.role == StoreRole::kPassive) return kMaxWatchTime;
   constexpr Duration kMaxMean = (kMinWatchTime + kMaxWatchTime) / 2;
-  const Duration wanted = static_cast<int>(hosts) * kFleetRenewalInterval;
+  const Duration wanted =
+      fleet.role == StoreRole::kReader
+          ? static_cast<int>(kStoreReaders) * kReaderRenewalInterval
+          : static_cast<int>(fleet.hosts) * kFleetRenewalInterval;
   const Duration mean = std::clamp(wanted, kMinWatchTime, kMaxMean);
   const Duration max = 2 * mean - kMinWatchTime;
   using Seconds = std::chrono::duration<double>;
@@ -71,8 +85,27 @@
   return Duration(draw(random_));
 }
 
+std::optional<Duration> FollowPlan::RestTime(std::size_t index,
+                                             const FleetInfo& fleet, Time now) {
+  Kind& kind = kinds_[index];
+  const bool may_rest = fleet.role == StoreRole::kPassive && kind.listed &&
+                        store_up() && !kind.needs_check;
+  if (!may_rest) {
+    kind.rests_until.reset();
+    return std::nullopt;
+  }
+  if (!kind.rests_until) {
+    kind.rests_until = now + kPassiveCheckInterval + DrawSpread(fleet.hosts);
+  }
+  if (now < *kind.rests_until)
+    return std::min<Duration>(kRoleCheckInterval, *kind.rests_until - now);
+  kind.rests_until.reset();
+  kind.needs_check = true;
+  return std::nullopt;
+}
+
 std::optional<FollowPlan::Step> FollowPlan::Next(std::size_t index,
-                                                 std::size_t hosts) {
+                                                 const FleetInfo& fleet) {
   Kind& kind = kinds_[index];
   if (!store_up() && index != probing_kind_) {
     kind.waits_for_store = true;
@@ -83,7 +116,7 @@
   // A call that checks whether the store answers must not wait for changes.
   if (failures_ > 0 || kind.needs_check) return Step{};
   kind.is_watching = true;
-  return Step{false, WatchTime(hosts)};
+  return Step{false, WatchTime(fleet)};
 }
 
 FollowPlan::Effect FollowPlan::Answered(Kind& kind) {
@@ -188,8 +221,10 @@
 }
 
 bool FollowPlan::Behind(std::size_t index) {
-  if (!std::exchange(kinds_[index].is_watching, false)) return false;
-  kinds_[index].needs_check = true;
+  Kind& kind = kinds_[index];
+  const bool was_watching = std::exchange(kind.is_watching, false);
+  if (!was_watching && !kind.rests_until) return false;
+  kind.needs_check = true;
   return true;
 }
 
--- a/src/core/placer/holder.cc
+++ b/src/core/placer/holder.cc
@@ -43,13 +43,15 @@
 
 void HolderEligibility::Update(const std::vector<HostView>& hosts, Time now) {
   std::map<HostName, Time> since;
+  std::size_t readers = 0;
   for (const auto& host : hosts) {
+    if (host.reads_store || host.is_detached) ++readers;
     if (!host.is_detached) continue;
     const auto before = detached_since_.find(host.name);
     since[host.name] = before == detached_since_.end() ? now : before->second;
   }
   detached_since_ = std::move(since);
-  const bool most_attached = 2 * detached_since_.size() < hosts.size();
+  const bool most_attached = 2 * detached_since_.size() < readers;
   excluded_.clear();
   eligible_.clear();
   for (const auto& host : hosts) {
--- a/src/gateway/domain-evacuations.cc
+++ b/src/gateway/domain-evacuations.cc
@@ -24,6 +24,7 @@
 FollowedKind DomainEvacuations::Followed() {
   FollowedKind followed;
   followed.kind = kind_;
+  followed.is_told_by_peers = true;
   followed.on_listed = [this](const std::vector<PlatformObject>& objects) {
     std::set<FailureDomain> domains;
     for (const auto& object : objects) domains.insert({object.name});
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -42,7 +42,12 @@
 
   void Step(std::size_t index) {
     if (stopped) return;
-    const auto step = plan.Next(index, hooks.fleet_part().hosts);
+    const FleetInfo fleet = hooks.fleet_part();
+    if (tracks[index].kind.is_told_by_peers) {
+      const auto rest = plan.RestTime(index, fleet, Now());
+      if (rest) return ScheduleStep(index, *rest);
+    }
+    const auto step = plan.Next(index, fleet);
     if (!step) return;
     step->list ? List(index) : Watch(index, step->wait);
   }
@@ -163,6 +168,7 @@
         .With("version", plan.version(index).revision)
         .With("era", plan.version(index).era)
         .With("age", AgeOf(index));
+    tracks[index].timer->cancel();
     Step(index);
   }
 
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -23,6 +23,9 @@
   std::function<void()> on_batch_end;
   /// Each change carries the complete content of the kind.
   bool is_single_document = false;
+  /// Peers tell the complete state of the kind, so that a passive host makes no
+  /// calls for it.
+  bool is_told_by_peers = false;
 };
 
 /// How current this host's copy of a kind is.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "comfreyflow/addresses.h"
@@ -52,10 +53,10 @@
   return placer;
 }
 
-Duration DocumentRequestDelay(const HostName& host) {
+Duration DocumentSpread(const HostName& host) {
   const auto hash = XXH3_64bits(host.value.data(), host.value.size());
-  return kStoreDeliveryWait + Duration(static_cast<Duration::rep>(
-                                  hash % kDocumentRequestSpread.count()));
+  return Duration(
+      static_cast<Duration::rep>(hash % kDocumentRequestSpread.count()));
 }
 
 double SecondsSince(Time time) {
@@ -110,7 +111,7 @@
         peer_server(io, {}, PeerServerHooks(), body_budget),
         stop_timer(io),
         facts_timer(io),
-        announced(DocumentRequestDelay(settings.self.name)) {
+        announced(kStoreDeliveryWait, DocumentSpread(settings.self.name)) {
     relay_context.random.seed(RandomSeed());
   }
 
@@ -178,6 +179,7 @@
 
   /// Updates the live hosts, and which of them may hold placers, for placement.
   void RefreshPeers() {
+    UpdateStoreReaders();
     std::vector<HostView> views;
     std::vector<PlacementPeer> live;
     for (const auto& [name, member] : peers.members()) {
@@ -188,8 +190,9 @@
       // The facts of a host are not known yet when its record first arrives.
       const bool unable = self ? stop.is_stopping() || !table || !has_targets
                                : member.facts.draining;
-      views.push_back(
-          {name, unable, self ? IsDetached() : member.facts.detached});
+      views.push_back({name, unable,
+                       self ? IsDetached() : member.facts.detached,
+                       store_readers.contains(name)});
       live.push_back({name, member.record.peers, member.record.incarnation,
                       member.record.capacity, true,
                       self ? was_detached : member.facts.returned});
@@ -200,6 +203,35 @@
     placement.SetPeers(std::move(live));
   }
 
+  /// Chooses the hosts that read the store. Suspects count as ended, so that
+  /// another host reads in their place soon.
+  void UpdateStoreReaders() {
+    std::vector<ReaderCandidate> candidates;
+    for (const auto& [name, member] : peers.members()) {
+      const bool self = name == settings.self.name;
+      if (!self && (member.state != MemberState::kAlive ||
+                    member.facts.draining || member.facts.generation == 0)) {
+        continue;
+      }
+      candidates.push_back({name, member.record.failure_domain,
+                            member.record.capacity,
+                            self && placement.holds_active_placer(),
+                            self ? IsDetached() : member.facts.detached});
+    }
+    const bool is_large = candidates.size() > kMaxFleetOfReaders;
+    store_readers = ChooseStoreReaders(candidates);
+    const StoreRole role = !is_large ? StoreRole::kOneOfAll
+                           : store_readers.contains(settings.self.name)
+                               ? StoreRole::kReader
+                               : StoreRole::kPassive;
+    if (role == store_role) return;
+    store_role = role;
+    LogLine(Severity::kInfo, Event::kStoreRole)
+        .With("role", ToString(role))
+        .With("hosts", std::uint64_t{candidates.size()})
+        .With("readers", std::uint64_t{store_readers.size()});
+  }
+
   /// Whether the store was reachable before and is not now.
   bool IsDetached() const { return !store_reachable && was_store_reachable; }
 
@@ -217,7 +249,8 @@
 
   void FetchAnnounced() {
     if (is_fetching) return;
-    const auto host = announced.PeerToAsk(version(), store_reachable, Now());
+    const auto host = announced.PeerToAsk(
+        version(), store_reachable, store_role == StoreRole::kPassive, Now());
     if (host) Fetch(*host);
   }
 
@@ -445,6 +478,8 @@
   bool store_reachable = false;
   bool was_store_reachable = false;
   HolderEligibility eligibility;
+  std::set<HostName> store_readers;
+  StoreRole store_role = StoreRole::kOneOfAll;
   /// This host lost the store while most other hosts kept it.
   bool was_detached = false;
 };
@@ -519,6 +554,8 @@
   state_->peers.SetListed(std::move(hosts));
 }
 
+StoreRole Gateway::store_role() const { return state_->store_role; }
+
 bool Gateway::holds_placer() const {
   return state_->placement.holds_active_placer();
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 
 #include "comfreyflow/placer.h"
 #include "comfreyflow/routes.h"
+#include "comfreyflow/store-readers.h"
 #include "comfreyflow/target-book.h"
 #include "gateway/edge.h"
 #include "gateway/follower.h"
@@ -91,6 +92,8 @@
   void SetStoreReachable(bool reachable);
   void SetListedHosts(std::vector<ListedHost> hosts);
 
+  /// Whether this host reads the store by itself.
+  StoreRole store_role() const;
   /// Whether a placer on this host currently receives placement requests, from
   /// other hosts or from itself.
   bool holds_placer() const;
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -36,6 +36,7 @@
   kTargetMarked,
   kTargetLeft,
   kTargetRests,
+  kStoreRole,
   kDomainEvacuated,
   kDomainRestored,
   kTargetLimited,
@@ -98,7 +99,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 80> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 81> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -204,6 +205,10 @@
      "for "
      "how long; unreadable: the time could not be parsed",
      "request target born rest unreadable"},
+    {"store_role",
+     "whether this host reads the store has changed; role: one_of_all in a "
+     "small fleet, else reader or passive; readers: hosts that read it",
+     "role hosts readers"},
     {"domain_evacuated",
      "an operator took a failure domain out of service, and its targets get no "
      "new requests; targets: listed there, 0 if no target names the domain; "
--- /dev/null
+++ b/test/store-readers-test.cc
@@ -0,0 +1,125 @@
+// The hosts that read the store in a large fleet. Guards against calls that
+// grow with the fleet, and against changes that no host reads.
+#include "comfreyflow/store-readers.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "comfreyflow/follow-plan.h"
+
+using namespace comfreyflow;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const Time kStart{std::chrono::hours(1)};
+
+/// Hosts in three failure domains; the first `large` ones have more capacity.
+std::vector<ReaderCandidate> Fleet(std::size_t hosts, std::size_t large) {
+  std::vector<ReaderCandidate> out;
+  for (std::size_t i = 0; i < hosts; ++i) {
+    out.push_back({{"host-" + std::to_string(i)},
+                   {"domain-" + std::to_string(i % 3)},
+                   i < large ? 50U : 12U,
+                   false,
+                   false});
+  }
+  return out;
+}
+
+FleetInfo Info(StoreRole role) { return {88, false, role}; }
+
+}  // namespace
+
+TEST_CASE("all hosts of a small fleet read the store") {
+  CHECK(ChooseStoreReaders(Fleet(kMaxFleetOfReaders, 6)).size() ==
+        kMaxFleetOfReaders);
+}
+
+TEST_CASE("the number of readers does not grow with the fleet") {
+  for (const std::size_t hosts : {49, 88, 350}) {
+    CHECK(ChooseStoreReaders(Fleet(hosts, 6)).size() == kStoreReaders);
+  }
+}
+
+TEST_CASE("hosts of more capacity read first, and each domain has a reader") {
+  const auto fleet = Fleet(88, 6);
+  const auto readers = ChooseStoreReaders(fleet);
+  std::map<FailureDomain, int> by_domain;
+  for (const auto& host : fleet) {
+    if (host.capacity == 50) CHECK(readers.contains(host.name));
+    if (readers.contains(host.name)) ++by_domain[host.domain];
+  }
+  for (const auto& [domain, count] : by_domain) CHECK(count == 4);
+}
+
+TEST_CASE("a host that holds a placer reads the store") {
+  auto fleet = Fleet(88, 12);
+  fleet.back().holds_placer = true;
+  const auto readers = ChooseStoreReaders(fleet);
+  CHECK(readers.contains(fleet.back().name));
+  CHECK(readers.size() == kStoreReaders + 1);
+}
+
+TEST_CASE("other hosts read in place of those that can't reach the store") {
+  auto fleet = Fleet(88, 6);
+  for (std::size_t i = 0; i < 6; ++i) fleet[i].is_detached = true;
+  const auto readers = ChooseStoreReaders(fleet);
+  CHECK(readers.size() == kStoreReaders + 6);
+  const auto attached =
+      std::count_if(fleet.begin(), fleet.end(), [&readers](const auto& host) {
+        return !host.is_detached && readers.contains(host.name);
+      });
+  CHECK(static_cast<std::size_t>(attached) == kStoreReaders);
+}
+
+TEST_CASE("the end of readers moves no reader that is left") {
+  auto fleet = Fleet(88, 6);
+  const auto before = ChooseStoreReaders(fleet);
+  std::erase_if(fleet, [&before](const auto& host) {
+    return host.name == *before.begin();
+  });
+  const auto after = ChooseStoreReaders(fleet);
+  CHECK(after.size() == kStoreReaders);
+  const auto kept = std::count_if(
+      before.begin(), before.end(),
+      [&after](const auto& name) { return after.contains(name); });
+  CHECK(static_cast<std::size_t>(kept) == kStoreReaders - 1);
+}
+
+TEST_CASE("a passive host makes no calls for what peers tell") {
+  FollowPlan plan(1, 7);
+  REQUIRE_FALSE(plan.RestTime(0, Info(StoreRole::kPassive), kStart));
+  plan.Next(0, Info(StoreRole::kPassive));
+  plan.Listed(0, {0, 5});
+  const auto rest = plan.RestTime(0, Info(StoreRole::kPassive), kStart);
+  REQUIRE(rest);
+  CHECK(*rest <= kRoleCheckInterval);
+
+  SUBCASE("it checks the store after a while, without waiting") {
+    const Time later = kStart + kPassiveCheckInterval + seconds(1);
+    REQUIRE_FALSE(plan.RestTime(0, Info(StoreRole::kPassive), later));
+    CHECK(plan.Next(0, Info(StoreRole::kPassive))->wait == Duration::zero());
+    plan.Changed(0, {0, 6}, false, Info(StoreRole::kPassive));
+    CHECK(plan.RestTime(0, Info(StoreRole::kPassive), later));
+  }
+  SUBCASE("as a reader it watches at once") {
+    CHECK_FALSE(plan.RestTime(0, Info(StoreRole::kReader), kStart));
+    CHECK(plan.Next(0, Info(StoreRole::kReader))->wait >= kMinWatchTime);
+  }
+  SUBCASE("what it is known to lag is read at once") {
+    CHECK(plan.Behind(0));
+    CHECK_FALSE(plan.RestTime(0, Info(StoreRole::kPassive), kStart));
+    CHECK(plan.Next(0, Info(StoreRole::kPassive))->wait == Duration::zero());
+  }
+}
+
+TEST_CASE("readers hear of a change sooner than passive hosts ask") {
+  CHECK(PauseBetweenWatches(Info(StoreRole::kReader)) <= milliseconds(600));
+  CHECK(PauseBetweenWatches(Info(StoreRole::kPassive)) >=
+        4 * PauseBetweenWatches(Info(StoreRole::kReader)));
+}
