--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -12,6 +12,7 @@
 
 #include "comfreyflow/placer.h"
 #include "comfreyflow/routes.h"
+#include "comfreyflow/store-readers.h"
 #include "comfreyflow/target-book.h"
 #include "gateway/edge.h"
 #include "gateway/follower.h"
@@ -50,6 +51,10 @@
   std::function<std::uint64_t()> store_era;
   /// Called when a peer knows a later era of the store; may be empty.
   std::function<void(const StoreEraAnnounced&)> store_era_announced;
+  /// The evacuations that this host knows; may be empty.
+  std::function<std::optional<EvacuationState>()> evacuations;
+  /// Called when a peer knows a later state of them; may be empty.
+  std::function<void(const EvacuationsAnnounced&)> evacuations_announced;
   /// Called when a peer reports that a target accepts no new work.
   std::function<void(const TargetMark&)> target_marked;
   /// Called when a target reports, in its answer to `request`, that it accepts
@@ -87,6 +92,8 @@
   void SetStoreReachable(bool reachable);
   void SetListedHosts(std::vector<ListedHost> hosts);
 
+  /// Whether this host reads the store by itself.
+  StoreRole store_role() const;
   /// Whether a placer on this host currently receives placement requests, from
   /// other hosts or from itself.
   bool holds_placer() const;
