Cold targets: a standing limit for each target, warm targets first

Cause: a target that has just started, or turned cold again, bears a limited number of requests a second and crashes well above it; nothing read this. Change: services with ColdPerS get a standing limit per target in TargetLimits, counted by the holder and in parts by hosts that grant alone. ColdLeftMs of an entry makes the placer prefer warm targets.

--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -40,6 +40,9 @@
   bool leaving = false;  ///< Accepts no new work.
   /// Operators took its failure domain out of service: it accepts no new work.
   bool evacuated = false;
+  /// Until then the target is cold: it bears fewer requests a second. In steps
+  /// of `kColdStep`, so that a repeated report of the same end is no change.
+  Time cold_until;
   StoreVersion version;  ///< Version of the list entry.
   bool operator==(const PoolTarget&) const = default;
 };
@@ -124,11 +127,19 @@
   Duration max_gap{};
 };
 
+inline constexpr Duration kColdStep = std::chrono::milliseconds(500);
+/// The end of a cold phase of which `left` is left, rounded up.
+Time ColdUntil(Duration left, Time now);
+
 struct PlacerSettings {
   RetryLimits retries;
   /// Seeds the order of otherwise equal targets, so that hosts which place
   /// requests independently of each other do not all choose the same target.
   std::uint64_t seed = 0;
+  /// Requests that may reach a cold target in any one second: `cold_overage`
+  /// times what it bears a second, and `cold_slack`.
+  double cold_overage = 1.5;
+  double cold_slack = 5;
 };
 
 class Placer {
@@ -146,6 +157,8 @@
   /// Replaces the list of targets. Targets that are missing from it get no new
   /// work.
   void SetTargets(const std::vector<PoolTarget>& targets, Time now);
+  /// Sets what cold targets of the service bear; absent: they are never cold.
+  void SetCold(const std::optional<ColdLimit>& cold, Time now);
 
   /// Submits a placement request. Submitting the same attempt again, while it
   /// waits or after it was granted, does not place it twice: a waiting request
@@ -228,6 +241,7 @@
     /// Slow, failing or backed off: used if no other target is free.
     std::size_t degraded = 0;
     std::size_t limited = 0;  ///< Targets that named a rate limit.
+    std::size_t cold = 0;
     /// Prefill time of all prompts without a first event.
     Duration prefill_backlog{};
     double retries_left = 0;  ///< What is left of the retry budget now.
@@ -293,8 +307,9 @@
   bool FillMemory(const Work& work, const std::vector<Target*>& free,
                   std::size_t& gang_size) const;
   bool Excluded(const Work& work, const TargetName& name) const;
-  std::vector<Target*> Candidates(const Work& work, bool include_degraded,
-                                  Time now);
+  /// Which targets a request may go to. Each step includes the ones before.
+  enum class Choice : std::uint8_t { kSound, kCold, kDegraded };
+  std::vector<Target*> Candidates(const Work& work, Choice choice, Time now);
   bool TryPlace(Work& work, Time now);
   std::vector<Target*> Choose(const Work& work,
                               const std::vector<Target*>& targets, Time now);
@@ -329,6 +344,8 @@
   std::size_t WaitingBefore(const Work& work, Time now) const;
   bool HasPermit(const Target& target, Time now) const;
   bool IsLimited(const Target& target) const;
+  bool IsCold(const Target& target, Time now) const;
+  void UpdateStandingLimits(Time now);
   static bool IsAvailable(const Target& target);
   bool InPool(const Target& target, const Work& work) const;
   static bool IsBackedOff(const Target& target, const HostName& host, Time at);
@@ -365,6 +382,7 @@
   PlacerSettings settings_;
   std::optional<EngineModel> engine_;
   PlacementModel model_;
+  std::optional<ColdLimit> cold_;
   std::map<TargetName, Target> targets_;
   std::map<RequestId, Work> works_;
   /// Requests in `works_` that are not placed.
--- a/include/comfreyflow/routes.h
+++ b/include/comfreyflow/routes.h
@@ -83,12 +83,20 @@
 StreamTerms TermsOf(const std::vector<Route>& routes,
                     const ServiceName& service);
 
+/// What a target bears while it is cold: for some time after its start, and
+/// whenever it turns cold again.
+struct ColdLimit {
+  Duration after_start{};  ///< How long a target is cold after its start.
+  double per_second = 0;   ///< Requests from all hosts together.
+};
+
 struct RoutedService {
   ServiceName name;
   std::string health_path;
   std::uint32_t max_connections = 0;  ///< To one target from all hosts.
   std::optional<EngineModel> engine;  ///< Absent for a plain service.
   StreamTerms streams;                ///< Set by `RouteTable`.
+  std::optional<ColdLimit> cold;      ///< Absent: targets are never cold.
 };
 
 /// The client account that a key belongs to.
--- a/include/comfreyflow/target-book.h
+++ b/include/comfreyflow/target-book.h
@@ -20,6 +20,8 @@
   /// Sequence number of the report that the entry was written from; increases
   /// with each report of one start of the target. 0: unknown.
   std::uint64_t report = 0;
+  /// How much longer the target is cold, as of the report.
+  Duration cold_left{};
   bool operator==(const TargetEntry&) const = default;
 };
 
--- a/include/comfreyflow/target-limits.h
+++ b/include/comfreyflow/target-limits.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "comfreyflow/types.h"
 
@@ -70,6 +71,19 @@
   bool operator==(const LimitReport&) const = default;
 };
 
+/// A limit that applies to a start of a target at all times, whatever the
+/// target names.
+struct StandingLimit {
+  TargetName target;
+  std::uint64_t born = 0;
+  double rate = 0;  ///< Requests per second from all hosts together.
+};
+
+/// The highest rate of a limit under which all hosts together send at most
+/// `requests` in any one second, also while they grant independently of each
+/// other.
+double RateWithin(double requests);
+
 class TargetLimits {
  public:
   /// The target named `rate` in an answer to this host. Returns whether this is
@@ -85,6 +99,10 @@
   /// Merges a report from another host.
   MergeResult Merge(const LimitReport& report, Time now);
 
+  /// Replaces the standing limits. Permits of a target that had one already are
+  /// kept.
+  void SetStanding(const std::vector<StandingLimit>& standing, Time now);
+
   /// The limit as known here; absent: nothing is known.
   std::optional<LimitReport> ReportOf(const TargetName& target,
                                       std::uint64_t born) const;
@@ -110,9 +128,10 @@
   /// requests.
   void RestartPermits(Time now);
 
-  /// Number of limits in force.
+  /// Number of limits in force that targets named.
   std::size_t size() const { return in_force_count_; }
-  bool empty() const { return in_force_count_ == 0; }
+  /// Whether no limit is in force, named or standing.
+  bool empty() const { return in_force_count_ == 0 && standing_.empty(); }
 
  private:
   struct Limit {
@@ -124,6 +143,11 @@
     double permits = 0;  ///< Permits available as of `counted_at`.
     Time counted_at;
   };
+  /// Invariant: its limit has a rate.
+  struct Standing {
+    std::uint64_t born = 0;
+    Limit limit;
+  };
 
   const Limit* Find(const TargetName& target, std::uint64_t born) const;
   const Limit* InForce(const TargetName& target, std::uint64_t born) const;
@@ -131,12 +155,17 @@
   double PartOf(const Limit& limit) const;
   double PermitsOf(const Limit& limit, Time now) const;
   double InitialPermits(const TargetName& target) const;
+  Time NextAt(const Limit& limit, Time now) const;
+  const Limit* FindStanding(const TargetName& target, std::uint64_t born) const;
+  template <class Action>
+  void ForEachInForce(Action action);
   void DropOldest();
 
   std::map<TargetName, std::map<std::uint64_t, Limit>> limits_;
   std::size_t known_count_ = 0;
   /// Invariant: number of entries of `limits_` with a rate.
   std::size_t in_force_count_ = 0;
+  std::map<TargetName, Standing> standing_;
   LimitPart part_;
 };
 
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -32,9 +32,10 @@
 bool Placer::TryPlace(Work& work, Time now) {
   work.is_long = engine_ && work.job.stream && IsLong(work);
   if (now < held_until_ || MissesDeadline(work, now)) return false;
-  for (const bool include_degraded : {false, true}) {
-    const auto targets =
-        Choose(work, Candidates(work, include_degraded, now), now);
+  for (const Choice choice :
+       {Choice::kSound, Choice::kCold, Choice::kDegraded}) {
+    if (choice == Choice::kCold && !cold_) continue;
+    const auto targets = Choose(work, Candidates(work, choice, now), now);
     if (targets.empty()) continue;
     Grant(work, targets, now);
     return true;
@@ -53,13 +54,14 @@
                            : std::vector<Target*>{target};
 }
 
-std::vector<Placer::Target*> Placer::Candidates(const Work& work,
-                                                bool include_degraded,
+std::vector<Placer::Target*> Placer::Candidates(const Work& work, Choice choice,
                                                 Time now) {
   std::vector<Target*> out;
   for (auto& [name, target] : targets_) {
     if (!IsUsable(target, work, now)) continue;
-    if (include_degraded || !IsDegraded(target, now)) out.push_back(&target);
+    if (choice < Choice::kCold && IsCold(target, now)) continue;
+    if (choice < Choice::kDegraded && IsDegraded(target, now)) continue;
+    out.push_back(&target);
   }
   return out;
 }
--- a/src/core/placer/permits.cc
+++ b/src/core/placer/permits.cc
@@ -17,7 +17,7 @@
 
 std::optional<Placer::Permits> Placer::PermitsFor(const Work& work,
                                                   Time now) const {
-  if (limits_.empty()) return std::nullopt;
+  if (limits_.size() == 0) return std::nullopt;
   Permits out{0, Time::max()};
   for (const auto& [name, target] : targets_) {
     if (!InPool(target, work)) continue;
@@ -46,6 +46,37 @@
   return permit_at - now;
 }
 
+Time ColdUntil(Duration left, Time now) {
+  if (left <= Duration::zero()) return {};
+  const Duration end = (now + left).time_since_epoch();
+  return Time(((end + kColdStep - Duration(1)) / kColdStep) * kColdStep);
+}
+
+bool Placer::IsCold(const Target& target, Time now) const {
+  return cold_ && now < target.info.cold_until;
+}
+
+void Placer::SetCold(const std::optional<ColdLimit>& cold, Time now) {
+  cold_ = cold;
+  UpdateStandingLimits(now);
+}
+
+/// A target may turn cold at any moment, and hosts learn of it later, so that
+/// the limit of a cold target applies to all at all times. Of hosts that grant
+/// independently of each other each one has a part of it.
+void Placer::UpdateStandingLimits(Time now) {
+  std::vector<StandingLimit> standing;
+  if (cold_) {
+    const double bound =
+        settings_.cold_overage * cold_->per_second + settings_.cold_slack;
+    const double rate = RateWithin(bound);
+    for (const auto& [name, target] : targets_) {
+      if (target.is_listed) standing.push_back({name, target.info.born, rate});
+    }
+  }
+  limits_.SetStanding(standing, now);
+}
+
 void Placer::SetPart(const LimitPart& part, Time now) {
   retry_window_.SetSlackShare(part.share);
   limits_.SetPart(part, now);
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -71,6 +71,7 @@
   std::erase_if(targets_, [](const auto& entry) {
     return !entry.second.is_listed && entry.second.users == 0;
   });
+  UpdateStandingLimits(now);
   PlaceWaiting(now);
 }
 
--- a/src/core/placer/queue.cc
+++ b/src/core/placer/queue.cc
@@ -58,7 +58,7 @@
 
 /// Number of waiting requests that are placed before this one.
 std::size_t Placer::WaitingBefore(const Work& work, Time now) const {
-  if (limits_.empty()) return 0;
+  if (limits_.size() == 0) return 0;
   const Rank rank = RankOf(work, now);
   return static_cast<std::size_t>(std::count_if(
       waiting_.begin(), waiting_.end(),
--- a/src/core/placer/summary.cc
+++ b/src/core/placer/summary.cc
@@ -32,6 +32,7 @@
     if (target.running >= target.info.slots) ++out.full;
     if (IsDegraded(target, now)) ++out.degraded;
     if (IsLimited(target)) ++out.limited;
+    if (IsCold(target, now)) ++out.cold;
     out.prefill_backlog += target.prefill_backlog;
     out.memory += target.memory;
   }
--- a/src/core/targets/target-limits.cc
+++ b/src/core/targets/target-limits.cc
@@ -15,6 +15,8 @@
 
 /// Unused permits of this time may be used at once; at least one permit.
 constexpr double kBurstSeconds = 0.25;
+/// Bound of the sum of all hosts' shares of a limit, see `PartOfLimits`.
+constexpr double kMaxShareSum = 1.5;
 /// A host that was cut off or died counts for this long as one that may send.
 constexpr Duration kRecentHostLife = std::chrono::minutes(1);
 /// The end of a limit is reported for this long, as datagrams may be lost.
@@ -160,46 +162,80 @@
 
 Time TargetLimits::NextAt(const TargetName& target, std::uint64_t born,
                           Time now) const {
-  const Limit* limit = InForce(target, born);
-  if (limit == nullptr) return now;
-  const double permits = PermitsOf(*limit, now);
+  const Limit* named = InForce(target, born);
+  const Limit* standing = FindStanding(target, born);
+  return std::max(named == nullptr ? now : NextAt(*named, now),
+                  standing == nullptr ? now : NextAt(*standing, now));
+}
+
+Time TargetLimits::NextAt(const Limit& limit, Time now) const {
+  const double permits = PermitsOf(limit, now);
   if (permits >= 1) return now;
-  const Seconds wait((1 - permits) / PartOf(*limit));
+  const Seconds wait((1 - permits) / PartOf(limit));
   return now +
          std::max(std::chrono::duration_cast<Duration>(wait), Duration(1));
 }
 
 void TargetLimits::Consume(const TargetName& target, std::uint64_t born,
                            double requests, Time now) {
-  if (InForce(target, born) == nullptr) return;
-  Limit& limit = limits_[target][born];
-  limit.permits = PermitsOf(limit, now) - requests;
-  limit.counted_at = now;
+  const auto consume = [&](Limit& limit) {
+    limit.permits = PermitsOf(limit, now) - requests;
+    limit.counted_at = now;
+  };
+  if (InForce(target, born) != nullptr) consume(limits_[target][born]);
+  if (FindStanding(target, born) != nullptr) consume(standing_[target].limit);
 }
 
-void TargetLimits::SetPart(const LimitPart& part, Time now) {
-  if (part == part_) return;
-  const bool became_partial = part.share < 1 && part_.share >= 1;
+double RateWithin(double requests) {
+  return requests / (kMaxShareSum * (1 + kBurstSeconds));
+}
+
+void TargetLimits::SetStanding(const std::vector<StandingLimit>& standing,
+                               Time now) {
+  std::map<TargetName, Standing> next;
+  for (const auto& wanted : standing) {
+    const auto known = standing_.find(wanted.target);
+    if (known != standing_.end() && known->second.born == wanted.born &&
+        known->second.limit.rate == wanted.rate) {
+      next.insert(*known);
+      continue;
+    }
+    Standing& added = next[wanted.target];
+    added.born = wanted.born;
+    added.limit.rate = wanted.rate;
+    added.limit.permits = InitialPermits(wanted.target);
+    added.limit.counted_at = now;
+  }
+  standing_ = std::move(next);
+}
+
+template <class Action>
+void TargetLimits::ForEachInForce(Action action) {
   for (auto& [target, starts] : limits_) {
     for (auto& [born, limit] : starts) {
-      if (!limit.rate) continue;
-      limit.permits = PermitsOf(limit, now);
-      limit.counted_at = now;
+      if (limit.rate) action(target, limit);
     }
   }
+  for (auto& [target, standing] : standing_) action(target, standing.limit);
+}
+
+void TargetLimits::SetPart(const LimitPart& part, Time now) {
+  if (part == part_) return;
+  const bool became_partial = part.share < 1 && part_.share >= 1;
+  ForEachInForce([this, now](const TargetName&, Limit& limit) {
+    limit.permits = PermitsOf(limit, now);
+    limit.counted_at = now;
+  });
   part_ = part;
   if (became_partial) RestartPermits(now);
 }
 
 void TargetLimits::RestartPermits(Time now) {
-  for (auto& [target, starts] : limits_) {
-    for (auto& [born, limit] : starts) {
-      if (!limit.rate) continue;
-      const double permits = PermitsOf(limit, now);
-      limit.permits = permits < 0 ? permits : InitialPermits(target);
-      limit.counted_at = now;
-    }
-  }
+  ForEachInForce([this, now](const TargetName& target, Limit& limit) {
+    const double permits = PermitsOf(limit, now);
+    limit.permits = permits < 0 ? permits : InitialPermits(target);
+    limit.counted_at = now;
+  });
 }
 
 /// Gives a host different offsets at different targets, so that its permits for
@@ -240,6 +276,13 @@
   return start == at->second.end() ? nullptr : &start->second;
 }
 
+const TargetLimits::Limit* TargetLimits::FindStanding(
+    const TargetName& target, std::uint64_t born) const {
+  const auto at = standing_.find(target);
+  if (at == standing_.end() || at->second.born != born) return nullptr;
+  return &at->second.limit;
+}
+
 const TargetLimits::Limit* TargetLimits::InForce(const TargetName& target,
                                                  std::uint64_t born) const {
   const Limit* limit = Find(target, born);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -616,6 +616,9 @@
       "Limits known to this host that targets set for the requests of all "
       "hosts.",
       static_cast<double>(state.placement.limited_targets()));
+  add("comfreyflow_targets_cold",
+      "Targets that are cold: they bear fewer requests a second for a while.",
+      static_cast<double>(state.placement.cold_targets()));
   const auto& crashes = *state.crashes;
   add("comfreyflow_crash_verdicts",
       "Verdicts on requests that crash targets and are not sent.",
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -115,6 +115,7 @@
       const auto known = services.find(service);
       if (known != services.end()) {
         at->second.SetEngine(known->second.engine, known->second.streams);
+        at->second.SetCold(known->second.cold, Now());
       }
       at->second.SetTargets(targets[service], Now());
       at->second.SetHosts(peers.size());
@@ -704,8 +705,9 @@
 
   void LogState(Time now) {
     for (const auto& [service, sum] : PlacerSummaries(now)) {
-      LogLine(Severity::kInfo, Event::kPlacement)
-          .With("service", service)
+      LogLine line(Severity::kInfo, Event::kPlacement);
+      if (sum.cold > 0) line.With("cold", std::uint64_t{sum.cold});
+      line.With("service", service)
           .With("waiting", std::uint64_t{sum.waiting})
           .With("running", std::uint64_t{sum.running})
           .With("unread", std::uint64_t{sum.prefilling})
@@ -818,8 +820,9 @@
   state_->services = services;
   for (const auto& [name, service] : services) {
     const auto at = state_->placers.find(name);
-    if (at != state_->placers.end())
-      at->second.SetEngine(service.engine, service.streams);
+    if (at == state_->placers.end()) continue;
+    at->second.SetEngine(service.engine, service.streams);
+    at->second.SetCold(service.cold, Now());
   }
 }
 
@@ -942,6 +945,17 @@
   return count;
 }
 
+std::size_t Placement::cold_targets() const {
+  const Time now = Now();
+  std::size_t count = 0;
+  for (const auto& [service, pool] : state_->targets) {
+    count += static_cast<std::size_t>(std::count_if(
+        pool.begin(), pool.end(),
+        [now](const auto& target) { return target.cold_until > now; }));
+  }
+  return count;
+}
+
 std::uint64_t Placement::grants_past_limits() const {
   return state_->grants_past_limits;
 }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -108,6 +108,8 @@
                                             const std::string& address) const;
   /// Number of target rate limits known to this host.
   std::size_t limited_targets() const;
+  /// Number of targets that are cold now.
+  std::size_t cold_targets() const;
   /// Number of grants to this host's requests made while other targets had no
   /// permit left under their limits.
   std::uint64_t grants_past_limits() const;
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -174,8 +174,8 @@
      "this "
      "host sends it no requests, possibly because of a report by a peer "
      "or by "
-     "the target itself",
-     "target service address leaving closed version era older"},
+     "the target itself; cold: how much longer it is cold",
+     "target service address leaving closed version era older cold"},
     {"target_removed",
      "an entry was removed from the target list; kept: the target stays "
      "in "
@@ -239,7 +239,8 @@
     {"placement", "every 500 ms at the holder of a placer",
      "service waiting running unread targets closed short_engines "
      "long_engines "
-     "reserve closing full poor limited reading repeats_left repeats_elsewhere "
+     "reserve closing full poor limited cold reading repeats_left "
+     "repeats_elsewhere "
      "memory"},
     {"grant_declined",
      "this host rejected a grant because it knows that the target is leaving, "
