--- a/include/comfreyflow/follow-plan.h
+++ b/include/comfreyflow/follow-plan.h
@@ -63,11 +63,12 @@
     return Next(kind, FleetInfo{hosts});
   }
   std::optional<Step> Next(std::size_t kind, const FleetInfo& fleet);
-  /// For a kind whose complete state peers tell: how long this host makes no
-  /// call and then asks again. Absent if a call is due, because this host reads
-  /// the store or has not checked it for a while.
+  /// For a kind of which peers tell: how long this host makes no call and then
+  /// asks again. Absent if a call is due, because this host reads the store or
+  /// has not checked it for a while. `is_known`: peers have told the complete
+  /// state, so that it need not be listed first.
   std::optional<Duration> RestTime(std::size_t kind, const FleetInfo& fleet,
-                                   Time now);
+                                   bool is_known, Time now);
   /// The kind was listed at `version`.
   Effect Listed(std::size_t kind, const StoreVersion& version);
   /// A watch was answered at `version`; `has_changes` if it contained changes.
--- a/include/comfreyflow/store-readers.h
+++ b/include/comfreyflow/store-readers.h
@@ -24,7 +24,7 @@
 inline constexpr std::size_t kMaxFleetOfReaders = 48;
 /// Hosts of a larger fleet that read the store. With so many some are left when
 /// more than half of the fleet ends at once.
-inline constexpr std::size_t kStoreReaders = 12;
+inline constexpr std::size_t kStoreReaders = 9;
 
 /// A live host that no peer suspects to have ended.
 struct ReaderCandidate {
--- a/src/core/follow/follow-plan.cc
+++ b/src/core/follow/follow-plan.cc
@@ -29,11 +29,11 @@
 constexpr Duration kMaxShortPause = milliseconds(600);
 /// Pause of a passive host after a change of a kind that it follows only to
 /// know it when it becomes a reader.
-constexpr Duration kPassivePause = std::chrono::seconds(10);
+constexpr Duration kPassivePause = std::chrono::seconds(15);
 /// Mean time between two renewals of a kind's watches by the few readers of a
 /// large fleet. Each change reaches all readers at once; a renewal only finds
 /// connections that broke without an error.
-constexpr Duration kReaderRenewalInterval = milliseconds(500);
+constexpr Duration kReaderRenewalInterval = milliseconds(1000);
 /// Mean time between two renewals of a kind's watches in the whole fleet.
 constexpr Duration kFleetRenewalInterval = milliseconds(200);
 
@@ -86,10 +86,12 @@
 }
 
 std::optional<Duration> FollowPlan::RestTime(std::size_t index,
-                                             const FleetInfo& fleet, Time now) {
+                                             const FleetInfo& fleet,
+                                             bool is_known, Time now) {
   Kind& kind = kinds_[index];
-  const bool may_rest = fleet.role == StoreRole::kPassive && kind.listed &&
-                        store_up() && !kind.needs_check;
+  const bool may_rest = fleet.role == StoreRole::kPassive &&
+                        (kind.listed || is_known) && store_up() &&
+                        !kind.needs_check;
   if (!may_rest) {
     kind.rests_until.reset();
     return std::nullopt;
--- a/src/gateway/domain-evacuations.cc
+++ b/src/gateway/domain-evacuations.cc
@@ -25,6 +25,7 @@
   FollowedKind followed;
   followed.kind = kind_;
   followed.is_told_by_peers = true;
+  followed.is_known = [this] { return is_known(); };
   followed.on_listed = [this](const std::vector<PlatformObject>& objects) {
     std::set<FailureDomain> domains;
     for (const auto& object : objects) domains.insert({object.name});
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -17,6 +17,12 @@
 using node::Severity;
 using std::chrono::milliseconds;
 
+/// How long a host that starts waits for peers to tell a small state before it
+/// lists it. Peers answer within about 100 ms; the spread lets the first hosts
+/// of a fleet that starts tell the others.
+constexpr Duration kMinPeerWait = milliseconds(150);
+constexpr Duration kMaxPeerWait = milliseconds(600);
+
 }  // namespace
 
 struct Follower::State : std::enable_shared_from_this<State> {
@@ -44,7 +50,9 @@
     if (stopped) return;
     const FleetInfo fleet = hooks.fleet_part();
     if (tracks[index].kind.is_told_by_peers) {
-      const auto rest = plan.RestTime(index, fleet, Now());
+      const auto& is_known = tracks[index].kind.is_known;
+      const auto rest =
+          plan.RestTime(index, fleet, is_known && is_known(), Now());
       if (rest) return ScheduleStep(index, *rest);
     }
     const auto step = plan.Next(index, fleet);
@@ -228,7 +236,16 @@
 }
 
 void Follower::Start() {
-  for (std::size_t i = 0; i < state_->tracks.size(); ++i) state_->Step(i);
+  std::mt19937 random(std::random_device{}());
+  for (std::size_t i = 0; i < state_->tracks.size(); ++i) {
+    if (!state_->tracks[i].kind.is_known) {
+      state_->Step(i);
+      continue;
+    }
+    std::uniform_int_distribution<Duration::rep> draw(kMinPeerWait.count(),
+                                                      kMaxPeerWait.count());
+    state_->ScheduleStep(i, Duration(draw(random)));
+  }
 }
 
 void Follower::RefreshStale(const std::string& kind) {
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -23,9 +23,12 @@
   std::function<void()> on_batch_end;
   /// Each change carries the complete content of the kind.
   bool is_single_document = false;
-  /// Peers tell the complete state of the kind, so that a passive host makes no
-  /// calls for it.
+  /// Peers tell of changes of the kind, so that a passive host makes no calls
+  /// for it.
   bool is_told_by_peers = false;
+  /// Whether peers have told the complete state; may be empty. Then it need not
+  /// be listed first, and the first list waits for them for a moment.
+  std::function<bool()> is_known = {};
 };
 
 /// How current this host's copy of a kind is.
