Tests of evacuated failure domains with hosts, store and peers

The store's stand-in can now refuse one kind or one host. membership-test and wire-test cover the state in datagrams and datagrams of older builds.

--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -258,6 +258,46 @@
   CHECK(took <= seconds(2));
 }
 
+TEST_CASE("an evacuation reaches every host within two seconds") {
+  constexpr int kHosts = 64;
+  const EvacuationState before{{1, 6}, {}};
+  const EvacuationState after{{1, 9}, {{"z1"}}};
+  GossipNet net({.hosts = kHosts, .loss = 0.02, .seed = 12});
+  StartAll(net, seconds(30));
+  for (int i = 0; i < kHosts; ++i) net.node(i).SetEvacuations(before);
+  for (auto& events : net.events()) events.clear();
+  net.node(0).SetEvacuations(after);
+  const Duration took = net.RunUntil(
+      [&] {
+        int known = 1;
+        for (int i = 1; i < kHosts; ++i) {
+          for (const auto& event : net.events()[i]) {
+            const auto* heard = std::get_if<EvacuationsAnnounced>(&event);
+            if (heard == nullptr) continue;
+            CHECK(heard->state == after);
+            net.node(i).SetEvacuations(heard->state);
+            ++known;
+            break;
+          }
+        }
+        return known == kHosts;
+      },
+      seconds(10));
+  CHECK(took <= seconds(2));
+  // A host that lags tells nothing, and a host that follows no evacuations is
+  // told them without an effect on the others.
+  net.Run(seconds(1));
+  for (auto& events : net.events()) events.clear();
+  net.node(1).SetEvacuations(before);
+  net.node(2).SetEvacuations(std::nullopt);
+  net.Run(seconds(3));
+  for (int i = 0; i < kHosts; ++i) {
+    CAPTURE(i);
+    const int heard = CountEvents<EvacuationsAnnounced>(net.events()[i]);
+    CHECK((heard > 0) == (i == 1 || i == 2));
+  }
+}
+
 TEST_CASE("a mark without an era is newer than one of the era before") {
   GossipNet net({.hosts = 4, .loss = 0, .seed = 3});
   StartAll(net, seconds(10));
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -120,20 +120,47 @@
 FakeStore::FakeStore(boost::asio::io_context& io)
     : budget_(std::make_shared<http::BodyBudget>(kBudget)),
       io_(io),
-      server_(io, {}, ServerHooks(), budget_) {
+      server_(io, {}, Hooks([this](http::ExchangePtr exchange) {
+                Handle(std::move(exchange), {});
+              }),
+              budget_) {
   server_.Listen(At(0));
 }
 
-http::ServerHooks FakeStore::ServerHooks() {
-  return Hooks([this](http::ExchangePtr e) { Handle(std::move(e)); });
-}
-
 std::string FakeStore::AddAddress() {
-  auto server = std::make_unique<http::Server>(io_, http::ServerLimits{},
-                                               ServerHooks(), budget_);
+  // The port is known only once the server listens.
+  const auto address = std::make_shared<std::string>();
+  auto server = std::make_unique<http::Server>(
+      io_, http::ServerLimits{},
+      Hooks([this, address](http::ExchangePtr exchange) {
+        Handle(std::move(exchange), *address);
+      }),
+      budget_);
   server->Listen(At(0));
+  *address = At(server->port());
   more_servers_.push_back(std::move(server));
-  return At(more_servers_.back()->port());
+  return *address;
+}
+
+void FakeStore::SetKindDown(const std::string& kind, bool down) {
+  if (down) {
+    kinds_down_.insert(kind);
+  } else {
+    kinds_down_.erase(kind);
+  }
+}
+
+void FakeStore::SetAddressDown(const std::string& address, bool down) {
+  if (!down) {
+    addresses_down_.erase(address);
+    return;
+  }
+  addresses_down_.insert(address);
+  std::erase_if(waiting_, [&address](const Waiting& waiting) {
+    if (waiting.address != address) return false;
+    waiting.exchange->Abort();
+    return true;
+  });
 }
 
 void FakeStore::LoseWatches() {
@@ -229,12 +256,15 @@
   return true;
 }
 
-void FakeStore::Handle(http::ExchangePtr exchange) {
+void FakeStore::Handle(http::ExchangePtr exchange, const std::string& address) {
+  if (addresses_down_.contains(address)) return exchange->Abort();
   const http::Request& request = exchange->request();
   ++calls_;
-  if (down_) return exchange->Respond(Reply(503, Json::object()));
   const auto parts = Parts(request.path);
   const std::string kind = parts.size() > 1 ? parts[1] : "";
+  ++calls_by_kind_[kind];
+  if (down_ || kinds_down_.contains(kind))
+    return exchange->Respond(Reply(503, Json::object()));
   const std::string since = http::QueryValue(request.query, "Watch");
   if (request.method == "POST") {
     if (refused_writes_ > 0) {
@@ -258,7 +288,8 @@
     return exchange->Respond(Reply(200, Json::object()));
   }
   if (!since.empty()) {
-    const Waiting waiting{kind, std::stoull(since), std::move(exchange)};
+    const Waiting waiting{kind, std::stoull(since), std::move(exchange),
+                          address};
     if (waiting.since < forgotten_ || waiting.since > revision_) {
       return waiting.exchange->Respond(Reply(410, Json::object()));
     }
@@ -487,6 +518,13 @@
   store_->Put("servers", name, SampleEntry(service, address, "z1", state));
 }
 
+void Site::ListIn(const std::string& failure_domain, const std::string& service,
+                  const FakeTarget& target) {
+  service_at_[target.address()] = service;
+  store_->Put("servers", target.name(),
+              SampleEntry(service, target.address(), failure_domain, "ready"));
+}
+
 void Site::SetPath(std::size_t host, const std::string& service,
                    TargetPath path) {
   if (!black_hole_) black_hole_ = std::make_unique<BlackHole>(io_);
@@ -576,6 +614,7 @@
   settings.placement_port = kGossipPort + 1;
   settings.store = store_->AddAddress();
   settings.stop_time = stop_time_;
+  settings.evacuation_time = evacuation_time_;
   settings.retry_ratio = 0.2;
   settings.retry_slack = 100;
   settings.retry_window = std::chrono::seconds(10);
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,11 @@
   bool Has(const std::string& kind, const std::string& name) const;
   /// While it is down each call is answered 503, waiting watches too.
   void SetDown(bool down);
+  /// Calls for objects of this kind are answered 503 from now on.
+  void SetKindDown(const std::string& kind, bool down);
+  /// What comes by this address, of `AddAddress`, is broken off from now on,
+  /// waiting watches too.
+  void SetAddressDown(const std::string& address, bool down);
   /// Objects in an answer at most.
   void SetPageSize(std::size_t size) { page_size_ = size; }
   /// The next writes are done and not answered.
@@ -61,6 +67,11 @@
   /// The next writes are refused as in an outage.
   void RefuseWrites(int count) { refused_writes_ = count; }
   std::size_t calls() const { return calls_; }
+  /// Calls that named this kind.
+  std::size_t calls(const std::string& kind) const {
+    const auto at = calls_by_kind_.find(kind);
+    return at == calls_by_kind_.end() ? 0 : at->second;
+  }
   /// Drops its history: watches from before are told to list anew.
   void Forget();
   /// Watches that wait now are never answered, nor are they cut.
@@ -92,6 +103,7 @@
     std::string kind;
     std::uint64_t since = 0;
     http::ExchangePtr exchange;
+    std::string address;  ///< Of `AddAddress`, or empty.
   };
   struct Event {
     std::string kind;
@@ -99,8 +111,7 @@
     nlohmann::json event;
   };
 
-  http::ServerHooks ServerHooks();
-  void Handle(http::ExchangePtr exchange);
+  void Handle(http::ExchangePtr exchange, const std::string& address);
   void Note(const std::string& kind, const nlohmann::json& object,
             bool removed);
   bool Answer(const Waiting& waiting);
@@ -117,6 +128,9 @@
   int lost_answers_ = 0;
   int refused_writes_ = 0;
   std::size_t calls_ = 0;
+  std::map<std::string, std::size_t> calls_by_kind_;
+  std::set<std::string> kinds_down_;
+  std::set<std::string> addresses_down_;
   std::uint64_t forgotten_ = 0;  ///< Changes up to here are gone.
   std::uint64_t era_ = 1;
   std::optional<std::string> era_text_;  ///< Sent in place of `era_`.
@@ -259,6 +273,9 @@
   FakeTarget& AddTarget(const std::string& service, const std::string& name);
   void List(const std::string& service, const FakeTarget& target,
             const std::string& state = "ready");
+  /// Lists the target as ready in a failure domain.
+  void ListIn(const std::string& failure_domain, const std::string& service,
+              const FakeTarget& target);
   /// Lists the target as ready for so many requests at once.
   void SetSlots(const std::string& service, const FakeTarget& target,
                 int slots);
@@ -269,6 +286,12 @@
                  const std::function<void(nlohmann::json&)>& change = {});
   /// Time from the stop of a host to its end, for hosts that start from now on.
   void SetStopTime(Duration time) { stop_time_ = time; }
+  /// Hosts that start from now on follow which domains are evacuated.
+  void SetEvacuationTime(Duration time) { evacuation_time_ = time; }
+  /// Whether the host reaches the store. Its open calls are broken off.
+  void SetStorePath(std::size_t host, bool open) {
+    store_->SetAddressDown(settings_.at(host).store, !open);
+  }
   /// Starts a host; returns its number.
   std::size_t AddHost();
   /// Sets what new connections from the host to any target of a service meet.
@@ -321,6 +344,7 @@
   std::map<std::pair<std::size_t, std::string>, TargetPath> paths_;
   std::unique_ptr<BlackHole> black_hole_;
   Duration stop_time_ = std::chrono::seconds(2);
+  std::optional<Duration> evacuation_time_;
   int next_id_ = 0;
 };
 
--- a/test/shell/wire-test.cc
+++ b/test/shell/wire-test.cc
@@ -57,6 +57,13 @@
         {random(), static_cast<std::uint32_t>(draw(9))});
   }
   datagram.store_era = draw(1) * (random() >> 1);
+  if (draw(1) == 1) {
+    EvacuationState& state = datagram.evacuations.emplace();
+    state.version = {draw(3), random()};
+    for (std::uint64_t i = draw(8); i > 0; --i) {
+      state.domains.insert({std::string(draw(64), 'd') + std::to_string(i)});
+    }
+  }
   return datagram;
 }
 
@@ -71,6 +78,7 @@
   CHECK(a.targets == b.targets);
   CHECK(a.suspects == b.suspects);
   CHECK(a.store_era == b.store_era);
+  CHECK(a.evacuations == b.evacuations);
   REQUIRE(a.claims.size() == b.claims.size());
   for (std::size_t i = 0; i < a.claims.size(); ++i) {
     CHECK(a.claims[i].id == b.claims[i].id);
@@ -94,6 +102,24 @@
   }
 }
 
+TEST_CASE(
+    "a datagram of an older build is taken as one that evacuates nothing") {
+  comfreyflow::Datagram datagram;
+  datagram.evacuations = EvacuationState{{1, 2}, {}};
+  const std::string with = EncodeDatagram(datagram, kKey);
+  datagram.evacuations.reset();
+  const std::string without = EncodeDatagram(datagram, kKey);
+  // Absent, the field takes no byte, so that this is what older builds send.
+  CHECK(without.size() < with.size());
+  comfreyflow::Datagram older;
+  REQUIRE_FALSE(DecodeDatagram(without, kKey, older));
+  CHECK_FALSE(older.evacuations);
+  comfreyflow::Datagram read;
+  REQUIRE_FALSE(DecodeDatagram(with, kKey, read));
+  REQUIRE(read.evacuations);
+  CHECK(read.evacuations->domains.empty());
+}
+
 TEST_CASE("ages are rounded up, so that relayed evidence never grows younger") {
   comfreyflow::Datagram datagram;
   datagram.claims.push_back({{7}, MemberState::kAlive, Duration(1), {}});
