An entry of evacuations without a name evacuates nothing

The store's client passes on a malformed object with an empty name. The host took it for the domain of the empty name, in which all targets are whose entries name no domain: one malformed object stopped all their requests.

--- a/src/gateway/domain-evacuations.cc
+++ b/src/gateway/domain-evacuations.cc
@@ -27,10 +27,15 @@
   followed.is_told_by_peers = true;
   followed.on_listed = [this](const std::vector<PlatformObject>& objects) {
     std::set<FailureDomain> domains;
-    for (const auto& object : objects) domains.insert({object.name});
+    for (const auto& object : objects) {
+      if (!object.name.empty()) domains.insert({object.name});
+    }
     evacuations_.SetList(hooks_.version(), domains, Now());
   };
+  // A malformed object without a name evacuates nothing. Targets whose entries
+  // name no domain are in the domain of the empty name.
   followed.on_changed = [this](const PlatformObject& object) {
+    if (object.name.empty()) return;
     if (object.deleted) {
       evacuations_.Remove({object.name});
     } else {
--- a/test/platform/evacuation-test.cc
+++ b/test/platform/evacuation-test.cc
@@ -328,6 +328,25 @@
   CHECK(DomainLines()[0]["targets"] == 0);
 }
 
+TEST_CASE("an entry without a name evacuates targets without a domain") {
+  Drill drill(0);
+  drill.site.ListIn("", "app", drill.near);
+  drill.site.ListIn("", "app", drill.far);
+  SUBCASE("listed") {
+    drill.site.store().Put(kKind, "", json::object());
+    drill.site.AddHost();
+    REQUIRE(drill.site.UntilReady(0));
+  }
+  SUBCASE("watched") {
+    drill.site.AddHost();
+    REQUIRE(drill.site.UntilReady(0));
+    drill.site.store().Put(kKind, "", json::object());
+    drill.Evacuate("no-such-domain");
+    REQUIRE(drill.UntilKnown(1));
+  }
+  CHECK(drill.site.Call(0, "GET", "/safe/x").response.status == 200);
+}
+
 TEST_CASE("settings without a bound make the host call for evacuations") {
   Site site;
   FakeTarget& target = site.AddTarget("app", "i1");
