A domain that is put back is used at once after a change of the store's era

A domain that an older copy of the store lacks stays evacuated for 30 s. It did so also if the operator wrote its entry again in the new era and removed it: the domain stayed out of service for the rest of that time. The retention of a domain now ends when the new era tells of it.

--- a/include/comfreyflow/evacuations.h
+++ b/include/comfreyflow/evacuations.h
@@ -68,12 +68,13 @@
  private:
   const EvacuationState* Latest() const;
   void Retain(const EvacuationState& next, Time now);
+  void EndRetention(const std::set<FailureDomain>& domains);
   void Update();
 
   std::optional<EvacuationState> listed_;  ///< As this host read the store.
   std::optional<EvacuationState> told_;    ///< The latest that a peer told.
   /// Domains that only an earlier era of the store had, and until when they
-  /// stay evacuated.
+  /// stay evacuated unless the present era tells of them.
   std::map<FailureDomain, Time> retained_;
   /// Invariant: the domains of the later one of `listed_` and `told_`, and
   /// those of `retained_`.
--- a/src/core/targets/evacuations.cc
+++ b/src/core/targets/evacuations.cc
@@ -17,15 +17,20 @@
   // The store may fall back to an earlier era; peers tell theirs again.
   if (told_ && told_->version.era > version.era) told_.reset();
   listed_ = next;
+  EndRetention(domains);
   Update();
 }
 
 void Evacuations::Put(const FailureDomain& domain) {
-  if (listed_) listed_->domains.insert(domain);
+  if (!listed_) return;
+  listed_->domains.insert(domain);
+  EndRetention({domain});
 }
 
 void Evacuations::Remove(const FailureDomain& domain) {
-  if (listed_) listed_->domains.erase(domain);
+  if (!listed_) return;
+  listed_->domains.erase(domain);
+  EndRetention({domain});
 }
 
 void Evacuations::EndBatch(const StoreVersion& version) {
@@ -39,6 +44,7 @@
   if (latest != nullptr && state.version <= latest->version) return;
   Retain(state, now);
   told_ = state;
+  EndRetention(state.domains);
   Update();
 }
 
@@ -52,6 +58,11 @@
   }
 }
 
+/// The present era tells of these domains, so that it alone counts for them.
+void Evacuations::EndRetention(const std::set<FailureDomain>& domains) {
+  for (const auto& domain : domains) retained_.erase(domain);
+}
+
 void Evacuations::Tick(Time now) {
   const auto ended = std::erase_if(
       retained_, [now](const auto& entry) { return entry.second <= now; });
--- a/test/evacuations-test.cc
+++ b/test/evacuations-test.cc
@@ -101,6 +101,31 @@
   CHECK(evacuations.domains() == std::set{kWest});
 }
 
+TEST_CASE("a domain that was put back stays out as an older copy lacked it") {
+  Evacuations evacuations;
+  evacuations.SetList(Version(50, 1), {kEast}, kStart);
+  evacuations.SetList(Version(20, 2), {}, kStart);
+  REQUIRE(evacuations.IsEvacuated(kEast));
+  SUBCASE("written again and removed, as the store tells") {
+    evacuations.Put(kEast);
+    evacuations.EndBatch(Version(21, 2));
+    CHECK(evacuations.IsEvacuated(kEast));
+    evacuations.Remove(kEast);
+    evacuations.EndBatch(Version(22, 2));
+  }
+  SUBCASE("written again and removed, as peers tell") {
+    evacuations.Merge({Version(21, 2), {kEast}}, kStart);
+    CHECK(evacuations.IsEvacuated(kEast));
+    evacuations.Merge({Version(22, 2), {}}, kStart);
+  }
+  SUBCASE("written again and removed, as lists tell") {
+    evacuations.SetList(Version(21, 2), {kEast}, kStart);
+    CHECK(evacuations.IsEvacuated(kEast));
+    evacuations.SetList(Version(22, 2), {}, kStart);
+  }
+  CHECK_FALSE(evacuations.IsEvacuated(kEast));
+}
+
 TEST_CASE("a domain that an older copy of the store brings back is evacuated") {
   Evacuations evacuations;
   evacuations.SetList(Version(50, 1), {}, kStart);
--- a/test/platform/evacuation-test.cc
+++ b/test/platform/evacuation-test.cc
@@ -385,6 +385,11 @@
       [&] { return drill.site.store().lists(kKind) > lists; }));
   drill.Wait(milliseconds(200));
   CHECK(drill.RunsOf(drill.near) == 0);
+  // The operator's later word ends it at once.
+  drill.Evacuate(kNear);
+  drill.Wait(milliseconds(200));
+  drill.site.store().Remove(kKind, kNear);
+  CHECK(drill.UntilUsed(drill.near));
 }
 
 TEST_CASE("a domain is used although an older copy of the store evacuates it") {
