A list of the era before puts back no domain that a peer told of

A list may be under way while a peer tells of the store's next era. When it arrived, the peer's state was dropped as that of a later era than the store's, and its domains got requests until the next datagram of a peer.

--- a/src/core/targets/evacuations.cc
+++ b/src/core/targets/evacuations.cc
@@ -48,10 +48,11 @@
   Update();
 }
 
-/// Keeps the domains of an earlier era that `next` lacks.
+/// Keeps the domains of another era that `next` lacks. A list of an earlier
+/// era may have been under way when a peer told of the later one.
 void Evacuations::Retain(const EvacuationState& next, Time now) {
   const EvacuationState* latest = Latest();
-  if (latest == nullptr || next.version.era <= latest->version.era) return;
+  if (latest == nullptr || next.version.era == latest->version.era) return;
   for (const auto& domain : latest->domains) {
     if (!next.domains.contains(domain))
       retained_.try_emplace(domain, now + kEraRetention);
--- a/test/evacuations-test.cc
+++ b/test/evacuations-test.cc
@@ -137,6 +137,18 @@
   Evacuations evacuations;
   evacuations.Merge({Version(20, 9), {kEast}}, kStart);
   evacuations.SetList(Version(70, 1), {}, kStart);
+  evacuations.Tick(kStart + Evacuations::kEraRetention);
+  CHECK_FALSE(evacuations.IsEvacuated(kEast));
+}
+
+TEST_CASE("a list of the era before puts a domain back that a peer told of") {
+  Evacuations evacuations;
+  evacuations.SetList(Version(70, 1), {}, kStart);
+  evacuations.Merge({Version(20, 2), {kEast}}, kStart);
+  evacuations.SetList(Version(71, 1), {}, kStart);
+  CHECK(evacuations.IsEvacuated(kEast));
+  evacuations.Merge({Version(20, 2), {kEast}}, kStart);
+  evacuations.Merge({Version(21, 2), {}}, kStart);
   CHECK_FALSE(evacuations.IsEvacuated(kEast));
 }
 
