The log counts the targets of a domain that is evacuated at the host's start

domain_evacuated counted targets as of the last publication, of which there is none before the evacuations are known: a host that started logged targets=0, which means that no target names the domain. The count comes from the list now, and is absent before there is one.

--- a/src/gateway/domain-evacuations.cc
+++ b/src/gateway/domain-evacuations.cc
@@ -62,15 +62,14 @@
 void DomainEvacuations::Publish(const HostName& host) {
   const auto changes = evacuations_.TakeChanges();
   for (const auto& change : changes) {
-    const auto count = target_counts_.find(change.domain);
+    const auto targets = hooks_.targets_in(change.domain);
     const auto version = evacuations_.Shared()->version;
     LogLine line(Severity::kWarning, change.evacuated ? Event::kDomainEvacuated
                                                       : Event::kDomainRestored);
     line.With("failure_domain", change.domain)
-        .With("targets",
-              std::uint64_t{count == target_counts_.end() ? 0 : count->second})
         .With("version", version.revision)
         .With("era", version.era);
+    if (targets) line.With("targets", std::uint64_t{*targets});
     if (!host.value.empty()) line.With("host", host);
   }
   const bool became_known =
@@ -78,15 +77,6 @@
   if (!changes.empty() || became_known) hooks_.changed();
 }
 
-void DomainEvacuations::Apply(
-    std::map<ServiceName, std::vector<PoolTarget>>& targets) {
-  target_counts_.clear();
-  for (const auto& [service, pool] : targets) {
-    for (const auto& target : pool) ++target_counts_[target.domain];
-  }
-  evacuations_.Apply(targets);
-}
-
 node::MetricFamily DomainEvacuations::Metric() const {
   return {"comfreyflow_domains_evacuated",
           "gauge",
--- a/src/gateway/domain-evacuations.h
+++ b/src/gateway/domain-evacuations.h
@@ -20,6 +20,8 @@
   std::function<StoreVersion()> version;
   /// The domains in force have changed, or have become known.
   std::function<void()> changed;
+  /// Number of listed targets in a domain; absent if none were listed yet.
+  std::function<std::optional<std::size_t>(const FailureDomain&)> targets_in;
 };
 
 /// Used on one I/O thread only.
@@ -38,7 +40,9 @@
   bool is_known() const { return evacuations_.is_known(); }
   void Tick(Time now);
   /// Marks the targets in evacuated domains.
-  void Apply(std::map<ServiceName, std::vector<PoolTarget>>& targets);
+  void Apply(std::map<ServiceName, std::vector<PoolTarget>>& targets) const {
+    evacuations_.Apply(targets);
+  }
   node::MetricFamily Metric() const;
   nlohmann::ordered_json Dump() const;
 
@@ -50,8 +54,6 @@
   const DomainEvacuationHooks hooks_;
   Evacuations evacuations_;
   bool was_known_ = false;
-  /// Number of targets in each domain, for the log.
-  std::map<FailureDomain, std::size_t> target_counts_;
 };
 
 }  // namespace comfreyflow::gateway
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -211,7 +211,8 @@
      "role hosts readers"},
     {"domain_evacuated",
      "an operator took a failure domain out of service, and its targets get no "
-     "new requests; targets: listed there, 0 if no target names the domain; "
+     "new requests; targets: listed there, 0 if no target names the domain, "
+     "absent if no targets were listed yet; "
      "host: the peer that told it",
      "failure_domain targets version era host"},
     {"domain_restored", "an evacuated failure domain is in service again",
--- a/test/platform/evacuation-test.cc
+++ b/test/platform/evacuation-test.cc
@@ -160,6 +160,9 @@
                        [](const auto& answer) { return answer->ended; });
   }));
   CHECK(drill.near.requests().size() == before);
+  // Zero would tell the operator that no target names the domain.
+  const json& line = DomainLines().back();
+  CHECK(line.value("targets", 1) == 1);
 }
 
 TEST_CASE("a host that starts sends although nobody tells what is evacuated") {
