A host that starts refuses callers until it knows what is evacuated

A host that starts gets no targets before it knows the evacuations, but it used what another host granted it: without a list of its own it declines no grant. Callers who still had its address were served by targets that might be in an evacuated domain. The host now answers 503 (no_configuration, not run) until the store or a peer has told it the state. Only where the settings name a bound.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -123,6 +123,7 @@
   /// The table for new requests; none while this host must not serve the one
   /// in force.
   std::shared_ptr<const RouteTable> ServedTable() {
+    if (hooks.may_send && !hooks.may_send()) return nullptr;
     return announced.MustNotServe(version(), Now()) ? nullptr : table;
   }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -51,6 +51,9 @@
   std::function<std::uint64_t()> store_era;
   /// Called when a peer knows a later era of the store; may be empty.
   std::function<void(const StoreEraAnnounced&)> store_era_announced;
+  /// Whether requests may go to targets already; empty: always. Until then
+  /// callers are refused.
+  std::function<bool()> may_send;
   /// The evacuations that this host knows; may be empty.
   std::function<std::optional<EvacuationState>()> evacuations;
   /// Called when a peer knows a later state of them; may be empty.
--- a/test/platform/evacuation-test.cc
+++ b/test/platform/evacuation-test.cc
@@ -181,6 +181,32 @@
   CHECK(drill.RunsOf(drill.near, host) == 12);
 }
 
+TEST_CASE("a host that starts uses grants before it knows what is evacuated") {
+  // The other host, which grants, has settings without a bound.
+  Site site;
+  FakeTarget& target = site.AddTarget("app", "i1");
+  site.PutConfig(5);
+  site.AddHost();
+  REQUIRE(site.UntilReady(0));
+  // Without a list of its own the host can't tell that a target was removed.
+  for (const char* kind : {kKind, "servers"})
+    site.store().SetKindDown(kind, true);
+  site.SetEvacuationTime(kBound);
+  const auto started = site.AddHost();
+  for (int i = 0; i < 30; ++i) {
+    const Answer answer = site.Call(started, "GET", "/safe/x");
+    if (answer.response.status == 0) continue;  // It does not listen yet.
+    CHECK(answer.response.status == 503);
+    const auto end = Clock::now() + milliseconds(40);
+    site.Until([end] { return Clock::now() > end; });
+  }
+  CHECK(target.requests().empty());
+  for (const char* kind : {kKind, "servers"})
+    site.store().SetKindDown(kind, false);
+  REQUIRE(site.UntilReady(started));
+  CHECK(site.Call(started, "GET", "/safe/x").response.status == 200);
+}
+
 TEST_CASE("a host that starts waits for the store although a peer has told") {
   Drill drill;
   drill.site.store().SetKindDown(kKind, true);
