One declined grant excludes all targets of the evacuated domains

A host declined a grant in an evacuated domain by excluding its target, and a holder that did not know the evacuation granted the next one: as many round trips as the domain has targets, out of the caller's time.

placement-test: the new case failed before (one target excluded, expected 20), now 45 assertions passed.

--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -386,8 +386,9 @@
   }
 
   /// Returns a granted target that accepts no request of this host: it is
-  /// leaving, has been removed, or asked this host to back off, and the holder
-  /// does not know this yet; or it is a target of another service.
+  /// leaving or evacuated, has been removed, or asked this host to back off,
+  /// and the holder does not know this yet; or it is a target of another
+  /// service.
   const PlacedTarget* FindUnfitTarget(const ServiceName& service,
                                       const PlaceGrant& grant) const {
     for (const auto& target : grant.targets) {
@@ -395,7 +396,8 @@
       const bool is_removed = at == listed_targets.end() &&
                               settings.is_removed &&
                               settings.is_removed(target.version);
-      const bool is_leaving = at != listed_targets.end() && at->second.leaving;
+      const bool is_leaving = at != listed_targets.end() &&
+                              (at->second.leaving || at->second.evacuated);
       const bool is_foreign =
           at != listed_targets.end() && at->second.service != service;
       if (is_removed || is_leaving || is_foreign ||
@@ -422,11 +424,24 @@
       SendBackOff(request.service, request.placer_host, unfit.name, back_off);
     } else {
       request.job.excluded.push_back(unfit.name);
+      ExcludeEvacuated(request);
     }
     request.job.number = ++placement_request_count;
     RequestPlacement(request);
   }
 
+  /// A holder that granted a target of an evacuated domain may know none of
+  /// its evacuations yet. Excluding one target at a time would take as many
+  /// grants as the domain has targets.
+  void ExcludeEvacuated(LocalRequest& request) const {
+    auto& excluded = request.job.excluded;
+    for (const auto& [name, listing] : listed_targets) {
+      if (listing.service != request.service || !listing.evacuated) continue;
+      if (std::find(excluded.begin(), excluded.end(), name) == excluded.end())
+        excluded.push_back(name);
+    }
+  }
+
   ServiceName ListedServiceOf(const TargetName& target) const {
     const auto at = listed_targets.find(target);
     return at == listed_targets.end() ? ServiceName() : at->second.service;
@@ -455,8 +470,8 @@
     listed_targets.clear();
     for (const auto& [service, pool] : targets) {
       for (const auto& target : pool)
-        listed_targets[target.name] = {service,
-                                       target.leaving || target.evacuated};
+        listed_targets[target.name] = {service, target.leaving,
+                                       target.evacuated};
     }
   }
 
@@ -776,7 +791,8 @@
   TargetBackOffs back_offs;  ///< Back-offs that targets asked of this host.
   struct Listing {
     ServiceName service;
-    bool leaving = false;  ///< Or evacuated.
+    bool leaving = false;
+    bool evacuated = false;
   };
   std::map<TargetName, Listing> listed_targets;  ///< All in `targets`.
   std::uint32_t placement_request_count = 0;
--- a/test/shell/placement-test.cc
+++ b/test/shell/placement-test.cc
@@ -173,6 +173,41 @@
   CHECK(process.granted() == std::set<std::string>{"orders-target"});
 }
 
+TEST_CASE("grants in an evacuated domain are declined one target at a time") {
+  const Hosts hosts;
+  FakeHolder holder(hosts);
+  Process process(hosts.Asker(1'000), {hosts.holder, hosts.Asker(1'000)});
+  constexpr std::size_t kEvacuated = 20;
+  std::map<ServiceName, std::vector<PoolTarget>> targets;
+  std::set<TargetName> evacuated;
+  for (std::size_t i = 0; i <= kEvacuated; ++i) {
+    PoolTarget target;
+    target.name.value = "t" + std::to_string(i);
+    target.address = "127.0.0.1:1";
+    target.slots = 16;
+    target.evacuated = i < kEvacuated;
+    if (target.evacuated) evacuated.insert(target.name);
+    targets[kFirstService].push_back(target);
+  }
+  process.placement().SetTargets(targets);
+  process.Place(kFirstService);
+  process.Run(kTurn);
+  const auto first = holder.Asked();
+  REQUIRE_FALSE(first.empty());
+  holder.GrantTarget(first.back().job.id.sequence, first.back().job.number,
+                     {{"t3"}, "127.0.0.1:1"});
+  process.Run(kTurn);
+  CHECK(process.granted().empty());
+  const auto second = holder.Asked();
+  REQUIRE_FALSE(second.empty());
+  const PlaceJob& job = second.back().job;
+  CHECK(job.number > first.back().job.number);
+  CHECK(std::set(job.excluded.begin(), job.excluded.end()) == evacuated);
+  holder.GrantTarget(job.id.sequence, job.number, {{"t20"}, "127.0.0.1:1"});
+  process.RunUntilGranted();
+  CHECK(process.granted() == std::set<std::string>{"t20"});
+}
+
 TEST_CASE("a datagram of a killed process counts as work of the next one") {
   const Hosts hosts;
   Process holder(hosts.holder, {hosts.holder, hosts.Asker(1)});
