An answer without length that a reset cuts is not whole

What callers got: a target answered a long upload at once with 200 and no length, sent a part and reset the connection. The caller got 200 with that part as the whole body.

Cause: the kernel tells the error of a connection once. While the upload was being written the write got ECONNRESET; the read that came after it met the same end of file as after an orderly close, and a body without length ends there. The same would follow from ETIMEDOUT of unacknowledged bytes.

Change: where a body ends with its connection, the end of the write counts. An error other than EPIPE fails the call; EPIPE is told only if the other end had closed in order before (Linux, tcp_reset in CLOSE_WAIT), so that answers that end in order during an upload stay whole, as before.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -85,6 +85,16 @@
   return std::min(kIdleLife, std::max(told - kIdleMargin, told / 4));
 }
 
+/// Whether the other end has said that it sends no more, and the connection was
+/// not broken off.
+bool IsHalfClosed(tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  return ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                      &size) == 0 &&
+         info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 /// Whether the other end has neither closed the connection nor sent anything.
 bool IsQuiet(tcp::socket& socket) {
   error_code error;
@@ -322,10 +332,11 @@
   /// took all.
   void SendDone(const error_code& error) {
     sending_ = false;
-    broken_send_ = error.failed();
+    send_error_ = error;
     serializer_.reset();
     std::string().swap(message_.body());
     lease_ = {};
+    if (std::exchange(end_waits_, false)) return EndWithConnection();
     if (!parser_) BeginRead();
   }
 
@@ -352,12 +363,30 @@
       if (!done_) TellBody();
     }
     if (done_) return;
-    if (parser_->is_done()) return foreign_ ? SkipAnswer() : Whole();
+    if (parser_->is_done()) {
+      if (foreign_) return SkipAnswer();
+      return parser_->need_eof() ? EndWithConnection() : Whole();
+    }
     if (error) return Finish(Errc::kTargetFailed);
     if (paused_) return WaitPaused();
     ReadSome();
   }
 
+  /// The answer has no length and its connection has ended. The kernel tells
+  /// the error of a connection once. If the write got it, the read met the same
+  /// end as after an orderly close; the write's error is a broken pipe only if
+  /// the other end had closed in order before.
+  void EndWithConnection() {
+    if (sending_ && !IsHalfClosed(socket_)) {
+      end_waits_ = true;
+      return;
+    }
+    if (send_error_ && send_error_ != asio::error::broken_pipe) {
+      return Finish(Errc::kTargetFailed);
+    }
+    Whole();
+  }
+
   void WaitPaused() {
     read_waits_ = true;
     if (options_.total_timeout > std::chrono::milliseconds::zero()) {
@@ -426,7 +455,7 @@
     const bool is_fit = keeps_connection_ && !history_.is_full() &&
                         (options_.keep_after_error || !is_error);
     const bool keep =
-        is_fit && parser_->get().keep_alive() && !sending_ && !broken_send_;
+        is_fit && parser_->get().keep_alive() && !sending_ && !send_error_;
     if (keep && buffer_.size() == 0) {
       timer_.Cancel();
       const auto keep_alive = parser_->get()[bh::field::keep_alive];
@@ -490,7 +519,8 @@
   beast::flat_buffer buffer_{kReadBytes};
   bool sent_ = false;
   bool sending_ = false;  ///< Bytes of the request are still to go out.
-  bool broken_send_ = false;
+  error_code send_error_;
+  bool end_waits_ = false;  ///< For `SendDone`.
   bool head_told_ = false;
   bool foreign_ = false;  ///< The answer under way is not the call's own.
   ConnectionHistory history_;
