A status that HTTP does not know is no answer

What callers got: an answer with status 600, 799 or 999 was passed on as it was (as an error of the target), and its connection was kept. 000 to 099 were read as provisional answers, so that the next answer on the connection stood for the call's own, or the call waited for one until its time was over.

Cause: the parser takes any three digits, and the client took all below 200 as provisional and all others as final.

Change: a call ends with kTargetFailed at a status outside 100 to 599, as it did at 101. Its connection is closed with it.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -50,9 +50,11 @@
 constexpr std::uint32_t kMostSkipped = 8;
 /// Of a body of an answer to another call.
 constexpr std::size_t kSkippedBytes = 1024 * 1024;
+constexpr int kFirstStatus = 100;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kFirstErrorStatus = 400;
+constexpr int kLastStatus = 599;
 
 /// Probing of a silent connection: after this many seconds, and how often.
 constexpr int kProbeSeconds = 1;
@@ -85,6 +87,12 @@
   return std::min(kIdleLife, std::max(told - kIdleMargin, told / 4));
 }
 
+/// Whether HTTP has such a status; no call asks for another protocol.
+bool IsKnownStatus(int status) {
+  return status >= kFirstStatus && status <= kLastStatus &&
+         status != kSwitchingProtocols;
+}
+
 /// Whether the other end has said that it sends no more, and the connection was
 /// not broken off.
 bool IsHalfClosed(tcp::socket& socket) {
@@ -410,8 +418,7 @@
     if (head_told_) return;
     head_told_ = true;
     const Response head = Head();
-    // No call asks for another protocol.
-    if (head.status == kSwitchingProtocols) return Finish(Errc::kTargetFailed);
+    if (!IsKnownStatus(head.status)) return Finish(Errc::kTargetFailed);
     const bool provisional = head.status < kFirstFinalStatus;
     const AnswerOwner owner =
         hooks_.owner ? hooks_.owner(head) : AnswerOwner::kUnnamed;
