--- a/src/core/targets/evacuations.cc
+++ b/src/core/targets/evacuations.cc
@@ -17,15 +17,20 @@
   // The store may fall back to an earlier era; peers tell theirs again.
   if (told_ && told_->version.era > version.era) told_.reset();
   listed_ = next;
+  EndRetention(domains);
   Update();
 }
 
 void Evacuations::Put(const FailureDomain& domain) {
-  if (listed_) listed_->domains.insert(domain);
+  if (!listed_) return;
+  listed_->domains.insert(domain);
+  EndRetention({domain});
 }
 
 void Evacuations::Remove(const FailureDomain& domain) {
-  if (listed_) listed_->domains.erase(domain);
+  if (!listed_) return;
+  listed_->domains.erase(domain);
+  EndRetention({domain});
 }
 
 void Evacuations::EndBatch(const StoreVersion& version) {
@@ -39,19 +44,26 @@
   if (latest != nullptr && state.version <= latest->version) return;
   Retain(state, now);
   told_ = state;
+  EndRetention(state.domains);
   Update();
 }
 
-/// Keeps the domains of an earlier era that `next` lacks.
+/// Keeps the domains of another era that `next` lacks. A list of an earlier
+/// era may have been under way when a peer told of the later one.
 void Evacuations::Retain(const EvacuationState& next, Time now) {
   const EvacuationState* latest = Latest();
-  if (latest == nullptr || next.version.era <= latest->version.era) return;
+  if (latest == nullptr || next.version.era == latest->version.era) return;
   for (const auto& domain : latest->domains) {
     if (!next.domains.contains(domain))
       retained_.try_emplace(domain, now + kEraRetention);
   }
 }
 
+/// The present era tells of these domains, so that it alone counts for them.
+void Evacuations::EndRetention(const std::set<FailureDomain>& domains) {
+  for (const auto& domain : domains) retained_.erase(domain);
+}
+
 void Evacuations::Tick(Time now) {
   const auto ended = std::erase_if(
       retained_, [now](const auto& entry) { return entry.second <= now; });
