A part of the evacuated domains that a peer tells ends no evacuation

A datagram took eight names of up to 64 bytes. A host told the others without saying that there were more, and at a later version: they put the domains back that were left out. Eight long names also took more than the 480 bytes of a datagram, so that it carried no claims and the membership heard of no deaths. Names now take 160 bytes at most, a state that is larger says that it is a part (is_partial), and hosts that are told it add its domains and read the store.

evacuations-test: 14 cases, 71 assertions passed, two of them new; wire-test 10, membership-test 18, platform-evacuation-test 18, platform-store-era-test 11, platform-host-test 24, placer-test 37, placement-test 6 cases passed. Not run against the code before, which lacks the field.

--- a/include/comfreyflow/evacuations.h
+++ b/include/comfreyflow/evacuations.h
@@ -18,11 +18,10 @@
 
 namespace comfreyflow {
 
-/// Domains whose names exceed this size, and domains beyond this number, are
-/// not passed on to peers: membership datagrams are small. A fleet has fewer
-/// domains.
-inline constexpr std::size_t kMaxSharedDomainBytes = 64;
-inline constexpr std::size_t kMaxSharedDomains = 8;
+/// Size of the names of the domains that are passed on to peers, at most. It
+/// leaves most of a membership datagram to what else hosts tell each other. Of
+/// a state that exceeds it a part is passed on, and peers read the store.
+inline constexpr std::size_t kMaxSharedDomainBytes = 160;
 
 class Evacuations {
  public:
@@ -37,8 +36,9 @@
   void Remove(const FailureDomain& domain);
   /// All changes up to `version` of the store have been taken.
   void EndBatch(const StoreVersion& version);
-  /// A peer knows this state. Ignored if it is not later than the one known.
-  void Merge(const EvacuationState& state, Time now);
+  /// A peer knows this state. Ignored if it is not later than the one known. A
+  /// partial one ends no evacuation. Returns whether it was taken.
+  bool Merge(const EvacuationState& state, Time now);
   /// Ends the retention of domains that an older copy of the store lacks.
   void Tick(Time now);
 
--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -109,6 +109,8 @@
 struct EvacuationState {
   StoreVersion version;
   std::set<FailureDomain> domains;
+  /// More domains are evacuated than these, as not all fit into a datagram.
+  bool is_partial = false;
   bool operator==(const EvacuationState&) const = default;
 };
 
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -529,7 +529,8 @@
 void Membership::SetEvacuations(const std::optional<EvacuationState>& state) {
   if (state == state_->evacuations) return;
   const bool is_changed = !state || !state_->evacuations ||
-                          state->domains != state_->evacuations->domains;
+                          state->domains != state_->evacuations->domains ||
+                          state->is_partial != state_->evacuations->is_partial;
   if (is_changed) state_->announcements_left = kAnnouncementPings;
   state_->evacuations = state;
 }
--- a/src/core/membership/size.cc
+++ b/src/core/membership/size.cc
@@ -89,7 +89,7 @@
     bytes += StringBytes(mark.target.value) + 5 * kHashBytes + 2 * kFieldBytes;
   }
   if (datagram.evacuations) {
-    bytes += 2 * kHashBytes + kListBytes + kFieldBytes;
+    bytes += 2 * kHashBytes + kListBytes + 2 * kFieldBytes;
     for (const FailureDomain& domain : datagram.evacuations->domains) {
       bytes += StringBytes(domain.value);
     }
--- a/src/core/targets/evacuations.cc
+++ b/src/core/targets/evacuations.cc
@@ -2,6 +2,7 @@
 #include "comfreyflow/evacuations.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace comfreyflow {
 
@@ -39,13 +40,17 @@
   Update();
 }
 
-void Evacuations::Merge(const EvacuationState& state, Time now) {
+bool Evacuations::Merge(const EvacuationState& state, Time now) {
   const EvacuationState* latest = Latest();
-  if (latest != nullptr && state.version <= latest->version) return;
-  Retain(state, now);
-  told_ = state;
+  if (latest != nullptr && state.version <= latest->version) return false;
+  EvacuationState next = state;
+  if (state.is_partial && latest != nullptr)
+    next.domains.insert(latest->domains.begin(), latest->domains.end());
+  Retain(next, now);
+  told_ = std::move(next);
   EndRetention(state.domains);
   Update();
+  return true;
 }
 
 /// Keeps the domains of another era that `next` lacks. A list of an earlier
@@ -79,11 +84,16 @@
 std::optional<EvacuationState> Evacuations::Shared() const {
   const EvacuationState* latest = Latest();
   if (latest == nullptr) return std::nullopt;
-  EvacuationState shared{latest->version, {}};
+  EvacuationState shared{latest->version, {}, latest->is_partial};
+  std::size_t bytes = 0;
   for (const auto& domain : latest->domains) {
-    if (shared.domains.size() >= kMaxSharedDomains) break;
-    if (domain.value.size() <= kMaxSharedDomainBytes)
-      shared.domains.insert(domain);
+    const std::size_t with = bytes + domain.value.size() + 1;
+    if (with > kMaxSharedDomainBytes) {
+      shared.is_partial = true;
+      continue;
+    }
+    bytes = with;
+    shared.domains.insert(domain);
   }
   return shared;
 }
--- a/src/gateway/domain-evacuations.cc
+++ b/src/gateway/domain-evacuations.cc
@@ -50,8 +50,9 @@
 }
 
 void DomainEvacuations::OnPeerState(const EvacuationsAnnounced& announced) {
-  evacuations_.Merge(announced.state, Now());
+  const bool is_taken = evacuations_.Merge(announced.state, Now());
   Publish(announced.host);
+  if (is_taken && announced.state.is_partial) hooks_.is_behind();
 }
 
 void DomainEvacuations::Tick(Time now) {
--- a/src/gateway/domain-evacuations.h
+++ b/src/gateway/domain-evacuations.h
@@ -20,6 +20,8 @@
   std::function<StoreVersion()> version;
   /// The domains in force have changed, or have become known.
   std::function<void()> changed;
+  /// A peer knows more than it could tell: the kind has to be read.
+  std::function<void()> is_behind;
   /// Number of listed targets in a domain; absent if none were listed yet.
   std::function<std::optional<std::size_t>(const FailureDomain&)> targets_in;
 };
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -186,6 +186,7 @@
   out.era = static_cast<std::int64_t>(state.version.era);
   out.revision = static_cast<std::int64_t>(state.version.revision);
   for (const auto& domain : state.domains) out.domains.push_back(domain.value);
+  if (state.is_partial) out.__set_is_partial(true);
   return out;
 }
 
@@ -194,6 +195,7 @@
   out.version = {static_cast<std::uint64_t>(in.era),
                  static_cast<std::uint64_t>(in.revision)};
   for (const auto& domain : in.domains) out.domains.insert({domain});
+  out.is_partial = in.__isset.is_partial && in.is_partial;
   return out;
 }
 
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -33,6 +33,7 @@
   1: i64 era
   2: i64 revision
   3: list<string> domains
+  4: optional bool is_partial
 }
 
 // One datagram of the membership. Claims are parallel lists, to spare bytes:
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -573,6 +573,11 @@
 void EvacuationState::__set_domains(const std::vector<std::string> & val) {
   this->domains = val;
 }
+
+void EvacuationState::__set_is_partial(const bool val) {
+  this->is_partial = val;
+__isset.is_partial = true;
+}
 std::ostream& operator<<(std::ostream& out, const EvacuationState& obj)
 {
   obj.printTo(out);
@@ -637,6 +642,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_partial);
+          this->__isset.is_partial = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -674,6 +687,11 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.is_partial) {
+    xfer += oprot->writeFieldBegin("is_partial", ::apache::thrift::protocol::T_BOOL, 4);
+    xfer += oprot->writeBool(this->is_partial);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -684,6 +702,7 @@
   swap(a.era, b.era);
   swap(a.revision, b.revision);
   swap(a.domains, b.domains);
+  swap(a.is_partial, b.is_partial);
   swap(a.__isset, b.__isset);
 }
 
@@ -691,12 +710,14 @@
   era = other12.era;
   revision = other12.revision;
   domains = other12.domains;
+  is_partial = other12.is_partial;
   __isset = other12.__isset;
 }
 EvacuationState& EvacuationState::operator=(const EvacuationState& other13) {
   era = other13.era;
   revision = other13.revision;
   domains = other13.domains;
+  is_partial = other13.is_partial;
   __isset = other13.__isset;
   return *this;
 }
@@ -706,6 +727,7 @@
   out << "era=" << to_string(era);
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "domains=" << to_string(domains);
+  out << ", " << "is_partial="; (__isset.is_partial ? (out << to_string(is_partial)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -336,10 +336,11 @@
 std::ostream& operator<<(std::ostream& out, const SuspectMark& obj);
 
 typedef struct _EvacuationState__isset {
-  _EvacuationState__isset() : era(false), revision(false), domains(false) {}
+  _EvacuationState__isset() : era(false), revision(false), domains(false), is_partial(false) {}
   bool era :1;
   bool revision :1;
   bool domains :1;
+  bool is_partial :1;
 } _EvacuationState__isset;
 
 class EvacuationState : public virtual ::apache::thrift::TBase {
@@ -349,13 +350,15 @@
   EvacuationState& operator=(const EvacuationState&);
   EvacuationState() noexcept
                   : era(0),
-                    revision(0) {
+                    revision(0),
+                    is_partial(0) {
   }
 
   virtual ~EvacuationState() noexcept;
   int64_t era;
   int64_t revision;
   std::vector<std::string>  domains;
+  bool is_partial;
 
   _EvacuationState__isset __isset;
 
@@ -365,6 +368,8 @@
 
   void __set_domains(const std::vector<std::string> & val);
 
+  void __set_is_partial(const bool val);
+
   bool operator == (const EvacuationState & rhs) const
   {
     if (!(era == rhs.era))
@@ -373,6 +378,10 @@
       return false;
     if (!(domains == rhs.domains))
       return false;
+    if (__isset.is_partial != rhs.__isset.is_partial)
+      return false;
+    else if (__isset.is_partial && !(is_partial == rhs.is_partial))
+      return false;
     return true;
   }
   bool operator != (const EvacuationState &rhs) const {
--- a/test/evacuations-test.cc
+++ b/test/evacuations-test.cc
@@ -152,18 +152,38 @@
   CHECK_FALSE(evacuations.IsEvacuated(kEast));
 }
 
-TEST_CASE("names that exceed a datagram are kept but not passed on") {
+TEST_CASE("many evacuated domains leave no room for claims in a datagram") {
   Evacuations evacuations;
-  std::set<FailureDomain> domains{
-      {std::string(kMaxSharedDomainBytes + 1, 'x')}};
-  for (std::size_t i = 0; i < 2 * kMaxSharedDomains; ++i) {
-    domains.insert({"domain-" + std::to_string(i)});
+  std::set<FailureDomain> domains{{std::string(400, 'x')}};
+  for (int i = 0; i < 40; ++i) {
+    domains.insert({"eu-north-1-zone-" + std::to_string(i)});
   }
   evacuations.SetList(Version(5), domains, kStart);
   CHECK(evacuations.domains() == domains);
-  const auto shared = evacuations.Shared();
-  REQUIRE(shared);
-  CHECK(shared->domains.size() == kMaxSharedDomains);
+  Datagram datagram;
+  datagram.evacuations = evacuations.Shared();
+  REQUIRE(datagram.evacuations);
+  CHECK(datagram.evacuations->is_partial);
+  CHECK(datagram.evacuations->domains.size() >= 5);
+  // Less than two thirds of the 480 bytes of a datagram.
+  CHECK(SizeBound(datagram) <= 320);
+}
+
+TEST_CASE("a domain that a peer had no room to tell is put back") {
+  const FailureDomain kLong{std::string(400, 'x')};
+  Evacuations peer;
+  peer.SetList(Version(9), {kEast, kLong}, kStart);
+  Evacuations evacuations;
+  evacuations.SetList(Version(5), {kLong, kWest}, kStart);
+  REQUIRE(evacuations.Merge(*peer.Shared(), kStart));
+  CHECK(evacuations.domains() == std::set{kEast, kLong, kWest});
+  // What is passed on says as well that it is a part.
+  CHECK(evacuations.Shared()->is_partial);
+  // The store tells the rest.
+  evacuations.Put(kEast);
+  evacuations.Remove(kWest);
+  evacuations.EndBatch(Version(9));
+  CHECK(evacuations.domains() == std::set{kEast, kLong});
 }
 
 TEST_CASE("no request is granted a target of an evacuated domain") {
--- a/test/shell/wire-test.cc
+++ b/test/shell/wire-test.cc
@@ -63,6 +63,7 @@
     for (std::uint64_t i = draw(8); i > 0; --i) {
       state.domains.insert({std::string(draw(64), 'd') + std::to_string(i)});
     }
+    state.is_partial = draw(1) == 1;
   }
   return datagram;
 }
