Answers that are none by HTTP are no evidence of a crash

Cause: a call that ended with kTargetFailed counted as a broken connection, whatever the reason.

Change: the end of a call says whether what came was garbled (an error of the parser or an unknown status). The relay, and the daemon for both kinds of target, leave such an end out of the evidence of crashes. A carrying host says so in `carry-garbled`; hosts of older builds neither send nor read it, and count as before. Which targets rest, and for how long, is unchanged.

--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -455,6 +455,7 @@
     target_head_ = {};
     target_response_ = {};
     answer_ = {};
+    is_garbled_ = false;
     body_.clear();
     StartRun();
     stage_ = progress_.head_sent ? Stage::kStreaming : Stage::kSent;
@@ -540,7 +541,7 @@
                     number](http::CallEnd end) {
       const auto relay = self.lock();
       if (relay && end.code != Errc::kOk && relay->IsParked(number)) {
-        return relay->OnParkedBroken(end.code);
+        return relay->OnParkedBroken(end);
       }
       guarded([end](Relay& relay) { relay.OnCallEnd(end); });
     };
@@ -763,6 +764,7 @@
   void OnCallEnd(const http::CallEnd& end) {
     call_.reset();
     answer_ = end.answer;
+    is_garbled_ = end.is_garbled;
     if (end.code != Errc::kOk) request_sent_ = end.sent;
     if (end.code != Errc::kOk)
       return OnAttemptFailed(WorkEndOf(end.code), end.code);
@@ -886,7 +888,8 @@
       ReturnToParked();
       return ArmResponseTimer(attempt_started_);
     }
-    TakeNextStep(next, code, was_suspect && end == WorkEnd::kBroken);
+    TakeNextStep(next, code,
+                 was_suspect && end == WorkEnd::kBroken && !is_garbled_);
   }
 
   void LogTryFailed(WorkEnd end, const AttemptFailure& failure,
@@ -931,7 +934,7 @@
   }
 
   void RecordCrash(WorkEnd end) {
-    if (end != WorkEnd::kBroken || !request_sent_) return;
+    if (end != WorkEnd::kBroken || !request_sent_ || is_garbled_) return;
     RecordCrashAt(grant_.targets.front(), HasProvenSound());
   }
 
@@ -1113,8 +1116,10 @@
         .With(last_failure_);
   }
 
-  void OnParkedBroken(Errc code) {
-    if (WorkEndOf(code) == WorkEnd::kBroken && parked_->is_sent) {
+  void OnParkedBroken(const http::CallEnd& end) {
+    const bool is_broken =
+        WorkEndOf(end.code) == WorkEnd::kBroken && !end.is_garbled;
+    if (is_broken && parked_->is_sent) {
       RecordCrashAt(parked_->grant.targets.front(), parked_->is_proven);
     }
     DropParked();
@@ -1306,6 +1311,7 @@
   TargetHead target_head_;
   http::Response target_response_;
   http::AnswerProof answer_;
+  bool is_garbled_ = false;  ///< As `http::CallEnd::is_garbled`.
   std::string body_;
   EventSplitter splitter_;
 };
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -49,6 +49,9 @@
 constexpr std::string_view kUnreachable = "unreachable";
 constexpr std::string_view kBroken = "broken";
 constexpr std::string_view kSilent = "silent";
+/// Beside `kBroken`: as `http::CallEnd::is_garbled`. Hosts of older builds do
+/// not say it.
+constexpr std::string_view kGarbledField = "carry-garbled";
 /// The carrying host itself did not answer.
 constexpr std::string_view kGone = "gone";
 /// Says that a host made a connection to the target in question.
@@ -184,6 +187,7 @@
     };
     hooks.on_end = [self](http::CallEnd end) { self->OnCarriedEnd(end); };
     is_carried_ = false;
+    is_garbled_ = false;
     reason_ = kGone;
     current_ = paths_.client_.Open(carrier.address, MakeFrame(), options,
                                    std::move(hooks));
@@ -221,6 +225,7 @@
     answer_.is_own = is_carried_ && http::HasField(head.fields, kOwnField);
     answer_.is_id_reused = !http::HasField(head.fields, kNewIdField);
     if (!is_carried_) {
+      is_garbled_ = http::HasField(head.fields, kGarbledField);
       reason_ = reason.empty() ? kDeclined : std::string(reason);
       return;
     }
@@ -262,7 +267,10 @@
       const bool is_silent =
           reason_ == kSilent || end.code == Errc::kTargetUnresponsive;
       return TellEnd(
-          {is_silent ? Errc::kTargetUnresponsive : Errc::kTargetFailed, true});
+          {is_silent ? Errc::kTargetUnresponsive : Errc::kTargetFailed,
+           true,
+           {},
+           is_garbled_});
     }
     paths_.OnCarrierFailed(call_.service, carrier_);
     if (reason_ == kUnreachable) ++unreachable_;
@@ -293,7 +301,8 @@
   std::vector<HostName> tried_;
   std::size_t unreachable_ = 0;  ///< Hosts that made no connection.
   HostName carrier_;
-  std::string reason_;  ///< Why `carrier_` passed no answer on.
+  std::string reason_;       ///< Why `carrier_` passed no answer on.
+  bool is_garbled_ = false;  ///< `carrier_` said so of the answer.
   bool has_tried_directly_ = false;
   bool is_carried_ = false;   ///< The target's answer comes over `carrier_`.
   http::AnswerProof answer_;  ///< Of a carried answer.
@@ -431,7 +440,7 @@
     if (is_unreached) {
       paths_.OnFailed({head_.service_name}, head_.address);
     }
-    RespondFailed(ReasonOf(end.code));
+    RespondFailed(ReasonOf(end.code), end.is_garbled);
   }
 
   bool IsSuccess() const { return status_ >= 200 && status_ < 300; }
@@ -451,10 +460,13 @@
         .With("skipped", std::uint64_t{end.answer.skipped});
   }
 
-  void RespondFailed(std::string_view reason) {
+  void RespondFailed(std::string_view reason, bool is_garbled = false) {
     http::Response response;
     response.status = kBadGatewayStatus;
     response.fields.push_back({std::string(kFailedField), std::string(reason)});
+    if (is_garbled) {
+      response.fields.push_back({std::string(kGarbledField), "1"});
+    }
     exchange_->Respond(std::move(response));
   }
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -87,6 +87,14 @@
   return std::min(kIdleLife, std::max(told - kIdleMargin, told / 4));
 }
 
+/// Whether the error is one of the bytes that came, and not of the connection.
+bool IsParseError(const error_code& error) {
+  return error.category() ==
+             make_error_code(bh::error::bad_status).category() &&
+         error != bh::error::end_of_stream &&
+         error != bh::error::partial_message;
+}
+
 /// Whether HTTP has such a status; no call asks for another protocol.
 bool IsKnownStatus(int status) {
   return status >= kFirstStatus && status <= kLastStatus &&
@@ -375,7 +383,10 @@
       if (foreign_) return SkipAnswer();
       return parser_->need_eof() ? EndWithConnection() : Whole();
     }
-    if (error) return Finish(Errc::kTargetFailed);
+    if (error) {
+      is_garbled_ = IsParseError(error);
+      return Finish(Errc::kTargetFailed);
+    }
     if (paused_) return WaitPaused();
     ReadSome();
   }
@@ -418,7 +429,10 @@
     if (head_told_) return;
     head_told_ = true;
     const Response head = Head();
-    if (!IsKnownStatus(head.status)) return Finish(Errc::kTargetFailed);
+    if (!IsKnownStatus(head.status)) {
+      is_garbled_ = true;
+      return Finish(Errc::kTargetFailed);
+    }
     const bool provisional = head.status < kFirstFinalStatus;
     const AnswerOwner owner =
         hooks_.owner ? hooks_.owner(head) : AnswerOwner::kUnnamed;
@@ -477,7 +491,7 @@
     done_ = true;
     Drop();
     const CallHooks hooks = std::exchange(hooks_, {});
-    if (hooks.on_end) hooks.on_end({code, sent_, answer_});
+    if (hooks.on_end) hooks.on_end({code, sent_, answer_, is_garbled_});
   }
 
   /// Ends the call if a hook throws.
@@ -533,6 +547,7 @@
   ConnectionHistory history_;
   bool keeps_connection_ = true;  ///< Later calls may use it.
   AnswerProof answer_;
+  bool is_garbled_ = false;
   std::size_t skipped_bytes_ = 0;  ///< Of answers to other calls.
   Clock::time_point started_;
   bool paused_ = false;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -60,6 +60,9 @@
   Errc code = Errc::kOk;
   bool sent = false;  ///< A byte of the request was handed to a socket.
   AnswerProof answer;
+  /// What came was no answer by HTTP, or longer than allowed. It says nothing
+  /// about whether the process at the other end is alive.
+  bool is_garbled = false;
 };
 
 /// What a call tells. Hooks run on the I/O threads, one at a time for a call;
--- a/src/node/engine-stream.cc
+++ b/src/node/engine-stream.cc
@@ -112,7 +112,7 @@
   // The first member of a gang reports the result, so the regular end of
   // another member is no event.
   if (!streams_ && end.code == Errc::kOk) return;
-  Fail(Errc::kTargetFailed, !end.sent, true);
+  Fail(Errc::kTargetFailed, !end.sent, !end.is_garbled);
 }
 
 void EngineStream::Fail(Errc code, bool not_run, bool crashed) {
--- a/src/node/target-links.cc
+++ b/src/node/target-links.cc
@@ -114,7 +114,7 @@
 void PostPlainResult(const LinkSink& sink, const AttemptId& attempt,
                      http::CallEnd end, http::Response answer) {
   if (end.code != Errc::kOk) {
-    const bool crashed = end.code == Errc::kTargetFailed;
+    const bool crashed = end.code == Errc::kTargetFailed && !end.is_garbled;
     return sink(
         EntryPosted{StreamFailed{attempt, end.code, !end.sent, crashed}});
   }
--- a/test/platform/trouble-answer-test.cc
+++ b/test/platform/trouble-answer-test.cc
@@ -25,13 +25,13 @@
 
 enum class Close : std::uint8_t { kReset, kInOrder };
 
-/// Two services of two targets each that write `text`, and one or two hosts of
+/// Two services of four targets each that write `text`, and one or two hosts of
 /// which the first reaches targets over the second only.
 struct TroubledSite {
   TroubledSite(std::string answer, Close close, bool is_carried)
       : text(std::move(answer)), way(close) {
     for (const char* service : {"app", "model"}) {
-      for (const char* number : {"1", "2"}) {
+      for (const char* number : {"1", "2", "3", "4"}) {
         targets.push_back(&site.AddRawTarget(
             service, service + std::string(number),
             [this](const RawTarget::Socket& socket, const std::string& bytes) {
@@ -167,3 +167,44 @@
   }));
   CheckFailed(troubled.Call("/unsafe/2", kUploadBytes));
 }
+
+TEST_CASE("a status that HTTP does not know is told to callers") {
+  for (const bool is_carried : {false, true}) {
+    CAPTURE(is_carried);
+    for (const std::string line :
+         {"HTTP/1.1 000 A", "HTTP/1.1 099 A", "HTTP/1.1 101 A",
+          "HTTP/1.1 600 A", "HTTP/1.1 999 A", "HTTP/1.1 1000 A",
+          "HTTP/1.1 20 A", "HTTP/1.1 -20 A", "HTTP/2.0 200 A"}) {
+      CAPTURE(line);
+      TroubledSite troubled(
+          line + "\r\nX-Request-Id: $ID\r\nX-Seal: s\r\nContent-Type: " +
+              "text/event-stream\r\n\r\n" + kEvents,
+          Close::kInOrder, is_carried);
+      for (const std::string path : {"/safe/1", "/unsafe/1", "/stream/1"}) {
+        CAPTURE(path);
+        const Answer answer = troubled.Call(path, 0);
+        CHECK(answer.whole);
+        CheckFailed(answer);
+      }
+      // Others look whether the target still accepts connections.
+      CHECK(troubled.Connections() >= troubled.attempts);
+    }
+  }
+}
+
+TEST_CASE("a request is condemned for answers that are none by HTTP") {
+  // They show that its target is out of order, and no crash.
+  for (const bool is_carried : {false, true}) {
+    CAPTURE(is_carried);
+    for (const std::string line : {"HTTP/1.1 999 A", "HTTP/1.1 20 A"}) {
+      CAPTURE(line);
+      TroubledSite troubled(line + "\r\nContent-Length: 0\r\n\r\n",
+                            Close::kInOrder, is_carried);
+      for (int i = 0; i < 8; ++i) {
+        const Answer answer = troubled.Call("/unsafe/1", 0);
+        CHECK(answer.response.body.find("quarantined") == std::string::npos);
+        CHECK(answer.response.status == 502);
+      }
+    }
+  }
+}
