A body in a transfer coding that is not undone is no answer

What callers got: an answer with a coding other than `chunked` alone (gzip, "gzip, chunked", "x chunked") was 200 with the encoded bytes, or with the bytes of the chunks' own lines in them, as its body: the field that told the coding is not passed on. With a length beside it (RFC 9112, 6.3: the coding counts) the first bytes were taken and the connection was kept.

Cause: the parser knows `chunked` as the last coding and ignores the others.

Change: a call ends with kTargetFailed at any other coding. No request asks for one.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -429,7 +429,7 @@
     if (head_told_) return;
     head_told_ = true;
     const Response head = Head();
-    if (!IsKnownStatus(head.status)) {
+    if (!IsKnownStatus(head.status) || HasOtherCoding()) {
       is_garbled_ = true;
       return Finish(Errc::kTargetFailed);
     }
@@ -448,6 +448,15 @@
     if (hooks_.on_head) hooks_.on_head(head);
   }
 
+  /// The parser undoes no coding but that in chunks.
+  bool HasOtherCoding() const {
+    const auto [first, last] =
+        parser_->get().equal_range(bh::field::transfer_encoding);
+    return std::any_of(first, last, [](const auto& field) {
+      return !beast::iequals(field.value(), "chunked");
+    });
+  }
+
   Response Head() const {
     Response head;
     head.content_type.clear();
--- a/test/shell/odd-status-test.cc
+++ b/test/shell/odd-status-test.cc
@@ -116,6 +116,29 @@
   }
 }
 
+TEST_CASE("a body in a coding that is not undone passes for an answer") {
+  for (const std::string coding :
+       {"gzip", "gzip, chunked", "chunked, gzip", "x chunked", "identity",
+        "chunked\r\nTransfer-Encoding: gzip",
+        "gzip\r\nTransfer-Encoding: chunked", "gzip\r\nContent-Length: 2"}) {
+    CAPTURE(coding);
+    Fixed server("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                 "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    const auto [end, response] = server.Call();
+    CHECK(end.code == Errc::kTargetFailed);
+    CHECK(response.body.empty());
+    CHECK(server.client.idle_connections() == 0);
+  }
+  for (const std::string coding : {"chunked", "Chunked", " chunked "}) {
+    CAPTURE(coding);
+    Fixed server("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                 "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    const auto [end, response] = server.Call();
+    CHECK(end.code == Errc::kOk);
+    CHECK(response.body == "ok");
+  }
+}
+
 TEST_CASE("a status that HTTP knows is no answer") {
   for (const int status :
        {200, 201, 204, 299, 304, 399, 400, 418, 499, 500, 599}) {
