Documents for peers that read slowly are bounded in sum

Cause: a host that was asked for its configuration by another one made a copy of it for each request, which stayed until it was written or the time for writing was over (30 s). Nothing counted them: 24 requests for a document of 4 MiB whose answers were not read held 96 MiB, and a host of the smallest kind has 160 MB in all.

Change: each copy takes its bytes from the budget of answers and gives them back once written; beyond it the peer is told 503 (overloaded) and asks again, another host if it knows one.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -277,6 +277,18 @@
                  });
   }
 
+  /// Each copy counts until it was written, as a peer may read it slowly.
+  void ServeDocument(const http::ExchangePtr& exchange) {
+    http::Response response;
+    response.lease = std::make_shared<http::BodyLease>(answer_budget->Lease());
+    if (response.lease->GrowTo(document_text.size())) {
+      response.body = document_text;
+    } else {
+      response.status = Info(Errc::kOverloaded).http_status;
+    }
+    exchange->Respond(std::move(response));
+  }
+
   http::ServerHooks PeerServerHooks() {
     http::ServerHooks server;
     server.admit_head = [](const http::Request&) { return Errc::kOk; };
@@ -284,12 +296,9 @@
       const std::string& path = exchange->request().path;
       if (path == kCarryPath) return paths.Carry(exchange);
       if (path == kReachPath) return paths.AnswerOther(exchange);
+      if (path == kDocumentPath && table) return ServeDocument(exchange);
       http::Response response;
-      if (path == kDocumentPath && table) {
-        response.body = document_text;
-      } else {
-        response.status = kNotFound;
-      }
+      response.status = kNotFound;
       exchange->Respond(std::move(response));
     };
     server.error_response = [](Errc code) {
