Memory is taken for what an answer brings, not for the length it says

What callers got: an answer with a Content-Length of some exabytes ended its call by std::bad_alloc. The host's loop logs that (handler_failed) and goes on, but the call never ends: its caller waits until its deadline, and the target's slot is taken as long. A length of 4 GiB reserved as much address space.

Cause: the body type of the parser reserves the length that the head says, and calls that pass an answer on as it comes have no limit of length.

Change: a body type of the client's own that takes what was read.

cut-answer-test before the change: cut-answer-test.cc:185: ERROR: CHECK_NOTHROW( ... ) THREW "std::bad_alloc" assertions: 10 | 6 passed | 4 failed after: 4 passed, 228 assertions.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -121,6 +121,37 @@
   return error == asio::error::would_block;
 }
 
+/// The part of an answer's body that was read last. Takes memory for what came,
+/// not for the length that the answer says, as `bh::string_body` would.
+struct PartBody {
+  using value_type = std::string;
+
+  class reader {
+   public:
+    template <bool IsRequest, class Fields>
+    reader(bh::header<IsRequest, Fields>& /*head*/, value_type& body)
+        : body_(body) {}
+    void init(const boost::optional<std::uint64_t>& /*length*/,
+              error_code& error) {
+      error = {};
+    }
+    template <class Buffers>
+    std::size_t put(const Buffers& buffers, error_code& error) {
+      error = {};
+      std::size_t bytes = 0;
+      for (const auto buffer : beast::buffers_range_ref(buffers)) {
+        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+        bytes += buffer.size();
+      }
+      return bytes;
+    }
+    void finish(error_code& error) { error = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
 }  // namespace
 
 class Client::Pool {
@@ -545,7 +576,7 @@
   bh::request<bh::string_body> message_;
   BodyLease lease_;  ///< Memory counted for `message_`'s body.
   std::optional<bh::request_serializer<bh::string_body>> serializer_;
-  std::optional<bh::response_parser<bh::string_body>> parser_;
+  std::optional<bh::response_parser<PartBody>> parser_;
   beast::flat_buffer buffer_{kReadBytes};
   bool sent_ = false;
   bool sending_ = false;  ///< Bytes of the request are still to go out.
--- a/test/shell/cut-answer-test.cc
+++ b/test/shell/cut-answer-test.cc
@@ -1,14 +1,15 @@
 // Answers that a target breaks off while it is still being sent the request.
 #include <doctest/doctest.h>
-#include <sys/socket.h>
 
 #include <array>
 #include <boost/asio.hpp>
 #include <chrono>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "http/client.h"
 
@@ -91,7 +92,7 @@
     std::optional<std::pair<CallEnd, Response>> result;
     client.Fetch(
         "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()),
-        std::move(request), {},
+        std::move(request), options,
         [&result](const CallEnd& end, const Response& response) {
           result = {end, response};
         });
@@ -110,6 +111,7 @@
   boost::asio::io_context io{1};
   Tcp::acceptor acceptor;
   Client client{io};
+  CallOptions options;
   std::vector<std::shared_ptr<Tcp::socket>> sockets;
   std::array<char, 65536> buffer{};
   int connections = 0;
@@ -170,3 +172,18 @@
     }
   }
 }
+
+TEST_CASE("memory is taken for the length that an answer says") {
+  // Calls whose answers are passed on as they come have no limit of length.
+  for (const std::string length :
+       {"4294967296", "4611686018427387903", "9223372036854775807",
+        "18446744073709551614"}) {
+    CAPTURE(length);
+    Cutter cutter(kHead + "Content-Length: " + length + "\r\n\r\npart",
+                  Close::kShutDown);
+    cutter.options.answer_bytes = std::numeric_limits<std::uint64_t>::max();
+    CallEnd end;
+    CHECK_NOTHROW(end = cutter.Call(0).first);
+    CHECK(end.code == Errc::kTargetFailed);
+  }
+}
