--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -87,6 +87,14 @@
   return std::min(kIdleLife, std::max(told - kIdleMargin, told / 4));
 }
 
+/// Whether the error is one of the bytes that came, and not of the connection.
+bool IsParseError(const error_code& error) {
+  return error.category() ==
+             make_error_code(bh::error::bad_status).category() &&
+         error != bh::error::end_of_stream &&
+         error != bh::error::partial_message;
+}
+
 /// Whether HTTP has such a status; no call asks for another protocol.
 bool IsKnownStatus(int status) {
   return status >= kFirstStatus && status <= kLastStatus &&
@@ -113,6 +121,37 @@
   return error == asio::error::would_block;
 }
 
+/// The part of an answer's body that was read last. Takes memory for what came,
+/// not for the length that the answer says, as `bh::string_body` would.
+struct PartBody {
+  using value_type = std::string;
+
+  class reader {
+   public:
+    template <bool IsRequest, class Fields>
+    reader(bh::header<IsRequest, Fields>& /*head*/, value_type& body)
+        : body_(body) {}
+    void init(const boost::optional<std::uint64_t>& /*length*/,
+              error_code& error) {
+      error = {};
+    }
+    template <class Buffers>
+    std::size_t put(const Buffers& buffers, error_code& error) {
+      error = {};
+      std::size_t bytes = 0;
+      for (const auto buffer : beast::buffers_range_ref(buffers)) {
+        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+        bytes += buffer.size();
+      }
+      return bytes;
+    }
+    void finish(error_code& error) { error = {}; }
+
+   private:
+    value_type& body_;
+  };
+};
+
 }  // namespace
 
 class Client::Pool {
@@ -375,7 +414,10 @@
       if (foreign_) return SkipAnswer();
       return parser_->need_eof() ? EndWithConnection() : Whole();
     }
-    if (error) return Finish(Errc::kTargetFailed);
+    if (error) {
+      is_garbled_ = IsParseError(error);
+      return Finish(Errc::kTargetFailed);
+    }
     if (paused_) return WaitPaused();
     ReadSome();
   }
@@ -418,7 +460,10 @@
     if (head_told_) return;
     head_told_ = true;
     const Response head = Head();
-    if (!IsKnownStatus(head.status)) return Finish(Errc::kTargetFailed);
+    if (!IsKnownStatus(head.status) || HasOtherCoding()) {
+      is_garbled_ = true;
+      return Finish(Errc::kTargetFailed);
+    }
     const bool provisional = head.status < kFirstFinalStatus;
     const AnswerOwner owner =
         hooks_.owner ? hooks_.owner(head) : AnswerOwner::kUnnamed;
@@ -434,6 +479,15 @@
     if (hooks_.on_head) hooks_.on_head(head);
   }
 
+  /// The parser undoes no coding but that in chunks.
+  bool HasOtherCoding() const {
+    const auto [first, last] =
+        parser_->get().equal_range(bh::field::transfer_encoding);
+    return std::any_of(first, last, [](const auto& field) {
+      return !beast::iequals(field.value(), "chunked");
+    });
+  }
+
   Response Head() const {
     Response head;
     head.content_type.clear();
@@ -477,7 +531,7 @@
     done_ = true;
     Drop();
     const CallHooks hooks = std::exchange(hooks_, {});
-    if (hooks.on_end) hooks.on_end({code, sent_, answer_});
+    if (hooks.on_end) hooks.on_end({code, sent_, answer_, is_garbled_});
   }
 
   /// Ends the call if a hook throws.
@@ -522,7 +576,7 @@
   bh::request<bh::string_body> message_;
   BodyLease lease_;  ///< Memory counted for `message_`'s body.
   std::optional<bh::request_serializer<bh::string_body>> serializer_;
-  std::optional<bh::response_parser<bh::string_body>> parser_;
+  std::optional<bh::response_parser<PartBody>> parser_;
   beast::flat_buffer buffer_{kReadBytes};
   bool sent_ = false;
   bool sending_ = false;  ///< Bytes of the request are still to go out.
@@ -533,6 +587,7 @@
   ConnectionHistory history_;
   bool keeps_connection_ = true;  ///< Later calls may use it.
   AnswerProof answer_;
+  bool is_garbled_ = false;
   std::size_t skipped_bytes_ = 0;  ///< Of answers to other calls.
   Clock::time_point started_;
   bool paused_ = false;
