Soak: failure domains are taken out of service in mix evacuated

The mix writes evacuations/DOMAIN in the store's stand-in and removes it, and EVAC judges that nothing reaches a target of the domain later than 5 s after that, from hosts in touch.

--- a/soak/host-process.cc
+++ b/soak/host-process.cc
@@ -43,7 +43,7 @@
   for (const auto& ip : plan_.seeds) {
     seeds.push_back(ip + ":" + std::to_string(kControlPort));
   }
-  const nlohmann::json settings{
+  nlohmann::json settings{
       {"NodeName", plan_.name},
       {"Zone", plan_.failure_domain},
       {"Ip", plan_.ip},
@@ -62,6 +62,7 @@
         {"RetrySlack", 100},
         {"RetryWindowS", 10}}},
       {"Limits", {{"CpuShare", 0.25}, {"Cores", 1}, {"MemoryMb", kMemoryMb}}}};
+  if (plan_.evacuates) settings["Bounds"]["EvacMs"] = 5000;
   std::ofstream(plan_.directory + "/" + plan_.name + ".json")
       << settings.dump(2);
 }
--- a/soak/host-process.h
+++ b/soak/host-process.h
@@ -21,6 +21,7 @@
   std::vector<std::string> seeds;  ///< `ip`
   std::string fault;  ///< Planted one, for a program that takes it.
   Duration stop_time = std::chrono::seconds(4);
+  bool evacuates = false;  ///< The settings name the bound of evacuations.
 };
 
 /// Names the file of the ports to which a host makes no connection.
--- a/soak/planted-host.cc
+++ b/soak/planted-host.cc
@@ -161,6 +161,11 @@
               [](WatchAnswer& changes) { changes.changes.clear(); });
 }
 
+void IgnoreEvacuations(HostParts& parts) {
+  ChangeStore(parts, "evacuations",
+              [](WatchAnswer& changes) { changes.changes.clear(); });
+}
+
 /// Lets each watch wait for half a minute.
 void KeepWatches(HostParts& parts) {
   parts.wrap_store = [](ObjectStore store) {
@@ -294,7 +299,8 @@
     IgnoreLeaving,     IgnoreConfiguration, KeepWatches,
     IgnoreToldLeaving, IgnoreRetryAfter,    IgnoreLimit,
     LimitEachHost,     IgnoreEra,           TakeLate,
-    JoinRuns,          DieOfEntry,          BelieveCopies};
+    JoinRuns,          DieOfEntry,          BelieveCopies,
+    IgnoreEvacuations};
 
 Plant Find(const std::string& fault) {
   for (std::size_t i = 0; i < kPlanted.size(); ++i) {
--- a/soak/planted.h
+++ b/soak/planted.h
@@ -14,7 +14,7 @@
   Mix mix = Mix::kMixed;  ///< That shows it.
 };
 
-inline constexpr std::array<Planted, 21> kPlanted = {
+inline constexpr std::array<Planted, 22> kPlanted = {
     {{"repeats_failed", "TWICE"},
      {"promises_failed", "REFUSED"},
      {"drops_mark", "MIXED"},
@@ -35,6 +35,7 @@
      {"takes_late", "LOST", Mix::kStops},
      {"joins_runs", "ORDER", Mix::kStops},
      {"dies_of_entry", "ENDS", Mix::kOdd},
-     {"believes_copies", "TWICE", Mix::kCopies}}};
+     {"believes_copies", "TWICE", Mix::kCopies},
+     {"ignores_evacuations", "EVAC", Mix::kEvacuated}}};
 
 }  // namespace comfreyflow::soak
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -60,7 +60,10 @@
       CheckGone(sent);
       CheckKey(sent);
     }
-    for (const auto& run : records_.runs) CheckLeaving(run);
+    for (const auto& run : records_.runs) {
+      CheckLeaving(run);
+      CheckEvacuated(run);
+    }
     CountRewinds();
     for (const auto& word : records_.words) CheckWord(word);
     for (std::size_t i = 0; i < records_.limits.size(); ++i) CheckLimit(i);
@@ -98,7 +101,10 @@
             {"CONFIG", count("CONFIG key"), all, "keys taken away"},
             {"DENIED", count("DENIED"), all, "keys in force"},
             {"GONE", count("GONE"), all, "callers that left"},
-            LeavingJudged(),
+            OutJudged("DRAIN", records_.leaving, bounds_.drain,
+                      "host-seconds of leaving"),
+            OutJudged("EVAC", records_.evacuated, bounds_.evacuation,
+                      "host-seconds of evacuations"),
             {"DRAIN", count("DRAIN rewound"), count("DRAIN rewinds"),
              "targets known to leave before the store was rewound"},
             {"CONFIG", count("CONFIG rewound"), all,
@@ -137,16 +143,17 @@
     return hosts;
   }
 
-  /// Host-seconds in which a target had been leaving for longer than the bound,
-  /// and those of them at which the host was in touch.
-  Judged LeavingJudged() const {
+  /// Host-seconds in which a target had been out for longer than the bound, and
+  /// those of them at which the host was in touch.
+  Judged OutJudged(const char* promise, const std::vector<Leaving>& all,
+                   Duration bound, const char* unit) const {
     constexpr Duration kSample = milliseconds(50);
     const std::size_t hosts = HostCount();
-    Judged out{"DRAIN", 0, 0, "host-seconds of leaving"};
+    Judged out{promise, 0, 0, unit};
     const double step = std::chrono::duration<double>(kSample).count();
-    for (const auto& leaving : records_.leaving) {
+    for (const auto& leaving : all) {
       const Time end = leaving.until.value_or(records_.over);
-      for (Time at = leaving.from + bounds_.drain; at < end; at += kSample) {
+      for (Time at = leaving.from + bound; at < end; at += kSample) {
         for (std::size_t host = 0; host < hosts; ++host) {
           out.of += step;
           if (InTouch(host, at)) out.judged += step;
@@ -677,6 +684,25 @@
     }
   }
 
+  /// EVAC: nothing reaches a target whose failure domain has been out of
+  /// service for long.
+  void CheckEvacuated(const Run& run) {
+    if (!sent_.contains(run.id)) return;
+    const std::size_t host = AttemptOf(run).host;
+    for (const auto& out : records_.evacuated) {
+      if (out.target != run.target) continue;
+      if (run.at <= out.from + bounds_.evacuation) continue;
+      if (out.until && run.at >= *out.until) continue;
+      if (!InTouch(host, run.at)) continue;
+      const auto late =
+          std::chrono::duration_cast<milliseconds>(run.at - out.from);
+      Note("EVAC", run.id,
+           "sent by host " + std::to_string(host) + " to target " +
+               std::to_string(run.target) + ", " +
+               std::to_string(late.count()) + " ms after its evacuation");
+    }
+  }
+
   /// DRAIN, BUDGET: what a target says of itself to a host binds that host, in
   /// touch or not, unless it was stopped, started or paused since.
   void CheckWord(const Word& word) {
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -12,6 +12,7 @@
 struct Bounds {
   Duration config = std::chrono::milliseconds(2000);
   Duration drain = std::chrono::milliseconds(2000);
+  Duration evacuation = std::chrono::milliseconds(5000);
   Duration touch = std::chrono::milliseconds(3000);
   /// A target that wants nothing for a while may get what was on its way for so
   /// long, and this many requests afterwards.
--- a/soak/records.h
+++ b/soak/records.h
@@ -161,6 +161,9 @@
   std::deque<Run> runs;
   std::vector<KeyLife> keys;
   std::vector<Leaving> leaving;
+  /// Targets in a failure domain that is out of service, from when the store
+  /// acknowledged it.
+  std::vector<Leaving> evacuated;
   std::vector<Word> words;
   std::vector<NamedLimit> limits;
   std::deque<LimitWord> limit_words;
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -76,6 +76,18 @@
     Trouble::kHostKill,         Trouble::kHostStop,
     Trouble::kStoreForgets,     Trouble::kKeyChange};
 
+/// So that a domain is out of service for longer than the bound.
+constexpr Pace kEvacuatedPace = {1.5, milliseconds(7000), milliseconds(14'000)};
+
+constexpr std::array kEvacuatedTroubles = {
+    Trouble::kDomainEvacuated,   Trouble::kDomainEvacuated,
+    Trouble::kDomainEvacuated,   Trouble::kDomainEvacuated,
+    Trouble::kStoreForgetsLinks, Trouble::kStoreForgetsHostLinks,
+    Trouble::kStorePathSilent,   Trouble::kStoreForgets,
+    Trouble::kTargetDrains,      Trouble::kTargetGoes,
+    Trouble::kHostKill,          Trouble::kHostStop,
+    Trouble::kHostPause,         Trouble::kTargetReset};
+
 /// Some stops overlap, and each is over before the quiet time.
 constexpr Pace kStopsPace = {0.8, milliseconds(1000), milliseconds(12'000)};
 
@@ -101,8 +113,9 @@
 constexpr Duration kShortestSilence = milliseconds(1000);
 constexpr Duration kLongestSilence = milliseconds(1400);
 
-constexpr std::array kMixNames = {"mixed",   "leaving", "told", "limited",
-                                  "rewound", "stops",   "odd",  "copies"};
+constexpr std::array kMixNames = {"mixed",   "leaving", "told",
+                                  "limited", "rewound", "stops",
+                                  "odd",     "copies",  "evacuated"};
 
 const Pace& PaceOf(Mix mix) {
   if (mix == Mix::kLimited) return kLimitedPace;
@@ -110,6 +123,7 @@
   if (mix == Mix::kStops) return kStopsPace;
   if (mix == Mix::kOdd) return kOddPace;
   if (mix == Mix::kCopies) return kCopiesPace;
+  if (mix == Mix::kEvacuated) return kEvacuatedPace;
   return mix == Mix::kMixed ? kMixedPace : kLeavingPace;
 }
 
@@ -123,6 +137,7 @@
   if (mix == Mix::kStops) return std::min(drawn, kLongestReset);
   const bool is_path =
       trouble == Trouble::kStoreReset ||
+      (mix == Mix::kEvacuated && trouble == Trouble::kStorePathSilent) ||
       (mix == Mix::kRewound && (trouble == Trouble::kStorePathSilent ||
                                 trouble == Trouble::kStoreSlow));
   const bool brief =
@@ -148,6 +163,9 @@
   if (mix == Mix::kCopies) {
     return {kCopiesTroubles.begin(), kCopiesTroubles.end()};
   }
+  if (mix == Mix::kEvacuated) {
+    return {kEvacuatedTroubles.begin(), kEvacuatedTroubles.end()};
+  }
   if (mix != Mix::kMixed) {
     out.assign(kLeavingTroubles.begin(), kLeavingTroubles.end());
   }
@@ -209,7 +227,8 @@
       "target_copies",
       "service_copies",
       "target_renamed",
-      "host_cut"};
+      "host_cut",
+      "domain_evacuated"};
   return kNames.at(static_cast<std::size_t>(trouble));
 }
 
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -64,10 +64,12 @@
   kServiceCopies,  ///< All plain targets do.
   kTargetRenamed,  ///< Starts anew under another name at its address.
   kHostCut,        ///< Makes no connection to plain targets.
+  // Below: only in `Mix::kEvacuated`.
+  kDomainEvacuated,  ///< A failure domain is out of service for a while.
 };
 /// Those of `Mix::kMixed`, and all.
 inline constexpr int kMixedTroubles = 24;
-inline constexpr int kTroubles = 45;
+inline constexpr int kTroubles = 46;
 
 /// What a soak looks for.
 enum class Mix : std::uint8_t {
@@ -82,6 +84,7 @@
              ///< targets, reloads and configurations.
   kOdd,      ///< As `kLeaving`, beside odd entries.
   kCopies,   ///< Targets write refusals twice; callers repeat what was refused.
+  kEvacuated,  ///< As `kLeaving`, while failure domains are out of service.
 };
 
 /// From the order to stop until the environment would end a process by force.
--- a/soak/site.cc
+++ b/soak/site.cc
@@ -254,11 +254,20 @@
 
 void Site::UnlistOdd() { store_.Remove("servers", kOddName); }
 
+std::string Site::DomainOf(std::size_t target) {
+  return "z" + std::to_string(target % 3);
+}
+
+void Site::SetEvacuated(const std::string& domain, bool evacuated) {
+  constexpr const char* kKind = "evacuations";
+  evacuated ? store_.Put(kKind, domain, Json::object())
+            : store_.Remove(kKind, domain);
+}
+
 void Site::PutEntry(const Target& target, const std::string& state,
                     std::uint64_t report) {
-  Json entry =
-      platform::SampleEntry(target.service, target.path.address(),
-                            "z" + std::to_string(target.number % 3), state);
+  Json entry = platform::SampleEntry(target.service, target.path.address(),
+                                     DomainOf(target.number), state);
   entry["born"] = target.born;
   entry["Seq"] = report;
   store_.Put("servers", target.fake.name(), entry);
--- a/soak/site.h
+++ b/soak/site.h
@@ -60,6 +60,10 @@
   /// number; returns what is odd about it.
   std::string ListOdd(std::size_t kind);
   void UnlistOdd();
+  /// The failure domain that the target's entry names.
+  static std::string DomainOf(std::size_t target);
+  /// The operator takes a failure domain out of service, or puts it back.
+  void SetEvacuated(const std::string& domain, bool evacuated);
   /// Whether all answers of the target say that it leaves.
   void SetTells(std::size_t target, bool tells);
   /// The requests a second that all answers of the target name; absent: none.
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -224,6 +224,7 @@
       plan.failure_domain = "z" + std::to_string(i % 3);
       plan.ip = platform::LoopbackIp(i);
       plan.stop_time = StopTimeOf(settings_.mix);
+      plan.evacuates = settings_.mix == Mix::kEvacuated;
       plan.store = site_.AddStorePath().address();
       for (std::size_t k = 0; k < std::min(kSeeds, count); ++k) {
         plan.seeds.push_back(platform::LoopbackIp(k));
@@ -516,6 +517,7 @@
       return site_.Pause(InUse(event.pick), event.life);
     }
     if (event.trouble == Trouble::kTargetOddEntry) return ListOddEntry(event);
+    if (event.trouble == Trouble::kDomainEvacuated) return Evacuate(event);
     if (event.trouble >= Trouble::kTargetCopies) {
       return CarryCopies(event, host);
     }
@@ -534,6 +536,25 @@
     CarryTold(event);
   }
 
+  /// At most two of the three domains are out of service at once.
+  void Evacuate(const Event& event) {
+    const std::string domain = Site::DomainOf(event.pick % 3);
+    if (evacuated_.size() == 2 || !evacuated_.insert(domain).second) return;
+    site_.SetEvacuated(domain, true);
+    const std::size_t first = records_.evacuated.size();
+    for (std::size_t i = 0; i < site_.targets(); ++i) {
+      if (Site::DomainOf(i) != domain) continue;
+      records_.evacuated.push_back({i, Now(), std::nullopt});
+    }
+    const std::size_t end = records_.evacuated.size();
+    At(event.life, [this, domain, first, end] {
+      for (std::size_t i = first; i < end; ++i)
+        records_.evacuated[i].until = Now();
+      evacuated_.erase(domain);
+      site_.SetEvacuated(domain, false);
+    });
+  }
+
   std::vector<std::size_t> PlainTargets() const {
     std::vector<std::size_t> out;
     for (std::size_t i = 0; i < site_.targets(); ++i) {
@@ -784,8 +805,9 @@
   std::deque<std::pair<Time, platform::FakeStore::Copy>> copies_;
   bool is_rewinding_ = false;
   bool has_odd_entry_ = false;
-  std::set<std::size_t> leaving_;  ///< Targets.
-  std::set<std::size_t> limited_;  ///< Targets.
+  std::set<std::size_t> leaving_;    ///< Targets.
+  std::set<std::string> evacuated_;  ///< Failure domains.
+  std::set<std::size_t> limited_;    ///< Targets.
   std::vector<std::string> story_;
 };
 
--- a/test/soak/promises-test.cc
+++ b/test/soak/promises-test.cc
@@ -445,6 +445,23 @@
   CHECK(Broken(records).empty());
 }
 
+TEST_CASE("a request to an evacuated domain is found") {
+  Records records = Sound();
+  records.evacuated = {{0, kStart - seconds(7), std::nullopt}};
+  CHECK(Broken(records) == Promises{"EVAC"});
+  SUBCASE("not after the domain was put back") {
+    records.evacuated[0].until = kStart;
+  }
+  SUBCASE("not within the bound") {
+    records.evacuated[0].from = kStart - seconds(4);
+  }
+  SUBCASE("not of a host that was out of touch") {
+    records.disturbances.push_back(
+        {Subject::kStorePath, 0, "cut", kStart - seconds(1), std::nullopt});
+  }
+  CHECK(Broken(records).empty());
+}
+
 TEST_CASE("too many repeats, runs and held memory are found") {
   Records records = Sound();
   for (int i = 0; i < 2; ++i) records.runs.push_back(records.runs[0]);
