--- a/include/comfreyflow/routes.h
+++ b/include/comfreyflow/routes.h
@@ -86,8 +86,7 @@
 /// What a target bears while it is cold: for some time after its start, and
 /// whenever it turns cold again.
 struct ColdLimit {
-  Duration after_start{};  ///< How long a target is cold after its start.
-  double per_second = 0;   ///< Requests from all hosts together.
+  double per_second = 0;  ///< Requests from all hosts together.
 };
 
 struct RoutedService {
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -230,7 +230,8 @@
   if (!limits_.empty()) {
     work.grant.out_of_permits = static_cast<std::uint32_t>(
         std::count_if(targets_.begin(), targets_.end(), [&](const auto& entry) {
-          return InPool(entry.second, work) && !HasPermit(entry.second, now);
+          return InPool(entry.second, work) && IsLimited(entry.second) &&
+                 !HasPermit(entry.second, now);
         }));
     for (const auto& target : work.grant.targets) {
       const double reservation_requests =
--- a/src/core/targets/target-book.cc
+++ b/src/core/targets/target-book.cc
@@ -91,10 +91,16 @@
   }
   if (ClosedByOwnReport(entry)) entry.target.leaving = true;
   unconfirmed_.erase(name);
+  // A report that is read again does not prolong a cold phase.
+  if (entry.report != 0 && entry.report == known.report &&
+      entry.target.born == known.target.born) {
+    entry.target.cold_until = known.target.cold_until;
+  }
   TargetEntry before = std::exchange(known, entry);
   // Fields that differ with each report do not count as a change.
   before.target.version = entry.target.version;
   before.report = entry.report;
+  before.cold_left = entry.cold_left;
   if (before != entry) is_changed_ = true;
   return true;
 }
--- a/test/cold-targets-test.cc
+++ b/test/cold-targets-test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "comfreyflow/placer.h"
+#include "comfreyflow/target-book.h"
 #include "comfreyflow/target-limits.h"
 #include "placer-fixture.h"
 
@@ -17,7 +18,7 @@
 namespace {
 
 constexpr double kPerSecond = 14;
-const ColdLimit kCold{seconds(3), kPerSecond};
+const ColdLimit kCold{kPerSecond};
 /// `kPerSecond` x 1.5 + 5, the default of the settings.
 constexpr std::size_t kBound = 26;
 
@@ -124,6 +125,32 @@
   }
 }
 
+TEST_CASE("reports of one cold phase are one change of the list") {
+  TargetBook book(seconds(2));
+  TargetEntry entry;
+  entry.service = {"llm"};
+  entry.target = PoolTargets(1).front();
+  entry.target.born = 7;
+  entry.report = 3;
+  entry.cold_left = milliseconds(2900);
+  entry.target.cold_until = ColdUntil(entry.cold_left, kStart);
+  book.Put(entry);
+  CHECK(book.TakeChanged());
+  const Time end = entry.target.cold_until;
+
+  SUBCASE("a later report") {
+    entry.report = 4;
+    entry.cold_left = milliseconds(1900);
+    entry.target.cold_until = ColdUntil(entry.cold_left, kStart + seconds(1));
+  }
+  SUBCASE("the same report, read again later") {
+    entry.target.cold_until = ColdUntil(entry.cold_left, kStart + seconds(9));
+  }
+  book.Put(entry);
+  CHECK_FALSE(book.TakeChanged());
+  CHECK(book.Pool().at({"llm"}).front().cold_until == end);
+}
+
 TEST_CASE("repeated reports of one cold phase name the same end") {
   const Time end = ColdUntil(milliseconds(2900), kStart);
   CHECK(end >= kStart + milliseconds(2900));
