Choose the store readers in the core, and play a fleet of them

The gateway composed the candidates itself, so no test could play the choice. StoreReaderChoice now takes the membership and yields the role. In a fleet of up to 48 hosts a suspect counted as a host that does not read the store, which shrank the majority that HolderEligibility forms; all hosts of a small fleet now count as before the choice of readers.

--- a/include/comfreyflow/store-readers.h
+++ b/include/comfreyflow/store-readers.h
@@ -4,9 +4,11 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <vector>
 
+#include "comfreyflow/membership.h"
 #include "comfreyflow/types.h"
 
 namespace comfreyflow {
@@ -44,4 +46,33 @@
 std::set<HostName> ChooseStoreReaders(
     const std::vector<ReaderCandidate>& hosts);
 
+/// Decides from the membership whether this host reads the store. Each host
+/// decides on its own; views that differ for a while cause some more or fewer
+/// readers, but a host that is unsure reads.
+class StoreReaderChoice {
+ public:
+  struct Self {
+    HostName name;
+    bool holds_placer = false;
+    bool is_detached = false;  ///< This host can't reach the store.
+  };
+
+  /// To be called several times per second. Returns whether the role changed.
+  bool Update(const std::map<HostName, Member>& members, const Self& self,
+              Time now);
+
+  StoreRole role() const { return role_; }
+  /// Whether the host reads the store, as far as this host knows.
+  bool Reads(const HostName& host) const {
+    return role_ == StoreRole::kOneOfAll || readers_.contains(host);
+  }
+  std::size_t readers() const { return readers_.size(); }
+  std::size_t hosts() const { return hosts_; }
+
+ private:
+  StoreRole role_ = StoreRole::kOneOfAll;
+  std::set<HostName> readers_;
+  std::size_t hosts_ = 0;  ///< Candidates of the last choice.
+};
+
 }  // namespace comfreyflow
--- a/src/core/follow/store-readers.cc
+++ b/src/core/follow/store-readers.cc
@@ -64,4 +64,27 @@
   return readers;
 }
 
+bool StoreReaderChoice::Update(const std::map<HostName, Member>& members,
+                               const Self& self, Time /*now*/) {
+  std::vector<ReaderCandidate> candidates;
+  for (const auto& [name, member] : members) {
+    const bool is_self = name == self.name;
+    // Suspects count as ended, so that another host reads in their place soon.
+    if (!is_self && (member.state != MemberState::kAlive ||
+                     member.facts.draining || member.facts.generation == 0)) {
+      continue;
+    }
+    candidates.push_back({name, member.record.failure_domain,
+                          member.record.capacity, is_self && self.holds_placer,
+                          is_self ? self.is_detached : member.facts.detached});
+  }
+  hosts_ = candidates.size();
+  readers_ = ChooseStoreReaders(candidates);
+  const StoreRole before = role_;
+  role_ = hosts_ <= kMaxFleetOfReaders   ? StoreRole::kOneOfAll
+          : readers_.contains(self.name) ? StoreRole::kReader
+                                         : StoreRole::kPassive;
+  return role_ != before;
+}
+
 }  // namespace comfreyflow
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -4,12 +4,12 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "comfreyflow/addresses.h"
 #include "comfreyflow/announced-document.h"
 #include "comfreyflow/holder.h"
+#include "comfreyflow/store-readers.h"
 #include "gateway/relay.h"
 #include "gateway/target-paths.h"
 #include "http/client.h"
@@ -192,7 +192,7 @@
                                : member.facts.draining;
       views.push_back({name, unable,
                        self ? IsDetached() : member.facts.detached,
-                       store_readers.contains(name)});
+                       store_readers.Reads(name)});
       live.push_back({name, member.record.peers, member.record.incarnation,
                       member.record.capacity, true,
                       self ? was_detached : member.facts.returned});
@@ -203,33 +203,17 @@
     placement.SetPeers(std::move(live));
   }
 
-  /// Chooses the hosts that read the store. Suspects count as ended, so that
-  /// another host reads in their place soon.
+  /// Decides anew whether this host reads the store.
   void UpdateStoreReaders() {
-    std::vector<ReaderCandidate> candidates;
-    for (const auto& [name, member] : peers.members()) {
-      const bool self = name == settings.self.name;
-      if (!self && (member.state != MemberState::kAlive ||
-                    member.facts.draining || member.facts.generation == 0)) {
-        continue;
-      }
-      candidates.push_back({name, member.record.failure_domain,
-                            member.record.capacity,
-                            self && placement.holds_active_placer(),
-                            self ? IsDetached() : member.facts.detached});
-    }
-    const bool is_large = candidates.size() > kMaxFleetOfReaders;
-    store_readers = ChooseStoreReaders(candidates);
-    const StoreRole role = !is_large ? StoreRole::kOneOfAll
-                           : store_readers.contains(settings.self.name)
-                               ? StoreRole::kReader
-                               : StoreRole::kPassive;
-    if (role == store_role) return;
-    store_role = role;
+    const bool is_changed = store_readers.Update(
+        peers.members(),
+        {settings.self.name, placement.holds_active_placer(), IsDetached()},
+        Now());
+    if (!is_changed) return;
     LogLine(Severity::kInfo, Event::kStoreRole)
-        .With("role", ToString(role))
-        .With("hosts", std::uint64_t{candidates.size()})
-        .With("readers", std::uint64_t{store_readers.size()});
+        .With("role", ToString(store_readers.role()))
+        .With("hosts", std::uint64_t{store_readers.hosts()})
+        .With("readers", std::uint64_t{store_readers.readers()});
   }
 
   /// Whether the store was reachable before and is not now.
@@ -249,8 +233,9 @@
 
   void FetchAnnounced() {
     if (is_fetching) return;
-    const auto host = announced.PeerToAsk(
-        version(), store_reachable, store_role == StoreRole::kPassive, Now());
+    const auto host =
+        announced.PeerToAsk(version(), store_reachable,
+                            store_readers.role() == StoreRole::kPassive, Now());
     if (host) Fetch(*host);
   }
 
@@ -478,8 +463,7 @@
   bool store_reachable = false;
   bool was_store_reachable = false;
   HolderEligibility eligibility;
-  std::set<HostName> store_readers;
-  StoreRole store_role = StoreRole::kOneOfAll;
+  StoreReaderChoice store_readers;
   /// This host lost the store while most other hosts kept it.
   bool was_detached = false;
 };
@@ -554,7 +538,7 @@
   state_->peers.SetListed(std::move(hosts));
 }
 
-StoreRole Gateway::store_role() const { return state_->store_role; }
+StoreRole Gateway::store_role() const { return state_->store_readers.role(); }
 
 bool Gateway::holds_placer() const {
   return state_->placement.holds_active_placer();
--- a/test/gossip-net-impl.h
+++ b/test/gossip-net-impl.h
@@ -32,6 +32,8 @@
   record.gossip = Address(host);
   record.peers = record.gossip;
   record.callers = record.gossip;
+  if (settings_.large_hosts > 0)
+    record.capacity = host < settings_.large_hosts ? 50 : 12;
   return record;
 }
 
--- a/test/gossip-net.h
+++ b/test/gossip-net.h
@@ -20,6 +20,8 @@
   double loss = 0;
   Duration delay = std::chrono::microseconds(1500);
   std::uint64_t seed = 1;
+  /// If not 0, so many hosts have 0.5 cores and the others 0.12.
+  int large_hosts = 0;
 };
 
 class GossipNet {
--- a/test/store-readers-test.cc
+++ b/test/store-readers-test.cc
@@ -31,6 +31,18 @@
   return out;
 }
 
+std::map<HostName, Member> Members(std::size_t hosts, Time seen) {
+  std::map<HostName, Member> members;
+  for (const auto& host : Fleet(hosts, 0)) {
+    Member& member = members[host.name];
+    member.record.name = host.name;
+    member.record.failure_domain = host.domain;
+    member.last_seen = seen;
+    member.facts.generation = 1;
+  }
+  return members;
+}
+
 FleetInfo Info(StoreRole role) { return {88, false, role}; }
 
 }  // namespace
@@ -91,6 +103,17 @@
   CHECK(static_cast<std::size_t>(kept) == kStoreReaders - 1);
 }
 
+TEST_CASE("in a small fleet suspects count as hosts that read the store") {
+  // Else the majority of attached hosts is computed over fewer hosts, and
+  // placers move that stayed before.
+  StoreReaderChoice choice;
+  auto members = Members(6, kStart);
+  members.begin()->second.state = MemberState::kSuspect;
+  choice.Update(members, {members.rbegin()->first}, kStart);
+  CHECK(choice.role() == StoreRole::kOneOfAll);
+  CHECK(choice.Reads(members.begin()->first));
+}
+
 TEST_CASE("a passive host makes no calls for what peers tell") {
   FollowPlan plan(1, 7);
   REQUIRE_FALSE(plan.RestTime(0, Info(StoreRole::kPassive), kStart));
