Hosts that hear from no reader of the store read it themselves

A passive host relied on the readers until the membership suspected them. A host that has seen no attached reader alive for 1.8 s now reads by itself.

--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -229,6 +229,8 @@
   void SetConfig(const ConfigMark& config);
   void SetStoreEra(std::uint64_t era);
   void SetEvacuations(const std::optional<EvacuationState>& state);
+  /// Hosts that read the store for all; each datagram tells of one of them.
+  void SetStoreReaders(std::set<HostName> readers);
   void SetPlatformList(std::vector<ListedHost> hosts);
   /// These two pass a mark on to the other hosts.
   void ShareTarget(const TargetMark& mark);
--- a/include/comfreyflow/store-readers.h
+++ b/include/comfreyflow/store-readers.h
@@ -28,6 +28,11 @@
 /// more than half of the fleet ends at once.
 inline constexpr std::size_t kStoreReaders = 12;
 
+/// A host that has not heard of any other reader for this long reads the store
+/// itself: the readers ended at once, or this host is cut off from them. News
+/// of some reader normally arrives several times within this time.
+inline constexpr Duration kReaderSilence = std::chrono::milliseconds(1800);
+
 /// A live host that no peer suspects to have ended.
 struct ReaderCandidate {
   HostName name;
@@ -66,13 +71,22 @@
   bool Reads(const HostName& host) const {
     return role_ == StoreRole::kOneOfAll || readers_.contains(host);
   }
-  std::size_t readers() const { return readers_.size(); }
+  const std::set<HostName>& readers() const { return readers_; }
+  /// The readers whose life other hosts depend on; empty in a small fleet.
+  std::set<HostName> attached_readers() const {
+    return role_ == StoreRole::kOneOfAll ? std::set<HostName>{} : attached_;
+  }
   std::size_t hosts() const { return hosts_; }
 
  private:
+  /// Whether a reader that reaches the store was seen alive recently.
+  bool HearsFromReader(const std::map<HostName, Member>& members,
+                       const HostName& self, Time now) const;
+
   StoreRole role_ = StoreRole::kOneOfAll;
   std::set<HostName> readers_;
-  std::size_t hosts_ = 0;  ///< Candidates of the last choice.
+  std::set<HostName> attached_;  ///< Readers that reach the store.
+  std::size_t hosts_ = 0;        ///< Candidates of the last choice.
 };
 
 }  // namespace comfreyflow
--- a/src/core/follow/store-readers.cc
+++ b/src/core/follow/store-readers.cc
@@ -65,7 +65,7 @@
 }
 
 bool StoreReaderChoice::Update(const std::map<HostName, Member>& members,
-                               const Self& self, Time /*now*/) {
+                               const Self& self, Time now) {
   std::vector<ReaderCandidate> candidates;
   for (const auto& [name, member] : members) {
     const bool is_self = name == self.name;
@@ -80,11 +80,26 @@
   }
   hosts_ = candidates.size();
   readers_ = ChooseStoreReaders(candidates);
+  attached_.clear();
+  for (const auto& host : candidates) {
+    if (readers_.contains(host.name) && !host.is_detached)
+      attached_.insert(host.name);
+  }
   const StoreRole before = role_;
-  role_ = hosts_ <= kMaxFleetOfReaders   ? StoreRole::kOneOfAll
-          : readers_.contains(self.name) ? StoreRole::kReader
-                                         : StoreRole::kPassive;
+  const bool reads =
+      readers_.contains(self.name) || !HearsFromReader(members, self.name, now);
+  role_ = hosts_ <= kMaxFleetOfReaders ? StoreRole::kOneOfAll
+          : reads                      ? StoreRole::kReader
+                                       : StoreRole::kPassive;
   return role_ != before;
 }
 
+bool StoreReaderChoice::HearsFromReader(
+    const std::map<HostName, Member>& members, const HostName& self,
+    Time now) const {
+  return std::any_of(attached_.begin(), attached_.end(), [&](const auto& name) {
+    return name != self && now - members.at(name).last_seen <= kReaderSilence;
+  });
+}
+
 }  // namespace comfreyflow
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -99,6 +99,7 @@
   void Send(Datagram datagram, const std::string& to, MembershipOutput& out);
   void AddGossip(Datagram& datagram, MemberId receiver, std::size_t max_bytes,
                  Time now);
+  const Member* LatestSeenReader(MemberId receiver) const;
   void RequestRecords(Time now, MembershipOutput& out);
   void SendTo(const Member& member, DatagramKind kind, Time now,
               MembershipOutput& out);
@@ -135,6 +136,7 @@
   ConfigMark config;
   std::uint64_t store_era = 0;
   std::optional<EvacuationState> evacuations;
+  std::set<HostName> store_readers;
   std::uint64_t sequence = 0;
   /// Extra pings to send at the next tick, because there is something that
   /// peers have to learn soon.
@@ -175,7 +177,28 @@
   const std::size_t room = (max_bytes - used) / kClaimBytes;
   const std::size_t max_fillers =
       max_bytes > kMaxDatagramBytes ? room : kMaxFillerClaims;
-  datagram.claims = table.Claims(receiver, room, max_fillers, now);
+  const Member* reader = LatestSeenReader(receiver);
+  const std::size_t reader_claims = reader != nullptr && room > 0 ? 1 : 0;
+  datagram.claims =
+      table.Claims(receiver, room - reader_claims, max_fillers, now);
+  if (reader_claims > 0) datagram.claims.push_back(table.ClaimOf(*reader, now));
+}
+
+/// The reader of the store that was seen alive last. Its claim is in each
+/// datagram, so that news of some reader reaches all hosts within a second or
+/// two, also where the claims about all members take longer.
+const Member* Membership::State::LatestSeenReader(MemberId receiver) const {
+  const Member* latest = nullptr;
+  for (const auto& name : store_readers) {
+    const Member* member = table.Find(name);
+    if (member == nullptr || member->id == receiver || member->id == id ||
+        member->state != MemberState::kAlive) {
+      continue;
+    }
+    if (latest == nullptr || member->last_seen > latest->last_seen)
+      latest = member;
+  }
+  return latest;
 }
 
 /// Asks one live member for the records of members that are known only from
@@ -534,6 +557,10 @@
   state_->evacuations = state;
 }
 
+void Membership::SetStoreReaders(std::set<HostName> readers) {
+  state_->store_readers = std::move(readers);
+}
+
 void Membership::SetPlatformList(std::vector<ListedHost> hosts) {
   state_->listed_hosts = std::move(hosts);
 }
--- a/src/core/membership/table.h
+++ b/src/core/membership/table.h
@@ -41,6 +41,7 @@
   /// `max_fillers` of them. No more than `max_claims` are returned.
   std::vector<MemberClaim> Claims(MemberId receiver, std::size_t max_claims,
                                   std::size_t max_fillers, Time now);
+  MemberClaim ClaimOf(const Member& member, Time now) const;
   /// The member with this identifier; null if it is unknown or was replaced by
   /// a later incarnation.
   const Member* Find(MemberId id) const;
@@ -69,7 +70,6 @@
                Time now);
   void AddLive(std::vector<MemberClaim>& claims, std::size_t max_claims,
                MemberId receiver, Time now);
-  MemberClaim ClaimOf(const Member& member, Time now) const;
   void Remove(const HostName& name);
 
   HostName self_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -209,11 +209,12 @@
         peers.members(),
         {settings.self.name, placement.holds_active_placer(), IsDetached()},
         Now());
+    peers.SetStoreReaders(store_readers.attached_readers());
     if (!is_changed) return;
     LogLine(Severity::kInfo, Event::kStoreRole)
         .With("role", ToString(store_readers.role()))
         .With("hosts", std::uint64_t{store_readers.hosts()})
-        .With("readers", std::uint64_t{store_readers.readers()});
+        .With("readers", std::uint64_t{store_readers.readers().size()});
   }
 
   /// Whether the store was reachable before and is not now.
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -105,6 +105,10 @@
   state_->membership.SetPlatformList(std::move(hosts));
 }
 
+void Peers::SetStoreReaders(std::set<HostName> readers) {
+  state_->membership.SetStoreReaders(std::move(readers));
+}
+
 void Peers::ShareTarget(const TargetMark& mark) {
   state_->membership.ShareTarget(mark);
 }
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
   std::error_code Open();
   /// Sets the hosts that the platform's store lists.
   void SetListed(std::vector<ListedHost> hosts);
+  /// Hosts that read the store for all.
+  void SetStoreReaders(std::set<HostName> readers);
   void ShareTarget(const TargetMark& mark);
   void ShareSuspect(const SuspectMark& mark);
   /// Announces to the other hosts that this host stops.
--- a/test/store-readers-test.cc
+++ b/test/store-readers-test.cc
@@ -114,6 +114,37 @@
   CHECK(choice.Reads(members.begin()->first));
 }
 
+TEST_CASE("a host that hears from no reader reads the store itself") {
+  StoreReaderChoice choice;
+  const auto members = Members(88, kStart);
+  const StoreReaderChoice::Self self{{"host-87"}};
+  choice.Update(members, self, kStart);
+  REQUIRE(choice.role() == StoreRole::kPassive);
+  CHECK_FALSE(choice.Update(members, self, kStart + kReaderSilence));
+  const Time late = kStart + kReaderSilence + milliseconds(1);
+  CHECK(choice.Update(members, self, late));
+  CHECK(choice.role() == StoreRole::kReader);
+
+  SUBCASE("news of one reader is enough") {
+    auto heard = members;
+    for (auto& [name, member] : heard) {
+      if (!choice.Reads(name)) continue;
+      member.last_seen = late;
+      break;
+    }
+    choice.Update(heard, self, late);
+    CHECK(choice.role() == StoreRole::kPassive);
+  }
+  SUBCASE("news of others is not") {
+    auto heard = members;
+    for (auto& [name, member] : heard) {
+      if (!choice.Reads(name)) member.last_seen = late;
+    }
+    choice.Update(heard, self, late);
+    CHECK(choice.role() == StoreRole::kReader);
+  }
+}
+
 TEST_CASE("a passive host makes no calls for what peers tell") {
   FollowPlan plan(1, 7);
   REQUIRE_FALSE(plan.RestTime(0, Info(StoreRole::kPassive), kStart));
