Schedule no step of a followed kind twice

RefreshStale cancelled the timer and made a call, but the handler of a timer that had expired already was queued without an error and made the call again. A resting kind wakes four times a second, so this comes about with each refresh of a busy passive host. Timers now carry the number of their step. follower-test: the new case fails without the number, and passes with it.

--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -25,6 +25,9 @@
     Time confirmed_at;  ///< Time of the store's last answer for the kind.
     std::uint64_t call_number = 0;  ///< Answers to earlier calls are ignored.
     std::unique_ptr<asio::steady_timer> timer;
+    /// The next step waits for the timer.
+    bool is_scheduled = false;
+    std::uint64_t step_number = 0;  ///< Timers of earlier steps are ignored.
   };
 
   State(asio::io_context& io, ObjectStore object_store,
@@ -42,6 +45,7 @@
 
   void Step(std::size_t index) {
     if (stopped) return;
+    Unschedule(index);
     const FleetInfo fleet = hooks.fleet_part();
     if (tracks[index].kind.is_told_by_peers) {
       const auto rest = plan.RestTime(index, fleet, Now());
@@ -168,7 +172,6 @@
         .With("version", plan.version(index).revision)
         .With("era", plan.version(index).era)
         .With("age", AgeOf(index));
-    tracks[index].timer->cancel();
     Step(index);
   }
 
@@ -199,13 +202,24 @@
                                                     tracks[index].confirmed_at);
   }
 
+  void Unschedule(std::size_t index) {
+    Track& track = tracks[index];
+    ++track.step_number;
+    if (std::exchange(track.is_scheduled, false)) track.timer->cancel();
+  }
+
   void ScheduleStep(std::size_t index, Duration wait) {
-    auto& timer = *tracks[index].timer;
-    timer.expires_after(wait);
-    timer.async_wait([self = shared_from_this(),
-                      index](const boost::system::error_code& error) {
-      if (!error) self->Step(index);
-    });
+    Unschedule(index);
+    Track& track = tracks[index];
+    track.is_scheduled = true;
+    track.timer->expires_after(wait);
+    // The handler of a cancelled wait may already be queued without an error.
+    track.timer->async_wait(
+        [self = shared_from_this(), index, step_number = track.step_number](
+            const boost::system::error_code& error) {
+          if (error || self->tracks[index].step_number != step_number) return;
+          self->Step(index);
+        });
   }
 
   ObjectStore store;
--- a/test/shell/follower-test.cc
+++ b/test/shell/follower-test.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <thread>
 
 using namespace comfreyflow;           // NOLINT(google-build-using-namespace)
 using namespace comfreyflow::gateway;  // NOLINT(google-build-using-namespace)
@@ -12,7 +13,7 @@
 
 /// A scripted store and a follower of two kinds.
 struct FollowerFixture {
-  FollowerFixture() {
+  explicit FollowerFixture(StoreRole role = StoreRole::kOneOfAll) {
     store.list = [this](const std::string& kind, const ListHandler& handler) {
       ++lists[kind];
       ListAnswer answer;
@@ -31,17 +32,20 @@
       }
       open_watches[kind] = std::move(handler);
     };
+
     std::vector<FollowedKind> kinds;
+    fleet.role = role;
     for (const char* kind : {"one", "two"}) {
       kinds.push_back(
           {kind,
            [this](const auto& objects) { received_objects += objects.size(); },
            [this](const auto&) { ++received_objects; }, [this] { ++batches; }});
     }
+    kinds.front().is_told_by_peers = role != StoreRole::kOneOfAll;
     follower = std::make_unique<Follower>(
         io, store, std::move(kinds),
         FollowerHooks{[this] { ++outages; }, [this] { ++recoveries; },
-                      [] { return FleetInfo{}; }});
+                      [this] { return fleet; }});
     follower->Start();
   }
 
@@ -56,6 +60,16 @@
     }
     return done();
   }
+  void RunFor(std::chrono::milliseconds length) {
+    io.run_for(length);
+    io.restart();
+  }
+  int calls() const {
+    int sum = 0;
+    for (const auto& [kind, count] : lists) sum += count;
+    for (const auto& [kind, count] : watches) sum += count;
+    return sum;
+  }
   void Answer(const std::string& kind, WatchAnswer answer) {
     const WatchHandler handler = std::move(open_watches[kind]);
     open_watches.erase(kind);
@@ -66,6 +80,7 @@
   ObjectStore store;
   bool is_store_down = false;
   std::uint64_t era = 0;
+  FleetInfo fleet;
   std::map<std::string, int> lists;
   std::map<std::string, int> watches;
   std::map<std::string, WatchHandler> open_watches;
@@ -159,3 +174,27 @@
   REQUIRE(fixture.RunUntil([&] { return fixture.open_watches.size() == 2; }));
   CHECK(fixture.received_objects == 4);
 }
+
+TEST_CASE("a passive host makes no calls for what peers tell") {
+  FollowerFixture fixture(StoreRole::kPassive);
+  REQUIRE(fixture.RunUntil([&] { return fixture.open_watches.size() == 1; }));
+  fixture.RunFor(std::chrono::milliseconds(1200));
+  CHECK(fixture.lists["one"] == 1);
+  CHECK(fixture.watches["one"] == 0);
+  CHECK(fixture.watches["two"] == 1);
+}
+
+TEST_CASE("no step of a kind is scheduled twice") {
+  // A timer that has fired while a refresh makes the call runs it once more.
+  FollowerFixture fixture(StoreRole::kPassive);
+  REQUIRE(fixture.RunUntil([&] { return fixture.open_watches.size() == 1; }));
+  for (int i = 0; i < 20; ++i) {
+    const int before = fixture.watches["one"];
+    // Lets the timer of the rest expire before its handler runs.
+    std::this_thread::sleep_for(kRoleCheckInterval +
+                                std::chrono::milliseconds(5));
+    fixture.Post([&fixture] { fixture.follower->RefreshStale("one"); });
+    fixture.RunFor(std::chrono::milliseconds(20));
+    CHECK(fixture.watches["one"] - before == 1);
+  }
+}
