A host that becomes a reader of the store reads at once

After a change a passive host pauses for 10 s, and its open watch may wait for 30 s on a connection that broke without an error; as a reader, or holder of a placer, it went on with both.

--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -175,6 +175,16 @@
     Step(index);
   }
 
+  /// Makes this host a reader of the store: what waits for a later call is
+  /// called now, and an open watch, perhaps on a dead connection, is abandoned.
+  void StartReading() {
+    for (std::size_t i = 0; i < tracks.size(); ++i) {
+      if (!plan.listed(i) || !plan.store_up()) continue;
+      const bool is_behind = plan.Behind(i);
+      if (is_behind || tracks[i].is_scheduled) Step(i);
+    }
+  }
+
   void ReportStoreState(const FollowPlan::Effect& effect, std::size_t index) {
     if (effect.store_lost) {
       LogLine(Severity::kWarning, Event::kStoreLost)
@@ -265,6 +275,8 @@
   return state_->OnEraAnnounced(era, known);
 }
 
+void Follower::StartReading() { state_->StartReading(); }
+
 void Follower::OnEraChange(std::uint64_t era) { state_->OnEraChange(era); }
 
 bool Follower::store_up() const { return state_->plan.store_up(); }
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -54,6 +54,9 @@
   void Start();
   /// Requests the kind again at once because it is known to lag the store.
   void RefreshStale(const std::string& kind);
+  /// This host has become a reader of the store. Calls that it put off as a
+  /// passive host are made at once.
+  void StartReading();
   /// A peer knows the store in a later era than `known`, the one that this host
   /// knows. Makes a call that shows it to this host. Returns whether it does.
   bool OnEraAnnounced(std::uint64_t era, std::uint64_t known);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -205,6 +205,7 @@
 
   /// Decides anew whether this host reads the store.
   void UpdateStoreReaders() {
+    const StoreRole before = store_readers.role();
     const bool is_changed = store_readers.Update(
         peers.members(),
         {settings.self.name, placement.holds_active_placer(), IsDetached()},
@@ -215,6 +216,8 @@
         .With("role", ToString(store_readers.role()))
         .With("hosts", std::uint64_t{store_readers.hosts()})
         .With("readers", std::uint64_t{store_readers.readers().size()});
+    if (before == StoreRole::kPassive && hooks.store_reading_started)
+      hooks.store_reading_started();
   }
 
   /// Whether the store was reachable before and is not now.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -51,6 +51,9 @@
   std::function<std::uint64_t()> store_era;
   /// Called when a peer knows a later era of the store; may be empty.
   std::function<void(const StoreEraAnnounced&)> store_era_announced;
+  /// Called when this host, passive until now, has to read the store by itself;
+  /// may be empty.
+  std::function<void()> store_reading_started;
   /// The evacuations that this host knows; may be empty.
   std::function<std::optional<EvacuationState>()> evacuations;
   /// Called when a peer knows a later state of them; may be empty.
--- a/test/shell/follower-test.cc
+++ b/test/shell/follower-test.cc
@@ -184,6 +184,39 @@
   CHECK(fixture.watches["two"] == 1);
 }
 
+TEST_CASE("a host that becomes a reader reads at once what it put off") {
+  FollowerFixture fixture(StoreRole::kPassive);
+  REQUIRE(fixture.RunUntil([&] { return fixture.open_watches.size() == 1; }));
+  WatchAnswer change;
+  change.version = {0, 9};
+  change.changes.push_back({"a", {0, 9}, "v"});
+
+  SUBCASE("a pause after a change ends") {
+    fixture.Answer("two", change);
+    fixture.RunFor(std::chrono::milliseconds(100));
+    REQUIRE(fixture.open_watches.empty());
+  }
+  SUBCASE("a watch that may be dead is replaced") {
+    fixture.open_watches.clear();
+  }
+  const int before = fixture.calls();
+  fixture.fleet.role = StoreRole::kReader;
+  fixture.follower->StartReading();
+  fixture.RunFor(std::chrono::milliseconds(50));
+  CHECK(fixture.open_watches.size() == 2);
+
+  // One call of each kind that does not wait at most, and its watch.
+  CHECK(fixture.calls() - before <= 4);
+  const int started = fixture.calls();
+  fixture.RunFor(std::chrono::milliseconds(1200));
+  CHECK(fixture.calls() == started);
+  // Being told again changes nothing but the open watches.
+  fixture.follower->StartReading();
+  fixture.follower->StartReading();
+  fixture.RunFor(std::chrono::milliseconds(300));
+  CHECK(fixture.open_watches.size() == 2);
+}
+
 TEST_CASE("no step of a kind is scheduled twice") {
   // A timer that has fired while a refresh makes the call runs it once more.
   FollowerFixture fixture(StoreRole::kPassive);
