Count proven readers when a large fleet loses the store in part

Detached hosts were counted over all hosts, attached ones only among the readers: with 29 of 88 hosts cut off, all 12 readers among them, 29 stood against 12, so the store counted as away for all and cut-off holders kept their placers. Half of the readers, each having read for 4 s without failure, now count as most hosts.

--- a/include/comfreyflow/holder.h
+++ b/include/comfreyflow/holder.h
@@ -41,7 +41,8 @@
 /// Determines which live hosts may hold placers. A host that is cut off from
 /// the store for some time loses its placers if most hosts are not cut off. If
 /// the store itself is unreachable, the hosts notice it one after another and
-/// no placer moves.
+/// no placer moves. Where only some hosts read the store, half of
+/// `kStoreReaders` that have read it for `kReaderProof` count as most hosts.
 class HolderEligibility {
  public:
   /// `hosts` are all live hosts. To be called several times per second.
@@ -55,6 +56,8 @@
 
  private:
   std::map<HostName, Time> detached_since_;
+  /// Hosts that read the store and are not cut off from it.
+  std::map<HostName, Time> attached_since_;
   std::set<HostName> excluded_;
   std::set<HostName> eligible_;
 };
@@ -63,6 +66,10 @@
 /// unreachable for all hosts, they learn it from each other within this time.
 inline constexpr Duration kDetachedGrace = std::chrono::milliseconds(1800);
 
+/// A host that becomes a reader while it is cut off notices it within this
+/// time: two calls time out, and the others hear of it.
+inline constexpr Duration kReaderProof = std::chrono::milliseconds(4000);
+
 /// Hosts that are started together start within this time of each other.
 inline constexpr std::chrono::milliseconds kCohortSpan{3000};
 
--- a/src/core/placer/holder.cc
+++ b/src/core/placer/holder.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "comfreyflow/stewardship.h"
+#include "comfreyflow/store-readers.h"
 
 namespace comfreyflow {
 
@@ -43,15 +44,31 @@
 
 void HolderEligibility::Update(const std::vector<HostView>& hosts, Time now) {
   std::map<HostName, Time> since;
+  std::map<HostName, Time> attached;
   std::size_t readers = 0;
   for (const auto& host : hosts) {
     if (host.reads_store || host.is_detached) ++readers;
-    if (!host.is_detached) continue;
+    if (!host.is_detached) {
+      if (!host.reads_store) continue;
+      const auto before = attached_since_.find(host.name);
+      attached[host.name] =
+          before == attached_since_.end() ? now : before->second;
+      continue;
+    }
     const auto before = detached_since_.find(host.name);
     since[host.name] = before == detached_since_.end() ? now : before->second;
   }
   detached_since_ = std::move(since);
-  const bool most_attached = 2 * detached_since_.size() < readers;
+  attached_since_ = std::move(attached);
+  const auto proven = std::count_if(
+      attached_since_.begin(), attached_since_.end(),
+      [now](const auto& entry) { return now - entry.second > kReaderProof; });
+  // Of a large fleet, all detached hosts are known, but only the few readers
+  // are known to be attached.
+  const bool has_passive = readers < hosts.size();
+  const bool most_attached =
+      2 * detached_since_.size() < readers ||
+      (has_passive && static_cast<std::size_t>(proven) >= kStoreReaders / 2);
   excluded_.clear();
   eligible_.clear();
   for (const auto& host : hosts) {
--- a/test/holder-test.cc
+++ b/test/holder-test.cc
@@ -118,6 +118,45 @@
   }
 }
 
+TEST_CASE("hosts of a large fleet that are cut off lose their placers") {
+  // Detached hosts that do not read for the fleet count as well, so they
+  // outnumber the readers although most hosts are attached.
+  HolderEligibility eligibility;
+  Time now{std::chrono::hours(1)};
+  std::vector<HostView> hosts;
+  for (int i = 0; i < 88; ++i) {
+    hosts.push_back({{"h" + std::to_string(i)}, false, i < 29, i < 41});
+  }
+  for (int i = 0; i < 20; ++i) {
+    eligibility.Update(hosts, now += std::chrono::milliseconds(250));
+  }
+  CHECK(eligibility.IsExcluded({"h0"}));
+  CHECK_FALSE(eligibility.IsExcluded({"h80"}));
+}
+
+TEST_CASE("no placer moves when the readers of a large fleet lose the store") {
+  HolderEligibility eligibility;
+  Time now{std::chrono::hours(1)};
+  std::vector<HostView> hosts;
+  for (int i = 0; i < 88; ++i) {
+    hosts.push_back({{"h" + std::to_string(i)}, false, false, i < 12});
+  }
+  eligibility.Update(hosts, now);
+  now += std::chrono::minutes(1);
+  // Each time the readers are all cut off, others read and notice it too.
+  for (int cut_off = 12; cut_off <= 84; cut_off += 12) {
+    for (int i = 0; i < 88; ++i) {
+      auto& host = hosts[static_cast<std::size_t>(i)];
+      host.is_detached = i < cut_off;
+      host.reads_store = i < cut_off + 12;
+    }
+    for (int i = 0; i < 12; ++i) {
+      eligibility.Update(hosts, now += std::chrono::milliseconds(250));
+      CHECK_FALSE(eligibility.IsExcluded({"h0"}));
+    }
+  }
+}
+
 TEST_CASE(
     "unavailable hosts hold no placers unless all hosts are unavailable") {
   HolderEligibility eligibility;
