Choose carriers of attempts by their capacity

Hosts that do not reach a target drew the host that carries the attempt uniformly, so a host of 0.12 cores carried as much as one of 0.5.

--- a/include/comfreyflow/addresses.h
+++ b/include/comfreyflow/addresses.h
@@ -67,6 +67,11 @@
                                      std::size_t count,
                                      std::mt19937_64& random);
 
+/// Draws an index with a probability proportional to its weight; uniformly if
+/// all weights are equal. `weights` must not be empty.
+std::size_t PickWeighted(const std::vector<std::uint32_t>& weights,
+                         std::mt19937_64& random);
+
 /// Maximum number of hosts in an answer.
 inline constexpr std::size_t kAddressesPerAnswer = 6;
 /// Longest time that callers cache an answer. Each answer gets a random time
--- a/src/core/addresses/addresses.cc
+++ b/src/core/addresses/addresses.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace comfreyflow {
 namespace {
@@ -110,4 +111,16 @@
   return out;
 }
 
+std::size_t PickWeighted(const std::vector<std::uint32_t>& weights,
+                         std::mt19937_64& random) {
+  const bool are_equal =
+      std::adjacent_find(weights.begin(), weights.end(),
+                         std::not_equal_to<>()) == weights.end();
+  if (are_equal) return random() % weights.size();
+  std::vector<double> positive;
+  for (const auto weight : weights) positive.push_back(std::max(weight, 1U));
+  return std::discrete_distribution<std::size_t>(positive.begin(),
+                                                 positive.end())(random);
+}
+
 }  // namespace comfreyflow
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -324,7 +324,8 @@
       std::vector<CarrierHost> carriers;
       for (const auto& [name, member] : peers.members()) {
         if (MayCarry(name, member)) {
-          carriers.push_back({name, member.record.peers});
+          carriers.push_back(
+              {name, member.record.peers, member.record.capacity});
         }
       }
       return carriers;
--- a/src/gateway/target-paths.cc
+++ b/src/gateway/target-paths.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "comfreyflow/addresses.h"
 #include "gateway/answer-flow.h"
 #include "node/clock.h"
 #include "node/log.h"
@@ -647,7 +648,9 @@
   // Where all hosts are cut off they must not ask each other in turn.
   const bool is_hopeless = &list == &failed && !tried.empty();
   if (list.empty() || is_hopeless) return std::nullopt;
-  return list[random_() % list.size()];
+  std::vector<std::uint32_t> capacities;
+  for (const auto& carrier : list) capacities.push_back(carrier.capacity);
+  return list[PickWeighted(capacities, random_)];
 }
 
 void TargetPaths::OnCarrierFailed(const ServiceName& service,
--- a/src/gateway/target-paths.h
+++ b/src/gateway/target-paths.h
@@ -25,7 +25,8 @@
 /// A host that may send requests on for this one.
 struct CarrierHost {
   HostName name;
-  std::string address;  ///< `ip:port` of its server for other hosts.
+  std::string address;           ///< `ip:port` of its server for other hosts.
+  std::uint32_t capacity = 100;  ///< In hundredths of a CPU core.
 };
 
 struct TargetPathsHooks {
--- a/test/addresses-test.cc
+++ b/test/addresses-test.cc
@@ -138,3 +138,25 @@
   CHECK(large < 2200);
   CHECK(SampleHosts(hosts, 50, random).size() == 24);
 }
+
+TEST_CASE("hosts of less capacity carry fewer attempts for others") {
+  std::mt19937_64 random(7);
+  std::vector<std::uint32_t> weights(20, 12);
+  weights.insert(weights.end(), 4, 50);
+  int large = 0;
+  for (int round = 0; round < 4000; ++round) {
+    large += PickWeighted(weights, random) >= 20 ? 1 : 0;
+  }
+  // The large hosts have 200 of the total weight of 440.
+  CHECK(large > 1700);
+  CHECK(large < 1940);
+}
+
+TEST_CASE("hosts of equal capacity carry the same attempts as before") {
+  std::mt19937_64 random(7);
+  std::mt19937_64 expected(7);
+  const std::vector<std::uint32_t> weights(9, 25);
+  for (int round = 0; round < 100; ++round) {
+    CHECK(PickWeighted(weights, random) == expected() % weights.size());
+  }
+}
