Spread the checks of passive hosts over time

A passive host asked for the configuration each 60 s, plus up to 2 ms a host, so hosts that started together asked together and no host between. The time to the next check is now drawn with a mean of 0.3 s a host, so that some host asks each 0.3 s, and a host asks less as the fleet grows.

--- a/include/comfreyflow/follow-plan.h
+++ b/include/comfreyflow/follow-plan.h
@@ -154,9 +154,10 @@
 /// Mean time between two lists of a kind by the hosts of a fleet after a change
 /// of the store's era.
 inline constexpr Duration kRelistSpacing = std::chrono::milliseconds(2);
-/// A passive host checks a kind that peers tell this often, so that it does not
-/// depend on them alone.
-inline constexpr Duration kPassiveCheckInterval = std::chrono::seconds(60);
+/// Mean time between two checks of a kind by the passive hosts of a fleet. The
+/// checks of one host become rarer as the fleet grows. They find a change soon
+/// if all readers lose the store without noticing.
+inline constexpr Duration kPassiveCheckSpacing = std::chrono::milliseconds(300);
 /// A passive host asks this often whether it has become a reader.
 inline constexpr Duration kRoleCheckInterval = std::chrono::milliseconds(250);
 /// Maximum time for which any watch waits.
--- a/src/core/follow/follow-plan.cc
+++ b/src/core/follow/follow-plan.cc
@@ -95,7 +95,12 @@
     return std::nullopt;
   }
   if (!kind.rests_until) {
-    kind.rests_until = now + kPassiveCheckInterval + DrawSpread(fleet.hosts);
+    // Hosts that started together must not check together, nor with a fixed
+    // period.
+    const Duration longest =
+        2 * static_cast<int>(fleet.hosts) * kPassiveCheckSpacing;
+    std::uniform_int_distribution<Duration::rep> draw(0, longest.count());
+    kind.rests_until = now + Duration(draw(random_));
   }
   if (now < *kind.rests_until)
     return std::min<Duration>(kRoleCheckInterval, *kind.rests_until - now);
--- a/test/store-fleet-test.cc
+++ b/test/store-fleet-test.cc
@@ -449,6 +449,18 @@
   CheckEvacuationInTime(fleet);
 }
 
+TEST_CASE(
+    "a change is known in time when all readers lose the store silently") {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6}) {
+    CAPTURE(seed);
+    StoreFleet fleet(88, false, seed);
+    for (const int reader : fleet.Readers())
+      fleet.SetLink(reader, Link::kSilent);
+    CheckConfigInTime(fleet);
+    CheckEvacuationInTime(fleet);
+  }
+}
+
 TEST_CASE("a host that is cut off from its peers reads the store itself") {
   StoreFleet fleet(88, false);
   fleet.net().Partition([](int host) { return host == 80 ? 1 : 0; });
--- a/test/store-readers-test.cc
+++ b/test/store-readers-test.cc
@@ -155,7 +155,7 @@
   CHECK(*rest <= kRoleCheckInterval);
 
   SUBCASE("it checks the store after a while, without waiting") {
-    const Time later = kStart + kPassiveCheckInterval + seconds(1);
+    const Time later = kStart + 2 * 88 * kPassiveCheckSpacing + seconds(1);
     REQUIRE_FALSE(plan.RestTime(0, Info(StoreRole::kPassive), later));
     CHECK(plan.Next(0, Info(StoreRole::kPassive))->wait == Duration::zero());
     plan.Changed(0, {0, 6}, false, Info(StoreRole::kPassive));
