--- a/src/core/follow/store-readers.cc
+++ b/src/core/follow/store-readers.cc
@@ -64,4 +64,42 @@
   return readers;
 }
 
+bool StoreReaderChoice::Update(const std::map<HostName, Member>& members,
+                               const Self& self, Time now) {
+  std::vector<ReaderCandidate> candidates;
+  for (const auto& [name, member] : members) {
+    const bool is_self = name == self.name;
+    // Suspects count as ended, so that another host reads in their place soon.
+    if (!is_self && (member.state != MemberState::kAlive ||
+                     member.facts.draining || member.facts.generation == 0)) {
+      continue;
+    }
+    candidates.push_back({name, member.record.failure_domain,
+                          member.record.capacity, is_self && self.holds_placer,
+                          is_self ? self.is_detached : member.facts.detached});
+  }
+  hosts_ = candidates.size();
+  readers_ = ChooseStoreReaders(candidates);
+  attached_.clear();
+  for (const auto& host : candidates) {
+    if (readers_.contains(host.name) && !host.is_detached)
+      attached_.insert(host.name);
+  }
+  const StoreRole before = role_;
+  const bool reads =
+      readers_.contains(self.name) || !HearsFromReader(members, self.name, now);
+  role_ = hosts_ <= kMaxFleetOfReaders ? StoreRole::kOneOfAll
+          : reads                      ? StoreRole::kReader
+                                       : StoreRole::kPassive;
+  return role_ != before;
+}
+
+bool StoreReaderChoice::HearsFromReader(
+    const std::map<HostName, Member>& members, const HostName& self,
+    Time now) const {
+  return std::any_of(attached_.begin(), attached_.end(), [&](const auto& name) {
+    return name != self && now - members.at(name).last_seen <= kReaderSilence;
+  });
+}
+
 }  // namespace comfreyflow
