Cost-aware queue: order and refusal by priority, deadline and work

Cause: above full load the queue served requests in an order in which each one made the next late. Change: OverloadPlan decides which waiting requests can be in time, defers and refuses the others; off unless it is switched on.

--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -16,10 +16,12 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include "comfreyflow/errors.h"
+#include "comfreyflow/overload-plan.h"
 #include "comfreyflow/placement-model.h"
 #include "comfreyflow/retry-window.h"
 #include "comfreyflow/routes.h"
@@ -129,12 +131,17 @@
   /// Seeds the order of otherwise equal targets, so that hosts which place
   /// requests independently of each other do not all choose the same target.
   std::uint64_t seed = 0;
+  /// Under overload, requests are ordered, deferred and refused by priority,
+  /// deadline and work (`OverloadPlan`).
+  bool cost_aware = false;
 };
 
 class Placer {
  public:
   explicit Placer(const PlacerSettings& settings)
-      : settings_(settings), retry_window_(settings.retries) {}
+      : settings_(settings),
+        plan_(settings.seed),
+        retry_window_(settings.retries) {}
 
   /// Sets the performance model of the engines, which is absent if the targets
   /// are plain servers, and the terms of the streams that they serve.
@@ -187,8 +194,13 @@
   void Tick(Time now);
   std::vector<PlaceDecision> TakeDecisions();
 
-  std::size_t waiting() const { return waiting_.size(); }
-  std::size_t running() const { return works_.size() - waiting_.size(); }
+  /// What the cost-aware queue decided since the last call.
+  std::vector<PlanNote> TakeNotes() { return std::exchange(plan_notes_, {}); }
+
+  std::size_t waiting() const {
+    return settings_.cost_aware ? plan_.size() : waiting_.size();
+  }
+  std::size_t running() const { return works_.size() - waiting(); }
 
   struct TargetLoad {
     TargetName name;
@@ -278,6 +290,7 @@
     Duration estimate{};
     Time placed_at;
     Time last_requested_at;
+    Time next_check;  ///< Of a request that waits in the cost-aware queue.
     PlaceGrant grant;
   };
   Duration PrefillTime(std::uint64_t tokens) const;
@@ -348,6 +361,21 @@
   std::size_t Engines() const;
   std::vector<std::pair<Rank, Work*>> RankWaiting(Time now);
   void PlaceWaiting(Time now);
+  /// The cost-aware queue, cost-queue.cc.
+  Duration WorkOf(const Work& work) const;
+  PlanJob PlanJobOf(const Work& work) const;
+  void SubmitByCost(Work& work, Time now);
+  void PlaceByCost(Time now);
+  bool PlaceFirst(Time now, std::set<RequestId>& failed,
+                  std::optional<Duration>& blocked,
+                  std::optional<std::uint32_t>& blocked_priority);
+  void SetPools(Time now);
+  void CheckWaiting(Time now);
+  void ApplyPlan();
+  void ArmCheck(Work& work, Time now);
+  void RemoveWaiting(Work& work);
+  bool HasLongWaited(Duration time, Time now) const;
+  void RecordPlainTime(const Work& work, WorkEnd end, Time now);
   void DropOverdue(Time now);
   void CloseToShort(Time now);
   void Count(Work& work, int sign);
@@ -369,6 +397,17 @@
   std::map<RequestId, Work> works_;
   /// Requests in `works_` that are not placed.
   std::vector<RequestId> waiting_;
+  /// With a cost-aware queue: the requests that wait, instead of `waiting_`.
+  OverloadPlan plan_;
+  std::vector<PlanNote> plan_notes_;
+  /// When each waiting request is checked next for reasons to refuse it.
+  std::set<std::pair<Time, RequestId>> checks_;
+  /// Waiting long prompts by arrival.
+  std::set<std::pair<Time, RequestId>> long_arrivals_;
+  /// Priority of the first long prompt that waits and can be in time.
+  std::optional<std::uint32_t> long_priority_;
+  /// Average time of plain requests on their targets.
+  Duration plain_time_ = std::chrono::milliseconds(100);
   TargetLimits limits_;
   RetryWindow retry_window_;
   std::vector<PlaceDecision> decisions_;
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -113,6 +113,8 @@
     if (backlog == nullptr || rank(*target) < rank(*backlog)) backlog = target;
   }
   if (packed != nullptr) return packed;
+  // An idle engine is left to a long prompt of a higher priority.
+  if (long_priority_ && *long_priority_ < work.job.priority) empty = nullptr;
   const bool fits =
       backlog != nullptr && backlog->prefill_backlog + work.prefill_time <=
                                 model_.preferred_prefill_backlog;
@@ -125,12 +127,7 @@
 }
 
 void Placer::CloseToShort(Time now) {
-  const bool has_waited = std::any_of(
-      waiting_.begin(), waiting_.end(), [this, now](const RequestId& id) {
-        const Work& work = works_.at(id);
-        return work.is_long && now - work.job.arrival > kLongMaxWait;
-      });
-  if (!has_waited) return closed_to_short_.clear();
+  if (!HasLongWaited(kLongMaxWait, now)) return closed_to_short_.clear();
   std::vector<const Target*> open;
   std::size_t engines = 0;
   std::size_t prefilling = 0;
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -85,7 +85,7 @@
   if (!added) {
     if (work.is_placed) Count(work, -1);
     EndTrial(work);
-    std::erase(waiting_, job.id);
+    RemoveWaiting(work);
     work = {};
   }
   work.job = job;
@@ -108,6 +108,7 @@
     works_.erase(job.id);
     return;
   }
+  if (settings_.cost_aware) return SubmitByCost(work, now);
   if (TryPlace(work, now)) return;
   if (RefuseWaiting(work, PermitsFor(work, now), WaitingBefore(work, now),
                     now)) {
@@ -126,8 +127,7 @@
   work.is_started = true;
   Count(work, 1);
   UpdatePace(work, now);
-  if (work.is_long && waiting_.size() <= kMaxImmediatePlacement)
-    PlaceWaiting(now);
+  if (work.is_long && waiting() <= kMaxImmediatePlacement) PlaceWaiting(now);
 }
 
 void Placer::Ended(const RequestId& id, WorkEnd end, Time now,
@@ -137,16 +137,17 @@
   Work& work = at->second;
   if (work.is_placed) {
     Count(work, -1);
+    RecordPlainTime(work, end, now);
     if (!work.grant.targets.empty()) {
       EndTrial(work);
       const TargetName& first = work.grant.targets.front().name;
       UpdateHealth(target.value.empty() ? first : target, end, now);
     }
   } else {
-    std::erase(waiting_, id);
+    RemoveWaiting(work);
   }
   works_.erase(at);
-  if (waiting_.size() <= kMaxImmediatePlacement) PlaceWaiting(now);
+  if (waiting() <= kMaxImmediatePlacement) PlaceWaiting(now);
 }
 
 void Placer::Adopt(const HostName& host,
@@ -199,7 +200,7 @@
       Count(at->second, -1);
       EndTrial(at->second);
     } else {
-      std::erase(waiting_, at->first);
+      RemoveWaiting(at->second);
     }
     at = works_.erase(at);
   }
--- a/src/core/placer/queue.cc
+++ b/src/core/placer/queue.cc
@@ -59,6 +59,7 @@
 /// Number of waiting requests that are placed before this one.
 std::size_t Placer::WaitingBefore(const Work& work, Time now) const {
   if (limits_.empty()) return 0;
+  if (settings_.cost_aware) return plan_.Ahead(work.job.id);
   const Rank rank = RankOf(work, now);
   return static_cast<std::size_t>(std::count_if(
       waiting_.begin(), waiting_.end(),
@@ -66,6 +67,7 @@
 }
 
 void Placer::PlaceWaiting(Time now) {
+  if (settings_.cost_aware) return PlaceByCost(now);
   if (waiting_.empty()) {
     long_waits_ = false;
     closed_to_short_.clear();
