Cost-aware queue: deferred requests age

Cause: later arrivals could displace a deferred request until its deadline. Change: after half of the time to its deadline it keeps its place.

--- a/bench/overload.cc
+++ b/bench/overload.cc
@@ -1,7 +1,7 @@
 // What callers get under overload with and without the cost-aware queue, by the
 // project's model of the engines, and the cost of a decision by the number of
 // waiting requests.
-//   bench-overload [SEEDS]
+//   bench-overload [SEEDS [SCENE]]
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -94,8 +94,11 @@
   return 4 * taken.count() / kDecisions;
 }
 
+std::string only_scene;  // All if empty.
+
 void Print(const char* scene, const Load& load, bool cost_aware, int seeds,
            Duration length, const Rate& rate) {
+  if (!only_scene.empty() && only_scene != scene) return;
   std::map<std::string, Served> kinds;
   std::map<std::string, Served> largest;
   for (int seed = 1; seed <= seeds; ++seed) {
@@ -133,6 +136,7 @@
 
 int main(int argc, char** argv) {
   const int seeds = argc > 1 ? std::atoi(argv[1]) : kDefaultSeeds;
+  if (argc > 2) only_scene = argv[2];
   for (const std::size_t waiting : {100, 1'000, 4'000, 16'000}) {
     std::printf("waiting=%zu plan_us=%.2f placer_us=%.2f\n", waiting,
                 DecisionCost(waiting), PlacerCost(waiting));
--- a/include/comfreyflow/overload-plan.h
+++ b/include/comfreyflow/overload-plan.h
@@ -7,10 +7,11 @@
 /// at the measured rate of the pool: by priority, then by deadline. If one of
 /// them would be late, the request of its priority that takes the most work
 /// among those before it is deferred to the second list (Moore-Hodgson, within
-/// a priority). The second list gets a share of the capacity and is served in
-/// the order of arrival there, so that later requests of the same or a lower
-/// priority don't delay a deferred request again. A request that can't start
-/// there before its deadline is refused at once.
+/// a priority). The second list gets a share of the capacity. A request that
+/// has waited there for half of the time to its deadline can't be displaced any
+/// more by later ones of the same or a lower priority. A request that can't
+/// start there before its deadline, or the largest one before it, is refused at
+/// once.
 #pragma once
 
 #include <array>
@@ -171,7 +172,9 @@
   void SetRates(Lane& lane, Time now);
   static double DeferredRate(const Lane& lane, Time now);
   void Defer(Entry& entry, const SlackList::Job* cause, Time now);
-  void InsertDeferred(Entry& entry);
+  void InsertDeferred(Entry& entry, Time now);
+  static std::optional<SlackList::Job> LargestDeferred(
+      Lane& lane, const SlackList::Key& last, Time now);
   void Settle(Lane& lane, Time now);
   void Refuse(const RequestId& id, const SlackList::Job* cause, Time now);
   Duration RetryAfter(Lane& lane, const PlanJob& job, Time now);
--- a/src/core/placer/overload-plan.cc
+++ b/src/core/placer/overload-plan.cc
@@ -30,6 +30,11 @@
 /// The estimate stays above this share of the pool, so that a phase in which
 /// nothing could be placed does not stop the service.
 constexpr double kMinCapacityShare = 0.05;
+/// The placer closes about this share of the engines to short prompts while a
+/// long one waits.
+constexpr double kMinLongCapacityShare = 0.18;
+/// Subtracted from the order of protected requests.
+constexpr std::int64_t kProtectedOrder = INT64_MAX / 2;
 /// Without waiting requests the estimate returns to that of the pool in about
 /// this time, as the measured rate is that of the demand.
 constexpr Duration kCapacityRecovery = std::chrono::seconds(5);
@@ -178,8 +183,9 @@
   if (lane.busy_time < kCapacitySample) return;
   lane.capacity +=
       kCapacityWeight * (lane.busy_work / lane.busy_time - lane.capacity);
-  lane.capacity =
-      std::clamp(lane.capacity, kMinCapacityShare * lane.pool, lane.pool);
+  const double least = &lane == &LaneOf(PlanLane::kLong) ? kMinLongCapacityShare
+                                                         : kMinCapacityShare;
+  lane.capacity = std::clamp(lane.capacity, least * lane.pool, lane.pool);
   lane.busy_time = lane.busy_work = 0;
 }
 
@@ -219,9 +225,12 @@
   // minimum; it would starve behind others otherwise.
   const std::uint32_t priority =
       shares_.IsKindOwed(job, now) ? 0 : job.priority;
-  entry.key = {priority, job.due.time_since_epoch().count(), ++sequence_};
+  const std::int64_t due = job.due.time_since_epoch().count();
+  // Protected requests go before the others of their priority.
+  entry.key = {priority, entry.is_protected ? due - kProtectedOrder : due,
+               ++sequence_};
   if (job.due <= now) {
-    InsertDeferred(entry);
+    InsertDeferred(entry, now);
   } else {
     const double work = Seconds(job.work).count();
     lane.inflow *=
@@ -240,9 +249,13 @@
     notes_.push_back(NoteOf(entries_.at(job.id), PlanOutcome::kWaits, nullptr));
 }
 
-void OverloadPlan::InsertDeferred(Entry& entry) {
+void OverloadPlan::InsertDeferred(Entry& entry, Time now) {
   entry.is_deferred = true;
-  entry.key.order = entry.is_protected ? 0 : 1;
+  // Halfway to the deadline: requests that come later than that can't go before
+  // it any more.
+  const auto ages_at = now + (entry.job.last - now) / 2;
+  entry.key.order = ages_at.time_since_epoch().count();
+  if (entry.is_protected) entry.key.order -= kProtectedOrder;
   entry.key.sequence = ++sequence_;
   LaneOf(entry.job.lane)
       .deferred.Insert({entry.key, entry.job.id,
@@ -250,10 +263,10 @@
                         ToSeconds(entry.job.last), entry.is_protected});
 }
 
-void OverloadPlan::Defer(Entry& entry, const SlackList::Job* cause, Time) {
+void OverloadPlan::Defer(Entry& entry, const SlackList::Job* cause, Time now) {
   notes_.push_back(NoteOf(entry, PlanOutcome::kDeferred, cause));
   LaneOf(entry.job.lane).in_time.Erase(entry.key);
-  InsertDeferred(entry);
+  InsertDeferred(entry, now);
 }
 
 /// Defers and refuses requests until all others can be served in time.
@@ -267,13 +280,20 @@
     Defer(entry, spares ? &*late : nullptr, now);
   }
   while (const auto late = lane.deferred.FirstLate(seconds)) {
-    if (entries_.at(late->id).job.may_refuse) {
+    Entry& entry = entries_.at(late->id);
+    if (late->start_by >= seconds) {
+      const auto largest = LargestDeferred(lane, late->key, now);
+      if (largest && largest->work > late->work) {
+        Refuse(largest->id, &*late, now);
+        continue;
+      }
+    }
+    if (entry.job.may_refuse) {
       Refuse(late->id, nullptr, now);
       continue;
     }
     // A request that may have run keeps its place until its deadline, when the
     // placer ends it. It no longer counts as late here.
-    Entry& entry = entries_.at(late->id);
     lane.deferred.Erase(entry.key);
     SlackList::Job kept = *late;
     kept.start_by = ToSeconds(Time::max());
@@ -281,6 +301,19 @@
   }
 }
 
+/// The deferred request that is refused for the sake of others: the largest one
+/// that has not waited for half of its time yet.
+std::optional<SlackList::Job> OverloadPlan::LargestDeferred(
+    Lane& lane, const SlackList::Key& last, Time now) {
+  while (auto largest = lane.deferred.LargestOf(last)) {
+    if (largest->key.order > now.time_since_epoch().count()) return largest;
+    lane.deferred.Erase(largest->key);
+    largest->is_protected = true;
+    lane.deferred.Insert(*largest);
+  }
+  return std::nullopt;
+}
+
 void OverloadPlan::Refuse(const RequestId& id, const SlackList::Job* cause,
                           Time now) {
   const auto at = entries_.find(id);
@@ -405,9 +438,12 @@
 bool OverloadPlan::IsTurnOfDeferred(const Lane& lane) {
   if (lane.deferred.size() == 0) return false;
   if (lane.in_time.size() == 0) return true;
+  const auto deferred = lane.deferred.First(1).front();
+  const auto in_time = lane.in_time.First(1).front();
+  if (deferred.is_protected && deferred.key.priority < in_time.key.priority)
+    return true;
   return lane.deferred_credit > 0 &&
-         lane.deferred.First(1).front().key.priority <=
-             lane.in_time.First(1).front().key.priority;
+         deferred.key.priority <= in_time.key.priority;
 }
 
 std::vector<OverloadPlan::Next> OverloadPlan::InOrder(
