Cost-aware queue: protected short prompts keep their room

Cause: a long prompt of a higher priority took the engines of a short one that was owed service. Change: protected requests are not passed over.

--- a/src/core/placer/cost-queue.cc
+++ b/src/core/placer/cost-queue.cc
@@ -168,9 +168,12 @@
         Candidates(work, true, now).empty()) {
       continue;
     }
-    if (is_short)
-      blocked =
-          std::min(blocked.value_or(work.prefill_time), work.prefill_time);
+    // Smaller prompts would keep taking the room that a protected one needs.
+    if (is_short) {
+      const Duration size =
+          next.is_protected ? Duration::zero() : work.prefill_time;
+      blocked = std::min(blocked.value_or(size), size);
+    }
     // While a long prompt waits for engines, short ones may join others; they
     // leave idle engines to it.
     if (!next.is_deferred && !is_long) {
--- a/src/core/placer/overload-plan.cc
+++ b/src/core/placer/overload-plan.cc
@@ -55,8 +55,8 @@
 /// A kind or an account is to be served at least a quarter as often as all
 /// requests, and the largest tenth of a kind half as often as the kind. Groups
 /// below these parts, which leave a margin, are protected.
-constexpr double kProtectedPart = 0.4;
-constexpr double kProtectedLargePart = 0.7;
+constexpr double kProtectedPart = 0.5;
+constexpr double kProtectedLargePart = 0.85;
 constexpr double kLargeQuantile = 0.9;
 /// Step of the quantile estimate, as a share of the mean.
 constexpr double kQuantileStep = 0.1;
