Cost-aware queue: thresholds of kinds and accounts

Cause: kinds and accounts fell below a quarter of the share of all. Change: protection begins above that part.

--- a/src/core/placer/overload-plan.cc
+++ b/src/core/placer/overload-plan.cc
@@ -55,7 +55,8 @@
 /// A kind or an account is to be served at least a quarter as often as all
 /// requests, and the largest tenth of a kind half as often as the kind. Groups
 /// below these parts, which leave a margin, are protected.
-constexpr double kProtectedPart = 0.5;
+constexpr double kProtectedKindPart = 0.33;
+constexpr double kProtectedAccountPart = 0.5;
 constexpr double kProtectedLargePart = 0.85;
 constexpr double kLargeQuantile = 0.9;
 /// Step of the quantile estimate, as a share of the mean.
@@ -141,14 +142,14 @@
 bool ServedShares::IsKindOwed(const PlanJob& job, Time now) {
   const auto kind = kinds_.find({job.priority, job.objective});
   return kind != kinds_.end() &&
-         kind->second.all.IsBelow(kProtectedPart, all_, now);
+         kind->second.all.IsBelow(kProtectedKindPart, all_, now);
 }
 
 bool ServedShares::IsOwed(const PlanJob& job, Time now) {
   if (IsKindOwed(job, now)) return true;
   const auto account = accounts_.find(job.account);
   if (account != accounts_.end() &&
-      account->second.IsBelow(kProtectedPart, all_, now)) {
+      account->second.IsBelow(kProtectedAccountPart, all_, now)) {
     return true;
   }
   const auto at = kinds_.find({job.priority, job.objective});
