Cost-aware queue: more engines for protected long prompts

Cause: long prompts stayed below their share with 18 % of the engines. Change: 30 % while a protected long prompt waits.

--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -406,6 +406,7 @@
   std::set<std::pair<Time, RequestId>> long_arrivals_;
   /// Priority of the first long prompt that waits and can be in time.
   std::optional<std::uint32_t> long_priority_;
+  bool protected_long_waits_ = false;
   /// Average time of plain requests on their targets.
   Duration plain_time_ = std::chrono::milliseconds(100);
   TargetLimits limits_;
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -22,6 +22,9 @@
 /// Share of the engines that short streams leave to long prompts once a long
 /// prompt has waited for `kLongMaxWait`.
 constexpr double kMinLongShare = 0.18;
+/// Instead of `kMinLongShare` while a protected long prompt waits: its kind is
+/// hardly served otherwise.
+constexpr double kProtectedLongShare = 0.3;
 constexpr Duration kLongMaxWait = milliseconds(250);
 /// Requests that a memory reservation sends to a target: one to reserve, one or
 /// two to renew, one to release.
@@ -141,7 +144,8 @@
     }
   }
   const auto wanted = static_cast<std::size_t>(
-      std::ceil(kMinLongShare * static_cast<double>(engines)));
+      std::ceil((protected_long_waits_ ? kProtectedLongShare : kMinLongShare) *
+                static_cast<double>(engines)));
   std::set<TargetName> next;
   if (wanted > prefilling) {
     // Engines that are closed already stay closed; then those with the fewest
@@ -186,7 +190,9 @@
       std::max(demand / kShortPrefillShare,
                static_cast<double>(streams) / model_.packed_streams);
   const double least = kMinShortShare * static_cast<double>(engines);
-  const double most = kMaxShortShare * static_cast<double>(engines);
+  const double most =
+      (protected_long_waits_ ? 1 - kProtectedLongShare : kMaxShortShare) *
+      static_cast<double>(engines);
   return static_cast<std::size_t>(
       std::ceil(std::clamp(wanted, std::min(least, most), most)));
 }
--- a/src/core/placer/cost-queue.cc
+++ b/src/core/placer/cost-queue.cc
@@ -111,6 +111,7 @@
   long_waits_ = !long_arrivals_.empty();
   if (plan_.size() == 0) {
     long_priority_.reset();
+    protected_long_waits_ = false;
     closed_to_short_.clear();
     return;
   }
@@ -138,6 +139,7 @@
                         std::optional<std::uint32_t>& blocked_priority) {
   bool placed = false;
   long_priority_.reset();
+  protected_long_waits_ = false;
   bool waits_for_gang = false;
   for (const auto& next : plan_.InOrder(kTriesPerLane)) {
     Work& work = works_.at(next.id);
@@ -155,6 +157,7 @@
       placed = true;
       continue;
     }
+    if (is_long && next.is_protected) protected_long_waits_ = true;
     if (is_long && !next.is_deferred) {
       long_priority_ =
           std::min(long_priority_.value_or(next.priority), next.priority);
