--- a/src/core/placer/overload-plan.cc
+++ b/src/core/placer/overload-plan.cc
@@ -57,7 +57,7 @@
 /// below these parts, which leave a margin, are protected.
 constexpr double kProtectedKindPart = 0.33;
 constexpr double kProtectedAccountPart = 0.5;
-constexpr double kProtectedLargePart = 0.85;
+constexpr double kProtectedLargePart = 0.95;
 constexpr double kLargeQuantile = 0.9;
 /// Step of the quantile estimate, as a share of the mean.
 constexpr double kQuantileStep = 0.1;
@@ -224,13 +224,15 @@
   entry.is_protected = !job.may_refuse || shares_.IsOwed(job, now);
   // A kind that is hardly served goes with the first priority until it has its
   // minimum; it would starve behind others otherwise.
-  const std::uint32_t priority =
-      shares_.IsKindOwed(job, now) ? 0 : job.priority;
+  const bool is_kind_owed = shares_.IsKindOwed(job, now);
+  const std::uint32_t priority = is_kind_owed ? 0 : job.priority;
+  // It keeps its place until its deadline: late is better than never.
+  const Time start_by = is_kind_owed ? job.last : job.due;
   const std::int64_t due = job.due.time_since_epoch().count();
   // Protected requests go before the others of their priority.
   entry.key = {priority, entry.is_protected ? due - kProtectedOrder : due,
                ++sequence_};
-  if (job.due <= now) {
+  if (start_by <= now) {
     InsertDeferred(entry, now);
   } else {
     const double work = Seconds(job.work).count();
@@ -239,7 +241,7 @@
     lane.inflow += work / Seconds(kInflowWindow).count();
     lane.inflow_at = now;
     lane.in_time.Insert(
-        {entry.key, job.id, work, ToSeconds(job.due), entry.is_protected});
+        {entry.key, job.id, work, ToSeconds(start_by), entry.is_protected});
   }
   const std::size_t noted = notes_.size();
   Settle(lane, now);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -668,6 +668,19 @@
   }
   more.push_back(std::move(waiting));
   more.push_back(std::move(retries));
+  node::MetricFamily decisions{
+      "comfreyflow_queue_decisions_total",
+      "counter",
+      "Requests that the cost-aware queues on this host let wait, deferred or "
+      "refused, by the measure by which others were preferred.",
+      {}};
+  for (const auto& [kind, number] : state.placement.queue_decisions()) {
+    decisions.values.push_back({std::string("outcome=\"") +
+                                    ToString(kind.first) + "\",by=\"" +
+                                    ToString(kind.second) + "\"",
+                                static_cast<double>(number)});
+  }
+  if (!decisions.values.empty()) more.push_back(std::move(decisions));
   for (auto& reading : node::ProcessMetrics()) {
     more.push_back(std::move(reading));
   }
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -122,8 +122,26 @@
     return at->second;
   }
 
+  /// Logs and counts what the cost-aware queue of a placer decided.
+  void RecordQueueNotes(const ServiceName& service) {
+    for (const auto& note : PlacerOf(service).TakeNotes()) {
+      ++queue_decisions[{note.outcome, note.measure}];
+      LogLine line(Severity::kInfo, Event::kQueueDecision);
+      line.With(note.id)
+          .With("service", service)
+          .With("outcome", ToString(note.outcome))
+          .With("by", ToString(note.measure));
+      if (note.preferred) line.With("preferred", ToString(*note.preferred));
+      line.With("ahead", std::uint64_t{note.ahead});
+      if (note.outcome != PlanOutcome::kRefused) continue;
+      line.With("retry_after",
+                std::chrono::duration_cast<milliseconds>(note.retry_after));
+    }
+  }
+
   /// Sends the decisions of a placer to the hosts that requested them.
   void DeliverDecisions(const ServiceName& service) {
+    RecordQueueNotes(service);
     for (auto& decision : PlacerOf(service).TakeDecisions()) {
       const RequestId id =
           std::visit([](const auto& typed) { return typed.id; }, decision);
@@ -773,6 +791,7 @@
   LimitExchange limits;
   RecentHosts fleet;
   std::uint64_t grants_past_limits = 0;
+  QueueDecisions queue_decisions;
   TargetBackOffs back_offs;  ///< Back-offs that targets asked of this host.
   struct Listing {
     ServiceName service;
@@ -946,6 +965,10 @@
   return state_->grants_past_limits;
 }
 
+const QueueDecisions& Placement::queue_decisions() const {
+  return state_->queue_decisions;
+}
+
 void Placement::BroadcastLeaving(const TargetMark& mark) {
   state_->BroadcastLeaving(mark);
 }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "comfreyflow/placer.h"
@@ -35,6 +36,10 @@
   PlacedTarget target;
 };
 
+/// Number of decisions of cost-aware queues.
+using QueueDecisions =
+    std::map<std::pair<PlanOutcome, PlanMeasure>, std::uint64_t>;
+
 struct PlacementSettings {
   HostName self;
   Incarnation incarnation;
@@ -111,6 +116,8 @@
   /// Number of grants to this host's requests made while other targets had no
   /// permit left under their limits.
   std::uint64_t grants_past_limits() const;
+  /// What the cost-aware queues on this host decided.
+  const QueueDecisions& queue_decisions() const;
   /// Informs the holders that a target has reported that it accepts no new
   /// work.
   void BroadcastLeaving(const TargetMark& mark);
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -48,6 +48,7 @@
   kPlacerSilent,
   kPlacement,
   kGrantDeclined,
+  kQueueDecision,
   kPlacementOutdated,
   kPlaced,
   kReservationRefused,
@@ -99,7 +100,7 @@
   std::string_view fields;  ///< Separated by single spaces. All are optional.
 };
 
-inline constexpr std::array<EventSpec, 81> kEventSpecs = {{
+inline constexpr std::array<EventSpec, 82> kEventSpecs = {{
     {"started", "the host process started", "host failure_domain store"},
     {"settings_invalid", "the settings are invalid; the process exits",
      "problem"},
@@ -245,6 +246,11 @@
      "this host rejected a grant because it knows that the target is leaving, "
      "asked to back off (rest), or is listed for another service (listed)",
      "target service listed holder rest"},
+    {"queue_decision",
+     "a request waits at the cost-aware queue, was deferred there or refused "
+     "(outcome); preferred: one of those served before it (ahead) or because "
+     "of it, by priority, deadline or work",
+     "request service outcome by preferred ahead retry_after"},
     {"placement_outdated",
      "a datagram about placement was sent by, or answers, an earlier process "
      "(incarnation) than the latest one of its host, and is ignored",
--- a/test/overload-simulation.h
+++ b/test/overload-simulation.h
@@ -84,7 +84,10 @@
 class Simulation {
  public:
   Simulation(Load load, const PlacerSettings& settings, std::uint64_t seed)
-      : load_(std::move(load)), placer_(settings), random_(seed) {
+      : load_(std::move(load)),
+        placer_(settings),
+        random_(seed),
+        service_random_(seed) {
     placer_.SetEngine(load_.engine, load_.terms);
     std::vector<PoolTarget> targets;
     for (int i = 0; i < load_.targets; ++i) {
@@ -211,9 +214,9 @@
     request.is_placed = true;
     if (!request.job.stream) {
       std::exponential_distribution<double> spread(1);
-      request.starts_at =
-          now + std::chrono::duration_cast<Duration>(
-                    request.kind->service * (0.5 + 0.5 * spread(random_)));
+      request.starts_at = now + std::chrono::duration_cast<Duration>(
+                                    request.kind->service *
+                                    (0.5 + 0.5 * spread(service_random_)));
       request.ends_at = request.starts_at;
       return;
     }
@@ -271,7 +274,8 @@
 
   const Load load_;
   Placer placer_;
-  std::mt19937_64 random_;
+  std::mt19937_64 random_;  ///< Of arrivals, which don't depend on decisions.
+  std::mt19937_64 service_random_;
   std::uint64_t last_ = 0;
   std::map<RequestId, Request> open_;
   std::map<TargetName, Time> busy_until_;
