--- a/test/platform/translation-test.cc
+++ b/test/platform/translation-test.cc
@@ -61,6 +61,25 @@
   CHECK(settings.capacity == 25);
 }
 
+TEST_CASE("the cost-aware queue is on only if Contracts names pressure") {
+  const auto is_on = [](const char* contracts) {
+    auto json = nlohmann::json::parse(kSettings);
+    json["Contracts"] = nlohmann::json::parse(contracts);
+    HostSettings settings;
+    std::string problem;
+    REQUIRE_FALSE(ParseSettings(json.dump(), settings, problem));
+    return settings.cost_aware_queue;
+  };
+  CHECK(is_on(R"(["cold","pressure"])"));
+  CHECK_FALSE(is_on(R"(["cold"])"));
+  CHECK_FALSE(is_on("[]"));
+  CHECK_FALSE(is_on("null"));
+  HostSettings settings;
+  std::string problem;
+  REQUIRE_FALSE(ParseSettings(kSettings, settings, problem));
+  CHECK_FALSE(settings.cost_aware_queue);
+}
+
 TEST_CASE("the deployment depends on the zones, not on the store's address") {
   const auto deployment = [](const char* zones, const char* store) {
     auto json = nlohmann::json::parse(kSettings);
