--- a/src/core/placer/overload-plan.cc
+++ b/src/core/placer/overload-plan.cc
@@ -57,7 +57,7 @@
 /// below these parts, which leave a margin, are protected.
 constexpr double kProtectedKindPart = 0.33;
 constexpr double kProtectedAccountPart = 0.5;
-constexpr double kProtectedLargePart = 0.95;
+constexpr double kProtectedLargePart = 0.8;
 constexpr double kLargeQuantile = 0.9;
 /// Step of the quantile estimate, as a share of the mean.
 constexpr double kQuantileStep = 0.1;
