Cost-aware queue: refuse nothing while the pool is unknown

Cause: with no target listed, or while the running work of other hosts is unknown, the pool counted as empty and the second waiting request was refused for load at once, where it would have been placed a moment later. Change: a lane without a pool neither defers nor refuses, and a held placer has no pool.

--- a/src/core/placer/cost-queue.cc
+++ b/src/core/placer/cost-queue.cc
@@ -98,7 +98,10 @@
   double slots = 0;
   double engines = 0;
   for (const auto& [name, target] : targets_) {
-    if (!IsAvailable(target) || now < target.closed_until) continue;
+    if (now < held_until_ || !IsAvailable(target) ||
+        now < target.closed_until) {
+      continue;
+    }
     slots += target.info.slots;
     engines += 1;
   }
--- a/src/core/placer/overload-plan.cc
+++ b/src/core/placer/overload-plan.cc
@@ -274,6 +274,8 @@
 
 /// Defers and refuses requests until all others can be served in time.
 void OverloadPlan::Settle(Lane& lane, Time now) {
+  // Nothing is known of the capacity; the placer refuses what has no target.
+  if (lane.pool <= 0) return;
   const double seconds = ToSeconds(now);
   while (const auto late = lane.in_time.FirstLate(seconds)) {
     const auto largest = lane.in_time.LargestOf(late->key);
--- a/test/overload-plan-test.cc
+++ b/test/overload-plan-test.cc
@@ -337,6 +337,22 @@
   }
 }
 
+TEST_CASE("requests are not refused for load before targets are known") {
+  PlacerSettings settings;
+  settings.cost_aware = true;
+  Placer empty(settings);
+  Placer held = CostAware(1, 1);
+  held.HoldUntil(kStart + milliseconds(120));
+  for (Placer* placer : {&empty, &held}) {
+    for (std::uint64_t i = 1; i <= 100; ++i)
+      placer->Submit(Plain(i, kStart), kStart);
+    CHECK(placer->TakeDecisions().empty());
+    CHECK(placer->waiting() == 100);
+  }
+  held.Tick(kStart + milliseconds(130));
+  CHECK_FALSE(Grants(held).empty());
+}
+
 TEST_CASE("the switch off: no notes, and the order of urgency as before") {
   Placer placer = PlainPlacer(1, 1);
   placer.Submit(Plain(1, kStart), kStart);
