--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -109,6 +109,8 @@
 struct EvacuationState {
   StoreVersion version;
   std::set<FailureDomain> domains;
+  /// More domains are evacuated than these, as not all fit into a datagram.
+  bool is_partial = false;
   bool operator==(const EvacuationState&) const = default;
 };
 
@@ -229,6 +231,8 @@
   void SetConfig(const ConfigMark& config);
   void SetStoreEra(std::uint64_t era);
   void SetEvacuations(const std::optional<EvacuationState>& state);
+  /// Hosts that read the store for all; each datagram tells of one of them.
+  void SetStoreReaders(std::set<HostName> readers);
   void SetPlatformList(std::vector<ListedHost> hosts);
   /// These two pass a mark on to the other hosts.
   void ShareTarget(const TargetMark& mark);
--- a/include/comfreyflow/store-readers.h
+++ b/include/comfreyflow/store-readers.h
@@ -4,9 +4,11 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <vector>
 
+#include "comfreyflow/membership.h"
 #include "comfreyflow/types.h"
 
 namespace comfreyflow {
@@ -26,6 +28,11 @@
 /// more than half of the fleet ends at once.
 inline constexpr std::size_t kStoreReaders = 9;
 
+/// A host that has not heard of any other reader for this long reads the store
+/// itself: the readers ended at once, or this host is cut off from them. News
+/// of some reader normally arrives several times within this time.
+inline constexpr Duration kReaderSilence = std::chrono::milliseconds(1800);
+
 /// A live host that no peer suspects to have ended.
 struct ReaderCandidate {
   HostName name;
@@ -44,4 +51,42 @@
 std::set<HostName> ChooseStoreReaders(
     const std::vector<ReaderCandidate>& hosts);
 
+/// Decides from the membership whether this host reads the store. Each host
+/// decides on its own; views that differ for a while cause some more or fewer
+/// readers, but a host that is unsure reads.
+class StoreReaderChoice {
+ public:
+  struct Self {
+    HostName name;
+    bool holds_placer = false;
+    bool is_detached = false;  ///< This host can't reach the store.
+  };
+
+  /// To be called several times per second. Returns whether the role changed.
+  bool Update(const std::map<HostName, Member>& members, const Self& self,
+              Time now);
+
+  StoreRole role() const { return role_; }
+  /// Whether the host reads the store, as far as this host knows.
+  bool Reads(const HostName& host) const {
+    return role_ == StoreRole::kOneOfAll || readers_.contains(host);
+  }
+  const std::set<HostName>& readers() const { return readers_; }
+  /// The readers whose life other hosts depend on; empty in a small fleet.
+  std::set<HostName> attached_readers() const {
+    return role_ == StoreRole::kOneOfAll ? std::set<HostName>{} : attached_;
+  }
+  std::size_t hosts() const { return hosts_; }
+
+ private:
+  /// Whether a reader that reaches the store was seen alive recently.
+  bool HearsFromReader(const std::map<HostName, Member>& members,
+                       const HostName& self, Time now) const;
+
+  StoreRole role_ = StoreRole::kOneOfAll;
+  std::set<HostName> readers_;
+  std::set<HostName> attached_;  ///< Readers that reach the store.
+  std::size_t hosts_ = 0;        ///< Candidates of the last choice.
+};
+
 }  // namespace comfreyflow
--- a/src/core/placer/choose.cc
+++ b/src/core/placer/choose.cc
@@ -22,6 +22,9 @@
 /// Share of the engines that short streams leave to long prompts once a long
 /// prompt has waited for `kLongMaxWait`.
 constexpr double kMinLongShare = 0.18;
+/// Instead of `kMinLongShare` while a protected long prompt waits: its kind is
+/// hardly served otherwise.
+constexpr double kProtectedLongShare = 0.3;
 constexpr Duration kLongMaxWait = milliseconds(250);
 /// Requests that a memory reservation sends to a target: one to reserve, one or
 /// two to renew, one to release.
@@ -115,6 +118,8 @@
     if (backlog == nullptr || rank(*target) < rank(*backlog)) backlog = target;
   }
   if (packed != nullptr) return packed;
+  // An idle engine is left to a long prompt of a higher priority.
+  if (long_priority_ && *long_priority_ < work.job.priority) empty = nullptr;
   const bool fits =
       backlog != nullptr && backlog->prefill_backlog + work.prefill_time <=
                                 model_.preferred_prefill_backlog;
@@ -127,12 +132,7 @@
 }
 
 void Placer::CloseToShort(Time now) {
-  const bool has_waited = std::any_of(
-      waiting_.begin(), waiting_.end(), [this, now](const RequestId& id) {
-        const Work& work = works_.at(id);
-        return work.is_long && now - work.job.arrival > kLongMaxWait;
-      });
-  if (!has_waited) return closed_to_short_.clear();
+  if (!HasLongWaited(kLongMaxWait, now)) return closed_to_short_.clear();
   std::vector<const Target*> open;
   std::size_t engines = 0;
   std::size_t prefilling = 0;
@@ -146,7 +146,8 @@
     }
   }
   const auto wanted = static_cast<std::size_t>(
-      std::ceil(kMinLongShare * static_cast<double>(engines)));
+      std::ceil((protected_long_waits_ ? kProtectedLongShare : kMinLongShare) *
+                static_cast<double>(engines)));
   std::set<TargetName> next;
   if (wanted > prefilling) {
     // Engines that are closed already stay closed; then those with the fewest
@@ -191,7 +192,9 @@
       std::max(demand / kShortPrefillShare,
                static_cast<double>(streams) / model_.packed_streams);
   const double least = kMinShortShare * static_cast<double>(engines);
-  const double most = kMaxShortShare * static_cast<double>(engines);
+  const double most =
+      (protected_long_waits_ ? 1 - kProtectedLongShare : kMaxShortShare) *
+      static_cast<double>(engines);
   return static_cast<std::size_t>(
       std::ceil(std::clamp(wanted, std::min(least, most), most)));
 }
@@ -230,7 +233,8 @@
   if (!limits_.empty()) {
     work.grant.out_of_permits = static_cast<std::uint32_t>(
         std::count_if(targets_.begin(), targets_.end(), [&](const auto& entry) {
-          return InPool(entry.second, work) && !HasPermit(entry.second, now);
+          return InPool(entry.second, work) && IsLimited(entry.second) &&
+                 !HasPermit(entry.second, now);
         }));
     for (const auto& target : work.grant.targets) {
       const double reservation_requests =
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,6 +54,9 @@
   /// Whether requests may go to targets already; empty: always. Until then
   /// callers are refused.
   std::function<bool()> may_send;
+  /// Called when this host, passive until now, has to read the store by itself;
+  /// may be empty.
+  std::function<void()> store_reading_started;
   /// The evacuations that this host knows; may be empty.
   std::function<std::optional<EvacuationState>()> evacuations;
   /// Called when a peer knows a later state of them; may be empty.
--- a/test/store-readers-test.cc
+++ b/test/store-readers-test.cc
@@ -31,6 +31,18 @@
   return out;
 }
 
+std::map<HostName, Member> Members(std::size_t hosts, Time seen) {
+  std::map<HostName, Member> members;
+  for (const auto& host : Fleet(hosts, 0)) {
+    Member& member = members[host.name];
+    member.record.name = host.name;
+    member.record.failure_domain = host.domain;
+    member.last_seen = seen;
+    member.facts.generation = 1;
+  }
+  return members;
+}
+
 FleetInfo Info(StoreRole role) { return {88, false, role}; }
 
 }  // namespace
@@ -92,6 +104,48 @@
   CHECK(static_cast<std::size_t>(kept) == kStoreReaders - 1);
 }
 
+TEST_CASE("in a small fleet suspects count as hosts that read the store") {
+  // Else the majority of attached hosts is computed over fewer hosts, and
+  // placers move that stayed before.
+  StoreReaderChoice choice;
+  auto members = Members(6, kStart);
+  members.begin()->second.state = MemberState::kSuspect;
+  choice.Update(members, {members.rbegin()->first}, kStart);
+  CHECK(choice.role() == StoreRole::kOneOfAll);
+  CHECK(choice.Reads(members.begin()->first));
+}
+
+TEST_CASE("a host that hears from no reader reads the store itself") {
+  StoreReaderChoice choice;
+  const auto members = Members(88, kStart);
+  const StoreReaderChoice::Self self{{"host-87"}};
+  choice.Update(members, self, kStart);
+  REQUIRE(choice.role() == StoreRole::kPassive);
+  CHECK_FALSE(choice.Update(members, self, kStart + kReaderSilence));
+  const Time late = kStart + kReaderSilence + milliseconds(1);
+  CHECK(choice.Update(members, self, late));
+  CHECK(choice.role() == StoreRole::kReader);
+
+  SUBCASE("news of one reader is enough") {
+    auto heard = members;
+    for (auto& [name, member] : heard) {
+      if (!choice.Reads(name)) continue;
+      member.last_seen = late;
+      break;
+    }
+    choice.Update(heard, self, late);
+    CHECK(choice.role() == StoreRole::kPassive);
+  }
+  SUBCASE("news of others is not") {
+    auto heard = members;
+    for (auto& [name, member] : heard) {
+      if (!choice.Reads(name)) member.last_seen = late;
+    }
+    choice.Update(heard, self, late);
+    CHECK(choice.role() == StoreRole::kReader);
+  }
+}
+
 TEST_CASE("a passive host makes no calls for what peers tell") {
   FollowPlan plan(1, 7);
   REQUIRE_FALSE(plan.RestTime(0, Info(StoreRole::kPassive), false, kStart));
@@ -102,7 +156,7 @@
   CHECK(*rest <= kRoleCheckInterval);
 
   SUBCASE("it checks the store after a while, without waiting") {
-    const Time later = kStart + kPassiveCheckInterval + seconds(1);
+    const Time later = kStart + 2 * 88 * kPassiveCheckSpacing + seconds(1);
     REQUIRE_FALSE(plan.RestTime(0, Info(StoreRole::kPassive), false, later));
     CHECK(plan.Next(0, Info(StoreRole::kPassive))->wait == Duration::zero());
     plan.Changed(0, {0, 6}, false, Info(StoreRole::kPassive));
