Linter findings: a dangling reference, a name that Beast requires

Cause: OverloadPlan::GoesFirst kept a reference into a temporary vector, so the order of a new request was compared with freed memory. Found by clang-tidy. Change: the key is copied; the body type's inner class is exempt from the naming rule, as Beast looks for its name. Measured: clang-tidy has no finding in the two files.

--- a/src/core/placer/overload-plan.cc
+++ b/src/core/placer/overload-plan.cc
@@ -482,7 +482,7 @@
     const Lane& lane = lanes_[i];
     const bool is_same = static_cast<PlanLane>(i) == job.lane;
     if (is_same && lane.in_time.size() > 0) {
-      const auto& first = lane.in_time.First(1).front().key;
+      const SlackList::Key first = lane.in_time.First(1).front().key;
       if (std::pair(first.priority, first.order) <=
           std::pair(job.priority, job.due.time_since_epoch().count())) {
         return false;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -126,7 +126,8 @@
 struct PartBody {
   using value_type = std::string;
 
-  class reader {
+  // Beast looks for the name.
+  class reader {  // NOLINT(readability-identifier-naming)
    public:
     template <bool IsRequest, class Fields>
     reader(bh::header<IsRequest, Fields>& /*head*/, value_type& body)
