Linter findings in tests

Cause: local constants with a prefix, a structured binding in a macro that captures by reference, a parameter by value. Change: names, no binding, a reference.

--- a/test/evacuations-test.cc
+++ b/test/evacuations-test.cc
@@ -170,20 +170,20 @@
 }
 
 TEST_CASE("a domain that a peer had no room to tell is put back") {
-  const FailureDomain kLong{std::string(400, 'x')};
+  const FailureDomain long_name{std::string(400, 'x')};
   Evacuations peer;
-  peer.SetList(Version(9), {kEast, kLong}, kStart);
+  peer.SetList(Version(9), {kEast, long_name}, kStart);
   Evacuations evacuations;
-  evacuations.SetList(Version(5), {kLong, kWest}, kStart);
+  evacuations.SetList(Version(5), {long_name, kWest}, kStart);
   REQUIRE(evacuations.Merge(*peer.Shared(), kStart));
-  CHECK(evacuations.domains() == std::set{kEast, kLong, kWest});
+  CHECK(evacuations.domains() == std::set{kEast, long_name, kWest});
   // What is passed on says as well that it is a part.
   CHECK(evacuations.Shared()->is_partial);
   // The store tells the rest.
   evacuations.Put(kEast);
   evacuations.Remove(kWest);
   evacuations.EndBatch(Version(9));
-  CHECK(evacuations.domains() == std::set{kEast, kLong});
+  CHECK(evacuations.domains() == std::set{kEast, long_name});
 }
 
 TEST_CASE("no request is granted a target of an evacuated domain") {
@@ -193,7 +193,7 @@
   placer.SetEngine(TestEngine());
   placer.SetTargets(WithEvacuated(TwoDomains(8), evacuations), kStart);
   std::uint64_t sequence = 0;
-  const auto check = [&](PlaceJob job) {
+  const auto check = [&](const PlaceJob& job) {
     for (const auto& target : Granted(placer, job, kStart).targets) {
       CHECK((target.name.value.back() - '0') % 2 == 1);
     }
--- a/test/overload-plan-test.cc
+++ b/test/overload-plan-test.cc
@@ -278,14 +278,14 @@
       seconds(60), [](const overload::Kind&, Duration) { return 1.5; });
   const double all_share = result.all().share();
   CHECK(all_share < 0.97);  // It is overload.
-  for (const auto& [name, kind] : result.kinds) {
-    CAPTURE(name);
-    CHECK(kind.share() * 4 >= all_share);
-    CHECK(result.largest.at(name).share() * 2 >= kind.share());
+  for (const auto& kind : result.kinds) {
+    CAPTURE(kind.first);
+    CHECK(kind.second.share() * 4 >= all_share);
+    CHECK(result.largest.at(kind.first).share() * 2 >= kind.second.share());
   }
-  for (const auto& [name, account] : result.accounts) {
-    CAPTURE(name);
-    CHECK(account.share() * 4 >= all_share);
+  for (const auto& account : result.accounts) {
+    CAPTURE(account.first);
+    CHECK(account.second.share() * 4 >= all_share);
   }
 }
 
--- a/test/platform/answer-fuzz-test.cc
+++ b/test/platform/answer-fuzz-test.cc
@@ -233,14 +233,14 @@
 }
 
 std::string OddStatusLine(Random& random) {
-  static const std::vector<std::string> kVersions = {
+  static const std::vector<std::string> versions = {
       "HTTP/1.1", "HTTP/1.1", "HTTP/1.1", "HTTP/1.0",
       "HTTP/2.0", "HTTP/0.9", "HTTP/1.2", "http/1.1"};
-  static const std::vector<std::string> kStatuses = {
+  static const std::vector<std::string> statuses = {
       "000", "099",  "100", "101", "102", "199", "201", "204",  "206",
       "304", "400",  "404", "500", "502", "599", "600", "999",  "20",
       "2",   "1000", "-20", "+20", "",    " ",   "2 0", "0200", "2x0"};
-  return Pick(random, kVersions) + " " + Pick(random, kStatuses) + " A";
+  return Pick(random, versions) + " " + Pick(random, statuses) + " A";
 }
 
 /// Disturbs an answer in one way.
@@ -277,25 +277,25 @@
       break;
     case 4: {  // Wrong length.
       const auto at = bytes.find("Content-Length: ");
-      static const std::vector<std::string> kLengths = {"0",
-                                                        "1",
-                                                        "-1",
-                                                        "+5",
-                                                        "5, 5",
-                                                        "9999",
-                                                        "4294967296",
-                                                        "",
-                                                        "0x5",
-                                                        "99999999999999999999",
-                                                        "4611686018427387903"};
+      static const std::vector<std::string> lengths = {"0",
+                                                       "1",
+                                                       "-1",
+                                                       "+5",
+                                                       "5, 5",
+                                                       "9999",
+                                                       "4294967296",
+                                                       "",
+                                                       "0x5",
+                                                       "99999999999999999999",
+                                                       "4611686018427387903"};
       if (at != std::string::npos) {
         const auto end = bytes.find("\r\n", at);
-        bytes.replace(at + 16, end - at - 16, Pick(random, kLengths));
+        bytes.replace(at + 16, end - at - 16, Pick(random, lengths));
       }
       break;
     }
     case 5: {  // Header fields that frame it anew.
-      static const std::vector<std::string> kFields = {
+      static const std::vector<std::string> fields = {
           "Content-Length: 3\r\n",
           "Transfer-Encoding: chunked\r\n",
           "Transfer-Encoding: gzip\r\n",
@@ -304,7 +304,7 @@
           "X-Seal\r\n",
           " folded\r\n"};
       const auto at = bytes.find("\r\n");
-      if (at != std::string::npos) bytes.insert(at + 2, Pick(random, kFields));
+      if (at != std::string::npos) bytes.insert(at + 2, Pick(random, fields));
       break;
     }
     case 6: {  // Another request's answer in front or behind.
@@ -416,14 +416,14 @@
   };
 
   void Run() {
-    static const std::vector<std::string> kPaths = {"/safe/", "/unsafe/",
-                                                    "/stream/"};
+    static const std::vector<std::string> paths = {"/safe/", "/unsafe/",
+                                                   "/stream/"};
     std::vector<Sent> open;
     int sent = 0;
     while (sent < kRequests || !open.empty()) {
       while (open.size() < kAtOnce && sent < kRequests) {
         const std::string id = "r" + std::to_string(sent);
-        const std::string& path = kPaths[static_cast<std::size_t>(sent % 3)];
+        const std::string& path = paths[static_cast<std::size_t>(sent % 3)];
         ++sent;
         open.push_back(
             {id, path == "/stream/",
