--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# 1: the rule was broken; 0: it held; 2: the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec python3 -B review/10/case.py
