--- a/review/10/case.py
+++ b/review/10/case.py
@@ -61,4 +61,4 @@
     return not wrong
 
 
-stand.run(case, HERE)
+stand.run(case, HERE, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -558,14 +558,13 @@
         self.temporary.cleanup()
 
 
-def run(case, folder):
+def run(case, folder, trouble):
     """Runs `case(site, trouble)`, which returns whether the rule held."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-
     async def play():
         # Tasks that are cancelled at the end need no report.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         site = Site(folder)
+        site.record.line("case", trouble=int(trouble))
         try:
             await site.store.start()
             return await asyncio.wait_for(case(site, trouble), 110)
