Seeds of the exploration and of two fuzzers mean the same on x86-64 and arm64

A seed that breaks a promise on one kind of machine need not do so on the other.

Cause: two random numbers were drawn as arguments of one call. Their order is unspecified; g++ evaluates arguments from the right on x86-64 and from the left on arm64, as clang does on both. Shown on a program of these three calls: Callers::PlanResends (test/explore), the statuses of platform-answer-fuzz-test and the insertion of platform-store-fuzz-test. Other calls with several draws are braced lists, whose order is defined, or products, for which all three compilers agree.

--- a/test/explore/world.cc
+++ b/test/explore/world.cc
@@ -131,8 +131,9 @@
       Wish again = wish;
       // The same key mostly means the same body.
       if (random_() % 12 == 0) ++again.body;
-      SendAt(at + milliseconds(lags[random_() % std::size(lags)]), again,
-             random_());
+      const std::uint64_t choice = random_();
+      const Duration lag = milliseconds(lags[random_() % std::size(lags)]);
+      SendAt(at + lag, again, choice);
     }
   }
 
--- a/test/platform/answer-fuzz-test.cc
+++ b/test/platform/answer-fuzz-test.cc
@@ -240,7 +240,8 @@
       "000", "099",  "100", "101", "102", "199", "201", "204",  "206",
       "304", "400",  "404", "500", "502", "599", "600", "999",  "20",
       "2",   "1000", "-20", "+20", "",    " ",   "2 0", "0200", "2x0"};
-  return Pick(random, versions) + " " + Pick(random, statuses) + " A";
+  const std::string& status = Pick(random, statuses);
+  return Pick(random, versions) + " " + status + " A";
 }
 
 /// Disturbs an answer in one way.
--- a/test/platform/store-fuzz-test.cc
+++ b/test/platform/store-fuzz-test.cc
@@ -58,9 +58,11 @@
       case 2:
         text.insert(at, Value());
         break;
-      case 3:
-        text.insert(at, text.substr(Below(text.size()), Below(40)));
+      case 3: {
+        const auto length = Below(40);
+        text.insert(at, text.substr(Below(text.size()), length));
         break;
+      }
       default:
         text.resize(at);
     }
