--- a/test/support/check-deploy-test.py
+++ b/test/support/check-deploy-test.py
@@ -2,6 +2,7 @@
 import importlib.machinery
 import importlib.util
 import pathlib
+import subprocess
 import tempfile
 import unittest
 
@@ -65,6 +66,16 @@
         self.assertNotIn("libother-dev", " ".join(self.problems(["g++", "libother-dev"])))
 
 
+class BuildEnvironment(unittest.TestCase):
+    def test_ccache_of_the_machine_fails(self):
+        with tempfile.TemporaryDirectory() as folder:
+            environment = check_deploy.build_environment(pathlib.Path(folder) / "tools")
+            run = subprocess.run(["ccache", "c++", "--version"], env=environment, capture_output=True, text=True,
+                                 check=False)
+            self.assertEqual(run.returncode, 1)
+            self.assertIn("ccache", run.stderr)
+
+
 class Readers(unittest.TestCase):
     def test_prerequisites_of_continued_lines_and_escaped_blanks(self):
         text = "a.o: \\\n /src/a.cc /usr/include/c++/12/string \\\n /usr/include/with\\ blank.h\n"
