check-deploy: one of several providers doesn't count

Cause: for a dependency on a virtual package check-deploy took all installed providers. A clean machine has one of them, so a file of the others could be missing there though the check passed.

--- a/test/support/check-deploy-test.py
+++ b/test/support/check-deploy-test.py
@@ -43,6 +43,13 @@
         self.assertLessEqual({"libnew-dev", "g++"}, closure)
         self.assertNotIn("libold-dev", closure)
 
+    def test_one_of_several_installed_providers_does_not_count(self):
+        packages = check_deploy.parse_status("\n".join("\t".join(line) for line in [
+            ("ii ", "libformat-dev", "no", "", "awk", ""), ("ii ", "gawk", "no", "", "", "awk"),
+            ("ii ", "mawk", "no", "", "", "awk")]))
+        self.assertEqual(check_deploy.dependency_closure(["libformat-dev"], packages), {"libformat-dev"})
+        self.assertEqual(check_deploy.dependency_closure(["libformat-dev", "mawk"], packages), {"libformat-dev", "mawk"})
+
     def test_removed_packages_do_not_count(self):
         self.assertNotIn("libremoved-dev", INSTALLED)
 
