check-deploy: one filter of system files

The readers of the build and of the linker each left out relative paths and the files of the tree; system_files does it for both, with a test.

--- a/test/support/check-deploy-test.py
+++ b/test/support/check-deploy-test.py
@@ -73,6 +73,15 @@
         self.assertNotIn("libother-dev", " ".join(self.problems(["g++", "libother-dev"])))
 
 
+class SystemFiles(unittest.TestCase):
+    def test_files_of_the_tree_and_relative_paths_are_left_out(self):
+        pairs = [("/src/tree/a.h", "a.cc.o.d"), ("/src/tree/target/libcore.a", "the linker of host"),
+                 ("CMakeFiles/a.cc.o", "the linker of host"), ("/src/tree-2/b.h", "a.cc.o.d"),
+                 ("/usr/include/string.h", "a.cc.o.d"), ("/usr/include/string.h", "b.cc.o.d")]
+        self.assertEqual(check_deploy.system_files(pairs, pathlib.Path("/src/tree")),
+                         {"/src/tree-2/b.h": "a.cc.o.d", "/usr/include/string.h": "a.cc.o.d"})
+
+
 class BuildEnvironment(unittest.TestCase):
     def test_ccache_of_the_machine_fails(self):
         with tempfile.TemporaryDirectory() as folder:
