--- a/test/fakes/fake-engine.cc
+++ b/test/fakes/fake-engine.cc
@@ -41,7 +41,10 @@
   server_.Start([this](const CallPtr& call) { Handle(call); });
 }
 
-FakeEngine::~FakeEngine() { server_.Stop(); }
+FakeEngine::~FakeEngine() {
+  server_.Stop();
+  attempts_.clear();  // Their calls refer to the server's context.
+}
 
 void FakeEngine::SetFaults(const Json& faults) {
   server_.RunAndWait([&] { ChangeFaults(nullptr, faults); });
--- a/test/fakes/fake-platform.cc
+++ b/test/fakes/fake-platform.cc
@@ -49,7 +49,10 @@
   server_.Start([this](const CallPtr& call) { Handle(call); });
 }
 
-FakePlatform::~FakePlatform() { server_.Stop(); }
+FakePlatform::~FakePlatform() {
+  server_.Stop();
+  kinds_.clear();  // Open watches refer to the server's context.
+}
 
 void FakePlatform::SetFaults(const Json& faults) {
   server_.RunAndWait([&] { ChangeFaults(nullptr, faults); });
--- a/test/fakes/fake-server.cc
+++ b/test/fakes/fake-server.cc
@@ -47,7 +47,8 @@
   }
   for (const auto& field : in) {
     std::string name(field.name_string());
-    for (char& c : name) c = static_cast<char>(std::tolower(c));
+    for (char& c : name)
+      c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
     out.headers[name] = std::string(field.value());
   }
   out.body = std::move(in.body());
