--- a/test/shell/wire-test.cc
+++ b/test/shell/wire-test.cc
@@ -17,6 +17,10 @@
 
 comfreyflow::Datagram RandomDatagram(std::mt19937_64& random) {
   const auto draw = [&](std::uint64_t most) { return random() % (most + 1); };
+  const auto number_or_zero = [&] {
+    const std::uint64_t factor = draw(1);
+    return factor * random();
+  };
   comfreyflow::Datagram datagram;
   datagram.kind = static_cast<DatagramKind>(draw(3));
   datagram.sender.value = static_cast<std::uint32_t>(random());
@@ -51,12 +55,12 @@
                                 {draw(3), random()},
                                 draw(1) == 1,
                                 start,
-                                draw(1) * random(),
-                                draw(1) * random()});
+                                number_or_zero(),
+                                number_or_zero()});
     datagram.suspects.push_back(
         {random(), static_cast<std::uint32_t>(draw(9))});
   }
-  datagram.store_era = draw(1) * (random() >> 1);
+  datagram.store_era = number_or_zero() >> 1;
   if (draw(1) == 1) {
     EvacuationState& state = datagram.evacuations.emplace();
     state.version = {draw(3), random()};
