Stand-ins: the port of a server that listens again is written once

What was seen: the thread sanitizer reported a write of port_ by the server's thread beside a read by fakes-test.

Cause: GoDown ends with Listen, which assigned the port again though it is the same.

Change: the port is assigned in the constructor only, before the thread starts.

--- a/test/fakes/fake-server.cc
+++ b/test/fakes/fake-server.cc
@@ -173,7 +173,8 @@
   acceptor_.set_option(tcp::acceptor::reuse_address(true));
   acceptor_.bind(endpoint);
   acceptor_.listen();
-  port_ = acceptor_.local_endpoint().port();
+  // Read on other threads once the server has started.
+  if (port_ == 0) port_ = acceptor_.local_endpoint().port();
 }
 
 void FakeServer::Start(Handler handler) {
