support/check-threads: tests under the thread sanitizer

Cause: the order of memory accesses had been searched for only. Under the sanitizer the daemon's tests gave thousands of reports, as CAF's library isn't instrumented and its mailboxes order nothing that the sanitizer sees.

Change: under the sanitizer src/node/actor.h, the base of all actors, tells of the order of messages; otherwise it is CAF's own class. check-threads runs the tests of shell, adapter and soak and prints each report that isn't CAF's own access. It is run by hand, as tests whose deadlines or bounds of memory a slow process can't keep fail there without a report.

--- a/src/node/claim-actor.cc
+++ b/src/node/claim-actor.cc
@@ -32,9 +32,7 @@
 }  // namespace
 
 ClaimActor::ClaimActor(caf::actor_config& config, ClaimDeps deps)
-    : caf::event_based_actor(config),
-      deps_(std::move(deps)),
-      claims_(deps_.settings) {}
+    : Actor(config), deps_(std::move(deps)), claims_(deps_.settings) {}
 
 caf::behavior ClaimActor::make_behavior() {
   Subscribe();
--- a/src/node/claim-actor.h
+++ b/src/node/claim-actor.h
@@ -7,6 +7,7 @@
 #include <functional>
 
 #include "comfreyflow/claims.h"
+#include "node/actor.h"
 #include "node/messages.h"
 #include "node/metrics.h"
 #include "node/supervisor.h"
@@ -37,7 +38,7 @@
   ClaimHooks hooks;
 };
 
-class ClaimActor : public caf::event_based_actor {
+class ClaimActor : public Actor {
  public:
   ClaimActor(caf::actor_config& config, ClaimDeps deps);
 
--- a/src/node/config-actor.cc
+++ b/src/node/config-actor.cc
@@ -106,9 +106,7 @@
 }  // namespace
 
 ConfigActor::ConfigActor(caf::actor_config& config, ConfigDeps deps)
-    : caf::event_based_actor(config),
-      deps_(std::move(deps)),
-      state_(deps_.seed, Now()) {}
+    : Actor(config), deps_(std::move(deps)), state_(deps_.seed, Now()) {}
 
 caf::behavior ConfigActor::make_behavior() {
   Subscribe();
--- a/src/node/config-actor.h
+++ b/src/node/config-actor.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "comfreyflow/config-state.h"
+#include "node/actor.h"
 #include "node/admin-api.h"
 #include "node/config-view.h"
 #include "node/messages.h"
@@ -47,7 +48,7 @@
   ConfigHooks hooks;
 };
 
-class ConfigActor : public caf::event_based_actor {
+class ConfigActor : public Actor {
  public:
   ConfigActor(caf::actor_config& config, ConfigDeps deps);
 
--- a/src/node/entry-actor.cc
+++ b/src/node/entry-actor.cc
@@ -28,7 +28,7 @@
 }  // namespace
 
 EntryActor::EntryActor(caf::actor_config& config, EntryDeps deps)
-    : caf::event_based_actor(config),
+    : Actor(config),
       deps_(std::move(deps)),
       entry_(deps_.settings),
       links_(*deps_.io, *deps_.client, deps_.settings.attempt.silence_limit,
--- a/src/node/entry-actor.h
+++ b/src/node/entry-actor.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "comfreyflow/entry.h"
+#include "node/actor.h"
 #include "node/call.h"
 #include "node/messages.h"
 #include "node/metrics.h"
@@ -54,7 +55,7 @@
   EntryHooks hooks;
 };
 
-class EntryActor : public caf::event_based_actor {
+class EntryActor : public Actor {
  public:
   EntryActor(caf::actor_config& config, EntryDeps deps);
 
--- a/src/node/membership-actor.cc
+++ b/src/node/membership-actor.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 MembershipActor::MembershipActor(caf::actor_config& config, MembershipDeps deps)
-    : caf::event_based_actor(config),
+    : Actor(config),
       deps_(std::move(deps)),
       membership_(deps_.settings, Now()) {}
 
--- a/src/node/membership-actor.h
+++ b/src/node/membership-actor.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "comfreyflow/membership.h"
+#include "node/actor.h"
 #include "node/gossip-socket.h"
 #include "node/messages.h"
 #include "node/supervisor.h"
@@ -62,7 +63,7 @@
 inline constexpr Duration kViewPublishPeriod = std::chrono::milliseconds(500);
 inline constexpr Duration kPlatformListPeriod = std::chrono::seconds(20);
 
-class MembershipActor : public caf::event_based_actor {
+class MembershipActor : public Actor {
  public:
   MembershipActor(caf::actor_config& config, MembershipDeps deps);
 
--- a/src/node/orders-actor.cc
+++ b/src/node/orders-actor.cc
@@ -111,7 +111,7 @@
 }
 
 OrdersActor::OrdersActor(caf::actor_config& config, OrdersDeps deps)
-    : caf::event_based_actor(config), deps_(std::move(deps)) {}
+    : Actor(config), deps_(std::move(deps)) {}
 
 caf::behavior OrdersActor::make_behavior() {
   Subscribe();
--- a/src/node/orders-actor.h
+++ b/src/node/orders-actor.h
@@ -12,6 +12,7 @@
 #include "comfreyflow/orders.h"
 #include "comfreyflow/target.h"
 #include "http/client.h"
+#include "node/actor.h"
 #include "node/messages.h"
 #include "node/supervisor.h"
 #include "platform/client.h"
@@ -51,7 +52,7 @@
   std::function<std::vector<OrderAssignment>()> assignments;
 };
 
-class OrdersActor : public caf::event_based_actor {
+class OrdersActor : public Actor {
  public:
   OrdersActor(caf::actor_config& config, OrdersDeps deps);
 
--- a/src/node/steward-actor.cc
+++ b/src/node/steward-actor.cc
@@ -33,7 +33,7 @@
 }  // namespace
 
 StewardActor::StewardActor(caf::actor_config& config, StewardDeps deps)
-    : caf::event_based_actor(config), deps_(std::move(deps)) {}
+    : Actor(config), deps_(std::move(deps)) {}
 
 caf::behavior StewardActor::make_behavior() {
   Subscribe();
--- a/src/node/steward-actor.h
+++ b/src/node/steward-actor.h
@@ -13,6 +13,7 @@
 #include "comfreyflow/steward.h"
 #include "comfreyflow/sweep.h"
 #include "http/client.h"
+#include "node/actor.h"
 #include "node/messages.h"
 #include "node/supervisor.h"
 
@@ -36,7 +37,7 @@
   StewardHooks hooks;
 };
 
-class StewardActor : public caf::event_based_actor {
+class StewardActor : public Actor {
  public:
   StewardActor(caf::actor_config& config, StewardDeps deps);
 
--- a/src/node/supervisor.cc
+++ b/src/node/supervisor.cc
@@ -10,7 +10,7 @@
 Supervisor::Supervisor(caf::actor_config& config,
                        std::vector<ChildSpec> children,
                        std::function<void()> on_fatal)
-    : caf::event_based_actor(config), on_fatal_(std::move(on_fatal)) {
+    : Actor(config), on_fatal_(std::move(on_fatal)) {
   set_down_handler([this](const caf::down_msg& down) { ChildDown(down); });
   set_exit_handler([this](const caf::exit_msg& exit) { StopAll(exit.reason); });
   for (auto& spec : children) children_.push_back({std::move(spec), {}});
--- a/src/node/supervisor.h
+++ b/src/node/supervisor.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "comfreyflow/types.h"
+#include "node/actor.h"
 
 namespace comfreyflow::node {
 
@@ -52,7 +53,7 @@
 inline constexpr std::size_t kMaxRestarts = 5;
 inline constexpr Duration kRestartWindow = std::chrono::seconds(60);
 
-class Supervisor : public caf::event_based_actor {
+class Supervisor : public Actor {
  public:
   /// Starts the children in order before it returns. `on_fatal` is called at
   /// most once, on this actor, when a child exceeds `kMaxRestarts`.
--- a/src/node/timer-service.h
+++ b/src/node/timer-service.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "comfreyflow/types.h"
+#include "node/actor.h"
 #include "node/messages.h"
 
 namespace comfreyflow::node {
@@ -13,10 +14,9 @@
 /// Name of the timer service in `ActorRestarted`.
 inline constexpr const char* kTimerName = "timer";
 
-class TimerService : public caf::event_based_actor {
+class TimerService : public Actor {
  public:
-  explicit TimerService(caf::actor_config& config)
-      : caf::event_based_actor(config) {}
+  explicit TimerService(caf::actor_config& config) : Actor(config) {}
 
   caf::behavior make_behavior() override;
 
--- a/test/support/build-jobs-test.py
+++ b/test/support/build-jobs-test.py
@@ -7,7 +7,8 @@
 import tomllib
 import unittest
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+import scripts
+
 GIB = 2**30
 # What a compilation may need, which support/check-deploy checks.
 BYTES_PER_JOB = 1.25 * GIB
@@ -15,7 +16,7 @@
 
 def jobs(cores, free_bytes, limit_file=None, limit="max"):
     """How many compilations the deploy file's build runs at once on such a machine."""
-    build = tomllib.loads((ROOT / "deploy/system.toml").read_text())["build"]
+    build = tomllib.loads((scripts.ROOT / "deploy/system.toml").read_text())["build"]
     with tempfile.TemporaryDirectory() as folder:
         folder = pathlib.Path(folder)
         (folder / "meminfo").write_text(
@@ -26,7 +27,7 @@
         if limit_file:
             (folder / limit_file).parent.mkdir(exist_ok=True)
             (folder / limit_file).write_text(f"{limit}\n")
-        run = subprocess.run(["sh", "-c", build], cwd=ROOT, capture_output=True, text=True, check=True, env={
+        run = subprocess.run(["sh", "-c", build], cwd=scripts.ROOT, capture_output=True, text=True, check=True, env={
             **os.environ, "PATH": f"{folder}{os.pathsep}{os.environ['PATH']}",
             "MEMINFO": str(folder / "meminfo"), "CGROUP": str(folder)})
     return int(re.search(r"^cmake --build .* -j *(\d+)$", run.stdout, re.MULTILINE)[1])
--- a/test/support/check-deploy-test.py
+++ b/test/support/check-deploy-test.py
@@ -1,22 +1,12 @@
 """Tests of support/check-deploy: which packages suffice for the files of a build."""
-import importlib.machinery
-import importlib.util
 import pathlib
 import subprocess
 import tempfile
 import unittest
 
-SCRIPT = pathlib.Path(__file__).resolve().parents[2] / "support/check-deploy"
+import scripts
 
-
-def load(path):
-    loader = importlib.machinery.SourceFileLoader("check_deploy", str(path))
-    module = importlib.util.module_from_spec(importlib.util.spec_from_loader(loader.name, loader))
-    loader.exec_module(module)
-    return module
-
-
-check_deploy = load(SCRIPT)
+check_deploy = scripts.load("check-deploy")
 
 # Status, name, essential, pre-depends, depends, provides.
 INSTALLED = check_deploy.parse_status("\n".join("\t".join(line) for line in [
