--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -59,6 +59,9 @@
   /// At some time since its start, the host was detached while most others were
   /// not. Hosts for which this is false are preferred when duties are assigned.
   bool returned = false;
+  /// The host has no configuration or no targets that it may use, so that it
+  /// can't assign targets to requests. Hosts of older builds don't tell.
+  bool unready = false;
   bool operator==(const HostFacts&) const = default;
 };
 
--- a/src/core/membership/size.cc
+++ b/src/core/membership/size.cc
@@ -2,6 +2,7 @@
 // types of the membership.
 #include <xxhash.h>
 
+#include <algorithm>
 #include <bit>
 
 #include "comfreyflow/membership.h"
@@ -41,7 +42,8 @@
   const auto age = claim.age / kAgeUnit + 1;
   const auto lag = static_cast<std::int64_t>(claim.facts.generation -
                                              sender_facts.generation);
-  return kIdBytes + VarintBytes(age * 4 + 3) + VarintBytes(lag) + 1;
+  return kIdBytes + VarintBytes(age * 4 + 3) + VarintBytes(lag) + 1 +
+         (claim.facts.unready ? kIdBytes : 0);
 }
 
 }  // namespace
@@ -54,7 +56,8 @@
 
 bool ChangesDuties(const HostFacts& before, const HostFacts& after) {
   return before.draining != after.draining ||
-         before.detached != after.detached || before.returned != after.returned;
+         before.detached != after.detached ||
+         before.returned != after.returned || before.unready != after.unready;
 }
 
 const char* ToString(MemberState state) {
@@ -81,6 +84,11 @@
     bytes += ClaimBytes(claim, datagram.facts);
   }
   if (!datagram.claims.empty()) bytes += 3 * kListBytes;
+  const bool any_unready =
+      datagram.facts.unready ||
+      std::any_of(datagram.claims.begin(), datagram.claims.end(),
+                  [](const MemberClaim& claim) { return claim.facts.unready; });
+  if (any_unready) bytes += kListBytes + kIdBytes;  // The claims' ids: above.
   for (const HostRecord& record : datagram.records) {
     bytes += RecordBytes(record);
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -147,8 +147,9 @@
   PeersHooks PeerHooks() {
     PeersHooks peer;
     peer.facts = [this] {
-      return HostFacts{version(), 0, stop.is_stopping(), IsDetached(),
-                       was_detached};
+      return HostFacts{version(),          0,
+                       stop.is_stopping(), IsDetached(),
+                       was_detached,       !CanPlace()};
     };
     peer.config_mark = [this] { return mark; };
     peer.changed = [this](const MemberChanged& event) {
@@ -178,6 +179,10 @@
     return peer;
   }
 
+  /// Whether this host has what it needs to assign targets to the requests of
+  /// all hosts: what it needs to serve its own callers.
+  bool CanPlace() { return has_targets && ServedTable() != nullptr; }
+
   /// Updates the live hosts, and which of them may hold placers, for placement.
   void RefreshPeers() {
     UpdateStoreReaders();
@@ -188,9 +193,9 @@
       const bool alive = member.state == MemberState::kAlive ||
                          member.state == MemberState::kSuspect;
       if (!self && !alive) continue;
-      // The facts of a host are not known yet when its record first arrives.
-      const bool unable = self ? stop.is_stopping() || !table || !has_targets
-                               : member.facts.draining;
+      // Until the facts of a host are known, it counts as able.
+      const bool unable = self ? stop.is_stopping() || !CanPlace()
+                               : member.facts.draining || member.facts.unready;
       views.push_back({name, unable,
                        self ? IsDetached() : member.facts.detached,
                        store_readers.Reads(name)});
@@ -201,6 +206,7 @@
     eligibility.Update(views, Now());
     was_detached = was_detached || eligibility.IsExcluded(settings.self.name);
     for (auto& peer : live) peer.may_hold = eligibility.MayHold(peer.name);
+    placement.SetAble(CanPlace());
     placement.SetPeers(std::move(live));
   }
 
@@ -533,9 +539,10 @@
 
 void Gateway::SetTargets(
     const std::map<ServiceName, std::vector<PoolTarget>>& targets) {
-  state_->has_targets = true;
+  const bool is_first = !std::exchange(state_->has_targets, true);
   state_->targets_changed_at = Now();
   state_->placement.SetTargets(targets);
+  if (is_first) state_->RefreshPeers();
 }
 
 void Gateway::ShareTarget(const TargetMark& mark) {
@@ -560,8 +567,7 @@
 }
 
 bool Gateway::ready() const {
-  return state_->ServedTable() != nullptr && state_->has_targets &&
-         !state_->stop.is_stopping();
+  return state_->CanPlace() && !state_->stop.is_stopping();
 }
 
 std::vector<std::string> Gateway::Addresses(const FailureDomain&) const {
@@ -569,8 +575,9 @@
   for (const auto& [name, member] : state_->peers.members()) {
     const bool self = name == state_->settings.self.name;
     if (self && !ready()) continue;
-    if (!self && (member.state != MemberState::kAlive ||
-                  member.facts.draining || member.facts.generation == 0)) {
+    if (!self &&
+        (member.state != MemberState::kAlive || member.facts.draining ||
+         member.facts.unready || member.facts.generation == 0)) {
       continue;
     }
     hosts.push_back(
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -39,6 +39,9 @@
 /// Maximum time that a new holder waits for the other hosts to report their
 /// running work before it grants targets.
 constexpr Duration kSyncTimeout = milliseconds(120);
+/// Time in which the other hosts learn that this one can't assign targets, and
+/// use another holder.
+constexpr Duration kStepBackTime = milliseconds(1000);
 /// A holder that received no placement request for this long starts over and
 /// collects the running work again.
 constexpr Duration kHoldingExpiry = std::chrono::seconds(2);
@@ -197,7 +200,8 @@
       state.synced_hosts.clear();
       state.taken_at = now;
       Placer& placer = PlacerOf(service);
-      placer.HoldUntil(std::max(now + kSyncTimeout, settled_at));
+      const Duration wait = is_able ? kSyncTimeout : kStepBackTime;
+      placer.HoldUntil(std::max(now + wait, settled_at));
       const bool granted_all_limits = state.grants_all_limits;
       UpdateLimitShare(service, state, now);
       if (!granted_all_limits || !state.grants_all_limits)
@@ -327,7 +331,7 @@
     Holding& state = holding[service];
     state.synced_hosts.insert(host);
     Placer& placer = PlacerOf(service);
-    if (placer.held_until() <= now || now < settled_at) return;
+    if (!is_able || placer.held_until() <= now || now < settled_at) return;
     for (const auto& [name, peer] : peers) {
       if (name != settings.self && !state.synced_hosts.contains(name)) return;
     }
@@ -827,6 +831,7 @@
   std::map<HostName, Incarnation> latest_processes;
   Time next_sync_at;
   bool is_ticking_fast = false;
+  bool is_able = true;
 };
 
 Placement::Placement(asio::io_context& io, PlacementSettings settings)
@@ -891,6 +896,14 @@
   state_->SwitchToBusyTick();
 }
 
+void Placement::SetAble(bool able) {
+  if (std::exchange(state_->is_able, able) || !able) return;
+  const Time until = Now() + kSyncTimeout;
+  for (auto& [service, placer] : state_->placers) {
+    if (placer.held_until() > until) placer.HoldUntil(until);
+  }
+}
+
 void Placement::Forget(const HostName& host, Incarnation incarnation) {
   state_->Forget(host, incarnation);
 }
--- a/src/gateway/placement.h
+++ b/src/gateway/placement.h
@@ -77,6 +77,10 @@
       const std::map<ServiceName, std::vector<PoolTarget>>& targets);
   /// Sets all live hosts, including this one.
   void SetPeers(std::vector<PlacementPeer> peers);
+  /// Whether this host has what it needs to assign targets. If it has not when
+  /// other hosts begin to use it as the holder, it refuses nothing until they
+  /// have had the time to learn this and to use another one.
+  void SetAble(bool able);
   /// Drops the work of all incarnations of the host before `incarnation`.
   void Forget(const HostName& host, Incarnation incarnation);
 
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <set>
 
 #include "comfreyflow/errors.h"
 #include "wire/marks.h"
@@ -181,6 +182,26 @@
   return true;
 }
 
+void EncodeUnready(const comfreyflow::Datagram& datagram, Datagram& out) {
+  const auto add = [&out](MemberId id, const HostFacts& facts) {
+    if (facts.unready)
+      out.unready.push_back(static_cast<std::int32_t>(id.value));
+  };
+  add(datagram.sender, datagram.facts);
+  for (const MemberClaim& claim : datagram.claims) add(claim.id, claim.facts);
+  out.__isset.unready = !out.unready.empty();
+}
+
+void DecodeUnready(const Datagram& in, comfreyflow::Datagram& out) {
+  const std::set<std::int32_t> unready(in.unready.begin(), in.unready.end());
+  const auto is_unready = [&unready](MemberId id) {
+    return unready.contains(static_cast<std::int32_t>(id.value));
+  };
+  out.facts.unready = is_unready(out.sender);
+  for (MemberClaim& claim : out.claims)
+    claim.facts.unready = is_unready(claim.id);
+}
+
 EvacuationState ToWire(const comfreyflow::EvacuationState& state) {
   EvacuationState out;
   out.era = static_cast<std::int64_t>(state.version.era);
@@ -212,6 +233,7 @@
   out.config_generation = static_cast<std::int64_t>(datagram.config.generation);
   out.config_hash = static_cast<std::int64_t>(datagram.config.hash);
   EncodeClaims(datagram, out);
+  EncodeUnready(datagram, out);
   for (const auto& record : datagram.records) {
     out.records.push_back(ToWire(record));
   }
@@ -263,7 +285,9 @@
   }
   out.store_era = static_cast<std::uint64_t>(in.store_era);
   if (in.__isset.evacuations) out.evacuations = FromWire(in.evacuations);
-  return DecodeClaims(in, out);
+  if (!DecodeClaims(in, out)) return false;
+  DecodeUnready(in, out);
+  return true;
 }
 
 }  // namespace
--- a/src/wire/comfreyflow.thrift
+++ b/src/wire/comfreyflow.thrift
@@ -59,6 +59,8 @@
   16: optional list<SuspectMark> suspects
   17: optional i64 store_era
   18: optional EvacuationState evacuations
+  // Ids of the claims, or the sender's, whose hosts can't place requests.
+  19: optional list<i32> unready
 }
 
 // ---- Calls between hosts over TCP ------------------------------------------
--- a/src/wire/gen/comfreyflow_types.cpp
+++ b/src/wire/gen/comfreyflow_types.cpp
@@ -815,6 +815,11 @@
   this->evacuations = val;
 __isset.evacuations = true;
 }
+
+void Datagram::__set_unready(const std::vector<int32_t> & val) {
+  this->unready = val;
+__isset.unready = true;
+}
 std::ostream& operator<<(std::ostream& out, const Datagram& obj)
 {
   obj.printTo(out);
@@ -1071,6 +1076,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->unready.clear();
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->unready.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
+            {
+              xfer += iprot->readI32(this->unready[_i53]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.unready = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1124,10 +1149,10 @@
   xfer += oprot->writeFieldBegin("claim_ids", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->claim_ids.size()));
-    std::vector<int32_t> ::const_iterator _iter49;
-    for (_iter49 = this->claim_ids.begin(); _iter49 != this->claim_ids.end(); ++_iter49)
+    std::vector<int32_t> ::const_iterator _iter54;
+    for (_iter54 = this->claim_ids.begin(); _iter54 != this->claim_ids.end(); ++_iter54)
     {
-      xfer += oprot->writeI32((*_iter49));
+      xfer += oprot->writeI32((*_iter54));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1136,10 +1161,10 @@
   xfer += oprot->writeFieldBegin("claim_marks", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->claim_marks.size()));
-    std::vector<int32_t> ::const_iterator _iter50;
-    for (_iter50 = this->claim_marks.begin(); _iter50 != this->claim_marks.end(); ++_iter50)
+    std::vector<int32_t> ::const_iterator _iter55;
+    for (_iter55 = this->claim_marks.begin(); _iter55 != this->claim_marks.end(); ++_iter55)
     {
-      xfer += oprot->writeI32((*_iter50));
+      xfer += oprot->writeI32((*_iter55));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1153,10 +1178,10 @@
     xfer += oprot->writeFieldBegin("claim_lags", ::apache::thrift::protocol::T_LIST, 12);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->claim_lags.size()));
-      std::vector<int64_t> ::const_iterator _iter51;
-      for (_iter51 = this->claim_lags.begin(); _iter51 != this->claim_lags.end(); ++_iter51)
+      std::vector<int64_t> ::const_iterator _iter56;
+      for (_iter56 = this->claim_lags.begin(); _iter56 != this->claim_lags.end(); ++_iter56)
       {
-        xfer += oprot->writeI64((*_iter51));
+        xfer += oprot->writeI64((*_iter56));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1166,10 +1191,10 @@
     xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 13);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-      std::vector<HostRecord> ::const_iterator _iter52;
-      for (_iter52 = this->records.begin(); _iter52 != this->records.end(); ++_iter52)
+      std::vector<HostRecord> ::const_iterator _iter57;
+      for (_iter57 = this->records.begin(); _iter57 != this->records.end(); ++_iter57)
       {
-        xfer += (*_iter52).write(oprot);
+        xfer += (*_iter57).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1179,10 +1204,10 @@
     xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_LIST, 14);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->wanted.size()));
-      std::vector<int32_t> ::const_iterator _iter53;
-      for (_iter53 = this->wanted.begin(); _iter53 != this->wanted.end(); ++_iter53)
+      std::vector<int32_t> ::const_iterator _iter58;
+      for (_iter58 = this->wanted.begin(); _iter58 != this->wanted.end(); ++_iter58)
       {
-        xfer += oprot->writeI32((*_iter53));
+        xfer += oprot->writeI32((*_iter58));
       }
       xfer += oprot->writeListEnd();
     }
@@ -1192,10 +1217,10 @@
     xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 15);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-      std::vector<TargetMark> ::const_iterator _iter54;
-      for (_iter54 = this->targets.begin(); _iter54 != this->targets.end(); ++_iter54)
+      std::vector<TargetMark> ::const_iterator _iter59;
+      for (_iter59 = this->targets.begin(); _iter59 != this->targets.end(); ++_iter59)
       {
-        xfer += (*_iter54).write(oprot);
+        xfer += (*_iter59).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1205,10 +1230,10 @@
     xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 16);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-      std::vector<SuspectMark> ::const_iterator _iter55;
-      for (_iter55 = this->suspects.begin(); _iter55 != this->suspects.end(); ++_iter55)
+      std::vector<SuspectMark> ::const_iterator _iter60;
+      for (_iter60 = this->suspects.begin(); _iter60 != this->suspects.end(); ++_iter60)
       {
-        xfer += (*_iter55).write(oprot);
+        xfer += (*_iter60).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -1224,6 +1249,19 @@
     xfer += this->evacuations.write(oprot);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.unready) {
+    xfer += oprot->writeFieldBegin("unready", ::apache::thrift::protocol::T_LIST, 19);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->unready.size()));
+      std::vector<int32_t> ::const_iterator _iter61;
+      for (_iter61 = this->unready.begin(); _iter61 != this->unready.end(); ++_iter61)
+      {
+        xfer += oprot->writeI32((*_iter61));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1249,50 +1287,53 @@
   swap(a.suspects, b.suspects);
   swap(a.store_era, b.store_era);
   swap(a.evacuations, b.evacuations);
+  swap(a.unready, b.unready);
   swap(a.__isset, b.__isset);
 }
 
-Datagram::Datagram(const Datagram& other56) {
-  kind = other56.kind;
-  sender = other56.sender;
-  sequence = other56.sequence;
-  subject = other56.subject;
-  generation = other56.generation;
-  load = other56.load;
-  config_generation = other56.config_generation;
-  config_hash = other56.config_hash;
-  claim_ids = other56.claim_ids;
-  claim_marks = other56.claim_marks;
-  claim_loads = other56.claim_loads;
-  claim_lags = other56.claim_lags;
-  records = other56.records;
-  wanted = other56.wanted;
-  targets = other56.targets;
-  suspects = other56.suspects;
-  store_era = other56.store_era;
-  evacuations = other56.evacuations;
-  __isset = other56.__isset;
-}
-Datagram& Datagram::operator=(const Datagram& other57) {
-  kind = other57.kind;
-  sender = other57.sender;
-  sequence = other57.sequence;
-  subject = other57.subject;
-  generation = other57.generation;
-  load = other57.load;
-  config_generation = other57.config_generation;
-  config_hash = other57.config_hash;
-  claim_ids = other57.claim_ids;
-  claim_marks = other57.claim_marks;
-  claim_loads = other57.claim_loads;
-  claim_lags = other57.claim_lags;
-  records = other57.records;
-  wanted = other57.wanted;
-  targets = other57.targets;
-  suspects = other57.suspects;
-  store_era = other57.store_era;
-  evacuations = other57.evacuations;
-  __isset = other57.__isset;
+Datagram::Datagram(const Datagram& other62) {
+  kind = other62.kind;
+  sender = other62.sender;
+  sequence = other62.sequence;
+  subject = other62.subject;
+  generation = other62.generation;
+  load = other62.load;
+  config_generation = other62.config_generation;
+  config_hash = other62.config_hash;
+  claim_ids = other62.claim_ids;
+  claim_marks = other62.claim_marks;
+  claim_loads = other62.claim_loads;
+  claim_lags = other62.claim_lags;
+  records = other62.records;
+  wanted = other62.wanted;
+  targets = other62.targets;
+  suspects = other62.suspects;
+  store_era = other62.store_era;
+  evacuations = other62.evacuations;
+  unready = other62.unready;
+  __isset = other62.__isset;
+}
+Datagram& Datagram::operator=(const Datagram& other63) {
+  kind = other63.kind;
+  sender = other63.sender;
+  sequence = other63.sequence;
+  subject = other63.subject;
+  generation = other63.generation;
+  load = other63.load;
+  config_generation = other63.config_generation;
+  config_hash = other63.config_hash;
+  claim_ids = other63.claim_ids;
+  claim_marks = other63.claim_marks;
+  claim_loads = other63.claim_loads;
+  claim_lags = other63.claim_lags;
+  records = other63.records;
+  wanted = other63.wanted;
+  targets = other63.targets;
+  suspects = other63.suspects;
+  store_era = other63.store_era;
+  evacuations = other63.evacuations;
+  unready = other63.unready;
+  __isset = other63.__isset;
   return *this;
 }
 void Datagram::printTo(std::ostream& out) const {
@@ -1316,6 +1357,7 @@
   out << ", " << "suspects="; (__isset.suspects ? (out << to_string(suspects)) : (out << "<null>"));
   out << ", " << "store_era="; (__isset.store_era ? (out << to_string(store_era)) : (out << "<null>"));
   out << ", " << "evacuations="; (__isset.evacuations ? (out << to_string(evacuations)) : (out << "<null>"));
+  out << ", " << "unready="; (__isset.unready ? (out << to_string(unready)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1446,19 +1488,19 @@
   swap(a.__isset, b.__isset);
 }
 
-AttemptId::AttemptId(const AttemptId& other58) {
-  host = other58.host;
-  incarnation = other58.incarnation;
-  sequence = other58.sequence;
-  number = other58.number;
-  __isset = other58.__isset;
+AttemptId::AttemptId(const AttemptId& other64) {
+  host = other64.host;
+  incarnation = other64.incarnation;
+  sequence = other64.sequence;
+  number = other64.number;
+  __isset = other64.__isset;
 }
-AttemptId& AttemptId::operator=(const AttemptId& other59) {
-  host = other59.host;
-  incarnation = other59.incarnation;
-  sequence = other59.sequence;
-  number = other59.number;
-  __isset = other59.__isset;
+AttemptId& AttemptId::operator=(const AttemptId& other65) {
+  host = other65.host;
+  incarnation = other65.incarnation;
+  sequence = other65.sequence;
+  number = other65.number;
+  __isset = other65.__isset;
   return *this;
 }
 void AttemptId::printTo(std::ostream& out) const {
@@ -1683,29 +1725,29 @@
   swap(a.__isset, b.__isset);
 }
 
-ReserveCall::ReserveCall(const ReserveCall& other60) {
-  attempt = other60.attempt;
-  target = other60.target;
-  account = other60.account;
-  kv_tokens = other60.kv_tokens;
-  urgency = other60.urgency;
-  expires_ms = other60.expires_ms;
-  prefill_tokens = other60.prefill_tokens;
-  max_wait_us = other60.max_wait_us;
-  suspect = other60.suspect;
-  __isset = other60.__isset;
-}
-ReserveCall& ReserveCall::operator=(const ReserveCall& other61) {
-  attempt = other61.attempt;
-  target = other61.target;
-  account = other61.account;
-  kv_tokens = other61.kv_tokens;
-  urgency = other61.urgency;
-  expires_ms = other61.expires_ms;
-  prefill_tokens = other61.prefill_tokens;
-  max_wait_us = other61.max_wait_us;
-  suspect = other61.suspect;
-  __isset = other61.__isset;
+ReserveCall::ReserveCall(const ReserveCall& other66) {
+  attempt = other66.attempt;
+  target = other66.target;
+  account = other66.account;
+  kv_tokens = other66.kv_tokens;
+  urgency = other66.urgency;
+  expires_ms = other66.expires_ms;
+  prefill_tokens = other66.prefill_tokens;
+  max_wait_us = other66.max_wait_us;
+  suspect = other66.suspect;
+  __isset = other66.__isset;
+}
+ReserveCall& ReserveCall::operator=(const ReserveCall& other67) {
+  attempt = other67.attempt;
+  target = other67.target;
+  account = other67.account;
+  kv_tokens = other67.kv_tokens;
+  urgency = other67.urgency;
+  expires_ms = other67.expires_ms;
+  prefill_tokens = other67.prefill_tokens;
+  max_wait_us = other67.max_wait_us;
+  suspect = other67.suspect;
+  __isset = other67.__isset;
   return *this;
 }
 void ReserveCall::printTo(std::ostream& out) const {
@@ -1850,19 +1892,19 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantCall::GrantCall(const GrantCall& other62) {
-  attempt = other62.attempt;
-  target = other62.target;
-  reply = other62.reply;
-  retry_after_us = other62.retry_after_us;
-  __isset = other62.__isset;
+GrantCall::GrantCall(const GrantCall& other68) {
+  attempt = other68.attempt;
+  target = other68.target;
+  reply = other68.reply;
+  retry_after_us = other68.retry_after_us;
+  __isset = other68.__isset;
 }
-GrantCall& GrantCall::operator=(const GrantCall& other63) {
-  attempt = other63.attempt;
-  target = other63.target;
-  reply = other63.reply;
-  retry_after_us = other63.retry_after_us;
-  __isset = other63.__isset;
+GrantCall& GrantCall::operator=(const GrantCall& other69) {
+  attempt = other69.attempt;
+  target = other69.target;
+  reply = other69.reply;
+  retry_after_us = other69.retry_after_us;
+  __isset = other69.__isset;
   return *this;
 }
 void GrantCall::printTo(std::ostream& out) const {
@@ -1968,15 +2010,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ReleaseCall::ReleaseCall(const ReleaseCall& other64) {
-  attempt = other64.attempt;
-  target = other64.target;
-  __isset = other64.__isset;
+ReleaseCall::ReleaseCall(const ReleaseCall& other70) {
+  attempt = other70.attempt;
+  target = other70.target;
+  __isset = other70.__isset;
 }
-ReleaseCall& ReleaseCall::operator=(const ReleaseCall& other65) {
-  attempt = other65.attempt;
-  target = other65.target;
-  __isset = other65.__isset;
+ReleaseCall& ReleaseCall::operator=(const ReleaseCall& other71) {
+  attempt = other71.attempt;
+  target = other71.target;
+  __isset = other71.__isset;
   return *this;
 }
 void ReleaseCall::printTo(std::ostream& out) const {
@@ -2080,15 +2122,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PrefilledCall::PrefilledCall(const PrefilledCall& other66) {
-  attempt = other66.attempt;
-  target = other66.target;
-  __isset = other66.__isset;
+PrefilledCall::PrefilledCall(const PrefilledCall& other72) {
+  attempt = other72.attempt;
+  target = other72.target;
+  __isset = other72.__isset;
 }
-PrefilledCall& PrefilledCall::operator=(const PrefilledCall& other67) {
-  attempt = other67.attempt;
-  target = other67.target;
-  __isset = other67.__isset;
+PrefilledCall& PrefilledCall::operator=(const PrefilledCall& other73) {
+  attempt = other73.attempt;
+  target = other73.target;
+  __isset = other73.__isset;
   return *this;
 }
 void PrefilledCall::printTo(std::ostream& out) const {
@@ -2271,14 +2313,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->models.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->models.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->models.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += iprot->readString(this->models[_i72]);
+              xfer += iprot->readString(this->models[_i78]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2351,10 +2393,10 @@
   xfer += oprot->writeFieldBegin("models", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->models.size()));
-    std::vector<std::string> ::const_iterator _iter73;
-    for (_iter73 = this->models.begin(); _iter73 != this->models.end(); ++_iter73)
+    std::vector<std::string> ::const_iterator _iter79;
+    for (_iter79 = this->models.begin(); _iter79 != this->models.end(); ++_iter79)
     {
-      xfer += oprot->writeString((*_iter73));
+      xfer += oprot->writeString((*_iter79));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2382,35 +2424,35 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadReport::LoadReport(const LoadReport& other74) {
-  target = other74.target;
-  epoch = other74.epoch;
-  sequence = other74.sequence;
-  age_ms = other74.age_ms;
-  running = other74.running;
-  waiting = other74.waiting;
-  kv_used = other74.kv_used;
-  kv_capacity = other74.kv_capacity;
-  max_running = other74.max_running;
-  prefill_backlog_tokens = other74.prefill_backlog_tokens;
-  closing = other74.closing;
-  models = other74.models;
-  __isset = other74.__isset;
-}
-LoadReport& LoadReport::operator=(const LoadReport& other75) {
-  target = other75.target;
-  epoch = other75.epoch;
-  sequence = other75.sequence;
-  age_ms = other75.age_ms;
-  running = other75.running;
-  waiting = other75.waiting;
-  kv_used = other75.kv_used;
-  kv_capacity = other75.kv_capacity;
-  max_running = other75.max_running;
-  prefill_backlog_tokens = other75.prefill_backlog_tokens;
-  closing = other75.closing;
-  models = other75.models;
-  __isset = other75.__isset;
+LoadReport::LoadReport(const LoadReport& other80) {
+  target = other80.target;
+  epoch = other80.epoch;
+  sequence = other80.sequence;
+  age_ms = other80.age_ms;
+  running = other80.running;
+  waiting = other80.waiting;
+  kv_used = other80.kv_used;
+  kv_capacity = other80.kv_capacity;
+  max_running = other80.max_running;
+  prefill_backlog_tokens = other80.prefill_backlog_tokens;
+  closing = other80.closing;
+  models = other80.models;
+  __isset = other80.__isset;
+}
+LoadReport& LoadReport::operator=(const LoadReport& other81) {
+  target = other81.target;
+  epoch = other81.epoch;
+  sequence = other81.sequence;
+  age_ms = other81.age_ms;
+  running = other81.running;
+  waiting = other81.waiting;
+  kv_used = other81.kv_used;
+  kv_capacity = other81.kv_capacity;
+  max_running = other81.max_running;
+  prefill_backlog_tokens = other81.prefill_backlog_tokens;
+  closing = other81.closing;
+  models = other81.models;
+  __isset = other81.__isset;
   return *this;
 }
 void LoadReport::printTo(std::ostream& out) const {
@@ -2475,14 +2517,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->reports.clear();
-            uint32_t _size76;
-            ::apache::thrift::protocol::TType _etype79;
-            xfer += iprot->readListBegin(_etype79, _size76);
-            this->reports.resize(_size76);
-            uint32_t _i80;
-            for (_i80 = 0; _i80 < _size76; ++_i80)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->reports.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->reports[_i80].read(iprot);
+              xfer += this->reports[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2519,10 +2561,10 @@
   xfer += oprot->writeFieldBegin("reports", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->reports.size()));
-    std::vector<LoadReport> ::const_iterator _iter81;
-    for (_iter81 = this->reports.begin(); _iter81 != this->reports.end(); ++_iter81)
+    std::vector<LoadReport> ::const_iterator _iter87;
+    for (_iter87 = this->reports.begin(); _iter87 != this->reports.end(); ++_iter87)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2544,15 +2586,15 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadsCall::LoadsCall(const LoadsCall& other82) {
-  reports = other82.reports;
-  answer_wanted = other82.answer_wanted;
-  __isset = other82.__isset;
+LoadsCall::LoadsCall(const LoadsCall& other88) {
+  reports = other88.reports;
+  answer_wanted = other88.answer_wanted;
+  __isset = other88.__isset;
 }
-LoadsCall& LoadsCall::operator=(const LoadsCall& other83) {
-  reports = other83.reports;
-  answer_wanted = other83.answer_wanted;
-  __isset = other83.__isset;
+LoadsCall& LoadsCall::operator=(const LoadsCall& other89) {
+  reports = other89.reports;
+  answer_wanted = other89.answer_wanted;
+  __isset = other89.__isset;
   return *this;
 }
 void LoadsCall::printTo(std::ostream& out) const {
@@ -2603,14 +2645,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->attempts.clear();
-            uint32_t _size84;
-            ::apache::thrift::protocol::TType _etype87;
-            xfer += iprot->readListBegin(_etype87, _size84);
-            this->attempts.resize(_size84);
-            uint32_t _i88;
-            for (_i88 = 0; _i88 < _size84; ++_i88)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->attempts.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->attempts[_i88].read(iprot);
+              xfer += this->attempts[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2639,10 +2681,10 @@
   xfer += oprot->writeFieldBegin("attempts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->attempts.size()));
-    std::vector<AttemptId> ::const_iterator _iter89;
-    for (_iter89 = this->attempts.begin(); _iter89 != this->attempts.end(); ++_iter89)
+    std::vector<AttemptId> ::const_iterator _iter95;
+    for (_iter95 = this->attempts.begin(); _iter95 != this->attempts.end(); ++_iter95)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2659,13 +2701,13 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnersCall::OwnersCall(const OwnersCall& other90) {
-  attempts = other90.attempts;
-  __isset = other90.__isset;
+OwnersCall::OwnersCall(const OwnersCall& other96) {
+  attempts = other96.attempts;
+  __isset = other96.__isset;
 }
-OwnersCall& OwnersCall::operator=(const OwnersCall& other91) {
-  attempts = other91.attempts;
-  __isset = other91.__isset;
+OwnersCall& OwnersCall::operator=(const OwnersCall& other97) {
+  attempts = other97.attempts;
+  __isset = other97.__isset;
   return *this;
 }
 void OwnersCall::printTo(std::ostream& out) const {
@@ -2715,14 +2757,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->unknown.clear();
-            uint32_t _size92;
-            ::apache::thrift::protocol::TType _etype95;
-            xfer += iprot->readListBegin(_etype95, _size92);
-            this->unknown.resize(_size92);
-            uint32_t _i96;
-            for (_i96 = 0; _i96 < _size92; ++_i96)
+            uint32_t _size98;
+            ::apache::thrift::protocol::TType _etype101;
+            xfer += iprot->readListBegin(_etype101, _size98);
+            this->unknown.resize(_size98);
+            uint32_t _i102;
+            for (_i102 = 0; _i102 < _size98; ++_i102)
             {
-              xfer += this->unknown[_i96].read(iprot);
+              xfer += this->unknown[_i102].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2751,10 +2793,10 @@
   xfer += oprot->writeFieldBegin("unknown", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->unknown.size()));
-    std::vector<AttemptId> ::const_iterator _iter97;
-    for (_iter97 = this->unknown.begin(); _iter97 != this->unknown.end(); ++_iter97)
+    std::vector<AttemptId> ::const_iterator _iter103;
+    for (_iter103 = this->unknown.begin(); _iter103 != this->unknown.end(); ++_iter103)
     {
-      xfer += (*_iter97).write(oprot);
+      xfer += (*_iter103).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2771,13 +2813,13 @@
   swap(a.__isset, b.__isset);
 }
 
-OwnersAnswer::OwnersAnswer(const OwnersAnswer& other98) {
-  unknown = other98.unknown;
-  __isset = other98.__isset;
+OwnersAnswer::OwnersAnswer(const OwnersAnswer& other104) {
+  unknown = other104.unknown;
+  __isset = other104.__isset;
 }
-OwnersAnswer& OwnersAnswer::operator=(const OwnersAnswer& other99) {
-  unknown = other99.unknown;
-  __isset = other99.__isset;
+OwnersAnswer& OwnersAnswer::operator=(const OwnersAnswer& other105) {
+  unknown = other105.unknown;
+  __isset = other105.__isset;
   return *this;
 }
 void OwnersAnswer::printTo(std::ostream& out) const {
@@ -2863,13 +2905,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigCall::ConfigCall(const ConfigCall& other100) noexcept {
-  generation = other100.generation;
-  __isset = other100.__isset;
+ConfigCall::ConfigCall(const ConfigCall& other106) noexcept {
+  generation = other106.generation;
+  __isset = other106.__isset;
 }
-ConfigCall& ConfigCall::operator=(const ConfigCall& other101) noexcept {
-  generation = other101.generation;
-  __isset = other101.__isset;
+ConfigCall& ConfigCall::operator=(const ConfigCall& other107) noexcept {
+  generation = other107.generation;
+  __isset = other107.__isset;
   return *this;
 }
 void ConfigCall::printTo(std::ostream& out) const {
@@ -2972,15 +3014,15 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfigAnswer::ConfigAnswer(const ConfigAnswer& other102) {
-  generation = other102.generation;
-  text = other102.text;
-  __isset = other102.__isset;
+ConfigAnswer::ConfigAnswer(const ConfigAnswer& other108) {
+  generation = other108.generation;
+  text = other108.text;
+  __isset = other108.__isset;
 }
-ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other103) {
-  generation = other103.generation;
-  text = other103.text;
-  __isset = other103.__isset;
+ConfigAnswer& ConfigAnswer::operator=(const ConfigAnswer& other109) {
+  generation = other109.generation;
+  text = other109.text;
+  __isset = other109.__isset;
   return *this;
 }
 void ConfigAnswer::printTo(std::ostream& out) const {
@@ -3101,17 +3143,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ShareAsk::ShareAsk(const ShareAsk& other104) {
-  account = other104.account;
-  tokens_per_second = other104.tokens_per_second;
-  concurrent_tokens = other104.concurrent_tokens;
-  __isset = other104.__isset;
+ShareAsk::ShareAsk(const ShareAsk& other110) {
+  account = other110.account;
+  tokens_per_second = other110.tokens_per_second;
+  concurrent_tokens = other110.concurrent_tokens;
+  __isset = other110.__isset;
 }
-ShareAsk& ShareAsk::operator=(const ShareAsk& other105) {
-  account = other105.account;
-  tokens_per_second = other105.tokens_per_second;
-  concurrent_tokens = other105.concurrent_tokens;
-  __isset = other105.__isset;
+ShareAsk& ShareAsk::operator=(const ShareAsk& other111) {
+  account = other111.account;
+  tokens_per_second = other111.tokens_per_second;
+  concurrent_tokens = other111.concurrent_tokens;
+  __isset = other111.__isset;
   return *this;
 }
 void ShareAsk::printTo(std::ostream& out) const {
@@ -3187,14 +3229,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size106;
-            ::apache::thrift::protocol::TType _etype109;
-            xfer += iprot->readListBegin(_etype109, _size106);
-            this->shares.resize(_size106);
-            uint32_t _i110;
-            for (_i110 = 0; _i110 < _size106; ++_i110)
+            uint32_t _size112;
+            ::apache::thrift::protocol::TType _etype115;
+            xfer += iprot->readListBegin(_etype115, _size112);
+            this->shares.resize(_size112);
+            uint32_t _i116;
+            for (_i116 = 0; _i116 < _size112; ++_i116)
             {
-              xfer += this->shares[_i110].read(iprot);
+              xfer += this->shares[_i116].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3231,10 +3273,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<ShareAsk> ::const_iterator _iter111;
-    for (_iter111 = this->shares.begin(); _iter111 != this->shares.end(); ++_iter111)
+    std::vector<ShareAsk> ::const_iterator _iter117;
+    for (_iter117 = this->shares.begin(); _iter117 != this->shares.end(); ++_iter117)
     {
-      xfer += (*_iter111).write(oprot);
+      xfer += (*_iter117).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3253,17 +3295,17 @@
   swap(a.__isset, b.__isset);
 }
 
-SharesCall::SharesCall(const SharesCall& other112) {
-  loan = other112.loan;
-  period_ms = other112.period_ms;
-  shares = other112.shares;
-  __isset = other112.__isset;
+SharesCall::SharesCall(const SharesCall& other118) {
+  loan = other118.loan;
+  period_ms = other118.period_ms;
+  shares = other118.shares;
+  __isset = other118.__isset;
 }
-SharesCall& SharesCall::operator=(const SharesCall& other113) {
-  loan = other113.loan;
-  period_ms = other113.period_ms;
-  shares = other113.shares;
-  __isset = other113.__isset;
+SharesCall& SharesCall::operator=(const SharesCall& other119) {
+  loan = other119.loan;
+  period_ms = other119.period_ms;
+  shares = other119.shares;
+  __isset = other119.__isset;
   return *this;
 }
 void SharesCall::printTo(std::ostream& out) const {
@@ -3436,23 +3478,23 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimRecord::ClaimRecord(const ClaimRecord& other114) {
-  kind = other114.kind;
-  key = other114.key;
-  claimant = other114.claimant;
-  fingerprint = other114.fingerprint;
-  remaining_s = other114.remaining_s;
-  outcome = other114.outcome;
-  __isset = other114.__isset;
-}
-ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other115) {
-  kind = other115.kind;
-  key = other115.key;
-  claimant = other115.claimant;
-  fingerprint = other115.fingerprint;
-  remaining_s = other115.remaining_s;
-  outcome = other115.outcome;
-  __isset = other115.__isset;
+ClaimRecord::ClaimRecord(const ClaimRecord& other120) {
+  kind = other120.kind;
+  key = other120.key;
+  claimant = other120.claimant;
+  fingerprint = other120.fingerprint;
+  remaining_s = other120.remaining_s;
+  outcome = other120.outcome;
+  __isset = other120.__isset;
+}
+ClaimRecord& ClaimRecord::operator=(const ClaimRecord& other121) {
+  kind = other121.kind;
+  key = other121.key;
+  claimant = other121.claimant;
+  fingerprint = other121.fingerprint;
+  remaining_s = other121.remaining_s;
+  outcome = other121.outcome;
+  __isset = other121.__isset;
   return *this;
 }
 void ClaimRecord::printTo(std::ostream& out) const {
@@ -3507,14 +3549,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->records.clear();
-            uint32_t _size116;
-            ::apache::thrift::protocol::TType _etype119;
-            xfer += iprot->readListBegin(_etype119, _size116);
-            this->records.resize(_size116);
-            uint32_t _i120;
-            for (_i120 = 0; _i120 < _size116; ++_i120)
+            uint32_t _size122;
+            ::apache::thrift::protocol::TType _etype125;
+            xfer += iprot->readListBegin(_etype125, _size122);
+            this->records.resize(_size122);
+            uint32_t _i126;
+            for (_i126 = 0; _i126 < _size122; ++_i126)
             {
-              xfer += this->records[_i120].read(iprot);
+              xfer += this->records[_i126].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3543,10 +3585,10 @@
   xfer += oprot->writeFieldBegin("records", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->records.size()));
-    std::vector<ClaimRecord> ::const_iterator _iter121;
-    for (_iter121 = this->records.begin(); _iter121 != this->records.end(); ++_iter121)
+    std::vector<ClaimRecord> ::const_iterator _iter127;
+    for (_iter127 = this->records.begin(); _iter127 != this->records.end(); ++_iter127)
     {
-      xfer += (*_iter121).write(oprot);
+      xfer += (*_iter127).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3563,13 +3605,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimsCall::ClaimsCall(const ClaimsCall& other122) {
-  records = other122.records;
-  __isset = other122.__isset;
+ClaimsCall::ClaimsCall(const ClaimsCall& other128) {
+  records = other128.records;
+  __isset = other128.__isset;
 }
-ClaimsCall& ClaimsCall::operator=(const ClaimsCall& other123) {
-  records = other123.records;
-  __isset = other123.__isset;
+ClaimsCall& ClaimsCall::operator=(const ClaimsCall& other129) {
+  records = other129.records;
+  __isset = other129.__isset;
   return *this;
 }
 void ClaimsCall::printTo(std::ostream& out) const {
@@ -3689,17 +3731,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimVerdict::ClaimVerdict(const ClaimVerdict& other124) {
-  key = other124.key;
-  claimant = other124.claimant;
-  verdict = other124.verdict;
-  __isset = other124.__isset;
+ClaimVerdict::ClaimVerdict(const ClaimVerdict& other130) {
+  key = other130.key;
+  claimant = other130.claimant;
+  verdict = other130.verdict;
+  __isset = other130.__isset;
 }
-ClaimVerdict& ClaimVerdict::operator=(const ClaimVerdict& other125) {
-  key = other125.key;
-  claimant = other125.claimant;
-  verdict = other125.verdict;
-  __isset = other125.__isset;
+ClaimVerdict& ClaimVerdict::operator=(const ClaimVerdict& other131) {
+  key = other131.key;
+  claimant = other131.claimant;
+  verdict = other131.verdict;
+  __isset = other131.__isset;
   return *this;
 }
 void ClaimVerdict::printTo(std::ostream& out) const {
@@ -3751,14 +3793,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->verdicts.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->verdicts.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->verdicts[_i130].read(iprot);
+              xfer += this->verdicts[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3787,10 +3829,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<ClaimVerdict> ::const_iterator _iter131;
-    for (_iter131 = this->verdicts.begin(); _iter131 != this->verdicts.end(); ++_iter131)
+    std::vector<ClaimVerdict> ::const_iterator _iter137;
+    for (_iter137 = this->verdicts.begin(); _iter137 != this->verdicts.end(); ++_iter137)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3807,13 +3849,13 @@
   swap(a.__isset, b.__isset);
 }
 
-ClaimsAnswer::ClaimsAnswer(const ClaimsAnswer& other132) {
-  verdicts = other132.verdicts;
-  __isset = other132.__isset;
+ClaimsAnswer::ClaimsAnswer(const ClaimsAnswer& other138) {
+  verdicts = other138.verdicts;
+  __isset = other138.__isset;
 }
-ClaimsAnswer& ClaimsAnswer::operator=(const ClaimsAnswer& other133) {
-  verdicts = other133.verdicts;
-  __isset = other133.__isset;
+ClaimsAnswer& ClaimsAnswer::operator=(const ClaimsAnswer& other139) {
+  verdicts = other139.verdicts;
+  __isset = other139.__isset;
   return *this;
 }
 void ClaimsAnswer::printTo(std::ostream& out) const {
@@ -3916,15 +3958,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashCall::CrashCall(const CrashCall& other134) {
-  target = other134.target;
-  fingerprint = other134.fingerprint;
-  __isset = other134.__isset;
+CrashCall::CrashCall(const CrashCall& other140) {
+  target = other140.target;
+  fingerprint = other140.fingerprint;
+  __isset = other140.__isset;
 }
-CrashCall& CrashCall::operator=(const CrashCall& other135) {
-  target = other135.target;
-  fingerprint = other135.fingerprint;
-  __isset = other135.__isset;
+CrashCall& CrashCall::operator=(const CrashCall& other141) {
+  target = other141.target;
+  fingerprint = other141.fingerprint;
+  __isset = other141.__isset;
   return *this;
 }
 void CrashCall::printTo(std::ostream& out) const {
@@ -4241,37 +4283,37 @@
   swap(a.__isset, b.__isset);
 }
 
-Body::Body(const Body& other136) {
-  reserve = other136.reserve;
-  grant = other136.grant;
-  release = other136.release;
-  prefilled = other136.prefilled;
-  loads = other136.loads;
-  owners = other136.owners;
-  owners_answer = other136.owners_answer;
-  config = other136.config;
-  config_answer = other136.config_answer;
-  shares = other136.shares;
-  claims = other136.claims;
-  claims_answer = other136.claims_answer;
-  crash = other136.crash;
-  __isset = other136.__isset;
-}
-Body& Body::operator=(const Body& other137) {
-  reserve = other137.reserve;
-  grant = other137.grant;
-  release = other137.release;
-  prefilled = other137.prefilled;
-  loads = other137.loads;
-  owners = other137.owners;
-  owners_answer = other137.owners_answer;
-  config = other137.config;
-  config_answer = other137.config_answer;
-  shares = other137.shares;
-  claims = other137.claims;
-  claims_answer = other137.claims_answer;
-  crash = other137.crash;
-  __isset = other137.__isset;
+Body::Body(const Body& other142) {
+  reserve = other142.reserve;
+  grant = other142.grant;
+  release = other142.release;
+  prefilled = other142.prefilled;
+  loads = other142.loads;
+  owners = other142.owners;
+  owners_answer = other142.owners_answer;
+  config = other142.config;
+  config_answer = other142.config_answer;
+  shares = other142.shares;
+  claims = other142.claims;
+  claims_answer = other142.claims_answer;
+  crash = other142.crash;
+  __isset = other142.__isset;
+}
+Body& Body::operator=(const Body& other143) {
+  reserve = other143.reserve;
+  grant = other143.grant;
+  release = other143.release;
+  prefilled = other143.prefilled;
+  loads = other143.loads;
+  owners = other143.owners;
+  owners_answer = other143.owners_answer;
+  config = other143.config;
+  config_answer = other143.config_answer;
+  shares = other143.shares;
+  claims = other143.claims;
+  claims_answer = other143.claims_answer;
+  crash = other143.crash;
+  __isset = other143.__isset;
   return *this;
 }
 void Body::printTo(std::ostream& out) const {
@@ -4369,14 +4411,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->bodies.clear();
-            uint32_t _size138;
-            ::apache::thrift::protocol::TType _etype141;
-            xfer += iprot->readListBegin(_etype141, _size138);
-            this->bodies.resize(_size138);
-            uint32_t _i142;
-            for (_i142 = 0; _i142 < _size138; ++_i142)
+            uint32_t _size144;
+            ::apache::thrift::protocol::TType _etype147;
+            xfer += iprot->readListBegin(_etype147, _size144);
+            this->bodies.resize(_size144);
+            uint32_t _i148;
+            for (_i148 = 0; _i148 < _size144; ++_i148)
             {
-              xfer += this->bodies[_i142].read(iprot);
+              xfer += this->bodies[_i148].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4417,10 +4459,10 @@
   xfer += oprot->writeFieldBegin("bodies", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->bodies.size()));
-    std::vector<Body> ::const_iterator _iter143;
-    for (_iter143 = this->bodies.begin(); _iter143 != this->bodies.end(); ++_iter143)
+    std::vector<Body> ::const_iterator _iter149;
+    for (_iter149 = this->bodies.begin(); _iter149 != this->bodies.end(); ++_iter149)
     {
-      xfer += (*_iter143).write(oprot);
+      xfer += (*_iter149).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4440,19 +4482,19 @@
   swap(a.__isset, b.__isset);
 }
 
-Envelope::Envelope(const Envelope& other144) {
-  host = other144.host;
-  incarnation = other144.incarnation;
-  to = other144.to;
-  bodies = other144.bodies;
-  __isset = other144.__isset;
+Envelope::Envelope(const Envelope& other150) {
+  host = other150.host;
+  incarnation = other150.incarnation;
+  to = other150.to;
+  bodies = other150.bodies;
+  __isset = other150.__isset;
 }
-Envelope& Envelope::operator=(const Envelope& other145) {
-  host = other145.host;
-  incarnation = other145.incarnation;
-  to = other145.to;
-  bodies = other145.bodies;
-  __isset = other145.__isset;
+Envelope& Envelope::operator=(const Envelope& other151) {
+  host = other151.host;
+  incarnation = other151.incarnation;
+  to = other151.to;
+  bodies = other151.bodies;
+  __isset = other151.__isset;
   return *this;
 }
 void Envelope::printTo(std::ostream& out) const {
@@ -4670,14 +4712,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->excluded.clear();
-            uint32_t _size146;
-            ::apache::thrift::protocol::TType _etype149;
-            xfer += iprot->readListBegin(_etype149, _size146);
-            this->excluded.resize(_size146);
-            uint32_t _i150;
-            for (_i150 = 0; _i150 < _size146; ++_i150)
+            uint32_t _size152;
+            ::apache::thrift::protocol::TType _etype155;
+            xfer += iprot->readListBegin(_etype155, _size152);
+            this->excluded.resize(_size152);
+            uint32_t _i156;
+            for (_i156 = 0; _i156 < _size152; ++_i156)
             {
-              xfer += iprot->readString(this->excluded[_i150]);
+              xfer += iprot->readString(this->excluded[_i156]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4774,10 +4816,10 @@
   xfer += oprot->writeFieldBegin("excluded", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->excluded.size()));
-    std::vector<std::string> ::const_iterator _iter151;
-    for (_iter151 = this->excluded.begin(); _iter151 != this->excluded.end(); ++_iter151)
+    std::vector<std::string> ::const_iterator _iter157;
+    for (_iter157 = this->excluded.begin(); _iter157 != this->excluded.end(); ++_iter157)
     {
-      xfer += oprot->writeString((*_iter151));
+      xfer += oprot->writeString((*_iter157));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4818,43 +4860,43 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAsk::PlaceAsk(const PlaceAsk& other152) {
-  sequence = other152.sequence;
-  service_name = other152.service_name;
-  account = other152.account;
-  failure_domain = other152.failure_domain;
-  stream = other152.stream;
-  prompt_tokens = other152.prompt_tokens;
-  output_tokens = other152.output_tokens;
-  priority = other152.priority;
-  waited_ms = other152.waited_ms;
-  remaining_ms = other152.remaining_ms;
-  objective_ms = other152.objective_ms;
-  max_gap_ms = other152.max_gap_ms;
-  number = other152.number;
-  excluded = other152.excluded;
-  repeat = other152.repeat;
-  begin_ms = other152.begin_ms;
-  __isset = other152.__isset;
-}
-PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other153) {
-  sequence = other153.sequence;
-  service_name = other153.service_name;
-  account = other153.account;
-  failure_domain = other153.failure_domain;
-  stream = other153.stream;
-  prompt_tokens = other153.prompt_tokens;
-  output_tokens = other153.output_tokens;
-  priority = other153.priority;
-  waited_ms = other153.waited_ms;
-  remaining_ms = other153.remaining_ms;
-  objective_ms = other153.objective_ms;
-  max_gap_ms = other153.max_gap_ms;
-  number = other153.number;
-  excluded = other153.excluded;
-  repeat = other153.repeat;
-  begin_ms = other153.begin_ms;
-  __isset = other153.__isset;
+PlaceAsk::PlaceAsk(const PlaceAsk& other158) {
+  sequence = other158.sequence;
+  service_name = other158.service_name;
+  account = other158.account;
+  failure_domain = other158.failure_domain;
+  stream = other158.stream;
+  prompt_tokens = other158.prompt_tokens;
+  output_tokens = other158.output_tokens;
+  priority = other158.priority;
+  waited_ms = other158.waited_ms;
+  remaining_ms = other158.remaining_ms;
+  objective_ms = other158.objective_ms;
+  max_gap_ms = other158.max_gap_ms;
+  number = other158.number;
+  excluded = other158.excluded;
+  repeat = other158.repeat;
+  begin_ms = other158.begin_ms;
+  __isset = other158.__isset;
+}
+PlaceAsk& PlaceAsk::operator=(const PlaceAsk& other159) {
+  sequence = other159.sequence;
+  service_name = other159.service_name;
+  account = other159.account;
+  failure_domain = other159.failure_domain;
+  stream = other159.stream;
+  prompt_tokens = other159.prompt_tokens;
+  output_tokens = other159.output_tokens;
+  priority = other159.priority;
+  waited_ms = other159.waited_ms;
+  remaining_ms = other159.remaining_ms;
+  objective_ms = other159.objective_ms;
+  max_gap_ms = other159.max_gap_ms;
+  number = other159.number;
+  excluded = other159.excluded;
+  repeat = other159.repeat;
+  begin_ms = other159.begin_ms;
+  __isset = other159.__isset;
   return *this;
 }
 void PlaceAsk::printTo(std::ostream& out) const {
@@ -5042,23 +5084,23 @@
   swap(a.__isset, b.__isset);
 }
 
-PlacedTarget::PlacedTarget(const PlacedTarget& other154) {
-  name = other154.name;
-  address = other154.address;
-  reserve_tokens = other154.reserve_tokens;
-  version = other154.version;
-  born = other154.born;
-  era = other154.era;
-  __isset = other154.__isset;
-}
-PlacedTarget& PlacedTarget::operator=(const PlacedTarget& other155) {
-  name = other155.name;
-  address = other155.address;
-  reserve_tokens = other155.reserve_tokens;
-  version = other155.version;
-  born = other155.born;
-  era = other155.era;
-  __isset = other155.__isset;
+PlacedTarget::PlacedTarget(const PlacedTarget& other160) {
+  name = other160.name;
+  address = other160.address;
+  reserve_tokens = other160.reserve_tokens;
+  version = other160.version;
+  born = other160.born;
+  era = other160.era;
+  __isset = other160.__isset;
+}
+PlacedTarget& PlacedTarget::operator=(const PlacedTarget& other161) {
+  name = other161.name;
+  address = other161.address;
+  reserve_tokens = other161.reserve_tokens;
+  version = other161.version;
+  born = other161.born;
+  era = other161.era;
+  __isset = other161.__isset;
   return *this;
 }
 void PlacedTarget::printTo(std::ostream& out) const {
@@ -5166,14 +5208,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size156;
-            ::apache::thrift::protocol::TType _etype159;
-            xfer += iprot->readListBegin(_etype159, _size156);
-            this->targets.resize(_size156);
-            uint32_t _i160;
-            for (_i160 = 0; _i160 < _size156; ++_i160)
+            uint32_t _size162;
+            ::apache::thrift::protocol::TType _etype165;
+            xfer += iprot->readListBegin(_etype165, _size162);
+            this->targets.resize(_size162);
+            uint32_t _i166;
+            for (_i166 = 0; _i166 < _size162; ++_i166)
             {
-              xfer += this->targets[_i160].read(iprot);
+              xfer += this->targets[_i166].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5246,10 +5288,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<PlacedTarget> ::const_iterator _iter161;
-    for (_iter161 = this->targets.begin(); _iter161 != this->targets.end(); ++_iter161)
+    std::vector<PlacedTarget> ::const_iterator _iter167;
+    for (_iter167 = this->targets.begin(); _iter167 != this->targets.end(); ++_iter167)
     {
-      xfer += (*_iter161).write(oprot);
+      xfer += (*_iter167).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5290,27 +5332,27 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceAnswer::PlaceAnswer(const PlaceAnswer& other162) {
-  sequence = other162.sequence;
-  number = other162.number;
-  code = other162.code;
-  targets = other162.targets;
-  estimate_ms = other162.estimate_ms;
-  retry_after_ms = other162.retry_after_ms;
-  out_of_turns = other162.out_of_turns;
-  asker_incarnation = other162.asker_incarnation;
-  __isset = other162.__isset;
-}
-PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other163) {
-  sequence = other163.sequence;
-  number = other163.number;
-  code = other163.code;
-  targets = other163.targets;
-  estimate_ms = other163.estimate_ms;
-  retry_after_ms = other163.retry_after_ms;
-  out_of_turns = other163.out_of_turns;
-  asker_incarnation = other163.asker_incarnation;
-  __isset = other163.__isset;
+PlaceAnswer::PlaceAnswer(const PlaceAnswer& other168) {
+  sequence = other168.sequence;
+  number = other168.number;
+  code = other168.code;
+  targets = other168.targets;
+  estimate_ms = other168.estimate_ms;
+  retry_after_ms = other168.retry_after_ms;
+  out_of_turns = other168.out_of_turns;
+  asker_incarnation = other168.asker_incarnation;
+  __isset = other168.__isset;
+}
+PlaceAnswer& PlaceAnswer::operator=(const PlaceAnswer& other169) {
+  sequence = other169.sequence;
+  number = other169.number;
+  code = other169.code;
+  targets = other169.targets;
+  estimate_ms = other169.estimate_ms;
+  retry_after_ms = other169.retry_after_ms;
+  out_of_turns = other169.out_of_turns;
+  asker_incarnation = other169.asker_incarnation;
+  __isset = other169.__isset;
   return *this;
 }
 void PlaceAnswer::printTo(std::ostream& out) const {
@@ -5458,19 +5500,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceNote::PlaceNote(const PlaceNote& other164) {
-  sequence = other164.sequence;
-  service_name = other164.service_name;
-  outcome = other164.outcome;
-  target = other164.target;
-  __isset = other164.__isset;
+PlaceNote::PlaceNote(const PlaceNote& other170) {
+  sequence = other170.sequence;
+  service_name = other170.service_name;
+  outcome = other170.outcome;
+  target = other170.target;
+  __isset = other170.__isset;
 }
-PlaceNote& PlaceNote::operator=(const PlaceNote& other165) {
-  sequence = other165.sequence;
-  service_name = other165.service_name;
-  outcome = other165.outcome;
-  target = other165.target;
-  __isset = other165.__isset;
+PlaceNote& PlaceNote::operator=(const PlaceNote& other171) {
+  sequence = other171.sequence;
+  service_name = other171.service_name;
+  outcome = other171.outcome;
+  target = other171.target;
+  __isset = other171.__isset;
   return *this;
 }
 void PlaceNote::printTo(std::ostream& out) const {
@@ -5555,14 +5597,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size166;
-            ::apache::thrift::protocol::TType _etype169;
-            xfer += iprot->readListBegin(_etype169, _size166);
-            this->targets.resize(_size166);
-            uint32_t _i170;
-            for (_i170 = 0; _i170 < _size166; ++_i170)
+            uint32_t _size172;
+            ::apache::thrift::protocol::TType _etype175;
+            xfer += iprot->readListBegin(_etype175, _size172);
+            this->targets.resize(_size172);
+            uint32_t _i176;
+            for (_i176 = 0; _i176 < _size172; ++_i176)
             {
-              xfer += this->targets[_i170].read(iprot);
+              xfer += this->targets[_i176].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5635,10 +5677,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->targets.size()));
-    std::vector<PlacedTarget> ::const_iterator _iter171;
-    for (_iter171 = this->targets.begin(); _iter171 != this->targets.end(); ++_iter171)
+    std::vector<PlacedTarget> ::const_iterator _iter177;
+    for (_iter177 = this->targets.begin(); _iter177 != this->targets.end(); ++_iter177)
     {
-      xfer += (*_iter171).write(oprot);
+      xfer += (*_iter177).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5681,25 +5723,25 @@
   swap(a.__isset, b.__isset);
 }
 
-PlacedWork::PlacedWork(const PlacedWork& other172) {
-  sequence = other172.sequence;
-  targets = other172.targets;
-  stream = other172.stream;
-  begun = other172.begun;
-  prompt_tokens = other172.prompt_tokens;
-  output_tokens = other172.output_tokens;
-  max_gap_ms = other172.max_gap_ms;
-  __isset = other172.__isset;
-}
-PlacedWork& PlacedWork::operator=(const PlacedWork& other173) {
-  sequence = other173.sequence;
-  targets = other173.targets;
-  stream = other173.stream;
-  begun = other173.begun;
-  prompt_tokens = other173.prompt_tokens;
-  output_tokens = other173.output_tokens;
-  max_gap_ms = other173.max_gap_ms;
-  __isset = other173.__isset;
+PlacedWork::PlacedWork(const PlacedWork& other178) {
+  sequence = other178.sequence;
+  targets = other178.targets;
+  stream = other178.stream;
+  begun = other178.begun;
+  prompt_tokens = other178.prompt_tokens;
+  output_tokens = other178.output_tokens;
+  max_gap_ms = other178.max_gap_ms;
+  __isset = other178.__isset;
+}
+PlacedWork& PlacedWork::operator=(const PlacedWork& other179) {
+  sequence = other179.sequence;
+  targets = other179.targets;
+  stream = other179.stream;
+  begun = other179.begun;
+  prompt_tokens = other179.prompt_tokens;
+  output_tokens = other179.output_tokens;
+  max_gap_ms = other179.max_gap_ms;
+  __isset = other179.__isset;
   return *this;
 }
 void PlacedWork::printTo(std::ostream& out) const {
@@ -5825,17 +5867,17 @@
   swap(a.__isset, b.__isset);
 }
 
-GrantCount::GrantCount(const GrantCount& other174) noexcept {
-  age_ms = other174.age_ms;
-  requests = other174.requests;
-  retries = other174.retries;
-  __isset = other174.__isset;
+GrantCount::GrantCount(const GrantCount& other180) noexcept {
+  age_ms = other180.age_ms;
+  requests = other180.requests;
+  retries = other180.retries;
+  __isset = other180.__isset;
 }
-GrantCount& GrantCount::operator=(const GrantCount& other175) noexcept {
-  age_ms = other175.age_ms;
-  requests = other175.requests;
-  retries = other175.retries;
-  __isset = other175.__isset;
+GrantCount& GrantCount::operator=(const GrantCount& other181) noexcept {
+  age_ms = other181.age_ms;
+  requests = other181.requests;
+  retries = other181.retries;
+  __isset = other181.__isset;
   return *this;
 }
 void GrantCount::printTo(std::ostream& out) const {
@@ -5911,14 +5953,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->counts.clear();
-            uint32_t _size176;
-            ::apache::thrift::protocol::TType _etype179;
-            xfer += iprot->readListBegin(_etype179, _size176);
-            this->counts.resize(_size176);
-            uint32_t _i180;
-            for (_i180 = 0; _i180 < _size176; ++_i180)
+            uint32_t _size182;
+            ::apache::thrift::protocol::TType _etype185;
+            xfer += iprot->readListBegin(_etype185, _size182);
+            this->counts.resize(_size182);
+            uint32_t _i186;
+            for (_i186 = 0; _i186 < _size182; ++_i186)
             {
-              xfer += this->counts[_i180].read(iprot);
+              xfer += this->counts[_i186].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5955,10 +5997,10 @@
   xfer += oprot->writeFieldBegin("counts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->counts.size()));
-    std::vector<GrantCount> ::const_iterator _iter181;
-    for (_iter181 = this->counts.begin(); _iter181 != this->counts.end(); ++_iter181)
+    std::vector<GrantCount> ::const_iterator _iter187;
+    for (_iter187 = this->counts.begin(); _iter187 != this->counts.end(); ++_iter187)
     {
-      xfer += (*_iter181).write(oprot);
+      xfer += (*_iter187).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5977,17 +6019,17 @@
   swap(a.__isset, b.__isset);
 }
 
-HostGrants::HostGrants(const HostGrants& other182) {
-  host = other182.host;
-  incarnation = other182.incarnation;
-  counts = other182.counts;
-  __isset = other182.__isset;
+HostGrants::HostGrants(const HostGrants& other188) {
+  host = other188.host;
+  incarnation = other188.incarnation;
+  counts = other188.counts;
+  __isset = other188.__isset;
 }
-HostGrants& HostGrants::operator=(const HostGrants& other183) {
-  host = other183.host;
-  incarnation = other183.incarnation;
-  counts = other183.counts;
-  __isset = other183.__isset;
+HostGrants& HostGrants::operator=(const HostGrants& other189) {
+  host = other189.host;
+  incarnation = other189.incarnation;
+  counts = other189.counts;
+  __isset = other189.__isset;
   return *this;
 }
 void HostGrants::printTo(std::ostream& out) const {
@@ -6061,14 +6103,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size184;
-            ::apache::thrift::protocol::TType _etype187;
-            xfer += iprot->readListBegin(_etype187, _size184);
-            this->running.resize(_size184);
-            uint32_t _i188;
-            for (_i188 = 0; _i188 < _size184; ++_i188)
+            uint32_t _size190;
+            ::apache::thrift::protocol::TType _etype193;
+            xfer += iprot->readListBegin(_etype193, _size190);
+            this->running.resize(_size190);
+            uint32_t _i194;
+            for (_i194 = 0; _i194 < _size190; ++_i194)
             {
-              xfer += this->running[_i188].read(iprot);
+              xfer += this->running[_i194].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6081,14 +6123,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->elsewhere.clear();
-            uint32_t _size189;
-            ::apache::thrift::protocol::TType _etype192;
-            xfer += iprot->readListBegin(_etype192, _size189);
-            this->elsewhere.resize(_size189);
-            uint32_t _i193;
-            for (_i193 = 0; _i193 < _size189; ++_i193)
+            uint32_t _size195;
+            ::apache::thrift::protocol::TType _etype198;
+            xfer += iprot->readListBegin(_etype198, _size195);
+            this->elsewhere.resize(_size195);
+            uint32_t _i199;
+            for (_i199 = 0; _i199 < _size195; ++_i199)
             {
-              xfer += this->elsewhere[_i193].read(iprot);
+              xfer += this->elsewhere[_i199].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6101,14 +6143,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->departed.clear();
-            uint32_t _size194;
-            ::apache::thrift::protocol::TType _etype197;
-            xfer += iprot->readListBegin(_etype197, _size194);
-            this->departed.resize(_size194);
-            uint32_t _i198;
-            for (_i198 = 0; _i198 < _size194; ++_i198)
+            uint32_t _size200;
+            ::apache::thrift::protocol::TType _etype203;
+            xfer += iprot->readListBegin(_etype203, _size200);
+            this->departed.resize(_size200);
+            uint32_t _i204;
+            for (_i204 = 0; _i204 < _size200; ++_i204)
             {
-              xfer += this->departed[_i198].read(iprot);
+              xfer += this->departed[_i204].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6141,10 +6183,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<PlacedWork> ::const_iterator _iter199;
-    for (_iter199 = this->running.begin(); _iter199 != this->running.end(); ++_iter199)
+    std::vector<PlacedWork> ::const_iterator _iter205;
+    for (_iter205 = this->running.begin(); _iter205 != this->running.end(); ++_iter205)
     {
-      xfer += (*_iter199).write(oprot);
+      xfer += (*_iter205).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6154,10 +6196,10 @@
     xfer += oprot->writeFieldBegin("elsewhere", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->elsewhere.size()));
-      std::vector<GrantCount> ::const_iterator _iter200;
-      for (_iter200 = this->elsewhere.begin(); _iter200 != this->elsewhere.end(); ++_iter200)
+      std::vector<GrantCount> ::const_iterator _iter206;
+      for (_iter206 = this->elsewhere.begin(); _iter206 != this->elsewhere.end(); ++_iter206)
       {
-        xfer += (*_iter200).write(oprot);
+        xfer += (*_iter206).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6167,10 +6209,10 @@
     xfer += oprot->writeFieldBegin("departed", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->departed.size()));
-      std::vector<HostGrants> ::const_iterator _iter201;
-      for (_iter201 = this->departed.begin(); _iter201 != this->departed.end(); ++_iter201)
+      std::vector<HostGrants> ::const_iterator _iter207;
+      for (_iter207 = this->departed.begin(); _iter207 != this->departed.end(); ++_iter207)
       {
-        xfer += (*_iter201).write(oprot);
+        xfer += (*_iter207).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -6190,19 +6232,19 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceSync::PlaceSync(const PlaceSync& other202) {
-  service_name = other202.service_name;
-  running = other202.running;
-  elsewhere = other202.elsewhere;
-  departed = other202.departed;
-  __isset = other202.__isset;
+PlaceSync::PlaceSync(const PlaceSync& other208) {
+  service_name = other208.service_name;
+  running = other208.running;
+  elsewhere = other208.elsewhere;
+  departed = other208.departed;
+  __isset = other208.__isset;
 }
-PlaceSync& PlaceSync::operator=(const PlaceSync& other203) {
-  service_name = other203.service_name;
-  running = other203.running;
-  elsewhere = other203.elsewhere;
-  departed = other203.departed;
-  __isset = other203.__isset;
+PlaceSync& PlaceSync::operator=(const PlaceSync& other209) {
+  service_name = other209.service_name;
+  running = other209.running;
+  elsewhere = other209.elsewhere;
+  departed = other209.departed;
+  __isset = other209.__isset;
   return *this;
 }
 void PlaceSync::printTo(std::ostream& out) const {
@@ -6325,17 +6367,17 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetRest::TargetRest(const TargetRest& other204) {
-  service_name = other204.service_name;
-  target = other204.target;
-  rest_ms = other204.rest_ms;
-  __isset = other204.__isset;
+TargetRest::TargetRest(const TargetRest& other210) {
+  service_name = other210.service_name;
+  target = other210.target;
+  rest_ms = other210.rest_ms;
+  __isset = other210.__isset;
 }
-TargetRest& TargetRest::operator=(const TargetRest& other205) {
-  service_name = other205.service_name;
-  target = other205.target;
-  rest_ms = other205.rest_ms;
-  __isset = other205.__isset;
+TargetRest& TargetRest::operator=(const TargetRest& other211) {
+  service_name = other211.service_name;
+  target = other211.target;
+  rest_ms = other211.rest_ms;
+  __isset = other211.__isset;
   return *this;
 }
 void TargetRest::printTo(std::ostream& out) const {
@@ -6493,21 +6535,21 @@
   swap(a.__isset, b.__isset);
 }
 
-TargetLimit::TargetLimit(const TargetLimit& other206) {
-  service_name = other206.service_name;
-  target = other206.target;
-  born = other206.born;
-  rate = other206.rate;
-  count = other206.count;
-  __isset = other206.__isset;
-}
-TargetLimit& TargetLimit::operator=(const TargetLimit& other207) {
-  service_name = other207.service_name;
-  target = other207.target;
-  born = other207.born;
-  rate = other207.rate;
-  count = other207.count;
-  __isset = other207.__isset;
+TargetLimit::TargetLimit(const TargetLimit& other212) {
+  service_name = other212.service_name;
+  target = other212.target;
+  born = other212.born;
+  rate = other212.rate;
+  count = other212.count;
+  __isset = other212.__isset;
+}
+TargetLimit& TargetLimit::operator=(const TargetLimit& other213) {
+  service_name = other213.service_name;
+  target = other213.target;
+  born = other213.born;
+  rate = other213.rate;
+  count = other213.count;
+  __isset = other213.__isset;
   return *this;
 }
 void TargetLimit::printTo(std::ostream& out) const {
@@ -6585,14 +6627,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size208;
-            ::apache::thrift::protocol::TType _etype211;
-            xfer += iprot->readListBegin(_etype211, _size208);
-            this->parts.resize(_size208);
-            uint32_t _i212;
-            for (_i212 = 0; _i212 < _size208; ++_i212)
+            uint32_t _size214;
+            ::apache::thrift::protocol::TType _etype217;
+            xfer += iprot->readListBegin(_etype217, _size214);
+            this->parts.resize(_size214);
+            uint32_t _i218;
+            for (_i218 = 0; _i218 < _size214; ++_i218)
             {
-              xfer += iprot->readI64(this->parts[_i212]);
+              xfer += iprot->readI64(this->parts[_i218]);
             }
             xfer += iprot->readListEnd();
           }
@@ -6629,10 +6671,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter213;
-    for (_iter213 = this->parts.begin(); _iter213 != this->parts.end(); ++_iter213)
+    std::vector<int64_t> ::const_iterator _iter219;
+    for (_iter219 = this->parts.begin(); _iter219 != this->parts.end(); ++_iter219)
     {
-      xfer += oprot->writeI64((*_iter213));
+      xfer += oprot->writeI64((*_iter219));
     }
     xfer += oprot->writeListEnd();
   }
@@ -6651,17 +6693,17 @@
   swap(a.__isset, b.__isset);
 }
 
-RequestSubjects::RequestSubjects(const RequestSubjects& other214) {
-  request = other214.request;
-  account = other214.account;
-  parts = other214.parts;
-  __isset = other214.__isset;
+RequestSubjects::RequestSubjects(const RequestSubjects& other220) {
+  request = other220.request;
+  account = other220.account;
+  parts = other220.parts;
+  __isset = other220.__isset;
 }
-RequestSubjects& RequestSubjects::operator=(const RequestSubjects& other215) {
-  request = other215.request;
-  account = other215.account;
-  parts = other215.parts;
-  __isset = other215.__isset;
+RequestSubjects& RequestSubjects::operator=(const RequestSubjects& other221) {
+  request = other221.request;
+  account = other221.account;
+  parts = other221.parts;
+  __isset = other221.__isset;
   return *this;
 }
 void RequestSubjects::printTo(std::ostream& out) const {
@@ -6761,14 +6803,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->requests.clear();
-            uint32_t _size216;
-            ::apache::thrift::protocol::TType _etype219;
-            xfer += iprot->readListBegin(_etype219, _size216);
-            this->requests.resize(_size216);
-            uint32_t _i220;
-            for (_i220 = 0; _i220 < _size216; ++_i220)
+            uint32_t _size222;
+            ::apache::thrift::protocol::TType _etype225;
+            xfer += iprot->readListBegin(_etype225, _size222);
+            this->requests.resize(_size222);
+            uint32_t _i226;
+            for (_i226 = 0; _i226 < _size222; ++_i226)
             {
-              xfer += this->requests[_i220].read(iprot);
+              xfer += this->requests[_i226].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -6813,10 +6855,10 @@
   xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->requests.size()));
-    std::vector<RequestSubjects> ::const_iterator _iter221;
-    for (_iter221 = this->requests.begin(); _iter221 != this->requests.end(); ++_iter221)
+    std::vector<RequestSubjects> ::const_iterator _iter227;
+    for (_iter227 = this->requests.begin(); _iter227 != this->requests.end(); ++_iter227)
     {
-      xfer += (*_iter221).write(oprot);
+      xfer += (*_iter227).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -6837,21 +6879,21 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashReport::CrashReport(const CrashReport& other222) {
-  service_name = other222.service_name;
-  target = other222.target;
-  born = other222.born;
-  age_ms = other222.age_ms;
-  requests = other222.requests;
-  __isset = other222.__isset;
-}
-CrashReport& CrashReport::operator=(const CrashReport& other223) {
-  service_name = other223.service_name;
-  target = other223.target;
-  born = other223.born;
-  age_ms = other223.age_ms;
-  requests = other223.requests;
-  __isset = other223.__isset;
+CrashReport::CrashReport(const CrashReport& other228) {
+  service_name = other228.service_name;
+  target = other228.target;
+  born = other228.born;
+  age_ms = other228.age_ms;
+  requests = other228.requests;
+  __isset = other228.__isset;
+}
+CrashReport& CrashReport::operator=(const CrashReport& other229) {
+  service_name = other229.service_name;
+  target = other229.target;
+  born = other229.born;
+  age_ms = other229.age_ms;
+  requests = other229.requests;
+  __isset = other229.__isset;
   return *this;
 }
 void CrashReport::printTo(std::ostream& out) const {
@@ -6958,15 +7000,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Acquittal::Acquittal(const Acquittal& other224) noexcept {
-  subject = other224.subject;
-  age_ms = other224.age_ms;
-  __isset = other224.__isset;
+Acquittal::Acquittal(const Acquittal& other230) noexcept {
+  subject = other230.subject;
+  age_ms = other230.age_ms;
+  __isset = other230.__isset;
 }
-Acquittal& Acquittal::operator=(const Acquittal& other225) noexcept {
-  subject = other225.subject;
-  age_ms = other225.age_ms;
-  __isset = other225.__isset;
+Acquittal& Acquittal::operator=(const Acquittal& other231) noexcept {
+  subject = other231.subject;
+  age_ms = other231.age_ms;
+  __isset = other231.__isset;
   return *this;
 }
 void Acquittal::printTo(std::ostream& out) const {
@@ -7041,14 +7083,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->subjects.clear();
-            uint32_t _size226;
-            ::apache::thrift::protocol::TType _etype229;
-            xfer += iprot->readListBegin(_etype229, _size226);
-            this->subjects.resize(_size226);
-            uint32_t _i230;
-            for (_i230 = 0; _i230 < _size226; ++_i230)
+            uint32_t _size232;
+            ::apache::thrift::protocol::TType _etype235;
+            xfer += iprot->readListBegin(_etype235, _size232);
+            this->subjects.resize(_size232);
+            uint32_t _i236;
+            for (_i236 = 0; _i236 < _size232; ++_i236)
             {
-              xfer += iprot->readI64(this->subjects[_i230]);
+              xfer += iprot->readI64(this->subjects[_i236]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7061,14 +7103,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->accounts.clear();
-            uint32_t _size231;
-            ::apache::thrift::protocol::TType _etype234;
-            xfer += iprot->readListBegin(_etype234, _size231);
-            this->accounts.resize(_size231);
-            uint32_t _i235;
-            for (_i235 = 0; _i235 < _size231; ++_i235)
+            uint32_t _size237;
+            ::apache::thrift::protocol::TType _etype240;
+            xfer += iprot->readListBegin(_etype240, _size237);
+            this->accounts.resize(_size237);
+            uint32_t _i241;
+            for (_i241 = 0; _i241 < _size237; ++_i241)
             {
-              xfer += iprot->readI64(this->accounts[_i235]);
+              xfer += iprot->readI64(this->accounts[_i241]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7097,14 +7139,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->targets.clear();
-            uint32_t _size236;
-            ::apache::thrift::protocol::TType _etype239;
-            xfer += iprot->readListBegin(_etype239, _size236);
-            this->targets.resize(_size236);
-            uint32_t _i240;
-            for (_i240 = 0; _i240 < _size236; ++_i240)
+            uint32_t _size242;
+            ::apache::thrift::protocol::TType _etype245;
+            xfer += iprot->readListBegin(_etype245, _size242);
+            this->targets.resize(_size242);
+            uint32_t _i246;
+            for (_i246 = 0; _i246 < _size242; ++_i246)
             {
-              xfer += iprot->readString(this->targets[_i240]);
+              xfer += iprot->readString(this->targets[_i246]);
             }
             xfer += iprot->readListEnd();
           }
@@ -7149,10 +7191,10 @@
   xfer += oprot->writeFieldBegin("subjects", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->subjects.size()));
-    std::vector<int64_t> ::const_iterator _iter241;
-    for (_iter241 = this->subjects.begin(); _iter241 != this->subjects.end(); ++_iter241)
+    std::vector<int64_t> ::const_iterator _iter247;
+    for (_iter247 = this->subjects.begin(); _iter247 != this->subjects.end(); ++_iter247)
     {
-      xfer += oprot->writeI64((*_iter241));
+      xfer += oprot->writeI64((*_iter247));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7161,10 +7203,10 @@
   xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->accounts.size()));
-    std::vector<int64_t> ::const_iterator _iter242;
-    for (_iter242 = this->accounts.begin(); _iter242 != this->accounts.end(); ++_iter242)
+    std::vector<int64_t> ::const_iterator _iter248;
+    for (_iter248 = this->accounts.begin(); _iter248 != this->accounts.end(); ++_iter248)
     {
-      xfer += oprot->writeI64((*_iter242));
+      xfer += oprot->writeI64((*_iter248));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7181,10 +7223,10 @@
   xfer += oprot->writeFieldBegin("targets", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->targets.size()));
-    std::vector<std::string> ::const_iterator _iter243;
-    for (_iter243 = this->targets.begin(); _iter243 != this->targets.end(); ++_iter243)
+    std::vector<std::string> ::const_iterator _iter249;
+    for (_iter249 = this->targets.begin(); _iter249 != this->targets.end(); ++_iter249)
     {
-      xfer += oprot->writeString((*_iter243));
+      xfer += oprot->writeString((*_iter249));
     }
     xfer += oprot->writeListEnd();
   }
@@ -7215,25 +7257,25 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashVerdict::CrashVerdict(const CrashVerdict& other244) {
-  subjects = other244.subjects;
-  accounts = other244.accounts;
-  first_crash_age_ms = other244.first_crash_age_ms;
-  last_crash_age_ms = other244.last_crash_age_ms;
-  targets = other244.targets;
-  trials = other244.trials;
-  next_trial_ms = other244.next_trial_ms;
-  __isset = other244.__isset;
-}
-CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other245) {
-  subjects = other245.subjects;
-  accounts = other245.accounts;
-  first_crash_age_ms = other245.first_crash_age_ms;
-  last_crash_age_ms = other245.last_crash_age_ms;
-  targets = other245.targets;
-  trials = other245.trials;
-  next_trial_ms = other245.next_trial_ms;
-  __isset = other245.__isset;
+CrashVerdict::CrashVerdict(const CrashVerdict& other250) {
+  subjects = other250.subjects;
+  accounts = other250.accounts;
+  first_crash_age_ms = other250.first_crash_age_ms;
+  last_crash_age_ms = other250.last_crash_age_ms;
+  targets = other250.targets;
+  trials = other250.trials;
+  next_trial_ms = other250.next_trial_ms;
+  __isset = other250.__isset;
+}
+CrashVerdict& CrashVerdict::operator=(const CrashVerdict& other251) {
+  subjects = other251.subjects;
+  accounts = other251.accounts;
+  first_crash_age_ms = other251.first_crash_age_ms;
+  last_crash_age_ms = other251.last_crash_age_ms;
+  targets = other251.targets;
+  trials = other251.trials;
+  next_trial_ms = other251.next_trial_ms;
+  __isset = other251.__isset;
   return *this;
 }
 void CrashVerdict::printTo(std::ostream& out) const {
@@ -7301,14 +7343,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->crashes.clear();
-            uint32_t _size246;
-            ::apache::thrift::protocol::TType _etype249;
-            xfer += iprot->readListBegin(_etype249, _size246);
-            this->crashes.resize(_size246);
-            uint32_t _i250;
-            for (_i250 = 0; _i250 < _size246; ++_i250)
+            uint32_t _size252;
+            ::apache::thrift::protocol::TType _etype255;
+            xfer += iprot->readListBegin(_etype255, _size252);
+            this->crashes.resize(_size252);
+            uint32_t _i256;
+            for (_i256 = 0; _i256 < _size252; ++_i256)
             {
-              xfer += this->crashes[_i250].read(iprot);
+              xfer += this->crashes[_i256].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7321,14 +7363,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->acquittals.clear();
-            uint32_t _size251;
-            ::apache::thrift::protocol::TType _etype254;
-            xfer += iprot->readListBegin(_etype254, _size251);
-            this->acquittals.resize(_size251);
-            uint32_t _i255;
-            for (_i255 = 0; _i255 < _size251; ++_i255)
+            uint32_t _size257;
+            ::apache::thrift::protocol::TType _etype260;
+            xfer += iprot->readListBegin(_etype260, _size257);
+            this->acquittals.resize(_size257);
+            uint32_t _i261;
+            for (_i261 = 0; _i261 < _size257; ++_i261)
             {
-              xfer += this->acquittals[_i255].read(iprot);
+              xfer += this->acquittals[_i261].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7341,14 +7383,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->verdicts.clear();
-            uint32_t _size256;
-            ::apache::thrift::protocol::TType _etype259;
-            xfer += iprot->readListBegin(_etype259, _size256);
-            this->verdicts.resize(_size256);
-            uint32_t _i260;
-            for (_i260 = 0; _i260 < _size256; ++_i260)
+            uint32_t _size262;
+            ::apache::thrift::protocol::TType _etype265;
+            xfer += iprot->readListBegin(_etype265, _size262);
+            this->verdicts.resize(_size262);
+            uint32_t _i266;
+            for (_i266 = 0; _i266 < _size262; ++_i266)
             {
-              xfer += this->verdicts[_i260].read(iprot);
+              xfer += this->verdicts[_i266].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7385,10 +7427,10 @@
   xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
-    std::vector<CrashReport> ::const_iterator _iter261;
-    for (_iter261 = this->crashes.begin(); _iter261 != this->crashes.end(); ++_iter261)
+    std::vector<CrashReport> ::const_iterator _iter267;
+    for (_iter267 = this->crashes.begin(); _iter267 != this->crashes.end(); ++_iter267)
     {
-      xfer += (*_iter261).write(oprot);
+      xfer += (*_iter267).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7397,10 +7439,10 @@
   xfer += oprot->writeFieldBegin("acquittals", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->acquittals.size()));
-    std::vector<Acquittal> ::const_iterator _iter262;
-    for (_iter262 = this->acquittals.begin(); _iter262 != this->acquittals.end(); ++_iter262)
+    std::vector<Acquittal> ::const_iterator _iter268;
+    for (_iter268 = this->acquittals.begin(); _iter268 != this->acquittals.end(); ++_iter268)
     {
-      xfer += (*_iter262).write(oprot);
+      xfer += (*_iter268).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7409,10 +7451,10 @@
   xfer += oprot->writeFieldBegin("verdicts", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->verdicts.size()));
-    std::vector<CrashVerdict> ::const_iterator _iter263;
-    for (_iter263 = this->verdicts.begin(); _iter263 != this->verdicts.end(); ++_iter263)
+    std::vector<CrashVerdict> ::const_iterator _iter269;
+    for (_iter269 = this->verdicts.begin(); _iter269 != this->verdicts.end(); ++_iter269)
     {
-      xfer += (*_iter263).write(oprot);
+      xfer += (*_iter269).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7436,19 +7478,19 @@
   swap(a.__isset, b.__isset);
 }
 
-CrashNews::CrashNews(const CrashNews& other264) {
-  crashes = other264.crashes;
-  acquittals = other264.acquittals;
-  verdicts = other264.verdicts;
-  wanted = other264.wanted;
-  __isset = other264.__isset;
+CrashNews::CrashNews(const CrashNews& other270) {
+  crashes = other270.crashes;
+  acquittals = other270.acquittals;
+  verdicts = other270.verdicts;
+  wanted = other270.wanted;
+  __isset = other270.__isset;
 }
-CrashNews& CrashNews::operator=(const CrashNews& other265) {
-  crashes = other265.crashes;
-  acquittals = other265.acquittals;
-  verdicts = other265.verdicts;
-  wanted = other265.wanted;
-  __isset = other265.__isset;
+CrashNews& CrashNews::operator=(const CrashNews& other271) {
+  crashes = other271.crashes;
+  acquittals = other271.acquittals;
+  verdicts = other271.verdicts;
+  wanted = other271.wanted;
+  __isset = other271.__isset;
   return *this;
 }
 void CrashNews::printTo(std::ostream& out) const {
@@ -7554,14 +7596,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->asks.clear();
-            uint32_t _size266;
-            ::apache::thrift::protocol::TType _etype269;
-            xfer += iprot->readListBegin(_etype269, _size266);
-            this->asks.resize(_size266);
-            uint32_t _i270;
-            for (_i270 = 0; _i270 < _size266; ++_i270)
+            uint32_t _size272;
+            ::apache::thrift::protocol::TType _etype275;
+            xfer += iprot->readListBegin(_etype275, _size272);
+            this->asks.resize(_size272);
+            uint32_t _i276;
+            for (_i276 = 0; _i276 < _size272; ++_i276)
             {
-              xfer += this->asks[_i270].read(iprot);
+              xfer += this->asks[_i276].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7574,14 +7616,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size271;
-            ::apache::thrift::protocol::TType _etype274;
-            xfer += iprot->readListBegin(_etype274, _size271);
-            this->answers.resize(_size271);
-            uint32_t _i275;
-            for (_i275 = 0; _i275 < _size271; ++_i275)
+            uint32_t _size277;
+            ::apache::thrift::protocol::TType _etype280;
+            xfer += iprot->readListBegin(_etype280, _size277);
+            this->answers.resize(_size277);
+            uint32_t _i281;
+            for (_i281 = 0; _i281 < _size277; ++_i281)
             {
-              xfer += this->answers[_i275].read(iprot);
+              xfer += this->answers[_i281].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7594,14 +7636,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->notes.clear();
-            uint32_t _size276;
-            ::apache::thrift::protocol::TType _etype279;
-            xfer += iprot->readListBegin(_etype279, _size276);
-            this->notes.resize(_size276);
-            uint32_t _i280;
-            for (_i280 = 0; _i280 < _size276; ++_i280)
+            uint32_t _size282;
+            ::apache::thrift::protocol::TType _etype285;
+            xfer += iprot->readListBegin(_etype285, _size282);
+            this->notes.resize(_size282);
+            uint32_t _i286;
+            for (_i286 = 0; _i286 < _size282; ++_i286)
             {
-              xfer += this->notes[_i280].read(iprot);
+              xfer += this->notes[_i286].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7614,14 +7656,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->syncs.clear();
-            uint32_t _size281;
-            ::apache::thrift::protocol::TType _etype284;
-            xfer += iprot->readListBegin(_etype284, _size281);
-            this->syncs.resize(_size281);
-            uint32_t _i285;
-            for (_i285 = 0; _i285 < _size281; ++_i285)
+            uint32_t _size287;
+            ::apache::thrift::protocol::TType _etype290;
+            xfer += iprot->readListBegin(_etype290, _size287);
+            this->syncs.resize(_size287);
+            uint32_t _i291;
+            for (_i291 = 0; _i291 < _size287; ++_i291)
             {
-              xfer += this->syncs[_i285].read(iprot);
+              xfer += this->syncs[_i291].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7634,14 +7676,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->leaving.clear();
-            uint32_t _size286;
-            ::apache::thrift::protocol::TType _etype289;
-            xfer += iprot->readListBegin(_etype289, _size286);
-            this->leaving.resize(_size286);
-            uint32_t _i290;
-            for (_i290 = 0; _i290 < _size286; ++_i290)
+            uint32_t _size292;
+            ::apache::thrift::protocol::TType _etype295;
+            xfer += iprot->readListBegin(_etype295, _size292);
+            this->leaving.resize(_size292);
+            uint32_t _i296;
+            for (_i296 = 0; _i296 < _size292; ++_i296)
             {
-              xfer += this->leaving[_i290].read(iprot);
+              xfer += this->leaving[_i296].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7654,14 +7696,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rests.clear();
-            uint32_t _size291;
-            ::apache::thrift::protocol::TType _etype294;
-            xfer += iprot->readListBegin(_etype294, _size291);
-            this->rests.resize(_size291);
-            uint32_t _i295;
-            for (_i295 = 0; _i295 < _size291; ++_i295)
+            uint32_t _size297;
+            ::apache::thrift::protocol::TType _etype300;
+            xfer += iprot->readListBegin(_etype300, _size297);
+            this->rests.resize(_size297);
+            uint32_t _i301;
+            for (_i301 = 0; _i301 < _size297; ++_i301)
             {
-              xfer += this->rests[_i295].read(iprot);
+              xfer += this->rests[_i301].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7674,14 +7716,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->limits.clear();
-            uint32_t _size296;
-            ::apache::thrift::protocol::TType _etype299;
-            xfer += iprot->readListBegin(_etype299, _size296);
-            this->limits.resize(_size296);
-            uint32_t _i300;
-            for (_i300 = 0; _i300 < _size296; ++_i300)
+            uint32_t _size302;
+            ::apache::thrift::protocol::TType _etype305;
+            xfer += iprot->readListBegin(_etype305, _size302);
+            this->limits.resize(_size302);
+            uint32_t _i306;
+            for (_i306 = 0; _i306 < _size302; ++_i306)
             {
-              xfer += this->limits[_i300].read(iprot);
+              xfer += this->limits[_i306].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -7726,10 +7768,10 @@
   xfer += oprot->writeFieldBegin("asks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->asks.size()));
-    std::vector<PlaceAsk> ::const_iterator _iter301;
-    for (_iter301 = this->asks.begin(); _iter301 != this->asks.end(); ++_iter301)
+    std::vector<PlaceAsk> ::const_iterator _iter307;
+    for (_iter307 = this->asks.begin(); _iter307 != this->asks.end(); ++_iter307)
     {
-      xfer += (*_iter301).write(oprot);
+      xfer += (*_iter307).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7738,10 +7780,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<PlaceAnswer> ::const_iterator _iter302;
-    for (_iter302 = this->answers.begin(); _iter302 != this->answers.end(); ++_iter302)
+    std::vector<PlaceAnswer> ::const_iterator _iter308;
+    for (_iter308 = this->answers.begin(); _iter308 != this->answers.end(); ++_iter308)
     {
-      xfer += (*_iter302).write(oprot);
+      xfer += (*_iter308).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7750,10 +7792,10 @@
   xfer += oprot->writeFieldBegin("notes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->notes.size()));
-    std::vector<PlaceNote> ::const_iterator _iter303;
-    for (_iter303 = this->notes.begin(); _iter303 != this->notes.end(); ++_iter303)
+    std::vector<PlaceNote> ::const_iterator _iter309;
+    for (_iter309 = this->notes.begin(); _iter309 != this->notes.end(); ++_iter309)
     {
-      xfer += (*_iter303).write(oprot);
+      xfer += (*_iter309).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7762,10 +7804,10 @@
   xfer += oprot->writeFieldBegin("syncs", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->syncs.size()));
-    std::vector<PlaceSync> ::const_iterator _iter304;
-    for (_iter304 = this->syncs.begin(); _iter304 != this->syncs.end(); ++_iter304)
+    std::vector<PlaceSync> ::const_iterator _iter310;
+    for (_iter310 = this->syncs.begin(); _iter310 != this->syncs.end(); ++_iter310)
     {
-      xfer += (*_iter304).write(oprot);
+      xfer += (*_iter310).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7774,10 +7816,10 @@
   xfer += oprot->writeFieldBegin("leaving", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->leaving.size()));
-    std::vector<TargetMark> ::const_iterator _iter305;
-    for (_iter305 = this->leaving.begin(); _iter305 != this->leaving.end(); ++_iter305)
+    std::vector<TargetMark> ::const_iterator _iter311;
+    for (_iter311 = this->leaving.begin(); _iter311 != this->leaving.end(); ++_iter311)
     {
-      xfer += (*_iter305).write(oprot);
+      xfer += (*_iter311).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7786,10 +7828,10 @@
   xfer += oprot->writeFieldBegin("rests", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rests.size()));
-    std::vector<TargetRest> ::const_iterator _iter306;
-    for (_iter306 = this->rests.begin(); _iter306 != this->rests.end(); ++_iter306)
+    std::vector<TargetRest> ::const_iterator _iter312;
+    for (_iter312 = this->rests.begin(); _iter312 != this->rests.end(); ++_iter312)
     {
-      xfer += (*_iter306).write(oprot);
+      xfer += (*_iter312).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7798,10 +7840,10 @@
   xfer += oprot->writeFieldBegin("limits", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->limits.size()));
-    std::vector<TargetLimit> ::const_iterator _iter307;
-    for (_iter307 = this->limits.begin(); _iter307 != this->limits.end(); ++_iter307)
+    std::vector<TargetLimit> ::const_iterator _iter313;
+    for (_iter313 = this->limits.begin(); _iter313 != this->limits.end(); ++_iter313)
     {
-      xfer += (*_iter307).write(oprot);
+      xfer += (*_iter313).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -7832,31 +7874,31 @@
   swap(a.__isset, b.__isset);
 }
 
-PlaceDatagram::PlaceDatagram(const PlaceDatagram& other308) {
-  sender = other308.sender;
-  incarnation = other308.incarnation;
-  asks = other308.asks;
-  answers = other308.answers;
-  notes = other308.notes;
-  syncs = other308.syncs;
-  leaving = other308.leaving;
-  rests = other308.rests;
-  limits = other308.limits;
-  crash_news = other308.crash_news;
-  __isset = other308.__isset;
-}
-PlaceDatagram& PlaceDatagram::operator=(const PlaceDatagram& other309) {
-  sender = other309.sender;
-  incarnation = other309.incarnation;
-  asks = other309.asks;
-  answers = other309.answers;
-  notes = other309.notes;
-  syncs = other309.syncs;
-  leaving = other309.leaving;
-  rests = other309.rests;
-  limits = other309.limits;
-  crash_news = other309.crash_news;
-  __isset = other309.__isset;
+PlaceDatagram::PlaceDatagram(const PlaceDatagram& other314) {
+  sender = other314.sender;
+  incarnation = other314.incarnation;
+  asks = other314.asks;
+  answers = other314.answers;
+  notes = other314.notes;
+  syncs = other314.syncs;
+  leaving = other314.leaving;
+  rests = other314.rests;
+  limits = other314.limits;
+  crash_news = other314.crash_news;
+  __isset = other314.__isset;
+}
+PlaceDatagram& PlaceDatagram::operator=(const PlaceDatagram& other315) {
+  sender = other315.sender;
+  incarnation = other315.incarnation;
+  asks = other315.asks;
+  answers = other315.answers;
+  notes = other315.notes;
+  syncs = other315.syncs;
+  leaving = other315.leaving;
+  rests = other315.rests;
+  limits = other315.limits;
+  crash_news = other315.crash_news;
+  __isset = other315.__isset;
   return *this;
 }
 void PlaceDatagram::printTo(std::ostream& out) const {
@@ -7968,15 +8010,15 @@
   swap(a.__isset, b.__isset);
 }
 
-CarriedField::CarriedField(const CarriedField& other310) {
-  name = other310.name;
-  value = other310.value;
-  __isset = other310.__isset;
+CarriedField::CarriedField(const CarriedField& other316) {
+  name = other316.name;
+  value = other316.value;
+  __isset = other316.__isset;
 }
-CarriedField& CarriedField::operator=(const CarriedField& other311) {
-  name = other311.name;
-  value = other311.value;
-  __isset = other311.__isset;
+CarriedField& CarriedField::operator=(const CarriedField& other317) {
+  name = other317.name;
+  value = other317.value;
+  __isset = other317.__isset;
   return *this;
 }
 void CarriedField::printTo(std::ostream& out) const {
@@ -8135,14 +8177,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->fields.clear();
-            uint32_t _size312;
-            ::apache::thrift::protocol::TType _etype315;
-            xfer += iprot->readListBegin(_etype315, _size312);
-            this->fields.resize(_size312);
-            uint32_t _i316;
-            for (_i316 = 0; _i316 < _size312; ++_i316)
+            uint32_t _size318;
+            ::apache::thrift::protocol::TType _etype321;
+            xfer += iprot->readListBegin(_etype321, _size318);
+            this->fields.resize(_size318);
+            uint32_t _i322;
+            for (_i322 = 0; _i322 < _size318; ++_i322)
             {
-              xfer += this->fields[_i316].read(iprot);
+              xfer += this->fields[_i322].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -8207,10 +8249,10 @@
   xfer += oprot->writeFieldBegin("fields", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->fields.size()));
-    std::vector<CarriedField> ::const_iterator _iter317;
-    for (_iter317 = this->fields.begin(); _iter317 != this->fields.end(); ++_iter317)
+    std::vector<CarriedField> ::const_iterator _iter323;
+    for (_iter323 = this->fields.begin(); _iter323 != this->fields.end(); ++_iter323)
     {
-      xfer += (*_iter317).write(oprot);
+      xfer += (*_iter323).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -8236,31 +8278,31 @@
   swap(a.__isset, b.__isset);
 }
 
-CarryHead::CarryHead(const CarryHead& other318) {
-  sender = other318.sender;
-  request = other318.request;
-  service_name = other318.service_name;
-  address = other318.address;
-  progress_ms = other318.progress_ms;
-  idle_limit_ms = other318.idle_limit_ms;
-  probe_silence = other318.probe_silence;
-  method = other318.method;
-  target = other318.target;
-  fields = other318.fields;
-  __isset = other318.__isset;
-}
-CarryHead& CarryHead::operator=(const CarryHead& other319) {
-  sender = other319.sender;
-  request = other319.request;
-  service_name = other319.service_name;
-  address = other319.address;
-  progress_ms = other319.progress_ms;
-  idle_limit_ms = other319.idle_limit_ms;
-  probe_silence = other319.probe_silence;
-  method = other319.method;
-  target = other319.target;
-  fields = other319.fields;
-  __isset = other319.__isset;
+CarryHead::CarryHead(const CarryHead& other324) {
+  sender = other324.sender;
+  request = other324.request;
+  service_name = other324.service_name;
+  address = other324.address;
+  progress_ms = other324.progress_ms;
+  idle_limit_ms = other324.idle_limit_ms;
+  probe_silence = other324.probe_silence;
+  method = other324.method;
+  target = other324.target;
+  fields = other324.fields;
+  __isset = other324.__isset;
+}
+CarryHead& CarryHead::operator=(const CarryHead& other325) {
+  sender = other325.sender;
+  request = other325.request;
+  service_name = other325.service_name;
+  address = other325.address;
+  progress_ms = other325.progress_ms;
+  idle_limit_ms = other325.idle_limit_ms;
+  probe_silence = other325.probe_silence;
+  method = other325.method;
+  target = other325.target;
+  fields = other325.fields;
+  __isset = other325.__isset;
   return *this;
 }
 void CarryHead::printTo(std::ostream& out) const {
--- a/src/wire/gen/comfreyflow_types.h
+++ b/src/wire/gen/comfreyflow_types.h
@@ -401,7 +401,7 @@
 std::ostream& operator<<(std::ostream& out, const EvacuationState& obj);
 
 typedef struct _Datagram__isset {
-  _Datagram__isset() : kind(false), sender(false), sequence(false), subject(false), generation(false), load(false), config_generation(false), config_hash(false), claim_ids(false), claim_marks(false), claim_loads(false), claim_lags(false), records(false), wanted(false), targets(false), suspects(false), store_era(false), evacuations(false) {}
+  _Datagram__isset() : kind(false), sender(false), sequence(false), subject(false), generation(false), load(false), config_generation(false), config_hash(false), claim_ids(false), claim_marks(false), claim_loads(false), claim_lags(false), records(false), wanted(false), targets(false), suspects(false), store_era(false), evacuations(false), unready(false) {}
   bool kind :1;
   bool sender :1;
   bool sequence :1;
@@ -420,6 +420,7 @@
   bool suspects :1;
   bool store_era :1;
   bool evacuations :1;
+  bool unready :1;
 } _Datagram__isset;
 
 class Datagram : public virtual ::apache::thrift::TBase {
@@ -459,6 +460,7 @@
   std::vector<SuspectMark>  suspects;
   int64_t store_era;
   EvacuationState evacuations;
+  std::vector<int32_t>  unready;
 
   _Datagram__isset __isset;
 
@@ -498,6 +500,8 @@
 
   void __set_evacuations(const EvacuationState& val);
 
+  void __set_unready(const std::vector<int32_t> & val);
+
   bool operator == (const Datagram & rhs) const
   {
     if (!(kind == rhs.kind))
@@ -552,6 +556,10 @@
       return false;
     else if (__isset.evacuations && !(evacuations == rhs.evacuations))
       return false;
+    if (__isset.unready != rhs.__isset.unready)
+      return false;
+    else if (__isset.unready && !(unready == rhs.unready))
+      return false;
     return true;
   }
   bool operator != (const Datagram &rhs) const {
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -258,6 +258,28 @@
   CHECK(took <= seconds(2));
 }
 
+TEST_CASE("every host knows within two seconds that one is not ready") {
+  constexpr int kHosts = 64;
+  GossipNet net({.hosts = kHosts, .loss = 0.02, .seed = 21});
+  StartAll(net, seconds(30));
+  const HostName name = net.name(0);
+  for (const bool unready : {true, false}) {
+    HostFacts facts;
+    facts.unready = unready;
+    net.node(0).SetFacts(facts);
+    const Duration took = net.RunUntil(
+        [&] {
+          int known = 0;
+          for (int i = 1; i < kHosts; ++i) {
+            known += net.node(i).members().at(name).facts.unready == unready;
+          }
+          return known == kHosts - 1;
+        },
+        seconds(10));
+    CHECK(took <= seconds(2));
+  }
+}
+
 TEST_CASE("an evacuation reaches every host within two seconds") {
   constexpr int kHosts = 64;
   const EvacuationState before{{1, 6}, {}};
--- a/test/platform/stand-ins.cc
+++ b/test/platform/stand-ins.cc
@@ -622,6 +622,7 @@
   settings.retry_slack = 100;
   settings.retry_window = std::chrono::seconds(10);
   settings.memory_bytes = kBudget;
+  if (change_settings_) change_settings_(settings);
   settings_.push_back(settings);
   HostParts parts;
   parts.path = [this, host = hosts_.size()](const std::string& address) {
--- a/test/platform/stand-ins.h
+++ b/test/platform/stand-ins.h
@@ -288,6 +288,10 @@
   void SetStopTime(Duration time) { stop_time_ = time; }
   /// Hosts that start from now on follow which domains are evacuated.
   void SetEvacuationTime(Duration time) { evacuation_time_ = time; }
+  /// Changes the settings of hosts that start from now on.
+  void SetSettings(std::function<void(HostSettings&)> change) {
+    change_settings_ = std::move(change);
+  }
   /// Whether the host reaches the store. Its open calls are broken off.
   void SetStorePath(std::size_t host, bool open) {
     store_->SetAddressDown(settings_.at(host).store, !open);
@@ -343,6 +347,7 @@
   /// Paths that are not open, by host and service.
   std::map<std::pair<std::size_t, std::string>, TargetPath> paths_;
   std::unique_ptr<BlackHole> black_hole_;
+  std::function<void(HostSettings&)> change_settings_;
   Duration stop_time_ = std::chrono::seconds(2);
   std::optional<Duration> evacuation_time_;
   int next_id_ = 0;
--- a/test/shell/wire-test.cc
+++ b/test/shell/wire-test.cc
@@ -15,6 +15,17 @@
 
 const wire::FleetKey kKey{"fleet-key-of-the-test"};
 
+HostFacts RandomFacts(std::mt19937_64& random, std::uint64_t generation) {
+  HostFacts facts;
+  facts.generation = generation;
+  facts.load = static_cast<std::uint8_t>(random() % kLoadSteps);
+  for (bool* flag :
+       {&facts.draining, &facts.detached, &facts.returned, &facts.unready}) {
+    *flag = random() % 2 == 1;
+  }
+  return facts;
+}
+
 comfreyflow::Datagram RandomDatagram(std::mt19937_64& random) {
   const auto draw = [&](std::uint64_t most) { return random() % (most + 1); };
   const auto number_or_zero = [&] {
@@ -25,8 +36,7 @@
   datagram.kind = static_cast<DatagramKind>(draw(3));
   datagram.sender.value = static_cast<std::uint32_t>(random());
   datagram.sequence = random();
-  datagram.facts = {draw(1'000'000), static_cast<std::uint8_t>(draw(31)),
-                    draw(1) == 1};
+  datagram.facts = RandomFacts(random, draw(1'000'000));
   datagram.config = {datagram.facts.generation, random()};
   for (std::uint64_t i = draw(60); i > 0; --i) {
     MemberClaim claim;
@@ -34,8 +44,8 @@
     claim.state = static_cast<MemberState>(draw(3));
     claim.age = kAgeUnit * draw(100'000);
     const bool same = draw(3) > 0;
-    claim.facts = {same ? datagram.facts.generation : draw(2'000'000),
-                   static_cast<std::uint8_t>(draw(31)), draw(1) == 1};
+    claim.facts =
+        RandomFacts(random, same ? datagram.facts.generation : draw(2'000'000));
     datagram.claims.push_back(claim);
   }
   for (std::uint64_t i = draw(4); i > 0; --i) {
@@ -125,6 +135,25 @@
   CHECK(read.evacuations->domains.empty());
 }
 
+TEST_CASE("hosts of older builds count as ready") {
+  comfreyflow::Datagram datagram;
+  datagram.sender.value = 5;
+  datagram.claims.push_back({{7}, MemberState::kAlive, {}, {}});
+  const std::string without = EncodeDatagram(datagram, kKey);
+  datagram.facts.unready = true;
+  datagram.claims[0].facts.unready = true;
+  const std::string with = EncodeDatagram(datagram, kKey);
+  // Absent, the field takes no byte, so that this is what older builds send.
+  CHECK(without.size() < with.size());
+  comfreyflow::Datagram read;
+  REQUIRE_FALSE(DecodeDatagram(without, kKey, read));
+  CHECK_FALSE(read.facts.unready);
+  CHECK_FALSE(read.claims.at(0).facts.unready);
+  REQUIRE_FALSE(DecodeDatagram(with, kKey, read));
+  CHECK(read.facts.unready);
+  CHECK(read.claims.at(0).facts.unready);
+}
+
 TEST_CASE("ages are rounded up, so that relayed evidence never grows younger") {
   comfreyflow::Datagram datagram;
   datagram.claims.push_back({{7}, MemberState::kAlive, Duration(1), {}});
