Soak: mix turned, hosts come back to a store that turns some of them away

All hosts, or some, are killed; the store turns up to half of them away for 5 to 9 s once they are back. Judged as RECOVER: from a second after the start on, hosts that the store serves, and to which nothing else was done, refuse nothing.

--- a/soak/main.cc
+++ b/soak/main.cc
@@ -171,11 +171,11 @@
       "", "planted", "check that this fault, planted in the host, is found",
       false, "", "NAME", line);
   std::vector<std::string> mixes = {
-      ToString(Mix::kMixed),    ToString(Mix::kLeaving),
-      ToString(Mix::kTold),     ToString(Mix::kLimited),
-      ToString(Mix::kRewound),  ToString(Mix::kStops),
-      ToString(Mix::kOdd),      ToString(Mix::kCopies),
-      ToString(Mix::kEvacuated)};
+      ToString(Mix::kMixed),     ToString(Mix::kLeaving),
+      ToString(Mix::kTold),      ToString(Mix::kLimited),
+      ToString(Mix::kRewound),   ToString(Mix::kStops),
+      ToString(Mix::kOdd),       ToString(Mix::kCopies),
+      ToString(Mix::kEvacuated), ToString(Mix::kTurnedAway)};
   TCLAP::ValuesConstraint<std::string> known_mixes(mixes);
   TCLAP::ValueArg<std::string> mix("", "mix", "what is done to the hosts",
                                    false, mixes.front(), &known_mixes, line);
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -13,6 +13,7 @@
 constexpr int kLeastEvents = 6;
 constexpr int kMoreEvents = 24;
 constexpr int kUnauthorized = 401;
+constexpr int kUnavailable = 503;
 
 bool Success(const Sent& sent) {
   return sent.status >= 200 && sent.status < 300;
@@ -68,6 +69,8 @@
     for (const auto& word : records_.words) CheckWord(word);
     for (std::size_t i = 0; i < records_.limits.size(); ++i) CheckLimit(i);
     for (const auto& odd : records_.odd_entries) CheckBeside(odd);
+    for (const auto& turned : records_.turned_away)
+      CheckBesideTurnedAway(turned);
     CheckMemory();
     CheckRecovered();
     CheckPeers();
@@ -119,6 +122,8 @@
             {"LEAK", count("LEAK"), static_cast<double>(records_.held.size()),
              "reservations"},
             {"RECOVER", count("RECOVER"), all, "requests"},
+            {"RECOVER", count("RECOVER beside"), all,
+             "requests beside hosts that were turned away"},
             {"PEERS", count("PEERS"),
              static_cast<double>(records_.hosts_known.size()), "hosts"}};
   }
@@ -544,6 +549,39 @@
              " served beside an entry with " + odd.what);
   }
 
+  /// Whether nothing else was done to the host of a request, and the store
+  /// served it.
+  bool IsBeside(const TurnAway& turned, const Sent& sent) const {
+    return std::none_of(
+        records_.disturbances.begin(), records_.disturbances.end(),
+        [&](const Disturbance& d) {
+          if (d.number != sent.host || d.from > sent.at) return false;
+          if (d.until.value_or(records_.over) < turned.from - bounds_.touch)
+            return false;
+          return d.subject == Subject::kStorePath ||
+                 (d.subject == Subject::kHost && d.from != turned.from);
+        });
+  }
+
+  /// RECOVER: hosts that come back and are turned away by the store cost the
+  /// callers of others nothing.
+  void CheckBesideTurnedAway(const TurnAway& turned) {
+    std::size_t refused = 0;
+    for (const auto& sent : records_.sent) {
+      if (sent.at < turned.since + bounds_.turned_away ||
+          sent.at > turned.until || !IsBeside(turned, sent)) {
+        continue;
+      }
+      ++judged_["RECOVER beside"];
+      refused += sent.status == kUnavailable;
+    }
+    if (refused == 0) return;
+    Note("RECOVER", "",
+         std::to_string(refused) +
+             " refused at hosts that the store served, beside hosts that it "
+             "turned away");
+  }
+
   /// UNASKED, ROUTE: targets get what a caller sent, under its account.
   void CheckAsked(const Run& run) {
     const auto at = sent_.find(run.id);
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -36,6 +36,9 @@
   /// A configuration disturbs no request sent so long after its writing.
   Duration config_change = std::chrono::milliseconds(3000);
   Duration left = std::chrono::milliseconds(500);
+  /// Beside hosts that start and are turned away by the store, others refuse
+  /// nothing from so long after the start on.
+  Duration turned_away = std::chrono::seconds(1);
   /// From the last disturbance until requests are served again.
   Duration recover = std::chrono::seconds(12);
   double recovered_share = 0.25;
--- a/soak/records.h
+++ b/soak/records.h
@@ -115,6 +115,13 @@
   Time until;  ///< It was back.
 };
 
+/// Hosts were killed, and the store turned some away when they were back.
+struct TurnAway {
+  Time from;   ///< They were killed.
+  Time since;  ///< They were started again.
+  Time until;
+};
+
 /// SIGHUP to a host.
 struct Reload {
   std::size_t host = 0;
@@ -169,6 +176,7 @@
   std::deque<LimitWord> limit_words;
   std::vector<Disturbance> disturbances;
   std::vector<Rewind> rewinds;
+  std::vector<TurnAway> turned_away;
   std::vector<Reload> reloads;
   std::vector<Time> configs;  ///< When each configuration was written.
   std::vector<HostEnd> ends;
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -88,6 +88,15 @@
     Trouble::kHostKill,          Trouble::kHostStop,
     Trouble::kHostPause,         Trouble::kTargetReset};
 
+/// So that most hosts are in touch while some are turned away.
+constexpr Pace kTurnedAwayPace = {2.5, milliseconds(5000), milliseconds(9000)};
+
+constexpr std::array kTurnedAwayTroubles = {
+    Trouble::kHostsTurnedAway, Trouble::kHostsTurnedAway,
+    Trouble::kHostsTurnedAway, Trouble::kHostsTurnedAway,
+    Trouble::kStorePathSilent, Trouble::kHostStop,
+    Trouble::kTargetDrains,    Trouble::kKeyChange};
+
 /// Some stops overlap, and each is over before the quiet time.
 constexpr Pace kStopsPace = {0.8, milliseconds(1000), milliseconds(12'000)};
 
@@ -113,9 +122,9 @@
 constexpr Duration kShortestSilence = milliseconds(1000);
 constexpr Duration kLongestSilence = milliseconds(1400);
 
-constexpr std::array kMixNames = {"mixed",   "leaving", "told",
-                                  "limited", "rewound", "stops",
-                                  "odd",     "copies",  "evacuated"};
+constexpr std::array kMixNames = {"mixed",     "leaving", "told", "limited",
+                                  "rewound",   "stops",   "odd",  "copies",
+                                  "evacuated", "turned"};
 
 const Pace& PaceOf(Mix mix) {
   if (mix == Mix::kLimited) return kLimitedPace;
@@ -124,6 +133,7 @@
   if (mix == Mix::kOdd) return kOddPace;
   if (mix == Mix::kCopies) return kCopiesPace;
   if (mix == Mix::kEvacuated) return kEvacuatedPace;
+  if (mix == Mix::kTurnedAway) return kTurnedAwayPace;
   return mix == Mix::kMixed ? kMixedPace : kLeavingPace;
 }
 
@@ -166,6 +176,9 @@
   if (mix == Mix::kEvacuated) {
     return {kEvacuatedTroubles.begin(), kEvacuatedTroubles.end()};
   }
+  if (mix == Mix::kTurnedAway) {
+    return {kTurnedAwayTroubles.begin(), kTurnedAwayTroubles.end()};
+  }
   if (mix != Mix::kMixed) {
     out.assign(kLeavingTroubles.begin(), kLeavingTroubles.end());
   }
@@ -228,7 +241,8 @@
       "service_copies",
       "target_renamed",
       "host_cut",
-      "domain_evacuated"};
+      "domain_evacuated",
+      "hosts_turned_away"};
   return kNames.at(static_cast<std::size_t>(trouble));
 }
 
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -66,10 +66,13 @@
   kHostCut,        ///< Makes no connection to plain targets.
   // Below: only in `Mix::kEvacuated`.
   kDomainEvacuated,  ///< A failure domain is out of service for a while.
+  // Below: only in `Mix::kTurnedAway`.
+  kHostsTurnedAway,  ///< Hosts are killed, often all; the store turns less than
+                     ///< half of them away when they are back.
 };
 /// Those of `Mix::kMixed`, and all.
 inline constexpr int kMixedTroubles = 24;
-inline constexpr int kTroubles = 46;
+inline constexpr int kTroubles = 47;
 
 /// What a soak looks for.
 enum class Mix : std::uint8_t {
@@ -84,7 +87,8 @@
              ///< targets, reloads and configurations.
   kOdd,      ///< As `kLeaving`, beside odd entries.
   kCopies,   ///< Targets write refusals twice; callers repeat what was refused.
-  kEvacuated,  ///< As `kLeaving`, while failure domains are out of service.
+  kEvacuated,   ///< As `kLeaving`, while failure domains are out of service.
+  kTurnedAway,  ///< Hosts come back to a store that turns some of them away.
 };
 
 /// From the order to stop until the environment would end a process by force.
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <numeric>
 #include <random>
 #include <set>
 #include <utility>
@@ -499,6 +500,35 @@
     }
   }
 
+  /// Kills all hosts or some. The store, which serves the others, turns some
+  /// away when they are back, until the event is over. Hosts that start
+  /// together share the placers.
+  void TurnAway(const Event& event) {
+    if (std::exchange(is_turning_away_, true)) return;
+    std::mt19937_64 random(event.pick);
+    std::vector<std::size_t> hosts(hosts_.size());
+    std::iota(hosts.begin(), hosts.end(), 0);
+    std::shuffle(hosts.begin(), hosts.end(), random);
+    const std::size_t most = std::max<std::size_t>(1, (hosts.size() - 1) / 2);
+    const std::size_t turned_away = 1 + random() % most;
+    const bool kills_all = random() % 4 != 0;
+    const Time killed_at = Now();
+    const PathFault fault =
+        random() % 2 == 0 ? PathFault::kSilent : PathFault::kReset;
+    for (std::size_t i = 0; i < hosts.size(); ++i) {
+      const std::size_t host = hosts[i];
+      if (kills_all || i < turned_away) {
+        Kill(host, event.trouble);
+        records_.disturbances.back().from = killed_at;
+      }
+      if (i >= turned_away) continue;
+      Disturb(site_.store_path(host), fault, Subject::kStorePath, host, event);
+    }
+    records_.turned_away.push_back(
+        {killed_at, killed_at + kRestartPause, killed_at + event.life});
+    At(event.life, [this] { is_turning_away_ = false; });
+  }
+
   void Down(const Event& event) {
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       Note(Subject::kStorePath, i, event.trouble, event.life);
@@ -518,6 +548,7 @@
     }
     if (event.trouble == Trouble::kTargetOddEntry) return ListOddEntry(event);
     if (event.trouble == Trouble::kDomainEvacuated) return Evacuate(event);
+    if (event.trouble == Trouble::kHostsTurnedAway) return TurnAway(event);
     if (event.trouble >= Trouble::kTargetCopies) {
       return CarryCopies(event, host);
     }
@@ -804,6 +835,7 @@
   Duration standstill_{};
   std::deque<std::pair<Time, platform::FakeStore::Copy>> copies_;
   bool is_rewinding_ = false;
+  bool is_turning_away_ = false;
   bool has_odd_entry_ = false;
   std::set<std::size_t> leaving_;    ///< Targets.
   std::set<std::string> evacuated_;  ///< Failure domains.
--- a/test/soak/promises-test.cc
+++ b/test/soak/promises-test.cc
@@ -399,6 +399,33 @@
   CHECK(Broken(records, false) == Promises{"ENDS"});
 }
 
+TEST_CASE("a refusal beside a host that is turned away is found") {
+  Records records = Sound();
+  const TurnAway turned{kStart - seconds(3), kStart - seconds(2),
+                        kStart + seconds(2)};
+  records.turned_away = {turned};
+  Sent refused = records.sent.front();
+  refused.id = "refused";
+  refused.status = 503;
+  refused.answer.clear();
+  records.sent.push_back(refused);
+  CHECK(Broken(records) == Promises{"RECOVER"});
+  CHECK(Broken(records, false).empty());
+  // Hosts learn of each other within a second.
+  records.turned_away[0].since = kStart - milliseconds(900);
+  CHECK(Broken(records).empty());
+  records.turned_away = {turned};
+  const auto disturb = [&](Subject subject, Time from) {
+    records.disturbances = {
+        {subject, refused.host, "kill", from, kStart - seconds(1)}};
+    return Broken(records).empty();
+  };
+  // All hosts were killed.
+  CHECK_FALSE(disturb(Subject::kHost, turned.from));
+  CHECK(disturb(Subject::kHost, turned.from - milliseconds(100)));
+  CHECK(disturb(Subject::kStorePath, turned.from));
+}
+
 TEST_CASE("an odd entry that costs the targets beside it is found") {
   Records records = Sound();
   records.odd_entries = {
