Hosts that cannot place requests take on no other duty, either

In the daemon a host without a configuration could be steward of a target (not_steward) and was given to callers as an address.

New cases in holder-test, store-readers-test, membership-test and a stricter one in addresses-test; each failed before.

--- a/include/comfreyflow/holder.h
+++ b/include/comfreyflow/holder.h
@@ -31,10 +31,11 @@
 /// State of a live host, as the host reports it.
 struct HostView {
   HostName name;
-  /// The host is shutting down or has no configuration yet.
+  /// The host is shutting down or can't place requests yet.
   bool is_unavailable = false;
   bool is_detached = false;  ///< The host cannot reach the store.
-  /// Only such a host knows whether it reaches the store.
+  /// Only such a host knows whether it reaches the store. One that has not
+  /// reached it since it started does not.
   bool reads_store = true;
 };
 
@@ -47,7 +48,8 @@
  public:
   /// `hosts` are all live hosts. To be called several times per second.
   void Update(const std::vector<HostView>& hosts, Time now);
-  /// All hosts may hold placers if otherwise none could.
+  /// If otherwise no host could hold placers, those that are cut off may; if
+  /// there are none, all.
   bool MayHold(const HostName& host) const { return eligible_.contains(host); }
   /// The host has been cut off for `kDetachedGrace` while most hosts are not.
   bool IsExcluded(const HostName& host) const {
--- a/include/comfreyflow/membership.h
+++ b/include/comfreyflow/membership.h
@@ -245,7 +245,8 @@
   const std::map<HostName, Member>& members() const;
   /// Alive and suspect members, including this host, ordered by name.
   std::vector<HostName> Live() const;
-  /// Live members that are not draining and may take on new duties.
+  /// Live members that may take on new duties: not draining, and ready unless
+  /// none is.
   std::vector<HostName> Serving() const;
   std::uint64_t datagrams_sent() const;
 
--- a/src/core/addresses/addresses.cc
+++ b/src/core/addresses/addresses.cc
@@ -32,7 +32,10 @@
   std::map<HostName, Host> next;
   for (const auto& [name, member] : members) {
     // Suspected members are left out too, as they may be dead.
-    if (member.state != MemberState::kAlive || member.facts.draining) continue;
+    if (member.state != MemberState::kAlive || member.facts.draining ||
+        member.facts.unready) {
+      continue;
+    }
     Host host{member.record.failure_domain,
               member.record.callers,
               member.facts.load,
--- a/src/core/follow/store-readers.cc
+++ b/src/core/follow/store-readers.cc
@@ -70,8 +70,11 @@
   for (const auto& [name, member] : members) {
     const bool is_self = name == self.name;
     // Suspects count as ended, so that another host reads in their place soon.
-    if (!is_self && (member.state != MemberState::kAlive ||
-                     member.facts.draining || member.facts.generation == 0)) {
+    // A host that has not reached the store since it started can't tell whether
+    // it does.
+    if (!is_self &&
+        (member.state != MemberState::kAlive || member.facts.draining ||
+         member.facts.unready || member.facts.generation == 0)) {
       continue;
     }
     candidates.push_back({name, member.record.failure_domain,
--- a/src/core/membership/membership.cc
+++ b/src/core/membership/membership.cc
@@ -592,11 +592,12 @@
 
 std::vector<HostName> Membership::Serving() const {
   std::vector<HostName> names;
+  std::vector<HostName> unready;
   for (const auto& [name, member] : members()) {
-    if (member.state > MemberState::kSuspect) continue;
-    if (!member.facts.draining) names.push_back(name);
+    if (member.state > MemberState::kSuspect || member.facts.draining) continue;
+    (member.facts.unready ? unready : names).push_back(name);
   }
-  return names;
+  return names.empty() ? unready : names;
 }
 
 std::uint64_t Membership::datagrams_sent() const { return state_->sequence; }
--- a/src/core/placer/holder.cc
+++ b/src/core/placer/holder.cc
@@ -81,6 +81,11 @@
     }
   }
   if (!eligible_.empty()) return;
+  // A host that is cut off still knows targets.
+  for (const auto& host : hosts) {
+    if (!host.is_unavailable) eligible_.insert(host.name);
+  }
+  if (!eligible_.empty()) return;
   for (const auto& host : hosts) eligible_.insert(host.name);
 }
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -146,11 +146,7 @@
 
   PeersHooks PeerHooks() {
     PeersHooks peer;
-    peer.facts = [this] {
-      return HostFacts{version(),          0,
-                       stop.is_stopping(), IsDetached(),
-                       was_detached,       !CanPlace()};
-    };
+    peer.facts = [this] { return Facts(); };
     peer.config_mark = [this] { return mark; };
     peer.changed = [this](const MemberChanged& event) {
       const bool has_ended = event.state == MemberState::kDead ||
@@ -183,6 +179,16 @@
   /// all hosts: what it needs to serve its own callers.
   bool CanPlace() { return has_targets && ServedTable() != nullptr; }
 
+  HostFacts Facts() {
+    HostFacts facts;
+    facts.generation = version();
+    facts.draining = stop.is_stopping();
+    facts.detached = IsDetached();
+    facts.returned = was_detached;
+    facts.unready = !CanPlace();
+    return facts;
+  }
+
   /// Updates the live hosts, and which of them may hold placers, for placement.
   void RefreshPeers() {
     UpdateStoreReaders();
@@ -194,14 +200,11 @@
                          member.state == MemberState::kSuspect;
       if (!self && !alive) continue;
       // Until the facts of a host are known, it counts as able.
-      const bool unable = self ? stop.is_stopping() || !CanPlace()
-                               : member.facts.draining || member.facts.unready;
-      views.push_back({name, unable,
-                       self ? IsDetached() : member.facts.detached,
-                       store_readers.Reads(name)});
+      const HostFacts facts = self ? Facts() : member.facts;
+      views.push_back({name, facts.draining || facts.unready, facts.detached,
+                       store_readers.Reads(name) && !facts.unready});
       live.push_back({name, member.record.peers, member.record.incarnation,
-                      member.record.capacity, true,
-                      self ? was_detached : member.facts.returned});
+                      member.record.capacity, true, facts.returned});
     }
     eligibility.Update(views, Now());
     was_detached = was_detached || eligibility.IsExcluded(settings.self.name);
@@ -708,6 +711,7 @@
                      {"generation", member.facts.generation},
                      {"draining", member.facts.draining},
                      {"detached", member.facts.detached},
+                     {"unready", member.facts.unready},
                      {"capacity", member.record.capacity}});
   }
   Json services = Json::object();
--- a/src/node/membership-actor.cc
+++ b/src/node/membership-actor.cc
@@ -111,7 +111,8 @@
                    {"failure_domain", member.record.failure_domain.value},
                    {"generation", member.facts.generation},
                    {"load", member.facts.load},
-                   {"draining", member.facts.draining}});
+                   {"draining", member.facts.draining},
+                   {"unready", member.facts.unready}});
   }
   return {{"members", std::move(all)},
           {"datagrams_sent", membership_.datagrams_sent()}};
--- a/src/node/node-peers.cc
+++ b/src/node/node-peers.cc
@@ -62,6 +62,7 @@
     facts.load =
         static_cast<std::uint8_t>(std::min<std::size_t>(step, kLoadSteps - 1));
     facts.draining = drain_phase() != DrainPhase::kServing;
+    facts.unready = snapshot == nullptr;
     return facts;
   };
   deps.hooks.config_mark = [this] {
--- a/test/addresses-test.cc
+++ b/test/addresses-test.cc
@@ -56,18 +56,20 @@
         *std::max_element(ttls.begin(), ttls.end()));
 }
 
-TEST_CASE("draining, suspected, dead and departed hosts are in no answer") {
+TEST_CASE(
+    "draining, unready, suspected, dead and departed hosts are in no answer") {
   Addresses addresses(2);
-  auto view = View(6);
+  auto view = View(7);
   view[{"h1"}].facts.draining = true;
   view[{"h2"}].state = MemberState::kSuspect;
   view[{"h3"}].state = MemberState::kDead;
   view[{"h4"}].state = MemberState::kLeft;
+  view[{"h5"}].facts.unready = true;
   addresses.SetView(view);
   for (int i = 0; i < 20; ++i) {
     const AddressAnswer answer = addresses.Answer({}, kStart);
     CHECK(answer.hosts.size() == 2);
-    for (int excluded = 1; excluded <= 4; ++excluded)
+    for (int excluded = 1; excluded <= 5; ++excluded)
       CHECK_FALSE(Has(answer, excluded));
   }
 }
--- a/test/holder-test.cc
+++ b/test/holder-test.cc
@@ -157,6 +157,19 @@
   }
 }
 
+TEST_CASE("hosts that are cut off hold placers before hosts that cannot") {
+  HolderEligibility eligibility;
+  std::vector<HostView> hosts = {
+      {{"a"}, false, true}, {{"b"}, true}, {{"c"}, true}, {{"d"}, true}};
+  Time now{std::chrono::hours(1)};
+  eligibility.Update(hosts, now);
+  now += kDetachedGrace + std::chrono::milliseconds(1);
+  eligibility.Update(hosts, now);
+  CHECK(eligibility.IsExcluded({"a"}));
+  CHECK(eligibility.MayHold({"a"}));
+  CHECK_FALSE(eligibility.MayHold({"b"}));
+}
+
 TEST_CASE(
     "unavailable hosts hold no placers unless all hosts are unavailable") {
   HolderEligibility eligibility;
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -280,6 +280,23 @@
   }
 }
 
+TEST_CASE("hosts that are not ready take on duties only if none is") {
+  GossipNet net({.hosts = 3, .loss = 0, .seed = 4});
+  StartAll(net, seconds(10));
+  HostFacts unready;
+  unready.unready = true;
+  net.node(0).SetFacts(unready);
+  net.Run(seconds(2));
+  for (int i = 0; i < 3; ++i) {
+    const auto serving = net.node(i).Serving();
+    CHECK(serving.size() == 2);
+    CHECK(std::count(serving.begin(), serving.end(), net.name(0)) == 0);
+  }
+  for (int i = 1; i < 3; ++i) net.node(i).SetFacts(unready);
+  net.Run(seconds(2));
+  for (int i = 0; i < 3; ++i) CHECK(net.node(i).Serving().size() == 3);
+}
+
 TEST_CASE("an evacuation reaches every host within two seconds") {
   constexpr int kHosts = 64;
   const EvacuationState before{{1, 6}, {}};
--- a/test/store-readers-test.cc
+++ b/test/store-readers-test.cc
@@ -115,6 +115,18 @@
   CHECK(choice.Reads(members.begin()->first));
 }
 
+TEST_CASE("a host that never reached the store reads for no other") {
+  StoreReaderChoice choice;
+  auto members = Members(88, kStart);
+  const StoreReaderChoice::Self self{members.rbegin()->first};
+  choice.Update(members, self, kStart);
+  const std::set<HostName> before = choice.readers();
+  for (const auto& name : before) members[name].facts.unready = true;
+  choice.Update(members, self, kStart);
+  CHECK(choice.readers().size() == kStoreReaders);
+  for (const auto& name : before) CHECK_FALSE(choice.Reads(name));
+}
+
 TEST_CASE("a host that hears from no reader reads the store itself") {
   StoreReaderChoice choice;
   const auto members = Members(88, kStart);
