A 421 in the asked target's own name says nothing about the target

Cause: each 421 was taken for the answer of another target at the address, and took the target out of use until its entry changed. A target also answers 421 to a request that expects other weights, and then names itself.

Change: only an answer that names a target to which the request was not sent takes the target out. Any other 421 is about the request (WorkEnd::kUnsuited): the request goes to the next target, and the target stays as it was, so that no number of such requests closes it for others. Hosts of older builds are told that the request was cancelled.

--- a/include/comfreyflow/placer.h
+++ b/include/comfreyflow/placer.h
@@ -114,6 +114,9 @@
   /// The answer was malformed, truncated or not from the target itself.
   kGarbled,
   kCancelled,  ///< The caller disconnected or the deadline passed.
+  /// The target turned this request away as one that it does not serve. Says
+  /// nothing about others.
+  kUnsuited,
 };
 
 const char* ToString(WorkEnd end);
--- a/src/core/placer/health.cc
+++ b/src/core/placer/health.cc
@@ -99,7 +99,10 @@
 
 void Placer::UpdateHealth(const TargetName& name, WorkEnd end, Time now) {
   Target* target = Find(name);
-  if (target == nullptr || end == WorkEnd::kCancelled) return;
+  if (target == nullptr || end == WorkEnd::kCancelled ||
+      end == WorkEnd::kUnsuited) {
+    return;
+  }
   const bool error = end == WorkEnd::kTargetError || end == WorkEnd::kGarbled;
   target->error_share +=
       kSampleWeight * ((error ? 1.0 : 0.0) - target->error_share);
@@ -108,6 +111,7 @@
     case WorkEnd::kTargetError:
     case WorkEnd::kGarbled:
     case WorkEnd::kCancelled:
+    case WorkEnd::kUnsuited:
       target->failures = 0;
       return;
     case WorkEnd::kRefused:
--- a/src/core/placer/placer.cc
+++ b/src/core/placer/placer.cc
@@ -46,6 +46,8 @@
       return "garbled";
     case WorkEnd::kCancelled:
       return "gone";
+    case WorkEnd::kUnsuited:
+      return "unsuited";
   }
   return "unknown";
 }
--- a/src/gateway/edge.h
+++ b/src/gateway/edge.h
@@ -58,7 +58,9 @@
   bool authentic = false;  ///< Carries proof that the target produced it.
   bool reported_not_run =
       false;  ///< The target reports that the request did not run.
-  bool wrong_target = false;  ///< A different target answered at this address.
+  /// The target did not run the request, as it is meant for another one: by its
+  /// name or by what the request asks for.
+  bool misdirected = false;
   bool event_stream = false;
   std::string at_fault;  ///< Name of the target that caused the refusal.
   bool leaving = false;  ///< The answering target accepts no new work.
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -599,7 +599,7 @@
       context_.target_left({target.name, target.born, target.version, {}},
                            caller_.id);
       // A different target answered at that address.
-      if (report.wrong_target && report.at_fault != target.name.value) {
+      if (report.misdirected && report.at_fault != target.name.value) {
         context_.target_left({{report.at_fault}, 0, {}, target.address},
                              caller_.id);
       }
@@ -627,7 +627,7 @@
           .With("unreadable", true);
     }
     if (!report.rate_limit) return;
-    const bool from_other_target = report.wrong_target &&
+    const bool from_other_target = report.misdirected &&
                                    !report.at_fault.empty() &&
                                    report.at_fault != target.name.value;
     if (!from_other_target) {
@@ -804,7 +804,7 @@
 
   void OnAnswerEnd() {
     const bool is_refusal =
-        target_head_.reported_not_run || target_head_.wrong_target;
+        target_head_.reported_not_run || target_head_.misdirected;
     // What may answer another request, or refuse an earlier arrival of this
     // one, says nothing about this arrival. A request that may run twice goes
     // elsewhere after a refusal, whosever that is.
@@ -813,9 +813,8 @@
       return OnAttemptFailed(WorkEnd::kGarbled, Errc::kTargetFailed);
     }
     if (is_refusal) {
-      return OnAttemptFailed(
-          target_head_.wrong_target ? WorkEnd::kWrongTarget : WorkEnd::kRefused,
-          is_believed ? Errc::kTargetRefused : Errc::kTargetFailed);
+      return OnAttemptFailed(RefusalEnd(), is_believed ? Errc::kTargetRefused
+                                                       : Errc::kTargetFailed);
     }
     const bool success = IsSuccess();
     if (success &&
@@ -850,6 +849,20 @@
     Finish(Errc::kOk);
   }
 
+  /// What a refusal says of the target. A target that turns a request away in
+  /// its own name is sound, and may serve others.
+  WorkEnd RefusalEnd() const {
+    if (!target_head_.misdirected) return WorkEnd::kRefused;
+    const std::string& name = target_head_.at_fault;
+    const bool is_from_other =
+        !name.empty() &&
+        std::none_of(grant_.targets.begin(), grant_.targets.end(),
+                     [&name](const PlacedTarget& target) {
+                       return target.name.value == name;
+                     });
+    return is_from_other ? WorkEnd::kWrongTarget : WorkEnd::kUnsuited;
+  }
+
   AttemptFailure MakeFailure(bool reported_not_run) const {
     AttemptFailure failure;
     failure.sent = request_sent_;
@@ -868,8 +881,9 @@
     response_timer_.Disarm();
     std::string().swap(body_);
     if (!stored_answer_) flow_->Drop();
-    const bool is_refusal =
-        end == WorkEnd::kRefused || end == WorkEnd::kWrongTarget;
+    const bool is_refusal = end == WorkEnd::kRefused ||
+                            end == WorkEnd::kWrongTarget ||
+                            end == WorkEnd::kUnsuited;
     const AttemptFailure failure = MakeFailure(is_refusal && IsProven());
     if (failure.sent) ++progress_.arrivals;
     if (failure.sent && !failure.reported_not_run) ++progress_.attempts_run;
--- a/src/wire/placement.cc
+++ b/src/wire/placement.cc
@@ -13,6 +13,13 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+/// Older builds know no `kUnsuited`. A cancelled request says as little about
+/// its target.
+std::int32_t EncodeEnd(WorkEnd end) {
+  return static_cast<std::int32_t>(
+      end == WorkEnd::kUnsuited ? WorkEnd::kCancelled : end);
+}
+
 /// Milliseconds, limited to the range from 0 to the largest `std::int32_t`.
 std::int32_t ToMs(Duration time) {
   const auto count = duration_cast<milliseconds>(time).count();
@@ -300,8 +307,7 @@
     PlaceNote& wire_note = out.notes.emplace_back();
     wire_note.sequence = static_cast<std::int64_t>(note.sequence);
     wire_note.service_name = note.service.value;
-    if (note.ended)
-      wire_note.__set_outcome(static_cast<std::int32_t>(note.end));
+    if (note.ended) wire_note.__set_outcome(EncodeEnd(note.end));
     if (!note.at.value.empty()) wire_note.__set_target(note.at.value);
   }
   for (const auto& sync : messages.syncs)
--- a/test/platform/translation-test.cc
+++ b/test/platform/translation-test.cc
@@ -339,7 +339,7 @@
   CHECK(edge.read_head(response).at_fault == "i9");
   response.status = 421;
   response.fields.clear();
-  CHECK(edge.read_head(response).wrong_target);
+  CHECK(edge.read_head(response).misdirected);
 }
 
 TEST_CASE("only failures of requests that did not run carry retry-after") {
