--- a/test/support/check-threads-test.py
+++ b/test/support/check-threads-test.py
@@ -11,6 +11,7 @@
 TEMPLATE = "    #0 void example::Send<caf::actor>(caf::actor const&) src/node/book.cc:40 (book-test)\n"
 ANONYMOUS = "    #0 (anonymous namespace)::Add(caf::actor) src/node/book.cc:50 (book-test)\n"
 CONTAINER = "    #0 std::vector<caf::actor, std::allocator<caf::actor> >::clear() stl_vector.h:10 (book-test)\n"
+CONTAINER_IN_CAF = CONTAINER.replace("stl_vector.h:10 (book-test)", "<null> (libcaf_core.so.0.17.6)")
 CAF_TEMPLATE = "    #0 decltype (auto) caf::visit<example::F&>(example::F&) /usr/include/caf/visit.hpp:9 (book-test)\n"
 
 
@@ -39,6 +40,7 @@
         self.assertTrue(check_threads.is_within_caf(report(OWN, DELETE)))
         self.assertTrue(check_threads.is_within_caf(report(CONTAINER, OWN)))
         self.assertTrue(check_threads.is_within_caf(report(CAF_TEMPLATE, OWN)))
+        self.assertTrue(check_threads.is_within_caf(report(CONTAINER_IN_CAF + OWN, OWN)))
 
 
 class TestsRun(unittest.TestCase):
