A key that no account holds is refused on public routes, too

A request with a key that no version of the configuration ever held, or that was taken away 3 s before, ran without an account on public routes and was answered 200, also if it must run once at most; with a key in a configuration without accounts it ran on every route. Routes that need a key refuse it with 401.

Change: CheckCredentials answers for all routes; RouteTable::Identify gives the account or the reason for the refusal.

--- a/include/comfreyflow/routes.h
+++ b/include/comfreyflow/routes.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "comfreyflow/credentials.h"
 #include "comfreyflow/types.h"
 
 namespace comfreyflow {
@@ -43,7 +44,7 @@
   Duration caller_max_gap{};
   std::uint32_t priority = 1;      ///< 0 is the most urgent.
   std::uint32_t max_attempts = 1;  ///< Targets that may run one request.
-  bool is_public = false;          ///< Requests need no key.
+  bool is_public = false;          ///< Requests may come without a key.
   bool resumable = false;          ///< Applies to streams only.
   std::vector<WeightedService> services;
 };
@@ -122,6 +123,12 @@
   CallerLimits limits;
 };
 
+/// In whose name a request runs, or why it must not run.
+struct Identity {
+  Errc refusal = Errc::kOk;
+  const KeyHolder* holder = nullptr;  ///< Null: it has no client account.
+};
+
 /// Lookup table of one document. Immutable, so that a request uses the same
 /// table from start to end.
 class RouteTable {
@@ -134,6 +141,9 @@
   const Route* Match(std::string_view host, std::string_view path) const;
   /// Returns the holder of `key`, or null if the key is unknown.
   const KeyHolder* Holder(const std::string& key) const;
+  /// Identifies the account of a request on the route. A key that comes is
+  /// checked on every route, also where none is needed.
+  Identity Identify(const Route& route, const Credentials& credentials) const;
   /// Returns the service, or null if the document does not contain it.
   const RoutedService* Service(const ServiceName& name) const;
 
--- a/src/core/routes/routes.cc
+++ b/src/core/routes/routes.cc
@@ -100,6 +100,17 @@
   return found == document_.keys.end() ? nullptr : &found->second;
 }
 
+Identity RouteTable::Identify(const Route& route,
+                              const Credentials& credentials) const {
+  const KeyHolder* holder = credentials.form == CredentialsForm::kKey
+                                ? Holder(credentials.key)
+                                : nullptr;
+  const bool is_needed = document_.needs_keys && !route.is_public;
+  return {CheckCredentials(credentials, holder != nullptr,
+                           is_needed ? KeyNeed::kRequired : KeyNeed::kOptional),
+          holder};
+}
+
 const RoutedService* RouteTable::Service(const ServiceName& name) const {
   const auto found = document_.services.find(name);
   return found == document_.services.end() ? nullptr : &found->second;
--- a/src/gateway/edge.h
+++ b/src/gateway/edge.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "comfreyflow/credentials.h"
 #include "comfreyflow/errors.h"
 #include "comfreyflow/routes.h"
 #include "http/client.h"
@@ -21,7 +22,7 @@
 struct CallerRequest {
   std::string id;    ///< Chosen by the caller, one per attempt of its own.
   std::string host;  ///< Host name in the request.
-  std::string key;   ///< API key of a client account; empty if absent.
+  Credentials credentials;  ///< They tell the client account.
   std::optional<Duration> remaining;  ///< Time that the caller will still wait.
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
@@ -43,7 +44,7 @@
 /// The fields that the gateway adds to a request to a target.
 struct ForwardHead {
   std::string target;   ///< Only the target with this name may run the request.
-  std::string account;  ///< Empty on a public route.
+  std::string account;  ///< Empty if the request came without a key.
   Duration remaining{};
   int urgency = 0;  ///< 0 is the most urgent, 9 the least.
   std::vector<Helper> helpers;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -109,7 +109,7 @@
     const auto& request = exchange_->request();
     route_ = table_->Match(caller_.host, request.path);
     if (route_ == nullptr) return Refuse(Errc::kNotFound);
-    if (!AuthenticateKey()) return;
+    if (!IdentifyAccount()) return;
     Duration limit = caller_.remaining.value_or(kDefaultDeadline);
     if (route_->timeout > Duration::zero()) {
       limit = std::min(limit, route_->timeout);
@@ -185,18 +185,15 @@
     return "finished";
   }
 
-  /// A public route needs no key. One that comes there still tells whose
-  /// request it is.
-  bool AuthenticateKey() {
-    const bool is_open = !table_->document().needs_keys || route_->is_public;
-    const KeyHolder* holder = table_->Holder(caller_.key);
-    if (holder == nullptr) {
-      if (is_open) return true;
-      Refuse(caller_.key.empty() ? Errc::kMissingKey : Errc::kUnknownKey);
+  bool IdentifyAccount() {
+    const Identity identity = table_->Identify(*route_, caller_.credentials);
+    if (identity.refusal != Errc::kOk) {
+      Refuse(identity.refusal);
       return false;
     }
-    account_ = holder->account;
-    priority_ = holder->priority;
+    if (identity.holder == nullptr) return true;
+    account_ = identity.holder->account;
+    priority_ = identity.holder->priority;
     return true;
   }
 
--- a/test/platform/public-route-test.cc
+++ b/test/platform/public-route-test.cc
@@ -35,8 +35,8 @@
   CHECK(status({}) == 200);
   CHECK(field("x-tenant") == "account1");
   CHECK(field("authorization").empty());
-  // Callers without an account are served, in nobody's name.
-  CHECK(status(unknown) == 200);
-  CHECK(field("x-tenant").empty());
-  CHECK(field("authorization").empty());
+  // A key tells whose request it is; none is taken for no key.
+  const auto runs = target.requests().size();
+  CHECK(status(unknown) == 401);
+  CHECK(target.requests().size() == runs);
 }
--- a/test/platform/translation-test.cc
+++ b/test/platform/translation-test.cc
@@ -289,7 +289,7 @@
   http::Request request;
   request.fields = CallerFields();
   auto read = edge.read_request(request);
-  CHECK(read.key == "k1");
+  CHECK(read.credentials.key == "k1");
   CHECK(read.prompt_tokens == 1460);
   CHECK(read.max_output_tokens == 80);
   CHECK(read.remaining == milliseconds(1500));
@@ -300,7 +300,7 @@
   CHECK(read.prompt_tokens == 0);
   CHECK(read.max_output_tokens == 0);
   CHECK_FALSE(read.remaining.has_value());
-  CHECK(read.key.empty());
+  CHECK(read.credentials.key.empty());
 }
 
 TEST_CASE("the parts that prompts share are read, without the last one") {
--- a/test/routes-test.cc
+++ b/test/routes-test.cc
@@ -54,6 +54,33 @@
   CHECK(table.Holder("k2") == nullptr);
 }
 
+TEST_CASE("a route that needs no key takes a key that nobody holds") {
+  RouteDocument document;
+  document.routes = {RouteTo("closed", "a.example", "/x/"),
+                     RouteTo("public", "a.example", "/y/")};
+  document.routes[1].is_public = true;
+  document.keys["k1"] = {{"account"}, 2};
+  for (const bool needs_keys : {true, false}) {
+    document.needs_keys = needs_keys;
+    const RouteTable table(document);
+    for (const Route& route : table.document().routes) {
+      const auto identify = [&](const Credentials& credentials) {
+        return table.Identify(route, credentials);
+      };
+      const Identity known = identify({CredentialsForm::kKey, "k1"});
+      CHECK(known.refusal == Errc::kOk);
+      REQUIRE(known.holder != nullptr);
+      CHECK(known.holder->account.value == "account");
+      const Identity unknown = identify({CredentialsForm::kKey, "k2"});
+      CHECK(unknown.refusal == Errc::kUnknownKey);
+      const Identity none = identify({});
+      const bool is_refused = needs_keys && !route.is_public;
+      CHECK(none.refusal == (is_refused ? Errc::kMissingKey : Errc::kOk));
+      CHECK(none.holder == nullptr);
+    }
+  }
+}
+
 TEST_CASE(
     "requests are distributed over services in proportion to the weights") {
   Route route;
