Credentials are read the same in all their forms, and refused if not one key

On public routes a request ran without an account if its key came under another scheme, in a scheme spelled "token", behind an empty field or without the scheme; of two authorization fields the first one counted on all routes, so that which account a request had depended on the order of its fields. On routes that need a key, one in a scheme spelled "token" or behind two spaces was refused.

Cause: the adapter compared the first field with "Token " byte by byte and took everything else for no key.

Change: http::ReadCredentials knows three forms: absent, one key, unreadable. The scheme's case and the number of spaces behind it don't matter (RFC 9110, 11.1 and 11.4); another scheme, no key or a second field make credentials unreadable, which is refused with 401 (missing_key) on every route. An error code of its own would shift the numbers that hosts of different builds send each other.

--- a/include/comfreyflow/credentials.h
+++ b/include/comfreyflow/credentials.h
@@ -12,6 +12,10 @@
 enum class CredentialsForm : std::uint8_t {
   kAbsent,  ///< The request names no credentials.
   kKey,
+  /// There are credentials, but not one key: another scheme, no key behind the
+  /// scheme, or several header fields, of which readers may choose different
+  /// ones.
+  kUnreadable,
 };
 
 struct Credentials {
--- a/src/core/credentials/credentials.cc
+++ b/src/core/credentials/credentials.cc
@@ -5,10 +5,15 @@
 
 Errc CheckCredentials(const Credentials& credentials, bool is_known,
                       KeyNeed need) {
-  if (credentials.form == CredentialsForm::kKey) {
-    return is_known ? Errc::kOk : Errc::kUnknownKey;
+  switch (credentials.form) {
+    case CredentialsForm::kAbsent:
+      return need == KeyNeed::kOptional ? Errc::kOk : Errc::kMissingKey;
+    case CredentialsForm::kKey:
+      return is_known ? Errc::kOk : Errc::kUnknownKey;
+    case CredentialsForm::kUnreadable:
+      break;
   }
-  return need == KeyNeed::kOptional ? Errc::kOk : Errc::kMissingKey;
+  return Errc::kMissingKey;
 }
 
 }  // namespace comfreyflow
--- a/src/core/errors.cc
+++ b/src/core/errors.cc
@@ -19,7 +19,7 @@
 // clang-format off
 constexpr auto kRows = std::to_array<Row>({
     {Errc::kOk, {"ok", 200, Outcome::kDone, false, "No error."}},
-    {Errc::kMissingKey, {"missing_key", 401, kNotRun, false, "The request carries no bearer key."}},
+    {Errc::kMissingKey, {"missing_key", 401, kNotRun, false, "The request carries no key, or not exactly one in the expected scheme."}},
     {Errc::kUnknownKey, {"unknown_key", 401, kNotRun, false, "The bearer key belongs to no client account."}},
     {Errc::kNotAllowed, {"not_allowed", 403, kNotRun, false, "The client account may not use this service, model or request."}},
     {Errc::kBodyTooLarge, {"body_too_large", 413, kNotRun, false, "The body is over the host's limit for one request."}},
--- a/test/platform/identity-test.cc
+++ b/test/platform/identity-test.cc
@@ -143,6 +143,71 @@
   });
 }
 
+TEST_CASE("the spelling of a key's scheme or its blanks hide whose it is") {
+  OnBothRoutes([](Service& service, bool) {
+    for (const char* value :
+         {"Token key2", "token key2", "TOKEN key2", "Token   key2",
+          "  Token key2 \t", "Token key2  "}) {
+      CAPTURE(value);
+      const Result out =
+          service.Send("AUTHORIZATION:" + std::string(value) + "\r\n");
+      CHECK(out.status == 200);
+      CHECK(out.account == "account2");
+    }
+  });
+}
+
+TEST_CASE("a key that can be read in two ways is taken for one of them") {
+  OnBothRoutes([](Service& service, bool) {
+    const std::string lines[] = {
+        kKey1 + kKey2,
+        kKey1 + kKey1,
+        kKey1 + kUnknown,
+        kUnknown + kKey1,
+        "Authorization: Basic a2V5MTo=\r\n" + kKey1,
+        "Authorization:\r\n" + kKey1,
+        kKey1 + "authorization:\r\n",
+        "Authorization: Token key1, Token key2\r\n",
+        "Authorization: Token key1,key2\r\n",
+        "Authorization: Token key1 key2\r\n",
+        "Authorization: Token \"key1\"\r\n",
+        "Authorization: Token\tkey1\r\n",
+        "Authorization: Token KEY1\r\n",
+    };
+    for (const auto& text : lines) {
+      CAPTURE(text);
+      CHECK(service.Refuses(text));
+    }
+  });
+}
+
+TEST_CASE("credentials that are no key run as if there were none") {
+  OnBothRoutes([](Service& service, bool) {
+    for (const char* value :
+         {"Bearer key1", "Basic a2V5MTo=", "key1", "Token", "Token ", "",
+          "Tokenkey1", "Token=key1", "Digest username=\"key1\""}) {
+      CAPTURE(value);
+      CHECK(service.Refuses("Authorization: " + std::string(value) + "\r\n"));
+    }
+  });
+}
+
+TEST_CASE("a key behind the head counts") {
+  OnBothRoutes([](Service& service, bool is_public) {
+    const auto chunked = [](const std::string& trailer) {
+      return "Transfer-Encoding: chunked\r\nTrailer: Authorization\r\n\r\n"
+             "1\r\nx\r\n0\r\n" +
+             trailer + "\r\n";
+    };
+    const Result none = service.Send("", "/safe/1", chunked(kKey1));
+    CHECK(none.status == (is_public ? 200 : 401));
+    CHECK(none.account.empty());
+    const Result other = service.Send(kKey2, "/safe/1", chunked(kKey1));
+    CHECK(other.status == 200);
+    CHECK(other.account == "account2");
+  });
+}
+
 TEST_CASE("callers name an account themselves") {
   OnBothRoutes([](Service& service, bool) {
     for (const char* line :
@@ -165,6 +230,20 @@
   });
 }
 
+TEST_CASE("an account without any key lets requests without a key in") {
+  OnBothRoutes([](Service& service, bool is_public) {
+    for (const auto& keys :
+         std::vector<json>{json::array(), json::array({""})}) {
+      service.Put(
+          [keys](json& config) { config["Tenants"][0]["ApiKeys"] = keys; });
+      const Result out = service.Send("");
+      CHECK(out.status == (is_public ? 200 : 401));
+      CHECK(out.account.empty());
+      CHECK(service.Refuses("Authorization: Token \r\n"));
+    }
+  });
+}
+
 TEST_CASE("a key that moves to another account keeps the former one's name") {
   OnBothRoutes([](Service& service, bool) {
     CHECK(service.Send(kKey1).account == "account1");
