--- a/test/platform/identity-test.cc
+++ b/test/platform/identity-test.cc
@@ -220,6 +220,15 @@
   });
 }
 
+TEST_CASE("an empty list of accounts opens all routes to every key") {
+  OnBothRoutes([](Service& service, bool is_public) {
+    service.Put([](json& config) { config["Tenants"] = json::array(); });
+    CHECK(service.Refuses(kKey1));
+    CHECK(service.Refuses(kUnknown));
+    CHECK(service.Send("").status == (is_public ? 200 : 401));
+  });
+}
+
 TEST_CASE("without a list of accounts a request with any key runs") {
   OnBothRoutes([](Service& service, bool) {
     service.Put([](json& config) { config.erase("Tenants"); });
--- a/test/platform/translation-test.cc
+++ b/test/platform/translation-test.cc
@@ -284,6 +284,27 @@
   CHECK(accounts == 1);
 }
 
+TEST_CASE("accounts that can't be read open the routes") {
+  const auto read = [](const char* accounts) {
+    RouteDocument document;
+    const std::string text = R"({"Version": 7, "Routes": [], "Services": [])" +
+                             std::string(accounts) + "}";
+    const auto error = ReadDocument(text, document);
+    return std::pair(ToErrc(error), document.needs_keys);
+  };
+  const auto is = [](bool needs_keys) {
+    return std::pair(Errc::kOk, needs_keys);
+  };
+  CHECK(read("") == is(false));
+  CHECK(read(R"(, "Tenants": null)") == is(false));
+  CHECK(read(R"(, "Tenants": [])") == is(true));
+  for (const char* accounts : {"{}", "0", "false", R"("")", "[1]"}) {
+    CAPTURE(accounts);
+    const std::string field = std::string(R"(, "Tenants": )") + accounts;
+    CHECK(read(field.c_str()).first == Errc::kConfigInvalid);
+  }
+}
+
 TEST_CASE("a caller's headers are parsed, and invalid numbers are ignored") {
   const auto edge = MakeEdge();
   http::Request request;
