A key that two accounts list belongs to neither

With a key in the lists of two accounts, its requests ran under the account that stands last in the document: under another name after a version with another order.

Cause: each entry of a key replaced the one before.

Change: such a key is refused as unknown; document_applied has their number. A key that one account lists twice is still its key.

--- a/include/comfreyflow/routes.h
+++ b/include/comfreyflow/routes.h
@@ -119,6 +119,9 @@
   std::vector<Route> routes;
   std::map<ServiceName, RoutedService> services;
   std::unordered_map<std::string, KeyHolder> keys;
+  /// Keys that several accounts list. They are not in `keys`, as they tell no
+  /// account.
+  std::size_t shared_keys = 0;
   bool needs_keys = false;  ///< Routes that are not public need a key.
   CallerLimits limits;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -523,7 +523,8 @@
       .With("version", document.version)
       .With("before", version())
       .With("routes", std::uint64_t{document.routes.size()})
-      .With("keys", std::uint64_t{document.keys.size()});
+      .With("keys", std::uint64_t{document.keys.size()})
+      .With("shared_keys", std::uint64_t{document.shared_keys});
   state_->table = std::make_shared<RouteTable>(std::move(document));
   state_->mark = {version(), XXH3_64bits(text.data(), text.size())};
   state_->document_text = std::move(text);
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -159,8 +159,10 @@
      "a list or watch call failed; silent: it timed out; behind: it was "
      "aborted because a peer has a newer version",
      "kind code silent behind version era age"},
-    {"document_applied", "a configuration was applied",
-     "version before routes keys"},
+    {"document_applied",
+     "a configuration was applied; shared_keys: listed by several accounts, "
+     "taken for none's",
+     "version before routes keys shared_keys"},
     {"document_fetched",
      "a configuration was fetched from a peer; whole: it is complete",
      "host whole"},
--- a/test/platform/identity-test.cc
+++ b/test/platform/identity-test.cc
@@ -253,6 +253,22 @@
   });
 }
 
+TEST_CASE("a key of two accounts is taken for the last one's") {
+  OnBothRoutes([](Service& service, bool) {
+    service.Put([](json& config) {
+      config["Tenants"][0]["ApiKeys"] = {"key1", "key2"};
+    });
+    CHECK(service.Refuses(kKey2));
+    CHECK(service.Send(kKey1).account == "account1");
+    // Named twice by one account, it is still that account's.
+    service.Put([](json& config) {
+      config["Tenants"][0]["ApiKeys"] = {"key1", "key1"};
+    });
+    CHECK(service.Send(kKey1).account == "account1");
+    CHECK(service.Send(kKey2).account == "account2");
+  });
+}
+
 TEST_CASE("a key that moves to another account keeps the former one's name") {
   OnBothRoutes([](Service& service, bool) {
     CHECK(service.Send(kKey1).account == "account1");
