Proxy-Authorization is not passed on to targets

A key that a caller sends as Proxy-Authorization was shown to the target, by the gateway and by src/node's calls to plain services.

Cause: the field was missing among those that concern one connection only. It is meant for the next proxy (RFC 9110, 11.7.2), which the host is. Likewise Proxy-Authenticate in answers.

--- a/src/node/target-links.cc
+++ b/src/node/target-links.cc
@@ -99,10 +99,20 @@
   std::atomic<bool> stopped_ = false;
 };
 
-constexpr std::array kHopFields = {
-    "authorization", "connection",      "content-length", "expect",
-    "host",          "idempotency-key", "keep-alive",     "transfer-encoding",
-    "x-deadline-ms", "x-repeatable",    "x-attempt-id",   "content-type"};
+constexpr std::array kHopFields = {"authorization",
+                                   "connection",
+                                   "content-length",
+                                   "content-type",
+                                   "expect",
+                                   "host",
+                                   "idempotency-key",
+                                   "keep-alive",
+                                   "proxy-authenticate",
+                                   "proxy-authorization",
+                                   "transfer-encoding",
+                                   "x-attempt-id",
+                                   "x-deadline-ms",
+                                   "x-repeatable"};
 
 /// Whether a header field belongs to one connection or is set by this host, and
 /// is therefore not forwarded between the caller and the service.
--- a/test/fakes/fake-service.cc
+++ b/test/fakes/fake-service.cc
@@ -54,6 +54,7 @@
   }
   call->Reply(200, {{"path", call->request().path},
                     {"run", run},
+                    {"headers", call->request().headers},
                     {"bytes", call->request().body.size()}});
 }
 
--- a/test/fakes/fake-service.h
+++ b/test/fakes/fake-service.h
@@ -10,7 +10,8 @@
 /// and their connections break; `refuse` N: the next N are told, with
 /// `x-not-run: 1`, that they did not run.
 ///
-/// `GET /runs` gives `{"total":N,"runs":{KEY:N}}`; every other path runs.
+/// `GET /runs` gives `{"total":N,"runs":{KEY:N}}`; every other path runs and
+/// tells its headers.
 class FakeService {
  public:
   explicit FakeService(std::uint16_t port = 0);
--- a/test/platform/identity-test.cc
+++ b/test/platform/identity-test.cc
@@ -208,6 +208,14 @@
   });
 }
 
+TEST_CASE("a key for proxies is shown to targets") {
+  OnBothRoutes([](Service& service, bool is_public) {
+    const std::string line = "Proxy-Authorization: Token key1\r\n";
+    CHECK(service.Send(line).status == (is_public ? 200 : 401));
+    CHECK(service.Send(line + kKey2).account == "account2");
+  });
+}
+
 TEST_CASE("callers name an account themselves") {
   OnBothRoutes([](Service& service, bool) {
     for (const char* line :
--- a/test/shell/bad-input-test.cc
+++ b/test/shell/bad-input-test.cc
@@ -226,6 +226,20 @@
   CHECK(fixture.service.Runs().at("total") == 0);
 }
 
+TEST_CASE("a caller's key is shown to a plain service") {
+  Fixture fixture;
+  const RawAnswer answer =
+      Ask(fixture.host->callers(),
+          Post("/services/rounds/x",
+               {{"authorization", Bearer(kAccountKey)},
+                {"proxy-authorization", Bearer(kAccountKey)},
+                {"x-repeatable", "true"}},
+               ""));
+  REQUIRE(answer.status == 200);
+  CHECK(answer.body.find("headers") != std::string::npos);
+  CHECK(answer.body.find(kAccountKey) == std::string::npos);
+}
+
 TEST_CASE("a target in absolute form is not found") {
   Fixture fixture;
   CheckServes(fixture.host->callers(),
