The product's own daemon reads keys by the same rules

With two authorization fields the first one told the account, whatever the other held; a key behind two spaces was refused as unknown.

Cause: src/node had a reader of its own, which took the first field and exactly one space.

Change: caller and admin interface read credentials with http::ReadCredentials and decide with CheckCredentials, like the gateway; BearerKey is gone. A key of more than one field is refused with 401 (missing_key).

bad-input-test: five rows and a case; three rows, those that the first field decided, were not all seen to fail one by one: the case as a whole and the case on blanks failed before.

--- a/src/node/admin-api.cc
+++ b/src/node/admin-api.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "comfreyflow/config.h"
+#include "http/credentials.h"
 #include "http/problems.h"
 #include "node/answer.h"
 #include "node/headers.h"
@@ -61,10 +62,10 @@
     path_known = true;
     if (route.method != head.method) continue;
     if (route.is_public) return Errc::kOk;
-    const auto key = BearerKey(head.fields);
-    if (key.empty()) return Errc::kMissingKey;
-    const bool key_matches = Sha256(key).value == deps_.key_sha256;
-    return key_matches ? Errc::kOk : Errc::kUnknownKey;
+    const Credentials credentials =
+        http::ReadCredentials(head.fields, kBearerScheme);
+    const bool is_known = Sha256(credentials.key).value == deps_.key_sha256;
+    return CheckCredentials(credentials, is_known, KeyNeed::kRequired);
   }
   return path_known ? Errc::kMethodNotAllowed : Errc::kNotFound;
 }
--- a/src/node/caller-api.cc
+++ b/src/node/caller-api.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "comfreyflow/resume.h"
+#include "http/credentials.h"
 #include "node/clock.h"
 #include "node/headers.h"
 #include "node/log.h"
@@ -40,6 +41,16 @@
                      [&model](const auto& m) { return m.model == model; });
 }
 
+/// Finds the account of a request. `config` may be null: no key is known yet.
+Errc Identify(const Config* config, const http::Fields& fields,
+              const Account*& account) {
+  const Credentials credentials = http::ReadCredentials(fields, kBearerScheme);
+  const bool is_key = credentials.form == CredentialsForm::kKey;
+  if (is_key && config == nullptr) return Errc::kNoConfiguration;
+  account = is_key ? FindAccount(*config, credentials.key) : nullptr;
+  return CheckCredentials(credentials, account != nullptr, KeyNeed::kRequired);
+}
+
 /// Finds the service that the caller names, or otherwise the first service with
 /// the model that the account may use.
 Errc FindService(const Config& config, const Account& account,
@@ -105,11 +116,11 @@
   if (route == Route::kNone) return Errc::kNotFound;
   if (!AllowsMethod(route, head.method)) return Errc::kMethodNotAllowed;
   if (route == Route::kAddresses) return Errc::kOk;
-  const auto key = BearerKey(head.fields);
-  if (key.empty()) return Errc::kMissingKey;
   const auto config = deps_.config->current();
-  if (!config) return Errc::kNoConfiguration;
-  if (FindAccount(config->config, key) == nullptr) return Errc::kUnknownKey;
+  const Account* account = nullptr;
+  const Errc code =
+      Identify(config ? &config->config : nullptr, head.fields, account);
+  if (code != Errc::kOk) return code;
   const auto deadline = NumberHeader(head.fields, "x-deadline-ms");
   if (!deadline.ok || deadline.value == 0) return Errc::kDeadlineInvalid;
   return Errc::kOk;
@@ -157,13 +168,14 @@
   if (!generation) return Errc::kNoConfiguration;
   const Config& config = generation->config;
   auto& request = call.exchange->request();
-  const Account* account = FindAccount(config, BearerKey(request.fields));
-  if (account == nullptr) return Errc::kUnknownKey;
+  const Account* account = nullptr;
+  Errc code = Identify(&config, request.fields, account);
+  if (code != Errc::kOk) return code;
   call.info.account = account->name;
   call.info.fingerprint = FingerprintOf(account->name, request.body);
-  const Errc code = RouteOf(request.path) == Route::kPlain
-                        ? FillPlain(call, config, *account, failure)
-                        : FillEngine(call, config, *account, failure);
+  code = RouteOf(request.path) == Route::kPlain
+             ? FillPlain(call, config, *account, failure)
+             : FillEngine(call, config, *account, failure);
   call.lease = std::move(request.lease);
   return code;
 }
--- a/src/node/headers.cc
+++ b/src/node/headers.cc
@@ -4,22 +4,6 @@
 #include <charconv>
 
 namespace comfreyflow::node {
-namespace {
-
-constexpr std::string_view kBearerScheme = "bearer ";
-
-}  // namespace
-
-std::string_view BearerKey(const http::Fields& fields) {
-  std::string_view value = http::FieldValue(fields, "authorization");
-  if (value.size() <= kBearerScheme.size()) return {};
-  for (std::size_t i = 0; i < kBearerScheme.size(); ++i) {
-    const char c = value[i];
-    const char lower = c >= 'A' && c <= 'Z' ? static_cast<char>(c + 32) : c;
-    if (lower != kBearerScheme[i]) return {};
-  }
-  return value.substr(kBearerScheme.size());
-}
 
 HeaderValue<std::uint64_t> NumberHeader(const http::Fields& fields,
                                         std::string_view name) {
--- a/src/node/headers.h
+++ b/src/node/headers.h
@@ -12,8 +12,8 @@
 
 namespace comfreyflow::node {
 
-/// The key in `authorization: Bearer KEY`, or empty if there is none.
-std::string_view BearerKey(const http::Fields& fields);
+/// The scheme of keys: `authorization: Bearer KEY`.
+inline constexpr std::string_view kBearerScheme = "bearer";
 
 /// An optional header. `ok` is false if the header is present but malformed.
 template <class Value>
--- a/test/shell/bad-input-test.cc
+++ b/test/shell/bad-input-test.cc
@@ -76,6 +76,19 @@
        Post(path, {{"authorization", "Basic abc"}}, kGood)},
       {"wrong key", Errc::kUnknownKey,
        Post(path, {{"authorization", "Bearer wrong"}}, kGood)},
+      {"two keys", Errc::kMissingKey,
+       Post(path, With("authorization", Bearer(kOtherKey)), kGood)},
+      {"one key twice", Errc::kMissingKey,
+       Post(path, With("authorization", Bearer(kAccountKey)), kGood)},
+      {"a key behind another scheme", Errc::kMissingKey,
+       Post(path,
+            {{"authorization", "Basic abc"},
+             {"authorization", Bearer(kAccountKey)}},
+            kGood)},
+      {"an empty field behind the key", Errc::kMissingKey,
+       Post(path, With("Authorization", ""), kGood)},
+      {"a scheme without key", Errc::kMissingKey,
+       Post(path, {{"authorization", "Bearer "}}, kGood)},
       {"another account's service", Errc::kNotAllowed,
        Post(path, {{"authorization", Bearer(kOtherKey)}}, kGood)},
       {"another account's plain service", Errc::kNotAllowed,
@@ -226,6 +239,17 @@
   CHECK(fixture.service.Runs().at("total") == 0);
 }
 
+TEST_CASE("blanks before a key make it another one") {
+  Fixture fixture;
+  for (const char* scheme : {"Bearer  ", "bearer ", "BEARER   "}) {
+    CAPTURE(scheme);
+    CheckServes(
+        fixture.host->callers(),
+        Post("/v1/completions",
+             {{"authorization", std::string(scheme) + kAccountKey}}, kGood));
+  }
+}
+
 TEST_CASE("a caller's key is shown to a plain service") {
   Fixture fixture;
   const RawAnswer answer =
