An account name that no header can tell makes a configuration invalid

Requests of an account with an empty name ran without an account, those of "a " under the name of "a"; a name with a line break could not be sent at all.

Cause: names were taken as they came, and an empty one means none from there on.

Found by reading; the users' store takes only valid configurations, so their callers need not have met it.

--- a/test/platform/translation-test.cc
+++ b/test/platform/translation-test.cc
@@ -305,6 +305,24 @@
   }
 }
 
+TEST_CASE("an account whose name targets can't be told is told as none") {
+  const auto read = [](const std::string& name) {
+    RouteDocument document;
+    const nlohmann::json config = {
+        {"Version", 7},
+        {"Routes", nlohmann::json::array()},
+        {"Services", nlohmann::json::array()},
+        {"Tenants", {{{"Name", name}, {"ApiKeys", {"k1"}}}}}};
+    return ToErrc(ReadDocument(config.dump(), document));
+  };
+  CHECK(read("b\xc3\xbcro 7") == Errc::kOk);
+  for (const char* name :
+       {"", " a", "a ", "\ta", "a\r\nx-tenant: b", "a\x7f"}) {
+    CAPTURE(name);
+    CHECK(read(name) == Errc::kConfigInvalid);
+  }
+}
+
 TEST_CASE("a caller's headers are parsed, and invalid numbers are ignored") {
   const auto edge = MakeEdge();
   http::Request request;
