--- a/soak/planted-host.cc
+++ b/soak/planted-host.cc
@@ -109,12 +109,12 @@
 
 /// Keeps the first key it saw for every caller.
 void TakeAnyKey(HostParts& parts) {
-  const auto first = std::make_shared<std::string>();
+  const auto first = std::make_shared<Credentials>();
   parts.edge.read_request = [read = parts.edge.read_request,
                              first](const http::Request& request) {
     gateway::CallerRequest out = read(request);
-    if (first->empty()) *first = out.key;
-    out.key = *first;
+    if (first->form == CredentialsForm::kAbsent) *first = out.credentials;
+    out.credentials = *first;
     return out;
   };
 }
