Connections that break are no verdict: the gateway has one memory of crashes

Cause: beside CrashLedger, which confirms crashes and which answers contradict, the gateway counted broken connections by request in Poison. Nothing ended such a count, and other hosts took it over.

Change: CrashLedger holds a request back on the host at which connections to three targets broke, lets one through each second, and an answer ends it. Other hosts hear of confirmed crashes only; after three of these one host alone lets requests through. SuspectMarks of older builds are not read any more.

--- a/include/comfreyflow/crash-ledger.h
+++ b/include/comfreyflow/crash-ledger.h
@@ -5,6 +5,12 @@
 /// answer. An answer acquits its subjects of all crashes before it. A subject
 /// that crashes kept accusing, with no answer in between, is condemned.
 ///
+/// A connection that breaks under a request is weaker evidence: the target may
+/// live on. A request under which connections to several targets broke, with no
+/// answer to it in between, is held back without a verdict, and one is let
+/// through after a short time to see whether it is served. Other hosts hear
+/// only of those targets that crashed.
+///
 /// Crashes that follow each other at once are one occasion, because the loss of
 /// a failure domain or of a link ends many sound targets at one moment. Crash
 /// reports form a set, so that hosts that saw different crashes, in any order,
@@ -79,6 +85,13 @@
   Duration first_trial = std::chrono::minutes(5);
   /// A verdict that no request matched for this long is dropped.
   Duration verdict_retention = std::chrono::minutes(30);
+  /// Targets whose connections break under a request until it is held back.
+  std::size_t breaks_to_hold = 3;
+  /// Time without a broken connection after which these are forgotten.
+  Duration break_retention = std::chrono::seconds(60);
+  /// Time between two requests that are let through while it is held back.
+  Duration break_trial = std::chrono::seconds(1);
+  std::size_t max_broken = 10'000;  ///< Requests under which any broke.
 };
 
 /// What a report or an answer has changed.
@@ -90,6 +103,12 @@
   std::vector<Acquittal> acquittals;
 };
 
+enum class Hold : std::uint8_t {
+  kNone,
+  kTrial,  ///< This one request is let through.
+  kHeld,
+};
+
 class CrashLedger {
  public:
   explicit CrashLedger(CrashLedgerSettings settings = {});
@@ -107,6 +126,17 @@
   /// trials; at most one host may have it at a time.
   const CrashVerdict* FindVerdict(const RequestSubjects& request, bool may_try,
                                   Time now);
+  /// Records that the connection to a target broke under the request, whether
+  /// or not the target crashed. Returns the number of such targets; 0 if it was
+  /// known of this one.
+  std::size_t AddBreak(const RequestSubjects& request, const TargetName& target,
+                       Time now);
+  /// Whether the request is held back because connections broke under it, here
+  /// or with a crash anywhere. `kTrial` comes once each `break_trial`; if as
+  /// many targets crashed as hold a request back, only with `may_try`, which
+  /// one host at a time may have.
+  Hold HoldOf(const RequestSubjects& request, bool may_try, Time now);
+
   /// Whether the request might be a cause of earlier crashes and should not be
   /// sent again after one more.
   bool IsSuspect(const RequestSubjects& request) const;
@@ -128,6 +158,16 @@
     Evidence evidence;
   };
 
+  /// Targets whose connections broke under one request.
+  struct Breaks {
+    std::set<TargetName> targets;
+    Time last;
+    Time next_trial;
+  };
+
+  Breaks& BreaksOf(SubjectId request, Time now);
+  /// Targets that crashed on the request since it was last answered.
+  std::set<TargetName> CrashedOn(SubjectId request) const;
   Time AcquittedAt(SubjectId subject) const;
   void RecordAcquittal(SubjectId subject, Time at);
   /// Whether a crash after `since` accuses the subject.
@@ -147,6 +187,7 @@
   CrashLedgerSettings settings_;
   std::deque<CrashReport> crashes_;  ///< Ordered by time.
   std::map<std::vector<SubjectId>, CrashVerdict> verdicts_;
+  std::unordered_map<SubjectId, Breaks> breaks_;  ///< By whole request.
   /// Latest answers by subject, in two generations of bounded size.
   std::unordered_map<SubjectId, Time> acquitted_;
   std::unordered_map<SubjectId, Time> acquitted_before_;
--- a/src/core/poison/crash-ledger.cc
+++ b/src/core/poison/crash-ledger.cc
@@ -70,6 +70,7 @@
 
 LedgerChange CrashLedger::Answered(const RequestSubjects& request, Time now) {
   LedgerChange change;
+  breaks_.erase(request.request);
   for (const SubjectId subject : SubjectsOf(request)) {
     const Time before = AcquittedAt(subject);
     RecordAcquittal(subject, now);
@@ -85,6 +86,7 @@
   if (at <= AcquittedAt(acquittal.subject)) return change;
   change.is_new = true;
   RecordAcquittal(acquittal.subject, at);
+  breaks_.erase(acquittal.subject);
   Reconsider(change);
   return change;
 }
@@ -137,6 +139,58 @@
   return nullptr;
 }
 
+std::size_t CrashLedger::AddBreak(const RequestSubjects& request,
+                                  const TargetName& target, Time now) {
+  Breaks& breaks = BreaksOf(request.request, now);
+  breaks.next_trial = now + settings_.break_trial;
+  const bool is_new = breaks.targets.insert(target).second;
+  return is_new ? breaks.targets.size() : 0;
+}
+
+Hold CrashLedger::HoldOf(const RequestSubjects& request, bool may_try,
+                         Time now) {
+  std::set<TargetName> targets = CrashedOn(request.request);
+  const bool has_crashed = targets.size() >= settings_.breaks_to_hold;
+  const auto known = breaks_.find(request.request);
+  if (known != breaks_.end()) {
+    if (now - known->second.last <= settings_.break_retention) {
+      targets.insert(known->second.targets.begin(),
+                     known->second.targets.end());
+    } else {
+      breaks_.erase(known);
+    }
+  }
+  if (targets.size() < settings_.breaks_to_hold) return Hold::kNone;
+  Breaks& breaks = BreaksOf(request.request, now);
+  if (now < breaks.next_trial || (has_crashed && !may_try)) return Hold::kHeld;
+  breaks.next_trial = now + settings_.break_trial;
+  return Hold::kTrial;
+}
+
+CrashLedger::Breaks& CrashLedger::BreaksOf(SubjectId request, Time now) {
+  if (!breaks_.contains(request) && breaks_.size() >= settings_.max_broken) {
+    breaks_.erase(std::min_element(breaks_.begin(), breaks_.end(),
+                                   [](const auto& a, const auto& b) {
+                                     return a.second.last < b.second.last;
+                                   }));
+  }
+  const auto [at, is_new] = breaks_.try_emplace(request);
+  if (is_new) at->second.next_trial = now + settings_.break_trial;
+  at->second.last = now;
+  return at->second;
+}
+
+std::set<TargetName> CrashLedger::CrashedOn(SubjectId request) const {
+  std::set<TargetName> targets;
+  if (crashes_.empty()) return targets;
+  const Time acquitted = AcquittedAt(request);
+  for (const auto& crash : crashes_) {
+    if (crash.at > acquitted && Accuses(crash, request))
+      targets.insert(crash.target);
+  }
+  return targets;
+}
+
 bool CrashLedger::IsSuspect(const RequestSubjects& request) const {
   if (crashes_.empty()) return false;
   const auto subjects = SubjectsOf(request);
@@ -154,6 +208,9 @@
          now - crashes_.front().at > settings_.crash_retention) {
     crashes_.pop_front();
   }
+  std::erase_if(breaks_, [&](const auto& entry) {
+    return now - entry.second.last > settings_.break_retention;
+  });
   std::erase_if(verdicts_, [&](const auto& entry) {
     return now - entry.second.last_match > settings_.verdict_retention;
   });
--- a/src/gateway/crash-watch.cc
+++ b/src/gateway/crash-watch.cc
@@ -85,7 +85,21 @@
 
 void CrashWatch::OnConnectionBroken(const ServiceName& service,
                                     const PlacedTarget& target,
-                                    const RequestSubjects& request) {
+                                    const RequestSubjects& request,
+                                    bool is_proven) {
+  const std::size_t targets = ledger_.AddBreak(request, target.name, Now());
+  if (targets > 0) {
+    LogLine(Severity::kWarning, Event::kRequestSuspected)
+        .With("fingerprint", request.request)
+        .With("target", target.name)
+        .With("crashes", std::uint64_t{targets});
+  }
+  if (!is_proven) CheckTarget(service, target, request);
+}
+
+void CrashWatch::CheckTarget(const ServiceName& service,
+                             const PlacedTarget& target,
+                             const RequestSubjects& request) {
   const CheckKey key{target.name, target.born};
   const auto known = checks_.find(key);
   if (known != checks_.end()) {
@@ -192,11 +206,22 @@
 
 bool CrashWatch::IsCondemned(const ServiceName& service,
                              const RequestSubjects& request,
-                             const std::string& request_id) {
+                             const std::string& request_id, bool& is_trial) {
   const Time now = Now();
   const CrashVerdict* verdict =
       ledger_.FindVerdict(request, hooks_.may_try(service), now);
-  if (verdict == nullptr) return false;
+  if (verdict == nullptr) {
+    if (is_trial) return false;
+    const Hold hold = ledger_.HoldOf(request, hooks_.may_try(service), now);
+    is_trial = hold == Hold::kTrial;
+    if (hold != Hold::kHeld) return false;
+    ++refused_;
+    LogLine(Severity::kInfo, Event::kCrashRefused)
+        .With("request", request_id)
+        .With("service", service)
+        .With("subjects", Hex({request.request}));
+    return true;
+  }
   ++refused_;
   LogLine(Severity::kInfo, Event::kCrashRefused)
       .With("request", request_id)
--- a/src/gateway/crash-watch.h
+++ b/src/gateway/crash-watch.h
@@ -45,20 +45,23 @@
   void Start();
   void Stop();
 
-  /// The connection to the target broke before it had answered the request, or
-  /// soon after the answer began. A crash is recorded only if the target then
-  /// refuses a connection and another host doesn't reach it either: a cut link
-  /// or a closed connection is none.
+  /// The connection to the target broke before it had answered the request.
+  /// `is_proven`: it had written an answer for a while, and did not crash on
+  /// the request. Otherwise a crash is recorded if the target then refuses a
+  /// connection and another host doesn't reach it either: a cut link or a
+  /// closed connection is none.
   void OnConnectionBroken(const ServiceName& service,
                           const PlacedTarget& target,
-                          const RequestSubjects& request);
+                          const RequestSubjects& request, bool is_proven);
   /// A target answered the request, or wrote its answer for a while.
   void OnAnswered(const RequestSubjects& request);
   void OnNews(const HostName& sender, const wire::CrashNewsMessage& news);
 
-  /// Whether the request must not be sent. Logs the verdict if so.
+  /// Whether the request must not be sent. Logs why if so.
+  /// `is_trial` is set if the request is let through to see whether it is
+  /// served; while it is set, broken connections don't hold the request back.
   bool IsCondemned(const ServiceName& service, const RequestSubjects& request,
-                   const std::string& request_id);
+                   const std::string& request_id, bool& is_trial);
   bool IsSuspect(const RequestSubjects& request) const {
     return ledger_.IsSuspect(request);
   }
@@ -77,6 +80,8 @@
   };
   using CheckKey = std::pair<TargetName, std::uint64_t>;
 
+  void CheckTarget(const ServiceName& service, const PlacedTarget& target,
+                   const RequestSubjects& request);
   void OnChecked(const CheckKey& key, bool is_refused);
   void Conclude(const CheckKey& key, bool has_crashed);
   void Record(const CrashReport& report);
--- a/src/gateway/edge.h
+++ b/src/gateway/edge.h
@@ -22,7 +22,7 @@
 struct CallerRequest {
   std::string id;    ///< Chosen by the caller, one per attempt of its own.
   std::string host;  ///< Host name in the request.
-  Credentials credentials;  ///< They tell the client account.
+  Credentials credentials;            ///< They tell the client account.
   std::optional<Duration> remaining;  ///< Time that the caller will still wait.
   std::uint32_t prompt_tokens = 0;
   std::uint32_t max_output_tokens = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -94,7 +94,6 @@
             settings.self.failure_domain,
             [this] { return ServedTable(); },
             *crashes,
-            [this](const CrashEvidence& evidence) { BroadcastCrash(evidence); },
             metrics,
             hooks.target_list_status,
             stop,
@@ -169,9 +168,6 @@
     peer.target_marked = [this](const TargetMark& event) {
       if (hooks.target_marked) hooks.target_marked(event);
     };
-    peer.suspect_marked = [this](const SuspectMark& event) {
-      OnSuspectReport(event);
-    };
     return peer;
   }
 
@@ -308,30 +304,6 @@
     return server;
   }
 
-  /// Reports to the peers how many targets the request has crashed.
-  void BroadcastCrash(const CrashEvidence& evidence) {
-    const auto crashed =
-        relay_context.poison.CrashedTargets(evidence.fingerprint);
-    LogLine(Severity::kWarning, Event::kRequestSuspected)
-        .With("fingerprint", evidence.fingerprint)
-        .With("target", evidence.target)
-        .With("crashes", std::uint64_t{crashed.size()});
-    peers.ShareSuspect(
-        {evidence.fingerprint, static_cast<std::uint32_t>(crashed.size())});
-  }
-
-  /// Applies a peer's crash count. The report carries no target names, so each
-  /// crash beyond the known ones is recorded for a placeholder target.
-  void OnSuspectReport(const SuspectMark& suspect) {
-    const Time now = Now();
-    std::size_t known =
-        relay_context.poison.CrashedTargets(suspect.fingerprint).size();
-    for (; known < suspect.crashes; ++known) {
-      relay_context.poison.AddEvidence(
-          {suspect.fingerprint, {"peer-" + std::to_string(known)}}, now);
-    }
-  }
-
   bool MayCarry(const HostName& name, const Member& member) const {
     return name != settings.self.name && !member.facts.draining &&
            member.state == MemberState::kAlive;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -58,7 +58,9 @@
   }
   void OnEvent(const ConfigAnnounced& event) { hooks.config_announced(event); }
   void OnEvent(const TargetMark& event) { hooks.target_marked(event); }
-  void OnEvent(const SuspectMark& event) { hooks.suspect_marked(event); }
+  /// Hosts of older builds report requests under which connections broke,
+  /// whether or not a target crashed.
+  void OnEvent(const SuspectMark&) {}
   void OnEvent(const StoreEraAnnounced& event) {
     if (hooks.store_era_announced) hooks.store_era_announced(event);
   }
@@ -113,10 +115,6 @@
   state_->membership.ShareTarget(mark);
 }
 
-void Peers::ShareSuspect(const SuspectMark& mark) {
-  state_->membership.ShareSuspect(mark);
-}
-
 void Peers::Leave() { state_->Execute(state_->membership.Leave(Now())); }
 
 const std::map<HostName, Member>& Peers::members() const {
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -21,7 +21,6 @@
   std::function<void(const MemberChanged&)> changed;
   std::function<void(const ConfigAnnounced&)> config_announced;
   std::function<void(const TargetMark&)> target_marked;
-  std::function<void(const SuspectMark&)> suspect_marked;
   /// The era of the store that this host knows; may be empty.
   std::function<std::uint64_t()> store_era;
   std::function<void(const StoreEraAnnounced&)> store_era_announced;
@@ -45,7 +44,6 @@
   /// Hosts that read the store for all.
   void SetStoreReaders(std::set<HostName> readers);
   void ShareTarget(const TargetMark& mark);
-  void ShareSuspect(const SuspectMark& mark);
   /// Announces to the other hosts that this host stops.
   void Leave();
   const std::map<HostName, Member>& members() const;
--- a/src/gateway/relay.cc
+++ b/src/gateway/relay.cc
@@ -252,11 +252,8 @@
   }
 
   bool IsCondemned() {
-    const bool is_quarantined =
-        context_.poison.Decide(subjects_.request, Now()) ==
-        PoisonDecision::kQuarantined;
-    return is_quarantined ||
-           context_.crashes.IsCondemned(service_, subjects_, caller_.id);
+    return context_.crashes.IsCondemned(service_, subjects_, caller_.id,
+                                        is_trial_);
   }
 
   RequestSubjects Subjects() const {
@@ -953,11 +950,8 @@
   }
 
   void RecordCrashAt(const PlacedTarget& target, bool is_proven) {
-    const CrashEvidence evidence{subjects_.request, target.name};
-    if (context_.poison.AddEvidence(evidence, Now()))
-      context_.share_crash(evidence);
-    if (is_proven) return;
-    context_.crashes.OnConnectionBroken(service_, target, subjects_);
+    is_trial_ = false;
+    context_.crashes.OnConnectionBroken(service_, target, subjects_, is_proven);
   }
 
   void TakeNextStep(NextStep next, Errc code, bool may_crash_again) {
@@ -1275,6 +1269,9 @@
   std::shared_ptr<const RouteTable> table_;
   const Route* route_ = nullptr;  ///< Points into `table_`.
   AccountName account_;
+  /// Sent though connections broke under the same request; until one breaks
+  /// again.
+  bool is_trial_ = false;
   std::optional<std::uint32_t> priority_;
   ServiceName service_;
   /// The service's targets are batching engines.
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -8,7 +8,6 @@
 #include <random>
 #include <set>
 
-#include "comfreyflow/poison.h"
 #include "comfreyflow/routes.h"
 #include "comfreyflow/stop-plan.h"
 #include "comfreyflow/target-book.h"
@@ -44,7 +43,6 @@
   FailureDomain domain;
   std::function<std::shared_ptr<const RouteTable>()> table;
   CrashWatch& crashes;
-  std::function<void(const CrashEvidence&)> share_crash;
   node::Metrics& metrics;
   std::function<KindStatus()> target_list_status;
   const StopPlan& stop;
@@ -54,14 +52,6 @@
   /// no new work.
   std::function<void(const LeavingReport&, const std::string& request)>
       target_left;
-  /// Whole requests on which connections broke, whether the target crashed or
-  /// not.
-  /// A broken connection is weaker evidence of a crash than a target's own
-  /// crash report, so more crashes are required here than where targets report
-  /// them.
-  Poison poison{{.crash_limit = 3,
-                 .suspect_time = std::chrono::seconds(60),
-                 .quarantine_time = std::chrono::seconds(60)}};
   std::mt19937_64 random{};
   std::set<OpenRequest*> open_requests{};
 };
--- a/src/node/events.h
+++ b/src/node/events.h
@@ -348,7 +348,8 @@
     {"crash_refused",
      "a request was not sent because of crash_condemned; targets: some "
      "that "
-     "crashed; age: time since the last crash",
+     "crashed; age: time since the last crash; without these: connections "
+     "broke under the same request",
      "request service subjects targets age trials"},
     {"request_ended",
      "a request got its only final answer; sent_to: the targets that it was "
--- a/test/crash-ledger-test.cc
+++ b/test/crash-ledger-test.cc
@@ -49,6 +49,81 @@
 
 }  // namespace
 
+TEST_CASE("connections that break condemn a request that targets serve") {
+  CrashLedger ledger;
+  const RequestSubjects lookup = Request({});
+  const RequestSubjects other = Request({}, kOtherAccount);
+  Time now = kStart;
+  const auto break_at = [&](const char* target) {
+    return ledger.AddBreak(lookup, {target}, now);
+  };
+  CHECK(break_at("t1") == 1);
+  CHECK(break_at("t1") == 0);
+  CHECK(break_at("t2") == 2);
+  CHECK(ledger.HoldOf(lookup, false, now) == Hold::kNone);
+  CHECK(break_at("t3") == 3);
+  CHECK(ledger.HoldOf(lookup, false, now) == Hold::kHeld);
+  CHECK(ledger.HoldOf(other, false, now) == Hold::kNone);
+  // It crashed nothing, so that no host condemns it.
+  CHECK(IsSent(ledger, lookup, now));
+  CHECK(ledger.verdicts().empty());
+  // One is tried after a while, and ends it if it is served.
+  now += seconds(1);
+  CHECK(ledger.HoldOf(lookup, false, now) == Hold::kTrial);
+  CHECK(ledger.HoldOf(lookup, false, now) == Hold::kHeld);
+  break_at("t3");
+  CHECK(ledger.HoldOf(lookup, false, now + milliseconds(999)) == Hold::kHeld);
+  now += seconds(1);
+  CHECK(ledger.HoldOf(lookup, false, now) == Hold::kTrial);
+  ledger.Answered(lookup, now);
+  CHECK(ledger.HoldOf(lookup, false, now) == Hold::kNone);
+  // An answer in between makes breaks of connections no row.
+  break_at("t1");
+  break_at("t2");
+  ledger.Answered(lookup, now);
+  break_at("t3");
+  CHECK(ledger.HoldOf(lookup, false, now) == Hold::kNone);
+}
+
+TEST_CASE("broken connections are remembered for ever, or without bound") {
+  CrashLedgerSettings settings;
+  settings.max_broken = 4;
+  CrashLedger ledger(settings);
+  const RequestSubjects first = Request({});
+  for (const char* target : {"t1", "t2", "t3"})
+    ledger.AddBreak(first, {target}, kStart);
+  CHECK(ledger.HoldOf(first, false, kStart) == Hold::kHeld);
+  CHECK(ledger.HoldOf(first, false, kStart + seconds(61)) == Hold::kNone);
+  for (int i = 0; i < 4; ++i)
+    ledger.AddBreak(Request({}), {"t1"}, kStart + seconds(1));
+  CHECK(ledger.HoldOf(first, false, kStart) == Hold::kNone);
+}
+
+TEST_CASE(
+    "a request that crashed three targets at once goes on at other hosts") {
+  // Of another host, so that this one saw no connection break.
+  CrashLedger ledger;
+  const RequestSubjects bad = Request({});
+  Time now = kStart;
+  for (int i = 0; i < 3; ++i) ledger.AddCrash(Crash(now, {bad}), now);
+  CHECK(IsSent(ledger, bad, now));  // One occasion.
+  CHECK(ledger.HoldOf(bad, true, now) == Hold::kHeld);
+  now += seconds(1);
+  // One host of all tries it.
+  CHECK(ledger.HoldOf(bad, false, now) == Hold::kHeld);
+  CHECK(ledger.HoldOf(bad, true, now) == Hold::kTrial);
+  CHECK(ledger.HoldOf(bad, true, now) == Hold::kHeld);
+  // The trials that crash targets condemn it.
+  ledger.AddCrash(Crash(now, {bad}), now);
+  CHECK(IsSent(ledger, bad, now));
+  now += seconds(1);
+  ledger.AddCrash(Crash(now, {bad}), now);
+  CHECK_FALSE(IsSent(ledger, bad, now));
+  // One that is served ends it at all hosts.
+  ledger.AddAcquittal({bad.request, now + seconds(1)}, now + seconds(1));
+  CHECK(ledger.HoldOf(bad, false, now + seconds(1)) == Hold::kNone);
+}
+
 TEST_CASE(
     "three crashes condemn a part that no answer acquits, not its neighbours") {
   CrashLedger ledger;
