A request that was read behind another gets its answer in a planned stop

Cause: a stopping host ends a connection with the next answer, whatever it has read.

Change: it goes on while bytes of a further request have been read; that request is served if it is in time, else refused as not run, and the last answer ends the connection.

platform-stop-test: one case, failed before.

--- a/src/http/session.cc
+++ b/src/http/session.cc
@@ -408,7 +408,9 @@
       message.insert(field.name, field.value);
     }
     const auto& keep = context_->hooks.keep_connections;
-    if (keep && !keep()) keep_alive_ = false;
+    // What was read behind the request gets its answer first.
+    const bool is_last = buffer_.size() == 0;
+    if (keep && !keep() && is_last) keep_alive_ = false;
     message.keep_alive(keep_alive_);
   }
 
--- a/test/platform/stop-test.cc
+++ b/test/platform/stop-test.cc
@@ -262,6 +262,48 @@
   CHECK(requests_cut == 0);
 }
 
+TEST_CASE("a request that was read behind another is dropped by a stop") {
+  // It is served if that is in time, else refused.
+  for (const bool is_in_time : {true, false}) {
+    CAPTURE(is_in_time);
+    Site site;
+    FakeTarget& target = site.AddTarget("app", "i1");
+    std::size_t runs = 0;
+    target.OnRequest([&](const http::ExchangePtr& exchange) {
+      const auto answer = [&target, exchange] {
+        exchange->Respond(target.Head(exchange->request()));
+      };
+      if (++runs > 1) return answer();
+      target.After(milliseconds(200), [&site, &target, answer] {
+        site.host(0).Stop();
+        target.After(milliseconds(200), answer);
+      });
+    });
+    site.PutConfig(1);
+    const auto host = site.AddHost();
+    REQUIRE(site.UntilReady(host));
+    const auto request = [](const char* id, const char* deadline_ms) {
+      return std::string("GET /safe/1 HTTP/1.1\r\nhost: a.example\r\n") +
+             "authorization: Token key1\r\nx-deadline-ms: " + deadline_ms +
+             "\r\nx-request-id: " + id + "\r\n\r\n";
+    };
+    const std::string got =
+        site.SendBytes(host, request("h1", "4000") +
+                                 request("h2", is_in_time ? "700" : "4000"));
+    CAPTURE(got);
+    CHECK(got.starts_with("HTTP/1.1 200 OK\r\n"));
+    const auto second = got.find("HTTP/1.1 ", 1);
+    REQUIRE(second != std::string::npos);
+    const std::string rest = got.substr(second);
+    CHECK(rest.starts_with(is_in_time ? "HTTP/1.1 200" : "HTTP/1.1 503"));
+    CHECK(rest.find("x-request-id: h2") != std::string::npos);
+    CHECK((rest.find("not_run") == std::string::npos) == is_in_time);
+    CHECK(runs == (is_in_time ? 2 : 1));
+    // Only the last answer announces the end of the connection.
+    CHECK(got.find("onnection: close") > second);
+  }
+}
+
 TEST_CASE("a request is read and dropped as its idle connection is closed") {
   namespace asio = boost::asio;
   using asio::ip::tcp;
