Connections to targets that have gone are closed

Cause: a kept connection was looked at only by the next call to its address.

Change: http::Client is told the listed addresses.

Not done: a budget of descriptors, readiness of a host without any left.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -238,6 +238,7 @@
           const node::AtExit poll([&self] { self->PollFacts(); });
           self->RefreshPeers();
           self->FetchAnnounced();
+          self->client.CloseExpired();
         });
   }
 
@@ -518,6 +519,11 @@
   const bool is_first = !std::exchange(state_->has_targets, true);
   state_->targets_changed_at = Now();
   state_->placement.SetTargets(targets);
+  std::set<std::string> addresses;
+  for (const auto& [service, pool] : targets) {
+    for (const auto& target : pool) addresses.insert(target.address);
+  }
+  state_->client.SetListed(addresses);
   if (is_first) state_->RefreshPeers();
 }
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -12,6 +12,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include "http/address.h"
@@ -32,6 +33,7 @@
 
 constexpr std::size_t kIdlePerAddress = 64;
 constexpr std::chrono::milliseconds kIdleLife{20'000};
+constexpr std::chrono::minutes kLongestCall{2};
 /// A connection is not used in the last part of the time that the other end
 /// said it keeps it.
 constexpr std::chrono::milliseconds kIdleMargin{700};
@@ -201,12 +203,39 @@
   void Put(const std::string& address, Kept kept,
            std::chrono::milliseconds life) {
     const std::lock_guard lock(mutex_);
+    const auto now = Clock::now();
+    const auto gone = gone_.find(address);
+    if (gone != gone_.end() && now < gone->second) return;
     auto& idle = idle_[address];
     if (idle.size() >= kIdlePerAddress) return;
-    const auto now = Clock::now();
     idle.push_back({std::move(kept), now, now + life});
   }
 
+  void SetListed(const std::set<std::string>& listed) {
+    const std::lock_guard lock(mutex_);
+    const auto now = Clock::now();
+    for (const auto& address : listed_) {
+      if (listed.contains(address)) continue;
+      idle_.erase(address);
+      gone_[address] = now + kLongestCall;
+    }
+    std::erase_if(gone_, [&](const auto& entry) {
+      return entry.second <= now || listed.contains(entry.first);
+    });
+    listed_ = listed;
+  }
+
+  void CloseExpired() {
+    const std::lock_guard lock(mutex_);
+    const auto now = Clock::now();
+    for (auto& [address, idle] : idle_) {
+      std::erase_if(idle,
+                    [now](const Idle& kept) { return kept.expires <= now; });
+    }
+    std::erase_if(idle_,
+                  [](const auto& entry) { return entry.second.empty(); });
+  }
+
   /// A connection to the address fell silent: the others may have as well.
   void Forget(const std::string& address) {
     const std::lock_guard lock(mutex_);
@@ -232,6 +261,10 @@
   std::atomic<std::size_t> open_calls_ = 0;
   mutable std::mutex mutex_;
   std::map<std::string, std::vector<Idle>> idle_;
+  std::set<std::string> listed_;
+  /// Addresses that are listed no more, until no call that began before can
+  /// still be under way.
+  std::map<std::string, Clock::time_point> gone_;
 };
 
 /// One call: connect or reuse, send, read until the end.
@@ -654,4 +687,10 @@
 
 std::size_t Client::idle_connections() const { return pool_->size(); }
 
+void Client::SetListed(const std::set<std::string>& addresses) {
+  pool_->SetListed(addresses);
+}
+
+void Client::CloseExpired() { pool_->CloseExpired(); }
+
 }  // namespace comfreyflow::http
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <system_error>
 
@@ -123,6 +124,13 @@
   /// Connections kept for later calls.
   std::size_t idle_connections() const;
 
+  /// Tells which addresses calls may go to. Of those that were listed before
+  /// and are no more, kept connections are closed, and those in use at the end
+  /// of their call. Addresses that were never listed are not concerned.
+  void SetListed(const std::set<std::string>& addresses);
+  /// Closes kept connections that no call would take any more.
+  void CloseExpired();
+
  private:
   class Pool;
   class Operation;
