A verdict's trial is not held back for the crashes that led to it

After five minutes one request is sent in spite of a verdict; the memory of broken connections, which knows the same crashes, refused it and used the trial up. crash-ledger-test: a check, failed before.

--- a/include/comfreyflow/crash-ledger.h
+++ b/include/comfreyflow/crash-ledger.h
@@ -103,6 +103,7 @@
   std::vector<Acquittal> acquittals;
 };
 
+/// What broken connections mean for a request.
 enum class Hold : std::uint8_t {
   kNone,
   kTrial,  ///< This one request is let through.
@@ -134,7 +135,8 @@
   /// Whether the request is held back because connections broke under it, here
   /// or with a crash anywhere. `kTrial` comes once each `break_trial`; if as
   /// many targets crashed as hold a request back, only with `may_try`, which
-  /// one host at a time may have.
+  /// one host at a time may have. `kNone` if there is a verdict on the request:
+  /// `FindVerdict` decides then.
   Hold HoldOf(const RequestSubjects& request, bool may_try, Time now);
 
   /// Whether the request might be a cause of earlier crashes and should not be
--- a/src/core/poison/crash-ledger.cc
+++ b/src/core/poison/crash-ledger.cc
@@ -149,6 +149,11 @@
 
 Hold CrashLedger::HoldOf(const RequestSubjects& request, bool may_try,
                          Time now) {
+  // A verdict has trials of its own.
+  const bool has_verdict = std::any_of(
+      verdicts_.begin(), verdicts_.end(),
+      [&](const auto& entry) { return Matches(entry.second, request); });
+  if (has_verdict) return Hold::kNone;
   std::set<TargetName> targets = CrashedOn(request.request);
   const bool has_crashed = targets.size() >= settings_.breaks_to_hold;
   const auto known = breaks_.find(request.request);
--- a/test/crash-ledger-test.cc
+++ b/test/crash-ledger-test.cc
@@ -119,6 +119,9 @@
   now += seconds(1);
   ledger.AddCrash(Crash(now, {bad}), now);
   CHECK_FALSE(IsSent(ledger, bad, now));
+  // The verdict's trial is not held back.
+  CHECK(ledger.FindVerdict(bad, true, now + minutes(5)) == nullptr);
+  CHECK(ledger.HoldOf(bad, true, now + minutes(5)) == Hold::kNone);
   // One that is served ends it at all hosts.
   ledger.AddAcquittal({bad.request, now + seconds(1)}, now + seconds(1));
   CHECK(ledger.HoldOf(bad, false, now + seconds(1)) == Hold::kNone);
