stop-test: the stop begins once the order has reached its service

Cause: the test waited for the two prompts at the engine and not for the order at the plain service; an order that the stop meets on the host has not run, and its answer says so.

Change: it waits until the service has the order, too; the stand-in shows calls that it holds as run 0 times.

--- a/test/fakes/fake-service.cc
+++ b/test/fakes/fake-service.cc
@@ -34,6 +34,8 @@
                        {{"x-not-run", "1"}});
   }
   if (slow_.count() == 0) return Run(call);
+  // Shows that the call is here and has not run.
+  runs_.try_emplace(request.Header("idempotency-key"), 0);
   auto timer =
       std::make_shared<boost::asio::steady_timer>(server_.context(), slow_);
   timer->async_wait(
--- a/test/shell/stop-test.cc
+++ b/test/shell/stop-test.cc
@@ -133,7 +133,8 @@
   whole.Send(LongCompletion(false));
   RawCaller order(address);
   order.Send(Order("k1"));
-  while (stand.engine.Attempts().size() < 2) {
+  while (stand.engine.Attempts().size() < 2 ||
+         !stand.service.Runs().at("runs").contains("k1")) {
     std::this_thread::sleep_for(milliseconds(5));
   }
   stand.host->node().Drain();
